Serve a batch job end to end through log, lease and worker

Cause: nothing ran yet; every other matter builds on the whole path. Conclusion: the interfaces hold; ownership and membership are still static.

--- /dev/null
+++ b/src/lycheerelay/_cli.py
@@ -0,0 +1,98 @@
+"""Parse the command line and run its sub-commands."""
+
+import argparse
+import logging
+import signal
+import sys
+import threading
+from collections.abc import Sequence
+from pathlib import Path
+
+from result import Err
+
+from . import __version__
+from ._api import Api
+from ._clock import SystemClock
+from ._codes import CODES
+from ._members import StaticMembers
+from ._node import Node
+from ._policy import Policy
+from ._settings import NodeSettings, load_settings
+from ._web import WebServer
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the command line and return the exit status."""
+    arguments = build_parser().parse_args(argv)
+    logging.basicConfig(level=logging.INFO, stream=sys.stderr)
+    return int(arguments.run(arguments))
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Describe every sub-command."""
+    parser = argparse.ArgumentParser(prog='lycheerelay')
+    commands = parser.add_subparsers(required=True, metavar='COMMAND')
+    serve = commands.add_parser('serve', help='run one entry VM')
+    serve.add_argument(
+        'settings',
+        type=Path,
+        help='INI file with the settings of this process',
+    )
+    serve.set_defaults(run=run_serve)
+    version = commands.add_parser('version', help='print the version')
+    version.set_defaults(run=run_version)
+    return parser
+
+
+def run_version(arguments: argparse.Namespace) -> int:
+    """Print the version."""
+    print(__version__)
+    return 0
+
+
+def run_serve(arguments: argparse.Namespace) -> int:
+    """Run one entry VM until it is told to stop."""
+    loaded = load_settings(arguments.settings)
+    if isinstance(loaded, Err):
+        print(loaded.err_value.detail, file=sys.stderr)
+        return CODES[loaded.err_value.code].exit_status
+    settings = loaded.ok_value
+    stopped = stop_on_signals()
+    node, server = start_node(settings)
+    print(f'listening on {server.address}', flush=True)
+    stopped.wait()
+    server.stop()
+    node.stop()
+    return 0
+
+
+def stop_on_signals() -> threading.Event:
+    """Return an event that SIGTERM and SIGINT set."""
+    stopped = threading.Event()
+
+    def on_signal(*_: object) -> None:
+        stopped.set()
+
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+    return stopped
+
+
+def start_node(settings: NodeSettings) -> tuple[Node, WebServer]:
+    """Start an entry VM and its HTTP server."""
+    node = Node(
+        settings,
+        SystemClock(),
+        Policy(),
+        StaticMembers(settings),
+    )
+    host, port = settings.host_and_port
+    server = WebServer(
+        host,
+        port,
+        Api(node).routes(),
+        settings.http_threads,
+    )
+    node.start()
+    server.start()
+    return node, server
--- /dev/null
+++ b/src/lycheerelay/_executors.py
@@ -0,0 +1,52 @@
+"""Carry out the core's commands."""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+from ._commands import (
+    Append,
+    ForgetTask,
+    JobFinal,
+    ReplyAccepted,
+    ReplyRefused,
+    StartTask,
+    StopTask,
+)
+from ._node_parts import NodeParts
+from ._registry import Registry
+
+Executor = Callable[[NodeParts, Any], None]
+EXECUTORS: Final[Registry[type, Executor]] = Registry('command executor')
+
+
+@EXECUTORS.register(Append)
+def execute_append(parts: NodeParts, command: Append) -> None:
+    """Hand a record to the journal."""
+    parts.journal.append(command.record)
+
+
+@EXECUTORS.register(StartTask)
+@EXECUTORS.register(StopTask)
+@EXECUTORS.register(ForgetTask)
+def execute_send(
+    parts: NodeParts,
+    command: StartTask | StopTask | ForgetTask,
+) -> None:
+    """Hand a task command to the sender."""
+    parts.sender.send(command)
+
+
+@EXECUTORS.register(ReplyAccepted)
+@EXECUTORS.register(ReplyRefused)
+def execute_reply(
+    parts: NodeParts,
+    command: ReplyAccepted | ReplyRefused,
+) -> None:
+    """Resolve the reply of one request."""
+    parts.replies.resolve(command)
+
+
+@EXECUTORS.register(JobFinal)
+def execute_final(parts: NodeParts, command: JobFinal) -> None:
+    """Wake everyone who waits for a job."""
+    parts.watchers.wake(command.job_id)
--- /dev/null
+++ b/src/lycheerelay/_handle_jobs.py
@@ -0,0 +1,149 @@
+"""Admit, keep, cancel and settle jobs."""
+
+from ._admission import refuse
+from ._codes import Code, Refusal
+from ._commands import Append, JobFinal, ReplyAccepted, ReplyRefused, StopTask
+from ._events import CancelRequested, Recorded, SubmitRequested
+from ._handlers import FOLDS, HANDLERS, Commands
+from ._jobs import JobState
+from ._records import Accepted, CancelAsked, Settled
+from ._settle import settle_if_over
+from ._state import JobBook, PendingAccept, ShardState, TaskBook
+
+
+@HANDLERS.register(Recorded)
+def on_recorded(
+    state: ShardState,
+    event: Recorded,
+    now_ms: int,
+) -> Commands:
+    """Fold one record in log order."""
+    yield from FOLDS[type(event.record)](state, event.record, now_ms)
+
+
+@HANDLERS.register(SubmitRequested)
+def on_submit(
+    state: ShardState,
+    event: SubmitRequested,
+    now_ms: int,
+) -> Commands:
+    """Reply to a known job, refuse, or ask the log to keep the job."""
+    spec = event.spec
+    known = state.jobs.get(spec.job_id)
+    pending = state.accepting.get(spec.job_id)
+    kept_spec = known.spec if known else pending and pending.spec
+    if kept_spec is not None and kept_spec != spec:
+        yield _conflict(event.token, spec.job_id)
+    elif known is not None:
+        yield ReplyAccepted(event.token, spec.job_id, Code.ACCEPTED)
+    elif pending is not None:
+        pending.tokens.append(event.token)
+    else:
+        yield from _admit(state, event, now_ms)
+
+
+def _admit(
+    state: ShardState,
+    event: SubmitRequested,
+    now_ms: int,
+) -> Commands:
+    refusal = refuse(state, event.spec, now_ms)
+    if refusal is not None:
+        yield ReplyRefused(event.token, refusal)
+        return
+    spec = event.spec
+    state.accepting[spec.job_id] = PendingAccept(spec, [event.token])
+    yield Append(Accepted(state.pool, spec, now_ms))
+
+
+@FOLDS.register(Accepted)
+def fold_accepted(
+    state: ShardState,
+    record: Accepted,
+    now_ms: int,
+) -> Commands:
+    """Keep a job under its id; the first record wins."""
+    spec = record.spec
+    known = state.jobs.get(spec.job_id)
+    if known is None:
+        tasks = [TaskBook() for _ in range(spec.tasks)]
+        known = JobBook(spec, record.at_ms, tasks)
+        state.jobs[spec.job_id] = known
+        state.waiting[spec.job_id] = None
+    pending = state.accepting.pop(spec.job_id, None)
+    if pending is None:
+        return
+    for token in pending.tokens:
+        if known.spec == pending.spec:
+            yield ReplyAccepted(token, spec.job_id, Code.ACCEPTED)
+        else:
+            yield _conflict(token, spec.job_id)
+
+
+@HANDLERS.register(CancelRequested)
+def on_cancel(
+    state: ShardState,
+    event: CancelRequested,
+    now_ms: int,
+) -> Commands:
+    """Ask the log to keep a cancellation."""
+    job = state.jobs.get(event.job_id)
+    if job is None:
+        detail = f'job {event.job_id} is not known here'
+        yield ReplyRefused(event.token, Refusal(Code.NOT_FOUND, detail))
+    elif job.is_final or job.cancel_asked:
+        yield ReplyAccepted(event.token, event.job_id, Code.CANCELLED)
+    else:
+        tokens = state.cancelling.setdefault(event.job_id, [])
+        tokens.append(event.token)
+        if len(tokens) == 1:
+            yield Append(CancelAsked(state.pool, event.job_id, now_ms))
+
+
+@FOLDS.register(CancelAsked)
+def fold_cancel(
+    state: ShardState,
+    record: CancelAsked,
+    now_ms: int,
+) -> Commands:
+    """Stop what runs and settle the job once nothing does."""
+    for token in state.cancelling.pop(record.job_id, []):
+        yield ReplyAccepted(token, record.job_id, Code.CANCELLED)
+    job = state.jobs.get(record.job_id)
+    if job is None or job.is_final:
+        return
+    job.cancel_asked = True
+    state.waiting.pop(record.job_id, None)
+    if state.is_owner:
+        yield from _stop_live_tasks(state, job)
+    yield from settle_if_over(state, job, record.at_ms)
+
+
+def _stop_live_tasks(state: ShardState, job: JobBook) -> Commands:
+    for index, task in enumerate(job.tasks):
+        if task.is_live and task.recorded:
+            key = job.attempt_key(index)
+            yield StopTask(task.worker, state.term, key, checkpoint=False)
+
+
+@FOLDS.register(Settled)
+def fold_settled(
+    state: ShardState,
+    record: Settled,
+    now_ms: int,
+) -> Commands:
+    """Take over a recorded final result."""
+    job = state.jobs.get(record.job_id)
+    if job is None or job.is_final:
+        return
+    job.state = JobState(record.state)
+    job.code = record.code
+    job.detail = record.detail
+    job.settled_ms = record.at_ms
+    state.waiting.pop(record.job_id, None)
+    yield JobFinal(record.job_id)
+
+
+def _conflict(token: int, job_id: str) -> ReplyRefused:
+    detail = f'job_id: {job_id} is taken by another body'
+    return ReplyRefused(token, Refusal(Code.CONFLICT, detail))
--- /dev/null
+++ b/src/lycheerelay/_hashing.py
@@ -0,0 +1,34 @@
+"""Choose owners by rendezvous hashing."""
+
+import hashlib
+from collections.abc import Iterable
+from typing import Final
+
+DIGEST_BYTES: Final = 8
+
+
+def rank(key: str, nodes: Iterable[str]) -> list[str]:
+    """Order nodes by their rendezvous weight for a key, heaviest first.
+
+    Source: Thaler and Ravishankar, "Using name-based mappings to increase
+    hit rates", 1998.
+    """
+    return sorted(
+        nodes,
+        key=lambda node: (_weight(key, node), node),
+        reverse=True,
+    )
+
+
+def owner_of(key: str, nodes: Iterable[str]) -> str | None:
+    """Return the node with the heaviest weight, or None without nodes."""
+    return max(
+        nodes,
+        key=lambda node: (_weight(key, node), node),
+        default=None,
+    )
+
+
+def _weight(key: str, node: str) -> bytes:
+    text = f'{key}\0{node}'.encode()
+    return hashlib.blake2b(text, digest_size=DIGEST_BYTES).digest()
--- /dev/null
+++ b/src/lycheerelay/_log_client.py
@@ -0,0 +1,74 @@
+"""Adapt the platform's append-only log service."""
+
+from typing import NamedTuple, final
+
+from result import Err, Ok, Result
+
+from ._codec import Json
+from ._http import CallError, HttpCaller
+
+
+class LogEntry(NamedTuple):
+    """Hold one entry of a stream with its offset."""
+
+    offset: int
+    value: Json
+
+
+class LogPage(NamedTuple):
+    """Hold what one read returned.
+
+    `first` is the oldest offset still kept and `end` the next to be written.
+    """
+
+    entries: tuple[LogEntry, ...]
+    first: int
+    end: int
+
+
+@final
+class LogClient:
+    """Append to and read from the streams of one log service."""
+
+    def __init__(self, caller: HttpCaller, address: str) -> None:
+        """Remember where the log is."""
+        self.caller = caller
+        self.base = f'http://{address}/v1/streams'
+
+    def append(
+        self,
+        stream: str,
+        value: Json,
+        timeout_ms: int = 1000,
+    ) -> Result[int, CallError]:
+        """Append one entry and return its offset.
+
+        An error leaves open whether the entry was written.
+        """
+        url = f'{self.base}/{stream}'
+        reply = self.caller.call('POST', url, value, timeout_ms)
+        if isinstance(reply, Err):
+            return reply
+        if reply.ok_value.status != 200:
+            return Err(CallError(url, f'status {reply.ok_value.status}'))
+        return Ok(int(reply.ok_value.body['offset']))
+
+    def read(
+        self,
+        stream: str,
+        from_offset: int,
+        timeout_ms: int = 2000,
+    ) -> Result[LogPage, CallError]:
+        """Read entries from an offset on, oldest first."""
+        url = f'{self.base}/{stream}?from={from_offset}'
+        reply = self.caller.call('GET', url, timeout_ms=timeout_ms)
+        if isinstance(reply, Err):
+            return reply
+        if reply.ok_value.status != 200:
+            return Err(CallError(url, f'status {reply.ok_value.status}'))
+        body = reply.ok_value.body
+        entries = tuple(
+            LogEntry(entry['offset'], entry['value'])
+            for entry in body['entries']
+        )
+        return Ok(LogPage(entries, body['first'], body['end']))
--- /dev/null
+++ b/src/lycheerelay/_node.py
@@ -0,0 +1,244 @@
+"""Join the decision core, the journal and the workers in one process."""
+
+import contextlib
+import queue
+import threading
+from collections.abc import Callable
+from concurrent.futures import Future
+from typing import Final, NamedTuple, TypeVar, final
+
+from ._clock import MS_PER_SECOND, Clock
+from ._core import step
+from ._events import (
+    CancelRequested,
+    Configured,
+    Event,
+    Recorded,
+    SubmitRequested,
+    Tick,
+    WorkerListed,
+)
+from ._executors import EXECUTORS
+from ._http import HttpCaller
+from ._jobs import JobSpec
+from ._journal import Journal, JournalSettings
+from ._log_client import LogClient
+from ._members import Members
+from ._node_parts import NodeParts
+from ._ownership import Ownership
+from ._policy import Policy
+from ._records import Record
+from ._replies import Outcome, Replies
+from ._sender import Sender
+from ._settings import NodeSettings
+from ._state import JobBook, ShardState
+from ._vm_client import VmList, VmListClient
+from ._vm_follower import VmFollower
+from ._watchers import Watchers
+from ._worker_links import WorkerLinks
+
+TICK_MS: Final = 20
+MAX_BURST: Final = 500
+
+T = TypeVar('T')
+
+
+class Posted(NamedTuple):
+    """Address an event to one pool."""
+
+    pool: str
+    event: Event
+
+
+class Inspection(NamedTuple):
+    """Run a reading of the state on the core's thread."""
+
+    read: Callable[[], object]
+    future: 'Future[object]'
+
+
+@final
+class Node:
+    """Run one entry VM."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        clock: Clock,
+        policy: Policy,
+        members: Members,
+    ) -> None:
+        """Wire the parts; start none of them."""
+        self.settings = settings
+        self.clock = clock
+        self.policy = policy
+        self.members = members
+        self.caller = HttpCaller()
+        self.inbox: queue.Queue[Posted | Inspection] = queue.Queue()
+        self.shards: dict[str, ShardState] = {}
+        self.stopping = threading.Event()
+        self.links = WorkerLinks(settings.name, self.caller, clock, self.post)
+        self.parts = self._build_parts()
+        self.ownership = Ownership(
+            settings.name,
+            members,
+            clock,
+            self.parts.journal.append,
+        )
+        self.vms = VmFollower(
+            VmListClient(self.caller, settings.vm_list_address),
+            settings.domain,
+            self.take_vm_list,
+        )
+        self.thread = threading.Thread(
+            target=self.run,
+            name='core',
+            daemon=True,
+        )
+
+    def start(self) -> None:
+        """Start every thread."""
+        self.thread.start()
+        self.vms.start()
+        self.parts.journal.start()
+
+    def stop(self) -> None:
+        """Stop every thread; leases run out by themselves."""
+        self.vms.stop()
+        self.links.stop()
+        self.parts.sender.stop()
+        self.parts.journal.stop()
+        self.stopping.set()
+        self.thread.join()
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the log has been read to its end once."""
+        return self.parts.journal.caught_up
+
+    def submit(self, spec: JobSpec, timeout_ms: int) -> Outcome:
+        """Accept or refuse a job whose pool is owned here."""
+        token, future = self.parts.replies.open()
+        self.post(
+            self.policy.pool_of(spec.workload),
+            SubmitRequested(token, spec),
+        )
+        return self.parts.replies.wait(token, future, timeout_ms)
+
+    def cancel(self, pool: str, job_id: str, timeout_ms: int) -> Outcome:
+        """Cancel a job whose pool is owned here."""
+        token, future = self.parts.replies.open()
+        self.post(pool, CancelRequested(token, job_id))
+        return self.parts.replies.wait(token, future, timeout_ms)
+
+    def configure(self, policy: Policy) -> None:
+        """Put a newer configuration in force."""
+        self.inspect(lambda: self._configure(policy))
+
+    def inspect(self, read: Callable[[], T]) -> T:
+        """Read the state between two events."""
+        future: Future[object] = Future()
+        self.inbox.put(Inspection(read, future))
+        return future.result()  # type: ignore[return-value]
+
+    def find_job(self, job_id: str) -> tuple[ShardState, JobBook] | None:
+        """Find a job among the pools; call it through `inspect`."""
+        for state in self.shards.values():
+            job = state.jobs.get(job_id)
+            if job is not None:
+                return state, job
+        return None
+
+    def watch(self, job_id: str, wait_ms: int) -> None:
+        """Wait until the job is final or the time is over."""
+        future = self.parts.watchers.open(job_id)
+        found = self.inspect(lambda: self.find_job(job_id))
+        if found is not None and not found[1].is_final:
+            with contextlib.suppress(TimeoutError):
+                future.result(wait_ms / MS_PER_SECOND)
+        self.parts.watchers.close(job_id, future)
+
+    def post(self, pool: str, event: Event) -> None:
+        """Queue an event for a pool."""
+        self.inbox.put(Posted(pool, event))
+
+    def take_record(self, record: Record) -> None:
+        """Queue a record from the journal for its pool."""
+        self.post(record.pool, Recorded(record))
+
+    def take_vm_list(self, listed: VmList) -> None:
+        """Open links to listed workers and tell their pools."""
+        for spec in listed.workers:
+            self.links.open(spec)
+            self.post(spec.pool, WorkerListed(spec))
+
+    def run(self) -> None:
+        """Step the core until stopped."""
+        while not self.stopping.is_set():
+            for entry in self._next_entries():
+                self._take(entry)
+            for state in tuple(self.shards.values()):
+                self._step(state, Tick())
+                self._follow_term(state)
+
+    def _build_parts(self) -> NodeParts:
+        journal = Journal(
+            LogClient(self.caller, self.settings.log_address),
+            JournalSettings(
+                f'jobs.{self.settings.domain}',
+                f'{self.settings.name}@{self.clock.now_ms()}',
+                self.settings.commit_ms,
+            ),
+            self.clock,
+            self.take_record,
+        )
+        sender = Sender(self.links.get, self.links.post_event)
+        return NodeParts(journal, sender, Replies(), Watchers())
+
+    def _next_entries(self) -> list[Posted | Inspection]:
+        try:
+            entries = [self.inbox.get(timeout=TICK_MS / MS_PER_SECOND)]
+        except queue.Empty:
+            return []
+        while len(entries) < MAX_BURST and not self.inbox.empty():
+            entries.append(self.inbox.get_nowait())
+        return entries
+
+    def _take(self, entry: Posted | Inspection) -> None:
+        if isinstance(entry, Posted):
+            self._step(self._shard(entry.pool), entry.event)
+            return
+        try:
+            entry.future.set_result(entry.read())
+        except Exception as error:
+            entry.future.set_exception(error)
+
+    def _shard(self, pool: str) -> ShardState:
+        state = self.shards.get(pool)
+        if state is None:
+            state = ShardState(
+                self.settings.domain,
+                pool,
+                self.settings.name,
+                self.policy,
+            )
+            self.shards[pool] = state
+        return state
+
+    def _step(self, state: ShardState, event: Event) -> None:
+        _, commands = step(state, event, self.clock.now_ms())
+        for command in commands:
+            EXECUTORS[type(command)](self.parts, command)
+
+    def _configure(self, policy: Policy) -> None:
+        if policy.version <= self.policy.version:
+            return
+        self.policy = policy
+        for state in tuple(self.shards.values()):
+            self._step(state, Configured(policy))
+
+    def _follow_term(self, state: ShardState) -> None:
+        if not self.is_ready:
+            return
+        self.links.claim(state.pool, state.term if state.is_owner else 0)
+        self.ownership.review(state)
--- /dev/null
+++ b/src/lycheerelay/_node_parts.py
@@ -0,0 +1,17 @@
+"""Name the parts that commands act on."""
+
+from typing import NamedTuple
+
+from ._journal import Journal
+from ._replies import Replies
+from ._sender import Sender
+from ._watchers import Watchers
+
+
+class NodeParts(NamedTuple):
+    """Hold the parts of one entry VM that the core's commands drive."""
+
+    journal: Journal
+    sender: Sender
+    replies: Replies
+    watchers: Watchers
--- /dev/null
+++ b/src/lycheerelay/_records.py
@@ -0,0 +1,81 @@
+"""Define what the log of a failure domain keeps."""
+
+from typing import NamedTuple
+
+from ._jobs import AttemptKey, JobSpec, TaskState
+
+
+class Accepted(NamedTuple):
+    """Keep a job; the first record of an id wins."""
+
+    pool: str
+    spec: JobSpec
+    at_ms: int
+
+
+class Start(NamedTuple):
+    """Name the worker, and its boot, that one attempt is meant for."""
+
+    task_index: int
+    attempt: int
+    worker: str
+    boot: str
+
+
+class Intended(NamedTuple):
+    """Announce starts before any of them is sent."""
+
+    pool: str
+    term: int
+    job_id: str
+    starts: tuple[Start, ...]
+    at_ms: int
+
+
+class Ended(NamedTuple):
+    """State how one attempt ended."""
+
+    pool: str
+    job_id: str
+    task_index: int
+    attempt: int
+    state: TaskState
+    code: int
+    answer: str
+    at_ms: int
+
+    @property
+    def key(self) -> AttemptKey:
+        """Return the attempt that ended."""
+        return AttemptKey(self.job_id, self.task_index, self.attempt)
+
+
+class CancelAsked(NamedTuple):
+    """Keep the caller's wish to cancel a job."""
+
+    pool: str
+    job_id: str
+    at_ms: int
+
+
+class Settled(NamedTuple):
+    """State the final result of a job that did not end by its tasks."""
+
+    pool: str
+    job_id: str
+    state: str
+    code: int
+    detail: str
+    at_ms: int
+
+
+class TermTaken(NamedTuple):
+    """Claim the right to place in one pool; the higher term wins."""
+
+    pool: str
+    term: int
+    owner: str
+    at_ms: int
+
+
+Record = Accepted | Intended | Ended | CancelAsked | Settled | TermTaken
--- /dev/null
+++ b/src/lycheerelay/_vm_client.py
@@ -0,0 +1,51 @@
+"""Adapt the platform's lagging list of live and leaving VMs."""
+
+from typing import NamedTuple, final
+
+from result import Err, Ok, Result
+
+from ._codec import FieldError, from_json
+from ._events import WorkerSpec
+from ._http import CallError, HttpCaller
+
+
+class EntryVm(NamedTuple):
+    """Describe one entry VM as the platform lists it."""
+
+    name: str
+    domain: str
+    region: str
+    address: str
+    leaving: bool = False
+
+
+class VmList(NamedTuple):
+    """Hold one reading of the list."""
+
+    version: int
+    workers: tuple[WorkerSpec, ...] = ()
+    entries: tuple[EntryVm, ...] = ()
+
+
+@final
+class VmListClient:
+    """Read the list from one address."""
+
+    def __init__(self, caller: HttpCaller, address: str) -> None:
+        """Remember where the list is."""
+        self.caller = caller
+        self.base = f'http://{address}/v1/vms'
+
+    def read(
+        self,
+        domain: str,
+        since: int,
+    ) -> Result[VmList | None, CallError | FieldError]:
+        """Read the VMs of a domain; None means unchanged since a version."""
+        url = f'{self.base}?domain={domain}&since={since}'
+        reply = self.caller.call('GET', url)
+        if isinstance(reply, Err):
+            return reply
+        if reply.ok_value.status == 204 or reply.ok_value.body is None:
+            return Ok(None)
+        return from_json(VmList, reply.ok_value.body)
--- /dev/null
+++ b/src/lycheerelay/_worker_client.py
@@ -0,0 +1,152 @@
+"""Adapt the task API of the platform's workers."""
+
+from typing import NamedTuple, final
+
+from result import Err, Ok, Result
+
+from ._codec import Json
+from ._events import TaskReport
+from ._http import CallError, HttpCaller
+from ._jobs import AttemptKey, JobSpec, TaskState, parse_attempt
+
+HTTP_OK = 200
+HTTP_CONFLICT = 409
+POLL_SLACK_MS = 2000
+
+
+class LeaseRequest(NamedTuple):
+    """Ask for the placement lease of a worker, or renew it.
+
+    The call returns at once when something changed after `since`, else
+    after `wait_ms`.
+    """
+
+    pool: str
+    holder: str
+    term: int
+    ttl_ms: int
+    task_ttl_ms: int
+    since: int
+    wait_ms: int
+
+
+class LeaseReply(NamedTuple):
+    """Hold the worker's answer to a lease request."""
+
+    granted: bool
+    term: int
+    holder: str
+    boot: str
+    seq: int
+    leaving: bool
+    reports: tuple[TaskReport, ...]
+
+
+class StartReply(NamedTuple):
+    """Hold a worker's definite answer to a start."""
+
+    state: TaskState
+    code: int
+
+
+@final
+class WorkerClient:
+    """Talk to one worker."""
+
+    def __init__(self, caller: HttpCaller, address: str) -> None:
+        """Remember where the worker is."""
+        self.caller = caller
+        self.base = f'http://{address}/v1'
+
+    def renew(self, request: LeaseRequest) -> Result[LeaseReply, CallError]:
+        """Acquire or renew the placement lease and read changes."""
+        timeout_ms = request.wait_ms + POLL_SLACK_MS
+        url = f'{self.base}/lease'
+        reply = self.caller.call('POST', url, request, timeout_ms)
+        if isinstance(reply, Err):
+            return reply
+        if reply.ok_value.status not in {HTTP_OK, HTTP_CONFLICT}:
+            return Err(CallError(url, f'status {reply.ok_value.status}'))
+        return Ok(_lease_reply(reply.ok_value.body))
+
+    def start(
+        self,
+        term: int,
+        key: AttemptKey,
+        spec: JobSpec,
+    ) -> Result[StartReply, CallError]:
+        """Create a task under its attempt id; repeating is harmless."""
+        body = {
+            'task_id': key.to_text(),
+            'term': term,
+            'cores_milli': spec.cores_milli,
+            'memory_mb': spec.memory_mb,
+            'accelerators': spec.accelerators,
+            'connections': spec.connections,
+            'payload': spec.payload,
+        }
+        return self._task_call('tasks', body)
+
+    def stop(
+        self,
+        term: int,
+        key: AttemptKey,
+        checkpoint: bool,
+    ) -> Result[StartReply, CallError]:
+        """Stop an attempt; one that never started is void from now on."""
+        body = {
+            'task_id': key.to_text(),
+            'term': term,
+            'checkpoint': checkpoint,
+        }
+        return self._task_call('stop', body)
+
+    def forget(
+        self,
+        term: int,
+        key: AttemptKey,
+    ) -> Result[StartReply, CallError]:
+        """Drop an ended attempt from the worker's table."""
+        body = {'task_id': key.to_text(), 'term': term}
+        return self._task_call('forget', body)
+
+    def _task_call(
+        self,
+        path: str,
+        body: Json,
+    ) -> Result[StartReply, CallError]:
+        url = f'{self.base}/{path}'
+        reply = self.caller.call('POST', url, body)
+        if isinstance(reply, Err):
+            return reply
+        if reply.ok_value.status not in {HTTP_OK, HTTP_CONFLICT}:
+            return Err(CallError(url, f'status {reply.ok_value.status}'))
+        answer = reply.ok_value.body
+        return Ok(StartReply(TaskState(answer['state']), answer['code']))
+
+
+def _lease_reply(body: Json) -> LeaseReply:
+    reports = (_report(entry) for entry in body['reports'])
+    return LeaseReply(
+        body['granted'],
+        body['term'],
+        body['holder'],
+        body['boot'],
+        body['seq'],
+        body['leaving'],
+        tuple(report for report in reports if report is not None),
+    )
+
+
+def _report(entry: Json) -> TaskReport | None:
+    key = parse_attempt(entry['task_id'])
+    if key is None:
+        return None
+    return TaskReport(
+        key,
+        TaskState(entry['state']),
+        entry['code'],
+        entry['answer'],
+        entry['used_cores_milli'],
+        entry['used_memory_mb'],
+    )
--- /dev/null
+++ b/src/lycheerelay/cli.py
@@ -0,0 +1,5 @@
+"""Run the command line."""
+
+from ._cli import main
+
+__all__ = ('main',)
--- /dev/null
+++ b/src/lycheerelay/clock.py
@@ -0,0 +1,5 @@
+"""Tell the time in milliseconds."""
+
+from ._clock import MS_PER_SECOND, Clock, ManualClock, SystemClock
+
+__all__ = ('MS_PER_SECOND', 'Clock', 'ManualClock', 'SystemClock')
--- /dev/null
+++ b/src/lycheerelay_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the platform in tests and benchmarks."""
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,94 @@
+"""Serve jobs end to end over real HTTP, in one process."""
+
+import json
+import time
+
+import pytest
+
+from lycheerelay._cli import start_node
+from lycheerelay._clock import SystemClock
+from lycheerelay._events import WorkerSpec
+from lycheerelay._http import HttpCaller
+from lycheerelay._resources import Resources
+from lycheerelay._settings import NodeSettings
+from lycheerelay._web import WebServer
+from lycheerelay_standins.standins import (
+    LogStandIn,
+    VmListStandIn,
+    WorkerStandIn,
+)
+
+CAPACITY = Resources(16_000, 65_536, 0, 8, 64)
+
+
+@pytest.fixture
+def cell():
+    clock = SystemClock()
+    log, vms = LogStandIn(), VmListStandIn()
+    worker = WorkerStandIn(CAPACITY, 'boot-1', clock)
+    servers = [
+        WebServer('127.0.0.1', 0, part.routes()) for part in (log, vms, worker)
+    ]
+    for server in servers:
+        server.start()
+    vms.list_worker(
+        WorkerSpec(
+            'w1',
+            'desk',
+            'a',
+            'r1',
+            servers[2].address,
+            CAPACITY,
+        ),
+    )
+    node, server = start_node(
+        NodeSettings(
+            'e1',
+            'a',
+            'tt-central',
+            '127.0.0.1:0',
+            servers[0].address,
+            servers[1].address,
+        ),
+    )
+    yield f'http://{server.address}', worker
+    server.stop()
+    node.stop()
+    for part in servers:
+        part.stop()
+
+
+def submit(caller, base, job_id, **fields):
+    body = {'job_id': job_id, 'team': 't', 'workload': 'desk', 'kind': 'batch'}
+    body.update(fields)
+    for _ in range(50):
+        reply = caller.call('POST', f'{base}/v1/jobs', body, 5000).unwrap()
+        if reply.status != 503:
+            return reply
+        time.sleep(0.1)
+    return reply
+
+
+def test_job_runs_once_and_answers(cell):
+    base, worker = cell
+    caller = HttpCaller()
+    payload = json.dumps({'run_ms': 30, 'answer': 'ok 17'})
+    reply = submit(caller, base, 'a.j1', payload=payload, tasks=3)
+    assert reply.status == 202
+    url = f'{base}/v1/jobs/a.j1?wait_ms=8000'
+    view = caller.call('GET', url, timeout_ms=9000).unwrap().body
+    assert view['state'] == 'done'
+    assert [task['answer'] for task in view['tasks']] == ['ok 17'] * 3
+    assert sorted(worker.starts.values()) == [1, 1, 1]
+    again = submit(caller, base, 'a.j1', payload=payload, tasks=3)
+    assert again.status == 202
+    other = submit(caller, base, 'a.j1', payload=payload, tasks=2)
+    assert (other.status, other.body['code']) == (409, 203)
+
+
+def test_wrong_field_is_named(cell):
+    base, _ = cell
+    reply = submit(HttpCaller(), base, 'a.j2', tasks='two')
+    assert reply.status == 400
+    assert 'tasks' in reply.body['detail']
+    assert reply.body['not_run'] is True
