Build the policy from an operators' folder

Operators describe teams, pools, services, batch and gang kinds and limits in INI files that are merged option by option in the order of their names. The whole merge is checked and every fault is reported at once with file, section, option, value and what was expected. Option types come from the policy's own fields, so a new policy option is known to the folder at once.

--- a/src/lycheerelay/_cli.py
+++ b/src/lycheerelay/_cli.py
@@ -7,11 +7,13 @@
 import threading
 from collections.abc import Sequence
 from pathlib import Path
+from typing import Final
 
 from result import Err
 
-from . import __version__
+from . import __version__, _cli_check
 from ._api import Api
+from ._cli_parts import COMMANDS, command, no_options
 from ._clock import SystemClock
 from ._codes import CODES
 from ._members import StaticMembers
@@ -20,6 +22,9 @@
 from ._settings import NodeSettings, load_settings
 from ._web import WebServer
 
+# Importing these modules registers their sub-commands.
+COMMAND_MODULES: Final = (_cli_check,)
+
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the command line and return the exit status."""
@@ -29,27 +34,37 @@
 
 
 def build_parser() -> argparse.ArgumentParser:
-    """Describe every sub-command."""
+    """Describe every registered sub-command."""
     parser = argparse.ArgumentParser(prog='lycheerelay')
     commands = parser.add_subparsers(required=True, metavar='COMMAND')
-    serve = commands.add_parser('serve', help='run one entry VM')
-    serve.add_argument(
-        'settings',
-        type=Path,
-        help='INI file with the settings of this process',
-    )
-    serve.set_defaults(run=run_serve)
-    version = commands.add_parser('version', help='print the version')
-    version.set_defaults(run=run_version)
+    for name in COMMANDS:
+        entry = COMMANDS[name]
+        sub = commands.add_parser(
+            name,
+            help=entry.summary,
+            description=entry.summary,
+        )
+        entry.describe(sub)
+        sub.set_defaults(run=entry.run)
     return parser
 
 
+@command('version', 'print the version', no_options)
 def run_version(arguments: argparse.Namespace) -> int:
     """Print the version."""
     print(__version__)
     return 0
 
 
+def _describe_serve(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        'settings',
+        type=Path,
+        help='INI file with the settings of this process',
+    )
+
+
+@command('serve', 'run one entry VM until SIGTERM', _describe_serve)
 def run_serve(arguments: argparse.Namespace) -> int:
     """Run one entry VM until it is told to stop."""
     loaded = load_settings(arguments.settings)
--- /dev/null
+++ b/src/lycheerelay/_cli_check.py
@@ -0,0 +1,60 @@
+"""Check an operators' folder from the command line."""
+
+import argparse
+import sys
+from pathlib import Path
+
+from result import Err, Result
+
+from ._cli_parts import add_json_flag, command, print_json, print_table
+from ._codes import CODES, Code
+from ._folder import build_policy
+from ._folder_files import FolderErrors, FolderFile, read_files
+from ._policy import Policy
+
+
+def load_folder(
+    folder: Path,
+) -> Result[tuple[tuple[FolderFile, ...], Policy], FolderErrors]:
+    """Read a folder and check the whole merge."""
+    files = read_files(folder)
+    if isinstance(files, Err):
+        return files
+    kept = files.ok_value
+    return build_policy(kept).map(lambda policy: (kept, policy))
+
+
+def report_errors(errors: FolderErrors, as_json: bool) -> int:
+    """Print every fault and return the exit status."""
+    code = Code.BAD_FOLDER
+    if as_json:
+        print_json({'code': int(code), 'errors': errors})
+    else:
+        for error in errors:
+            print(f'error {int(code)}: {error.to_text()}', file=sys.stderr)
+    return CODES[code].exit_status
+
+
+def _describe(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument('folder', type=Path, help='folder of INI files')
+    add_json_flag(parser)
+
+
+@command('check', "check an operators' folder as a whole", _describe)
+def run_check(arguments: argparse.Namespace) -> int:
+    """Check a folder and print what it describes, or every fault."""
+    loaded = load_folder(arguments.folder)
+    if isinstance(loaded, Err):
+        return report_errors(loaded.err_value, arguments.json)
+    policy = loaded.ok_value[1]
+    if arguments.json:
+        print_json({'code': int(Code.OK), 'policy': policy})
+        return 0
+    rows = (
+        (entry.kind, entry.name, entry.pool, entry.fit)
+        for entry in policy.workloads
+    )
+    print_table(('KIND', 'WORKLOAD', 'POOL', 'FIT'), rows)
+    teams, pools = len(policy.teams), len(policy.pools)
+    print(f'ok: {teams} teams, {pools} pools, {len(policy.services)} services')
+    return 0
--- /dev/null
+++ b/src/lycheerelay/_folder.py
@@ -0,0 +1,247 @@
+"""Build the policy from the merged files of an operators' folder."""
+
+import re
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any, Final, NamedTuple, cast
+
+from result import Err, Ok, Result
+
+from ._fit import FITS
+from ._folder_files import (
+    FolderError,
+    FolderErrors,
+    FolderFile,
+    Setting,
+    check_sizes,
+    merge_files,
+    shorten,
+)
+from ._jobs import Kind
+from ._options import field_types, name_near, read_option
+from ._policy import (
+    Limits,
+    Policy,
+    PoolPolicy,
+    ServicePolicy,
+    TeamPolicy,
+    WorkloadPolicy,
+)
+from ._registry import Registry
+
+NAME: Final = re.compile(r'[A-Za-z0-9][A-Za-z0-9_-]{0,62}')
+NAME_TEXT: Final = 'a name of at most 63 letters, digits, "-" and "_"'
+LIMITS_SECTION: Final = 'limits'
+
+
+class SectionKind(NamedTuple):
+    """Describe one kind of section: the tuples it fills, and with what."""
+
+    targets: tuple[Any, ...]
+    fixed: dict[str, object]
+
+
+class Part(NamedTuple):
+    """Hold one entry of the policy and where it was described."""
+
+    entry: Any
+    section: str
+    settings: dict[str, Setting]
+
+    def fault(self, option: str, expected: str) -> FolderError:
+        """Report a value of this section."""
+        setting = self.settings.get(option) or first_setting(self.settings)
+        shown = shorten(setting.text) if option in self.settings else 'nothing'
+        return FolderError(setting.file, self.section, option, shown, expected)
+
+
+SECTION_KINDS: Final = {
+    'team': SectionKind((TeamPolicy,), {}),
+    'pool': SectionKind((PoolPolicy,), {}),
+    'batch': SectionKind((WorkloadPolicy,), {'kind': Kind.BATCH.value}),
+    'gang': SectionKind((WorkloadPolicy,), {'kind': Kind.GANG.value}),
+    'service': SectionKind(
+        (WorkloadPolicy, ServicePolicy),
+        {'kind': Kind.SERVICE.value},
+    ),
+}
+
+CrossCheck = Callable[[list[Part]], Iterator[FolderError]]
+CROSS_CHECKS: Final[Registry[str, CrossCheck]] = Registry('folder check')
+
+
+def build_policy(
+    files: Iterable[FolderFile],
+    version: int = 0,
+) -> Result[Policy, FolderErrors]:
+    """Merge and check every file; either a policy or all errors."""
+    kept = tuple(files)
+    sections, errors = merge_files(kept)
+    errors.extend(check_sizes(kept))
+    parts: list[Part] = []
+    for section, settings in sections.items():
+        read = _read_section(section, settings)
+        if isinstance(read, Err):
+            errors.extend(read.err_value)
+        else:
+            parts.extend(read.ok_value)
+    if not errors:
+        for name in CROSS_CHECKS:
+            errors.extend(CROSS_CHECKS[name](parts))
+    return Err(tuple(errors)) if errors else Ok(_policy(parts, version))
+
+
+def first_setting(settings: dict[str, Setting]) -> Setting:
+    """Return the setting by which a section is located."""
+    return next(iter(settings.values()))
+
+
+def _read_section(
+    section: str,
+    settings: dict[str, Setting],
+) -> Result[list[Part], list[FolderError]]:
+    where = first_setting(settings).file
+    if section == LIMITS_SECTION:
+        return _read_targets(section, settings, SectionKind((Limits,), {}))
+    kind_name, _, name = section.partition(' ')
+    kind = SECTION_KINDS.get(kind_name)
+    if kind is None:
+        known = (LIMITS_SECTION, *SECTION_KINDS)
+        expected = f'as its first word {name_near(kind_name, known)}'
+        return Err([FolderError(where, section, '', kind_name, expected)])
+    name = name.strip()
+    if not NAME.fullmatch(name):
+        shown = shorten(name)
+        return Err([FolderError(where, section, '', shown, NAME_TEXT)])
+    fixed = {**kind.fixed, 'name': name, 'workload': name}
+    return _read_targets(section, settings, kind._replace(fixed=fixed))
+
+
+def _read_targets(
+    section: str,
+    settings: dict[str, Setting],
+    kind: SectionKind,
+) -> Result[list[Part], list[FolderError]]:
+    fields, errors = _read_settings(section, settings, kind)
+    parts = []
+    for target in kind.targets:
+        if target is ServicePolicy and 'replicas' not in fields:
+            continue
+        own = {name: fields[name] for name in target._fields if name in fields}
+        missing = set(target._fields) - set(own) - set(target._field_defaults)
+        where = first_setting(settings).file
+        errors.extend(
+            FolderError(where, section, name, 'nothing', 'a value')
+            for name in sorted(missing - set(settings))
+        )
+        if not missing:
+            parts.append(Part(target(**own), section, settings))
+    return Err(errors) if errors else Ok(parts)
+
+
+def _read_settings(
+    section: str,
+    settings: dict[str, Setting],
+    kind: SectionKind,
+) -> tuple[dict[str, object], list[FolderError]]:
+    types: dict[str, Any] = {}
+    for target in kind.targets:
+        types.update(field_types(target))
+    known = set(types) - set(kind.fixed)
+    fields: dict[str, object] = dict(kind.fixed)
+    errors = []
+    for option, setting in settings.items():
+        if not option:
+            continue
+        if option in known:
+            read = read_option(types[option], option, setting.text)
+            shown = shorten(setting.text)
+        else:
+            read = Err(name_near(option, known))
+            shown = 'an unknown option'
+        if isinstance(read, Err):
+            expected = read.err_value
+            errors.append(
+                FolderError(setting.file, section, option, shown, expected),
+            )
+        else:
+            fields[option] = read.ok_value
+    return fields, errors
+
+
+def _policy(parts: list[Part], version: int) -> Policy:
+    limits = _entries(parts, Limits)
+    return Policy(
+        version=version,
+        teams=tuple(_entries(parts, TeamPolicy)),
+        workloads=tuple(_entries(parts, WorkloadPolicy)),
+        services=tuple(_entries(parts, ServicePolicy)),
+        limits=limits[0] if limits else Limits(),
+        pools=tuple(_entries(parts, PoolPolicy)),
+    )
+
+
+def _entries(parts: list[Part], kind: type) -> list[Any]:
+    return [part.entry for part in parts if isinstance(part.entry, kind)]
+
+
+def _names(parts: list[Part], kind: type) -> set[str]:
+    return {entry.name for entry in _entries(parts, kind)}
+
+
+def _parts(parts: list[Part], kind: type) -> Iterator[Part]:
+    return (part for part in parts if isinstance(part.entry, kind))
+
+
+@CROSS_CHECKS.register('pools')
+def check_pools(parts: list[Part]) -> Iterator[FolderError]:
+    """Check that every workload names a described pool."""
+    known = _names(parts, PoolPolicy)
+    for part in _parts(parts, WorkloadPolicy):
+        if part.entry.pool not in known:
+            expected = f'a [pool NAME] section; {name_near("", known)}'
+            if known:
+                expected = f'a pool: {name_near(part.entry.pool, known)}'
+            yield part.fault('pool', expected)
+
+
+@CROSS_CHECKS.register('teams')
+def check_teams(parts: list[Part]) -> Iterator[FolderError]:
+    """Check that every service names a described team."""
+    known = _names(parts, TeamPolicy)
+    for part in _parts(parts, ServicePolicy):
+        if part.entry.team not in known:
+            near = name_near(part.entry.team, known)
+            yield part.fault('team', f'a team: {near}')
+
+
+@CROSS_CHECKS.register('fits')
+def check_fits(parts: list[Part]) -> Iterator[FolderError]:
+    """Check that every workload names a known placement score."""
+    for part in _parts(parts, WorkloadPolicy):
+        if part.entry.fit not in FITS:
+            yield part.fault('fit', name_near(part.entry.fit, FITS))
+
+
+@CROSS_CHECKS.register('workloads')
+def check_workloads(parts: list[Part]) -> Iterator[FolderError]:
+    """Check that no two kinds of section describe one workload."""
+    seen: dict[str, str] = {}
+    for part in _parts(parts, WorkloadPolicy):
+        other = seen.setdefault(part.entry.name, part.section)
+        if other != part.section:
+            yield part.fault('', f'a name that [{other}] does not use')
+
+
+@CROSS_CHECKS.register('shapes')
+def check_shapes(parts: list[Part]) -> Iterator[FolderError]:
+    """Check that a replica of each service fits a worker of its pool."""
+    pools = {entry.name: entry for entry in _entries(parts, PoolPolicy)}
+    homes = {
+        entry.name: entry.pool for entry in _entries(parts, WorkloadPolicy)
+    }
+    for part in _parts(parts, ServicePolicy):
+        pool = pools.get(homes.get(part.entry.workload, ''))
+        for amount in ('cores_milli', 'memory_mb', 'accelerators'):
+            held = cast(int, getattr(pool, amount, 0))
+            if held and getattr(part.entry, amount) > held:
+                yield part.fault(amount, f'at most {held}, as its pool holds')
--- /dev/null
+++ b/src/lycheerelay/_folder_files.py
@@ -0,0 +1,143 @@
+"""Read the files of an operators' folder and merge their sections."""
+
+import configparser
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Final, NamedTuple
+
+from result import Err, Ok, Result
+
+FILE_SUFFIX: Final = '.ini'
+MAX_FILES: Final = 500
+MAX_FILE_BYTES: Final = 65_536
+MAX_FOLDER_BYTES: Final = 400_000
+MAX_SHOWN_CHARS: Final = 60
+
+
+class FolderError(NamedTuple):
+    """Locate one fault of a folder and say what was expected."""
+
+    file: str
+    section: str
+    option: str
+    shown: str
+    expected: str
+
+    def to_text(self) -> str:
+        """Word the fault for an operator."""
+        where = self.file
+        if self.section:
+            where = f'{where}: [{self.section}]'
+        if self.option:
+            where = f'{where} {self.option}'
+        return f'{where}: got {self.shown}, expected {self.expected}'
+
+
+class FolderFile(NamedTuple):
+    """Hold one file of the folder."""
+
+    name: str
+    content: str
+
+
+class Setting(NamedTuple):
+    """Hold an option's text and the file that set it last."""
+
+    text: str
+    file: str
+
+
+Sections = dict[str, dict[str, Setting]]
+FolderErrors = tuple[FolderError, ...]
+
+
+def read_files(folder: Path) -> Result[tuple[FolderFile, ...], FolderErrors]:
+    """Read every INI file of a folder, in the order of their names."""
+    if not folder.is_dir():
+        return Err((_fault(str(folder), 'no folder', 'a folder of INI files'),))
+    paths = sorted(
+        path
+        for path in folder.iterdir()
+        if path.suffix == FILE_SUFFIX and not path.name.startswith('.')
+    )
+    files = []
+    errors = []
+    for path in paths:
+        read = _read_file(path)
+        if isinstance(read, Err):
+            errors.append(read.err_value)
+        else:
+            files.append(read.ok_value)
+    errors.extend(check_sizes(files))
+    return Err(tuple(errors)) if errors else Ok(tuple(files))
+
+
+def check_sizes(files: Iterable[FolderFile]) -> Iterator[FolderError]:
+    """Check the folder against its limits of count and size."""
+    sizes = {entry.name: len(entry.content.encode()) for entry in files}
+    if len(sizes) > MAX_FILES:
+        expected = f'at most {MAX_FILES} files'
+        yield _fault('folder', f'{len(sizes)} files', expected)
+    for name, size in sizes.items():
+        if size > MAX_FILE_BYTES:
+            yield _fault(
+                name,
+                f'{size} bytes',
+                f'at most {MAX_FILE_BYTES} bytes',
+            )
+    total = sum(sizes.values())
+    if total > MAX_FOLDER_BYTES:
+        expected = f'at most {MAX_FOLDER_BYTES} bytes in all'
+        yield _fault('folder', f'{total} bytes', expected)
+
+
+def merge_files(
+    files: Iterable[FolderFile],
+) -> tuple[Sections, list[FolderError]]:
+    """Merge sections option by option; the later file name wins."""
+    sections: Sections = {}
+    errors = []
+    for entry in sorted(files):
+        parsed = _parse(entry)
+        if isinstance(parsed, Err):
+            errors.append(parsed.err_value)
+            continue
+        for section in parsed.ok_value.sections():
+            merged = sections.setdefault(section, {})
+            for option, text in parsed.ok_value.items(section):
+                merged[option] = Setting(text, entry.name)
+            if not merged:
+                merged[''] = Setting('', entry.name)
+    return sections, errors
+
+
+def shorten(text: str) -> str:
+    """Return a value in quotes, cut to a length that can be shown."""
+    return repr(text[:MAX_SHOWN_CHARS])
+
+
+def _read_file(path: Path) -> Result[FolderFile, FolderError]:
+    try:
+        return Ok(FolderFile(path.name, path.read_text(encoding='utf-8')))
+    except (OSError, UnicodeError) as error:
+        return Err(_fault(path.name, str(error), 'a readable UTF-8 file'))
+
+
+def _parse(
+    entry: FolderFile,
+) -> Result[configparser.ConfigParser, FolderError]:
+    parser = configparser.ConfigParser(
+        interpolation=None,
+        default_section='',
+    )
+    try:
+        parser.read_string(entry.content, source=entry.name)
+    except configparser.Error as error:
+        shown = ' '.join(str(error).split())
+        expected = 'sections of "option = value" lines, each named once'
+        return Err(_fault(entry.name, shown, expected))
+    return Ok(parser)
+
+
+def _fault(file: str, shown: str, expected: str) -> FolderError:
+    return FolderError(file, '', '', shown, expected)
--- /dev/null
+++ b/src/lycheerelay/_options.py
@@ -0,0 +1,139 @@
+"""Read the text of INI options as the types of named tuple fields."""
+
+import difflib
+from collections.abc import Callable, Iterable
+from enum import Enum
+from functools import cache
+from types import UnionType
+from typing import (
+    Any,
+    Final,
+    NamedTuple,
+    Union,
+    get_args,
+    get_origin,
+    get_type_hints,
+)
+
+from result import Err, Ok, Result
+
+_NoneType: Final = None.__class__
+TRUE_TEXTS: Final = frozenset(('true', 'yes', 'on', '1'))
+FALSE_TEXTS: Final = frozenset(('false', 'no', 'off', '0'))
+DAY_MS: Final = 86_400_000
+
+
+class Range(NamedTuple):
+    """Bound a number, both ends included."""
+
+    low: int
+    high: int
+
+    def to_text(self) -> str:
+        """Word the range for an operator."""
+        return f'a number from {self.low} to {self.high}'
+
+
+RANGES_BY_NAME: Final = {
+    'replicas': Range(0, 10_000),
+    'share': Range(1, 1_000_000),
+    'max_attempts': Range(1, 1000),
+    'task_ttl_ms': Range(1000, DAY_MS),
+    'commit_ms': Range(1, 10_000),
+    'http_threads': Range(4, 512),
+}
+RANGES_BY_SUFFIX: Final = (
+    ('_ms', Range(0, 366 * DAY_MS)),
+    ('_milli', Range(0, 10_000_000)),
+    ('_mb', Range(0, 100_000_000)),
+    ('_bytes', Range(0, 1_073_741_824)),
+    ('_percent', Range(0, 100)),
+)
+DEFAULT_RANGE: Final = Range(0, 1_000_000_000)
+
+
+def read_option(kind: Any, name: str, text: str) -> Result[Any, str]:
+    """Read one option as a type; the error says what was expected."""
+    if get_origin(kind) in {UnionType, Union}:
+        return _read_optional(kind, name, text)
+    if get_origin(kind) is tuple:
+        return _read_list(get_args(kind)[0], name, text)
+    if isinstance(kind, type) and issubclass(kind, Enum):
+        return _read_enum(kind, text)
+    if kind is bool:
+        return _read_flag(text)
+    if kind in {int, float}:
+        return _read_number(kind, name, text)
+    return Ok(text) if text else Err('a value')
+
+
+def range_of(name: str) -> Range:
+    """Return the range of a numeric option."""
+    named = RANGES_BY_NAME.get(name)
+    if named is not None:
+        return named
+    for suffix, bounds in RANGES_BY_SUFFIX:
+        if name.endswith(suffix):
+            return bounds
+    return DEFAULT_RANGE
+
+
+def name_near(name: str, known: Iterable[str]) -> str:
+    """Word the known names for an unknown one, the nearest first."""
+    names = sorted(known)
+    near = difflib.get_close_matches(name, names, 1)
+    if near:
+        return f'a known name; the nearest is {near[0]!r}'
+    return f'one of: {", ".join(names)}'
+
+
+@cache
+def field_types(kind: Callable[..., object]) -> dict[str, Any]:
+    """Return the types of a named tuple's fields."""
+    return get_type_hints(kind)
+
+
+def _read_optional(kind: Any, name: str, text: str) -> Result[Any, str]:
+    if not text:
+        return Ok(None)
+    inner = [part for part in get_args(kind) if part is not _NoneType]
+    return read_option(inner[0], name, text)
+
+
+def _read_list(kind: Any, name: str, text: str) -> Result[Any, str]:
+    parts = []
+    for part in filter(None, (part.strip() for part in text.split(','))):
+        read = read_option(kind, name, part)
+        if isinstance(read, Err):
+            return Err(f'a list with commas, each entry {read.err_value}')
+        parts.append(read.ok_value)
+    return Ok(tuple(parts))
+
+
+def _read_enum(kind: type[Enum], text: str) -> Result[Any, str]:
+    for member in kind:
+        if str(member.value) == text:
+            return Ok(member)
+    return Err(name_near(text, (str(member.value) for member in kind)))
+
+
+def _read_flag(text: str) -> Result[Any, str]:
+    if text.lower() in TRUE_TEXTS:
+        return Ok(True)
+    if text.lower() in FALSE_TEXTS:
+        return Ok(False)
+    return Err('true or false')
+
+
+def _read_number(kind: Any, name: str, text: str) -> Result[Any, str]:
+    bounds = range_of(name)
+    expected = bounds.to_text()
+    if kind is int:
+        expected = expected.replace('a number', 'a whole number')
+    try:
+        number = kind(text)
+    except ValueError:
+        return Err(expected)
+    if not bounds.low <= number <= bounds.high:
+        return Err(expected)
+    return Ok(number)
--- a/src/lycheerelay/_policy.py
+++ b/src/lycheerelay/_policy.py
@@ -23,6 +23,15 @@
     preemptible: bool = True
 
 
+class PoolPolicy(NamedTuple):
+    """Declare a pool and the shape of its workers; 0 leaves it open."""
+
+    name: str
+    cores_milli: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+
 class ServicePolicy(NamedTuple):
     """Describe a service that the operators keep up by file."""
 
@@ -54,6 +63,7 @@
     workloads: tuple[WorkloadPolicy, ...] = ()
     services: tuple[ServicePolicy, ...] = ()
     limits: Limits = Limits()
+    pools: tuple[PoolPolicy, ...] = ()
 
     def workload(self, name: str) -> WorkloadPolicy | None:
         """Return a workload's policy, or None where none is set."""
