--- a/src/lycheerelay/_api.py
+++ b/src/lycheerelay/_api.py
@@ -86,7 +86,8 @@
         """Tell whether the process can take jobs."""
         if self.node.is_ready:
             return Response(200, {'code': 0})
-        return refused(Refusal(Code.NOT_READY, 'the log is not read yet'))
+        detail = self.node.lacks
+        return refused(Refusal(Code.NOT_READY, detail, retry_after_ms=1000))
 
     def hand_out_id(self, request: Request) -> Response:
         """Hand out a job id of this failure domain."""
--- a/src/lycheerelay/_cli.py
+++ b/src/lycheerelay/_cli.py
@@ -11,8 +11,9 @@
 
 from result import Err
 
-from . import __version__, _cli_check
+from . import __version__, _cli_check, _cli_config
 from ._api import Api
+from ._api_config import ConfigApi
 from ._cli_parts import COMMANDS, command, no_options
 from ._clock import SystemClock
 from ._codes import CODES
@@ -23,7 +24,7 @@
 from ._web import WebServer
 
 # Importing these modules registers their sub-commands.
-COMMAND_MODULES: Final = (_cli_check,)
+COMMAND_MODULES: Final = (_cli_check, _cli_config)
 
 
 def main(argv: Sequence[str] | None = None) -> int:
@@ -73,7 +74,7 @@
         return CODES[loaded.err_value.code].exit_status
     settings = loaded.ok_value
     stopped = stop_on_signals()
-    node, server = start_node(settings)
+    node, server = start_node(settings, needs_config=True)
     print(f'listening on {server.address}', flush=True)
     stopped.wait()
     server.stop()
@@ -93,19 +94,26 @@
     return stopped
 
 
-def start_node(settings: NodeSettings) -> tuple[Node, WebServer]:
-    """Start an entry VM and its HTTP server."""
+def start_node(
+    settings: NodeSettings,
+    needs_config: bool = False,
+) -> tuple[Node, WebServer]:
+    """Start an entry VM and its HTTP server.
+
+    Unless it needs a published configuration, it is ready with defaults.
+    """
     node = Node(
         settings,
         SystemClock(),
         Policy(),
         StaticMembers(settings),
+        needs_config,
     )
     host, port = settings.host_and_port
     server = WebServer(
         host,
         port,
-        Api(node).routes(),
+        (*Api(node).routes(), *ConfigApi(node).routes()),
         settings.http_threads,
     )
     node.start()
--- /dev/null
+++ b/src/lycheerelay/_cli_config.py
@@ -0,0 +1,303 @@
+"""Publish the operators' folder and show what is in force."""
+
+import argparse
+import getpass
+import os
+import secrets
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Final, NamedTuple
+
+from result import Err, Ok, Result
+
+from ._cli_check import load_folder, report_errors
+from ._cli_parts import (
+    add_json_flag,
+    command,
+    fail,
+    print_json,
+    print_table,
+)
+from ._clock import MS_PER_SECOND, SystemClock
+from ._codec import Json, from_json
+from ._codes import Code, Refusal
+from ._config_publish import (
+    DEFAULT_TIMEOUT_MS,
+    Published,
+    PublishRequest,
+    publish,
+)
+from ._config_reader import Reading, read_to_end
+from ._folder_bases import load_bases, local_bases, save_bases, write_folder
+from ._http import HttpCaller
+from ._log_client import LogClient
+from ._versions import VersionedConfig
+
+LOG_VARIABLE: Final = 'LYCHEERELAY_LOG'
+ENTRIES_VARIABLE: Final = 'LYCHEERELAY_ENTRIES'
+BATCH_ID_BYTES: Final = 9
+IN_FORCE_TIMEOUT_MS: Final = 7000
+IN_FORCE_POLL_MS: Final = 100
+CALL_TIMEOUT_MS: Final = 1000
+
+
+class EntryVersion(NamedTuple):
+    """Show the version that one entry VM has in force."""
+
+    address: str
+    name: str
+    in_force: int
+    code: int
+
+
+def add_log_option(parser: argparse.ArgumentParser) -> None:
+    """Add the address of the log service."""
+    parser.add_argument(
+        '--log',
+        metavar='HOST:PORT',
+        default=os.environ.get(LOG_VARIABLE, ''),
+        help=f'address of the log service (default: ${LOG_VARIABLE})',
+    )
+
+
+def add_entry_option(parser: argparse.ArgumentParser) -> None:
+    """Add the addresses of entry VMs."""
+    parser.add_argument(
+        '--entry',
+        metavar='HOST:PORT',
+        action='append',
+        help=f'address of an entry VM; repeat it for more than one '
+        f'(default: the list with commas in ${ENTRIES_VARIABLE})',
+    )
+
+
+def entries_of(arguments: argparse.Namespace) -> tuple[str, ...]:
+    """Return the addresses of the entry VMs to talk to."""
+    if arguments.entry:
+        return tuple(arguments.entry)
+    text = os.environ.get(ENTRIES_VARIABLE, '')
+    return tuple(filter(None, (part.strip() for part in text.split(','))))
+
+
+def _describe_publish(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument('folder', type=Path, help='folder of INI files')
+    add_log_option(parser)
+    add_entry_option(parser)
+    parser.add_argument(
+        '--timeout-ms',
+        type=int,
+        default=DEFAULT_TIMEOUT_MS,
+        help='how long to try, in milliseconds (default: %(default)s)',
+    )
+    add_json_flag(parser)
+
+
+@command('publish', 'publish the changed files of a folder', _describe_publish)
+def run_publish(arguments: argparse.Namespace) -> int:
+    """Publish a folder and wait until it is in force."""
+    loaded = load_folder(arguments.folder)
+    if isinstance(loaded, Err):
+        return report_errors(loaded.err_value, arguments.json)
+    bases = load_bases(arguments.folder)
+    if isinstance(bases, Err):
+        return fail(bases.err_value)
+    request = PublishRequest(
+        secrets.token_hex(BATCH_ID_BYTES),
+        getpass.getuser(),
+        loaded.ok_value[0],
+        bases.ok_value,
+    )
+    outcome = _publish(arguments, request)
+    if isinstance(outcome, Err):
+        return fail(outcome.err_value)
+    config = outcome.ok_value.config
+    held = local_bases(arguments.folder, config)
+    save_bases(arguments.folder, held)
+    shown = _await_in_force(entries_of(arguments), config.version)
+    _show_published(arguments, outcome.ok_value, shown)
+    return 0 if _all_in_force(shown, config.version) else 11
+
+
+def _publish(
+    arguments: argparse.Namespace,
+    request: PublishRequest,
+) -> Result[Published, Refusal]:
+    if not arguments.log:
+        return Err(_no_log())
+    caller = HttpCaller()
+    return publish(
+        LogClient(caller, arguments.log),
+        SystemClock(),
+        request,
+        _newest_of(caller, entries_of(arguments)),
+        arguments.timeout_ms,
+    )
+
+
+def _show_published(
+    arguments: argparse.Namespace,
+    published: Published,
+    shown: Sequence[EntryVersion],
+) -> None:
+    version = published.config.version
+    if arguments.json:
+        body = {
+            'code': int(Code.OK),
+            'version': version,
+            'changed': published.changed,
+            'entries': shown,
+        }
+        print_json(body)
+        return
+    changed = ', '.join(published.changed) or 'nothing'
+    print(f'version {version}: changed {changed}')
+    if shown:
+        _show_entries(shown)
+
+
+def _describe_config(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        'what',
+        choices=('show', 'versions'),
+        help='show: the published files; versions: what was published, '
+        'and what each entry VM has in force',
+    )
+    add_log_option(parser)
+    add_entry_option(parser)
+    parser.add_argument(
+        '--into',
+        type=Path,
+        metavar='FOLDER',
+        help='with show: make this folder hold exactly the published files',
+    )
+    add_json_flag(parser)
+
+
+@command('config', 'show the published configuration', _describe_config)
+def run_config(arguments: argparse.Namespace) -> int:
+    """Show the published files or versions."""
+    reading = _read_published(arguments)
+    if isinstance(reading, Err):
+        return fail(reading.err_value)
+    if arguments.what == 'versions':
+        _show_versions(arguments, reading.ok_value)
+        return 0
+    config = reading.ok_value.config
+    if arguments.into is not None:
+        write_folder(arguments.into, config)
+    if arguments.json:
+        print_json(config)
+    else:
+        print(f'version {config.version}')
+        rows = (
+            (entry.name, entry.version, len(entry.content))
+            for entry in config.files
+        )
+        print_table(('FILE', 'VERSION', 'CHARACTERS'), rows)
+    return 0
+
+
+def _read_published(
+    arguments: argparse.Namespace,
+) -> Result[Reading, Refusal]:
+    if not arguments.log:
+        return Err(_no_log())
+    caller = HttpCaller()
+    log = LogClient(caller, arguments.log)
+    reading = read_to_end(log, VersionedConfig())
+    if isinstance(reading, Ok) and reading.ok_value.config.complete:
+        return reading
+    newest = _newest_of(caller, entries_of(arguments))
+    if newest is not None:
+        return Ok(Reading(newest, ()))
+    if isinstance(reading, Err):
+        detail = f'log {arguments.log}: {reading.err_value.reason}'
+        return Err(Refusal(Code.UNREACHABLE, detail))
+    return Err(
+        Refusal(Code.NOT_READY, 'the log no longer holds the configuration'),
+    )
+
+
+def _show_versions(arguments: argparse.Namespace, reading: Reading) -> None:
+    rows = [
+        (
+            read.offset + 1,
+            publication.author,
+            read.outcome.verdict.value,
+            ' '.join(change.name for change in publication.changes),
+        )
+        for read in reading.entries
+        if (publication := read.entry.publication) is not None
+    ]
+    shown = [_ask_version(address) for address in entries_of(arguments)]
+    if arguments.json:
+        fields = ('version', 'author', 'verdict', 'files')
+        print_json(
+            {
+                'version': reading.config.version,
+                'publications': [
+                    dict(zip(fields, row, strict=True)) for row in rows
+                ],
+                'entries': shown,
+            },
+        )
+        return
+    print_table(('VERSION', 'AUTHOR', 'VERDICT', 'FILES'), rows)
+    if shown:
+        _show_entries(shown)
+
+
+def _show_entries(shown: Sequence[EntryVersion]) -> None:
+    rows = ((entry.address, entry.name, entry.in_force) for entry in shown)
+    print_table(('ENTRY VM', 'NAME', 'IN FORCE'), rows)
+
+
+def _await_in_force(
+    addresses: Sequence[str],
+    version: int,
+) -> list[EntryVersion]:
+    clock = SystemClock()
+    until_ms = clock.now_ms() + IN_FORCE_TIMEOUT_MS
+    shown = [_ask_version(address) for address in addresses]
+    while not _all_in_force(shown, version) and clock.now_ms() < until_ms:
+        time.sleep(IN_FORCE_POLL_MS / MS_PER_SECOND)
+        shown = [_ask_version(address) for address in addresses]
+    return shown
+
+
+def _all_in_force(shown: Sequence[EntryVersion], version: int) -> bool:
+    return all(entry.in_force >= version for entry in shown)
+
+
+def _ask_version(address: str) -> EntryVersion:
+    body = _ask_entry(HttpCaller(), address, above=1 << 62)
+    if body is None:
+        return EntryVersion(address, '', 0, int(Code.UNREACHABLE))
+    return EntryVersion(address, body['name'], body['in_force'], int(Code.OK))
+
+
+def _newest_of(
+    caller: HttpCaller,
+    addresses: Sequence[str],
+) -> VersionedConfig | None:
+    offers = []
+    for address in addresses:
+        body = _ask_entry(caller, address, above=0)
+        read = from_json(VersionedConfig, body and body['config'])
+        if isinstance(read, Ok):
+            offers.append(read.ok_value)
+    return max(offers, key=lambda config: config.version, default=None)
+
+
+def _ask_entry(caller: HttpCaller, address: str, above: int) -> Json:
+    url = f'http://{address}/internal/config?above={above}'
+    reply = caller.call('GET', url, timeout_ms=CALL_TIMEOUT_MS)
+    if isinstance(reply, Err) or reply.ok_value.status != 200:
+        return None
+    return reply.ok_value.body
+
+
+def _no_log() -> Refusal:
+    detail = f'--log: got nothing, expected HOST:PORT or ${LOG_VARIABLE}'
+    return Refusal(Code.BAD_SETTING, detail)
--- /dev/null
+++ b/src/lycheerelay/_config_reader.py
@@ -0,0 +1,76 @@
+"""Read the configuration stream of the log to its end."""
+
+import logging
+from typing import Final, NamedTuple
+
+from result import Err, Ok, Result
+
+from ._http import CallError
+from ._journal import Log
+from ._log_client import LogEntry, LogPage
+from ._versions import (
+    ConfigEntry,
+    Outcome,
+    VersionedConfig,
+    decode_entry,
+    fold,
+    skip_to,
+)
+
+LOGGER: Final = logging.getLogger(__name__)
+STREAM: Final = 'config'
+READ_TIMEOUT_MS: Final = 1000
+
+
+class Verdicted(NamedTuple):
+    """Hold an entry of the stream with what the fold made of it."""
+
+    offset: int
+    entry: ConfigEntry
+    outcome: Outcome
+
+
+class Reading(NamedTuple):
+    """Hold the configuration at the end of the stream and what led to it."""
+
+    config: VersionedConfig
+    entries: tuple[Verdicted, ...]
+
+
+def read_to_end(
+    log: Log,
+    config: VersionedConfig,
+) -> Result[Reading, CallError]:
+    """Fold every entry that the log holds beyond the configuration."""
+    entries: list[Verdicted] = []
+    while True:
+        page = log.read(STREAM, config.read_to, READ_TIMEOUT_MS)
+        if isinstance(page, Err):
+            return page
+        config = _fold_page(config, page.ok_value, entries)
+        if config.read_to >= page.ok_value.end:
+            return Ok(Reading(config, tuple(entries)))
+
+
+def _fold_page(
+    config: VersionedConfig,
+    page: LogPage,
+    entries: list[Verdicted],
+) -> VersionedConfig:
+    config = skip_to(config, page.first)
+    for entry in page.entries:
+        decoded = _decode(entry)
+        config, outcome = fold(config, entry.offset, decoded)
+        entries.append(Verdicted(entry.offset, decoded, outcome))
+    return config
+
+
+def _decode(entry: LogEntry) -> ConfigEntry:
+    decoded = decode_entry(entry.value)
+    if isinstance(decoded, Err):
+        LOGGER.error(
+            'configuration entry is unreadable',
+            extra={'offset': entry.offset, 'error': decoded.err_value.path},
+        )
+        return ConfigEntry()
+    return decoded.ok_value
--- /dev/null
+++ b/src/lycheerelay/_folder_bases.py
@@ -0,0 +1,71 @@
+"""Remember in a folder which published versions its files came from."""
+
+import json
+from pathlib import Path
+from typing import Final, NamedTuple
+
+from result import Err, Ok, Result
+
+from ._codec import from_json, to_json
+from ._codes import Code, Refusal
+from ._config_publish import FileBase, bases_of
+from ._folder_files import FILE_SUFFIX
+from ._versions import FileVersion, VersionedConfig
+
+BASES_FILE: Final = '.lycheerelay.json'
+
+
+class FolderBases(NamedTuple):
+    """Hold the bases of a folder's files."""
+
+    bases: tuple[FileBase, ...] = ()
+
+
+def load_bases(folder: Path) -> Result[tuple[FileBase, ...], Refusal]:
+    """Read the bases; a folder without any was made from nothing."""
+    path = folder / BASES_FILE
+    if not path.exists():
+        return Ok(())
+    try:
+        raw = json.loads(path.read_text(encoding='utf-8'))
+    except (OSError, ValueError) as error:
+        return Err(Refusal(Code.BAD_FOLDER, f'{path}: {error}'))
+    read = from_json(FolderBases, raw)
+    if isinstance(read, Err):
+        refusal = read.err_value.refusal()
+        detail = f'{path}: {refusal.detail}'
+        return Err(Refusal(Code.BAD_FOLDER, detail))
+    return Ok(read.ok_value.bases)
+
+
+def save_bases(folder: Path, files: tuple[FileVersion, ...]) -> None:
+    """Remember the versions that the folder's files came from."""
+    kept = FolderBases(bases_of(files))
+    text = json.dumps(to_json(kept), indent=2, sort_keys=True)
+    (folder / BASES_FILE).write_text(f'{text}\n', encoding='utf-8')
+
+
+def write_folder(folder: Path, config: VersionedConfig) -> None:
+    """Make a folder hold exactly the published files."""
+    folder.mkdir(parents=True, exist_ok=True)
+    names = {entry.name for entry in config.files}
+    for path in folder.glob(f'*{FILE_SUFFIX}'):
+        if path.name not in names:
+            path.unlink()
+    for entry in config.files:
+        path = folder / entry.name
+        path.write_text(entry.content, encoding='utf-8')
+    save_bases(folder, config.files)
+
+
+def local_bases(
+    folder: Path,
+    config: VersionedConfig,
+) -> tuple[FileVersion, ...]:
+    """Return the published files that the folder holds unaltered."""
+    held = []
+    for entry in config.files:
+        path = folder / entry.name
+        if path.exists() and path.read_text('utf-8') == entry.content:
+            held.append(entry)
+    return tuple(held)
--- a/src/lycheerelay/_hashing.py
+++ b/src/lycheerelay/_hashing.py
@@ -32,3 +32,8 @@
 def _weight(key: str, node: str) -> bytes:
     text = f'{key}\0{node}'.encode()
     return hashlib.blake2b(text, digest_size=DIGEST_BYTES).digest()
+
+
+def digest_of(text: str) -> str:
+    """Return a short digest by which equal texts are recognised."""
+    return hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES).hexdigest()
--- a/src/lycheerelay/_node.py
+++ b/src/lycheerelay/_node.py
@@ -8,6 +8,7 @@
 from typing import Final, NamedTuple, TypeVar, final
 
 from ._clock import MS_PER_SECOND, Clock
+from ._config_follow import ConfigFollower, FollowSettings
 from ._core import step
 from ._events import (
     CancelRequested,
@@ -67,8 +68,10 @@
         clock: Clock,
         policy: Policy,
         members: Members,
+        needs_config: bool = False,
     ) -> None:
         """Wire the parts; start none of them."""
+        self.needs_config = needs_config
         self.settings = settings
         self.clock = clock
         self.policy = policy
@@ -90,6 +93,18 @@
             settings.domain,
             self.take_vm_list,
         )
+        self.config = ConfigFollower(
+            LogClient(self.caller, settings.log_address),
+            self.caller,
+            members,
+            FollowSettings(
+                settings.name,
+                settings.config_poll_ms,
+                settings.log_retention_ms,
+            ),
+            clock,
+            self.configure,
+        )
         self.thread = threading.Thread(
             target=self.run,
             name='core',
@@ -99,12 +114,14 @@
     def start(self) -> None:
         """Start every thread."""
         self.thread.start()
+        self.config.start()
         self.vms.start()
         self.parts.journal.start()
 
     def stop(self) -> None:
         """Stop every thread; leases run out by themselves."""
         self.vms.stop()
+        self.config.stop()
         self.links.stop()
         self.parts.sender.stop()
         self.parts.journal.stop()
@@ -113,8 +130,17 @@
 
     @property
     def is_ready(self) -> bool:
-        """Tell whether the log has been read to its end once."""
-        return self.parts.journal.caught_up
+        """Tell whether the node may take jobs."""
+        return not self.lacks
+
+    @property
+    def lacks(self) -> str:
+        """Name what the node still waits for, or nothing."""
+        if not self.parts.journal.caught_up:
+            return 'the log is not read to its end yet'
+        if self.needs_config and not self.policy.version:
+            return 'no published configuration is known yet'
+        return ''
 
     def submit(self, spec: JobSpec, timeout_ms: int) -> Outcome:
         """Accept or refuse a job whose pool is owned here."""
--- a/src/lycheerelay/_settings.py
+++ b/src/lycheerelay/_settings.py
@@ -24,6 +24,8 @@
     peers: tuple[str, ...] = ()
     commit_ms: int = 50
     http_threads: int = 48
+    config_poll_ms: int = 1000
+    log_retention_ms: int = 3_600_000
 
     @property
     def entry_names(self) -> tuple[str, ...]:
