Let records take effect on two entry VMs while the log is down

Cause: a log outage stopped every acceptance and every start, and a node cut from the log alone had no way around. Change: batches are numbered per writer and take effect when read back from the log, through another entry VM where this one cannot reach it, or, when none can, when a second entry VM keeps them. Claims need every known entry VM but the replaced owner. The backlog is bounded and drained in order.

--- a/src/lycheerelay/_admission.py
+++ b/src/lycheerelay/_admission.py
@@ -35,6 +35,19 @@
     return Refusal(Code.NO_OWNER, detail, not_run=True, retry_after_ms=500)
 
 
+@CHECKS.register('kept')
+def check_kept(
+    state: ShardState,
+    spec: JobSpec,
+    now_ms: int,
+) -> Refusal | None:
+    """Refuse while neither the log nor a second entry VM keeps records."""
+    if state.can_keep:
+        return None
+    detail = 'the log is down and no second entry VM keeps records'
+    return Refusal(Code.NOT_KEPT, detail, not_run=True, retry_after_ms=2000)
+
+
 @CHECKS.register('never_fits')
 def check_shape(
     state: ShardState,
--- a/src/lycheerelay/_cli.py
+++ b/src/lycheerelay/_cli.py
@@ -14,6 +14,7 @@
 from ._api import Api
 from ._clock import SystemClock
 from ._codes import CODES
+from ._journal_api import JournalApi
 from ._members import StaticMembers
 from ._node import Node
 from ._policy import Policy
@@ -90,7 +91,10 @@
     server = WebServer(
         host,
         port,
-        Api(node).routes(),
+        (
+            *Api(node).routes(),
+            *JournalApi(node.parts.journal, node.log).routes(),
+        ),
         settings.http_threads,
     )
     node.start()
--- a/src/lycheerelay/_codec.py
+++ b/src/lycheerelay/_codec.py
@@ -63,9 +63,13 @@
     """Read JSON values as the given type; unknown fields are errors."""
     if hasattr(kind, '_fields'):
         return _read_tuple(kind, raw, path)
+    if kind is Any:
+        return Ok(raw)
     origin = get_origin(kind)
     if origin in {UnionType, Union}:
         return _read_optional(kind, raw, path)
+    if origin is dict:
+        return _read_mapping(get_args(kind)[1], raw, path)
     if origin is tuple:
         return _read_sequence(get_args(kind)[0], raw, path)
     if isinstance(kind, type) and issubclass(kind, Enum):
@@ -123,6 +127,22 @@
     return Ok(tuple(parts))
 
 
+def _read_mapping(
+    kind: Any,
+    raw: Json,
+    path: str,
+) -> Result[Any, FieldError]:
+    if not isinstance(raw, dict):
+        return _wrong(path, raw, 'an object')
+    parts: dict[str, object] = {}
+    for name, entry in raw.items():
+        part = from_json(kind, entry, _join(path, name))
+        if isinstance(part, Err):
+            return part
+        parts[name] = part.ok_value
+    return Ok(parts)
+
+
 def _read_enum(
     kind: type[Enum],
     raw: Json,
--- a/src/lycheerelay/_commands.py
+++ b/src/lycheerelay/_commands.py
@@ -45,6 +45,7 @@
     token: int
     job_id: str
     code: Code
+    held: bool = False
 
 
 class ReplyRefused(NamedTuple):
--- a/src/lycheerelay/_core.py
+++ b/src/lycheerelay/_core.py
@@ -1,6 +1,11 @@
 """Step the decision core: one event in, commands out."""
 
-from . import _handle_jobs, _handle_tasks, _handle_workers  # noqa: F401
+from . import (  # noqa: F401
+    _handle_jobs,
+    _handle_keeping,
+    _handle_tasks,
+    _handle_workers,
+)
 from ._commands import Command
 from ._events import Event
 from ._handlers import HANDLERS
--- a/src/lycheerelay/_events.py
+++ b/src/lycheerelay/_events.py
@@ -46,9 +46,19 @@
 
 
 class Recorded(NamedTuple):
-    """Deliver one record in log order."""
+    """Deliver one record in log order.
+
+    `held` tells that a second entry VM keeps it while the log is down.
+    """
 
     record: Record
+    held: bool = False
+
+
+class KeepingChanged(NamedTuple):
+    """Tell whether new records can be kept."""
+
+    possible: bool
 
 
 class WorkerListed(NamedTuple):
@@ -118,5 +128,6 @@
     | TasksReported
     | StartAnswered
     | Configured
+    | KeepingChanged
     | Tick
 )
--- a/src/lycheerelay/_handle_jobs.py
+++ b/src/lycheerelay/_handle_jobs.py
@@ -18,7 +18,12 @@
     now_ms: int,
 ) -> Commands:
     """Fold one record in log order."""
-    yield from FOLDS[type(event.record)](state, event.record, now_ms)
+    commands = FOLDS[type(event.record)](state, event.record, now_ms)
+    for command in commands:
+        if event.held and isinstance(command, ReplyAccepted):
+            yield command._replace(held=True)
+        else:
+            yield command
 
 
 @HANDLERS.register(SubmitRequested)
--- /dev/null
+++ b/src/lycheerelay/_hold_client.py
@@ -0,0 +1,57 @@
+"""Ask other entry VMs of the domain to keep batches."""
+
+from typing import Final, final
+
+from result import Err, Result
+
+from ._codec import FieldError
+from ._hold import HoldReply, HoldRequest, parse_reply
+from ._http import CallError, HttpCaller
+from ._members import Members
+
+HOLD_TIMEOUT_MS: Final = 1000
+HTTP_OK: Final = 200
+
+
+@final
+class HoldClient:
+    """Reach the other entry VMs over HTTP."""
+
+    def __init__(
+        self,
+        caller: HttpCaller,
+        name: str,
+        members: Members,
+    ) -> None:
+        """Leave this node out of every answer."""
+        self.caller = caller
+        self.name = name
+        self.members = members
+
+    def names(self) -> tuple[str, ...]:
+        """Return the live holders, this node left out."""
+        return self._others(self.members.alive_in_domain())
+
+    def all_names(self) -> tuple[str, ...]:
+        """Return every known entry VM of the domain, this node left out."""
+        return self._others(self.members.known_in_domain())
+
+    def hold(
+        self,
+        name: str,
+        request: HoldRequest,
+    ) -> Result[HoldReply, CallError | FieldError]:
+        """Ask one of them; an error leaves its effect unknown."""
+        address = self.members.address_of(name)
+        if address is None:
+            return Err(CallError(name, 'the address is not known'))
+        url = f'http://{address}/internal/hold'
+        reply = self.caller.call('POST', url, request, HOLD_TIMEOUT_MS)
+        if isinstance(reply, Err):
+            return reply
+        if reply.ok_value.status != HTTP_OK:
+            return Err(CallError(url, f'status {reply.ok_value.status}'))
+        return parse_reply(reply.ok_value.body)
+
+    def _others(self, names: tuple[str, ...]) -> tuple[str, ...]:
+        return tuple(name for name in names if name != self.name)
--- /dev/null
+++ b/src/lycheerelay/_images.py
@@ -0,0 +1,87 @@
+"""Restate jobs, so that the records they came from may expire."""
+
+from ._jobs import JobState, TaskState
+from ._records import JobImage, TaskImage
+from ._state import JobBook, ShardState, TaskBook
+
+
+def is_at_rest(state: ShardState, job: JobBook) -> bool:
+    """Tell whether no record about the job is on its way to the log."""
+    if job.spec.job_id in state.cancelling:
+        return False
+    return not any(
+        task.ending or (task.is_live and not task.recorded)
+        for task in job.tasks
+    )
+
+
+def image_of(state: ShardState, job: JobBook) -> JobImage:
+    """Return a record that restates the job as it stands."""
+    return JobImage(
+        state.pool,
+        job.spec,
+        job.accepted_ms,
+        job.state.value,
+        job.code,
+        job.detail,
+        job.cancel_asked,
+        job.settled_ms,
+        tuple(_task_image(task) for task in job.tasks),
+    )
+
+
+def restore_job(state: ShardState, image: JobImage) -> None:
+    """Open the books of a job from its image."""
+    job = JobBook(
+        image.spec,
+        image.accepted_ms,
+        [_task_book(task) for task in image.tasks],
+        JobState(image.state),
+        image.code,
+        image.detail,
+        image.cancel_asked,
+        image.settled_ms,
+    )
+    job_id = image.spec.job_id
+    state.jobs[job_id] = job
+    if _waits(job):
+        state.waiting[job_id] = None
+    for index, task in enumerate(job.tasks):
+        worker = state.workers.get(task.worker)
+        if task.is_live and worker is not None:
+            worker.charge(job.attempt_key(index), job.spec.demand)
+
+
+def _waits(job: JobBook) -> bool:
+    if job.is_final or job.cancel_asked:
+        return False
+    return any(task.state is TaskState.QUEUED for task in job.tasks)
+
+
+def _task_image(task: TaskBook) -> TaskImage:
+    return TaskImage(
+        task.state,
+        task.attempt,
+        task.worker,
+        task.boot,
+        task.failures,
+        task.not_before_ms,
+        task.started_ms,
+        task.code,
+        task.answer,
+    )
+
+
+def _task_book(image: TaskImage) -> TaskBook:
+    return TaskBook(
+        state=image.state,
+        attempt=image.attempt,
+        worker=image.worker,
+        boot=image.boot,
+        recorded=image.state is not TaskState.QUEUED,
+        failures=image.failures,
+        not_before_ms=image.not_before_ms,
+        started_ms=image.started_ms,
+        code=image.code,
+        answer=image.answer,
+    )
--- a/src/lycheerelay/_journal.py
+++ b/src/lycheerelay/_journal.py
@@ -9,13 +9,18 @@
 
 from ._clock import MS_PER_SECOND, Clock
 from ._codec import Json
+from ._hold import Holders, HoldReply, HoldRequest
+from ._holding import Holding
 from ._http import CallError
 from ._log_client import LogEntry, LogPage
-from ._record_codec import Batch, decode_batch, encode_batch
+from ._log_health import LogHealth
+from ._outbox import BatchFilter, Outbox, TermBook
+from ._record_codec import Batch, decode_batches, encode_batches
 from ._records import Record
 
 LOGGER: Final = logging.getLogger(__name__)
-MAX_BATCH_RECORDS: Final = 2000
+MAX_ENTRY_RECORDS: Final = 1000
+MAX_HELD_RECORDS: Final = 100_000
 
 
 class Log(Protocol):
@@ -39,49 +44,37 @@
 
 
 class JournalSettings(NamedTuple):
-    """Set the pace of one journal."""
+    """Set the pace and the bounds of one journal."""
 
     stream: str
+    name: str
     writer: str
     commit_ms: int = 50
     poll_ms: int = 500
+    outage_ms: int = 1500
+    drain_delay_ms: int = 0
+    max_held_records: int = MAX_HELD_RECORDS
 
 
-@final
-class BatchFilter:
-    """Pass each writer's batches once, in their order."""
-
-    def __init__(self) -> None:
-        """Start with no batch seen."""
-        self.last_numbers: dict[str, int] = {}
-
-    def is_new(self, batch: Batch) -> bool:
-        """Tell whether the batch comes for the first time; remember it."""
-        last = self.last_numbers.get(batch.writer, -1)
-        if batch.number <= last:
-            return False
-        self.last_numbers[batch.writer] = batch.number
-        return True
-
-    def has_seen(self, batch: Batch) -> bool:
-        """Tell whether the batch was delivered already."""
-        return batch.number <= self.last_numbers.get(batch.writer, -1)
+Deliver = Callable[[Record, bool], None]
 
 
 @final
 class Journal:
     """Write batches to one stream and follow it.
 
-    A record takes effect only when it is read back, so a lost reply to an
-    append can neither lose nor repeat it.
+    A record takes effect when it is read back, so a lost reply to an append
+    can neither lose nor repeat it. While no entry VM of the domain reaches
+    the log, a record takes effect when a second entry VM keeps it.
     """
 
     def __init__(
         self,
         log: Log,
+        holders: Holders,
         settings: JournalSettings,
         clock: Clock,
-        deliver: Callable[[Record], None],
+        deliver: Deliver,
     ) -> None:
         """Prepare to follow the stream from its first kept entry."""
         self.log = log
@@ -93,81 +86,163 @@
         self.number = 0
         self.next_offset = 0
         self.caught_up = False
-        self.read_ms = 0
         self.append_ms = 0
         self.appends = 0
+        self.health = LogHealth(clock, settings.outage_ms)
         self.seen = BatchFilter()
+        self.terms = TermBook()
+        self.outbox = Outbox()
+        self.lock = threading.RLock()
+        self.holding = Holding(self, holders)
         self.wake = threading.Condition()
         self.stopping = False
-        self.thread = threading.Thread(
-            target=self.run,
-            name='journal',
-            daemon=True,
+        self.kicked = threading.Event()
+        self.threads = (
+            threading.Thread(target=self.run, name='journal', daemon=True),
+            threading.Thread(target=self.follow, name='tail', daemon=True),
         )
 
+    @property
+    def can_keep(self) -> bool:
+        """Tell whether a record appended now is likely to be kept."""
+        if not self.health.is_down:
+            return True
+        full = self.outbox.records >= self.settings.max_held_records
+        return self.holding.works and not full
+
     def append(self, record: Record) -> None:
         """Queue a record for the next batch."""
         with self.wake:
             self.pending.append(record)
-            self.wake.notify()
+            self.wake.notify_all()
 
     def start(self) -> None:
         """Follow the stream from a thread of its own."""
-        self.thread.start()
+        for thread in self.threads:
+            thread.start()
 
     def stop(self) -> None:
         """Stop after the batch in flight."""
         with self.wake:
             self.stopping = True
-            self.wake.notify()
-        self.thread.join()
+            self.wake.notify_all()
+        self.kicked.set()
+        for thread in self.threads:
+            thread.join()
 
     def run(self) -> None:
-        """Commit and read until stopped."""
+        """Commit until stopped."""
         while not self.stopping:
-            self._wait_for_work()
-            self._commit()
-            self._read_to_end()
+            self.wait_for_work()
+            self.turn()
+            self._await_effect()
 
-    def _wait_for_work(self) -> None:
+    def follow(self) -> None:
+        """Read the log until stopped."""
+        while not self.stopping:
+            self.read_to_end()
+            if self.health.is_down and self.in_flight is None:
+                self.holding.probe()
+            self.kicked.wait(self._pause_ms() / MS_PER_SECOND)
+            self.kicked.clear()
+
+    def turn(self) -> None:
+        """Commit what is pending, once."""
+        self._fill_flight()
+        self._append_outbox()
+        if self.in_flight is not None and self.health.is_down:
+            self.holding.hold(self.in_flight)
+        self.kicked.set()
+
+    def wait_for_work(self) -> None:
+        """Wait for records, the next poll or the end of the pause."""
         with self.wake:
-            if not self.pending and self.in_flight is None:
-                self.wake.wait(self.settings.poll_ms / MS_PER_SECOND)
+            if not self._has_work():
+                self.wake.wait(self._pause_ms() / MS_PER_SECOND)
             gap_ms = self.append_ms + self.settings.commit_ms
             wait_ms = gap_ms - self.clock.now_ms()
-            if self.pending and wait_ms > 0 and not self.stopping:
+            if self._has_work() and wait_ms > 0 and not self.stopping:
                 self.wake.wait(wait_ms / MS_PER_SECOND)
 
-    def _commit(self) -> None:
-        if self.in_flight is None:
-            self.in_flight = self._next_batch()
-        if self.in_flight is None:
+    def take_hold(self, request: HoldRequest) -> HoldReply:
+        """Keep another entry VM's batches while the log is down."""
+        return self.holding.take(request)
+
+    def apply(self, batch: Batch, held: bool) -> bool:
+        """Deliver a batch that takes effect now, once."""
+        with self.lock:
+            if not self.seen.is_new(batch):
+                return False
+            self.terms.note(batch)
+            for record in batch.records:
+                self.deliver(record, held)
+        with self.wake:
+            if self.in_flight and self.seen.has_seen(self.in_flight):
+                self.in_flight = None
+                self.wake.notify_all()
+        return True
+
+    def replace_flight(self, batch: Batch) -> None:
+        """Change the batch in flight, which nobody keeps yet."""
+        with self.lock:
+            self.in_flight = batch
+            self.outbox.replace(batch)
+
+    def _has_work(self) -> bool:
+        return bool(self.pending) or self.in_flight is not None
+
+    def _pause_ms(self) -> int:
+        if self.outbox.batches and not self.health.is_down:
+            return self.settings.commit_ms
+        return self.settings.poll_ms
+
+    def _fill_flight(self) -> None:
+        with self.wake:
+            if self.in_flight is not None or not self.pending:
+                return
+            records = tuple(self.pending[:MAX_ENTRY_RECORDS])
+            del self.pending[:MAX_ENTRY_RECORDS]
+        self.number += 1
+        self.in_flight = Batch(self.settings.writer, self.number, records)
+        with self.lock:
+            self.outbox.add(self.in_flight)
+
+    def _await_effect(self) -> None:
+        with self.wake:
+            if self.in_flight is not None:
+                self.wake.wait(self.settings.commit_ms / MS_PER_SECOND)
+
+    def _append_outbox(self) -> None:
+        if not self._may_append():
             return
+        with self.lock:
+            batches = self.outbox.head(MAX_ENTRY_RECORDS)
         self.append_ms = self.clock.now_ms()
         self.appends += 1
-        entry = encode_batch(self.in_flight)
-        outcome = self.log.append(self.settings.stream, entry)
-        if isinstance(outcome, Err):
-            LOGGER.debug('append failed: %s', outcome.err_value.reason)
+        outcome = self.log.append(
+            self.settings.stream,
+            encode_batches(batches),
+        )
+        self.health.note(not isinstance(outcome, Err))
 
-    def _next_batch(self) -> Batch | None:
-        with self.wake:
-            if not self.pending:
-                return None
-            records = tuple(self.pending[:MAX_BATCH_RECORDS])
-            del self.pending[:MAX_BATCH_RECORDS]
-        self.number += 1
-        return Batch(self.settings.writer, self.number, records)
+    def _may_append(self) -> bool:
+        if not self.outbox.batches:
+            return False
+        if self.in_flight is not None:
+            return not self.health.is_down
+        return self.health.is_up_for(self.settings.drain_delay_ms)
 
-    def _read_to_end(self) -> None:
+    def read_to_end(self) -> None:
+        """Deliver what the log holds beyond what was read."""
         while not self.stopping:
             page = self.log.read(self.settings.stream, self.next_offset)
+            self.health.note(not isinstance(page, Err))
             if isinstance(page, Err):
                 return
             self._take_page(page.ok_value)
             if self.next_offset >= page.ok_value.end:
                 self.caught_up = True
-                self.read_ms = self.clock.now_ms()
+                self.health.note_end()
                 return
 
     def _take_page(self, page: LogPage) -> None:
@@ -177,13 +252,11 @@
 
     def _take_entry(self, entry: LogEntry) -> None:
         self.next_offset = entry.offset + 1
-        batch = decode_batch(entry.value)
-        if isinstance(batch, Err):
-            LOGGER.error('offset %s: %s', entry.offset, batch.err_value)
-            return
-        if not self.seen.is_new(batch.ok_value):
+        batches = decode_batches(entry.value)
+        if isinstance(batches, Err):
+            LOGGER.error('offset %s: %s', entry.offset, batches.err_value)
             return
-        for record in batch.ok_value.records:
-            self.deliver(record)
-        if self.in_flight and self.seen.has_seen(self.in_flight):
-            self.in_flight = None
+        with self.lock:
+            for batch in batches.ok_value:
+                self.apply(batch, held=False)
+                self.outbox.confirm(batch)
--- a/src/lycheerelay/_log_client.py
+++ b/src/lycheerelay/_log_client.py
@@ -30,10 +30,15 @@
 class LogClient:
     """Append to and read from the streams of one log service."""
 
-    def __init__(self, caller: HttpCaller, address: str) -> None:
+    def __init__(
+        self,
+        caller: HttpCaller,
+        address: str,
+        prefix: str = '/v1/streams',
+    ) -> None:
         """Remember where the log is."""
         self.caller = caller
-        self.base = f'http://{address}/v1/streams'
+        self.base = f'http://{address}{prefix}'
 
     def append(
         self,
--- a/src/lycheerelay/_members.py
+++ b/src/lycheerelay/_members.py
@@ -11,6 +11,9 @@
     def alive_in_domain(self) -> tuple[str, ...]:
         """Return the live entry VMs of this domain, this one included."""
 
+    def known_in_domain(self) -> tuple[str, ...]:
+        """Return every entry VM of this domain that may still run."""
+
     def alive_in(self, domain: str) -> tuple[str, ...]:
         """Return the live entry VMs of any domain."""
 
@@ -31,6 +34,10 @@
         """Return the configured entry VMs of this domain."""
         return self.settings.entry_names
 
+    def known_in_domain(self) -> tuple[str, ...]:
+        """Return the configured entry VMs of this domain."""
+        return self.settings.entry_names
+
     def alive_in(self, domain: str) -> tuple[str, ...]:
         """Return the configured entry VMs of this domain only."""
         return self.alive_in_domain() if domain == self.settings.domain else ()
--- a/src/lycheerelay/_node.py
+++ b/src/lycheerelay/_node.py
@@ -13,12 +13,15 @@
     CancelRequested,
     Configured,
     Event,
+    KeepingChanged,
     Recorded,
     SubmitRequested,
     Tick,
     WorkerListed,
 )
 from ._executors import EXECUTORS
+from ._failover_log import FailoverLog
+from ._hold_client import HoldClient
 from ._http import HttpCaller
 from ._jobs import JobSpec
 from ._journal import Journal, JournalSettings
@@ -74,6 +77,7 @@
         self.policy = policy
         self.members = members
         self.caller = HttpCaller()
+        self.log = LogClient(self.caller, settings.log_address)
         self.inbox: queue.Queue[Posted | Inspection] = queue.Queue()
         self.shards: dict[str, ShardState] = {}
         self.stopping = threading.Event()
@@ -162,9 +166,9 @@
         """Queue an event for a pool."""
         self.inbox.put(Posted(pool, event))
 
-    def take_record(self, record: Record) -> None:
+    def take_record(self, record: Record, held: bool) -> None:
         """Queue a record from the journal for its pool."""
-        self.post(record.pool, Recorded(record))
+        self.post(record.pool, Recorded(record, held))
 
     def take_vm_list(self, listed: VmList) -> None:
         """Open links to listed workers and tell their pools."""
@@ -178,16 +182,21 @@
             for entry in self._next_entries():
                 self._take(entry)
             for state in tuple(self.shards.values()):
+                self._follow_keeping(state)
                 self._step(state, Tick())
                 self._follow_term(state)
 
     def _build_parts(self) -> NodeParts:
+        settings = self.settings
+        name, members = settings.name, self.members
         journal = Journal(
-            LogClient(self.caller, self.settings.log_address),
+            FailoverLog(self.log, self.caller, name, members, self.clock),
+            HoldClient(self.caller, name, members),
             JournalSettings(
-                f'jobs.{self.settings.domain}',
-                f'{self.settings.name}@{self.clock.now_ms()}',
-                self.settings.commit_ms,
+                f'jobs.{settings.domain}',
+                name,
+                f'{name}@{self.clock.now_ms()}',
+                settings.commit_ms,
             ),
             self.clock,
             self.take_record,
@@ -237,6 +246,11 @@
         for state in tuple(self.shards.values()):
             self._step(state, Configured(policy))
 
+    def _follow_keeping(self, state: ShardState) -> None:
+        possible = self.parts.journal.can_keep
+        if possible != state.can_keep:
+            self._step(state, KeepingChanged(possible))
+
     def _follow_term(self, state: ShardState) -> None:
         if not self.is_ready:
             return
--- a/src/lycheerelay/_record_codec.py
+++ b/src/lycheerelay/_record_codec.py
@@ -1,5 +1,6 @@
 """Write records to and read them from log entries."""
 
+from collections.abc import Iterable
 from typing import Final, NamedTuple
 
 from result import Err, Ok, Result
@@ -10,6 +11,7 @@
     CancelAsked,
     Ended,
     Intended,
+    JobImage,
     Record,
     Settled,
     TermTaken,
@@ -17,8 +19,17 @@
 
 RECORD_TYPES: Final = {
     kind.__name__: kind
-    for kind in (Accepted, CancelAsked, Ended, Intended, Settled, TermTaken)
+    for kind in (
+        Accepted,
+        CancelAsked,
+        Ended,
+        Intended,
+        JobImage,
+        Settled,
+        TermTaken,
+    )
 }
+MAX_SHOWN: Final = 80
 
 
 class Batch(NamedTuple):
@@ -29,8 +40,26 @@
     records: tuple[Record, ...]
 
 
-def encode_batch(batch: Batch) -> Json:
-    """Return the log entry of a batch."""
+def encode_batches(batches: Iterable[Batch]) -> Json:
+    """Return the log entry of some batches."""
+    return {'batches': [_encode_batch(batch) for batch in batches]}
+
+
+def decode_batches(entry: Json) -> Result[tuple[Batch, ...], FieldError]:
+    """Read a log entry as batches."""
+    if not isinstance(entry, dict) or 'batches' not in entry:
+        shown = repr(entry)[:MAX_SHOWN]
+        return Err(FieldError('entry', shown, 'an object with batches'))
+    batches = []
+    for raw in entry['batches']:
+        batch = _decode_batch(raw)
+        if isinstance(batch, Err):
+            return batch
+        batches.append(batch.ok_value)
+    return Ok(tuple(batches))
+
+
+def _encode_batch(batch: Batch) -> Json:
     return {
         'writer': batch.writer,
         'number': batch.number,
@@ -40,18 +69,15 @@
     }
 
 
-def decode_batch(value: Json) -> Result[Batch, FieldError]:
-    """Read a log entry as a batch."""
-    if not isinstance(value, dict) or 'records' not in value:
-        return Err(FieldError('entry', repr(value)[:80], 'a batch'))
+def _decode_batch(raw: Json) -> Result[Batch, FieldError]:
     records = []
-    for name, raw in value['records']:
+    for name, fields in raw['records']:
         kind = RECORD_TYPES.get(name)
         if kind is None:
             known = ', '.join(RECORD_TYPES)
             return Err(FieldError('record', name, f'one of: {known}'))
-        record = from_json(kind, raw, name)
+        record = from_json(kind, fields, name)
         if isinstance(record, Err):
             return record
         records.append(record.ok_value)
-    return Ok(Batch(value['writer'], value['number'], tuple(records)))
+    return Ok(Batch(raw['writer'], raw['number'], tuple(records)))
--- a/src/lycheerelay/_records.py
+++ b/src/lycheerelay/_records.py
@@ -78,4 +78,34 @@
     at_ms: int
 
 
-Record = Accepted | Intended | Ended | CancelAsked | Settled | TermTaken
+class TaskImage(NamedTuple):
+    """Restate the current attempt of one task."""
+
+    state: TaskState
+    attempt: int = 0
+    worker: str = ''
+    boot: str = ''
+    failures: int = 0
+    not_before_ms: int = 0
+    started_ms: int = 0
+    code: int = 0
+    answer: str = ''
+
+
+class JobImage(NamedTuple):
+    """Restate a whole job, so that older records of it may expire."""
+
+    pool: str
+    spec: JobSpec
+    accepted_ms: int
+    state: str
+    code: int
+    detail: str
+    cancel_asked: bool
+    settled_ms: int
+    tasks: tuple[TaskImage, ...]
+
+
+Record = (
+    Accepted | Intended | Ended | CancelAsked | Settled | TermTaken | JobImage
+)
--- a/src/lycheerelay/_state.py
+++ b/src/lycheerelay/_state.py
@@ -110,6 +110,7 @@
     workers: dict[str, WorkerBook] = field(default_factory=dict)
     accepting: dict[str, PendingAccept] = field(default_factory=dict)
     cancelling: dict[str, list[int]] = field(default_factory=dict)
+    can_keep: bool = True
 
     @property
     def is_owner(self) -> bool:
--- a/src/lycheerelay/journal.py
+++ b/src/lycheerelay/journal.py
@@ -1,5 +1,6 @@
 """Commit records in groups and deliver them in log order."""
 
-from ._journal import BatchFilter, Journal, JournalSettings, Log
+from ._journal import Journal, JournalSettings, Log
+from ._outbox import BatchFilter
 
 __all__ = ('BatchFilter', 'Journal', 'JournalSettings', 'Log')
