Move the choice of who answers into its own module

The routes of callers and the passing on between entry VMs change for different reasons; submit, read and cancel now ask a router first.

--- a/src/lycheerelay/_api.py
+++ b/src/lycheerelay/_api.py
@@ -8,16 +8,14 @@
 from ._codec import Json, from_json, to_json
 from ._codes import CODES, Code, Refusal
 from ._commands import ReplyRefused
-from ._http import HttpCaller
-from ._jobs import ID_SEPARATOR, JobSpec, domain_of
+from ._jobs import ID_SEPARATOR, JobSpec
 from ._node import Node
+from ._routing import SUBMIT_TIMEOUT_MS, Router
 from ._state import JobBook
 from ._web import Request, Response, Route, refused, route
 
-SUBMIT_TIMEOUT_MS: Final = 3000
 MAX_WAIT_MS: Final = 20_000
 ID_BYTES: Final = 9
-FORWARD_SLACK_MS: Final = 1000
 
 
 class JobView(NamedTuple):
@@ -64,7 +62,7 @@
     def __init__(self, node: Node) -> None:
         """Serve one node."""
         self.node = node
-        self.caller = HttpCaller()
+        self.router = Router(node)
 
     def routes(self) -> tuple[Route, ...]:
         """Return every route that callers use."""
@@ -99,9 +97,9 @@
         if isinstance(parsed, Err):
             return refused(parsed.err_value.refusal())
         spec = parsed.ok_value
-        owner = self.owner_address(spec.job_id, spec.workload)
-        if owner is not None and 'hop' not in request.query:
-            return self.forward(owner, request)
+        passed = self.router.submit(request, spec.job_id, spec.workload)
+        if passed is not None:
+            return passed
         outcome = self.node.submit(spec, SUBMIT_TIMEOUT_MS)
         if isinstance(outcome, ReplyRefused):
             return refused(outcome.refusal)
@@ -111,6 +109,9 @@
     def read(self, request: Request) -> Response:
         """Show a job, waiting up to `wait_ms` for its complete answer."""
         job_id = request.parts['job_id']
+        passed = self.router.read(request, job_id)
+        if passed is not None:
+            return passed
         wait_ms = min(request.query_int('wait_ms', 0), MAX_WAIT_MS)
         if wait_ms:
             self.node.watch(job_id, wait_ms)
@@ -128,6 +129,9 @@
     def cancel(self, request: Request) -> Response:
         """Cancel a job."""
         job_id = request.parts['job_id']
+        passed = self.router.cancel(request, job_id)
+        if passed is not None:
+            return passed
         found = self.node.inspect(lambda: self.node.find_job(job_id))
         if found is None:
             detail = f'job {job_id} is not known here'
@@ -142,32 +146,6 @@
         """Show the whole state of the process."""
         return Response(200, self.node.inspect(self._dump))
 
-    def owner_address(self, job_id: str, workload: str) -> str | None:
-        """Return the address to forward to, or None to answer here."""
-        if domain_of(job_id) != self.node.settings.domain:
-            return None
-        pool = self.node.policy.pool_of(workload)
-        state = self.node.shards.get(pool)
-        if state is None or state.is_owner:
-            return None
-        return self.node.members.address_of(state.owner)
-
-    def forward(self, address: str, request: Request) -> Response:
-        """Pass a request on to the owner and its answer back."""
-        url = f'http://{address}{request.path}?hop=1'
-        reply = self.caller.call(
-            request.method,
-            url,
-            request.body,
-            SUBMIT_TIMEOUT_MS + FORWARD_SLACK_MS,
-        )
-        if isinstance(reply, Err):
-            detail = f'owner {address}: {reply.err_value.reason}'
-            return refused(
-                Refusal(Code.NO_OWNER, detail, retry_after_ms=1000),
-            )
-        return Response(reply.ok_value.status, reply.ok_value.body)
-
     def _view(self, job_id: str) -> JobView | None:
         found = self.node.find_job(job_id)
         return view_job(found[1]) if found else None
