Route submits, reads and cancels to owner and domain within a budget

Refusals of nodes that are not the owner no longer say not_run: an earlier request with the same id may have been kept, so it was not proved.

--- a/src/lycheerelay/_admission.py
+++ b/src/lycheerelay/_admission.py
@@ -28,11 +28,14 @@
     spec: JobSpec,
     now_ms: int,
 ) -> Refusal | None:
-    """Refuse on an entry VM that does not place for the pool."""
+    """Refuse on an entry VM that does not place for the pool.
+
+    Such a node can't prove `not_run`: the owner may have kept the id.
+    """
     if state.is_owner:
         return None
     detail = f'pool {state.pool} has no owner here yet'
-    return Refusal(Code.NO_OWNER, detail, not_run=True, retry_after_ms=500)
+    return Refusal(Code.NO_OWNER, detail, retry_after_ms=500)
 
 
 @CHECKS.register('never_fits')
--- a/src/lycheerelay/_api.py
+++ b/src/lycheerelay/_api.py
@@ -8,9 +8,11 @@
 from ._codec import Json, from_json, to_json
 from ._codes import CODES, Code, Refusal
 from ._commands import ReplyRefused
-from ._jobs import ID_SEPARATOR, JobSpec
+from ._http import HttpCaller
+from ._jobs import ID_SEPARATOR, JobSpec, domain_of
 from ._node import Node
-from ._routing import SUBMIT_TIMEOUT_MS, Router
+from ._node_directory import NodeDirectory
+from ._routing import SUBMIT_TIMEOUT_MS, Router, RouterSettings
 from ._state import JobBook
 from ._web import Request, Response, Route, refused, route
 
@@ -62,7 +64,13 @@
     def __init__(self, node: Node) -> None:
         """Serve one node."""
         self.node = node
-        self.router = Router(node)
+        self.router = Router(
+            RouterSettings(node.settings.name, node.settings.domain),
+            NodeDirectory(node),
+            node.members,
+            HttpCaller(),
+            node.clock,
+        )
 
     def routes(self) -> tuple[Route, ...]:
         """Return every route that callers use."""
@@ -100,7 +108,8 @@
         passed = self.router.submit(request, spec.job_id, spec.workload)
         if passed is not None:
             return passed
-        outcome = self.node.submit(spec, SUBMIT_TIMEOUT_MS)
+        left_ms = self.router.time_left(request, SUBMIT_TIMEOUT_MS)
+        outcome = self.node.submit(spec, left_ms)
         if isinstance(outcome, ReplyRefused):
             return refused(outcome.refusal)
         body = {'job_id': outcome.job_id, 'code': int(outcome.code)}
@@ -109,12 +118,12 @@
     def read(self, request: Request) -> Response:
         """Show a job, waiting up to `wait_ms` for its complete answer."""
         job_id = request.parts['job_id']
+        wait_ms = min(request.query_int('wait_ms', 0), MAX_WAIT_MS)
+        if wait_ms and domain_of(job_id) == self.node.settings.domain:
+            self.node.watch(job_id, wait_ms)
         passed = self.router.read(request, job_id)
         if passed is not None:
             return passed
-        wait_ms = min(request.query_int('wait_ms', 0), MAX_WAIT_MS)
-        if wait_ms:
-            self.node.watch(job_id, wait_ms)
         found = self.node.inspect(lambda: self._view(job_id))
         if found is None:
             return refused(
@@ -136,7 +145,8 @@
         if found is None:
             detail = f'job {job_id} is not known here'
             return refused(Refusal(Code.NOT_FOUND, detail))
-        outcome = self.node.cancel(found[0].pool, job_id, SUBMIT_TIMEOUT_MS)
+        left_ms = self.router.time_left(request, SUBMIT_TIMEOUT_MS)
+        outcome = self.node.cancel(found[0].pool, job_id, left_ms)
         if isinstance(outcome, ReplyRefused):
             return refused(outcome.refusal)
         body = {'job_id': outcome.job_id, 'code': int(outcome.code)}
