--- a/src/lycheerelay/_cli.py
+++ b/src/lycheerelay/_cli.py
@@ -17,6 +17,7 @@
 from ._cli_parts import COMMANDS, command, no_options
 from ._clock import SystemClock
 from ._codes import CODES
+from ._journal_api import JournalApi
 from ._members import StaticMembers
 from ._node import Node
 from ._policy import Policy
@@ -113,7 +114,11 @@
     server = WebServer(
         host,
         port,
-        (*Api(node).routes(), *ConfigApi(node).routes()),
+        (
+            *Api(node).routes(),
+            *ConfigApi(node).routes(),
+            *JournalApi(node.parts.journal, node.log).routes(),
+        ),
         settings.http_threads,
     )
     node.start()
