Restate live jobs so that old records may expire

Cause: the log keeps records for a limited time and a cold start read the whole stream. Change: the owner restates its jobs in rounds while no record of theirs is on its way; a stream of marks says where a cold start begins. Time to ready against live jobs: not measured yet.

--- a/src/lycheerelay/_commands.py
+++ b/src/lycheerelay/_commands.py
@@ -55,6 +55,13 @@
     refusal: Refusal
 
 
+class Restated(NamedTuple):
+    """Tell that every job was restated since an offset of the stream."""
+
+    pool: str
+    round_offset: int
+
+
 class JobFinal(NamedTuple):
     """Tell those who wait that a job's answer is complete."""
 
@@ -69,4 +76,5 @@
     | ReplyAccepted
     | ReplyRefused
     | JobFinal
+    | Restated
 )
--- a/src/lycheerelay/_core.py
+++ b/src/lycheerelay/_core.py
@@ -6,9 +6,10 @@
     _handle_tasks,
     _handle_workers,
 )
-from ._commands import Command
-from ._events import Event
+from ._commands import Append, Command
+from ._events import Event, Recorded
 from ._handlers import HANDLERS
+from ._on_way import note_arrived, note_sent
 from ._state import ShardState
 
 
@@ -18,5 +19,10 @@
     now_ms: int,
 ) -> tuple[ShardState, list[Command]]:
     """Apply one event; the state is updated in place and returned."""
+    if isinstance(event, Recorded):
+        note_arrived(state, event.record)
     commands = list(HANDLERS[type(event)](state, event, now_ms))
+    for command in commands:
+        if isinstance(command, Append):
+            note_sent(state, command.record)
     return state, commands
--- a/src/lycheerelay/_events.py
+++ b/src/lycheerelay/_events.py
@@ -107,6 +107,15 @@
     code: int
 
 
+class RestateAsked(NamedTuple):
+    """Ask the owner to restate every job, so that old records may expire.
+
+    The round names the offset from which a reader then needs no more.
+    """
+
+    round_offset: int
+
+
 class Configured(NamedTuple):
     """Put a newer configuration in force."""
 
@@ -129,5 +138,6 @@
     | StartAnswered
     | Configured
     | KeepingChanged
+    | RestateAsked
     | Tick
 )
--- a/src/lycheerelay/_executors.py
+++ b/src/lycheerelay/_executors.py
@@ -9,6 +9,7 @@
     JobFinal,
     ReplyAccepted,
     ReplyRefused,
+    Restated,
     StartTask,
     StopTask,
 )
@@ -46,6 +47,12 @@
     parts.replies.resolve(command)
 
 
+@EXECUTORS.register(Restated)
+def execute_restated(parts: NodeParts, command: Restated) -> None:
+    """Move the mark of a pool that was restated."""
+    parts.marks.move(command.pool, command.round_offset)
+
+
 @EXECUTORS.register(JobFinal)
 def execute_final(parts: NodeParts, command: JobFinal) -> None:
     """Wake everyone who waits for a job."""
--- a/src/lycheerelay/_handle_tasks.py
+++ b/src/lycheerelay/_handle_tasks.py
@@ -2,6 +2,7 @@
 
 from ._commands import Append, ForgetTask, StartTask, StopTask
 from ._events import StartAnswered, TaskReport, TasksReported, Tick
+from ._handle_keeping import restate
 from ._handlers import FOLDS, HANDLERS, Commands
 from ._jobs import AttemptKey, TaskState
 from ._records import Ended, Intended, Start
@@ -25,6 +26,7 @@
     """Place what waits, where this node is the owner."""
     if state.is_owner:
         yield from schedule(state, now_ms)
+    yield from restate(state)
 
 
 @FOLDS.register(Intended)
--- a/src/lycheerelay/_images.py
+++ b/src/lycheerelay/_images.py
@@ -7,12 +7,7 @@
 
 def is_at_rest(state: ShardState, job: JobBook) -> bool:
     """Tell whether no record about the job is on its way to the log."""
-    if job.spec.job_id in state.cancelling:
-        return False
-    return not any(
-        task.ending or (task.is_live and not task.recorded)
-        for task in job.tasks
-    )
+    return job.spec.job_id not in state.on_way
 
 
 def image_of(state: ShardState, job: JobBook) -> JobImage:
--- a/src/lycheerelay/_journal.py
+++ b/src/lycheerelay/_journal.py
@@ -75,12 +75,14 @@
         settings: JournalSettings,
         clock: Clock,
         deliver: Deliver,
+        find_start: Callable[[], int] = int,
     ) -> None:
         """Prepare to follow the stream from its first kept entry."""
         self.log = log
         self.settings = settings
         self.clock = clock
         self.deliver = deliver
+        self.find_start = find_start
         self.pending: list[Record] = []
         self.in_flight: Batch | None = None
         self.number = 0
@@ -139,6 +141,7 @@
 
     def follow(self) -> None:
         """Read the log until stopped."""
+        self.next_offset = self.find_start()
         while not self.stopping:
             self.read_to_end()
             if self.health.is_down and self.in_flight is None:
--- a/src/lycheerelay/_node.py
+++ b/src/lycheerelay/_node.py
@@ -8,6 +8,7 @@
 from typing import Final, NamedTuple, TypeVar, final
 
 from ._clock import MS_PER_SECOND, Clock
+from ._compaction import Compaction, MarkStream
 from ._core import step
 from ._events import (
     CancelRequested,
@@ -15,6 +16,7 @@
     Event,
     KeepingChanged,
     Recorded,
+    RestateAsked,
     SubmitRequested,
     Tick,
     WorkerListed,
@@ -26,6 +28,7 @@
 from ._jobs import JobSpec
 from ._journal import Journal, JournalSettings
 from ._log_client import LogClient
+from ._mark_keeper import MarkKeeper
 from ._members import Members
 from ._node_parts import NodeParts
 from ._ownership import Ownership
@@ -81,6 +84,7 @@
         self.inbox: queue.Queue[Posted | Inspection] = queue.Queue()
         self.shards: dict[str, ShardState] = {}
         self.stopping = threading.Event()
+        self.compaction = Compaction(clock, settings.restate_ms)
         self.links = WorkerLinks(settings.name, self.caller, clock, self.post)
         self.parts = self._build_parts()
         self.ownership = Ownership(
@@ -112,6 +116,7 @@
         self.links.stop()
         self.parts.sender.stop()
         self.parts.journal.stop()
+        self.parts.marks.stop()
         self.stopping.set()
         self.thread.join()
 
@@ -168,6 +173,7 @@
 
     def take_record(self, record: Record, held: bool) -> None:
         """Queue a record from the journal for its pool."""
+        self.compaction.count(record.pool)
         self.post(record.pool, Recorded(record, held))
 
     def take_vm_list(self, listed: VmList) -> None:
@@ -183,14 +189,17 @@
                 self._take(entry)
             for state in tuple(self.shards.values()):
                 self._follow_keeping(state)
+                self._follow_compaction(state)
                 self._step(state, Tick())
                 self._follow_term(state)
 
     def _build_parts(self) -> NodeParts:
         settings = self.settings
         name, members = settings.name, self.members
+        log = FailoverLog(self.log, self.caller, name, members, self.clock)
+        marks = MarkKeeper(MarkStream(log, settings.domain))
         journal = Journal(
-            FailoverLog(self.log, self.caller, name, members, self.clock),
+            log,
             HoldClient(self.caller, name, members),
             JournalSettings(
                 f'jobs.{settings.domain}',
@@ -200,9 +209,10 @@
             ),
             self.clock,
             self.take_record,
+            marks.load,
         )
         sender = Sender(self.links.get, self.links.post_event)
-        return NodeParts(journal, sender, Replies(), Watchers())
+        return NodeParts(journal, sender, Replies(), Watchers(), marks)
 
     def _next_entries(self) -> list[Posted | Inspection]:
         try:
@@ -246,6 +256,14 @@
         for state in tuple(self.shards.values()):
             self._step(state, Configured(policy))
 
+    def _follow_compaction(self, state: ShardState) -> None:
+        self.parts.marks.pools.add(state.pool)
+        if not (state.is_owner and self.is_ready):
+            return
+        if self.compaction.is_due(state.pool, len(state.jobs)):
+            offset = self.parts.journal.next_offset
+            self._step(state, RestateAsked(offset))
+
     def _follow_keeping(self, state: ShardState) -> None:
         possible = self.parts.journal.can_keep
         if possible != state.can_keep:
--- a/src/lycheerelay/_node_parts.py
+++ b/src/lycheerelay/_node_parts.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from ._journal import Journal
+from ._mark_keeper import MarkKeeper
 from ._replies import Replies
 from ._sender import Sender
 from ._watchers import Watchers
@@ -15,3 +16,4 @@
     sender: Sender
     replies: Replies
     watchers: Watchers
+    marks: MarkKeeper
--- a/src/lycheerelay/_settings.py
+++ b/src/lycheerelay/_settings.py
@@ -23,6 +23,7 @@
     vm_list_address: str
     peers: tuple[str, ...] = ()
     commit_ms: int = 50
+    restate_ms: int = 1_800_000
     http_threads: int = 48
 
     @property
--- a/src/lycheerelay/_state.py
+++ b/src/lycheerelay/_state.py
@@ -12,6 +12,7 @@
     TaskState,
 )
 from ._policy import Policy
+from ._records import Record
 from ._resources import Resources
 
 
@@ -95,6 +96,15 @@
     tokens: list[int]
 
 
+@dataclass(slots=True)
+class RestateRound:
+    """Track which jobs are still to be restated, or read back."""
+
+    offset: int
+    waiting: dict[str, None]
+    sent: dict[str, None] = field(default_factory=dict)
+
+
 @dataclass(slots=True)
 class ShardState:
     """Hold one pool of one failure domain as one entry VM sees it."""
@@ -111,6 +121,8 @@
     accepting: dict[str, PendingAccept] = field(default_factory=dict)
     cancelling: dict[str, list[int]] = field(default_factory=dict)
     can_keep: bool = True
+    restating: RestateRound | None = None
+    on_way: dict[str, list[Record]] = field(default_factory=dict)
 
     @property
     def is_owner(self) -> bool:
