--- a/src/lycheerelay/_compaction.py
+++ b/src/lycheerelay/_compaction.py
@@ -3,10 +3,10 @@
 import logging
 from typing import Final, NamedTuple, final
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from ._clock import Clock
-from ._codec import Json, from_json, to_json
+from ._codec import FieldError, Json, from_json, to_json
 from ._journal import Log
 
 LOGGER: Final = logging.getLogger(__name__)
@@ -89,7 +89,7 @@
 
 
 def _read_marks(entry: Json) -> Marks:
-    marks = from_json(Marks, entry, 'marks')
+    marks: Result[Marks, FieldError] = from_json(Marks, entry, 'marks')
     if isinstance(marks, Ok):
         return marks.ok_value
     LOGGER.warning('marks are unreadable; reading the whole stream')
