Decide the end of every attempt from recorded facts alone

Replicas and owner could disagree: a plan that was never recorded counted as live when a job was cancelled, kept its attempt number after a lost term, and hid later intents. A refused start was recorded as not started although a repeat of it could still be taken, and a report was believed from any worker and any boot. A settlement by an earlier owner could close a running job.

Plans are now taken back whenever a job or term ends, folds look only at recorded attempts, refused starts are made void first, reports count only from the worker and boot of the intent, and settlements carry a term. Starts and stops name the boot that they are meant for. A gang restarts as a whole. Attempts on unreachable workers are called over after the task lease, the margin, a confirmed term and a majority of held leases; failed tasks are retried with exponential delay, jitter and a budget; late jobs are settled truthfully; final jobs leave memory after a retention time.

--- a/src/lycheerelay/_commands.py
+++ b/src/lycheerelay/_commands.py
@@ -20,6 +20,7 @@
     term: int
     key: AttemptKey
     spec: JobSpec
+    boot: str = ''
 
 
 class StopTask(NamedTuple):
@@ -29,6 +30,7 @@
     term: int
     key: AttemptKey
     checkpoint: bool
+    boot: str = ''
 
 
 class ForgetTask(NamedTuple):
--- /dev/null
+++ b/src/lycheerelay/_deadlines.py
@@ -0,0 +1,54 @@
+"""Settle jobs whose deadline passed before they could run."""
+
+from heapq import heappop, heappush
+from typing import Final
+
+from ._books import has_queued
+from ._codes import Code
+from ._commands import Append
+from ._handlers import Commands
+from ._jobs import JobState
+from ._records import Settled
+from ._state import JobBook, ShardState
+
+REPEAT_MS: Final = 2000
+
+
+def watch_deadline(state: ShardState, job: JobBook) -> None:
+    """Remember when a job is late, if it has a deadline."""
+    if job.spec.deadline_ms:
+        entry = (job.spec.deadline_ms, job.spec.job_id)
+        heappush(state.deadlines, entry)
+
+
+def settle_late(state: ShardState, now_ms: int) -> Commands:
+    """Ask the log to settle late jobs; what runs may end."""
+    while state.deadlines and state.deadlines[0][0] < now_ms:
+        _, job_id = heappop(state.deadlines)
+        job = state.jobs.get(job_id)
+        if job is None or job.is_final:
+            continue
+        heappush(state.deadlines, (now_ms + REPEAT_MS, job_id))
+        is_idle = has_queued(job) and not any(
+            task.is_live for task in job.tasks
+        )
+        if state.is_owner and is_idle:
+            yield Append(_late(state, job, now_ms))
+
+
+def _late(state: ShardState, job: JobBook, now_ms: int) -> Settled:
+    if job.not_run:
+        job_state, detail = JobState.REFUSED, 'no task was ever started'
+    else:
+        ran = sum(bool(task.runs) for task in job.tasks)
+        job_state = JobState.FAILED
+        detail = f'{ran} of {len(job.tasks)} tasks were started before'
+    return Settled(
+        state.pool,
+        job.spec.job_id,
+        job_state.value,
+        int(Code.DEADLINE_PASSED),
+        f'the deadline passed; {detail}',
+        now_ms,
+        state.term,
+    )
--- a/src/lycheerelay/_events.py
+++ b/src/lycheerelay/_events.py
@@ -95,6 +95,14 @@
     key: AttemptKey
     state: TaskState
     code: int
+    boot: str = ''
+
+
+class OwnershipConfirmed(NamedTuple):
+    """Tell that a whole read of the log, begun then, shows this term."""
+
+    term: int
+    at_ms: int
 
 
 class Configured(NamedTuple):
@@ -117,6 +125,7 @@
     | LeaseLost
     | TasksReported
     | StartAnswered
+    | OwnershipConfirmed
     | Configured
     | Tick
 )
--- a/src/lycheerelay/_fit.py
+++ b/src/lycheerelay/_fit.py
@@ -14,7 +14,7 @@
 
 def can_hold(worker: WorkerBook, demand: Resources) -> bool:
     """Check every hard limit; each start passes here."""
-    return worker.ready and not worker.leaving and demand.fits_in(worker.free)
+    return worker.takes_work and demand.fits_in(worker.free)
 
 
 @FITS.register('best_fit')
--- a/src/lycheerelay/_handle_jobs.py
+++ b/src/lycheerelay/_handle_jobs.py
@@ -1,13 +1,16 @@
 """Admit, keep, cancel and settle jobs."""
 
 from ._admission import refuse
+from ._books import drop_plans
 from ._codes import Code, Refusal
-from ._commands import Append, JobFinal, ReplyAccepted, ReplyRefused, StopTask
+from ._commands import Append, ReplyAccepted, ReplyRefused
+from ._deadlines import watch_deadline
 from ._events import CancelRequested, Recorded, SubmitRequested
 from ._handlers import FOLDS, HANDLERS, Commands
 from ._jobs import JobState
 from ._records import Accepted, CancelAsked, Settled
-from ._settle import settle_if_over
+from ._reports import stop_live
+from ._settle import Verdict, make_final, settle_if_over
 from ._state import JobBook, PendingAccept, ShardState, TaskBook
 
 
@@ -53,7 +56,9 @@
         return
     spec = event.spec
     state.accepting[spec.job_id] = PendingAccept(spec, [event.token])
-    yield Append(Accepted(state.pool, spec, now_ms))
+    workload = state.policy.workload(spec.workload)
+    max_attempts = workload.max_attempts if workload else 0
+    yield Append(Accepted(state.pool, spec, now_ms, max_attempts))
 
 
 @FOLDS.register(Accepted)
@@ -68,8 +73,10 @@
     if known is None:
         tasks = [TaskBook() for _ in range(spec.tasks)]
         known = JobBook(spec, record.at_ms, tasks)
+        known.max_attempts = record.max_attempts
         state.jobs[spec.job_id] = known
         state.waiting[spec.job_id] = None
+        watch_deadline(state, known)
     pending = state.accepting.pop(spec.job_id, None)
     if pending is None:
         return
@@ -92,7 +99,8 @@
         detail = f'job {event.job_id} is not known here'
         yield ReplyRefused(event.token, Refusal(Code.NOT_FOUND, detail))
     elif job.is_final or job.cancel_asked:
-        yield ReplyAccepted(event.token, event.job_id, Code.CANCELLED)
+        code = Code(job.code) if job.is_final else Code.CANCELLED
+        yield ReplyAccepted(event.token, event.job_id, code)
     else:
         tokens = state.cancelling.setdefault(event.job_id, [])
         tokens.append(event.token)
@@ -107,41 +115,36 @@
     now_ms: int,
 ) -> Commands:
     """Stop what runs and settle the job once nothing does."""
-    for token in state.cancelling.pop(record.job_id, []):
-        yield ReplyAccepted(token, record.job_id, Code.CANCELLED)
+    tokens = state.cancelling.pop(record.job_id, [])
     job = state.jobs.get(record.job_id)
+    is_open = job is not None and not job.is_final
+    code = Code.CANCELLED if is_open or job is None else Code(job.code)
+    for token in tokens:
+        yield ReplyAccepted(token, record.job_id, code)
     if job is None or job.is_final:
         return
     job.cancel_asked = True
+    drop_plans(state, job)
     state.waiting.pop(record.job_id, None)
     if state.is_owner:
-        yield from _stop_live_tasks(state, job)
+        yield from stop_live(state, job)
     yield from settle_if_over(state, job, record.at_ms)
 
 
-def _stop_live_tasks(state: ShardState, job: JobBook) -> Commands:
-    for index, task in enumerate(job.tasks):
-        if task.is_live and task.recorded:
-            key = job.attempt_key(index)
-            yield StopTask(task.worker, state.term, key, checkpoint=False)
-
-
 @FOLDS.register(Settled)
 def fold_settled(
     state: ShardState,
     record: Settled,
     now_ms: int,
 ) -> Commands:
-    """Take over a recorded final result."""
+    """Take over a recorded final result, unless a task may run."""
     job = state.jobs.get(record.job_id)
-    if job is None or job.is_final:
+    if job is None or job.is_final or record.term < state.term:
         return
-    job.state = JobState(record.state)
-    job.code = record.code
-    job.detail = record.detail
-    job.settled_ms = record.at_ms
-    state.waiting.pop(record.job_id, None)
-    yield JobFinal(record.job_id)
+    if any(task.may_run for task in job.tasks):
+        return
+    verdict = Verdict(JobState(record.state), record.code, record.detail)
+    yield from make_final(state, job, verdict, record.at_ms)
 
 
 def _conflict(token: int, job_id: str) -> ReplyRefused:
--- a/src/lycheerelay/_handle_tasks.py
+++ b/src/lycheerelay/_handle_tasks.py
@@ -1,28 +1,29 @@
-"""Place tasks, start them and take in their results."""
+"""Start tasks and take in their results."""
 
+from ._books import charge, has_queued, release
+from ._codes import Code
 from ._commands import Append, ForgetTask, StartTask, StopTask
+from ._deadlines import settle_late
+from ._delays import release_due
+from ._ends import END_RULES, apply_end
 from ._events import StartAnswered, TaskReport, TasksReported, Tick
 from ._handlers import FOLDS, HANDLERS, Commands
 from ._jobs import AttemptKey, TaskState
+from ._lapse import resolve_reboot
 from ._records import Ended, Intended, Start
+from ._reports import Sender, ended, find_current, stop_live, take_report
+from ._retire import retire_final
 from ._schedule import schedule
 from ._settle import settle_if_over
 from ._state import JobBook, ShardState, TaskBook
 
-RERUN_STATES = frozenset(
-    (
-        TaskState.NOT_STARTED,
-        TaskState.CHECKPOINTED,
-        TaskState.LAPSED,
-        TaskState.STOPPED,
-    )
-)
-LIVE_REPORTS = frozenset((TaskState.INTENDED, TaskState.RUNNING))
-
 
 @HANDLERS.register(Tick)
 def on_tick(state: ShardState, event: Tick, now_ms: int) -> Commands:
-    """Place what waits, where this node is the owner."""
+    """Let time take effect, then place what waits, where this node owns."""
+    release_due(state, now_ms)
+    retire_final(state, now_ms)
+    yield from settle_late(state, now_ms)
     if state.is_owner:
         yield from schedule(state, now_ms)
 
@@ -37,8 +38,13 @@
     job = state.jobs.get(record.job_id)
     if job is None or record.term < state.term:
         return
+    if job.is_final or job.cancel_asked:
+        return
     for start in record.starts:
-        yield from _fold_start(state, job, record, start)
+        yield from _fold_start(state, job, record, start, now_ms)
+    if not has_queued(job):
+        state.waiting.pop(record.job_id, None)
+    yield from settle_if_over(state, job, record.at_ms)
 
 
 def _fold_start(
@@ -46,11 +52,25 @@
     job: JobBook,
     record: Intended,
     start: Start,
+    now_ms: int,
 ) -> Commands:
-    task = job.tasks[start.task_index]
-    key = AttemptKey(record.job_id, start.task_index, start.attempt)
-    if task.attempt > start.attempt or (task.recorded and task.is_live):
+    task = job.task(start.task_index)
+    if task is None or start.attempt <= task.recorded_attempt:
+        return
+    if task.state is not TaskState.QUEUED and not task.is_planned:
         return
+    key = AttemptKey(record.job_id, start.task_index, start.attempt)
+    if task.is_planned and task.worker != start.worker:
+        release(state, task.worker, job.attempt_key(start.task_index))
+    if not task.runs:
+        state.budget.count_first()
+    _book_start(task, record, start)
+    charge(state, start.worker, key, job.spec.demand)
+    if state.is_owner:
+        yield from _send_start(state, job, key, now_ms)
+
+
+def _book_start(task: TaskBook, record: Intended, start: Start) -> None:
     task.attempt = start.attempt
     task.state = TaskState.INTENDED
     task.worker = start.worker
@@ -58,15 +78,24 @@
     task.recorded = True
     task.ending = False
     task.started_ms = record.at_ms
-    worker = state.workers.get(start.worker)
-    if worker is not None:
-        worker.charge(key, job.spec.demand)
-    if not state.is_owner:
-        return
-    if job.cancel_asked:
-        yield StopTask(start.worker, state.term, key, checkpoint=False)
+    task.runs += 1
+
+
+def _send_start(
+    state: ShardState,
+    job: JobBook,
+    key: AttemptKey,
+    now_ms: int,
+) -> Commands:
+    task = job.tasks[key.task_index]
+    worker = state.workers.get(task.worker)
+    if worker is not None and worker.ready and worker.boot != task.boot:
+        # This node alone may send the start, and does not.
+        task.ending = True
+        report = TaskReport(key, TaskState.NOT_STARTED)
+        yield Append(ended(state.pool, report, now_ms))
     else:
-        yield StartTask(start.worker, state.term, key, job.spec)
+        yield StartTask(task.worker, state.term, key, job.spec, task.boot)
 
 
 @HANDLERS.register(StartAnswered)
@@ -75,9 +104,23 @@
     event: StartAnswered,
     now_ms: int,
 ) -> Commands:
-    """Take in a worker's definite answer to a start."""
+    """Take in a worker's answer; void a start that it refused."""
+    if event.code == Code.STALE_TERM or not state.is_owner:
+        return
+    sender = Sender(event.worker, event.boot)
+    if event.state is TaskState.NOT_STARTED and event.code != Code.OK:
+        task = find_current(state, sender, event.key)
+        if task is not None:
+            yield StopTask(
+                event.worker,
+                state.term,
+                event.key,
+                checkpoint=False,
+                boot=task.boot,
+            )
+        return
     report = TaskReport(event.key, event.state, event.code)
-    yield from take_report(state, report, now_ms)
+    yield from take_report(state, sender, report, now_ms)
 
 
 @HANDLERS.register(TasksReported)
@@ -88,78 +131,30 @@
 ) -> Commands:
     """Take in what a worker says of its attempts."""
     worker = state.workers.get(event.worker)
-    if worker is not None and event.leaving:
-        worker.leaving = True
+    if worker is not None:
+        worker.told_leaving = event.leaving
+        worker.leaving = worker.leaving or event.leaving
+        if worker.ready and worker.boot != event.boot:
+            worker.boot = event.boot
+            yield from resolve_reboot(state, worker, now_ms)
+    sender = Sender(event.worker, event.boot)
     for report in event.reports:
-        yield from take_report(state, report, now_ms)
-
-
-def take_report(
-    state: ShardState,
-    report: TaskReport,
-    now_ms: int,
-) -> Commands:
-    """Record the end of a current attempt; forget one that is past."""
-    key = report.key
-    job = state.jobs.get(key.job_id)
-    if job is None or not state.is_owner:
-        return
-    task = job.tasks[key.task_index]
-    if key.attempt != task.attempt or not task.is_live:
-        if report.state not in LIVE_REPORTS and task.worker:
-            yield ForgetTask(task.worker, state.term, key)
-        return
-    if report.state in LIVE_REPORTS:
-        task.state = TaskState.RUNNING
-        return
-    if not task.ending:
-        task.ending = True
-        yield Append(_ended(state.pool, report, now_ms))
-
-
-def _ended(pool: str, report: TaskReport, now_ms: int) -> Ended:
-    return Ended(
-        pool,
-        report.key.job_id,
-        report.key.task_index,
-        report.key.attempt,
-        report.state,
-        report.code,
-        report.answer,
-        now_ms,
-    )
+        yield from take_report(state, sender, report, now_ms)
 
 
 @FOLDS.register(Ended)
 def fold_ended(state: ShardState, record: Ended, now_ms: int) -> Commands:
     """Release the booking and settle or queue the task again."""
     job = state.jobs.get(record.job_id)
-    if job is None:
+    task = job.task(record.task_index) if job else None
+    if job is None or task is None or record.state not in END_RULES:
         return
-    task = job.tasks[record.task_index]
-    if task.attempt != record.attempt or not task.is_live:
+    if task.attempt != record.attempt or not task.may_run:
         return
-    worker = state.workers.get(task.worker)
-    if worker is not None:
-        worker.release(record.key)
-    _apply_end(state, job, task, record)
-    yield from settle_if_over(state, job, record.at_ms)
+    release(state, task.worker, record.key)
+    apply_end(state, job, task, record)
     if state.is_owner:
         yield ForgetTask(task.worker, state.term, record.key)
-
-
-def _apply_end(
-    state: ShardState,
-    job: JobBook,
-    task: TaskBook,
-    record: Ended,
-) -> None:
-    task.state = record.state
-    task.code = record.code
-    task.answer = record.answer
-    task.ending = False
-    if record.state in RERUN_STATES and not job.cancel_asked:
-        task.state = TaskState.QUEUED
-        task.recorded = False
-        task.not_before_ms = record.at_ms + state.policy.limits.retry_base_ms
-        state.waiting[record.job_id] = None
+        if job.restarting:
+            yield from stop_live(state, job)
+    yield from settle_if_over(state, job, record.at_ms)
--- a/src/lycheerelay/_handle_workers.py
+++ b/src/lycheerelay/_handle_workers.py
@@ -1,18 +1,15 @@
 """Follow workers, their leases and the right to place."""
 
-from ._commands import Append, StartTask, StopTask
-from ._events import (
-    Configured,
-    LeaseHeld,
-    LeaseLost,
-    WorkerListed,
-    WorkerUnlisted,
-)
-from ._handle_tasks import take_report
+from ._books import drop_plans, has_queued, take_unlisted
+from ._commands import StartTask
+from ._events import Configured, LeaseHeld, WorkerListed, WorkerUnlisted
 from ._handlers import FOLDS, HANDLERS, Commands
-from ._jobs import AttemptKey, TaskState
-from ._records import Ended, TermTaken
-from ._state import JobBook, ShardState, TaskBook, WorkerBook
+from ._jobs import AttemptKey
+from ._lapse import call_over, follow_majority
+from ._records import TermTaken
+from ._reports import OPEN_STATES, Sender, stop_task, take_report
+from ._retire import retire_worker
+from ._state import JobBook, ShardState, WorkerBook
 
 
 @HANDLERS.register(WorkerListed)
@@ -22,24 +19,24 @@
     now_ms: int,
 ) -> Commands:
     """Open or update the book of a worker."""
-    known = state.workers.get(event.spec.name)
+    name = event.spec.name
+    known = state.workers.get(name)
     if known is None:
         known = WorkerBook(event.spec, event.spec.capacity, lost_ms=now_ms)
-        state.workers[event.spec.name] = known
-        _charge_recorded(state, known)
+        state.workers[name] = known
+        take_unlisted(state, name)
+    elif known.spec.capacity != event.spec.capacity:
+        grown = event.spec.capacity.minus(known.spec.capacity)
+        known.free = known.free.plus(grown)
+    if not known.listed:
+        known.leaving = known.told_leaving
+    known.listed = True
     known.leaving = known.leaving or event.spec.leaving
     known.spec = event.spec
+    follow_majority(state, now_ms)
     yield from ()
 
 
-def _charge_recorded(state: ShardState, worker: WorkerBook) -> None:
-    for job_id, job in state.jobs.items():
-        for index, task in enumerate(job.tasks):
-            if task.is_live and task.worker == worker.spec.name:
-                key = AttemptKey(job_id, index, task.attempt)
-                worker.charge(key, job.spec.demand)
-
-
 @HANDLERS.register(WorkerUnlisted)
 def on_unlisted(
     state: ShardState,
@@ -50,6 +47,9 @@
     worker = state.workers.get(event.worker)
     if worker is not None:
         worker.leaving = True
+        worker.listed = False
+        follow_majority(state, now_ms)
+        retire_worker(state, worker)
     yield from ()
 
 
@@ -65,20 +65,6 @@
     yield from ()
 
 
-@HANDLERS.register(LeaseLost)
-def on_lease_lost(
-    state: ShardState,
-    event: LeaseLost,
-    now_ms: int,
-) -> Commands:
-    """Give a worker no new work until its lease is held again."""
-    worker = state.workers.get(event.worker)
-    if worker is not None and worker.ready:
-        worker.ready = False
-        worker.lost_ms = now_ms
-    yield from ()
-
-
 @HANDLERS.register(LeaseHeld)
 def on_lease_held(
     state: ShardState,
@@ -89,68 +75,61 @@
     worker = state.workers.get(event.worker)
     if worker is None or event.term != state.term or not state.is_owner:
         return
-    worker.ready = True
-    worker.term = event.term
-    worker.boot = event.boot
-    worker.leaving = worker.leaving or event.leaving
+    _take_lease(state, worker, event)
+    follow_majority(state, now_ms)
+    sender = Sender(event.worker, event.boot)
+    present = set()
     for report in event.table:
-        yield from take_report(state, report, now_ms)
-        yield from _stop_unwanted(state, worker, report.key)
-    present = {report.key for report in event.table}
+        if report.state not in OPEN_STATES:
+            present.add(report.key)
+        yield from take_report(state, sender, report, now_ms)
     for key in tuple(worker.charges):
-        if key not in present:
-            yield from _resolve_absent(state, worker, key, now_ms)
+        yield from _resolve(state, worker, key, key in present, now_ms)
 
 
-def _stop_unwanted(
+def _take_lease(
     state: ShardState,
     worker: WorkerBook,
-    key: AttemptKey,
-) -> Commands:
-    job = state.jobs.get(key.job_id)
-    if job is None or not job.tasks[key.task_index].is_live:
-        return
-    if job.cancel_asked:
-        yield StopTask(worker.spec.name, state.term, key, checkpoint=False)
+    event: LeaseHeld,
+) -> None:
+    if worker.boot != event.boot and worker.listed:
+        worker.leaving = worker.spec.leaving
+    worker.ready = True
+    worker.term = event.term
+    worker.boot = event.boot
+    worker.told_leaving = event.leaving
+    worker.leaving = worker.leaving or event.leaving
+    worker.strays.clear()
 
 
-def _resolve_absent(
+def _resolve(
     state: ShardState,
     worker: WorkerBook,
     key: AttemptKey,
+    is_present: bool,
     now_ms: int,
 ) -> Commands:
-    job = state.jobs[key.job_id]
-    task = job.tasks[key.task_index]
-    if not task.recorded or task.ending or task.attempt != key.attempt:
+    job = state.jobs.get(key.job_id)
+    task = job.task(key.task_index) if job else None
+    if job is None or task is None or task.ending:
+        return
+    if not task.may_run or task.attempt != key.attempt:
         return
     if task.boot != worker.boot:
-        task.ending = True
-        yield Append(_lost_attempt(state.pool, job, key, now_ms))
-    elif job.cancel_asked:
-        yield StopTask(worker.spec.name, state.term, key, checkpoint=False)
-    else:
-        yield StartTask(worker.spec.name, state.term, key, job.spec)
+        yield from call_over(state, key, now_ms)
+    elif job.cancel_asked or job.restarting:
+        yield stop_task(state, job, key.task_index)
+    elif not is_present:
+        yield _repeat_start(state, job, key)
 
 
-def _lost_attempt(
-    pool: str,
+def _repeat_start(
+    state: ShardState,
     job: JobBook,
     key: AttemptKey,
-    now_ms: int,
-) -> Ended:
-    rerun = job.spec.idempotent
-    lost_state = TaskState.LAPSED if rerun else TaskState.UNKNOWN
-    return Ended(
-        pool,
-        key.job_id,
-        key.task_index,
-        key.attempt,
-        lost_state,
-        0,
-        '',
-        now_ms,
-    )
+) -> StartTask:
+    task = job.tasks[key.task_index]
+    return StartTask(task.worker, state.term, key, job.spec, task.boot)
 
 
 @FOLDS.register(TermTaken)
@@ -164,19 +143,21 @@
         return
     state.term = record.term
     state.owner = record.owner
+    state.majority_ms = -1
+    state.confirmed_ms = -1
     for worker in state.workers.values():
         worker.ready = False
         worker.lost_ms = now_ms
-    for job_id, job in state.jobs.items():
-        for index, task in enumerate(job.tasks):
-            if task.is_live and not task.recorded:
-                _drop_plan(state, AttemptKey(job_id, index, task.attempt), task)
+        worker.strays.clear()
+    for job in state.jobs.values():
+        if not job.is_final:
+            _start_over(state, job)
     yield from ()
 
 
-def _drop_plan(state: ShardState, key: AttemptKey, task: TaskBook) -> None:
-    worker = state.workers.get(task.worker)
-    if worker is not None:
-        worker.release(key)
-    task.state = TaskState.QUEUED
-    state.waiting[key.job_id] = None
+def _start_over(state: ShardState, job: JobBook) -> None:
+    drop_plans(state, job)
+    for task in job.tasks:
+        task.ending = False
+    if has_queued(job) and not job.cancel_asked:
+        state.waiting[job.spec.job_id] = None
--- a/src/lycheerelay/_policy.py
+++ b/src/lycheerelay/_policy.py
@@ -44,6 +44,7 @@
     clock_margin_ms: int = 2_000
     retry_base_ms: int = 200
     retry_max_ms: int = 30_000
+    retention_ms: int = 3_600_000
 
 
 class Policy(NamedTuple):
--- a/src/lycheerelay/_records.py
+++ b/src/lycheerelay/_records.py
@@ -11,6 +11,7 @@
     pool: str
     spec: JobSpec
     at_ms: int
+    max_attempts: int = 0
 
 
 class Start(NamedTuple):
@@ -67,6 +68,7 @@
     code: int
     detail: str
     at_ms: int
+    term: int = 0
 
 
 class TermTaken(NamedTuple):
--- /dev/null
+++ b/src/lycheerelay/_retry.py
@@ -0,0 +1,69 @@
+"""Delay retries and bound how many starts they add."""
+
+import hashlib
+from dataclasses import dataclass
+from typing import Final, NamedTuple
+
+RETRY_SHARE_PERCENT: Final = 10
+FULL_TOKEN: Final = 100
+BURST_TOKENS: Final = 10
+TRICKLE_MS: Final = 1000
+MAX_DOUBLINGS: Final = 20
+DIGEST_BYTES: Final = 8
+
+
+class RetryPace(NamedTuple):
+    """Set the first and the longest delay."""
+
+    base_ms: int
+    max_ms: int
+
+
+def retry_delay_ms(pace: RetryPace, failures: int, seed: str) -> int:
+    """Return an exponential delay whose upper half is drawn by the seed.
+
+    Source: Brooker, "Exponential Backoff And Jitter", AWS Architecture
+    Blog, 2015 (equal jitter).
+    """
+    doublings = min(max(failures - 1, 0), MAX_DOUBLINGS)
+    full_ms = min(pace.base_ms << doublings, pace.max_ms)
+    half_ms = full_ms // 2
+    digest = hashlib.blake2b(seed.encode(), digest_size=DIGEST_BYTES).digest()
+    return half_ms + int.from_bytes(digest) % (full_ms - half_ms + 1)
+
+
+@dataclass(slots=True)
+class RetryBudget:
+    """Hold hundredths of tokens that first starts earn and reruns spend.
+
+    Source: Beyer et al., "Site Reliability Engineering", chapter 21,
+    "Handling Overload", 2016.
+    """
+
+    hundredths: int = BURST_TOKENS * FULL_TOKEN
+    refilled_ms: int = 0
+    firsts: int = 0
+    reruns: int = 0
+    denied: int = 0
+
+    def count_first(self, starts: int = 1) -> None:
+        """Earn a share of a rerun for each first start."""
+        self.firsts += starts
+        self._earn(starts * RETRY_SHARE_PERCENT)
+
+    def may_rerun(self, now_ms: int) -> bool:
+        """Spend one token; each second gives one back, too."""
+        passed_ms = now_ms - self.refilled_ms
+        if passed_ms >= TRICKLE_MS:
+            self.refilled_ms = now_ms
+            self._earn(passed_ms * FULL_TOKEN // TRICKLE_MS)
+        if self.hundredths < FULL_TOKEN:
+            self.denied += 1
+            return False
+        self.hundredths -= FULL_TOKEN
+        self.reruns += 1
+        return True
+
+    def _earn(self, hundredths: int) -> None:
+        limit = BURST_TOKENS * FULL_TOKEN
+        self.hundredths = min(self.hundredths + hundredths, limit)
--- a/src/lycheerelay/_sender.py
+++ b/src/lycheerelay/_sender.py
@@ -53,12 +53,18 @@
     def _try_once(self, link: WorkerLink, command: TaskCommand) -> bool:
         client = link.client
         if isinstance(command, StartTask):
-            reply = client.start(command.term, command.key, command.spec)
+            reply = client.start(
+                command.term,
+                command.key,
+                command.spec,
+                command.boot,
+            )
         elif isinstance(command, StopTask):
             reply = client.stop(
                 command.term,
                 command.key,
                 command.checkpoint,
+                command.boot,
             )
         else:
             return not isinstance(
@@ -75,6 +81,7 @@
                 command.key,
                 answer.state,
                 answer.code,
+                answer.boot,
             ),
         )
         return True
--- a/src/lycheerelay/_state.py
+++ b/src/lycheerelay/_state.py
@@ -1,5 +1,6 @@
 """Hold what the decision core knows of one pool."""
 
+from collections import deque
 from dataclasses import dataclass, field
 
 from ._events import WorkerSpec
@@ -13,6 +14,7 @@
 )
 from ._policy import Policy
 from ._resources import Resources
+from ._retry import RetryBudget
 
 
 @dataclass(slots=True)
@@ -30,12 +32,28 @@
     started_ms: int = 0
     code: int = 0
     answer: str = ''
+    runs: int = 0
 
     @property
     def is_live(self) -> bool:
-        """Tell whether an attempt may be running."""
+        """Tell whether an attempt may be running or is planned."""
         return self.state in LIVE_TASK_STATES
 
+    @property
+    def may_run(self) -> bool:
+        """Tell whether the intent of a live attempt is recorded."""
+        return self.recorded and self.is_live
+
+    @property
+    def is_planned(self) -> bool:
+        """Tell whether an attempt is decided but not recorded."""
+        return self.is_live and not self.recorded
+
+    @property
+    def recorded_attempt(self) -> int:
+        """Return the last attempt whose intent is recorded."""
+        return self.attempt - 1 if self.is_planned else self.attempt
+
 
 @dataclass(slots=True)
 class JobBook:
@@ -49,12 +67,24 @@
     detail: str = ''
     cancel_asked: bool = False
     settled_ms: int = 0
+    max_attempts: int = 0
+    restarting: bool = False
+    failed_on: dict[str, None] = field(default_factory=dict)
 
     @property
     def is_final(self) -> bool:
         """Tell whether the job's answer is complete."""
         return self.state in FINAL_JOB_STATES
 
+    @property
+    def not_run(self) -> bool:
+        """Tell whether it is proved that no task was ever started."""
+        return not any(task.runs for task in self.tasks)
+
+    def task(self, index: int) -> TaskBook | None:
+        """Return a task, or None for an index out of range."""
+        return self.tasks[index] if 0 <= index < len(self.tasks) else None
+
     def attempt_key(self, index: int) -> AttemptKey:
         """Return the key of a task's current attempt."""
         return AttemptKey(self.spec.job_id, index, self.tasks[index].attempt)
@@ -72,6 +102,14 @@
     leaving: bool = False
     lost_ms: int = 0
     charges: dict[AttemptKey, Resources] = field(default_factory=dict)
+    listed: bool = True
+    told_leaving: bool = False
+    strays: dict[AttemptKey, None] = field(default_factory=dict)
+
+    @property
+    def takes_work(self) -> bool:
+        """Tell whether anything may be placed here now."""
+        return self.ready and not self.leaving and not self.strays
 
     def charge(self, key: AttemptKey, demand: Resources) -> None:
         """Book an attempt once, however often it is told."""
@@ -110,6 +148,15 @@
     workers: dict[str, WorkerBook] = field(default_factory=dict)
     accepting: dict[str, PendingAccept] = field(default_factory=dict)
     cancelling: dict[str, list[int]] = field(default_factory=dict)
+    unlisted: dict[str, dict[AttemptKey, Resources]] = field(
+        default_factory=dict,
+    )
+    majority_ms: int = -1
+    confirmed_ms: int = -1
+    delayed: list[tuple[int, AttemptKey]] = field(default_factory=list)
+    deadlines: list[tuple[int, str]] = field(default_factory=list)
+    finals: deque[tuple[int, str]] = field(default_factory=deque)
+    budget: RetryBudget = field(default_factory=RetryBudget)
 
     @property
     def is_owner(self) -> bool:
--- a/src/lycheerelay/_worker_client.py
+++ b/src/lycheerelay/_worker_client.py
@@ -47,6 +47,7 @@
 
     state: TaskState
     code: int
+    boot: str = ''
 
 
 @final
@@ -74,6 +75,7 @@
         term: int,
         key: AttemptKey,
         spec: JobSpec,
+        boot: str = '',
     ) -> Result[StartReply, CallError]:
         """Create a task under its attempt id; repeating is harmless."""
         body = {
@@ -84,6 +86,7 @@
             'accelerators': spec.accelerators,
             'connections': spec.connections,
             'payload': spec.payload,
+            'boot': boot,
         }
         return self._task_call('tasks', body)
 
@@ -92,12 +95,14 @@
         term: int,
         key: AttemptKey,
         checkpoint: bool,
+        boot: str = '',
     ) -> Result[StartReply, CallError]:
         """Stop an attempt; one that never started is void from now on."""
         body = {
             'task_id': key.to_text(),
             'term': term,
             'checkpoint': checkpoint,
+            'boot': boot,
         }
         return self._task_call('stop', body)
 
@@ -122,7 +127,13 @@
         if reply.ok_value.status not in {HTTP_OK, HTTP_CONFLICT}:
             return Err(CallError(url, f'status {reply.ok_value.status}'))
         answer = reply.ok_value.body
-        return Ok(StartReply(TaskState(answer['state']), answer['code']))
+        return Ok(
+            StartReply(
+                TaskState(answer['state']),
+                answer['code'],
+                answer.get('boot', ''),
+            ),
+        )
 
 
 def _lease_reply(body: Json) -> LeaseReply:
