--- a/src/lycheerelay/_api.py
+++ b/src/lycheerelay/_api.py
@@ -11,13 +11,13 @@
 from ._http import HttpCaller
 from ._jobs import ID_SEPARATOR, JobSpec, domain_of
 from ._node import Node
+from ._node_directory import NodeDirectory
+from ._routing import SUBMIT_TIMEOUT_MS, Router, RouterSettings
 from ._state import JobBook
 from ._web import Request, Response, Route, refused, route
 
-SUBMIT_TIMEOUT_MS: Final = 3000
 MAX_WAIT_MS: Final = 20_000
 ID_BYTES: Final = 9
-FORWARD_SLACK_MS: Final = 1000
 
 
 class JobView(NamedTuple):
@@ -64,7 +64,13 @@
     def __init__(self, node: Node) -> None:
         """Serve one node."""
         self.node = node
-        self.caller = HttpCaller()
+        self.router = Router(
+            RouterSettings(node.settings.name, node.settings.domain),
+            NodeDirectory(node),
+            node.members,
+            HttpCaller(),
+            node.clock,
+        )
 
     def routes(self) -> tuple[Route, ...]:
         """Return every route that callers use."""
@@ -99,10 +105,11 @@
         if isinstance(parsed, Err):
             return refused(parsed.err_value.refusal())
         spec = parsed.ok_value
-        owner = self.owner_address(spec.job_id, spec.workload)
-        if owner is not None and 'hop' not in request.query:
-            return self.forward(owner, request)
-        outcome = self.node.submit(spec, SUBMIT_TIMEOUT_MS)
+        passed = self.router.submit(request, spec.job_id, spec.workload)
+        if passed is not None:
+            return passed
+        left_ms = self.router.time_left(request, SUBMIT_TIMEOUT_MS)
+        outcome = self.node.submit(spec, left_ms)
         if isinstance(outcome, ReplyRefused):
             return refused(outcome.refusal)
         body = {'job_id': outcome.job_id, 'code': int(outcome.code)}
@@ -112,8 +119,11 @@
         """Show a job, waiting up to `wait_ms` for its complete answer."""
         job_id = request.parts['job_id']
         wait_ms = min(request.query_int('wait_ms', 0), MAX_WAIT_MS)
-        if wait_ms:
+        if wait_ms and domain_of(job_id) == self.node.settings.domain:
             self.node.watch(job_id, wait_ms)
+        passed = self.router.read(request, job_id)
+        if passed is not None:
+            return passed
         found = self.node.inspect(lambda: self._view(job_id))
         if found is None:
             return refused(
@@ -128,11 +138,15 @@
     def cancel(self, request: Request) -> Response:
         """Cancel a job."""
         job_id = request.parts['job_id']
+        passed = self.router.cancel(request, job_id)
+        if passed is not None:
+            return passed
         found = self.node.inspect(lambda: self.node.find_job(job_id))
         if found is None:
             detail = f'job {job_id} is not known here'
             return refused(Refusal(Code.NOT_FOUND, detail))
-        outcome = self.node.cancel(found[0].pool, job_id, SUBMIT_TIMEOUT_MS)
+        left_ms = self.router.time_left(request, SUBMIT_TIMEOUT_MS)
+        outcome = self.node.cancel(found[0].pool, job_id, left_ms)
         if isinstance(outcome, ReplyRefused):
             return refused(outcome.refusal)
         body = {'job_id': outcome.job_id, 'code': int(outcome.code)}
@@ -142,32 +156,6 @@
         """Show the whole state of the process."""
         return Response(200, self.node.inspect(self._dump))
 
-    def owner_address(self, job_id: str, workload: str) -> str | None:
-        """Return the address to forward to, or None to answer here."""
-        if domain_of(job_id) != self.node.settings.domain:
-            return None
-        pool = self.node.policy.pool_of(workload)
-        state = self.node.shards.get(pool)
-        if state is None or state.is_owner:
-            return None
-        return self.node.members.address_of(state.owner)
-
-    def forward(self, address: str, request: Request) -> Response:
-        """Pass a request on to the owner and its answer back."""
-        url = f'http://{address}{request.path}?hop=1'
-        reply = self.caller.call(
-            request.method,
-            url,
-            request.body,
-            SUBMIT_TIMEOUT_MS + FORWARD_SLACK_MS,
-        )
-        if isinstance(reply, Err):
-            detail = f'owner {address}: {reply.err_value.reason}'
-            return refused(
-                Refusal(Code.NO_OWNER, detail, retry_after_ms=1000),
-            )
-        return Response(reply.ok_value.status, reply.ok_value.body)
-
     def _view(self, job_id: str) -> JobView | None:
         found = self.node.find_job(job_id)
         return view_job(found[1]) if found else None
--- a/src/lycheerelay/_state.py
+++ b/src/lycheerelay/_state.py
@@ -157,6 +157,7 @@
     deadlines: list[tuple[int, str]] = field(default_factory=list)
     finals: deque[tuple[int, str]] = field(default_factory=deque)
     budget: RetryBudget = field(default_factory=RetryBudget)
+    can_keep: bool = True
 
     @property
     def is_owner(self) -> bool:
