Follow entry VMs by heartbeats, suspicion and digests over UDP

A pure state machine with a passed clock judges peers by a phi accrual detector, asks two others before it calls one dead, leaves out its own pauses and hears of other failure domains by digests. A UDP thread drives it.

--- /dev/null
+++ b/src/lycheerelay/_membership_messages.py
@@ -0,0 +1,95 @@
+"""Define the datagrams that entry VMs exchange."""
+
+import json
+from typing import Any, Final, NamedTuple
+
+from result import Err, Ok, Result
+
+from ._codec import FieldError
+
+MAX_DATAGRAM_BYTES: Final = 1400
+
+Values = dict[str, str]
+
+
+class Heartbeat(NamedTuple):
+    """Say that a node of the same failure domain runs."""
+
+    node: str
+    incarnation: int
+    sequence: int
+    domain: str
+    leaving: int
+    values: Values
+
+
+class Query(NamedTuple):
+    """Ask whether another node still hears a suspect."""
+
+    node: str
+    suspect: str
+
+
+class Vouch(NamedTuple):
+    """Pass on the newest heartbeat heard from a suspect."""
+
+    node: str
+    suspect: str
+    incarnation: int
+    sequence: int
+
+
+class Digest(NamedTuple):
+    """Tell another failure domain who is alive in this one."""
+
+    node: str
+    incarnation: int
+    sequence: int
+    domain: str
+    values: Values
+    members: Values
+
+
+Message = Heartbeat | Query | Vouch | Digest
+
+KINDS: Final[dict[str, type[Any]]] = {
+    'h': Heartbeat,
+    'q': Query,
+    'v': Vouch,
+    'd': Digest,
+}
+TAGS: Final = {kind: tag for tag, kind in KINDS.items()}
+PLAIN_TYPES: Final = {'incarnation': int, 'sequence': int, 'leaving': int}
+
+
+def encode(message: Message) -> bytes:
+    """Return a message as a compact JSON array, its kind first."""
+    parts = [TAGS[type(message)], *message]
+    return json.dumps(parts, separators=(',', ':')).encode()
+
+
+def decode(raw: bytes) -> Result[Message, FieldError]:
+    """Read a datagram; anything may have been sent here."""
+    try:
+        parts = json.loads(raw)
+    except (ValueError, RecursionError):
+        return Err(FieldError('datagram', repr(raw)[:80], 'JSON'))
+    if not isinstance(parts, list) or not parts:
+        return Err(FieldError('datagram', repr(raw)[:80], 'an array'))
+    kind = KINDS.get(parts[0]) if isinstance(parts[0], str) else None
+    if kind is None or len(parts) != len(kind._fields) + 1:
+        return Err(FieldError('datagram', repr(raw)[:80], 'a known kind'))
+    for name, part in zip(kind._fields, parts[1:], strict=True):
+        if not _is_valid(name, part):
+            return Err(FieldError(name, repr(part)[:80], 'another type'))
+    return Ok(kind(*parts[1:]))
+
+
+def _is_valid(name: str, part: object) -> bool:
+    if name in {'values', 'members'}:
+        return isinstance(part, dict) and all(
+            isinstance(entry, str) for entry in part.values()
+        )
+    if isinstance(part, bool):
+        return False
+    return isinstance(part, PLAIN_TYPES.get(name, str))
--- /dev/null
+++ b/src/lycheerelay/membership.py
@@ -0,0 +1,36 @@
+"""Follow which entry VMs are alive."""
+
+from ._failure_detector import ArrivalWindow
+from ._members import Members, StaticMembers
+from ._membership import Datagram, Membership
+from ._membership_messages import (
+    Digest,
+    Heartbeat,
+    Message,
+    Query,
+    Vouch,
+    decode,
+    encode,
+)
+from ._membership_peers import Peer, PeerState
+from ._membership_service import MembershipService
+from ._membership_settings import MembershipSettings
+
+__all__ = (
+    'ArrivalWindow',
+    'Datagram',
+    'Digest',
+    'Heartbeat',
+    'Members',
+    'Membership',
+    'MembershipService',
+    'MembershipSettings',
+    'Message',
+    'Peer',
+    'PeerState',
+    'Query',
+    'StaticMembers',
+    'Vouch',
+    'decode',
+    'encode',
+)
