--- a/src/lycheerelay/_events.py
+++ b/src/lycheerelay/_events.py
@@ -105,6 +105,14 @@
     key: AttemptKey
     state: TaskState
     code: int
+    boot: str = ''
+
+
+class OwnershipConfirmed(NamedTuple):
+    """Tell that a whole read of the log, begun then, shows this term."""
+
+    term: int
+    at_ms: int
 
 
 class RestateAsked(NamedTuple):
@@ -136,6 +144,7 @@
     | LeaseLost
     | TasksReported
     | StartAnswered
+    | OwnershipConfirmed
     | Configured
     | KeepingChanged
     | RestateAsked
--- a/src/lycheerelay/_images.py
+++ b/src/lycheerelay/_images.py
@@ -1,5 +1,7 @@
 """Restate jobs, so that the records they came from may expire."""
 
+from ._books import charge
+from ._deadlines import watch_deadline
 from ._jobs import JobState, TaskState
 from ._records import JobImage, TaskImage
 from ._state import JobBook, ShardState, TaskBook
@@ -22,6 +24,9 @@
         job.cancel_asked,
         job.settled_ms,
         tuple(_task_image(task) for task in job.tasks),
+        job.max_attempts,
+        job.restarting,
+        tuple(job.failed_on),
     )
 
 
@@ -36,15 +41,22 @@
         image.detail,
         image.cancel_asked,
         image.settled_ms,
+        image.max_attempts,
+        image.restarting,
+        dict.fromkeys(image.failed_on),
     )
     job_id = image.spec.job_id
     state.jobs[job_id] = job
     if _waits(job):
         state.waiting[job_id] = None
     for index, task in enumerate(job.tasks):
-        worker = state.workers.get(task.worker)
-        if task.is_live and worker is not None:
-            worker.charge(job.attempt_key(index), job.spec.demand)
+        if task.is_live:
+            key = job.attempt_key(index)
+            charge(state, task.worker, key, job.spec.demand)
+    if job.is_final:
+        state.finals.append((job.settled_ms, job_id))
+    else:
+        watch_deadline(state, job)
 
 
 def _waits(job: JobBook) -> bool:
@@ -64,6 +76,7 @@
         task.started_ms,
         task.code,
         task.answer,
+        task.runs,
     )
 
 
@@ -79,4 +92,5 @@
         started_ms=image.started_ms,
         code=image.code,
         answer=image.answer,
+        runs=image.runs,
     )
--- a/src/lycheerelay/_records.py
+++ b/src/lycheerelay/_records.py
@@ -11,6 +11,7 @@
     pool: str
     spec: JobSpec
     at_ms: int
+    max_attempts: int = 0
 
 
 class Start(NamedTuple):
@@ -67,6 +68,7 @@
     code: int
     detail: str
     at_ms: int
+    term: int = 0
 
 
 class TermTaken(NamedTuple):
@@ -90,6 +92,7 @@
     started_ms: int = 0
     code: int = 0
     answer: str = ''
+    runs: int = 0
 
 
 class JobImage(NamedTuple):
@@ -104,6 +107,9 @@
     cancel_asked: bool
     settled_ms: int
     tasks: tuple[TaskImage, ...]
+    max_attempts: int = 0
+    restarting: bool = False
+    failed_on: tuple[str, ...] = ()
 
 
 Record = (
