--- a/src/lycheerelay/_cli.py
+++ b/src/lycheerelay/_cli.py
@@ -14,9 +14,9 @@
 from . import __version__, _cli_check, _cli_config
 from ._api import Api
 from ._api_config import ConfigApi
-from ._cli_parts import COMMANDS, command, no_options
+from ._cli_parts import COMMANDS, command, no_options, report_errors
 from ._clock import SystemClock
-from ._codes import CODES
+from ._codes import Code
 from ._journal_api import JournalApi
 from ._members import StaticMembers
 from ._node import Node
@@ -71,8 +71,7 @@
     """Run one entry VM until it is told to stop."""
     loaded = load_settings(arguments.settings)
     if isinstance(loaded, Err):
-        print(loaded.err_value.detail, file=sys.stderr)
-        return CODES[loaded.err_value.code].exit_status
+        return report_errors(loaded.err_value, Code.BAD_SETTING)
     settings = loaded.ok_value
     stopped = stop_on_signals()
     node, server = start_node(settings, needs_config=True)
--- a/src/lycheerelay/_cli_config.py
+++ b/src/lycheerelay/_cli_config.py
@@ -11,13 +11,14 @@
 
 from result import Err, Ok, Result
 
-from ._cli_check import load_folder, report_errors
+from ._cli_check import load_folder
 from ._cli_parts import (
     add_json_flag,
     command,
     fail,
     print_json,
     print_table,
+    report_errors,
 )
 from ._clock import MS_PER_SECOND, SystemClock
 from ._codec import Json, from_json
@@ -98,7 +99,11 @@
     """Publish a folder and wait until it is in force."""
     loaded = load_folder(arguments.folder)
     if isinstance(loaded, Err):
-        return report_errors(loaded.err_value, arguments.json)
+        return report_errors(
+            loaded.err_value,
+            Code.BAD_FOLDER,
+            arguments.json,
+        )
     bases = load_bases(arguments.folder)
     if isinstance(bases, Err):
         return fail(bases.err_value)
--- a/src/lycheerelay/_cli_parts.py
+++ b/src/lycheerelay/_cli_parts.py
@@ -8,6 +8,7 @@
 
 from ._codec import Json, to_json
 from ._codes import CODES, Code, Refusal
+from ._options import OptionErrors
 from ._registry import Registry
 
 COLUMN_GAP: Final = '  '
@@ -78,6 +79,20 @@
     return CODES[refusal.code].exit_status
 
 
+def report_errors(
+    errors: OptionErrors,
+    code: Code,
+    as_json: bool = False,
+) -> int:
+    """Print every fault of INI files and return the exit status."""
+    if as_json:
+        print_json({'code': int(code), 'errors': errors})
+    else:
+        for error in errors:
+            print(f'error {int(code)}: {error.to_text()}', file=sys.stderr)
+    return CODES[code].exit_status
+
+
 def exit_status_of(body: Json) -> int:
     """Return the exit status of the code in an answer."""
     return CODES[Code(body['code'])].exit_status
--- a/src/lycheerelay/_commands.py
+++ b/src/lycheerelay/_commands.py
@@ -20,6 +20,7 @@
     term: int
     key: AttemptKey
     spec: JobSpec
+    boot: str = ''
 
 
 class StopTask(NamedTuple):
@@ -29,6 +30,7 @@
     term: int
     key: AttemptKey
     checkpoint: bool
+    boot: str = ''
 
 
 class ForgetTask(NamedTuple):
@@ -55,6 +57,13 @@
     refusal: Refusal
 
 
+class Restated(NamedTuple):
+    """Tell that every job was restated since an offset of the stream."""
+
+    pool: str
+    round_offset: int
+
+
 class JobFinal(NamedTuple):
     """Tell those who wait that a job's answer is complete."""
 
@@ -69,4 +78,5 @@
     | ReplyAccepted
     | ReplyRefused
     | JobFinal
+    | Restated
 )
--- a/src/lycheerelay/_options.py
+++ b/src/lycheerelay/_options.py
@@ -21,6 +21,29 @@
 TRUE_TEXTS: Final = frozenset(('true', 'yes', 'on', '1'))
 FALSE_TEXTS: Final = frozenset(('false', 'no', 'off', '0'))
 DAY_MS: Final = 86_400_000
+MAX_SHOWN_CHARS: Final = 60
+
+
+class OptionError(NamedTuple):
+    """Locate one fault of an INI file and say what was expected."""
+
+    file: str
+    section: str
+    option: str
+    shown: str
+    expected: str
+
+    def to_text(self) -> str:
+        """Word the fault for an operator."""
+        where = self.file
+        if self.section:
+            where = f'{where}: [{self.section}]'
+        if self.option:
+            where = f'{where} {self.option}'
+        return f'{where}: got {self.shown}, expected {self.expected}'
+
+
+OptionErrors = tuple[OptionError, ...]
 
 
 class Range(NamedTuple):
@@ -67,6 +90,11 @@
     return Ok(text) if text else Err('a value')
 
 
+def shorten(text: str) -> str:
+    """Return a value in quotes, cut to a length that can be shown."""
+    return repr(text[:MAX_SHOWN_CHARS])
+
+
 def range_of(name: str) -> Range:
     """Return the range of a numeric option."""
     named = RANGES_BY_NAME.get(name)
