Hold starts back after a takeover until the old owner is harmless

Cause: an owner cut off with a second entry VM could start a known job while the new owner started it elsewhere; its late intent was void on the log. Change: a new owner needs most workers' leases once before it starts anything, and every worker's table (or two quiet lease times under a confirmed term) before it starts jobs that it did not accept. Held batches are marked, and a held intent of a past term counts.

--- a/src/lycheerelay/_core.py
+++ b/src/lycheerelay/_core.py
@@ -3,6 +3,7 @@
 from . import (  # noqa: F401
     _handle_jobs,
     _handle_keeping,
+    _handle_records,
     _handle_tasks,
     _handle_workers,
 )
--- a/src/lycheerelay/_handle_jobs.py
+++ b/src/lycheerelay/_handle_jobs.py
@@ -5,7 +5,7 @@
 from ._codes import Code, Refusal
 from ._commands import Append, ReplyAccepted, ReplyRefused
 from ._deadlines import watch_deadline
-from ._events import CancelRequested, Recorded, SubmitRequested
+from ._events import CancelRequested, SubmitRequested
 from ._handlers import FOLDS, HANDLERS, Commands
 from ._jobs import JobState
 from ._records import Accepted, CancelAsked, Settled
@@ -14,21 +14,6 @@
 from ._state import JobBook, PendingAccept, ShardState, TaskBook
 
 
-@HANDLERS.register(Recorded)
-def on_recorded(
-    state: ShardState,
-    event: Recorded,
-    now_ms: int,
-) -> Commands:
-    """Fold one record in log order."""
-    commands = FOLDS[type(event.record)](state, event.record, now_ms)
-    for command in commands:
-        if event.held and isinstance(command, ReplyAccepted):
-            yield command._replace(held=True)
-        else:
-            yield command
-
-
 @HANDLERS.register(SubmitRequested)
 def on_submit(
     state: ShardState,
@@ -78,6 +63,7 @@
     if known is None:
         tasks = [TaskBook() for _ in range(spec.tasks)]
         known = JobBook(spec, record.at_ms, tasks)
+        known.accepted_term = state.term
         known.max_attempts = record.max_attempts
         state.jobs[spec.job_id] = known
         state.waiting[spec.job_id] = None
--- a/src/lycheerelay/_holding.py
+++ b/src/lycheerelay/_holding.py
@@ -43,7 +43,9 @@
             enough = self._hold_at_one()
             self.works = enough
         if enough:
-            self.journal.apply(batch, held=True)
+            kept = batch._replace(held=True)
+            self.journal.outbox.replace(kept)
+            self.journal.apply(kept, held=True)
 
     def probe(self) -> None:
         """Learn whether a second holder would keep a batch now."""
@@ -165,7 +167,7 @@
         if not journal.seen.follows(batch):
             return False
         journal.apply(batch, held=True)
-        journal.outbox.add(batch)
+        journal.outbox.add(batch._replace(held=True))
         return True
 
 
--- a/src/lycheerelay/_journal.py
+++ b/src/lycheerelay/_journal.py
@@ -261,5 +261,5 @@
             return
         with self.lock:
             for batch in batches.ok_value:
-                self.apply(batch, held=False)
+                self.apply(batch, batch.held)
                 self.outbox.confirm(batch)
--- a/src/lycheerelay/_record_codec.py
+++ b/src/lycheerelay/_record_codec.py
@@ -33,11 +33,15 @@
 
 
 class Batch(NamedTuple):
-    """Hold records that one writer commits together, in order."""
+    """Hold records that one writer commits together, in order.
+
+    `held` tells that it took effect by being kept on two entry VMs.
+    """
 
     writer: str
     number: int
     records: tuple[Record, ...]
+    held: bool = False
 
 
 def encode_batches(batches: Iterable[Batch]) -> Json:
@@ -63,6 +67,7 @@
     return {
         'writer': batch.writer,
         'number': batch.number,
+        'held': batch.held,
         'records': [
             [type(record).__name__, to_json(record)] for record in batch.records
         ],
@@ -80,4 +85,5 @@
         if isinstance(record, Err):
             return record
         records.append(record.ok_value)
-    return Ok(Batch(raw['writer'], raw['number'], tuple(records)))
+    held = bool(raw.get('held'))
+    return Ok(Batch(raw['writer'], raw['number'], tuple(records), held))
--- a/src/lycheerelay/_schedule.py
+++ b/src/lycheerelay/_schedule.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from ._commands import Append
+from ._fence import follow_fence, may_start
 from ._fit import FITS, FitPolicy
 from ._handlers import Commands
 from ._jobs import AttemptKey, Kind, TaskState
@@ -19,8 +20,11 @@
 
 def schedule(state: ShardState, now_ms: int) -> Commands:
     """Announce starts for waiting work in policy order."""
+    follow_fence(state, now_ms)
     for job_id in in_order(state):
         job = state.jobs[job_id]
+        if not may_start(state, job):
+            continue
         fit = FITS['best_fit']
         placements = KINDS[job.spec.kind](state, job, fit, now_ms)
         if placements:
--- a/src/lycheerelay/_state.py
+++ b/src/lycheerelay/_state.py
@@ -71,6 +71,7 @@
     max_attempts: int = 0
     restarting: bool = False
     failed_on: dict[str, None] = field(default_factory=dict)
+    accepted_term: int = 0
 
     @property
     def is_final(self) -> bool:
@@ -143,6 +144,15 @@
     sent: dict[str, None] = field(default_factory=dict)
 
 
+@dataclass(slots=True)
+class Fence:
+    """Track whether an earlier owner can still start tasks."""
+
+    term: int = 0
+    majority_ms: int = -1
+    is_open: bool = False
+
+
 @dataclass(slots=True)
 class ShardState:
     """Hold one pool of one failure domain as one entry VM sees it."""
@@ -169,6 +179,7 @@
     budget: RetryBudget = field(default_factory=RetryBudget)
     can_keep: bool = True
     restating: RestateRound | None = None
+    fence: Fence = field(default_factory=Fence)
     on_way: dict[str, list[Record]] = field(default_factory=dict)
 
     @property
--- /dev/null
+++ b/tests/test_fence.py
@@ -0,0 +1,98 @@
+"""Hold starts back after a takeover until the old owner is harmless."""
+
+import pytest
+
+from lycheerelay._commands import Append, StartTask
+from lycheerelay._core import step
+from lycheerelay._events import (
+    LeaseHeld,
+    OwnershipConfirmed,
+    Recorded,
+    Tick,
+    WorkerListed,
+    WorkerSpec,
+    WorkerUnlisted,
+)
+from lycheerelay._jobs import JobSpec, Kind, TaskState
+from lycheerelay._records import Accepted, Intended, Start, TermTaken
+from lycheerelay._resources import Resources
+from lycheerelay._state import ShardState
+
+CAPACITY = Resources(16_000, 65_536, 0, 8, 64)
+LEASE_MS = 62_000
+
+
+def spec(number):
+    return JobSpec(f'a.{number}', 't', 'w', Kind.BATCH)
+
+
+@pytest.fixture
+def state():
+    state = ShardState('a', 'p', 'e2')
+    for name in ('w1', 'w2', 'w3'):
+        worker = WorkerSpec(name, 'p', 'a', 'r1', '127.0.0.1:1', CAPACITY)
+        run(state, WorkerListed(worker))
+    record(state, TermTaken('p', 1, 'e1', 0))
+    record(state, Accepted('p', spec(1), 10))
+    record(state, TermTaken('p', 2, 'e2', 20))
+    return state
+
+
+def run(state, event, now_ms=20):
+    return step(state, event, now_ms)[1]
+
+
+def record(state, entry, held=False):
+    return run(state, Recorded(entry, held))
+
+
+def hold(state, *workers):
+    for name in workers:
+        run(state, LeaseHeld(name, 2, 'b', False, ()))
+
+
+def intents(state, now_ms=30):
+    return [
+        command.record.job_id
+        for command in run(state, Tick(), now_ms)
+        if isinstance(command, Append) and isinstance(command.record, Intended)
+    ]
+
+
+def test_nothing_starts_without_most_workers(state):
+    hold(state, 'w1')
+    assert intents(state) == []
+
+
+def test_known_jobs_wait_for_every_worker_and_new_ones_do_not(state):
+    hold(state, 'w1', 'w2')
+    record(state, Accepted('p', spec(2), 25))
+    assert intents(state) == ['a.2']
+    hold(state, 'w3')
+    assert intents(state) == ['a.1']
+
+
+def test_known_jobs_start_once_an_unreachable_worker_is_quiet(state):
+    hold(state, 'w1', 'w2')
+    assert intents(state) == []
+    run(state, OwnershipConfirmed(2, 30 + 2 * LEASE_MS - 1))
+    assert intents(state) == []
+    run(state, OwnershipConfirmed(2, 30 + 2 * LEASE_MS))
+    assert intents(state) == ['a.1']
+
+
+def test_known_jobs_start_once_the_list_drops_the_worker(state):
+    hold(state, 'w1', 'w2')
+    run(state, WorkerUnlisted('w3'))
+    assert intents(state) == ['a.1']
+
+
+@pytest.mark.parametrize('held', [False, True])
+def test_past_intent_counts_only_if_two_entry_vms_kept_it(state, held):
+    hold(state, 'w1', 'w2', 'w3')
+    late = Intended('p', 1, 'a.1', (Start(0, 1, 'w3', 'b'),), 15)
+    commands = record(state, late, held)
+    assert not any(isinstance(command, StartTask) for command in commands)
+    task = state.jobs['a.1'].tasks[0]
+    assert (task.state is TaskState.INTENDED) == held
+    assert intents(state) == ([] if held else ['a.1'])
