--- a/src/lycheerelay/_api.py
+++ b/src/lycheerelay/_api.py
@@ -1,60 +1,31 @@
 """Answer callers over HTTP."""
 
+import heapq
 import secrets
-from typing import Final, NamedTuple, final
+import threading
+from typing import Final, final
 
 from result import Err
 
-from ._codec import Json, from_json, to_json
+from ._codec import to_json
 from ._codes import CODES, Code, Refusal
-from ._commands import ReplyRefused
+from ._commands import ReplyAccepted, ReplyRefused
 from ._http import HttpCaller
-from ._jobs import ID_SEPARATOR, JobSpec, domain_of
+from ._jobs import ID_SEPARATOR, JobSpec, JobState, domain_of
 from ._node import Node
 from ._node_directory import NodeDirectory
+from ._options import name_near
 from ._routing import SUBMIT_TIMEOUT_MS, Router, RouterSettings
+from ._spec_checks import NAME, is_job_id, read_spec
 from ._state import JobBook
-from ._web import Request, Response, Route, refused, route
+from ._views import JobList, JobView, Receipt, line_of, view_job
+from ._web import Request, Response, Route, is_whole, refused, route
 
 MAX_WAIT_MS: Final = 20_000
+MAX_LISTED: Final = 500
+DEFAULT_LISTED: Final = 100
 ID_BYTES: Final = 9
-
-
-class JobView(NamedTuple):
-    """Show a job to its caller."""
-
-    job_id: str
-    state: str
-    code: int
-    detail: str
-    complete: bool
-    tasks: tuple[Json, ...]
-
-
-def view_job(job: JobBook) -> JobView:
-    """Return what a caller may see of a job."""
-    code = job.code if job.is_final else _open_code(job)
-    return JobView(
-        job.spec.job_id,
-        job.state.value,
-        code,
-        job.detail or CODES[Code(code)].text,
-        job.is_final,
-        tuple(
-            {
-                'state': task.state.value,
-                'attempt': task.attempt,
-                'worker': task.worker,
-                'answer': task.answer,
-            }
-            for task in job.tasks
-        ),
-    )
-
-
-def _open_code(job: JobBook) -> int:
-    running = any(task.is_live for task in job.tasks)
-    return int(Code.RUNNING if running else Code.ACCEPTED)
+RETRY_AFTER_MS: Final = 1000
 
 
 @final
@@ -64,6 +35,8 @@
     def __init__(self, node: Node) -> None:
         """Serve one node."""
         self.node = node
+        # Half of the threads stay free for requests that don't wait.
+        self.waiting = threading.Semaphore(node.settings.http_threads // 2)
         self.router = Router(
             RouterSettings(node.settings.name, node.settings.domain),
             NodeDirectory(node),
@@ -81,7 +54,7 @@
             route('POST', '/v1/jobs', self.submit),
             route('GET', '/v1/jobs/{job_id}', self.read),
             route('POST', '/v1/jobs/{job_id}/cancel', self.cancel),
-            route('GET', '/dump', self.dump),
+            route('GET', '/v1/teams/{team}/jobs', self.list_team),
         )
 
     def health(self, request: Request) -> Response:
@@ -90,93 +63,175 @@
 
     def ready(self, request: Request) -> Response:
         """Tell whether the process can take jobs."""
-        if self.node.is_ready:
-            return Response(200, {'code': 0})
-        detail = self.node.lacks
-        return refused(Refusal(Code.NOT_READY, detail, retry_after_ms=1000))
+        refusal = self._unready()
+        if refusal is not None:
+            return refused(refusal)
+        return Response(200, {'code': 0, 'version': self.node.policy.version})
 
     def hand_out_id(self, request: Request) -> Response:
         """Hand out a job id of this failure domain."""
         job_id = new_job_id(self.node.settings.domain)
-        return Response(200, {'job_id': job_id})
+        return Response(200, {'code': 0, 'job_id': job_id})
 
     def submit(self, request: Request) -> Response:
         """Accept a job, here or at the owner of its pool."""
-        parsed = from_json(JobSpec, request.body)
+        parsed = read_spec(request.body)
         if isinstance(parsed, Err):
-            return refused(parsed.err_value.refusal())
+            return refused(parsed.err_value)
         spec = parsed.ok_value
+        refusal = self._unready() or self._undescribed(spec)
+        if refusal is not None:
+            return refused(refusal)
         passed = self.router.submit(request, spec.job_id, spec.workload)
         if passed is not None:
             return passed
         left_ms = self.router.time_left(request, SUBMIT_TIMEOUT_MS)
-        outcome = self.node.submit(spec, left_ms)
-        if isinstance(outcome, ReplyRefused):
-            return refused(outcome.refusal)
-        body = {'job_id': outcome.job_id, 'code': int(outcome.code)}
-        return Response(CODES[outcome.code].http, body)
+        return _answer(self.node.submit(spec, left_ms))
 
     def read(self, request: Request) -> Response:
         """Show a job, waiting up to `wait_ms` for its complete answer."""
         job_id = request.parts['job_id']
-        wait_ms = min(request.query_int('wait_ms', 0), MAX_WAIT_MS)
-        if wait_ms and domain_of(job_id) == self.node.settings.domain:
-            self.node.watch(job_id, wait_ms)
+        refusal = check_id(job_id) or check_count(request, 'wait_ms')
+        if refusal is not None:
+            return refused(refusal)
+        self._wait_for(job_id, request)
         passed = self.router.read(request, job_id)
         if passed is not None:
             return passed
         found = self.node.inspect(lambda: self._view(job_id))
-        if found is None:
-            return refused(
-                Refusal(
-                    Code.NOT_FOUND,
-                    f'job {job_id} is not known here; ask again',
-                    retry_after_ms=1000,
-                ),
-            )
-        return Response(200, to_json(found))
+        return refused(unknown(job_id)) if found is None else _shown(found)
 
     def cancel(self, request: Request) -> Response:
         """Cancel a job."""
         job_id = request.parts['job_id']
+        refusal = check_id(job_id)
+        if refusal is not None:
+            return refused(refusal)
         passed = self.router.cancel(request, job_id)
         if passed is not None:
             return passed
         found = self.node.inspect(lambda: self.node.find_job(job_id))
         if found is None:
-            detail = f'job {job_id} is not known here'
-            return refused(Refusal(Code.NOT_FOUND, detail))
+            return refused(unknown(job_id))
         left_ms = self.router.time_left(request, SUBMIT_TIMEOUT_MS)
-        outcome = self.node.cancel(found[0].pool, job_id, left_ms)
-        if isinstance(outcome, ReplyRefused):
-            return refused(outcome.refusal)
-        body = {'job_id': outcome.job_id, 'code': int(outcome.code)}
-        return Response(200, body)
-
-    def dump(self, request: Request) -> Response:
-        """Show the whole state of the process."""
-        return Response(200, self.node.inspect(self._dump))
+        return _answer(self.node.cancel(found[0].pool, job_id, left_ms))
+
+    def list_team(self, request: Request) -> Response:
+        """List the newest jobs of a team in this failure domain."""
+        team = request.parts['team']
+        refusal = check_count(request, 'limit') or check_state(request)
+        if refusal is None and not NAME.fullmatch(team):
+            refusal = Refusal(Code.BAD_FIELD, f'team: got {team[:80]!r}')
+        if refusal is not None:
+            return refused(refusal)
+        limit = min(request.query_int('limit', DEFAULT_LISTED), MAX_LISTED)
+        wanted = request.query.get('state', '')
+        found = self.node.inspect(lambda: self._newest(team, wanted, limit + 1))
+        lines = tuple(line_of(job) for job in found[:limit])
+        listed = JobList(0, team, lines, len(found) > limit)
+        return Response(200, to_json(listed))
+
+    def _unready(self) -> Refusal | None:
+        # Never `not_run`: an earlier request may have been kept elsewhere.
+        if self.node.draining:
+            detail = 'this entry VM is shutting down'
+            return Refusal(Code.DRAINING, detail, retry_after_ms=RETRY_AFTER_MS)
+        lacks = self.node.lacks
+        if lacks:
+            return Refusal(Code.NOT_READY, lacks, retry_after_ms=RETRY_AFTER_MS)
+        return None
+
+    def _undescribed(self, spec: JobSpec) -> Refusal | None:
+        policy = self.node.policy
+        if not policy.version or domain_of(spec.job_id) != self._domain:
+            return None
+        known = [entry.name for entry in policy.workloads]
+        if spec.workload in known or self._is_known(spec.job_id):
+            return None
+        expected = name_near(spec.workload, known)
+        detail = f'workload: got {spec.workload!r}, expected {expected}'
+        return Refusal(Code.BAD_FIELD, detail)
+
+    @property
+    def _domain(self) -> str:
+        return self.node.settings.domain
+
+    def _is_known(self, job_id: str) -> bool:
+        return self.node.inspect(lambda: self._view(job_id)) is not None
+
+    def _wait_for(self, job_id: str, request: Request) -> None:
+        wait_ms = min(request.query_int('wait_ms', 0), MAX_WAIT_MS)
+        if not wait_ms or domain_of(job_id) != self._domain:
+            return
+        if self.node.draining or not self.waiting.acquire(blocking=False):
+            return
+        try:
+            self.node.watch(job_id, wait_ms)
+        finally:
+            self.waiting.release()
 
     def _view(self, job_id: str) -> JobView | None:
         found = self.node.find_job(job_id)
         return view_job(found[1]) if found else None
 
-    def _dump(self) -> Json:
-        return {
-            pool: {
-                'term': state.term,
-                'owner': state.owner,
-                'jobs': len(state.jobs),
-                'waiting': len(state.waiting),
-                'workers': {
-                    name: to_json(worker.free)
-                    for name, worker in sorted(state.workers.items())
-                },
-            }
-            for pool, state in sorted(self.node.shards.items())
-        }
+    def _newest(self, team: str, wanted: str, count: int) -> list[JobBook]:
+        jobs = (
+            job
+            for state in self.node.shards.values()
+            for job in state.jobs.values()
+            if job.spec.team == team and wanted in {'', job.state.value}
+        )
+        return heapq.nlargest(
+            count,
+            jobs,
+            key=lambda job: (job.accepted_ms, job.spec.job_id),
+        )
 
 
 def new_job_id(domain: str) -> str:
     """Return a fresh job id of a failure domain."""
     return f'{domain}{ID_SEPARATOR}{secrets.token_hex(ID_BYTES)}'
+
+
+def check_id(job_id: str) -> Refusal | None:
+    """Refuse a path that holds no job id."""
+    if is_job_id(job_id):
+        return None
+    detail = f'job_id: got {job_id[:80]!r}, expected DOMAIN.ID'
+    return Refusal(Code.BAD_FIELD, detail)
+
+
+def check_count(request: Request, name: str) -> Refusal | None:
+    """Refuse a query field that is no whole number."""
+    text = request.query.get(name, '0')
+    if is_whole(text):
+        return None
+    detail = f'{name}: got {text[:20]!r}, expected a whole number'
+    return Refusal(Code.BAD_FIELD, detail)
+
+
+def check_state(request: Request) -> Refusal | None:
+    """Refuse a query for a state that does not exist."""
+    text = request.query.get('state', '')
+    names = [state.value for state in JobState]
+    if text in {'', *names}:
+        return None
+    detail = f'state: got {text[:20]!r}, expected {name_near(text, names)}'
+    return Refusal(Code.BAD_FIELD, detail)
+
+
+def unknown(job_id: str) -> Refusal:
+    """Refuse a job id that this failure domain does not know yet."""
+    detail = f'job {job_id} is not known here; ask again'
+    return Refusal(Code.NOT_FOUND, detail, retry_after_ms=RETRY_AFTER_MS)
+
+
+def _answer(outcome: ReplyAccepted | ReplyRefused) -> Response:
+    if isinstance(outcome, ReplyRefused):
+        return refused(outcome.refusal)
+    receipt = Receipt(outcome.job_id, int(outcome.code), outcome.held)
+    return Response(CODES[outcome.code].http, to_json(receipt))
+
+
+def _shown(view: JobView) -> Response:
+    return Response(200, to_json(view))
--- a/src/lycheerelay/_cli.py
+++ b/src/lycheerelay/_cli.py
@@ -11,12 +11,13 @@
 
 from result import Err
 
-from . import __version__, _cli_check, _cli_config
+from . import __version__, _cli_check, _cli_config, _cli_jobs
 from ._api import Api
 from ._api_config import ConfigApi
 from ._cli_parts import COMMANDS, command, no_options, report_errors
 from ._clock import SystemClock
 from ._codes import Code
+from ._dump import DumpApi
 from ._journal_api import JournalApi
 from ._members import StaticMembers
 from ._node import Node
@@ -25,7 +26,7 @@
 from ._web import WebServer
 
 # Importing these modules registers their sub-commands.
-COMMAND_MODULES: Final = (_cli_check, _cli_config)
+COMMAND_MODULES: Final = (_cli_check, _cli_config, _cli_jobs)
 
 
 def main(argv: Sequence[str] | None = None) -> int:
@@ -116,6 +117,7 @@
         (
             *Api(node).routes(),
             *ConfigApi(node).routes(),
+            *DumpApi(node).routes(),
             *JournalApi(node.parts.journal, node.log).routes(),
         ),
         settings.http_threads,
--- a/src/lycheerelay/_cli_config.py
+++ b/src/lycheerelay/_cli_config.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from ._cli_check import load_folder
+from ._cli_entries import add_entry_option, entries_of
 from ._cli_parts import (
     add_json_flag,
     command,
@@ -36,7 +37,6 @@
 from ._versions import VersionedConfig
 
 LOG_VARIABLE: Final = 'LYCHEERELAY_LOG'
-ENTRIES_VARIABLE: Final = 'LYCHEERELAY_ENTRIES'
 BATCH_ID_BYTES: Final = 9
 IN_FORCE_TIMEOUT_MS: Final = 7000
 IN_FORCE_POLL_MS: Final = 100
@@ -62,25 +62,6 @@
     )
 
 
-def add_entry_option(parser: argparse.ArgumentParser) -> None:
-    """Add the addresses of entry VMs."""
-    parser.add_argument(
-        '--entry',
-        metavar='HOST:PORT',
-        action='append',
-        help=f'address of an entry VM; repeat it for more than one '
-        f'(default: the list with commas in ${ENTRIES_VARIABLE})',
-    )
-
-
-def entries_of(arguments: argparse.Namespace) -> tuple[str, ...]:
-    """Return the addresses of the entry VMs to talk to."""
-    if arguments.entry:
-        return tuple(arguments.entry)
-    text = os.environ.get(ENTRIES_VARIABLE, '')
-    return tuple(filter(None, (part.strip() for part in text.split(','))))
-
-
 def _describe_publish(parser: argparse.ArgumentParser) -> None:
     parser.add_argument('folder', type=Path, help='folder of INI files')
     add_log_option(parser)
--- a/src/lycheerelay/_node.py
+++ b/src/lycheerelay/_node.py
@@ -78,6 +78,7 @@
     ) -> None:
         """Wire the parts; start none of them."""
         self.needs_config = needs_config
+        self.draining = False
         self.settings = settings
         self.clock = clock
         self.policy = policy
--- /dev/null
+++ b/src/lycheerelay/_spec_checks.py
@@ -0,0 +1,78 @@
+"""Check the range and size of every field of a submitted job."""
+
+import re
+from typing import Final, NamedTuple
+
+from result import Err, Ok, Result
+
+from ._codec import FieldError, Json, from_json
+from ._codes import Code, Refusal
+from ._jobs import ID_SEPARATOR, JobSpec
+
+DAY_MS: Final = 86_400_000
+MAX_TASKS: Final = 1000
+MAX_PAYLOAD_BYTES: Final = 65_536
+MAX_TIME_MS: Final = 1 << 45
+NAME: Final = re.compile(r'[A-Za-z0-9][A-Za-z0-9_-]{0,62}')
+JOB_ID: Final = re.compile(
+    rf'{NAME.pattern}{re.escape(ID_SEPARATOR)}[A-Za-z0-9_-]{{1,64}}',
+)
+JOB_ID_TEXT: Final = 'DOMAIN.ID, with ID of at most 64 letters, digits, - or _'
+NAME_TEXT: Final = 'a name of at most 63 letters, digits, - or _'
+
+
+class FieldRange(NamedTuple):
+    """Bound one numeric field, both ends included."""
+
+    name: str
+    low: int
+    high: int
+
+
+RANGES: Final = (
+    FieldRange('tasks', 1, MAX_TASKS),
+    FieldRange('cores_milli', 1, 10_000_000),
+    FieldRange('memory_mb', 1, 100_000_000),
+    FieldRange('accelerators', 0, 1024),
+    FieldRange('connections', 0, 1024),
+    FieldRange('expected_run_ms', 1, 366 * DAY_MS),
+    FieldRange('deadline_ms', 0, MAX_TIME_MS),
+)
+PATTERNS: Final = (
+    ('job_id', JOB_ID, JOB_ID_TEXT),
+    ('team', NAME, NAME_TEXT),
+    ('workload', NAME, NAME_TEXT),
+)
+
+
+def read_spec(body: Json) -> Result[JobSpec, Refusal]:
+    """Read a submitted job; the refusal names the first wrong field."""
+    parsed = from_json(JobSpec, body)
+    if isinstance(parsed, Err):
+        return Err(parsed.err_value.refusal())
+    spec: JobSpec = parsed.ok_value
+    size = len(spec.payload.encode('utf-8', 'surrogatepass'))
+    if size > MAX_PAYLOAD_BYTES:
+        detail = f'payload: {size} bytes, at most {MAX_PAYLOAD_BYTES}'
+        return Err(Refusal(Code.TOO_LARGE, detail, not_run=True))
+    wrong = find_wrong(spec)
+    return Err(wrong.refusal()) if wrong else Ok(spec)
+
+
+def find_wrong(spec: JobSpec) -> FieldError | None:
+    """Return the first field that is out of its form or range."""
+    for name, pattern, expected in PATTERNS:
+        text = getattr(spec, name)
+        if not pattern.fullmatch(text):
+            return FieldError(name, repr(text[:80]), expected)
+    for bounds in RANGES:
+        amount = getattr(spec, bounds.name)
+        if not bounds.low <= amount <= bounds.high:
+            expected = f'a whole number from {bounds.low} to {bounds.high}'
+            return FieldError(bounds.name, str(amount), expected)
+    return None
+
+
+def is_job_id(text: str) -> bool:
+    """Tell whether a text has the form of a job id."""
+    return JOB_ID.fullmatch(text) is not None
--- a/src/lycheerelay/_watchers.py
+++ b/src/lycheerelay/_watchers.py
@@ -36,3 +36,10 @@
             futures = self.futures.pop(job_id, [])
         for future in futures:
             future.set_result(None)
+
+    def wake_all(self) -> None:
+        """Resolve every future, so that no caller waits any longer."""
+        with self.lock:
+            jobs = tuple(self.futures)
+        for job_id in jobs:
+            self.wake(job_id)
--- a/src/lycheerelay/_web.py
+++ b/src/lycheerelay/_web.py
@@ -1,24 +1,35 @@
 """Serve JSON over HTTP from a table of routes."""
 
 import json
+import logging
 import re
+import socket
 import threading
+import time
+from collections import Counter
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import Any, Final, NamedTuple, final
 from urllib.parse import parse_qsl
 
 from cheroot import wsgi
+from result import Err, Ok, Result
 
 from ._codec import Json, dumps
 from ._codes import CODES, Code, Refusal
 
+LOGGER: Final = logging.getLogger(__name__)
 MAX_BODY_BYTES: Final = 1_048_576
+# The library closes connections over this size without a numbered answer.
+MAX_READ_BYTES: Final = 4 * MAX_BODY_BYTES
 MAX_HEADER_BYTES: Final = 16_384
 SHUTDOWN_TIMEOUT_S: Final = 5
 REQUEST_TIMEOUT_S: Final = 60
 JSON_TYPE: Final = 'application/json'
 MAX_QUERY_FIELDS: Final = 16
+MAX_INT_DIGITS: Final = 15
+DRAIN_POLL_S: Final = 0.01
+WAKE_DELAY_S: Final = 0.02
 
 
 class Request(NamedTuple):
@@ -33,7 +44,7 @@
     def query_int(self, name: str, default: int) -> int:
         """Return a query field as a whole number, or the default."""
         text = self.query.get(name, '')
-        return int(text) if text.isdigit() else default
+        return int(text) if is_whole(text) else default
 
 
 class Response(NamedTuple):
@@ -45,6 +56,12 @@
     retry_after_ms: int = 0
 
 
+def is_whole(text: str) -> bool:
+    """Tell whether a text is a whole number of sensible length."""
+    plain = text.isascii() and text.isdecimal()
+    return plain and len(text) <= MAX_INT_DIGITS
+
+
 Handler = Callable[[Request], Response]
 
 
@@ -88,6 +105,10 @@
     ) -> None:
         """Bind the address at once; port 0 takes a free one."""
         self.routes = tuple(routes)
+        self.in_flight = 0
+        self.closing = False
+        self.codes: Counter[int] = Counter()
+        self.lock = threading.Lock()
         self.server = wsgi.Server(
             (host, port),
             self.answer,
@@ -97,7 +118,7 @@
             request_queue_size=256,
         )
         self.server.max_request_header_size = MAX_HEADER_BYTES
-        self.server.max_request_body_size = MAX_BODY_BYTES
+        self.server.max_request_body_size = MAX_READ_BYTES
         self.server.prepare()
         self.thread = threading.Thread(
             target=self.server.serve,
@@ -115,19 +136,46 @@
         """Serve from a thread of its own."""
         self.thread.start()
 
+    def drain(self, timeout_ms: int) -> bool:
+        """Close idle connections; tell whether all requests were answered."""
+        self.closing = True
+        until = time.monotonic() + timeout_ms / 1000
+        while self.in_flight and time.monotonic() < until:
+            time.sleep(DRAIN_POLL_S)
+        return not self.in_flight
+
     def stop(self) -> None:
         """Close the listener and wait for requests in flight."""
+        self.closing = True
+        # The accepting loop sleeps half a second when idle; a connection
+        # wakes it so that it sees the stop.
+        waker = threading.Timer(WAKE_DELAY_S, self._connect)
+        waker.start()
         self.server.stop()
         self.thread.join(SHUTDOWN_TIMEOUT_S)
 
     def answer(self, environ: Any, start_response: Any) -> list[bytes]:
         """Answer one WSGI request."""
+        with self.lock:
+            self.in_flight += 1
+        try:
+            return self._answer(environ, start_response)
+        finally:
+            with self.lock:
+                self.in_flight -= 1
+
+    def _answer(self, environ: Any, start_response: Any) -> list[bytes]:
         response = self._dispatch(environ)
+        if isinstance(response.body, dict) and 'code' in response.body:
+            with self.lock:
+                self.codes[response.body['code']] += 1
         payload, content_type = _encode(response)
         headers = [
             ('Content-Type', content_type),
             ('Content-Length', str(len(payload))),
         ]
+        if self.closing or _is_chunked(environ):
+            headers.append(('Connection', 'close'))
         if response.retry_after_ms:
             seconds = -(-response.retry_after_ms // 1000)
             headers.append(('Retry-After', str(seconds)))
@@ -135,6 +183,12 @@
         start_response(f'{status.value} {status.phrase}', headers)
         return [payload]
 
+    def _connect(self) -> None:
+        try:
+            socket.create_connection(self.server.bind_addr[:2], 1).close()
+        except OSError:
+            LOGGER.debug('listener is closed already')
+
     def _dispatch(self, environ: Any) -> Response:
         method = environ['REQUEST_METHOD']
         path = environ['PATH_INFO']
@@ -151,30 +205,63 @@
         environ: Any,
         parts: dict[str, str],
     ) -> Response:
-        length = int(environ.get('CONTENT_LENGTH') or 0)
-        if length > MAX_BODY_BYTES:
-            detail = f'body: {length} bytes, at most {MAX_BODY_BYTES}'
-            return refused(Refusal(Code.TOO_LARGE, detail, not_run=True))
-        raw = environ['wsgi.input'].read(length) if length else b''
+        body = _read_body(environ)
+        if isinstance(body, Err):
+            return refused(body.err_value)
         try:
-            body = json.loads(raw) if raw else None
             query = dict(
                 parse_qsl(
                     environ.get('QUERY_STRING', ''),
                     max_num_fields=MAX_QUERY_FIELDS,
                 ),
             )
-        except ValueError as error:
-            detail = f'body: {error}; expected JSON'
-            return refused(Refusal(Code.BAD_FIELD, detail, not_run=True))
+        except ValueError:
+            detail = f'query: expected at most {MAX_QUERY_FIELDS} fields'
+            return refused(Refusal(Code.TOO_LARGE, detail, not_run=True))
         request = Request(
             entry.method,
             environ['PATH_INFO'],
             parts,
             query,
-            body,
+            body.ok_value,
+        )
+        return _guarded(entry.handler, request)
+
+
+def _guarded(handler: Handler, request: Request) -> Response:
+    try:
+        return handler(request)
+    except Exception:
+        # A defect must not leave a caller without a numbered answer.
+        LOGGER.exception('handler failed', extra={'path': request.path})
+        detail = 'the request failed; it may have taken effect'
+        return refused(Refusal(Code.INTERNAL, detail, retry_after_ms=1000))
+
+
+def _is_chunked(environ: Any) -> bool:
+    return 'HTTP_TRANSFER_ENCODING' in environ
+
+
+def _read_body(environ: Any) -> Result[Json, Refusal]:
+    if _is_chunked(environ):
+        detail = (
+            'header Transfer-Encoding: expected Content-Length in its place'
         )
-        return entry.handler(request)
+        return Err(Refusal(Code.BAD_FIELD, detail, not_run=True))
+    text = environ.get('CONTENT_LENGTH') or '0'
+    if not is_whole(text):
+        detail = f'header Content-Length: got {text[:20]!r}, expected a number'
+        return Err(Refusal(Code.BAD_FIELD, detail, not_run=True))
+    length = int(text)
+    if length > MAX_BODY_BYTES:
+        detail = f'body: {length} bytes, at most {MAX_BODY_BYTES}'
+        return Err(Refusal(Code.TOO_LARGE, detail, not_run=True))
+    raw = environ['wsgi.input'].read(length) if length else b''
+    try:
+        return Ok(json.loads(raw) if raw else None)
+    except (ValueError, RecursionError) as error:
+        detail = f'body: {error}; expected JSON'
+        return Err(Refusal(Code.BAD_FIELD, detail, not_run=True))
 
 
 def _encode(response: Response) -> tuple[bytes, str]:
