Shut down without cutting a request in flight

A chunked request left its body on the connection, where it was read as the next request: such connections now end with the answer.

--- a/src/lycheerelay/_cli.py
+++ b/src/lycheerelay/_cli.py
@@ -16,13 +16,14 @@
 from ._api_config import ConfigApi
 from ._cli_parts import COMMANDS, command, no_options, report_errors
 from ._clock import SystemClock
-from ._codes import Code
+from ._codes import CODES, Code
 from ._dump import DumpApi
 from ._journal_api import JournalApi
 from ._members import StaticMembers
 from ._node import Node
 from ._policy import Policy
 from ._settings import NodeSettings, load_settings
+from ._shutdown import shut_down
 from ._web import WebServer
 
 # Importing these modules registers their sub-commands.
@@ -78,9 +79,8 @@
     node, server = start_node(settings, needs_config=True)
     print(f'listening on {server.address}', flush=True)
     stopped.wait()
-    server.stop()
-    node.stop()
-    return 0
+    farewell = shut_down(node, server)
+    return 0 if farewell.answered else CODES[Code.TIMEOUT].exit_status
 
 
 def stop_on_signals() -> threading.Event:
--- a/src/lycheerelay/_settings.py
+++ b/src/lycheerelay/_settings.py
@@ -48,7 +48,8 @@
     restate_ms: int = 1_800_000
     http_threads: int = 48
     config_poll_ms: int = 1000
-    log_retention_ms: int = 3_600_000
+    drain_notice_ms: int = 1000
+    shutdown_ms: int = 10_000
 
     @property
     def entry_names(self) -> tuple[str, ...]:
--- a/src/lycheerelay/_web.py
+++ b/src/lycheerelay/_web.py
@@ -28,6 +28,7 @@
 JSON_TYPE: Final = 'application/json'
 MAX_QUERY_FIELDS: Final = 16
 MAX_INT_DIGITS: Final = 15
+REQUEST_KEY: Final = 'lycheerelay.request'
 DRAIN_POLL_S: Final = 0.01
 WAKE_DELAY_S: Final = 0.02
 
@@ -92,6 +93,16 @@
     return Response(status, body, retry_after_ms=refusal.retry_after_ms)
 
 
+class _Gateway(wsgi.Gateway_10):
+    """Let the server say that a connection ends with its answer."""
+
+    def get_environ(self) -> Any:
+        """Add the request itself to the environment."""
+        environ: Any = super().get_environ()  # type: ignore[no-untyped-call]
+        environ[REQUEST_KEY] = self.req
+        return environ
+
+
 @final
 class WebServer:
     """Run the routes on a bounded pool of threads."""
@@ -117,6 +128,7 @@
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
             request_queue_size=256,
         )
+        self.server.gateway = _Gateway
         self.server.max_request_header_size = MAX_HEADER_BYTES
         self.server.max_request_body_size = MAX_READ_BYTES
         self.server.prepare()
@@ -175,7 +187,7 @@
             ('Content-Length', str(len(payload))),
         ]
         if self.closing or _is_chunked(environ):
-            headers.append(('Connection', 'close'))
+            environ[REQUEST_KEY].close_connection = True
         if response.retry_after_ms:
             seconds = -(-response.retry_after_ms // 1000)
             headers.append(('Retry-After', str(seconds)))
