--- a/tests/cell_parts.py
+++ b/tests/cell_parts.py
@@ -29,6 +29,7 @@
         self.worker = WorkerStandIn(CAPACITY, 'boot-1', SystemClock())
         self.caller = HttpCaller()
         worker = self.serve(self.worker)
+        stack.callback(self.end_polls)
         self.log_address = self.serve(self.log)
         self.vms_address = self.serve(self.vms)
         self.vms.list_worker(
@@ -41,6 +42,11 @@
         self.stack.callback(server.stop)
         return server.address
 
+    def end_polls(self):
+        """Answer the worker's long polls, which its server waits for."""
+        with self.worker.changed:
+            self.worker.seq += 1
+
     def add_node(self, name='e1', needs_config=False, **options):
         node, server = start_node(
             NodeSettings(
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -5,57 +5,15 @@
 
 import pytest
 
-from lycheerelay._cli import start_node
-from lycheerelay._clock import SystemClock
-from lycheerelay._events import WorkerSpec
+from cell_parts import start_cell
 from lycheerelay._http import HttpCaller
-from lycheerelay._resources import Resources
-from lycheerelay._settings import NodeSettings
-from lycheerelay._web import WebServer
-from lycheerelay_standins.standins import (
-    LogStandIn,
-    VmListStandIn,
-    WorkerStandIn,
-)
-
-CAPACITY = Resources(16_000, 65_536, 0, 8, 64)
 
 
 @pytest.fixture
 def cell():
-    clock = SystemClock()
-    log, vms = LogStandIn(), VmListStandIn()
-    worker = WorkerStandIn(CAPACITY, 'boot-1', clock)
-    servers = [
-        WebServer('127.0.0.1', 0, part.routes()) for part in (log, vms, worker)
-    ]
-    for server in servers:
-        server.start()
-    vms.list_worker(
-        WorkerSpec(
-            'w1',
-            'desk',
-            'a',
-            'r1',
-            servers[2].address,
-            CAPACITY,
-        ),
-    )
-    node, server = start_node(
-        NodeSettings(
-            'e1',
-            'a',
-            'tt-central',
-            '127.0.0.1:0',
-            servers[0].address,
-            servers[1].address,
-        ),
-    )
-    yield f'http://{server.address}', worker
-    server.stop()
-    node.stop()
-    for part in servers:
-        part.stop()
+    with start_cell() as parts:
+        server = parts.add_node()[1]
+        yield f'http://{server.address}', parts.worker
 
 
 def submit(caller, base, job_id, **fields):
