Give the stand-ins fault switches, a ledger and a command line

The stand-ins could only behave. Each now has switches, by method and by POST /switch: delay, lost reply after the write took effect, duplicate, refusal, outage and timed pause (limited by match and every), and its own: log retention by count and age and a rate limit, list lag, unlisting and leaving, worker reboot, leaving, failing everything and usage lag.

--- /dev/null
+++ b/src/lycheerelay_standins/_faults.py
@@ -0,0 +1,159 @@
+"""Inject faults into the requests that a stand-in serves."""
+
+import errno
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, fields
+from typing import Final, final
+
+from lycheerelay._clock import MS_PER_SECOND, Clock
+from lycheerelay._codec import Json
+from lycheerelay._web import Request, Response, Route, route
+
+HTTP_UNAVAILABLE: Final = 503
+HTTP_BAD_REQUEST: Final = 400
+EVERY_REQUEST: Final = -1
+
+OwnSwitch = Callable[[Json], None]
+
+
+@dataclass(slots=True)
+class Faults:
+    """Hold the switches that every stand-in has.
+
+    `match` limits them to requests whose "METHOD path" contains it, `every`
+    to each n-th of those. Counts go down to zero; -1 means all requests.
+    """
+
+    match: str = ''
+    every: int = 1
+    delay_ms: int = 0
+    lose_replies: int = 0
+    duplicates: int = 0
+    refusals: int = 0
+    outage: bool = False
+
+
+class BadSwitch(Exception):
+    """Name a switch that does not exist or has a value of another type."""
+
+
+@final
+class SwitchBoard:
+    """Apply the faults of one stand-in and set them over HTTP."""
+
+    def __init__(self, clock: Clock, own: dict[str, OwnSwitch]) -> None:
+        """Start without faults; `own` adds the stand-in's own switches."""
+        self.clock = clock
+        self.own = own | {'pause_ms': self._pause, 'clear': self._clear}
+        self.faults = Faults()
+        self.paused_until_ms = 0
+        self.matched = 0
+        self.lock = threading.Condition()
+
+    def wrap(self, routes: tuple[Route, ...]) -> tuple[Route, ...]:
+        """Return the routes with faults, and the route that sets them."""
+        wrapped = (
+            entry._replace(handler=self._faulty(entry.handler))
+            for entry in routes
+        )
+        return (*wrapped, route('POST', '/switch', self.serve))
+
+    def serve(self, request: Request) -> Response:
+        """Set switches from a JSON object."""
+        try:
+            self.set(**request.body)
+        except (BadSwitch, TypeError, KeyError) as error:
+            return Response(HTTP_BAD_REQUEST, {'detail': str(error)})
+        return Response(200, {'faults': self.shown()})
+
+    def set(self, **switches: Json) -> None:
+        """Set switches by name; `pause_ms` and `clear` belong to all."""
+        for name, setting in switches.items():
+            self._set_one(name, setting)
+
+    def shown(self) -> dict[str, Json]:
+        """Return the present setting of every common switch."""
+        return {name: getattr(self.faults, name) for name in FAULT_NAMES}
+
+    def _set_one(self, name: str, setting: Json) -> None:
+        if name in self.own:
+            self.own[name](setting)
+            return
+        if name not in FAULT_NAMES:
+            known = ', '.join((*FAULT_NAMES, *self.own))
+            raise BadSwitch(f'{name}: expected one of: {known}')
+        kind = FAULT_KINDS[name]
+        if not isinstance(setting, kind):
+            raise BadSwitch(f'{name}: {setting!r}, expected {kind.__name__}')
+        setattr(self.faults, name, setting)
+
+    def _clear(self, _: Json) -> None:
+        self._pause(0)
+        self.faults = Faults()
+
+    def _pause(self, for_ms: int) -> None:
+        with self.lock:
+            self.paused_until_ms = self.clock.now_ms() + for_ms
+            self.lock.notify_all()
+
+    def _faulty(
+        self,
+        handler: Callable[[Request], Response],
+    ) -> Callable[[Request], Response]:
+        def handle(request: Request) -> Response:
+            self._wait_while_paused()
+            if not self._hits(request):
+                return handler(request)
+            return self._handle_hit(handler, request)
+
+        return handle
+
+    def _handle_hit(
+        self,
+        handler: Callable[[Request], Response],
+        request: Request,
+    ) -> Response:
+        if self.faults.outage:
+            raise _dropped()
+        if self._spend('refusals'):
+            return Response(HTTP_UNAVAILABLE, {'detail': 'refused by switch'})
+        if self.faults.delay_ms:
+            time.sleep(self.faults.delay_ms / MS_PER_SECOND)
+        if self._spend('duplicates'):
+            handler(request)
+        response = handler(request)
+        if self._spend('lose_replies'):
+            raise _dropped()
+        return response
+
+    def _wait_while_paused(self) -> None:
+        with self.lock:
+            while self.clock.now_ms() < self.paused_until_ms:
+                left_ms = self.paused_until_ms - self.clock.now_ms()
+                self.lock.wait(left_ms / MS_PER_SECOND)
+
+    def _hits(self, request: Request) -> bool:
+        if self.faults.match not in f'{request.method} {request.path}':
+            return False
+        with self.lock:
+            self.matched += 1
+            return self.matched % self.faults.every == 0
+
+    def _spend(self, name: str) -> bool:
+        with self.lock:
+            left: int = getattr(self.faults, name)
+            if left > 0:
+                setattr(self.faults, name, left - 1)
+        return left != 0
+
+
+FAULT_KINDS: Final = {
+    entry.name: entry.default.__class__ for entry in fields(Faults)
+}
+FAULT_NAMES: Final = tuple(FAULT_KINDS)
+
+
+def _dropped() -> ConnectionResetError:
+    return ConnectionResetError(errno.ECONNRESET, 'dropped by switch')
--- a/src/lycheerelay_standins/_log.py
+++ b/src/lycheerelay_standins/_log.py
@@ -1,58 +1,158 @@
 """Stand in for the platform's append-only log service."""
 
 import threading
-from typing import final
+from collections import deque
+from typing import Final, NamedTuple, final
 
-from lycheerelay._codec import Json
+from lycheerelay._clock import MS_PER_SECOND, Clock, SystemClock
+from lycheerelay._codec import Json, dumps
 from lycheerelay._web import Request, Response, Route, route
 
-PAGE_ENTRIES = 500
+from ._faults import HTTP_UNAVAILABLE, SwitchBoard
+
+PAGE_ENTRIES: Final = 500
+PAGE_BYTES: Final = 4_194_304
+
+
+class StoredEntry(NamedTuple):
+    """Hold an entry as the text that readers get."""
+
+    text: str
+    at_ms: int
 
 
 @final
 class LogStandIn:
     """Keep streams of entries in memory."""
 
-    def __init__(self) -> None:
-        """Start with no streams."""
-        self.streams: dict[str, list[Json]] = {}
+    def __init__(self, clock: Clock | None = None) -> None:
+        """Start with no streams and no limit on age or rate."""
+        self.clock = clock or SystemClock()
+        self.streams: dict[str, list[StoredEntry]] = {}
         self.firsts: dict[str, int] = {}
         self.appends = 0
+        self.reads = 0
+        self.appended_bytes = 0
+        self.retention_ms = 0
+        self.appends_per_s = 0
+        self.recent: deque[int] = deque()
         self.lock = threading.Lock()
+        self.board = SwitchBoard(
+            self.clock,
+            {
+                'expire': lambda body: self.expire(
+                    body['stream'],
+                    body['count'],
+                ),
+                'retention_ms': self.set_retention,
+                'appends_per_s': self.set_rate,
+            },
+        )
 
     def routes(self) -> tuple[Route, ...]:
         """Return the routes of the log's protocol."""
-        return (
-            route('POST', '/v1/streams/{stream}', self.append),
-            route('GET', '/v1/streams/{stream}', self.read),
+        return self.board.wrap(
+            (
+                route('POST', '/v1/streams/{stream}', self.append),
+                route('GET', '/v1/streams/{stream}', self.read),
+                route('GET', '/counts', self.counts),
+            ),
         )
 
     def append(self, request: Request) -> Response:
         """Append one entry."""
+        text = dumps(request.body).decode()
         with self.lock:
-            entries = self.streams.setdefault(request.parts['stream'], [])
-            entries.append(request.body)
+            now_ms = self.clock.now_ms()
+            if self._is_over_rate(now_ms):
+                return Response(HTTP_UNAVAILABLE, {'detail': 'over the rate'})
+            stream = request.parts['stream']
+            entries = self.streams.setdefault(stream, [])
+            entries.append(StoredEntry(text, now_ms))
             self.appends += 1
-            first = self.firsts.get(request.parts['stream'], 0)
-            return Response(200, {'offset': first + len(entries) - 1})
+            self.appended_bytes += len(text)
+            end = self.firsts.get(stream, 0) + len(entries)
+        return Response(200, {'offset': end - 1})
 
     def read(self, request: Request) -> Response:
         """Read a page of entries from an offset on."""
         stream = request.parts['stream']
         with self.lock:
+            self.reads += 1
+            self._expire_old(stream)
             kept = self.streams.get(stream, [])
             first = self.firsts.get(stream, 0)
             start = max(request.query_int('from', 0), first)
-            part = kept[start - first : start - first + PAGE_ENTRIES]
-            entries = [
-                {'offset': start + position, 'value': value}
-                for position, value in enumerate(part)
-            ]
+            page = kept[start - first : start - first + PAGE_ENTRIES]
             end = first + len(kept)
-        return Response(200, {'entries': entries, 'first': first, 'end': end})
+        return Response(200, text=_encode_page(page, start, first, end))
+
+    def counts(self, request: Request) -> Response:
+        """Show how often the log was used."""
+        body = {
+            'appends': self.appends,
+            'reads': self.reads,
+            'appended_bytes': self.appended_bytes,
+        }
+        return Response(200, body)
+
+    def values(self, stream: str) -> list[Json]:
+        """Return the kept entries of a stream as JSON texts."""
+        with self.lock:
+            return [entry.text for entry in self.streams.get(stream, [])]
 
     def expire(self, stream: str, count: int) -> None:
         """Drop the oldest entries, as retention does."""
         with self.lock:
-            del self.streams[stream][:count]
-            self.firsts[stream] = self.firsts.get(stream, 0) + count
+            self._drop(stream, count)
+
+    def set_retention(self, retention_ms: int) -> None:
+        """Drop entries once they are this old; 0 keeps them."""
+        self.retention_ms = retention_ms
+
+    def set_rate(self, appends_per_s: int) -> None:
+        """Refuse appends above a rate; 0 refuses none."""
+        self.appends_per_s = appends_per_s
+
+    def _drop(self, stream: str, count: int) -> None:
+        kept = self.streams.get(stream, [])
+        dropped = min(count, len(kept))
+        del kept[:dropped]
+        self.firsts[stream] = self.firsts.get(stream, 0) + dropped
+
+    def _expire_old(self, stream: str) -> None:
+        if not self.retention_ms:
+            return
+        oldest_ms = self.clock.now_ms() - self.retention_ms
+        kept = self.streams.get(stream, [])
+        count = 0
+        while count < len(kept) and kept[count].at_ms < oldest_ms:
+            count += 1
+        self._drop(stream, count)
+
+    def _is_over_rate(self, now_ms: int) -> bool:
+        if not self.appends_per_s:
+            return False
+        while self.recent and self.recent[0] <= now_ms - MS_PER_SECOND:
+            self.recent.popleft()
+        if len(self.recent) >= self.appends_per_s:
+            return True
+        self.recent.append(now_ms)
+        return False
+
+
+def _encode_page(
+    page: list[StoredEntry],
+    start: int,
+    first: int,
+    end: int,
+) -> str:
+    parts: list[str] = []
+    size = 0
+    for position, entry in enumerate(page):
+        size += len(entry.text)
+        if parts and size > PAGE_BYTES:
+            break
+        parts.append(f'{{"offset":{start + position},"value":{entry.text}}}')
+    entries = ','.join(parts)
+    return f'{{"entries":[{entries}],"first":{first},"end":{end}}}'
--- a/src/lycheerelay_standins/_vms.py
+++ b/src/lycheerelay_standins/_vms.py
@@ -1,46 +1,121 @@
 """Stand in for the platform's list of VMs."""
 
-from typing import final
+import threading
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple, final
 
-from lycheerelay._codec import to_json
+from lycheerelay._clock import Clock, SystemClock
+from lycheerelay._codec import Json, from_json, to_json
 from lycheerelay._events import WorkerSpec
 from lycheerelay._vm_client import EntryVm
 from lycheerelay._web import Request, Response, Route, route
 
+from ._faults import SwitchBoard
+
+
+class LaggingChange(NamedTuple):
+    """Hold a change until readers may see it."""
+
+    due_ms: int
+    apply: Callable[[], object]
+
 
 @final
 class VmListStandIn:
-    """Serve a list that tests change."""
+    """Serve a list that tests change, after a lag where one is set."""
 
-    def __init__(self) -> None:
-        """Start with an empty list."""
+    def __init__(self, clock: Clock | None = None) -> None:
+        """Start with an empty list and no lag."""
+        self.clock = clock or SystemClock()
         self.workers: dict[str, WorkerSpec] = {}
         self.entries: dict[str, EntryVm] = {}
         self.version = 0
+        self.lag_ms = 0
+        self.changes: deque[LaggingChange] = deque()
+        self.lock = threading.Lock()
+        self.board = SwitchBoard(
+            self.clock,
+            {
+                'lag_ms': self.set_lag,
+                'list_workers': self._list_workers,
+                'list_entries': self._list_entries,
+                'unlist': self.unlist,
+                'leaving': self.mark_leaving,
+            },
+        )
 
     def routes(self) -> tuple[Route, ...]:
         """Return the routes of the list's protocol."""
-        return (route('GET', '/v1/vms', self.read),)
+        return self.board.wrap((route('GET', '/v1/vms', self.read),))
 
     def list_worker(self, spec: WorkerSpec) -> None:
         """Add or change a worker."""
-        self.workers[spec.name] = spec
-        self.version += 1
+        self._change(lambda: self.workers.update({spec.name: spec}))
+
+    def list_entry(self, entry: EntryVm) -> None:
+        """Add or change an entry VM."""
+        self._change(lambda: self.entries.update({entry.name: entry}))
+
+    def unlist(self, name: str) -> None:
+        """Drop a VM from the list."""
+        self._change(
+            lambda: (self.workers.pop(name, None), self.entries.pop(name, None))
+        )
+
+    def mark_leaving(self, name: str) -> None:
+        """Mark a VM as leaving."""
+        self._change(lambda: self._mark(name))
+
+    def set_lag(self, lag_ms: int) -> None:
+        """Show changes from now on only after a lag."""
+        self.lag_ms = lag_ms
 
     def read(self, request: Request) -> Response:
         """Serve the part of one failure domain, if it changed."""
-        if request.query.get('since') == str(self.version):
-            return Response(200)
-        domain = request.query.get('domain', '')
+        with self.lock:
+            self._apply_due()
+            if request.query.get('since') == str(self.version):
+                return Response(200)
+            return Response(200, self._shown(request.query.get('domain', '')))
+
+    def _shown(self, domain: str) -> Json:
         workers = [
             to_json(spec)
             for spec in self.workers.values()
             if spec.domain == domain
         ]
         entries = [to_json(entry) for entry in self.entries.values()]
-        body = {
+        return {
             'version': self.version,
             'workers': workers,
             'entries': entries,
         }
-        return Response(200, body)
+
+    def _change(self, apply: Callable[[], object]) -> None:
+        with self.lock:
+            due_ms = self.clock.now_ms() + self.lag_ms
+            self.changes.append(LaggingChange(due_ms, apply))
+            self._apply_due()
+
+    def _apply_due(self) -> None:
+        now_ms = self.clock.now_ms()
+        while self.changes and self.changes[0].due_ms <= now_ms:
+            self.changes.popleft().apply()
+            self.version += 1
+
+    def _mark(self, name: str) -> None:
+        if name in self.workers:
+            spec = self.workers[name]
+            self.workers[name] = spec._replace(leaving=True)
+        if name in self.entries:
+            entry = self.entries[name]
+            self.entries[name] = entry._replace(leaving=True)
+
+    def _list_workers(self, listed: Json) -> None:
+        for raw in listed:
+            self.list_worker(from_json(WorkerSpec, raw).unwrap())
+
+    def _list_entries(self, listed: Json) -> None:
+        for raw in listed:
+            self.list_entry(from_json(EntryVm, raw).unwrap())
