--- a/src/lycheerelay/_events.py
+++ b/src/lycheerelay/_events.py
@@ -46,9 +46,19 @@
 
 
 class Recorded(NamedTuple):
-    """Deliver one record in log order."""
+    """Deliver one record in log order.
+
+    `held` tells that a second entry VM keeps it while the log is down.
+    """
 
     record: Record
+    held: bool = False
+
+
+class KeepingChanged(NamedTuple):
+    """Tell whether new records can be kept."""
+
+    possible: bool
 
 
 class WorkerListed(NamedTuple):
@@ -95,6 +105,23 @@
     key: AttemptKey
     state: TaskState
     code: int
+    boot: str = ''
+
+
+class OwnershipConfirmed(NamedTuple):
+    """Tell that a whole read of the log, begun then, shows this term."""
+
+    term: int
+    at_ms: int
+
+
+class RestateAsked(NamedTuple):
+    """Ask the owner to restate every job, so that old records may expire.
+
+    The round names the offset from which a reader then needs no more.
+    """
+
+    round_offset: int
 
 
 class Configured(NamedTuple):
@@ -117,6 +144,9 @@
     | LeaseLost
     | TasksReported
     | StartAnswered
+    | OwnershipConfirmed
     | Configured
+    | KeepingChanged
+    | RestateAsked
     | Tick
 )
--- a/src/lycheerelay/_node.py
+++ b/src/lycheerelay/_node.py
@@ -8,21 +8,27 @@
 from typing import Final, NamedTuple, TypeVar, final
 
 from ._clock import MS_PER_SECOND, Clock
+from ._compaction import Compaction, MarkStream
 from ._core import step
 from ._events import (
     CancelRequested,
     Configured,
     Event,
+    KeepingChanged,
     Recorded,
+    RestateAsked,
     SubmitRequested,
     Tick,
     WorkerListed,
 )
 from ._executors import EXECUTORS
+from ._failover_log import FailoverLog
+from ._hold_client import HoldClient
 from ._http import HttpCaller
 from ._jobs import JobSpec
 from ._journal import Journal, JournalSettings
 from ._log_client import LogClient
+from ._mark_keeper import MarkKeeper
 from ._members import Members
 from ._node_parts import NodeParts
 from ._ownership import Ownership
@@ -74,9 +80,11 @@
         self.policy = policy
         self.members = members
         self.caller = HttpCaller()
+        self.log = LogClient(self.caller, settings.log_address)
         self.inbox: queue.Queue[Posted | Inspection] = queue.Queue()
         self.shards: dict[str, ShardState] = {}
         self.stopping = threading.Event()
+        self.compaction = Compaction(clock, settings.restate_ms)
         self.links = WorkerLinks(settings.name, self.caller, clock, self.post)
         self.parts = self._build_parts()
         self.ownership = Ownership(
@@ -108,6 +116,7 @@
         self.links.stop()
         self.parts.sender.stop()
         self.parts.journal.stop()
+        self.parts.marks.stop()
         self.stopping.set()
         self.thread.join()
 
@@ -162,9 +171,10 @@
         """Queue an event for a pool."""
         self.inbox.put(Posted(pool, event))
 
-    def take_record(self, record: Record) -> None:
+    def take_record(self, record: Record, held: bool) -> None:
         """Queue a record from the journal for its pool."""
-        self.post(record.pool, Recorded(record))
+        self.compaction.count(record.pool)
+        self.post(record.pool, Recorded(record, held))
 
     def take_vm_list(self, listed: VmList) -> None:
         """Open links to listed workers and tell their pools."""
@@ -178,22 +188,31 @@
             for entry in self._next_entries():
                 self._take(entry)
             for state in tuple(self.shards.values()):
+                self._follow_keeping(state)
+                self._follow_compaction(state)
                 self._step(state, Tick())
                 self._follow_term(state)
 
     def _build_parts(self) -> NodeParts:
+        settings = self.settings
+        name, members = settings.name, self.members
+        log = FailoverLog(self.log, self.caller, name, members, self.clock)
+        marks = MarkKeeper(MarkStream(log, settings.domain))
         journal = Journal(
-            LogClient(self.caller, self.settings.log_address),
+            log,
+            HoldClient(self.caller, name, members),
             JournalSettings(
-                f'jobs.{self.settings.domain}',
-                f'{self.settings.name}@{self.clock.now_ms()}',
-                self.settings.commit_ms,
+                f'jobs.{settings.domain}',
+                name,
+                f'{name}@{self.clock.now_ms()}',
+                settings.commit_ms,
             ),
             self.clock,
             self.take_record,
+            marks.load,
         )
         sender = Sender(self.links.get, self.links.post_event)
-        return NodeParts(journal, sender, Replies(), Watchers())
+        return NodeParts(journal, sender, Replies(), Watchers(), marks)
 
     def _next_entries(self) -> list[Posted | Inspection]:
         try:
@@ -237,6 +256,19 @@
         for state in tuple(self.shards.values()):
             self._step(state, Configured(policy))
 
+    def _follow_compaction(self, state: ShardState) -> None:
+        self.parts.marks.pools.add(state.pool)
+        if not (state.is_owner and self.is_ready):
+            return
+        if self.compaction.is_due(state.pool, len(state.jobs)):
+            offset = self.parts.journal.next_offset
+            self._step(state, RestateAsked(offset))
+
+    def _follow_keeping(self, state: ShardState) -> None:
+        possible = self.parts.journal.can_keep
+        if possible != state.can_keep:
+            self._step(state, KeepingChanged(possible))
+
     def _follow_term(self, state: ShardState) -> None:
         if not self.is_ready:
             return
--- a/src/lycheerelay/_records.py
+++ b/src/lycheerelay/_records.py
@@ -11,6 +11,7 @@
     pool: str
     spec: JobSpec
     at_ms: int
+    max_attempts: int = 0
 
 
 class Start(NamedTuple):
@@ -67,6 +68,7 @@
     code: int
     detail: str
     at_ms: int
+    term: int = 0
 
 
 class TermTaken(NamedTuple):
@@ -78,4 +80,38 @@
     at_ms: int
 
 
-Record = Accepted | Intended | Ended | CancelAsked | Settled | TermTaken
+class TaskImage(NamedTuple):
+    """Restate the current attempt of one task."""
+
+    state: TaskState
+    attempt: int = 0
+    worker: str = ''
+    boot: str = ''
+    failures: int = 0
+    not_before_ms: int = 0
+    started_ms: int = 0
+    code: int = 0
+    answer: str = ''
+    runs: int = 0
+
+
+class JobImage(NamedTuple):
+    """Restate a whole job, so that older records of it may expire."""
+
+    pool: str
+    spec: JobSpec
+    accepted_ms: int
+    state: str
+    code: int
+    detail: str
+    cancel_asked: bool
+    settled_ms: int
+    tasks: tuple[TaskImage, ...]
+    max_attempts: int = 0
+    restarting: bool = False
+    failed_on: tuple[str, ...] = ()
+
+
+Record = (
+    Accepted | Intended | Ended | CancelAsked | Settled | TermTaken | JobImage
+)
