--- a/src/lycheerelay_standins/_log.py
+++ b/src/lycheerelay_standins/_log.py
@@ -28,7 +28,8 @@
     def __init__(self, clock: Clock | None = None) -> None:
         """Start with no streams and no limit on age or rate."""
         self.clock = clock or SystemClock()
-        self.streams: dict[str, list[StoredEntry]] = {}
+        self.streams: dict[str, list[Json]] = {}
+        self.stored: dict[str, list[StoredEntry]] = {}
         self.firsts: dict[str, int] = {}
         self.appends = 0
         self.reads = 0
@@ -67,7 +68,8 @@
             if self._is_over_rate(now_ms):
                 return Response(HTTP_UNAVAILABLE, {'detail': 'over the rate'})
             stream = request.parts['stream']
-            entries = self.streams.setdefault(stream, [])
+            self.streams.setdefault(stream, []).append(request.body)
+            entries = self.stored.setdefault(stream, [])
             entries.append(StoredEntry(text, now_ms))
             self.appends += 1
             self.appended_bytes += len(text)
@@ -80,7 +82,7 @@
         with self.lock:
             self.reads += 1
             self._expire_old(stream)
-            kept = self.streams.get(stream, [])
+            kept = self.stored.get(stream, [])
             first = self.firsts.get(stream, 0)
             start = max(request.query_int('from', 0), first)
             page = kept[start - first : start - first + PAGE_ENTRIES]
@@ -96,11 +98,6 @@
         }
         return Response(200, body)
 
-    def values(self, stream: str) -> list[Json]:
-        """Return the kept entries of a stream as JSON texts."""
-        with self.lock:
-            return [entry.text for entry in self.streams.get(stream, [])]
-
     def expire(self, stream: str, count: int) -> None:
         """Drop the oldest entries, as retention does."""
         with self.lock:
@@ -115,16 +112,17 @@
         self.appends_per_s = appends_per_s
 
     def _drop(self, stream: str, count: int) -> None:
-        kept = self.streams.get(stream, [])
+        kept = self.stored.get(stream, [])
         dropped = min(count, len(kept))
         del kept[:dropped]
+        del self.streams.get(stream, [])[:dropped]
         self.firsts[stream] = self.firsts.get(stream, 0) + dropped
 
     def _expire_old(self, stream: str) -> None:
         if not self.retention_ms:
             return
         oldest_ms = self.clock.now_ms() - self.retention_ms
-        kept = self.streams.get(stream, [])
+        kept = self.stored.get(stream, [])
         count = 0
         while count < len(kept) and kept[count].at_ms < oldest_ms:
             count += 1
--- a/src/lycheerelay_standins/_tasks.py
+++ b/src/lycheerelay_standins/_tasks.py
@@ -108,14 +108,25 @@
     )
 
 
-def answer(state: TaskState, code: int, status: int = 200) -> Response:
-    """Answer with the state of a task."""
-    return Response(status, {'state': state.value, 'code': int(code)})
+def answer(
+    state: TaskState,
+    code: int,
+    boot: str,
+    status: int = 200,
+) -> Response:
+    """Answer with the state of a task and the worker's boot."""
+    body = {'state': state.value, 'code': int(code), 'boot': boot}
+    return Response(status, body)
+
+
+def refusal(code: Code, boot: str) -> Response:
+    """Refuse a start, which never ran."""
+    return answer(TaskState.NOT_STARTED, code, boot, HTTP_CONFLICT)
 
 
-def refusal(code: Code) -> Response:
-    """Refuse a start, which never ran."""
-    return answer(TaskState.NOT_STARTED, code, HTTP_CONFLICT)
+def unknown(code: Code, boot: str) -> Response:
+    """Refuse to say or change anything about a task."""
+    return answer(TaskState.UNKNOWN, code, boot, HTTP_CONFLICT)
 
 
 def _read_payload(text: str) -> dict[str, Json]:
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -111,7 +111,7 @@
 
 
 def test_list_shows_changes_after_its_lag():
-    clock = ManualClock(0)
+    clock = ManualClock(1000)
     vms = VmListStandIn(clock)
     vms.list_worker(WorkerSpec('w1', 'p', 'a', 'r', '127.0.0.1:1', CAPACITY))
     vms.board.set(lag_ms=5000, leaving='w1')
@@ -123,7 +123,7 @@
 
 
 def test_lapse_is_seen_before_any_request_after_a_pause():
-    clock = ManualClock(0)
+    clock = ManualClock(1000)
     worker = WorkerStandIn(CAPACITY, 'b', clock)
     lease(worker, task_ttl_ms=1000)
     start(worker, payload='{"run_ms":5000}')
@@ -134,7 +134,7 @@
 
 
 def test_reboot_fences_starts_meant_for_the_older_boot():
-    worker = WorkerStandIn(CAPACITY, 'b', ManualClock(0))
+    worker = WorkerStandIn(CAPACITY, 'b', ManualClock(1000))
     lease(worker)
     worker.board.set(reboot=True)
     assert start(worker, boot='b').status == 409
@@ -144,7 +144,7 @@
 
 
 def test_late_repeat_of_a_forgotten_start_runs_nothing():
-    clock = ManualClock(0)
+    clock = ManualClock(1000)
     worker = WorkerStandIn(CAPACITY, 'b', clock)
     lease(worker)
     start(worker)
@@ -155,7 +155,7 @@
 
 
 def test_ledger_notices_overbooking_and_two_live_attempts():
-    clock = ManualClock(0)
+    clock = ManualClock(1000)
     ledger = StartLedger()
     workers = [
         WorkerStandIn(CAPACITY, 'b', clock, name, ledger)
@@ -175,7 +175,7 @@
 
 
 def test_checkpoint_resume_throttle_and_lagging_usage():
-    clock = ManualClock(0)
+    clock = ManualClock(1000)
     worker = WorkerStandIn(CAPACITY, 'b', clock)
     lease(worker, task_ttl_ms=60_000)
     start(worker, payload='{"run_ms":4000,"used_cores_milli":6000}')
