Count calls and bytes by purpose, bound replies and pool every worker

The shared pool held 64 hosts, fewer than the workers of one failure domain at the planned size, so connections would have been closed and opened anew on every renewal; it holds 512 now. Two headers that no server here reads are left out. Replies over the limit are errors instead of cut JSON. Each adapter counts its calls, with headers, under its purpose (renewal, task, log_append, log_read, vm_list).

--- a/src/lycheerelay/_http.py
+++ b/src/lycheerelay/_http.py
@@ -1,17 +1,30 @@
 """Call other processes over HTTP with JSON, bounded in size and time."""
 
 import json
+from collections.abc import Mapping
 from typing import Final, NamedTuple, final
 
 import urllib3
 from result import Err, Ok, Result
 
 from ._codec import Json, dumps
+from ._traffic import TrafficBook
 
 MAX_REPLY_BYTES: Final = 8_388_608
-POOLS: Final = 64
+POOLS: Final = 512
 CONNECTIONS_PER_POOL: Final = 32
 MS_PER_SECOND: Final = 1000
+OTHER_PURPOSE: Final = 'other'
+FIXED_HEADERS: Final = {
+    'content-type': 'application/json',
+    'user-agent': urllib3.util.SKIP_HEADER,
+    'accept-encoding': urllib3.util.SKIP_HEADER,
+}
+HEADER_EXTRA_BYTES: Final = 4
+FIXED_HEADER_BYTES: Final = len('content-type: application/json\r\n')
+CONTENT_LENGTH_BYTES: Final = len('Content-Length: 123\r\n')
+REQUEST_LINE_BYTES: Final = len('  HTTP/1.1\r\nHost: \r\n\r\n') - len('http://')
+STATUS_LINE_BYTES: Final = len('HTTP/1.1 200 OK\r\n\r\n')
 
 
 class Reply(NamedTuple):
@@ -32,16 +45,34 @@
 class HttpCaller:
     """Send JSON requests over reused connections, without retries."""
 
-    def __init__(self) -> None:
-        """Open an empty connection pool."""
+    def __init__(self, traffic: TrafficBook | None = None) -> None:
+        """Open an empty connection pool and count what passes."""
         self.pool = urllib3.PoolManager(
             num_pools=POOLS,
             maxsize=CONNECTIONS_PER_POOL,
             retries=False,
-            headers={'content-type': 'application/json'},
+            headers=FIXED_HEADERS,
         )
-        self.sent_bytes = 0
-        self.received_bytes = 0
+        self.traffic = traffic or TrafficBook()
+        self.purpose = OTHER_PURPOSE
+
+    @property
+    def sent_bytes(self) -> int:
+        """Return the bytes sent for every purpose."""
+        return sum(entry.sent_bytes for entry in self.traffic.shown().values())
+
+    @property
+    def received_bytes(self) -> int:
+        """Return the bytes received for every purpose."""
+        totals = self.traffic.shown().values()
+        return sum(entry.received_bytes for entry in totals)
+
+    def tagged(self, purpose: str) -> 'HttpCaller':
+        """Return a caller on the same connections that counts apart."""
+        caller = HttpCaller(self.traffic)
+        caller.pool = self.pool
+        caller.purpose = purpose
+        return caller
 
     def call(
         self,
@@ -52,7 +83,10 @@
     ) -> Result[Reply, CallError]:
         """Send one request; an error leaves its effect unknown."""
         payload = b'' if body is None else dumps(body)
-        self.sent_bytes += len(payload)
+        self.traffic.count_sent(
+            self.purpose,
+            _request_bytes(method, url, payload),
+        )
         try:
             response = self.pool.request(
                 method,
@@ -62,11 +96,13 @@
                 redirect=False,
                 preload_content=False,
             )
-            raw = response.read(MAX_REPLY_BYTES)
-            response.release_conn()
+            raw = _read_bounded(response)
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return Err(CallError(url, type(error).__name__))
-        self.received_bytes += len(raw)
+        if raw is None:
+            return Err(CallError(url, f'over {MAX_REPLY_BYTES} bytes'))
+        received = _header_bytes(response.headers) + len(raw)
+        self.traffic.count_received(self.purpose, received)
         return _decode(url, response.status, raw)
 
     def close(self) -> None:
@@ -74,6 +110,30 @@
         self.pool.clear()
 
 
+def _read_bounded(response: urllib3.BaseHTTPResponse) -> bytes | None:
+    raw = response.read(MAX_REPLY_BYTES + 1)
+    if len(raw) > MAX_REPLY_BYTES:
+        response.close()
+        return None
+    response.release_conn()
+    return raw
+
+
+def _request_bytes(method: str, url: str, payload: bytes) -> int:
+    """Estimate a request's size; its line holds what the URL adds."""
+    line = len(method) + len(url) + REQUEST_LINE_BYTES
+    length_header = CONTENT_LENGTH_BYTES if payload else 0
+    return line + FIXED_HEADER_BYTES + length_header + len(payload)
+
+
+def _header_bytes(headers: Mapping[str, str]) -> int:
+    lines = (
+        len(name) + len(text) + HEADER_EXTRA_BYTES
+        for name, text in headers.items()
+    )
+    return STATUS_LINE_BYTES + sum(lines)
+
+
 def _decode(
     url: str,
     status: int,
--- a/src/lycheerelay/_log_client.py
+++ b/src/lycheerelay/_log_client.py
@@ -1,12 +1,15 @@
 """Adapt the platform's append-only log service."""
 
-from typing import NamedTuple, final
+from typing import Final, NamedTuple, final
 
 from result import Err, Ok, Result
 
 from ._codec import Json
 from ._http import CallError, HttpCaller
 
+LOG_READ: Final = 'log_read'
+LOG_APPEND: Final = 'log_append'
+
 
 class LogEntry(NamedTuple):
     """Hold one entry of a stream with its offset."""
@@ -37,7 +40,8 @@
         prefix: str = '/v1/streams',
     ) -> None:
         """Remember where the log is."""
-        self.caller = caller
+        self.caller = caller.tagged(LOG_READ)
+        self.writer = caller.tagged(LOG_APPEND)
         self.base = f'http://{address}{prefix}'
 
     def append(
@@ -51,7 +55,7 @@
         An error leaves open whether the entry was written.
         """
         url = f'{self.base}/{stream}'
-        reply = self.caller.call('POST', url, value, timeout_ms)
+        reply = self.writer.call('POST', url, value, timeout_ms)
         if isinstance(reply, Err):
             return reply
         if reply.ok_value.status != 200:
--- a/src/lycheerelay/_vm_client.py
+++ b/src/lycheerelay/_vm_client.py
@@ -1,6 +1,6 @@
 """Adapt the platform's lagging list of live and leaving VMs."""
 
-from typing import NamedTuple, final
+from typing import Final, NamedTuple, final
 
 from result import Err, Ok, Result
 
@@ -8,6 +8,8 @@
 from ._events import WorkerSpec
 from ._http import CallError, HttpCaller
 
+VM_LIST: Final = 'vm_list'
+
 
 class EntryVm(NamedTuple):
     """Describe one entry VM as the platform lists it."""
@@ -33,7 +35,7 @@
 
     def __init__(self, caller: HttpCaller, address: str) -> None:
         """Remember where the list is."""
-        self.caller = caller
+        self.caller = caller.tagged(VM_LIST)
         self.base = f'http://{address}/v1/vms'
 
     def read(
--- a/src/lycheerelay/_worker_client.py
+++ b/src/lycheerelay/_worker_client.py
@@ -1,6 +1,6 @@
 """Adapt the task API of the platform's workers."""
 
-from typing import NamedTuple, final
+from typing import Final, NamedTuple, final
 
 from result import Err, Ok, Result
 
@@ -12,6 +12,8 @@
 HTTP_OK = 200
 HTTP_CONFLICT = 409
 POLL_SLACK_MS = 2000
+RENEWAL: Final = 'renewal'
+TASK: Final = 'task'
 
 
 class LeaseRequest(NamedTuple):
@@ -56,7 +58,8 @@
 
     def __init__(self, caller: HttpCaller, address: str) -> None:
         """Remember where the worker is."""
-        self.caller = caller
+        self.caller = caller.tagged(RENEWAL)
+        self.task_caller = caller.tagged(TASK)
         self.base = f'http://{address}/v1'
 
     def renew(self, request: LeaseRequest) -> Result[LeaseReply, CallError]:
@@ -106,6 +109,22 @@
         }
         return self._task_call('stop', body)
 
+    def throttle(
+        self,
+        term: int,
+        key: AttemptKey,
+        percent: int,
+        boot: str = '',
+    ) -> Result[StartReply, CallError]:
+        """Run an attempt at a share of its full speed."""
+        body = {
+            'task_id': key.to_text(),
+            'term': term,
+            'percent': percent,
+            'boot': boot,
+        }
+        return self._task_call('throttle', body)
+
     def forget(
         self,
         term: int,
@@ -121,7 +140,7 @@
         body: Json,
     ) -> Result[StartReply, CallError]:
         url = f'{self.base}/{path}'
-        reply = self.caller.call('POST', url, body)
+        reply = self.task_caller.call('POST', url, body)
         if isinstance(reply, Err):
             return reply
         if reply.ok_value.status not in {HTTP_OK, HTTP_CONFLICT}:
