--- a/src/lycheerelay/_cli.py
+++ b/src/lycheerelay/_cli.py
@@ -17,7 +17,7 @@
 from ._clock import SystemClock
 from ._codes import CODES
 from ._journal_api import JournalApi
-from ._members import StaticMembers
+from ._membership_service import MembershipService
 from ._node import Node
 from ._policy import Policy
 from ._settings import NodeSettings, load_settings
@@ -96,12 +96,9 @@
 
 def start_node(settings: NodeSettings) -> tuple[Node, WebServer]:
     """Start an entry VM and its HTTP server."""
-    node = Node(
-        settings,
-        SystemClock(),
-        Policy(),
-        StaticMembers(settings),
-    )
+    clock = SystemClock()
+    members = MembershipService(settings, clock)
+    node = Node(settings, clock, Policy(), members)
     host, port = settings.host_and_port
     server = WebServer(
         host,
@@ -112,6 +109,7 @@
         ),
         settings.http_threads,
     )
+    members.start(server.address)
     node.start()
     server.start()
     return node, server
--- a/src/lycheerelay/_holding.py
+++ b/src/lycheerelay/_holding.py
@@ -66,7 +66,7 @@
 
     def _hold_at_all(self, batch: Batch) -> bool:
         replaced = {
-            self.journal.terms.owners.get(record.pool, '')
+            self.journal.terms.owners.get(record.pool, '').partition('@')[0]
             for record in batch.records
             if isinstance(record, TermTaken)
         }
--- a/src/lycheerelay/_http.py
+++ b/src/lycheerelay/_http.py
@@ -9,7 +9,7 @@
 from ._codec import Json, dumps
 
 MAX_REPLY_BYTES: Final = 8_388_608
-POOLS: Final = 64
+POOLS: Final = 512
 CONNECTIONS_PER_POOL: Final = 32
 MS_PER_SECOND: Final = 1000
 
--- a/src/lycheerelay/_lease.py
+++ b/src/lycheerelay/_lease.py
@@ -1,9 +1,11 @@
 """Hold and grant leases that are fenced by terms."""
 
-from typing import NamedTuple, final
+from typing import Final, NamedTuple, final
 
 from ._clock import Clock
 
+DRIFT_DIVISOR: Final = 50
+
 
 class Grant(NamedTuple):
     """Answer a request for a lease."""
@@ -19,6 +21,8 @@
 
     The lease counts from before its request was sent, less a margin, so
     that the holder stops using it before the grantor could give it away.
+    The margin grows by a fiftieth of the time to live: that covers two
+    clocks whose rates are off by one percent each.
     """
 
     def __init__(self, clock: Clock, ttl_ms: int, margin_ms: int) -> None:
@@ -29,10 +33,17 @@
         self.term = 0
         self.valid_until_ms = 0
 
-    def extend(self, term: int, sent_ms: int) -> None:
+    def extend(
+        self,
+        term: int,
+        sent_ms: int,
+        ttl_ms: int | None = None,
+    ) -> None:
         """Count a grant from the time its request was sent."""
+        asked_ms = self.ttl_ms if ttl_ms is None else ttl_ms
+        margin_ms = self.margin_ms + asked_ms // DRIFT_DIVISOR
         self.term = term
-        self.valid_until_ms = sent_ms + self.ttl_ms - self.margin_ms
+        self.valid_until_ms = sent_ms + asked_ms - margin_ms
 
     def drop(self) -> None:
         """Give the lease up at once."""
--- a/src/lycheerelay/_members.py
+++ b/src/lycheerelay/_members.py
@@ -1,12 +1,19 @@
 """Say which entry VMs are alive and where they are."""
 
+from collections.abc import Iterable
 from typing import Protocol, final
 
 from ._settings import NodeSettings
+from ._vm_client import EntryVm
 
 
 class Members(Protocol):
-    """Answer who is alive; each answer is only a suggestion."""
+    """Answer who is alive; each answer is only a suggestion.
+
+    An identity is `name@incarnation`: it names one run of an entry VM.
+    """
+
+    identity: str
 
     def alive_in_domain(self) -> tuple[str, ...]:
         """Return the live entry VMs of this domain, this one included."""
@@ -20,6 +27,24 @@
     def address_of(self, name: str) -> str | None:
         """Return the HTTP address of an entry VM, where it is known."""
 
+    def is_alive(self, identity: str) -> bool:
+        """Tell whether one run of an entry VM seems alive and stays."""
+
+    def is_settled(self) -> bool:
+        """Tell whether living peers had time to be heard."""
+
+    def take_list(self, entries: Iterable[EntryVm]) -> None:
+        """Use the platform's lagging list as a hint."""
+
+    def publish(self, key: str, value: str) -> bool:
+        """Let other nodes see a small value; tell whether it fits."""
+
+    def seen_values(self) -> dict[str, dict[str, str]]:
+        """Return what each other node was last heard to publish."""
+
+    def leave(self) -> None:
+        """Tell every peer that this node takes no more work."""
+
 
 @final
 class StaticMembers:
@@ -28,6 +53,8 @@
     def __init__(self, settings: NodeSettings) -> None:
         """Read the peers of the settings."""
         self.settings = settings
+        self.identity = settings.name
+        self.leaving = False
         self.addresses = dict(peer.split('=', 1) for peer in settings.peers)
 
     def alive_in_domain(self) -> tuple[str, ...]:
@@ -45,3 +72,26 @@
     def address_of(self, name: str) -> str | None:
         """Return the HTTP address of an entry VM, where it is known."""
         return self.addresses.get(name)
+
+    def is_alive(self, identity: str) -> bool:
+        """Take every configured entry VM for alive."""
+        return identity in self.alive_in_domain()
+
+    def is_settled(self) -> bool:
+        """Need no time to hear anybody."""
+        return True
+
+    def take_list(self, entries: Iterable[EntryVm]) -> None:
+        """Keep to the settings."""
+
+    def publish(self, key: str, value: str) -> bool:
+        """Tell nobody."""
+        return True
+
+    def seen_values(self) -> dict[str, dict[str, str]]:
+        """Hear of nobody's values."""
+        return {}
+
+    def leave(self) -> None:
+        """Remember that this node goes."""
+        self.leaving = True
--- a/src/lycheerelay/_membership_service.py
+++ b/src/lycheerelay/_membership_service.py
@@ -86,6 +86,12 @@
         """Return the live entry VMs of this domain that stay."""
         return self.alive_in(self.state.settings.domain)
 
+    def known_in_domain(self) -> tuple[str, ...]:
+        """Return every entry VM of this domain that may still run."""
+        with self.lock:
+            names = set(self.state.table.peers)
+        return tuple(sorted({*names, self.state.settings.name}))
+
     def alive_in(self, domain: str) -> tuple[str, ...]:
         """Return the live entry VMs of any domain that stay."""
         with self.lock:
--- a/src/lycheerelay/_node.py
+++ b/src/lycheerelay/_node.py
@@ -81,10 +81,15 @@
         self.inbox: queue.Queue[Posted | Inspection] = queue.Queue()
         self.shards: dict[str, ShardState] = {}
         self.stopping = threading.Event()
-        self.links = WorkerLinks(settings.name, self.caller, clock, self.post)
+        self.links = WorkerLinks(
+            members.identity,
+            self.caller,
+            clock,
+            self.post,
+            lambda: self.parts.journal.health.end_read_ms,
+        )
         self.parts = self._build_parts()
         self.ownership = Ownership(
-            settings.name,
             members,
             clock,
             self.parts.journal.append,
@@ -171,9 +176,10 @@
         self.post(record.pool, Recorded(record, held))
 
     def take_vm_list(self, listed: VmList) -> None:
-        """Open links to listed workers and tell their pools."""
+        """Follow the listed VMs and tell the pools of their workers."""
+        self.members.take_list(listed.entries)
+        self.links.take_list(listed.workers)
         for spec in listed.workers:
-            self.links.open(spec)
             self.post(spec.pool, WorkerListed(spec))
 
     def run(self) -> None:
@@ -201,7 +207,7 @@
             self.clock,
             self.take_record,
         )
-        sender = Sender(self.links.get, self.links.post_event)
+        sender = Sender(self.links.get, self.links.post_event, self.clock)
         return NodeParts(journal, sender, Replies(), Watchers())
 
     def _next_entries(self) -> list[Posted | Inspection]:
@@ -228,7 +234,7 @@
             state = ShardState(
                 self.settings.domain,
                 pool,
-                self.settings.name,
+                self.members.identity,
                 self.policy,
             )
             self.shards[pool] = state
--- a/src/lycheerelay/_worker_link.py
+++ b/src/lycheerelay/_worker_link.py
@@ -1,28 +1,39 @@
 """Keep the placement lease of one worker and follow its tasks."""
 
+import random
 import threading
 from collections.abc import Callable
-from typing import Final, NamedTuple, final
+from typing import Final, NamedTuple, Protocol, final
 
-from result import Err
+from result import Err, Result
 
+from ._backoff import Backoff
 from ._clock import MS_PER_SECOND, Clock
 from ._events import Event, LeaseHeld, LeaseLost, TasksReported
+from ._http import CallError
 from ._lease import HeldLease
+from ._renewal_pace import RenewalPace
 from ._worker_client import LeaseReply, LeaseRequest, WorkerClient
 
-RETRY_MS: Final = 250
+MARGIN_MS: Final = 1000
 
 
 class LinkSettings(NamedTuple):
-    """Set the pace of a link and the length of its leases."""
+    """Name the pool and the holder of a link's lease."""
 
     pool: str
     holder: str
-    ttl_ms: int = 10_000
-    margin_ms: int = 1000
-    wait_ms: int = 3000
-    task_ttl_ms: int = 60_000
+    margin_ms: int = MARGIN_MS
+
+
+class LinkGuide(Protocol):
+    """Tell links how to renew, as the whole pool goes."""
+
+    def pace(self, pool: str) -> RenewalPace:
+        """Return how often to renew, and for how long."""
+
+    def may_keep_tasks(self, pool: str) -> bool:
+        """Tell whether a renewal may prolong the tasks of a worker."""
 
 
 @final
@@ -34,6 +45,7 @@
         name: str,
         client: WorkerClient,
         settings: LinkSettings,
+        guide: LinkGuide,
         clock: Clock,
         post: Callable[[str, Event], None],
     ) -> None:
@@ -41,102 +53,141 @@
         self.name = name
         self.client = client
         self.settings = settings
+        self.guide = guide
         self.post = post
         self.clock = clock
-        self.lease = HeldLease(clock, settings.ttl_ms, settings.margin_ms)
+        self.lease = HeldLease(clock, 0, settings.margin_ms)
+        self.backoff = Backoff(random.Random(f'{settings.holder}{name}'))
         self.term = 0
         self.since = 0
+        self.boot = ''
         self.held = False
+        self.needs_table = True
+        self.renewed_ms = 0
         self.wake = threading.Event()
-        self.stopping = False
-        self.thread = threading.Thread(
-            target=self.run,
-            name=f'link-{name}',
-            daemon=True,
-        )
-
-    def start(self) -> None:
-        """Follow the worker from a thread of its own."""
-        self.thread.start()
+        self.lock = threading.Lock()
+        self.thread: threading.Thread | None = None
 
     def claim(self, term: int) -> None:
-        """Ask for the lease under a term from now on; 0 asks no more."""
-        self.term = term
-        self.since = 0
+        """Ask for the lease under a term from now on; 0 asks no more.
+
+        A thread runs only while there is a term to ask for.
+        """
+        with self.lock:
+            if term != self.term:
+                self.lease.drop()
+            self.term = term
+            self.needs_table = True
+            self.wake.set()
+            if term and self.thread is None:
+                self.thread = threading.Thread(
+                    target=self.run,
+                    name=f'link-{self.name}',
+                    daemon=True,
+                )
+                self.thread.start()
+
+    def resync(self) -> None:
+        """Compare with the worker's whole table at the next renewal."""
+        self.needs_table = True
         self.wake.set()
 
     def stop(self) -> None:
         """Stop asking; the lease runs out by itself."""
-        self.stopping = True
-        self.lease.drop()
-        self.wake.set()
+        self.claim(0)
+
+    def hand_back(self) -> None:
+        """Stop asking and let the worker's lease end now."""
+        term = self.term
+        self.claim(0)
+        if term:
+            request = self._request(term, 0, self._pace())
+            self.client.renew(request._replace(ttl_ms=0, wait_ms=0))
 
     def run(self) -> None:
-        """Renew until stopped."""
-        while not self.stopping:
-            if self.term == 0:
-                self.wake.wait(1)
-                self.wake.clear()
-            else:
-                self._renew_once()
+        """Renew until no term is asked for."""
+        while self._wants_term():
+            self.renew_once()
 
-    def _renew_once(self) -> None:
+    def renew_once(self) -> None:
+        """Ask for the lease once and pass on what the worker says."""
         term = self.term
-        since = self.since if self.held else 0
+        since = 0 if self.needs_table or not self.held else self.since
+        self.needs_table = False
+        self.wake.clear()
+        pace = self._pace()
         sent_ms = self.clock.now_ms()
-        reply = self.client.renew(self._request(term, since))
-        if isinstance(reply, Err):
-            self._lose_if_over()
-            self.wake.wait(RETRY_MS / MS_PER_SECOND)
-        elif reply.ok_value.granted:
-            self.lease.extend(term, sent_ms)
-            self._deliver(term, reply.ok_value)
+        reply = self.client.renew(self._request(term, since, pace))
+        if self._is_granted(reply):
+            self._extend(term, sent_ms, pace.ttl_ms)
+            self._deliver(term, since, reply.unwrap())
+            self.backoff.reset()
         else:
-            self.lease.drop()
-            self._lose_if_over()
-            self.wake.wait(RETRY_MS / MS_PER_SECOND)
+            self._back_off(reply)
 
-    def _request(self, term: int, since: int) -> LeaseRequest:
+    def _wants_term(self) -> bool:
+        with self.lock:
+            if self.term == 0:
+                self.thread = None
+                self._lose()
+                return False
+            return True
+
+    def _pace(self) -> RenewalPace:
+        pace = self.guide.pace(self.settings.pool)
+        if self.guide.may_keep_tasks(self.settings.pool):
+            return pace
+        return pace._replace(task_ttl_ms=0)
+
+    def _request(
+        self,
+        term: int,
+        since: int,
+        pace: RenewalPace,
+    ) -> LeaseRequest:
         return LeaseRequest(
             self.settings.pool,
             self.settings.holder,
             term,
-            self.settings.ttl_ms,
-            self.settings.task_ttl_ms,
+            pace.ttl_ms,
+            pace.task_ttl_ms,
             since,
-            self.settings.wait_ms if since else 0,
+            pace.wait_ms if since else 0,
         )
 
-    def _deliver(self, term: int, reply: LeaseReply) -> None:
+    def _extend(self, term: int, sent_ms: int, ttl_ms: int) -> None:
+        with self.lock:
+            if term == self.term:
+                self.renewed_ms = sent_ms
+                self.lease.extend(term, sent_ms, ttl_ms)
+
+    def _is_granted(self, reply: Result[LeaseReply, CallError]) -> bool:
+        return not isinstance(reply, Err) and reply.ok_value.granted
+
+    def _back_off(self, reply: Result[LeaseReply, CallError]) -> None:
+        self.needs_table = True
+        if not isinstance(reply, Err):
+            self.lease.drop()
+        if self.held and not self.lease.is_valid(self.lease.term):
+            self._lose()
+        self.wake.wait(self.backoff.next_ms() / MS_PER_SECOND)
+
+    def _deliver(self, term: int, since: int, reply: LeaseReply) -> None:
         if term != self.term:
             return
-        first = not self.held or self.since == 0
+        if since and reply.boot != self.boot:
+            self.needs_table = True
+            return
+        self.boot = reply.boot
         self.since = reply.seq
-        self.held = True
-        if first:
-            self.post(
-                self.name,
-                LeaseHeld(
-                    self.name,
-                    term,
-                    reply.boot,
-                    reply.leaving,
-                    reply.reports,
-                ),
-            )
+        parts = (reply.boot, reply.leaving, reply.reports)
+        if not since:
+            self.held = True
+            self.post(self.name, LeaseHeld(self.name, term, *parts))
         elif reply.reports or reply.leaving:
-            self.post(
-                self.name,
-                TasksReported(
-                    self.name,
-                    reply.boot,
-                    reply.leaving,
-                    reply.reports,
-                ),
-            )
-
-    def _lose_if_over(self) -> None:
-        if self.held and not self.lease.is_valid(self.lease.term):
+            self.post(self.name, TasksReported(self.name, *parts))
+
+    def _lose(self) -> None:
+        if self.held:
             self.held = False
-            self.since = 0
             self.post(self.name, LeaseLost(self.name))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -218,7 +218,9 @@
 NUMBERS = st.integers(0, 2**53)
 TABLES = st.dictionaries(st.text(max_size=5), st.text(max_size=5), max_size=3)
 MESSAGES = st.one_of(
-    st.builds(Heartbeat, st.text(), NUMBERS, NUMBERS, st.text(), NUMBERS, TABLES),
+    st.builds(
+        Heartbeat, st.text(), NUMBERS, NUMBERS, st.text(), NUMBERS, TABLES
+    ),
     st.builds(Query, st.text(), st.text()),
     st.builds(Vouch, st.text(), st.text(), NUMBERS, NUMBERS),
     st.builds(Digest, st.text(), NUMBERS, NUMBERS, st.text(), TABLES, TABLES),
