--- a/src/lycheerelay/_events.py
+++ b/src/lycheerelay/_events.py
@@ -105,6 +105,23 @@
     key: AttemptKey
     state: TaskState
     code: int
+    boot: str = ''
+
+
+class OwnershipConfirmed(NamedTuple):
+    """Tell that a whole read of the log, begun then, shows this term."""
+
+    term: int
+    at_ms: int
+
+
+class RestateAsked(NamedTuple):
+    """Ask the owner to restate every job, so that old records may expire.
+
+    The round names the offset from which a reader then needs no more.
+    """
+
+    round_offset: int
 
 
 class Configured(NamedTuple):
@@ -127,7 +144,9 @@
     | LeaseLost
     | TasksReported
     | StartAnswered
+    | OwnershipConfirmed
     | Configured
     | KeepingChanged
+    | RestateAsked
     | Tick
 )
--- a/src/lycheerelay/_journal.py
+++ b/src/lycheerelay/_journal.py
@@ -75,12 +75,14 @@
         settings: JournalSettings,
         clock: Clock,
         deliver: Deliver,
+        find_start: Callable[[], int] = int,
     ) -> None:
         """Prepare to follow the stream from its first kept entry."""
         self.log = log
         self.settings = settings
         self.clock = clock
         self.deliver = deliver
+        self.find_start = find_start
         self.pending: list[Record] = []
         self.in_flight: Batch | None = None
         self.number = 0
@@ -95,6 +97,7 @@
         self.lock = threading.RLock()
         self.holding = Holding(self, holders)
         self.wake = threading.Condition()
+        self.note_read: Callable[[int], None] = _ignore
         self.stopping = False
         self.kicked = threading.Event()
         self.threads = (
@@ -139,6 +142,7 @@
 
     def follow(self) -> None:
         """Read the log until stopped."""
+        self.next_offset = self.find_start()
         while not self.stopping:
             self.read_to_end()
             if self.health.is_down and self.in_flight is None:
@@ -235,6 +239,7 @@
     def read_to_end(self) -> None:
         """Deliver what the log holds beyond what was read."""
         while not self.stopping:
+            begun_ms = self.clock.now_ms()
             page = self.log.read(self.settings.stream, self.next_offset)
             self.health.note(not isinstance(page, Err))
             if isinstance(page, Err):
@@ -243,6 +248,7 @@
             if self.next_offset >= page.ok_value.end:
                 self.caught_up = True
                 self.health.note_end()
+                self.note_read(begun_ms)
                 return
 
     def _take_page(self, page: LogPage) -> None:
@@ -260,3 +266,7 @@
             for batch in batches.ok_value:
                 self.apply(batch, held=False)
                 self.outbox.confirm(batch)
+
+
+def _ignore(begun_ms: int) -> None:
+    """Take no note of a read."""
--- a/src/lycheerelay/_sender.py
+++ b/src/lycheerelay/_sender.py
@@ -2,7 +2,6 @@
 
 import heapq
 import itertools
-import random
 import threading
 from collections import deque
 from collections.abc import Callable
@@ -57,7 +56,6 @@
         self.find_link = find_link
         self.post = post
         self.clock = clock
-        self.random = random.Random(threads)
         self.lanes: dict[str, Lane] = {}
         self.ready: list[tuple[int, int, Lane]] = []
         self.order = itertools.count()
@@ -79,7 +77,7 @@
         with self.wake:
             lane = self.lanes.get(command.worker)
             if lane is None:
-                lane = Lane(command.worker, Backoff(self.random))
+                lane = Lane(command.worker, Backoff(command.worker))
                 self.lanes[command.worker] = lane
             if len(lane.commands) >= MAX_QUEUED:
                 self._drop(lane)
@@ -111,7 +109,7 @@
             lane = heapq.heappop(self.ready)[2]
             lane.is_probe = lane.backoff.failures > 0
             if lane.is_probe and self.probing >= PROBE_THREADS:
-                self._schedule(lane, lane.backoff.first_ms)
+                self._schedule(lane, lane.backoff.pace.base_ms)
                 return None
             self.probing += lane.is_probe
             return lane
@@ -173,12 +171,19 @@
             forgotten = link.client.forget(command.term, command.key)
             return not isinstance(forgotten, Err)
         if isinstance(command, StartTask):
-            reply = link.client.start(command.term, command.key, command.spec)
+            reply = link.client.start(
+                command.term,
+                command.key,
+                command.spec,
+                command.boot,
+                link.start_until_ms(),
+            )
         else:
             reply = link.client.stop(
                 command.term,
                 command.key,
                 command.checkpoint,
+                command.boot,
             )
         if isinstance(reply, Err):
             return False
@@ -190,6 +195,7 @@
                 command.key,
                 answer.state,
                 answer.code,
+                answer.boot,
             ),
         )
         return True
--- a/src/lycheerelay/_worker_client.py
+++ b/src/lycheerelay/_worker_client.py
@@ -18,7 +18,8 @@
     """Ask for the placement lease of a worker, or renew it.
 
     The call returns at once when something changed after `since`, else
-    after `wait_ms`.
+    after `wait_ms`. Tasks live on until `as_of_ms + task_ttl_ms` by the
+    worker's clock; without `as_of_ms` none is prolonged.
     """
 
     pool: str
@@ -28,6 +29,7 @@
     task_ttl_ms: int
     since: int
     wait_ms: int
+    as_of_ms: int = 0
 
 
 class LeaseReply(NamedTuple):
@@ -40,6 +42,7 @@
     seq: int
     leaving: bool
     reports: tuple[TaskReport, ...]
+    now_ms: int = 0
 
 
 class StartReply(NamedTuple):
@@ -47,6 +50,7 @@
 
     state: TaskState
     code: int
+    boot: str = ''
 
 
 @final
@@ -74,8 +78,13 @@
         term: int,
         key: AttemptKey,
         spec: JobSpec,
+        boot: str = '',
+        until_ms: int = 0,
     ) -> Result[StartReply, CallError]:
-        """Create a task under its attempt id; repeating is harmless."""
+        """Create a task under its attempt id; repeating is harmless.
+
+        The worker refuses it after `until_ms` by its own clock, if given.
+        """
         body = {
             'task_id': key.to_text(),
             'term': term,
@@ -84,6 +93,8 @@
             'accelerators': spec.accelerators,
             'connections': spec.connections,
             'payload': spec.payload,
+            'boot': boot,
+            'until_ms': until_ms,
         }
         return self._task_call('tasks', body)
 
@@ -92,12 +103,14 @@
         term: int,
         key: AttemptKey,
         checkpoint: bool,
+        boot: str = '',
     ) -> Result[StartReply, CallError]:
         """Stop an attempt; one that never started is void from now on."""
         body = {
             'task_id': key.to_text(),
             'term': term,
             'checkpoint': checkpoint,
+            'boot': boot,
         }
         return self._task_call('stop', body)
 
@@ -122,7 +135,13 @@
         if reply.ok_value.status not in {HTTP_OK, HTTP_CONFLICT}:
             return Err(CallError(url, f'status {reply.ok_value.status}'))
         answer = reply.ok_value.body
-        return Ok(StartReply(TaskState(answer['state']), answer['code']))
+        return Ok(
+            StartReply(
+                TaskState(answer['state']),
+                answer['code'],
+                answer.get('boot', ''),
+            ),
+        )
 
 
 def _lease_reply(body: Json) -> LeaseReply:
@@ -135,6 +154,7 @@
         body['seq'],
         body['leaving'],
         tuple(report for report in reports if report is not None),
+        body.get('now_ms', 0),
     )
 
 
--- a/src/lycheerelay/_worker_link.py
+++ b/src/lycheerelay/_worker_link.py
@@ -1,6 +1,5 @@
 """Keep the placement lease of one worker and follow its tasks."""
 
-import random
 import threading
 from collections.abc import Callable
 from typing import Final, NamedTuple, Protocol, final
@@ -11,7 +10,7 @@
 from ._clock import MS_PER_SECOND, Clock
 from ._events import Event, LeaseHeld, LeaseLost, TasksReported
 from ._http import CallError
-from ._lease import HeldLease
+from ._lease import DRIFT_DIVISOR, HeldLease
 from ._renewal_pace import RenewalPace
 from ._worker_client import LeaseReply, LeaseRequest, WorkerClient
 
@@ -57,13 +56,15 @@
         self.post = post
         self.clock = clock
         self.lease = HeldLease(clock, 0, settings.margin_ms)
-        self.backoff = Backoff(random.Random(f'{settings.holder}{name}'))
+        self.backoff = Backoff(f'{settings.holder}{name}')
         self.term = 0
         self.since = 0
         self.boot = ''
         self.held = False
         self.needs_table = True
         self.renewed_ms = 0
+        self.worker_ms = 0
+        self.received_ms = 0
         self.wake = threading.Event()
         self.lock = threading.Lock()
         self.thread: threading.Thread | None = None
@@ -92,6 +93,23 @@
         self.needs_table = True
         self.wake.set()
 
+    def worker_now_ms(self) -> int:
+        """Return a time that the worker's own clock has passed, or 0.
+
+        What is sent later than meant must not take effect late, so requests
+        name times of the clock that judges them.
+        """
+        if not self.worker_ms:
+            return 0
+        passed_ms = self.clock.now_ms() - self.received_ms
+        return self.worker_ms + passed_ms - passed_ms // DRIFT_DIVISOR
+
+    def start_until_ms(self) -> int:
+        """Return until when the worker may take a start sent now, or 0."""
+        now_ms = self.worker_now_ms()
+        left_ms = self.lease.valid_until_ms - self.clock.now_ms()
+        return now_ms + max(left_ms, 1) if now_ms else 0
+
     def stop(self) -> None:
         """Stop asking; the lease runs out by itself."""
         self.claim(0)
@@ -120,6 +138,8 @@
         reply = self.client.renew(self._request(term, since, pace))
         if self._is_granted(reply):
             self._extend(term, sent_ms, pace.ttl_ms)
+            self.received_ms = self.clock.now_ms()
+            self.worker_ms = reply.unwrap().now_ms
             self._deliver(term, since, reply.unwrap())
             self.backoff.reset()
         else:
@@ -153,6 +173,7 @@
             pace.task_ttl_ms,
             since,
             pace.wait_ms if since else 0,
+            self.worker_now_ms(),
         )
 
     def _extend(self, term: int, sent_ms: int, ttl_ms: int) -> None:
--- a/src/lycheerelay/_worker_links.py
+++ b/src/lycheerelay/_worker_links.py
@@ -25,14 +25,13 @@
         caller: HttpCaller,
         clock: Clock,
         post: Callable[[str, Event], None],
-        log_read_ms: Callable[[], int],
     ) -> None:
         """Start without links."""
         self.identity = identity
         self.caller = caller
         self.clock = clock
         self.post = post
-        self.log_read_ms = log_read_ms
+        self.log_read_ms = 0
         self.links: dict[str, WorkerLink] = {}
         self.specs: dict[str, WorkerSpec] = {}
         self.unlisted: set[str] = set()
@@ -103,7 +102,7 @@
         wait for these tasks to lapse.
         """
         after_ms = self.clock.now_ms() - CONFIRM_BOUND_MS
-        if self.log_read_ms() > after_ms:
+        if self.log_read_ms > after_ms:
             return True
         return self.holds_most(pool, after_ms)
 
--- a/src/lycheerelay_standins/_worker.py
+++ b/src/lycheerelay_standins/_worker.py
@@ -68,7 +68,7 @@
             )
             if grant.granted:
                 now_ms = self.clock.now_ms()
-                self.task_expiry_ms = now_ms + body['task_ttl_ms']
+                self._prolong(body)
                 self._await_change(body['since'], now_ms + body['wait_ms'])
             return self._lease_response(grant.granted, body['since'])
 
@@ -82,7 +82,7 @@
                 return _answer(known.state, known.code)
             if not self.grantor.admits(body['term']):
                 return _answer(TaskState.NOT_STARTED, Code.STALE_TERM, 409)
-            if self.leaving:
+            if self.leaving or self._is_late(body):
                 return _answer(TaskState.NOT_STARTED, Code.WORKER_REFUSED, 409)
             return self._create(body)
 
@@ -113,6 +113,16 @@
                 self.tasks.pop(task.task_id)
         return _answer(TaskState.DONE, Code.OK)
 
+    def _prolong(self, body: Json) -> None:
+        as_of_ms = body.get('as_of_ms', 0)
+        if as_of_ms:
+            until_ms = as_of_ms + body['task_ttl_ms']
+            self.task_expiry_ms = max(self.task_expiry_ms, until_ms)
+
+    def _is_late(self, body: Json) -> bool:
+        until_ms: int = body.get('until_ms', 0)
+        return 0 < until_ms < self.clock.now_ms()
+
     def _create(self, body: Json) -> Response:
         demand = Resources(
             body['cores_milli'],
@@ -179,6 +189,7 @@
             'boot': self.boot,
             'seq': self.seq,
             'leaving': self.leaving,
+            'now_ms': self.clock.now_ms(),
             'reports': reports if granted else [],
         }
         return Response(200 if granted else 409, body)
