--- a/src/lycheerelay/_members.py
+++ b/src/lycheerelay/_members.py
@@ -45,6 +45,9 @@
     def leave(self) -> None:
         """Tell every peer that this node takes no more work."""
 
+    def stop(self) -> None:
+        """Fall silent."""
+
 
 @final
 class StaticMembers:
@@ -95,3 +98,6 @@
     def leave(self) -> None:
         """Remember that this node goes."""
         self.leaving = True
+
+    def stop(self) -> None:
+        """Need not fall silent."""
--- a/src/lycheerelay/_node.py
+++ b/src/lycheerelay/_node.py
@@ -111,6 +111,20 @@
         self.parts.marks.stop()
         self.stopping.set()
         self.thread.join()
+        self.members.stop()
+
+    def hand_back(self, within_ms: int) -> None:
+        """Let others take the pools over, then end the worker leases."""
+        self.members.leave()
+        until_ms = self.clock.now_ms() + within_ms
+        while self.owns_any and self.clock.now_ms() < until_ms:
+            self.stopping.wait(TICK_MS / MS_PER_SECOND)
+        self.links.hand_back()
+
+    @property
+    def owns_any(self) -> bool:
+        """Tell whether this node still owns a pool."""
+        return any(state.is_owner for state in tuple(self.shards.values()))
 
     @property
     def is_ready(self) -> bool:
--- a/src/lycheerelay/_worker_link.py
+++ b/src/lycheerelay/_worker_link.py
@@ -154,8 +154,10 @@
             return True
 
     def _pace(self) -> RenewalPace:
+        # What an unheld worker would prolong unseen, an owner might call
+        # over in the meantime.
         pace = self.guide.pace(self.settings.pool)
-        if self.guide.may_keep_tasks(self.settings.pool):
+        if self.held and self.guide.may_keep_tasks(self.settings.pool):
             return pace
         return pace._replace(task_ttl_ms=0)
 
--- /dev/null
+++ b/tests/test_worker_link.py
@@ -0,0 +1,364 @@
+"""Fence starts and renewals between holders, workers and their clocks."""
+
+import threading
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from lycheerelay._backoff import Backoff
+from lycheerelay._clock import ManualClock
+from lycheerelay._commands import StartTask
+from lycheerelay._events import LeaseHeld, LeaseLost, TasksReported, WorkerSpec
+from lycheerelay._http import CallError, HttpCaller
+from lycheerelay._jobs import AttemptKey, JobSpec, Kind, TaskState
+from lycheerelay._lease import HeldLease, LeaseGrantor
+from lycheerelay._renewal_pace import pace_for
+from lycheerelay._resources import Resources
+from lycheerelay._sender import Lane, Sender
+from lycheerelay._web import Request
+from lycheerelay._worker_client import StartReply, _lease_reply
+from lycheerelay._worker_link import LinkSettings, WorkerLink
+from lycheerelay._worker_links import CONFIRM_BOUND_MS, WorkerLinks
+from lycheerelay_standins.standins import WorkerStandIn
+
+LOST = Err(CallError('', 'ReadTimeoutError'))
+SPEC = JobSpec('a.1', 't', 'desk', Kind.BATCH, payload='{"run_ms": 900000}')
+KEY = AttemptKey('a.1', 0, 1)
+
+
+class FakeClient:
+    """Reach a stand-in worker directly; cut it off or delay its calls."""
+
+    def __init__(self, worker):
+        self.worker = worker
+        self.cut = False
+        self.delayed = None
+
+    def renew(self, request):
+        body = request._replace(wait_ms=0)._asdict()
+        call = Request('POST', '', {}, {}, body)
+        if self.cut:
+            return LOST
+        if self.delayed is not None:
+            self.delayed.append((self.worker.lease, call))
+            return LOST
+        return Ok(_lease_reply(self.worker.lease(call).body))
+
+    def start(self, term, key, spec, boot='', until_ms=0):
+        body = {**spec._asdict(), 'task_id': key.to_text(), 'term': term}
+        body.update(boot=boot, until_ms=until_ms)
+        call = Request('POST', '', {}, {}, body)
+        if self.delayed is not None:
+            self.delayed.append((self.worker.start, call))
+            return LOST
+        reply = self.worker.start(call).body
+        return Ok(StartReply(TaskState(reply['state']), reply['code']))
+
+
+class Guide:
+    may = True
+
+    def pace(self, pool):
+        return pace_for(1, 60_000)
+
+    def may_keep_tasks(self, pool):
+        return self.may
+
+
+class Rig:
+    """Join one worker and any number of holders, each with a clock."""
+
+    def __init__(self):
+        self.worker_clock = ManualClock(5_000_000)
+        capacity = Resources(16_000, 65_536, 0, 8, 64)
+        self.worker = WorkerStandIn(capacity, 'boot-1', self.worker_clock)
+        self.events = []
+
+    def holder(self, identity, term):
+        clock = ManualClock(1_000_000)
+        link = WorkerLink(
+            'w1',
+            FakeClient(self.worker),
+            LinkSettings('desk', identity),
+            Guide(),
+            clock,
+            lambda _, event: self.events.append(event),
+        )
+        link.term = term
+        link.wake.wait = lambda _: None
+        return link
+
+    def start(self, link):
+        """Send as the sender does: check the lease, then start."""
+        if not link.lease.is_valid(link.term):
+            return None
+        until_ms = link.start_until_ms()
+        return link.client.start(link.term, KEY, SPEC, until_ms=until_ms)
+
+    def pass_time(self, for_ms, *links):
+        self.worker_clock.advance(for_ms)
+        for link in links:
+            link.clock.advance(for_ms)
+
+
+def test_paused_holder_wakes_with_a_start_in_hand_and_sends_nothing():
+    rig = Rig()
+    link = rig.holder('e1@1', 1)
+    link.renew_once()
+    assert rig.start(link) is not None
+    rig.pass_time(20_000, link)
+    assert rig.start(link) is None
+
+
+def test_start_of_the_replaced_holder_is_refused():
+    rig = Rig()
+    old, new = rig.holder('e1@1', 1), rig.holder('e2@1', 2)
+    old.renew_once()
+    new.renew_once()
+    assert old.lease.is_valid(1)
+    assert rig.start(old).unwrap().state is TaskState.NOT_STARTED
+    assert rig.worker.starts == {}
+    old.renew_once()
+    assert not old.lease.is_valid(1)
+    assert isinstance(rig.events[-1], LeaseLost)
+
+
+def test_second_holder_of_one_term_is_refused():
+    rig = Rig()
+    first, second = rig.holder('e1@1', 3), rig.holder('e1@2', 3)
+    first.renew_once()
+    second.renew_once()
+    assert first.lease.is_valid(3)
+    assert not second.lease.is_valid(3)
+
+
+def test_start_that_arrives_after_the_takeover_is_refused():
+    rig = Rig()
+    old, new = rig.holder('e1@1', 1), rig.holder('e2@1', 2)
+    old.renew_once()
+    old.client.delayed = []
+    rig.start(old)
+    new.renew_once()
+    handler, call = old.client.delayed[0]
+    assert handler(call).body['state'] == 'not_started'
+    assert rig.worker.starts == {}
+
+
+def test_start_that_arrives_after_its_lease_is_refused_under_the_same_term():
+    rig = Rig()
+    link = rig.holder('e1@1', 1)
+    link.renew_once()
+    link.client.delayed = []
+    rig.start(link)
+    handler, call = link.client.delayed[0]
+    link.client.delayed = None
+    rig.pass_time(70_000, link)
+    link.renew_once()
+    assert link.lease.is_valid(1)
+    assert handler(call).body['state'] == 'not_started'
+    assert rig.worker.starts == {}
+
+
+def test_late_renewal_prolongs_tasks_only_from_when_it_was_sent():
+    rig = Rig()
+    link = rig.holder('e1@1', 1)
+    link.renew_once()
+    rig.start(link)
+    link.renew_once()
+    link.client.delayed = []
+    link.renew_once()
+    rig.pass_time(50_000, link)
+    handler, call = link.client.delayed[0]
+    handler(call)
+    rig.pass_time(11_000, link)
+    link.client.delayed = None
+    link.renew_once()
+    assert rig.events[-1].table[0].state is TaskState.LAPSED
+
+
+@pytest.mark.parametrize('unsure', ['guide', 'unheld'])
+def test_tasks_are_not_prolonged_without_the_right(unsure):
+    rig = Rig()
+    link = rig.holder('e1@1', 1)
+    link.renew_once()
+    rig.start(link)
+    link.renew_once()
+    expiry_ms = rig.worker.task_expiry_ms
+    link.guide.may = unsure != 'guide'
+    link.held = unsure != 'unheld'
+    rig.pass_time(5000, link)
+    link.renew_once()
+    assert rig.worker.task_expiry_ms == expiry_ms
+
+
+RATES = st.floats(0.99, 1.01)
+
+
+@settings(derandomize=True, deadline=None)
+@given(RATES, RATES, st.integers(3000, 300_000), st.integers(0, 400_000))
+def test_holder_stops_before_the_grantor_at_rates_off_by_a_percent(
+    holder_rate,
+    grantor_rate,
+    ttl_ms,
+    passed_ms,
+):
+    holder_clock, grantor_clock = ManualClock(), ManualClock()
+    lease = HeldLease(holder_clock, ttl_ms, 1000)
+    grantor = LeaseGrantor(grantor_clock)
+    grantor.request('e1', 1, ttl_ms)
+    lease.extend(1, 0)
+    holder_clock.advance(int(passed_ms * holder_rate))
+    grantor_clock.advance(int(passed_ms * grantor_rate))
+    assert grantor.admits(1) or not lease.is_valid(1)
+
+
+def test_link_reports_table_changes_and_loss():
+    rig = Rig()
+    link = rig.holder('e1@1', 1)
+    link.renew_once()
+    rig.start(link)
+    link.renew_once()
+    kinds = [type(event) for event in rig.events]
+    assert kinds == [LeaseHeld, TasksReported]
+    link.client.cut = True
+    link.renew_once()
+    assert len(rig.events) == 2
+    rig.pass_time(10_000, link)
+    link.renew_once()
+    assert isinstance(rig.events[-1], LeaseLost)
+    link.client.cut = False
+    link.renew_once()
+    assert [report.key for report in rig.events[-1].table] == [KEY]
+
+
+def test_reboot_is_followed_by_the_whole_table():
+    rig = Rig()
+    link = rig.holder('e1@1', 1)
+    link.renew_once()
+    rig.worker.boot = 'boot-2'
+    link.renew_once()
+    link.renew_once()
+    assert rig.events[-1] == LeaseHeld('w1', 1, 'boot-2', False, ())
+
+
+def make_links():
+    clock = ManualClock(1_000_000)
+    posted = []
+    links = WorkerLinks(
+        'e1@1',
+        HttpCaller(),
+        clock,
+        lambda pool, event: posted.append(event),
+    )
+    capacity = Resources(1000, 1000, 0, 8, 64)
+    specs = [
+        WorkerSpec(f'w{number}', 'desk', 'a', 'r', '127.0.0.1:9', capacity)
+        for number in range(3)
+    ]
+    links.take_list(specs)
+    return links, specs, clock, posted
+
+
+def test_tasks_are_kept_by_a_fresh_log_read_or_most_leases():
+    links, _, clock, _ = make_links()
+    assert not links.may_keep_tasks('desk')
+    links.log_read_ms = clock.now_ms()
+    assert links.may_keep_tasks('desk')
+    clock.advance(CONFIRM_BOUND_MS)
+    assert not links.may_keep_tasks('desk')
+    links.get('w0').renewed_ms = clock.now_ms()
+    assert not links.may_keep_tasks('desk')
+    links.get('w1').renewed_ms = clock.now_ms()
+    assert links.may_keep_tasks('desk')
+
+
+def test_unlisted_worker_leaves_no_link_or_thread_behind():
+    links, specs, _, posted = make_links()
+    links.claim('desk', 4)
+    threads = [link.thread for link in links.links.values()]
+    assert all(thread.is_alive() for thread in threads)
+    links.take_list(specs[:1])
+    assert [event.worker for event in posted] == ['w1', 'w2']
+    links.claim('desk', 4)
+    assert list(links.links) == ['w0']
+    links.stop()
+    for thread in threads:
+        thread.join(10)
+        assert not thread.is_alive()
+
+
+def test_renewals_slow_down_within_a_third_of_the_task_lease():
+    assert pace_for(9, 60_000).wait_ms == 3000
+    assert pace_for(200, 180_000).wait_ms == 56_000
+    assert pace_for(200, 60_000).wait_ms == 20_000
+    assert pace_for(200, 60_000).ttl_ms > 2 * 20_000
+
+
+class LaneClient:
+    """Answer for a live worker, time out for a dead one."""
+
+    def __init__(self, started, is_dead, clock):
+        self.started = started
+        self.is_dead = is_dead
+
+    def start(self, term, key, spec, boot='', until_ms=0):
+        if self.is_dead.is_set():
+            self.is_dead.hanging.wait(30)
+            return LOST
+        self.started.append(key)
+        return Ok(StartReply(TaskState.RUNNING, 0))
+
+
+def test_dead_workers_do_not_hold_up_the_others():
+    class Dead(threading.Event):
+        hanging = threading.Event()
+
+    clock = ManualClock(1000)
+    started, answered = [], threading.Semaphore(0)
+    links = {}
+    for number in range(20):
+        flag = Dead()
+        if number < 19:
+            flag.set()
+        link = WorkerLink(
+            f'w{number}',
+            LaneClient(started, flag, clock),
+            LinkSettings('desk', 'e1@1'),
+            Guide(),
+            clock,
+            lambda *_: None,
+        )
+        link.term = 1
+        link.lease.extend(1, clock.now_ms(), 60_000)
+        links[f'w{number}'] = link
+    sender = Sender(links.get, lambda *_: answered.release(), clock, 8)
+    for lane in range(19):
+        sender.lanes[f'w{lane}'] = lane_of(f'w{lane}')
+    for number in range(20):
+        sender.send(StartTask(f'w{number}', 1, KEY, SPEC))
+    assert answered.acquire(timeout=20)
+    assert started == [KEY]
+    Dead.hanging.set()
+    sender.stop()
+
+
+def lane_of(worker):
+    lane = Lane(worker, Backoff(worker))
+    lane.backoff.failures = 1
+    return lane
+
+
+def test_commands_without_a_lease_are_dropped_and_the_table_asked_for():
+    clock = ManualClock(1000)
+    rig = Rig()
+    link = rig.holder('e1@1', 1)
+    link.renew_once()
+    link.needs_table = False
+    link.lease.drop()
+    sender = Sender({'w1': link}.get, lambda *_: None, clock, 0)
+    sender.send(StartTask('w1', 1, KEY, SPEC))
+    sender._serve(sender._next_lane())
+    assert (sender.dropped, link.needs_table) == (1, True)
+    assert sender.lanes == {}
