--- a/src/lycheerelay/_node.py
+++ b/src/lycheerelay/_node.py
@@ -117,15 +117,12 @@
         """Let others take the pools over, then end the worker leases."""
         self.members.leave()
         until_ms = self.clock.now_ms() + within_ms
-        while self.owns_any and self.clock.now_ms() < until_ms:
+        while self.clock.now_ms() < until_ms:
+            if not any(state.is_owner for state in self.shards.values()):
+                break
             self.stopping.wait(TICK_MS / MS_PER_SECOND)
         self.links.hand_back()
 
-    @property
-    def owns_any(self) -> bool:
-        """Tell whether this node still owns a pool."""
-        return any(state.is_owner for state in tuple(self.shards.values()))
-
     @property
     def is_ready(self) -> bool:
         """Tell whether the log has been read to its end once."""
--- a/src/lycheerelay/_worker_links.py
+++ b/src/lycheerelay/_worker_links.py
@@ -45,7 +45,8 @@
         with self.lock:
             for spec in listed.values():
                 self.open(spec)
-            for name in set(self.links) - set(listed) - self.unlisted:
+            gone = set(self.links) - set(listed) - self.unlisted
+            for name in sorted(gone):
                 self.unlisted.add(name)
                 self.post_event(name, WorkerUnlisted(name))
 
