--- /dev/null
+++ b/benchmarks/membership.py
@@ -0,0 +1,298 @@
+"""Measure membership over real UDP: traffic, detection, false suspicion.
+
+Each node is a process. After a quiet phase that measures the traffic, nodes
+are killed or paused one at a time.
+"""
+
+import argparse
+import json
+import os
+import random
+import signal
+import socket
+import statistics
+import subprocess
+import sys
+import threading
+import time
+
+from lycheerelay._clock import SystemClock
+from lycheerelay._membership_service import MembershipService
+from lycheerelay._settings import NodeSettings
+
+DOMAINS = 5
+HOST = '127.0.0.1'
+SETTLE_S = 6
+PAUSE_S = 6
+REPLACE_S = 4
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--nodes', type=int, nargs='+', default=[8, 16, 40])
+    parser.add_argument('--quiet-s', type=float, default=30)
+    parser.add_argument('--faults', type=int, default=6)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--run-node', help=argparse.SUPPRESS)
+    arguments = parser.parse_args()
+    if arguments.run_node:
+        run_node(json.loads(arguments.run_node))
+        return
+    results = [measure(count, arguments) for count in arguments.nodes]
+    print(json.dumps({'seed': arguments.seed, 'sizes': results}))
+
+
+def run_node(options):
+    settings = NodeSettings(
+        options['name'],
+        options['domain'],
+        'r',
+        options['address'],
+        '',
+        '',
+        tuple(options['peers']),
+    )
+    stopped = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_: stopped.set())
+    service = MembershipService(settings, SystemClock())
+    service.publish('c', '12')
+    service.start(options['address'])
+    seen = None
+    while not stopped.wait(0.02) and os.getppid() == options['parent']:
+        alive = service.alive_in_domain()
+        if alive != seen:
+            seen = alive
+            say({'at': time.monotonic(), 'alive': alive})
+        if select_request():
+            table = service.state.table
+            say(
+                {
+                    'at': time.monotonic(),
+                    'sent_bytes': service.sent_bytes,
+                    'received_bytes': service.received_bytes,
+                    'sent': service.sent_messages,
+                    'received': service.received_messages,
+                    'cpu_s': time.clock_gettime(
+                        time.pthread_getcpuclockid(service.thread.ident),
+                    ),
+                    'suspicions': table.suspicions,
+                    'deaths': table.deaths,
+                    'others': sum(
+                        len(service.alive_in(f'd{number}'))
+                        for number in range(DOMAINS)
+                    ),
+                },
+            )
+    service.stop()
+
+
+REQUESTS = []
+
+
+def select_request():
+    if not REQUESTS:
+        REQUESTS.append(threading.Semaphore(0))
+        threading.Thread(target=read_requests, daemon=True).start()
+    return REQUESTS[0].acquire(blocking=False)
+
+
+def read_requests():
+    for _ in sys.stdin:
+        REQUESTS[0].release()
+
+
+def say(line):
+    print(json.dumps(line), flush=True)
+
+
+class Child:
+    """Run one node and follow what it says."""
+
+    def __init__(self, options):
+        self.options = options
+        self.name = options['name']
+        self.domain = options['domain']
+        self.views = []
+        self.counts = []
+        self.start()
+
+    def start(self):
+        command = [sys.executable, __file__, '--run-node']
+        self.process = subprocess.Popen(
+            [*command, json.dumps(self.options)],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        threading.Thread(
+            target=self.follow,
+            args=(self.process,),
+            daemon=True,
+        ).start()
+
+    def follow(self, process):
+        for line in process.stdout:
+            parsed = json.loads(line)
+            kept = self.views if 'alive' in parsed else self.counts
+            kept.append(parsed)
+
+    def ask(self):
+        before = len(self.counts)
+        self.process.stdin.write('\n')
+        self.process.stdin.flush()
+        until = time.monotonic() + 5
+        while len(self.counts) == before and time.monotonic() < until:
+            time.sleep(0.01)
+        return self.counts[-1]
+
+    def lost_at(self, name, after):
+        for view in tuple(self.views):
+            if view['at'] >= after and name not in view['alive']:
+                return view['at']
+        return None
+
+    def stop(self):
+        self.process.kill()
+        self.process.wait()
+
+
+def measure(count, arguments):
+    rng = random.Random(arguments.seed)
+    children = start_nodes(count)
+    try:
+        time.sleep(SETTLE_S)
+        before = [child.ask() for child in children]
+        time.sleep(arguments.quiet_s)
+        after = [child.ask() for child in children]
+        quiet = quiet_figures(before, after)
+        quiet['knows_of_others'] = min(one['others'] for one in after)
+        killed = inject(children, rng, arguments.faults, kill_and_replace)
+        paused = inject(children, rng, arguments.faults, pause_and_wake)
+    finally:
+        for child in children:
+            child.stop()
+    return {
+        'nodes': count,
+        **quiet,
+        'killed_detect_ms': spread(killed),
+        'paused_detect_ms': spread(paused),
+        'undetected': killed.count(None) + paused.count(None),
+    }
+
+
+def start_nodes(count):
+    sockets = [socket.socket(type=socket.SOCK_DGRAM) for _ in range(count)]
+    for entry in sockets:
+        entry.bind((HOST, 0))
+    nodes = [
+        (f'n{index}', f'd{index % DOMAINS}', entry.getsockname()[1])
+        for index, entry in enumerate(sockets)
+    ]
+    for entry in sockets:
+        entry.close()
+    return [
+        Child(
+            {
+                'name': name,
+                'domain': domain,
+                'address': f'{HOST}:{port}',
+                'parent': os.getpid(),
+                'peers': [
+                    f'{other}@{where}={HOST}:{there}'
+                    for other, where, there in nodes
+                    if other != name
+                ],
+            },
+        )
+        for name, domain, port in nodes
+    ]
+
+
+def quiet_figures(before, after):
+    rows = []
+    for first, last in zip(before, after, strict=True):
+        span_s = last['at'] - first['at']
+        rows.append(
+            {
+                key: (last[key] - first[key]) / span_s
+                for key in (
+                    'sent_bytes',
+                    'received_bytes',
+                    'sent',
+                    'received',
+                    'cpu_s',
+                )
+            },
+        )
+    return {
+        'sent_bytes_per_s_max': round(max(row['sent_bytes'] for row in rows)),
+        'received_bytes_per_s_max': round(
+            max(row['received_bytes'] for row in rows),
+        ),
+        'both_bytes_per_s_max': round(
+            max(row['sent_bytes'] + row['received_bytes'] for row in rows),
+        ),
+        'sent_messages_per_s_max': round(max(row['sent'] for row in rows), 1),
+        'cpu_percent_max': round(max(row['cpu_s'] for row in rows) * 100, 2),
+        'false_suspicions': sum(
+            last['suspicions'] - first['suspicions']
+            for first, last in zip(before, after, strict=True)
+        ),
+        'false_deaths': sum(
+            last['deaths'] - first['deaths']
+            for first, last in zip(before, after, strict=True)
+        ),
+    }
+
+
+def inject(children, rng, faults, fault):
+    shared = [
+        child
+        for child in children
+        if sum(child.domain == other.domain for other in children) > 1
+    ]
+    detected = []
+    for _ in range(faults):
+        victim = rng.choice(shared)
+        peers = [
+            child
+            for child in children
+            if child.domain == victim.domain and child is not victim
+        ]
+        began = fault(victim)
+        for peer in peers:
+            at = peer.lost_at(victim.name, began)
+            detected.append(at and round((at - began) * 1000))
+        time.sleep(REPLACE_S)
+    return detected
+
+
+def kill_and_replace(victim):
+    began = time.monotonic()
+    victim.stop()
+    time.sleep(PAUSE_S)
+    victim.start()
+    return began
+
+
+def pause_and_wake(victim):
+    began = time.monotonic()
+    victim.process.send_signal(signal.SIGSTOP)
+    time.sleep(PAUSE_S)
+    victim.process.send_signal(signal.SIGCONT)
+    return began
+
+
+def spread(detected):
+    found = sorted(entry for entry in detected if entry is not None)
+    if not found:
+        return {}
+    return {
+        'count': len(found),
+        'p50': statistics.median(found),
+        'max': found[-1],
+    }
+
+
+if __name__ == '__main__':
+    main()
