--- a/src/lycheerelay_standins/_worker.py
+++ b/src/lycheerelay_standins/_worker.py
@@ -1,218 +1,254 @@
 """Stand in for one of the platform's workers."""
 
-import json
-import threading
-from dataclasses import dataclass
-from typing import final
+from typing import Final, final
 
 from lycheerelay._clock import Clock
 from lycheerelay._codec import Json
 from lycheerelay._codes import Code
-from lycheerelay._jobs import LIVE_TASK_STATES, TaskState
+from lycheerelay._jobs import TaskState
 from lycheerelay._lease import LeaseGrantor
 from lycheerelay._resources import Resources
 from lycheerelay._web import Request, Response, Route, route
 
-POLL_S = 0.005
+from ._faults import SwitchBoard
+from ._ledger import StartLedger
+from ._table import TaskTable
+from ._tasks import (
+    HTTP_CONFLICT,
+    TaskEntry,
+    answer,
+    read_task,
+    refusal,
+    unknown,
+)
 
-
-@dataclass(slots=True)
-class TaskEntry:
-    """Track one task."""
-
-    task_id: str
-    demand: Resources
-    state: TaskState
-    seq: int
-    ends_ms: int = 0
-    code: int = 0
-    answer: str = ''
+USAGE_LAG_MS: Final = 1000
+FAILED_EXIT: Final = 70
 
 
 @final
 class WorkerStandIn:
-    """Run pretended tasks that end after the time in their payload."""
-
-    def __init__(self, capacity: Resources, boot: str, clock: Clock) -> None:
-        """Start with an empty task table."""
+    """Run pretended tasks that end after the time in their payload.
+
+    Every request first ends what is done or lapsed by the clock, so that a
+    worker that was paused grants and reports nothing that is over.
+    """
+
+    def __init__(
+        self,
+        capacity: Resources,
+        boot: str,
+        clock: Clock,
+        name: str = 'worker',
+        ledger: StartLedger | None = None,
+        checkpoints: dict[str, int] | None = None,
+    ) -> None:
+        """Start empty; ledger and checkpoints may be shared by workers."""
         self.capacity = capacity
         self.boot = boot
+        self.boots = 1
         self.clock = clock
+        self.name = name
+        self.ledger = ledger or StartLedger()
+        self.checkpoints = {} if checkpoints is None else checkpoints
         self.grantor = LeaseGrantor(clock)
-        self.tasks: dict[str, TaskEntry] = {}
-        self.seq = 1
-        self.task_expiry_ms = 0
+        self.table = TaskTable(clock, self.ledger)
+        self.changed = self.table.changed
         self.leaving = False
-        self.starts: dict[str, int] = {}
+        self.fail_all = False
+        self.usage_lag_ms = USAGE_LAG_MS
         self.overbooked = 0
-        self.changed = threading.Condition()
+        self.polls = 0
+        self.board = SwitchBoard(
+            clock,
+            {
+                'reboot': lambda _: self.reboot(),
+                'leaving': self.leave,
+                'fail_all': lambda fails: setattr(self, 'fail_all', fails),
+                'usage_lag_ms': self.set_usage_lag,
+            },
+        )
+
+    @property
+    def starts(self) -> dict[str, int]:
+        """Return how often each attempt was started."""
+        return self.ledger.starts
+
+    @property
+    def tasks(self) -> dict[str, TaskEntry]:
+        """Return the tasks that are not forgotten."""
+        return self.table.tasks
+
+    @property
+    def task_expiry_ms(self) -> int:
+        """Return when every task lapses unless a renewal comes."""
+        return self.table.expiry_ms
 
     def routes(self) -> tuple[Route, ...]:
         """Return the routes of the worker's protocol."""
-        return (
-            route('POST', '/v1/lease', self.lease),
-            route('POST', '/v1/tasks', self.start),
-            route('POST', '/v1/stop', self.stop),
-            route('POST', '/v1/forget', self.forget),
+        return self.board.wrap(
+            (
+                route('POST', '/v1/lease', self.lease),
+                route('POST', '/v1/tasks', self.start),
+                route('POST', '/v1/stop', self.stop),
+                route('POST', '/v1/throttle', self.throttle),
+                route('POST', '/v1/forget', self.forget),
+                route('GET', '/ledger', self.show_ledger),
+            ),
         )
 
     def lease(self, request: Request) -> Response:
         """Grant or renew the placement lease and report changes."""
         body = request.body
+        term: int = body['term']
         with self.changed:
-            self._advance()
-            grant = self.grantor.request(
+            self.table.advance()
+            self.polls += 1
+            granted = self.grantor.request(
                 body['holder'],
-                body['term'],
+                term,
                 body['ttl_ms'],
-            )
-            if grant.granted:
-                now_ms = self.clock.now_ms()
+            ).granted
+            if granted:
                 self._prolong(body)
-                self._await_change(body['since'], now_ms + body['wait_ms'])
-            return self._lease_response(grant.granted, body['since'])
+                until_ms = self.clock.now_ms() + body['wait_ms']
+                self.table.await_change(body['since'], until_ms)
+                granted = self.grantor.term == term
+            return self._lease_response(granted, body['since'])
 
     def start(self, request: Request) -> Response:
         """Create a task under its id, once."""
         body = request.body
         with self.changed:
-            self._advance()
-            known = self.tasks.get(body['task_id'])
+            self.table.advance()
+            known = self.table.find(body['task_id'])
             if known is not None:
-                return _answer(known.state, known.code)
+                return answer(known.state, known.code, self.boot)
             if not self.grantor.admits(body['term']):
-                return _answer(TaskState.NOT_STARTED, Code.STALE_TERM, 409)
-            if self.leaving or self._is_late(body):
-                return _answer(TaskState.NOT_STARTED, Code.WORKER_REFUSED, 409)
-            return self._create(body)
+                return refusal(Code.STALE_TERM, self.boot)
+            if self.leaving or self._is_other_boot(body) or self._is_late(body):
+                return refusal(Code.WORKER_REFUSED, self.boot)
+            self._create(body)
+        return answer(TaskState.RUNNING, Code.OK, self.boot)
 
     def stop(self, request: Request) -> Response:
         """Stop a task; an unknown id is void from now on."""
         body = request.body
         with self.changed:
-            self._advance()
+            self.table.advance()
             if not self.grantor.admits(body['term']):
-                return _answer(TaskState.UNKNOWN, Code.STALE_TERM, 409)
-            task = self.tasks.get(body['task_id'])
+                return unknown(Code.STALE_TERM, self.boot)
+            if self._is_other_boot(body):
+                return unknown(Code.WORKER_REFUSED, self.boot)
+            task = self.table.find(body['task_id'])
             if task is None:
-                task = self._add(body['task_id'], Resources())
-                self._end(task, TaskState.NOT_STARTED)
-            elif task.state in LIVE_TASK_STATES:
-                checkpoint = body['checkpoint']
-                self._end(
-                    task,
-                    TaskState.CHECKPOINTED if checkpoint else TaskState.STOPPED,
-                )
-            return _answer(task.state, task.code)
+                task = self.table.add_void(body['task_id'])
+            elif task.is_live:
+                self._halt(task, checkpoint=body['checkpoint'])
+            return answer(task.state, task.code, self.boot)
+
+    def throttle(self, request: Request) -> Response:
+        """Change the speed of a task in percent of its full one."""
+        body = request.body
+        with self.changed:
+            self.table.advance()
+            if not self.grantor.admits(body['term']):
+                return unknown(Code.STALE_TERM, self.boot)
+            task = self.table.find(body['task_id'])
+            if task is None:
+                return unknown(Code.NOT_FOUND, self.boot)
+            if task.is_live:
+                task.throttle(body['percent'], self.clock.now_ms())
+                self.table.show_usage(task)
+                self.changed.notify_all()
+            return answer(task.state, task.code, self.boot)
 
     def forget(self, request: Request) -> Response:
-        """Drop an ended task."""
+        """Drop an ended task; its id stays taken for late repeats."""
+        with self.changed:
+            self.table.advance()
+            self.table.forget(request.body['task_id'])
+        return answer(TaskState.DONE, Code.OK, self.boot)
+
+    def show_ledger(self, request: Request) -> Response:
+        """Show every start that was ever taken."""
+        return Response(200, self.ledger.shown())
+
+    def reboot(self) -> None:
+        """Lose every task and lease and come back under another boot id."""
         with self.changed:
-            task = self.tasks.get(request.body['task_id'])
-            if task is not None and task.state not in LIVE_TASK_STATES:
-                self.tasks.pop(task.task_id)
-        return _answer(TaskState.DONE, Code.OK)
+            self.boots += 1
+            self.boot = f'{self.boot.partition("+")[0]}+{self.boots}'
+            self.grantor = LeaseGrantor(self.clock)
+            self.table.clear()
+
+    def leave(self, leaving: bool) -> None:
+        """Refuse starts from now on, and say so."""
+        with self.changed:
+            self.leaving = leaving
+            self.table.bump()
+
+    def set_usage_lag(self, usage_lag_ms: int) -> None:
+        """Report usage this long after a start."""
+        self.usage_lag_ms = usage_lag_ms
 
     def _prolong(self, body: Json) -> None:
-        as_of_ms = body.get('as_of_ms', 0)
+        """Let tasks live on, counted from the time that the holder names."""
+        as_of_ms = body.get('as_of_ms', self.clock.now_ms())
         if as_of_ms:
             until_ms = as_of_ms + body['task_ttl_ms']
-            self.task_expiry_ms = max(self.task_expiry_ms, until_ms)
+            self.table.expiry_ms = max(self.table.expiry_ms, until_ms)
+
+    def _is_other_boot(self, body: Json) -> bool:
+        return (body.get('boot') or self.boot) != self.boot
 
     def _is_late(self, body: Json) -> bool:
-        until_ms: int = body.get('until_ms', 0)
-        return 0 < until_ms < self.clock.now_ms()
-
-    def _create(self, body: Json) -> Response:
-        demand = Resources(
-            body['cores_milli'],
-            body['memory_mb'],
-            body['accelerators'],
-            1,
-            body['connections'],
+        now_ms = self.clock.now_ms()
+        return bool((body.get('until_ms') or now_ms) < now_ms)
+
+    def _create(self, body: Json) -> None:
+        now_ms = self.clock.now_ms()
+        self.table.seq += 1
+        task = read_task(body, self.table.seq, now_ms)
+        task.done_ms = self.checkpoints.get(task.task, 0)
+        task.usage_due_ms = now_ms + self.usage_lag_ms
+        if self.fail_all:
+            task.code = FAILED_EXIT
+            task.work_ms = 0
+        self.tasks[task.task_id] = task
+        self.ledger.add(
+            task.task_id,
+            self.name,
+            now_ms,
+            lambda: self.table.is_live_now(task),
         )
-        task = self._add(body['task_id'], demand)
-        work = _read_payload(body['payload'])
-        task.ends_ms = self.clock.now_ms() + int(work.get('run_ms', 100))
-        task.code = int(work.get('exit_code', 0))
-        task.answer = str(work.get('answer', ''))
-        self.starts[task.task_id] = self.starts.get(task.task_id, 0) + 1
-        if not self._used().fits_in(self.capacity):
+        if not self.table.used().fits_in(self.capacity):
             self.overbooked += 1
-        return _answer(TaskState.RUNNING, Code.OK)
-
-    def _add(self, task_id: str, demand: Resources) -> TaskEntry:
-        self.seq += 1
-        task = TaskEntry(task_id, demand, TaskState.RUNNING, self.seq)
-        self.tasks[task_id] = task
-        return task
-
-    def _end(self, task: TaskEntry, state: TaskState) -> None:
-        self.seq += 1
-        task.seq = self.seq
-        task.state = state
+            self.ledger.overbook(self.name)
         self.changed.notify_all()
 
-    def _used(self) -> Resources:
-        used = Resources()
-        for task in self.tasks.values():
-            if task.state in LIVE_TASK_STATES:
-                used = used.plus(task.demand)
-        return used
-
-    def _advance(self) -> None:
-        now_ms = self.clock.now_ms()
-        for task in self.tasks.values():
-            if task.state in LIVE_TASK_STATES:
-                self._advance_task(task, now_ms)
-
-    def _advance_task(self, task: TaskEntry, now_ms: int) -> None:
-        if task.ends_ms <= min(now_ms, self.task_expiry_ms):
-            failed = task.code != 0
-            self._end(task, TaskState.FAILED if failed else TaskState.DONE)
-        elif now_ms > self.task_expiry_ms:
-            self._end(task, TaskState.LAPSED)
-
-    def _await_change(self, since: int, until_ms: int) -> None:
-        while self.seq <= since and self.clock.now_ms() < until_ms:
-            self.changed.wait(POLL_S)
-            self._advance()
+    def _halt(self, task: TaskEntry, checkpoint: bool) -> None:
+        task.progress(self.clock.now_ms())
+        if checkpoint:
+            self.checkpoints[task.task] = task.done_ms
+            self.table.end(task, TaskState.CHECKPOINTED)
+        else:
+            self.table.end(task, TaskState.STOPPED)
 
     def _lease_response(self, granted: bool, since: int) -> Response:
         reports = [
-            _report(task) for task in self.tasks.values() if task.seq > since
+            task.report()
+            for task in self.tasks.values()
+            if granted and task.seq > since
         ]
         body = {
             'granted': granted,
             'term': self.grantor.term,
             'holder': self.grantor.holder,
             'boot': self.boot,
-            'seq': self.seq,
+            'seq': self.table.seq,
             'leaving': self.leaving,
             'now_ms': self.clock.now_ms(),
-            'reports': reports if granted else [],
+            'reports': reports,
         }
-        return Response(200 if granted else 409, body)
-
-
-def _answer(state: TaskState, code: int, status: int = 200) -> Response:
-    return Response(status, {'state': state.value, 'code': int(code)})
-
-
-def _report(task: TaskEntry) -> Json:
-    return {
-        'task_id': task.task_id,
-        'state': task.state.value,
-        'code': task.code,
-        'answer': task.answer,
-        'used_cores_milli': task.demand.cores_milli,
-        'used_memory_mb': task.demand.memory_mb,
-    }
-
-
-def _read_payload(text: str) -> dict[str, Json]:
-    try:
-        work = json.loads(text)
-    except ValueError:
-        return {}
-    return work if isinstance(work, dict) else {}
+        return Response(200 if granted else HTTP_CONFLICT, body)
--- a/tests/test_worker_link.py
+++ b/tests/test_worker_link.py
@@ -185,12 +185,12 @@
     link.renew_once()
     rig.start(link)
     link.renew_once()
-    expiry_ms = rig.worker.task_expiry_ms
+    expiry_ms = rig.worker.table.expiry_ms
     link.guide.may = unsure != 'guide'
     link.held = unsure != 'unheld'
     rig.pass_time(5000, link)
     link.renew_once()
-    assert rig.worker.task_expiry_ms == expiry_ms
+    assert rig.worker.table.expiry_ms == expiry_ms
 
 
 RATES = st.floats(0.99, 1.01)
