--- a/src/lycheerelay/_worker_links.py
+++ b/src/lycheerelay/_worker_links.py
@@ -102,7 +102,8 @@
         renewed within the bound; else another node may own the pool and
         wait for these tasks to lapse.
         """
-        after_ms = self.clock.now_ms() - CONFIRM_BOUND_MS
+        bound_ms = min(CONFIRM_BOUND_MS, self.task_ttl_ms // 2)
+        after_ms = self.clock.now_ms() - bound_ms
         if self.log_read_ms > after_ms:
             return True
         return self.holds_most(pool, after_ms)
