--- a/src/lycheerelay/_cli.py
+++ b/src/lycheerelay/_cli.py
@@ -18,7 +18,7 @@
 from ._clock import SystemClock
 from ._codes import CODES
 from ._journal_api import JournalApi
-from ._members import StaticMembers
+from ._membership_service import MembershipService
 from ._node import Node
 from ._policy import Policy
 from ._settings import NodeSettings, load_settings
@@ -103,13 +103,9 @@
 
     Unless it needs a published configuration, it is ready with defaults.
     """
-    node = Node(
-        settings,
-        SystemClock(),
-        Policy(),
-        StaticMembers(settings),
-        needs_config,
-    )
+    clock = SystemClock()
+    members = MembershipService(settings, clock)
+    node = Node(settings, clock, Policy(), members, needs_config)
     host, port = settings.host_and_port
     server = WebServer(
         host,
@@ -121,6 +117,7 @@
         ),
         settings.http_threads,
     )
+    members.start(server.address)
     node.start()
     server.start()
     return node, server
--- a/src/lycheerelay/_journal.py
+++ b/src/lycheerelay/_journal.py
@@ -97,6 +97,7 @@
         self.lock = threading.RLock()
         self.holding = Holding(self, holders)
         self.wake = threading.Condition()
+        self.note_read: Callable[[int], None] = _ignore
         self.stopping = False
         self.kicked = threading.Event()
         self.threads = (
@@ -245,6 +246,7 @@
     def read_to_end(self) -> None:
         """Deliver what the log holds beyond what was read."""
         while not self.stopping:
+            begun_ms = self.clock.now_ms()
             page = self.log.read(self.settings.stream, self.next_offset)
             self.health.note(not isinstance(page, Err))
             if isinstance(page, Err):
@@ -253,6 +255,7 @@
             if self.next_offset >= page.ok_value.end:
                 self.caught_up = True
                 self.health.note_end()
+                self.note_read(begun_ms)
                 return
 
     def _take_page(self, page: LogPage) -> None:
@@ -270,3 +273,7 @@
             for batch in batches.ok_value:
                 self.apply(batch, batch.held)
                 self.outbox.confirm(batch)
+
+
+def _ignore(begun_ms: int) -> None:
+    """Take no note of a read."""
--- a/src/lycheerelay/_node.py
+++ b/src/lycheerelay/_node.py
@@ -1,11 +1,9 @@
 """Join the decision core, the journal and the workers in one process."""
 
 import contextlib
-import queue
 import threading
 from collections.abc import Callable
-from concurrent.futures import Future
-from typing import Final, NamedTuple, TypeVar, final
+from typing import Final, TypeVar, final
 
 from ._clock import MS_PER_SECOND, Clock
 from ._compaction import Compaction, MarkStream
@@ -16,6 +14,7 @@
     Configured,
     Event,
     KeepingChanged,
+    OwnershipConfirmed,
     Recorded,
     RestateAsked,
     SubmitRequested,
@@ -26,6 +25,7 @@
 from ._failover_log import FailoverLog
 from ._hold_client import HoldClient
 from ._http import HttpCaller
+from ._inbox import Entry, Inbox, Posted, ReadMark
 from ._jobs import JobSpec
 from ._journal import Journal, JournalSettings
 from ._log_client import LogClient
@@ -45,25 +45,10 @@
 from ._worker_links import WorkerLinks
 
 TICK_MS: Final = 20
-MAX_BURST: Final = 500
 
 T = TypeVar('T')
 
 
-class Posted(NamedTuple):
-    """Address an event to one pool."""
-
-    pool: str
-    event: Event
-
-
-class Inspection(NamedTuple):
-    """Run a reading of the state on the core's thread."""
-
-    read: Callable[[], object]
-    future: 'Future[object]'
-
-
 @final
 class Node:
     """Run one entry VM."""
@@ -84,14 +69,21 @@
         self.members = members
         self.caller = HttpCaller()
         self.log = LogClient(self.caller, settings.log_address)
-        self.inbox: queue.Queue[Posted | Inspection] = queue.Queue()
+        self.inbox = Inbox()
         self.shards: dict[str, ShardState] = {}
         self.stopping = threading.Event()
         self.compaction = Compaction(clock, settings.restate_ms)
-        self.links = WorkerLinks(settings.name, self.caller, clock, self.post)
+        self.links = WorkerLinks(
+            members.identity,
+            self.caller,
+            clock,
+            self.post,
+        )
         self.parts = self._build_parts()
+        self.parts.journal.note_read = lambda begun_ms: self.inbox.put(
+            ReadMark(begun_ms),
+        )
         self.ownership = Ownership(
-            settings.name,
             members,
             clock,
             self.parts.journal.append,
@@ -142,6 +134,7 @@
         self.parts.marks.stop()
         self.stopping.set()
         self.thread.join()
+        self.members.stop()
 
     @property
     def is_ready(self) -> bool:
@@ -178,9 +171,7 @@
 
     def inspect(self, read: Callable[[], T]) -> T:
         """Read the state between two events."""
-        future: Future[object] = Future()
-        self.inbox.put(Inspection(read, future))
-        return future.result()  # type: ignore[return-value]
+        return self.inbox.inspect(read)
 
     def find_job(self, job_id: str) -> tuple[ShardState, JobBook] | None:
         """Find a job among the pools; call it through `inspect`."""
@@ -209,15 +200,16 @@
         self.post(record.pool, Recorded(record, held))
 
     def take_vm_list(self, listed: VmList) -> None:
-        """Open links to listed workers and tell their pools."""
+        """Follow the listed VMs and tell the pools of their workers."""
+        self.members.take_list(listed.entries)
+        self.links.take_list(listed.workers)
         for spec in listed.workers:
-            self.links.open(spec)
             self.post(spec.pool, WorkerListed(spec))
 
     def run(self) -> None:
         """Step the core until stopped."""
         while not self.stopping.is_set():
-            for entry in self._next_entries():
+            for entry in self.inbox.take(TICK_MS):
                 self._take(entry)
             for state in tuple(self.shards.values()):
                 self._follow_keeping(state)
@@ -243,26 +235,16 @@
             self.take_record,
             marks.load,
         )
-        sender = Sender(self.links.get, self.links.post_event)
+        sender = Sender(self.links.get, self.links.post_event, self.clock)
         return NodeParts(journal, sender, Replies(), Watchers(), marks)
 
-    def _next_entries(self) -> list[Posted | Inspection]:
-        try:
-            entries = [self.inbox.get(timeout=TICK_MS / MS_PER_SECOND)]
-        except queue.Empty:
-            return []
-        while len(entries) < MAX_BURST and not self.inbox.empty():
-            entries.append(self.inbox.get_nowait())
-        return entries
-
-    def _take(self, entry: Posted | Inspection) -> None:
+    def _take(self, entry: Entry) -> None:
         if isinstance(entry, Posted):
             self._step(self._shard(entry.pool), entry.event)
-            return
-        try:
-            entry.future.set_result(entry.read())
-        except Exception as error:
-            entry.future.set_exception(error)
+        elif isinstance(entry, ReadMark):
+            self._confirm(entry.begun_ms)
+        else:
+            entry.run()
 
     def _shard(self, pool: str) -> ShardState:
         state = self.shards.get(pool)
@@ -270,7 +252,7 @@
             state = ShardState(
                 self.settings.domain,
                 pool,
-                self.settings.name,
+                self.members.identity,
                 self.policy,
             )
             self.shards[pool] = state
@@ -285,6 +267,7 @@
         if policy.version <= self.policy.version:
             return
         self.policy = policy
+        self.links.task_ttl_ms = policy.limits.task_ttl_ms
         for state in tuple(self.shards.values()):
             self._step(state, Configured(policy))
 
@@ -296,6 +279,13 @@
             offset = self.parts.journal.next_offset
             self._step(state, RestateAsked(offset))
 
+    def _confirm(self, begun_ms: int) -> None:
+        # Behind the records of the read, so that a newer term is known.
+        self.links.log_read_ms = begun_ms
+        for state in tuple(self.shards.values()):
+            if state.is_owner:
+                self._step(state, OwnershipConfirmed(state.term, begun_ms))
+
     def _follow_keeping(self, state: ShardState) -> None:
         possible = self.parts.journal.can_keep
         if possible != state.can_keep:
--- a/src/lycheerelay/_worker_client.py
+++ b/src/lycheerelay/_worker_client.py
@@ -20,7 +20,8 @@
     """Ask for the placement lease of a worker, or renew it.
 
     The call returns at once when something changed after `since`, else
-    after `wait_ms`.
+    after `wait_ms`. Tasks live on until `as_of_ms + task_ttl_ms` by the
+    worker's clock; without `as_of_ms` none is prolonged.
     """
 
     pool: str
@@ -30,6 +31,7 @@
     task_ttl_ms: int
     since: int
     wait_ms: int
+    as_of_ms: int = 0
 
 
 class LeaseReply(NamedTuple):
@@ -42,6 +44,7 @@
     seq: int
     leaving: bool
     reports: tuple[TaskReport, ...]
+    now_ms: int = 0
 
 
 class StartReply(NamedTuple):
@@ -79,8 +82,12 @@
         key: AttemptKey,
         spec: JobSpec,
         boot: str = '',
+        until_ms: int = 0,
     ) -> Result[StartReply, CallError]:
-        """Create a task under its attempt id; repeating is harmless."""
+        """Create a task under its attempt id; repeating is harmless.
+
+        The worker refuses it after `until_ms` by its own clock, if given.
+        """
         body = {
             'task_id': key.to_text(),
             'term': term,
@@ -90,6 +97,7 @@
             'connections': spec.connections,
             'payload': spec.payload,
             'boot': boot,
+            'until_ms': until_ms,
         }
         return self._task_call('tasks', body)
 
@@ -165,6 +173,7 @@
         body['seq'],
         body['leaving'],
         tuple(report for report in reports if report is not None),
+        body.get('now_ms', 0),
     )
 
 
