--- a/src/lycheerelay/_routing.py
+++ b/src/lycheerelay/_routing.py
@@ -1,6 +1,7 @@
 """Pass requests on to the entry VM that should answer them."""
 
 import random
+import threading
 from collections.abc import Iterable, Sequence
 from typing import Final, NamedTuple, Protocol, final
 
@@ -11,7 +12,7 @@
 from ._http import CallError, Reply
 from ._jobs import domain_of
 from ._members import Members
-from ._retry_budget import RetryBudget
+from ._retry import RetryBudget
 from ._web import Request, Response, refused
 
 SUBMIT_TIMEOUT_MS: Final = 3000
@@ -91,6 +92,7 @@
         self.clock = clock
         self.random = random.Random(settings.seed)
         self.budget = RetryBudget()
+        self.lock = threading.Lock()
 
     def submit(
         self,
@@ -156,7 +158,7 @@
         if address is None or not self._may_hop(request):
             return None
         short = request._replace(query={**request.query, 'wait_ms': '0'})
-        self.budget.count_first()
+        self._count_first()
         reply = self._call(short, address, READ_TIMEOUT_MS)
         if isinstance(reply, Err) or reply.ok_value.status >= 500:
             return None
@@ -172,7 +174,7 @@
         limit_ms = self.time_left(request, ROUTE_TIMEOUT_MS) + wait_ms
         until_ms = self.clock.now_ms() + limit_ms
         reason = 'no entry VM is known'
-        self.budget.count_first()
+        self._count_first()
         for position, address in enumerate(addresses):
             left_ms = until_ms - self.clock.now_ms()
             if position and not self._may_repeat(left_ms):
@@ -185,7 +187,14 @@
         return _no_owner(f'{where}: {reason}')
 
     def _may_repeat(self, left_ms: int) -> bool:
-        return left_ms >= MIN_TRY_MS and self.budget.may_retry()
+        if left_ms < MIN_TRY_MS:
+            return False
+        with self.lock:
+            return self.budget.may_rerun(self.clock.now_ms())
+
+    def _count_first(self) -> None:
+        with self.lock:
+            self.budget.count_first()
 
     def _call(
         self,
