Show metrics and structured log lines; hand pools back at shutdown

Counters of the core are kept by its own thread and read at a scrape, so a scrape costs the core one short read. Log lines are key=value or JSON by setting. SIGTERM now hands pools and worker leases to a peer before it waits for requests in flight. Processes tell their configuration version in the heartbeats, and a starting one asks peers of other domains too.

--- a/src/lycheerelay/_cli.py
+++ b/src/lycheerelay/_cli.py
@@ -3,7 +3,6 @@
 import argparse
 import logging
 import signal
-import sys
 import threading
 from collections.abc import Sequence
 from pathlib import Path
@@ -19,7 +18,9 @@
 from ._codes import CODES, Code
 from ._dump import DumpApi
 from ._journal_api import JournalApi
+from ._logging import LogFormat, set_up_logging
 from ._membership_service import MembershipService
+from ._metrics import Metrics
 from ._node import Node
 from ._policy import Policy
 from ._settings import NodeSettings, load_settings
@@ -33,7 +34,7 @@
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the command line and return the exit status."""
     arguments = build_parser().parse_args(argv)
-    logging.basicConfig(level=logging.INFO, stream=sys.stderr)
+    set_up_logging(LogFormat.KEY_VALUE, logging.WARNING)
     return int(arguments.run(arguments))
 
 
@@ -75,6 +76,7 @@
     if isinstance(loaded, Err):
         return report_errors(loaded.err_value, Code.BAD_SETTING)
     settings = loaded.ok_value
+    set_up_logging(settings.log_format)
     stopped = stop_on_signals()
     node, server = start_node(settings, needs_config=True)
     print(f'listening on {server.address}', flush=True)
@@ -106,6 +108,7 @@
     clock = SystemClock()
     members = MembershipService(settings, clock)
     node = Node(settings, clock, Policy(), members, needs_config)
+    metrics = Metrics(node)
     host, port = settings.host_and_port
     server = WebServer(
         host,
@@ -114,10 +117,12 @@
             *Api(node).routes(),
             *ConfigApi(node).routes(),
             *DumpApi(node).routes(),
+            *metrics.routes(),
             *JournalApi(node.parts.journal, node.log).routes(),
         ),
         settings.http_threads,
     )
+    metrics.server = server
     members.start(server.address)
     node.start()
     server.start()
--- a/src/lycheerelay/_config_follow.py
+++ b/src/lycheerelay/_config_follow.py
@@ -23,9 +23,12 @@
     encode_entry,
     snapshot_of,
 )
+from ._web import is_whole
 
 LOGGER: Final = logging.getLogger(__name__)
 PEER_TIMEOUT_MS: Final = 1000
+HINTS_PER_POLL: Final = 5
+MEMBER_KEY: Final = 'config'
 
 
 class FollowSettings(NamedTuple):
@@ -88,9 +91,20 @@
         """Poll until stopped."""
         while not self.stopping:
             self.poll()
-            self.wake.wait(self.settings.poll_ms / MS_PER_SECOND)
+            for _ in range(HINTS_PER_POLL):
+                self._take_hints()
+                if self.wake.is_set():
+                    break
+                slice_ms = self.settings.poll_ms // HINTS_PER_POLL
+                self.wake.wait(slice_ms / MS_PER_SECOND)
             self.wake.clear()
 
+    def _take_hints(self) -> None:
+        for shown in tuple(self.members.seen_values().values()):
+            text = shown.get(MEMBER_KEY, '')
+            if is_whole(text):
+                self.hint(int(text))
+
     def poll(self) -> None:
         """Read the stream once, or a peer while that gives no answer."""
         reading = read_to_end(self.log, self.config)
@@ -125,7 +139,9 @@
         return age_ms > self.settings.restate_ms
 
     def _ask_peers(self) -> None:
-        for name in self.members.alive_in_domain():
+        # Peers of other domains are known by what they publish.
+        seen = (name.partition('@')[0] for name in self.members.seen_values())
+        for name in dict.fromkeys((*self.members.alive_in_domain(), *seen)):
             address = self.members.address_of(name)
             if name == self.settings.name or address is None:
                 continue
@@ -169,6 +185,7 @@
                 },
             )
             return
+        self.members.publish(MEMBER_KEY, str(config.version))
         LOGGER.info(
             'configuration is in force',
             extra={'version': config.version},
--- a/src/lycheerelay/_node.py
+++ b/src/lycheerelay/_node.py
@@ -31,6 +31,7 @@
 from ._log_client import LogClient
 from ._mark_keeper import MarkKeeper
 from ._members import Members
+from ._metrics_core import CoreCounters, observe
 from ._node_parts import NodeParts
 from ._ownership import Ownership
 from ._policy import Policy
@@ -64,6 +65,7 @@
         """Wire the parts; start none of them."""
         self.needs_config = needs_config
         self.draining = False
+        self.counters = CoreCounters()
         self.settings = settings
         self.clock = clock
         self.policy = policy
@@ -261,6 +263,7 @@
 
     def _step(self, state: ShardState, event: Event) -> None:
         _, commands = step(state, event, self.clock.now_ms())
+        observe(self.counters, state, event, commands)
         for command in commands:
             EXECUTORS[type(command)](self.parts, command)
 
--- a/src/lycheerelay/_settings.py
+++ b/src/lycheerelay/_settings.py
@@ -9,6 +9,7 @@
 
 from result import Err, Ok, Result
 
+from ._logging import LogFormat
 from ._options import (
     OptionError,
     OptionErrors,
@@ -49,7 +50,9 @@
     http_threads: int = 48
     config_poll_ms: int = 1000
     drain_notice_ms: int = 1000
+    hand_back_ms: int = 3000
     shutdown_ms: int = 10_000
+    log_format: LogFormat = LogFormat.KEY_VALUE
 
     @property
     def entry_names(self) -> tuple[str, ...]:
--- a/src/lycheerelay/_shutdown.py
+++ b/src/lycheerelay/_shutdown.py
@@ -5,6 +5,7 @@
 from typing import Final, NamedTuple
 
 from ._clock import MS_PER_SECOND
+from ._hand_back import hand_back
 from ._node import Node
 from ._web import WebServer
 
@@ -29,6 +30,7 @@
     node.draining = True
     LOGGER.info('shutting down', extra={'in_flight': server.in_flight})
     time.sleep(settings.drain_notice_ms / MS_PER_SECOND)
+    hand_back(node, settings.hand_back_ms if has_peers(node) else 0)
     node.parts.watchers.wake_all()
     answered = server.drain(settings.shutdown_ms)
     server.stop()
@@ -36,3 +38,9 @@
     took_ms = node.clock.now_ms() - started_ms
     LOGGER.info('stopped', extra={'answered': answered, 'took_ms': took_ms})
     return Farewell(answered, took_ms)
+
+
+def has_peers(node: Node) -> bool:
+    """Tell whether another entry VM of the domain can take the pools."""
+    names = node.members.alive_in_domain()
+    return any(name != node.settings.name for name in names)
--- a/src/lycheerelay/_web.py
+++ b/src/lycheerelay/_web.py
@@ -243,6 +243,9 @@
 def _guarded(handler: Handler, request: Request) -> Response:
     try:
         return handler(request)
+    except ConnectionError:
+        # A handler ends the connection without an answer by raising this.
+        raise
     except Exception:
         # A defect must not leave a caller without a numbered answer.
         LOGGER.exception('handler failed', extra={'path': request.path})
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from lycheerelay._retry import BURST_TOKENS
 from lycheerelay._web import Response, WebServer, route
 from lycheerelay.client import Client, ClientSettings, Code, JobSpec, Kind
 from lycheerelay.clock import ManualClock
@@ -100,7 +101,7 @@
     down = entries(refusal(503, 302, 10))
     client, naps = client_of(down.server.address)
     assert client.submit(SPEC).unwrap_err().code is Code.NOT_KEPT
-    assert len(naps) == client.budget.burst
+    assert len(naps) == BURST_TOKENS
     hurried, naps = client_of(down.server.address, patience_ms=25)
     assert hurried.submit(SPEC).unwrap_err().code is Code.NOT_KEPT
     assert naps == [10, 10]
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,62 @@
+"""Show counters and log lines."""
+
+import io
+import json
+import logging
+
+from cell_parts import start_cell, wait_until
+from lycheerelay._logging import LogFormat, set_up_logging
+
+
+def amounts(text):
+    lines = (line for line in text.splitlines() if not line.startswith('#'))
+    pairs = (line.rsplit(' ', 1) for line in lines if line)
+    return {name: float(amount) for name, amount in pairs}
+
+
+def test_metrics_follow_a_job():
+    with start_cell() as cell:
+        server = cell.add_node()[1]
+        cell.submit_ready(server, 'a.one', 10, tasks=2, urgent=True)
+        cell.call(server, 'GET', '/v1/jobs/a.one?wait_ms=9000')
+        cell.submit(server, 'a.one', tasks=3)
+        cell.submit(server, 'a.two', tasks=0)
+        cell.submit_ready(server, 'a.long', 60_000, cores_milli=4000)
+        wait_until(lambda: sum(cell.worker.starts.values()) == 3)
+        url = f'http://{server.address}/metrics'
+        reply = cell.caller.pool.request('GET', url)
+        seen = amounts(reply.data.decode())
+    assert seen['lycheerelay_decisions_total'] == 3
+    assert seen['lycheerelay_wait_seconds_count{urgent="true"}'] == 2
+    assert seen['lycheerelay_refused_total{code="203"}'] == 1
+    assert seen['lycheerelay_settled_total{code="102"}'] == 1
+    assert seen['lycheerelay_answers_total{code="200"}'] == 1
+    packed = 'lycheerelay_packed_ratio{pool="desk",resource="cores_milli"}'
+    assert seen[packed] == 0.25
+    assert seen['lycheerelay_owns{pool="desk"}'] == 1
+    assert seen['lycheerelay_resident_bytes'] > 1e6
+
+
+def line_of(chosen, *arguments, **extra):
+    stream = io.StringIO()
+    root = logging.getLogger()
+    before, level = root.handlers[:], root.level
+    try:
+        set_up_logging(chosen, stream=stream)
+        logging.getLogger('lycheerelay._x').info(*arguments, extra=extra)
+    finally:
+        root.handlers[:] = before
+        root.setLevel(level)
+    return stream.getvalue()
+
+
+def test_key_value_lines_quote_what_has_spaces():
+    line = line_of(LogFormat.KEY_VALUE, 'term %s taken', 7, pool='p', why='a b')
+    assert line.count('\n') == 1
+    assert ' level=info part=x message="term 7 taken" pool=p why="a b"' in line
+
+
+def test_json_lines_hold_the_extra_fields():
+    line = line_of(LogFormat.JSON, 'taken\nover', term=7)
+    fields = json.loads(line)
+    assert (fields['message'], fields['term']) == ('taken\nover', 7)
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -65,6 +65,12 @@
     def address_of(self, name):
         return None
 
+    def seen_values(self):
+        return {}
+
+    def publish(self, key, value):
+        return True
+
 
 def request(files, bases=(), batch='b'):
     kept = tuple(FolderFile(*pair) for pair in sorted(files.items()))
