Let the client use the one retry budget

Change: the client spends from the same budget as routing and the core. Conclusion: one budget, three users.

--- a/src/lycheerelay/_client.py
+++ b/src/lycheerelay/_client.py
@@ -13,7 +13,7 @@
 from ._codes import Code, Refusal
 from ._http import CallError, HttpCaller, Reply
 from ._jobs import JobSpec
-from ._retry_budget import RetryBudget
+from ._retry import RetryBudget
 from ._views import JobList, JobView, Receipt
 
 T = TypeVar('T')
@@ -156,7 +156,7 @@
             late = self.clock.now_ms() + delay_ms >= until_ms
             if refusal.code not in TRY_LATER or late:
                 return outcome
-            if not self.budget.may_retry():
+            if not self.budget.may_rerun(self.clock.now_ms()):
                 return outcome
             self.position += 1
             self._pause(delay_ms)
