Let a handler drop its connection

Cause: unexpected errors of a handler became numbered answers, and so did the stand-ins' dropped connections. Change: connection errors close the connection as before.

--- a/src/lycheerelay/_web.py
+++ b/src/lycheerelay/_web.py
@@ -243,6 +243,9 @@
 def _guarded(handler: Handler, request: Request) -> Response:
     try:
         return handler(request)
+    except ConnectionError:
+        # A handler that dropped the connection wants no answer sent.
+        raise
     except Exception:
         # A defect must not leave a caller without a numbered answer.
         LOGGER.exception('handler failed', extra={'path': request.path})
