Queue waiting work in lanes and index workers by free room

The scheduler sorted every waiting job on each tick and looked at every worker for each task. Jobs now stand in lanes by team and fit class, a class that fits nowhere is skipped until a worker gains room, and workers are found by free accelerators and cores. Order, fit and kinds became registered policies; gangs get a reservation and urgent work may preempt.

--- /dev/null
+++ b/benchmarks/_decide_scenarios.py
@@ -0,0 +1,169 @@
+"""Register the scenarios of the decision bench."""
+
+import random
+from collections.abc import Iterator
+from typing import Final
+
+from _decide_load import (
+    Arrival,
+    Scenario,
+    Shape,
+    draw_job,
+    make_teams,
+    make_workers,
+    poisson,
+)
+
+from lycheerelay._jobs import JobSpec, Kind
+
+MINUTE_MS: Final = 60_000
+
+# Netlist checks, corner sweeps, noise runs; extraction and field solves.
+CARONI: Final = (
+    Shape(30, (1,), 4, 20_000),
+    Shape(20, (2,), 4, 120_000, tasks=(8, 16, 32), idempotent=False),
+    Shape(14, (4, 8), 4, 900_000, checkpointable=True),
+    Shape(26, (8, 16), 4, 300_000, (1,), checkpointable=True),
+    Shape(10, (32,), 4, 400_000, (2, 4)),
+    Shape(2, (64,), 4, 600_000, (8,), checkpointable=True),
+    Shape(3, (16,), 4, 300_000, (2,), (2, 4, 8), Kind.GANG),
+)
+
+# Listing compiles, index builds, prospectus rendering, all-at-once prints.
+ASSOCIATION: Final = (
+    Shape(70, (1, 2, 4), 2, 6_000),
+    Shape(10, (8, 16), 2, 30_000, idempotent=False),
+    Shape(15, (2, 4), 4, 15_000, (1,), checkpointable=True),
+    Shape(3, (4,), 2, 20_000, tasks=(16, 64)),
+    Shape(2, (8,), 2, 20_000, tasks=(4, 8), kind=Kind.GANG),
+)
+
+PLANNED: Final = (
+    Shape(50, (1, 2, 4), 4, 30_000),
+    Shape(30, (2, 4), 4, 30_000, checkpointable=True),
+    Shape(10, (4, 8), 4, 30_000, idempotent=False),
+    Shape(10, (4, 8), 4, 30_000, (1,), checkpointable=True),
+)
+
+CELL: Final = ((20, 16, 64, 0, 5), (7, 128, 512, 8, 3))
+PRESS: Final = ((20, 64, 128, 0, 5), (7, 32, 128, 8, 3))
+
+
+def caroni_arrivals(rng: random.Random) -> Iterator[Arrival]:
+    """Keep a deep queue: a backlog at once, then more than fits."""
+    for number in range(500):
+        yield draw_job(rng, CARONI, 8, 0, f'b{number}')
+    times = poisson(rng, 0.35, 1000, 90 * MINUTE_MS)
+    for number, at_ms in enumerate(times):
+        yield draw_job(rng, CARONI, 8, at_ms, f'j{number}')
+
+
+def association_arrivals(rng: random.Random) -> Iterator[Arrival]:
+    """Arrive near capacity, with waves from single faculties."""
+    end_ms = 20 * MINUTE_MS
+    times = poisson(rng, 9.5, 0, end_ms)
+    for number, at_ms in enumerate(times):
+        yield draw_job(rng, ASSOCIATION, 24, at_ms, f'j{number}')
+    for wave in range(6):
+        at_ms = rng.randrange(end_ms)
+        for number in range(200):
+            job = draw_job(rng, ASSOCIATION, 24, at_ms, f'w{wave}-{number}')
+            team = f't{wave * 4}'
+            yield job._replace(spec=job.spec._replace(team=team))
+
+
+def planned_arrivals(
+    rng: random.Random,
+    scale: float,
+    seconds: int,
+) -> Iterator[Arrival]:
+    """Fill the pool, then arrive at the planned peak."""
+    yield from services(round(94 * scale) or 1, round(2400 * scale))
+    for number in range(round(9600 * scale)):
+        yield draw_job(rng, PLANNED, 94, 100, f'b{number}', 0)
+    times = poisson(rng, 320 * scale, 100, seconds * 1000)
+    for number, at_ms in enumerate(times):
+        yield draw_job(rng, PLANNED, 94, at_ms, f'j{number}')
+
+
+def services(teams: int, replicas: int) -> Iterator[Arrival]:
+    """Start long-running services that outlive the run."""
+    each = replicas // teams
+    for number in range(teams):
+        spec = JobSpec(
+            f'a.s{number}',
+            f't{number}',
+            'work',
+            Kind.SERVICE,
+            each,
+            2000,
+            4096,
+            expected_run_ms=1_000_000_000,
+            idempotent=True,
+        )
+        yield Arrival(0, spec, (10**10,) * each, (False,) * each)
+
+
+def burst_arrivals(rng: random.Random, jobs: int) -> Iterator[Arrival]:
+    """Submit thousands of jobs within one second."""
+    yield from services(94, 940)
+    for number in range(jobs):
+        at_ms = 5000 + rng.randrange(1000)
+        yield draw_job(rng, PLANNED, 94, at_ms, f'j{number}')
+
+
+def make_scenarios(quick: bool) -> dict[str, Scenario]:
+    """Return every scenario; quick ones are cut short."""
+    seconds = 8 if quick else 20
+    hours = 30 if quick else 90
+    planned = [
+        Scenario(
+            name,
+            make_workers(groups, 16, 128),
+            make_teams(94),
+            lambda rng, scale=scale: planned_arrivals(rng, scale, seconds),
+            seconds * 1000,
+            5000,
+            restart_every_ms=3000,
+        )
+        for name, scale, groups in (
+            ('planned', 1.0, ((726, 16, 64, 0, 20), (254, 128, 512, 8, 10))),
+            ('planned_98', 0.1, ((73, 16, 64, 0, 20), (25, 128, 512, 8, 10))),
+        )
+    ]
+    return {
+        scenario.name: scenario
+        for scenario in (
+            Scenario(
+                'caroni',
+                make_workers(CELL),
+                make_teams(8),
+                caroni_arrivals,
+                hours * MINUTE_MS,
+                cancel_at_ms=20 * MINUTE_MS,
+                cancel_share=0.1,
+                restart_every_ms=15 * MINUTE_MS,
+            ),
+            Scenario(
+                'association',
+                make_workers(PRESS),
+                make_teams(24),
+                association_arrivals,
+                (10 if quick else 22) * MINUTE_MS,
+                restart_every_ms=5 * MINUTE_MS,
+            ),
+            *planned,
+            Scenario(
+                'burst',
+                make_workers(
+                    ((726, 16, 64, 0, 20), (254, 128, 512, 8, 10)),
+                ),
+                make_teams(94),
+                lambda rng: burst_arrivals(rng, 4000 if quick else 20_000),
+                12_000,
+                4000,
+                cancel_at_ms=8000,
+                cancel_share=1.0,
+            ),
+        )
+    }
--- /dev/null
+++ b/benchmarks/decide.py
@@ -0,0 +1,130 @@
+"""Measure the decisions of the core against the usual simple schedulers.
+
+Every scenario is one pool, which holds both worker shapes; none exercises
+placement across pools. Times are virtual and repeat with the seed, except
+the cost figures, which are real time spent inside `step`.
+"""
+
+import argparse
+import gc
+import json
+from statistics import median
+from typing import Final
+
+from _decide_late import LateWorld
+from _decide_load import Scenario
+from _decide_scenarios import make_scenarios
+from _decide_world import World
+
+from lycheerelay._jobs import Kind
+from lycheerelay._policy import Limits, Policy, WorkloadPolicy
+
+POLICIES: Final = {
+    'lycheerelay': ('fair', 'leftover', World),
+    'first_fit': ('age', 'first_fit', World),
+    'worst_fit': ('age', 'worst_fit', World),
+    'round_robin': ('age', 'round_robin', World),
+    'random': ('age', 'random', World),
+    'fifo': ('fifo', 'first_fit', World),
+    'late_charge': ('fair', 'leftover', LateWorld),
+}
+DEFAULT: Final = (
+    'lycheerelay',
+    'first_fit',
+    'worst_fit',
+    'round_robin',
+    'random',
+    'fifo',
+)
+COLUMNS: Final = (
+    'wait_p50_ms',
+    'wait_p99_ms',
+    'urgent_wait_max_ms',
+    'packing',
+    'bound_ratio',
+    'refused',
+    'overbooked',
+    'preempted',
+    'decision_p50_us',
+    'decision_p99_us',
+    'tick_p99_us',
+    'decisions_per_s',
+    'core_bytes',
+)
+
+
+def main() -> None:
+    """Run the chosen scenarios and print a table and one JSON line."""
+    options = read_options()
+    scenarios = make_scenarios(options.quick)
+    results: dict[str, dict[str, dict[str, list[float]]]] = {}
+    for name in options.scenario or scenarios:
+        for policy in options.policy or DEFAULT:
+            runs = [
+                run_once(scenarios[name], policy, seed)
+                for seed in options.seeds
+            ]
+            spread = summarise(runs)
+            results.setdefault(name, {})[policy] = spread
+            print_row(name, policy, spread)
+    print(json.dumps({'seeds': options.seeds, 'results': results}))
+
+
+def read_options() -> argparse.Namespace:
+    """Read the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--scenario', action='append')
+    parser.add_argument('--policy', action='append', choices=POLICIES)
+    parser.add_argument('--seeds', type=int, nargs='+', default=[1, 2, 3])
+    parser.add_argument('--quick', action='store_true')
+    return parser.parse_args()
+
+
+def run_once(scenario: Scenario, name: str, seed: int) -> dict[str, float]:
+    """Run one scenario under one policy and seed."""
+    order, fit, world = POLICIES[name]
+    workload = WorkloadPolicy(
+        'work',
+        Kind.BATCH,
+        'pool',
+        fit,
+        max_attempts=1000,
+        max_wait_ms=scenario.max_wait_ms,
+    )
+    limits = Limits(
+        max_waiting_tasks=1_000_000,
+        order=order,
+        fit=fit,
+        fit_seed=seed,
+    )
+    policy = Policy(1, scenario.teams, (workload,), (), limits)
+    gc.collect()
+    return world(scenario, policy, seed).run().summary()
+
+
+def summarise(runs: list[dict[str, float]]) -> dict[str, list[float]]:
+    """Return median, least and most of each figure over the seeds."""
+    spread = {}
+    for figure in runs[0]:
+        values = [run[figure] for run in runs]
+        spread[figure] = [
+            round(value, 4)
+            for value in (median(values), min(values), max(values))
+        ]
+    return spread
+
+
+def print_row(
+    name: str,
+    policy: str,
+    spread: dict[str, list[float]],
+) -> None:
+    """Print one run for people."""
+    print(f'{name} / {policy}')
+    for column in COLUMNS:
+        middle, least, most = spread[column]
+        print(f'  {column:<20} {middle:>14,.3f}  [{least:,.3f} .. {most:,.3f}]')
+
+
+if __name__ == '__main__':
+    main()
--- a/src/lycheerelay/_fit.py
+++ b/src/lycheerelay/_fit.py
@@ -1,13 +1,43 @@
 """Choose a worker for one task."""
 
-from collections.abc import Callable
-from typing import Final
+from collections.abc import Callable, Iterable, Iterator
+from itertools import islice
+from typing import Final, NamedTuple
 
+from ._jobs import AttemptKey
 from ._registry import Registry
 from ._resources import Resources
 from ._state import ShardState, WorkerBook
 
-FitPolicy = Callable[[ShardState, Resources], str | None]
+MAX_COMPARED: Final = 12
+SPREAD_WEIGHT: Final = 4.0
+KEPT_DIVISOR: Final = 2
+
+
+class FitRequest(NamedTuple):
+    """Describe the task that a worker is looked for."""
+
+    key: AttemptKey
+    demand: Resources
+    run_ms: int
+    now_ms: int
+    urgent: bool = False
+    patient: bool = False
+    racks: tuple[str, ...] = ()
+
+
+Choice = Callable[
+    [ShardState, FitRequest, Iterable[WorkerBook]],
+    WorkerBook | None,
+]
+
+
+class FitPolicy(NamedTuple):
+    """Choose among workers that can hold a task."""
+
+    choose: Choice
+    is_indexed: bool = False
+
 
 FITS: Final[Registry[str, FitPolicy]] = Registry('fit policy')
 
@@ -17,13 +47,106 @@
     return worker.ready and not worker.leaving and demand.fits_in(worker.free)
 
 
-@FITS.register('best_fit')
-def best_fit(state: ShardState, demand: Resources) -> str | None:
-    """Choose the worker that is left with the least."""
-    fitting = [
-        worker for worker in state.workers.values() if can_hold(worker, demand)
-    ]
-    if not fitting:
-        return None
-    best = min(fitting, key=lambda worker: (worker.free, worker.spec.name))
-    return best.spec.name
+def find_worker(
+    state: ShardState,
+    fit: FitPolicy,
+    request: FitRequest,
+    names: Iterable[str],
+) -> WorkerBook | None:
+    """Choose among the named workers that can hold the task."""
+    fitting = (
+        worker
+        for worker in _books(state, names)
+        if can_hold(worker, request.demand)
+        and _leaves_reserved(state, worker, request)
+    )
+    return fit.choose(state, request, fitting)
+
+
+def names_for(
+    state: ShardState,
+    fit: FitPolicy,
+    demand: Resources,
+) -> Iterable[str]:
+    """Name the workers to look at, in the policy's order."""
+    if fit.is_indexed:
+        return state.index.roomy(demand)
+    return state.workers
+
+
+def _books(state: ShardState, names: Iterable[str]) -> Iterator[WorkerBook]:
+    for name in names:
+        worker = state.workers.get(name)
+        if worker is not None:
+            yield worker
+
+
+def _leaves_reserved(
+    state: ShardState,
+    worker: WorkerBook,
+    request: FitRequest,
+) -> bool:
+    reservations = state.reservations
+    name = worker.spec.name
+    if name not in reservations.by_worker:
+        return True
+    job_id = request.key.job_id
+    held = reservations.held(name, job_id, request.urgent)
+    if request.demand.plus(held).fits_in(worker.free):
+        return True
+    end_ms = request.now_ms + request.run_ms
+    return reservations.ends_in_time(name, job_id, end_ms)
+
+
+def strands_accelerators(worker: WorkerBook, demand: Resources) -> bool:
+    """Tell whether free accelerators would lack a slot, cores or memory."""
+    capacity = worker.spec.capacity
+    idle = worker.free.accelerators - demand.accelerators
+    if demand.accelerators or idle <= 0:
+        return False
+    after = worker.free.minus(demand)
+    kept = KEPT_DIVISOR * capacity.accelerators
+    return (
+        after.slots < idle
+        or after.cores_milli < idle * capacity.cores_milli // kept
+        or after.memory_mb < idle * capacity.memory_mb // kept
+    )
+
+
+def leftover_score(
+    worker: WorkerBook,
+    demand: Resources,
+) -> tuple[bool, float]:
+    """Prefer plain workers, then a small and balanced leftover."""
+    capacity = worker.spec.capacity
+    free = worker.free
+    cores = (free.cores_milli - demand.cores_milli) / capacity.cores_milli
+    memory = (free.memory_mb - demand.memory_mb) / capacity.memory_mb
+    slots = (free.slots - demand.slots) / capacity.slots
+    spread = max(cores, memory, slots) - min(cores, memory, slots)
+    has_scarce = capacity.accelerators > 0 and not demand.accelerators
+    return has_scarce, cores + memory + slots + spread
+
+
+def choose_leftover(
+    state: ShardState,
+    request: FitRequest,
+    fitting: Iterable[WorkerBook],
+) -> WorkerBook | None:
+    """Keep accelerators usable, spread racks, then leave little over."""
+    kept = (
+        worker
+        for worker in fitting
+        if request.patient or not strands_accelerators(worker, request.demand)
+    )
+    return min(
+        islice(kept, MAX_COMPARED),
+        key=lambda worker: (
+            request.racks.count(worker.spec.rack),
+            *leftover_score(worker, request.demand),
+        ),
+        default=None,
+    )
+
+
+FITS.register('leftover')(FitPolicy(choose_leftover, is_indexed=True))
--- /dev/null
+++ b/src/lycheerelay/_gang.py
@@ -0,0 +1,177 @@
+"""Reserve room in time for the first gang and the oldest large task."""
+
+from collections.abc import Iterator
+from heapq import nsmallest
+from itertools import islice
+from typing import Final
+
+from ._jobs import TaskState
+from ._order_queue import Entry
+from ._reservation import Reservation
+from ._resources import Resources
+from ._state import ShardState, TaskBook, WorkerBook
+
+GANG_ROLE: Final = 'gang'
+PATIENT_ROLE: Final = 'patient'
+REVIEW_MS: Final = 500
+URGENT_TTL_MS: Final = 2500
+MIN_WORKERS: Final = 32
+WORKERS_PER_TASK: Final = 2
+
+Opening = tuple[int, int, str]
+
+
+def refresh_reservations(state: ShardState, now_ms: int) -> None:
+    """Drop reservations without use and harden those whose time came."""
+    for role, reservation in tuple(state.reservations.by_role.items()):
+        if _is_useless(state, reservation, now_ms):
+            drop_reservation(state, role)
+        elif now_ms >= reservation.at_ms:
+            reservation.hard = True
+
+
+def drop_reservation(state: ShardState, role: str) -> None:
+    """Offer the room of a reservation to others again."""
+    for name in state.reservations.drop(role):
+        state.ledger.touched[name] = None
+
+
+def _is_useless(
+    state: ShardState,
+    reservation: Reservation,
+    now_ms: int,
+) -> bool:
+    if reservation.job_id not in state.waiting.entries:
+        return True
+    if reservation.urgent:
+        return now_ms - reservation.made_ms >= URGENT_TTL_MS
+    return not all(name in state.index.places for name in reservation.holds)
+
+
+def reserve_for_waiting(state: ShardState, now_ms: int) -> None:
+    """Reserve for the first blocked gang and the first overdue job."""
+    if now_ms - state.reserved_ms < REVIEW_MS:
+        return
+    state.reserved_ms = now_ms
+    by_role = state.reservations.by_role
+    if GANG_ROLE not in by_role:
+        _reserve_first(state, GANG_ROLE, now_ms)
+    if PATIENT_ROLE not in by_role:
+        _reserve_first(state, PATIENT_ROLE, now_ms)
+
+
+def _reserve_first(state: ShardState, role: str, now_ms: int) -> None:
+    reserved = {held.job_id for held in state.reservations.by_role.values()}
+    entries = (
+        entry
+        for entry in _blocked_heads(state)
+        if entry.spec.job_id not in reserved
+        and _deserves(state, entry, role, now_ms)
+    )
+    first = min(entries, key=lambda entry: entry.rank, default=None)
+    if first is None:
+        return
+    reservation = plan_reservation(state, first, now_ms)
+    if reservation is not None:
+        state.reservations.make(role, reservation)
+        state.waiting.reopen(first.key.fit_class)
+
+
+def _deserves(
+    state: ShardState,
+    entry: Entry,
+    role: str,
+    now_ms: int,
+) -> bool:
+    if role == GANG_ROLE:
+        return entry.key.fit_class.width > 1
+    waited_ms = now_ms - entry.enqueued_ms
+    return waited_ms >= state.policy.limits.patience_ms
+
+
+def _blocked_heads(state: ShardState) -> Iterator[Entry]:
+    waiting = state.waiting
+    for fit_class in waiting.blocked:
+        for key in waiting.classes.get(fit_class, ()):
+            entry = waiting.head(key)
+            if entry is not None:
+                yield entry
+
+
+def plan_reservation(
+    state: ShardState,
+    entry: Entry,
+    now_ms: int,
+) -> Reservation | None:
+    """Choose the workers that can hold every task the soonest."""
+    fit_class = entry.key.fit_class
+    openings = (
+        opening
+        for worker in _sample(state, fit_class.demand, fit_class.width)
+        for opening in _openings(state, worker, fit_class.demand, now_ms)
+    )
+    chosen = nsmallest(fit_class.width, openings)
+    if len(chosen) < fit_class.width:
+        return None
+    holds: dict[str, Resources] = {}
+    for _, _, name in chosen:
+        held = holds.get(name, Resources())
+        holds[name] = held.plus(fit_class.demand)
+    return Reservation(entry.spec.job_id, chosen[-1][0], now_ms, holds)
+
+
+def _sample(
+    state: ShardState,
+    demand: Resources,
+    width: int,
+) -> Iterator[WorkerBook]:
+    able = (
+        state.workers[name]
+        for name in state.index.emptiest()
+        if demand.fits_in(state.workers[name].spec.capacity)
+        and name not in state.reservations.by_worker
+    )
+    return islice(able, max(MIN_WORKERS, WORKERS_PER_TASK * width))
+
+
+def _openings(
+    state: ShardState,
+    worker: WorkerBook,
+    demand: Resources,
+    now_ms: int,
+) -> Iterator[Opening]:
+    """Iterate over the times at which one more task fits."""
+    name = worker.spec.name
+    free = worker.free
+    counted = 0
+    for end_ms, held in _ends(state, worker, now_ms):
+        free = free.plus(held)
+        count = demand.times_in(free)
+        for place in range(counted, count):
+            yield end_ms, place, name
+        counted = max(counted, count)
+
+
+def _ends(
+    state: ShardState,
+    worker: WorkerBook,
+    now_ms: int,
+) -> list[tuple[int, Resources]]:
+    ends = [(now_ms, Resources())]
+    for key, held in worker.charges.items():
+        job = state.jobs.get(key.job_id)
+        if job is not None and job.spec.kind != 'service':
+            task = job.tasks[key.task_index]
+            expected_ms = job.spec.expected_run_ms
+            ends.append((expected_end(task, expected_ms, now_ms), held))
+    return sorted(ends)
+
+
+def expected_end(task: TaskBook, expected_ms: int, now_ms: int) -> int:
+    """Expect an overdue task to run as long again as it has run."""
+    if task.state is not TaskState.RUNNING and not task.recorded:
+        return now_ms + expected_ms
+    end_ms = task.started_ms + expected_ms
+    if end_ms > now_ms:
+        return end_ms
+    return now_ms + max(1, now_ms - task.started_ms)
--- a/src/lycheerelay/_handle_workers.py
+++ b/src/lycheerelay/_handle_workers.py
@@ -24,7 +24,12 @@
     """Open or update the book of a worker."""
     known = state.workers.get(event.spec.name)
     if known is None:
-        known = WorkerBook(event.spec, event.spec.capacity, lost_ms=now_ms)
+        known = WorkerBook(
+            event.spec,
+            event.spec.capacity,
+            lost_ms=now_ms,
+            ledger=state.ledger,
+        )
         state.workers[event.spec.name] = known
         _charge_recorded(state, known)
     known.leaving = known.leaving or event.spec.leaving
@@ -90,6 +95,7 @@
     if worker is None or event.term != state.term or not state.is_owner:
         return
     worker.ready = True
+    state.ledger.touched[event.worker] = None
     worker.term = event.term
     worker.boot = event.boot
     worker.leaving = worker.leaving or event.leaving
--- /dev/null
+++ b/src/lycheerelay/_kind_batch.py
@@ -0,0 +1,71 @@
+"""Place independent tasks one at a time."""
+
+from collections.abc import Iterable
+
+from ._fit import FitPolicy, FitRequest, find_worker, names_for
+from ._jobs import AttemptKey
+from ._order_queue import Entry
+from ._state import ShardState
+
+Placement = tuple[int, str]
+
+
+def place_next(
+    state: ShardState,
+    entry: Entry,
+    fit: FitPolicy,
+    now_ms: int,
+) -> list[Placement]:
+    """Place the next task of a job on a worker that may have room."""
+    request = request_for(state, entry, now_ms)
+    return place_request(state, entry, fit, request)
+
+
+def place_request(
+    state: ShardState,
+    entry: Entry,
+    fit: FitPolicy,
+    request: FitRequest,
+) -> list[Placement]:
+    """Place one task as requested and charge it at once."""
+    names = _names(state, entry, fit)
+    worker = find_worker(state, fit, request, names)
+    if worker is None:
+        return []
+    index = state.waiting.take_index(entry)
+    worker.charge(request.key, request.demand)
+    state.index.put(worker.spec.name, worker.free, worker.spec.capacity)
+    return [(index, worker.spec.name)]
+
+
+def request_for(
+    state: ShardState,
+    entry: Entry,
+    now_ms: int,
+) -> FitRequest:
+    """Describe the next task of a job."""
+    index = entry.indexes[-1]
+    job_id = entry.spec.job_id
+    attempt = state.jobs[job_id].tasks[index].attempt + 1
+    fit_class = entry.key.fit_class
+    return FitRequest(
+        AttemptKey(job_id, index, attempt),
+        fit_class.demand,
+        fit_class.run_ms,
+        now_ms,
+        fit_class.urgent,
+        state.reservations.role_of(job_id) is not None,
+    )
+
+
+def _names(
+    state: ShardState,
+    entry: Entry,
+    fit: FitPolicy,
+) -> Iterable[str]:
+    """Look only at new room where all else is known not to fit."""
+    fit_class = entry.key.fit_class
+    blocked = state.waiting.blocked.get(fit_class)
+    if blocked is None or fit_class.width > 1:
+        return names_for(state, fit, fit_class.demand)
+    return tuple(blocked.candidates)
--- /dev/null
+++ b/src/lycheerelay/_kind_gang.py
@@ -0,0 +1,41 @@
+"""Place every task of a job at once, or none."""
+
+from ._fit import FitPolicy
+from ._jobs import AttemptKey
+from ._kind_batch import Placement, place_next
+from ._order_queue import Entry
+from ._state import ShardState
+
+
+def place_all(
+    state: ShardState,
+    entry: Entry,
+    fit: FitPolicy,
+    now_ms: int,
+) -> list[Placement]:
+    """Place every task or none."""
+    placements: list[Placement] = []
+    touched = dict(state.ledger.touched)
+    while entry.indexes:
+        placed = place_next(state, entry, fit, now_ms)
+        if not placed:
+            entry.missing = len(entry.indexes)
+            _take_back(state, entry, placements)
+            state.ledger.touched = touched
+            return []
+        placements.extend(placed)
+    return placements
+
+
+def _take_back(
+    state: ShardState,
+    entry: Entry,
+    placements: list[Placement],
+) -> None:
+    job_id = entry.spec.job_id
+    for index, name in reversed(placements):
+        worker = state.workers[name]
+        attempt = state.jobs[job_id].tasks[index].attempt + 1
+        worker.release(AttemptKey(job_id, index, attempt))
+        state.index.put(name, worker.free, worker.spec.capacity)
+        state.waiting.put_back(entry, index)
--- /dev/null
+++ b/src/lycheerelay/_order.py
@@ -0,0 +1,116 @@
+"""Choose which waiting job is tried next."""
+
+from collections.abc import Callable, Iterator
+from heapq import heapify, heappop, heapreplace
+from typing import Final, NamedTuple
+
+from ._jobs import JobSpec
+from ._order_queue import NORMAL, URGENT, Entry, LaneKey, Rank, WaitingJobs
+from ._registry import Registry
+from ._state import JobBook, ShardState
+
+DEFAULT_DUE_MS: Final = 600_000
+
+Pick = Callable[[ShardState], Iterator[Entry]]
+
+
+class OrderPolicy(NamedTuple):
+    """Rank and pick jobs; a managed order reserves and preempts too."""
+
+    pick: Pick
+    due_ms: Callable[[JobBook], int]
+    is_managed: bool = False
+
+
+ORDERS: Final[Registry[str, OrderPolicy]] = Registry('order policy')
+
+
+def band_of(order: OrderPolicy, spec: JobSpec) -> int:
+    """Return the band that a job is tried in."""
+    return URGENT if order.is_managed and spec.urgent else NORMAL
+
+
+def due_by_deadline(job: JobBook) -> int:
+    """Rank by deadline; without one, by age plus a common allowance."""
+    return job.spec.deadline_ms or job.accepted_ms + DEFAULT_DUE_MS
+
+
+def due_by_age(job: JobBook) -> int:
+    """Rank by age alone."""
+    return job.accepted_ms
+
+
+def pick_fair(state: ShardState) -> Iterator[Entry]:
+    """Pick for the team with the least share, urgent work first."""
+    for band in (URGENT, NORMAL):
+        yield from _pick_band(state, band)
+
+
+def _pick_band(state: ShardState, band: int) -> Iterator[Entry]:
+    waiting = state.waiting
+    heap = [(share_of(state, team), team) for team in waiting.open[band]]
+    heapify(heap)
+    while heap:
+        team = heap[0][1]
+        entry = waiting.first_of(band, team)
+        if entry is None:
+            heappop(heap)
+            continue
+        yield entry
+        heapreplace(heap, (share_of(state, team), team))
+
+
+def share_of(state: ShardState, team: str) -> float:
+    """Return a team's dominant share against its quota."""
+    policy = state.policy.team(team)
+    quota = policy.share if policy else 1
+    return state.ledger.dominant_share(team, quota)
+
+
+def pick_by_age(state: ShardState) -> Iterator[Entry]:
+    """Pick the oldest job whose class may fit."""
+    waiting = state.waiting
+    heap = [
+        (entry.rank, key)
+        for lanes in waiting.open[NORMAL].values()
+        for key in lanes
+        if (entry := waiting.head(key)) is not None
+    ]
+    yield from _merge_lanes(waiting, heap)
+
+
+def _merge_lanes(
+    waiting: WaitingJobs,
+    heap: list[tuple[Rank, LaneKey]],
+) -> Iterator[Entry]:
+    heapify(heap)
+    while heap:
+        rank, key = heap[0]
+        entry = waiting.head(key)
+        if entry is None or not waiting.is_open(key):
+            heappop(heap)
+        elif entry.rank == rank:
+            yield entry
+        else:
+            heapreplace(heap, (entry.rank, key))
+
+
+def pick_strictly(state: ShardState) -> Iterator[Entry]:
+    """Pick the oldest job; nothing overtakes it while it waits."""
+    waiting = state.waiting
+    while waiting.entries:
+        heads = (waiting.head(key) for key in tuple(waiting.lanes))
+        first = min(
+            (entry for entry in heads if entry is not None),
+            key=lambda entry: entry.rank,
+        )
+        if not waiting.is_open(first.key):
+            return
+        yield first
+
+
+ORDERS.register('fair')(
+    OrderPolicy(pick_fair, due_by_deadline, is_managed=True),
+)
+ORDERS.register('age')(OrderPolicy(pick_by_age, due_by_age))
+ORDERS.register('fifo')(OrderPolicy(pick_strictly, due_by_age))
--- /dev/null
+++ b/src/lycheerelay/_order_refresh.py
@@ -0,0 +1,127 @@
+"""Bring lanes and index up to date before work is placed."""
+
+from typing import Final
+
+from ._gang import refresh_reservations
+from ._jobs import Kind, TaskState
+from ._order import ORDERS, OrderPolicy, band_of
+from ._order_queue import Entry, FitClass, LaneKey
+from ._resources import Resources
+from ._state import JobBook, ShardState, WorkerBook
+
+RESYNC_MS: Final = 1000
+GANG_REVIEW_MS: Final = 1000
+
+
+def refresh(state: ShardState, now_ms: int) -> None:
+    """Take in what changed since the last time."""
+    if now_ms - state.synced_ms >= RESYNC_MS or state.synced_ms < 0:
+        _resync(state, now_ms)
+    refresh_reservations(state, now_ms)
+    for name in tuple(state.ledger.touched):
+        _offer(state, name)
+    state.ledger.touched.clear()
+    _enqueue_changed(state, now_ms)
+
+
+def demand_of(job: JobBook) -> Resources:
+    """Return what one task of a job is booked with."""
+    return job.spec.demand
+
+
+def _resync(state: ShardState, now_ms: int) -> None:
+    state.synced_ms = now_ms
+    shapes: dict[Resources, int] = {}
+    total = Resources()
+    for name, worker in state.workers.items():
+        capacity = worker.spec.capacity
+        shapes[capacity] = shapes.get(capacity, 0) + 1
+        total = total.plus(capacity)
+        if _may_start(worker) != (name in state.index.places):
+            state.ledger.touched[name] = None
+    state.ledger.shapes = shapes
+    state.ledger.total = total
+
+
+def _may_start(worker: WorkerBook) -> bool:
+    return worker.ready and not worker.leaving
+
+
+def _offer(state: ShardState, name: str) -> None:
+    worker = state.workers.get(name)
+    if worker is None or not _may_start(worker):
+        state.index.remove(name)
+        return
+    state.index.put(name, worker.free, worker.spec.capacity)
+    state.waiting.offer(name, worker.free)
+
+
+def _enqueue_changed(state: ShardState, now_ms: int) -> None:
+    waiting = state.waiting
+    order = ORDERS[state.policy.limits.order]
+    changed = dict.fromkeys(waiting.due(now_ms))
+    changed.update(waiting.fresh)
+    waiting.fresh.clear()
+    for job_id in changed:
+        job = state.jobs.get(job_id)
+        if job is not None and job_id in waiting:
+            _enqueue(state, order, job, now_ms)
+
+
+def _enqueue(
+    state: ShardState,
+    order: OrderPolicy,
+    job: JobBook,
+    now_ms: int,
+) -> None:
+    waiting = state.waiting
+    ready = []
+    later = 0
+    for index, task in enumerate(job.tasks):
+        if task.state is not TaskState.QUEUED:
+            continue
+        if task.not_before_ms <= now_ms:
+            ready.append(index)
+        else:
+            later = min(later or task.not_before_ms, task.not_before_ms)
+    if later:
+        waiting.delay(later, job.spec.job_id)
+    if job.spec.kind is Kind.GANG and _is_split(job, later):
+        ready = []
+        waiting.delay(later or now_ms + GANG_REVIEW_MS, job.spec.job_id)
+    if ready:
+        waiting.add_entry(
+            _entry(state, order, job, tuple(reversed(ready)), now_ms)
+        )
+    else:
+        waiting.drop_entry(job.spec.job_id)
+
+
+def _is_split(job: JobBook, later_ms: int) -> bool:
+    """Tell whether the queued tasks of a gang cannot start together yet."""
+    return later_ms > 0 or any(task.is_live for task in job.tasks)
+
+
+def _entry(
+    state: ShardState,
+    order: OrderPolicy,
+    job: JobBook,
+    indexes: tuple[int, ...],
+    now_ms: int,
+) -> Entry:
+    spec = job.spec
+    band = band_of(order, spec)
+    fit_class = FitClass(
+        demand_of(job),
+        max(1, spec.expected_run_ms).bit_length(),
+        len(indexes) if spec.kind is Kind.GANG else 1,
+        band == 0,
+    )
+    rank = (
+        order.due_ms(job),
+        job.accepted_ms,
+        state.waiting.next_serial(),
+        spec.job_id,
+    )
+    key = LaneKey(band, spec.team, fit_class)
+    return Entry(spec, key, rank, list(indexes), now_ms)
--- a/src/lycheerelay/_policy.py
+++ b/src/lycheerelay/_policy.py
@@ -17,7 +17,7 @@
     name: str
     kind: str
     pool: str
-    fit: str = 'best_fit'
+    fit: str = 'leftover'
     max_attempts: int = 5
     max_wait_ms: int = 3_600_000
     preemptible: bool = True
@@ -44,6 +44,10 @@
     clock_margin_ms: int = 2_000
     retry_base_ms: int = 200
     retry_max_ms: int = 30_000
+    order: str = 'fair'
+    fit: str = 'leftover'
+    patience_ms: int = 30_000
+    fit_seed: int = 0
 
 
 class Policy(NamedTuple):
--- /dev/null
+++ b/src/lycheerelay/_reservation.py
@@ -0,0 +1,67 @@
+"""Hold room on workers for one job until that job can start."""
+
+from dataclasses import dataclass, field
+
+from ._resources import Resources
+from ._share import NOTHING
+
+
+@dataclass(slots=True)
+class Reservation:
+    """Keep room for a job; `hard` bars backfill in time as well."""
+
+    job_id: str
+    at_ms: int
+    made_ms: int
+    holds: dict[str, Resources]
+    urgent: bool = False
+    hard: bool = False
+
+
+@dataclass(slots=True)
+class Reservations:
+    """Find the reservations by role and by worker."""
+
+    by_role: dict[str, Reservation] = field(default_factory=dict)
+    by_worker: dict[str, dict[str, Reservation]] = field(default_factory=dict)
+
+    def make(self, role: str, reservation: Reservation) -> None:
+        """Put a reservation in force."""
+        self.by_role[role] = reservation
+        for worker in reservation.holds:
+            self.by_worker.setdefault(worker, {})[role] = reservation
+
+    def drop(self, role: str) -> tuple[str, ...]:
+        """Give a reservation up; return the workers that have room again."""
+        reservation = self.by_role.pop(role, None)
+        if reservation is None:
+            return ()
+        for worker in reservation.holds:
+            roles = self.by_worker[worker]
+            roles.pop(role)
+            if not roles:
+                self.by_worker.pop(worker)
+        return tuple(reservation.holds)
+
+    def role_of(self, job_id: str) -> str | None:
+        """Return the role under which a job holds room."""
+        for role, reservation in self.by_role.items():
+            if reservation.job_id == job_id:
+                return role
+        return None
+
+    def held(self, worker: str, job_id: str, urgent: bool) -> Resources:
+        """Sum what others hold on a worker; urgent work yields to urgent."""
+        total = NOTHING
+        for reservation in self.by_worker.get(worker, {}).values():
+            if reservation.job_id != job_id and urgent <= reservation.urgent:
+                total = total.plus(reservation.holds[worker])
+        return total
+
+    def ends_in_time(self, worker: str, job_id: str, end_ms: int) -> bool:
+        """Tell whether work over by then delays no reservation."""
+        return all(
+            reservation.job_id == job_id
+            or (not reservation.hard and end_ms <= reservation.at_ms)
+            for reservation in self.by_worker[worker].values()
+        )
--- a/src/lycheerelay/_resources.py
+++ b/src/lycheerelay/_resources.py
@@ -41,3 +41,18 @@
             and self.slots <= free.slots
             and self.connections <= free.connections
         )
+
+    def times(self, count: int) -> 'Resources':
+        """Multiply amount by amount."""
+        return Resources(*(amount * count for amount in self))
+
+    def times_in(self, free: 'Resources') -> int:
+        """Return how many of these fit in the free amount."""
+        return min(
+            (
+                room // need
+                for need, room in zip(self, free, strict=True)
+                if need
+            ),
+            default=0,
+        )
--- a/src/lycheerelay/_schedule.py
+++ b/src/lycheerelay/_schedule.py
@@ -1,89 +1,82 @@
 """Order what waits, fit it to workers and announce the starts."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import Final
 
+from . import _fit_baselines  # noqa: F401
 from ._commands import Append
 from ._fit import FITS, FitPolicy
+from ._gang import reserve_for_waiting
 from ._handlers import Commands
-from ._jobs import AttemptKey, Kind, TaskState
+from ._jobs import Kind, TaskState
+from ._kind_batch import Placement, place_next
+from ._kind_gang import place_all
+from ._kind_service import place_spread
+from ._order import ORDERS
+from ._order_queue import Entry
+from ._order_refresh import refresh
+from ._preempt import preempt_for_urgent
 from ._records import Intended, Start
 from ._registry import Registry
 from ._state import JobBook, ShardState
 
-Placement = tuple[int, str]
-KindPolicy = Callable[[ShardState, JobBook, FitPolicy, int], list[Placement]]
+MAX_STARTS: Final = 64
+
+KindPolicy = Callable[[ShardState, Entry, FitPolicy, int], list[Placement]]
 
 KINDS: Final[Registry[Kind, KindPolicy]] = Registry('kind policy')
 
+KINDS.register(Kind.BATCH)(place_next)
+KINDS.register(Kind.SERVICE)(place_spread)
+KINDS.register(Kind.GANG)(place_all)
+
 
 def schedule(state: ShardState, now_ms: int) -> Commands:
     """Announce starts for waiting work in policy order."""
-    for job_id in in_order(state):
-        job = state.jobs[job_id]
-        fit = FITS['best_fit']
-        placements = KINDS[job.spec.kind](state, job, fit, now_ms)
+    refresh(state, now_ms)
+    planned: dict[str, list[Placement]] = {}
+    starts = 0
+    order = ORDERS[state.policy.limits.order]
+    for entry in order.pick(state):
+        placements = _place(state, entry, now_ms)
         if placements:
-            yield Append(_reserve(state, job, placements, now_ms))
-        if not any(task.state is TaskState.QUEUED for task in job.tasks):
-            state.waiting.pop(job_id, None)
-
-
-def in_order(state: ShardState) -> Iterator[str]:
-    """Iterate over waiting jobs: urgent ones first, then by age."""
-    yield from sorted(
-        state.waiting,
-        key=lambda job_id: (
-            not state.jobs[job_id].spec.urgent,
-            state.jobs[job_id].accepted_ms,
-            job_id,
-        ),
-    )
+            planned.setdefault(entry.spec.job_id, []).extend(placements)
+        starts += len(placements)
+        if starts >= MAX_STARTS:
+            break
+    for job_id, chosen in planned.items():
+        yield Append(_reserve(state, state.jobs[job_id], chosen, now_ms))
+    if order.is_managed:
+        yield from preempt_for_urgent(state, now_ms)
+        reserve_for_waiting(state, now_ms)
 
 
-@KINDS.register(Kind.SERVICE)
-@KINDS.register(Kind.BATCH)
-def place_each(
+def _place(
     state: ShardState,
-    job: JobBook,
-    fit: FitPolicy,
+    entry: Entry,
     now_ms: int,
 ) -> list[Placement]:
-    """Place each task that fits now."""
-    placements = []
-    for index, task in enumerate(job.tasks):
-        if task.state is not TaskState.QUEUED or task.not_before_ms > now_ms:
-            continue
-        worker = fit(state, job.spec.demand)
-        if worker is None:
-            break
-        key = AttemptKey(job.spec.job_id, index, task.attempt + 1)
-        state.workers[worker].charge(key, job.spec.demand)
-        placements.append((index, worker))
+    spec = entry.spec
+    workload = state.policy.workload(spec.workload)
+    fit = FITS[workload.fit if workload else state.policy.limits.fit]
+    placements = KINDS[spec.kind](state, entry, fit, now_ms)
+    if not placements:
+        missing = entry.missing if spec.kind is Kind.GANG else 1
+        state.waiting.block(entry.key.fit_class, missing)
+    elif not entry.indexes:
+        _leave_queue(state, spec.job_id)
     return placements
 
 
-@KINDS.register(Kind.GANG)
-def place_all(
-    state: ShardState,
-    job: JobBook,
-    fit: FitPolicy,
-    now_ms: int,
-) -> list[Placement]:
-    """Place every task or none."""
-    if any(task.is_live for task in job.tasks):
-        return []
-    placements = place_each(state, job, fit, now_ms)
-    if len(placements) == len(job.tasks):
-        return placements
-    for index, worker in placements:
-        key = AttemptKey(
-            job.spec.job_id,
-            index,
-            job.tasks[index].attempt + 1,
-        )
-        state.workers[worker].release(key)
-    return []
+def _leave_queue(state: ShardState, job_id: str) -> None:
+    """Keep a job waiting only while a task has its retry delay left."""
+    role = state.reservations.role_of(job_id)
+    if role is not None:
+        for name in state.reservations.drop(role):
+            state.ledger.touched[name] = None
+    state.waiting.drop_entry(job_id)
+    if not state.waiting.is_delayed(job_id):
+        state.waiting.pop(job_id)
 
 
 def _reserve(
@@ -98,6 +91,7 @@
         task.attempt += 1
         task.state = TaskState.INTENDED
         task.recorded = False
+        task.stopping_ms = 0
         task.worker = worker
         task.boot = state.workers[worker].boot
         starts.append(Start(index, task.attempt, worker, task.boot))
--- a/src/lycheerelay/_state.py
+++ b/src/lycheerelay/_state.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from ._events import WorkerSpec
+from ._fit_index import WorkerIndex
 from ._jobs import (
     FINAL_JOB_STATES,
     LIVE_TASK_STATES,
@@ -11,8 +12,11 @@
     JobState,
     TaskState,
 )
+from ._order_queue import WaitingJobs
 from ._policy import Policy
+from ._reservation import Reservations
 from ._resources import Resources
+from ._share import Ledger
 
 
 @dataclass(slots=True)
@@ -30,6 +34,8 @@
     started_ms: int = 0
     code: int = 0
     answer: str = ''
+    stopping_ms: int = 0
+    moved_for: str = ''
 
     @property
     def is_live(self) -> bool:
@@ -72,6 +78,7 @@
     leaving: bool = False
     lost_ms: int = 0
     charges: dict[AttemptKey, Resources] = field(default_factory=dict)
+    ledger: Ledger | None = None
 
     def charge(self, key: AttemptKey, demand: Resources) -> None:
         """Book an attempt once, however often it is told."""
@@ -79,12 +86,17 @@
             return
         self.charges[key] = demand
         self.free = self.free.minus(demand)
+        if self.ledger is not None:
+            self.ledger.charge(self.spec.name, key, demand)
 
     def release(self, key: AttemptKey) -> None:
         """Give an attempt's booking back, if it is still held."""
         demand = self.charges.pop(key, None)
-        if demand is not None:
-            self.free = self.free.plus(demand)
+        if demand is None:
+            return
+        self.free = self.free.plus(demand)
+        if self.ledger is not None:
+            self.ledger.release(self.spec.name, key, demand)
 
 
 @dataclass(slots=True)
@@ -106,10 +118,20 @@
     term: int = 0
     owner: str = ''
     jobs: dict[str, JobBook] = field(default_factory=dict)
-    waiting: dict[str, None] = field(default_factory=dict)
+    waiting: WaitingJobs = field(default_factory=WaitingJobs)
     workers: dict[str, WorkerBook] = field(default_factory=dict)
     accepting: dict[str, PendingAccept] = field(default_factory=dict)
     cancelling: dict[str, list[int]] = field(default_factory=dict)
+    index: WorkerIndex = field(default_factory=WorkerIndex)
+    reservations: Reservations = field(default_factory=Reservations)
+    ledger: Ledger = field(init=False)
+    synced_ms: int = -1
+    reserved_ms: int = -1
+    next_worker: int = 0
+
+    def __post_init__(self) -> None:
+        """Let the ledger look up the team of a job."""
+        self.ledger = Ledger(self.jobs)
 
     @property
     def is_owner(self) -> bool:
