--- a/src/lycheerelay/_fit.py
+++ b/src/lycheerelay/_fit.py
@@ -10,8 +10,6 @@
 from ._state import ShardState, WorkerBook
 
 MAX_COMPARED: Final = 12
-SPREAD_WEIGHT: Final = 4.0
-KEPT_DIVISOR: Final = 2
 
 
 class FitRequest(NamedTuple):
@@ -25,6 +23,11 @@
     patient: bool = False
     racks: tuple[str, ...] = ()
 
+    @property
+    def may_strand(self) -> bool:
+        """Tell whether the task may leave accelerators without cores."""
+        return self.urgent or self.patient
+
 
 Choice = Callable[
     [ShardState, FitRequest, Iterable[WorkerBook]],
@@ -98,19 +101,17 @@
     return reservations.ends_in_time(name, job_id, end_ms)
 
 
-def strands_accelerators(worker: WorkerBook, demand: Resources) -> bool:
+def strands_accelerators(
+    state: ShardState,
+    worker: WorkerBook,
+    demand: Resources,
+) -> bool:
     """Tell whether free accelerators would lack a slot, cores or memory."""
-    capacity = worker.spec.capacity
-    idle = worker.free.accelerators - demand.accelerators
+    idle = worker.free.accelerators
     if demand.accelerators or idle <= 0:
         return False
-    after = worker.free.minus(demand)
-    kept = KEPT_DIVISOR * capacity.accelerators
-    return (
-        after.slots < idle
-        or after.cores_milli < idle * capacity.cores_milli // kept
-        or after.memory_mb < idle * capacity.memory_mb // kept
-    )
+    kept = state.ledger.need_for(idle)
+    return not demand.plus(kept).fits_in(worker.free)
 
 
 def leftover_score(
@@ -137,7 +138,8 @@
     kept = (
         worker
         for worker in fitting
-        if request.patient or not strands_accelerators(worker, request.demand)
+        if request.may_strand
+        or not strands_accelerators(state, worker, request.demand)
     )
     return min(
         islice(kept, MAX_COMPARED),
--- /dev/null
+++ b/src/lycheerelay/_fit_room.py
@@ -0,0 +1,56 @@
+"""Tell what part of a worker's free room a class may use."""
+
+from typing import NamedTuple
+
+from ._order_lanes import FitClass
+from ._resources import Resources
+from ._state import ShardState, WorkerBook
+
+
+class Room(NamedTuple):
+    """Describe the room on one worker.
+
+    `shared` is free and reserved for nobody; `plain` is the part of it that
+    work without accelerators may use. Work over within `backfill_ms` may
+    use reserved room, and so may the classes that it is reserved for.
+    """
+
+    free: Resources
+    shared: Resources
+    plain: Resources
+    backfill_ms: int = 0
+    holders: tuple[FitClass, ...] = ()
+
+    def admits(self, fit_class: FitClass) -> bool:
+        """Tell whether a class that fits the free room may use it."""
+        demand = fit_class.demand
+        usable = self.shared if demand.accelerators else self.plain
+        return (
+            demand.fits_in(usable)
+            or fit_class.urgent
+            or fit_class in self.holders
+            or fit_class.run_ms <= self.backfill_ms
+        )
+
+
+def room_of(state: ShardState, worker: WorkerBook, now_ms: int) -> Room:
+    """Return a worker's room with reservations taken off."""
+    name = worker.spec.name
+    free = worker.free
+    reservations = state.reservations.by_worker.get(name)
+    kept = state.ledger.need_for(free.accelerators)
+    if not reservations:
+        return Room(free, free, free.minus(kept))
+    held = state.reservations.held(name, '', urgent=False)
+    entries = state.waiting.entries
+    holders = tuple(
+        entries[reservation.job_id].key.fit_class
+        for reservation in reservations.values()
+        if reservation.job_id in entries
+    )
+    backfill_ms = min(
+        0 if reservation.hard else reservation.at_ms - now_ms
+        for reservation in reservations.values()
+    )
+    shared = free.minus(held)
+    return Room(free, shared, shared.minus(kept), backfill_ms, holders)
--- a/src/lycheerelay/_gang.py
+++ b/src/lycheerelay/_gang.py
@@ -5,16 +5,18 @@
 from itertools import islice
 from typing import Final
 
-from ._jobs import TaskState
-from ._order_queue import Entry
+from ._jobs import Kind, TaskState
+from ._order_lanes import Entry
+from ._preempt_victims import movable_once_more
 from ._reservation import Reservation
 from ._resources import Resources
-from ._state import ShardState, TaskBook, WorkerBook
+from ._state import JobBook, ShardState, TaskBook, WorkerBook
 
 GANG_ROLE: Final = 'gang'
 PATIENT_ROLE: Final = 'patient'
 REVIEW_MS: Final = 500
 URGENT_TTL_MS: Final = 2500
+CLEAR_MS: Final = 2000
 MIN_WORKERS: Final = 32
 WORKERS_PER_TASK: Final = 2
 
@@ -91,7 +93,7 @@
 
 def _blocked_heads(state: ShardState) -> Iterator[Entry]:
     waiting = state.waiting
-    for fit_class in waiting.blocked:
+    for fit_class in waiting.blocked.classes:
         for key in waiting.classes.get(fit_class, ()):
             entry = waiting.head(key)
             if entry is not None:
@@ -160,13 +162,20 @@
     ends = [(now_ms, Resources())]
     for key, held in worker.charges.items():
         job = state.jobs.get(key.job_id)
-        if job is not None and job.spec.kind != 'service':
-            task = job.tasks[key.task_index]
-            expected_ms = job.spec.expected_run_ms
-            ends.append((expected_end(task, expected_ms, now_ms), held))
+        if job is not None and job.spec.kind is not Kind.SERVICE:
+            ends.append((_possible_end(job, key.task_index, now_ms), held))
     return sorted(ends)
 
 
+def _possible_end(job: JobBook, index: int, now_ms: int) -> int:
+    """Return when an attempt ends, or may be checkpointed."""
+    task = job.tasks[index]
+    end_ms = expected_end(task, job.spec.expected_run_ms, now_ms)
+    if movable_once_more(job, task):
+        return min(end_ms, now_ms + CLEAR_MS)
+    return end_ms
+
+
 def expected_end(task: TaskBook, expected_ms: int, now_ms: int) -> int:
     """Expect an overdue task to run as long again as it has run."""
     if task.state is not TaskState.RUNNING and not task.recorded:
--- a/src/lycheerelay/_kind_batch.py
+++ b/src/lycheerelay/_kind_batch.py
@@ -4,7 +4,7 @@
 
 from ._fit import FitPolicy, FitRequest, find_worker, names_for
 from ._jobs import AttemptKey
-from ._order_queue import Entry
+from ._order_lanes import Entry
 from ._state import ShardState
 
 Placement = tuple[int, str]
@@ -58,6 +58,20 @@
     )
 
 
+def has_candidate(state: ShardState, entry: Entry) -> bool:
+    """Tell cheaply whether any worker may have room for a task."""
+    fit_class = entry.key.fit_class
+    blocked = state.waiting.blocked.classes.get(fit_class)
+    if blocked is None or fit_class.width > 1:
+        return True
+    workers = state.workers
+    return any(
+        fit_class.demand.fits_in(workers[name].free)
+        for name in blocked.candidates
+        if name in workers
+    )
+
+
 def _names(
     state: ShardState,
     entry: Entry,
@@ -65,7 +79,7 @@
 ) -> Iterable[str]:
     """Look only at new room where all else is known not to fit."""
     fit_class = entry.key.fit_class
-    blocked = state.waiting.blocked.get(fit_class)
+    blocked = state.waiting.blocked.classes.get(fit_class)
     if blocked is None or fit_class.width > 1:
         return names_for(state, fit, fit_class.demand)
     return tuple(blocked.candidates)
--- a/src/lycheerelay/_kind_service.py
+++ b/src/lycheerelay/_kind_service.py
@@ -2,7 +2,7 @@
 
 from ._fit import FitPolicy
 from ._kind_batch import Placement, place_request, request_for
-from ._order_queue import Entry
+from ._order_lanes import Entry
 from ._state import ShardState
 
 
--- a/src/lycheerelay/_order.py
+++ b/src/lycheerelay/_order.py
@@ -5,7 +5,8 @@
 from typing import Final, NamedTuple
 
 from ._jobs import JobSpec
-from ._order_queue import NORMAL, URGENT, Entry, LaneKey, Rank, WaitingJobs
+from ._order_lanes import NORMAL, URGENT, Entry, LaneKey, Rank
+from ._order_queue import WaitingJobs
 from ._registry import Registry
 from ._state import JobBook, ShardState
 
@@ -48,7 +49,9 @@
 
 def _pick_band(state: ShardState, band: int) -> Iterator[Entry]:
     waiting = state.waiting
-    heap = [(share_of(state, team), team) for team in waiting.open[band]]
+    heap = [
+        (share_of(state, team), team) for team in waiting.fronts[band].heaps
+    ]
     heapify(heap)
     while heap:
         team = heap[0][1]
@@ -62,20 +65,15 @@
 
 def share_of(state: ShardState, team: str) -> float:
     """Return a team's dominant share against its quota."""
-    policy = state.policy.team(team)
-    quota = policy.share if policy else 1
-    return state.ledger.dominant_share(team, quota)
+    return state.ledger.dominant_share(team)
 
 
 def pick_by_age(state: ShardState) -> Iterator[Entry]:
     """Pick the oldest job whose class may fit."""
     waiting = state.waiting
-    heap = [
-        (entry.rank, key)
-        for lanes in waiting.open[NORMAL].values()
-        for key in lanes
-        if (entry := waiting.head(key)) is not None
-    ]
+    open_keys = filter(waiting.is_open, waiting.lanes)
+    heads = [(waiting.head(key), key) for key in open_keys]
+    heap = [(entry.rank, key) for entry, key in heads if entry is not None]
     yield from _merge_lanes(waiting, heap)
 
 
--- a/src/lycheerelay/_order_queue.py
+++ b/src/lycheerelay/_order_queue.py
@@ -1,70 +1,24 @@
 """Keep waiting jobs in lanes, so that one lookup finds the next one."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass, field
-from heapq import heapify, heappop, heappush
-from typing import Final, NamedTuple
+from heapq import heappop, heappush
+from typing import Final
+
+from ._jobs import Kind
+from ._order_lanes import (
+    BlockedClasses,
+    Entry,
+    FitClass,
+    HasRoom,
+    Lane,
+    LaneKey,
+    Rank,
+    TeamFronts,
+    rebuild,
+)
 
-from ._jobs import JobSpec, Kind
-from ._resources import Resources
-
-URGENT: Final = 0
-NORMAL: Final = 1
 MIN_COMPACTED: Final = 64
 
-Rank = tuple[int, int, int, str]
-
-
-class FitClass(NamedTuple):
-    """Name the jobs that fit, or do not fit, the same workers."""
-
-    demand: Resources
-    run_bits: int
-    width: int
-    urgent: bool
-
-    @property
-    def run_ms(self) -> int:
-        """Return the longest expected run time of the class."""
-        return 1 << self.run_bits
-
-
-class LaneKey(NamedTuple):
-    """Name the jobs of one team that wait for the same thing."""
-
-    band: int
-    team: str
-    fit_class: FitClass
-
-
-@dataclass(slots=True)
-class Entry:
-    """Track the queued tasks of one waiting job."""
-
-    spec: JobSpec
-    key: LaneKey
-    rank: Rank
-    indexes: list[int]
-    enqueued_ms: int
-    missing: int = 1
-
-
-@dataclass(slots=True)
-class Lane:
-    """Order the jobs of one lane; dropped ones are skipped later."""
-
-    heap: list[Rank] = field(default_factory=list)
-    dead: int = 0
-
-
-@dataclass(slots=True)
-class Blocked:
-    """Remember that a class fits nowhere but, perhaps, on new room."""
-
-    missing: int = 1
-    gained: int = 0
-    candidates: dict[str, None] = field(default_factory=dict)
-
 
 class WaitingJobs(dict[str, None]):
     """Hold the ids of waiting jobs and the lanes they stand in."""
@@ -75,12 +29,9 @@
         self.fresh: dict[str, None] = {}
         self.entries: dict[str, Entry] = {}
         self.lanes: dict[LaneKey, Lane] = {}
-        self.open: tuple[
-            dict[str, dict[LaneKey, Lane]],
-            dict[str, dict[LaneKey, Lane]],
-        ] = ({}, {})
-        self.blocked: dict[FitClass, Blocked] = {}
         self.classes: dict[FitClass, dict[LaneKey, None]] = {}
+        self.fronts = (TeamFronts(), TeamFronts())
+        self.blocked = BlockedClasses()
         self.counts: dict[tuple[str, Kind], int] = {}
         self.delayed: list[tuple[int, str]] = []
         self.delays: dict[str, int] = {}
@@ -105,13 +56,17 @@
 
     def add_entry(self, entry: Entry) -> None:
         """Put a job in its lane, in place of an earlier entry."""
-        job_id = entry.spec.job_id
-        self.drop_entry(job_id)
-        self.entries[job_id] = entry
-        lane = self.lanes.get(entry.key)
+        key = entry.key
+        self.drop_entry(entry.spec.job_id)
+        self.entries[entry.spec.job_id] = entry
+        lane = self.lanes.get(key)
         if lane is None:
-            lane = self._open_lane(entry.key)
+            lane = Lane()
+            self.lanes[key] = lane
+            self.classes.setdefault(key.fit_class, {})[key] = None
         heappush(lane.heap, entry.rank)
+        if lane.front is None or entry.rank < lane.front:
+            self.fronts[key.band].show(key, lane, entry.rank)
         self._count(entry, len(entry.indexes))
 
     def drop_entry(self, job_id: str) -> None:
@@ -125,7 +80,8 @@
         if lane.dead == len(lane.heap):
             self._close_lane(entry.key)
         elif lane.dead > max(MIN_COMPACTED, len(lane.heap) // 2):
-            self._compact(entry.key, lane)
+            live = [rank for rank in lane.heap if self._is_live(rank)]
+            rebuild(lane, live)
 
     def take_index(self, entry: Entry) -> int:
         """Take the next queued task of a job."""
@@ -141,9 +97,8 @@
         """Return the first live job of a lane."""
         lane = self.lanes.get(key)
         while lane is not None and lane.heap:
-            rank = lane.heap[0]
-            entry = self.entries.get(rank[3])
-            if entry is not None and entry.rank == rank and entry.key == key:
+            entry = self.entries.get(lane.heap[0][3])
+            if entry is not None and entry.rank == lane.heap[0]:
                 return entry
             heappop(lane.heap)
             lane.dead -= 1
@@ -151,42 +106,40 @@
 
     def first_of(self, band: int, team: str) -> Entry | None:
         """Return the first job of a team whose class may fit."""
-        best = None
-        for key in self.open[band].get(team, ()):
-            entry = self.head(key)
-            if entry and (best is None or entry.rank < best.rank):
-                best = entry
-        return best
+        fronts = self.fronts[band]
+        shown = fronts.first(team)
+        while shown is not None:
+            entry = self._shown_entry(*shown)
+            if entry is not None and entry.rank == shown[0]:
+                return entry
+            fronts.hide_first(team)
+            if entry is not None:
+                fronts.show(entry.key, self.lanes[entry.key], entry.rank)
+            shown = fronts.first(team)
+        return None
 
     def block(self, fit_class: FitClass, missing: int) -> None:
         """Skip a class until a worker gains room for it."""
-        self.blocked[fit_class] = Blocked(missing)
-        for key in self.classes.get(fit_class, ()):
-            lanes = self.open[key.band].get(key.team, {})
-            lanes.pop(key, None)
-            if not lanes:
-                self.open[key.band].pop(key.team, None)
+        self.blocked.add(fit_class, missing)
 
-    def offer(self, worker: str, free: Resources) -> None:
+    def offer(self, worker: str, room: HasRoom) -> None:
         """Try a worker with new room for each blocked class."""
-        for fit_class, blocked in self.blocked.items():
-            if fit_class.demand.fits_in(free):
-                blocked.gained += fit_class.demand.times_in(free)
-                blocked.candidates[worker] = None
-                if blocked.gained >= blocked.missing:
-                    self._reopen(fit_class)
+        for fit_class in self.blocked.offer(worker, room):
+            self._show(fit_class)
 
     def reopen(self, fit_class: FitClass) -> None:
         """Let a class look at every worker again."""
-        if self.blocked.pop(fit_class, None) is not None:
-            self._reopen(fit_class)
+        if self.blocked.remove(fit_class):
+            self._show(fit_class)
+
+    def is_open(self, key: LaneKey) -> bool:
+        """Tell whether a lane's class may fit somewhere."""
+        return self.blocked.is_open(key.fit_class)
 
     def first_entries(self, key: LaneKey, count: int) -> list[Entry]:
         """Return up to `count` jobs near the front of a lane."""
         ranks = self.lanes[key].heap[:count]
-        return [
-            self.entries[rank[3]] for rank in ranks if self._is_live(rank, key)
-        ]
+        return [self.entries[rank[3]] for rank in ranks if self._is_live(rank)]
 
     def due(self, now_ms: int) -> Iterator[str]:
         """Iterate over jobs whose retry delay is over."""
@@ -206,44 +159,35 @@
         """Tell whether a task of the job has a retry delay left."""
         return job_id in self.delays
 
-    def _open_lane(self, key: LaneKey) -> Lane:
-        lane = Lane()
-        self.lanes[key] = lane
-        self.classes.setdefault(key.fit_class, {})[key] = None
-        if self.is_open(key):
-            self.open[key.band].setdefault(key.team, {})[key] = lane
-        return lane
+    def _is_live(self, rank: Rank) -> bool:
+        entry = self.entries.get(rank[3])
+        return entry is not None and entry.rank == rank
 
-    def is_open(self, key: LaneKey) -> bool:
-        """Tell whether a lane's class may fit somewhere."""
-        blocked = self.blocked.get(key.fit_class)
-        return blocked is None or blocked.gained >= blocked.missing
+    def _shown_entry(self, rank: Rank, key: LaneKey) -> Entry | None:
+        """Return the first job of a shown lane, unless it is out of date."""
+        lane = self.lanes.get(key)
+        if lane is None or lane.front != rank:
+            return None
+        entry = self.head(key) if self.is_open(key) else None
+        if entry is None or entry.rank != rank:
+            lane.front = None
+        return entry
+
+    def _show(self, fit_class: FitClass) -> None:
+        """Let the teams of a class try its lanes again."""
+        for key in self.classes.get(fit_class, ()):
+            lane = self.lanes[key]
+            entry = self.head(key) if lane.front is None else None
+            if entry is not None:
+                self.fronts[key.band].show(key, lane, entry.rank)
 
     def _close_lane(self, key: LaneKey) -> None:
         self.lanes.pop(key)
-        lanes = self.open[key.band].get(key.team, {})
-        lanes.pop(key, None)
-        if not lanes:
-            self.open[key.band].pop(key.team, None)
         keys = self.classes[key.fit_class]
         keys.pop(key)
         if not keys:
             self.classes.pop(key.fit_class)
-            self.blocked.pop(key.fit_class, None)
-
-    def _compact(self, key: LaneKey, lane: Lane) -> None:
-        lane.heap = [rank for rank in lane.heap if self._is_live(rank, key)]
-        heapify(lane.heap)
-        lane.dead = 0
-
-    def _is_live(self, rank: Rank, key: LaneKey) -> bool:
-        entry = self.entries.get(rank[3])
-        return entry is not None and entry.rank == rank and entry.key == key
-
-    def _reopen(self, fit_class: FitClass) -> None:
-        for key in self.classes.get(fit_class, ()):
-            lanes = self.open[key.band].setdefault(key.team, {})
-            lanes[key] = self.lanes[key]
+            self.blocked.remove(key.fit_class)
 
     def _count(self, entry: Entry, change: int) -> None:
         key = (entry.spec.team, entry.spec.kind)
--- a/src/lycheerelay/_order_refresh.py
+++ b/src/lycheerelay/_order_refresh.py
@@ -2,10 +2,11 @@
 
 from typing import Final
 
+from ._fit_room import room_of
 from ._gang import refresh_reservations
 from ._jobs import Kind, TaskState
 from ._order import ORDERS, OrderPolicy, band_of
-from ._order_queue import Entry, FitClass, LaneKey
+from ._order_lanes import Entry, FitClass, LaneKey
 from ._resources import Resources
 from ._state import JobBook, ShardState, WorkerBook
 
@@ -19,7 +20,7 @@
         _resync(state, now_ms)
     refresh_reservations(state, now_ms)
     for name in tuple(state.ledger.touched):
-        _offer(state, name)
+        _offer(state, name, now_ms)
     state.ledger.touched.clear()
     _enqueue_changed(state, now_ms)
 
@@ -32,28 +33,26 @@
 def _resync(state: ShardState, now_ms: int) -> None:
     state.synced_ms = now_ms
     shapes: dict[Resources, int] = {}
-    total = Resources()
     for name, worker in state.workers.items():
         capacity = worker.spec.capacity
         shapes[capacity] = shapes.get(capacity, 0) + 1
-        total = total.plus(capacity)
         if _may_start(worker) != (name in state.index.places):
             state.ledger.touched[name] = None
-    state.ledger.shapes = shapes
-    state.ledger.total = total
+    quotas = {team.name: max(1, team.share) for team in state.policy.teams}
+    state.ledger.resize(shapes, quotas)
 
 
 def _may_start(worker: WorkerBook) -> bool:
     return worker.ready and not worker.leaving
 
 
-def _offer(state: ShardState, name: str) -> None:
+def _offer(state: ShardState, name: str, now_ms: int) -> None:
     worker = state.workers.get(name)
     if worker is None or not _may_start(worker):
         state.index.remove(name)
         return
     state.index.put(name, worker.free, worker.spec.capacity)
-    state.waiting.offer(name, worker.free)
+    state.waiting.offer(name, room_of(state, worker, now_ms))
 
 
 def _enqueue_changed(state: ShardState, now_ms: int) -> None:
@@ -97,6 +96,12 @@
         waiting.drop_entry(job.spec.job_id)
 
 
+def _run_bits(expected_ms: int) -> int:
+    """Round an expected run time up to a power of four."""
+    bits = max(1, expected_ms).bit_length()
+    return bits + bits % 2
+
+
 def _is_split(job: JobBook, later_ms: int) -> bool:
     """Tell whether the queued tasks of a gang cannot start together yet."""
     return later_ms > 0 or any(task.is_live for task in job.tasks)
@@ -113,7 +118,7 @@
     band = band_of(order, spec)
     fit_class = FitClass(
         demand_of(job),
-        max(1, spec.expected_run_ms).bit_length(),
+        _run_bits(spec.expected_run_ms),
         len(indexes) if spec.kind is Kind.GANG else 1,
         band == 0,
     )
@@ -123,5 +128,6 @@
         state.waiting.next_serial(),
         spec.job_id,
     )
+    state.ledger.note_need(fit_class.demand)
     key = LaneKey(band, spec.team, fit_class)
     return Entry(spec, key, rank, list(indexes), now_ms)
--- a/src/lycheerelay/_reservation.py
+++ b/src/lycheerelay/_reservation.py
@@ -16,6 +16,7 @@
     holds: dict[str, Resources]
     urgent: bool = False
     hard: bool = False
+    cleared_ms: int = 0
 
 
 @dataclass(slots=True)
--- a/src/lycheerelay/_schedule.py
+++ b/src/lycheerelay/_schedule.py
@@ -9,18 +9,19 @@
 from ._gang import reserve_for_waiting
 from ._handlers import Commands
 from ._jobs import Kind, TaskState
-from ._kind_batch import Placement, place_next
+from ._kind_batch import Placement, has_candidate, place_next
 from ._kind_gang import place_all
 from ._kind_service import place_spread
 from ._order import ORDERS
-from ._order_queue import Entry
+from ._order_lanes import Entry
 from ._order_refresh import refresh
 from ._preempt import preempt_for_urgent
+from ._preempt_reserved import clear_reserved
 from ._records import Intended, Start
 from ._registry import Registry
 from ._state import JobBook, ShardState
 
-MAX_STARTS: Final = 64
+MAX_STARTS: Final = 32
 
 KindPolicy = Callable[[ShardState, Entry, FitPolicy, int], list[Placement]]
 
@@ -49,6 +50,7 @@
     if order.is_managed:
         yield from preempt_for_urgent(state, now_ms)
         reserve_for_waiting(state, now_ms)
+        yield from clear_reserved(state, now_ms)
 
 
 def _place(
@@ -59,7 +61,9 @@
     spec = entry.spec
     workload = state.policy.workload(spec.workload)
     fit = FITS[workload.fit if workload else state.policy.limits.fit]
-    placements = KINDS[spec.kind](state, entry, fit, now_ms)
+    placements = []
+    if has_candidate(state, entry):
+        placements = KINDS[spec.kind](state, entry, fit, now_ms)
     if not placements:
         missing = entry.missing if spec.kind is Kind.GANG else 1
         state.waiting.block(entry.key.fit_class, missing)
--- a/src/lycheerelay/_state.py
+++ b/src/lycheerelay/_state.py
@@ -36,6 +36,7 @@
     answer: str = ''
     stopping_ms: int = 0
     moved_for: str = ''
+    moves: int = 0
 
     @property
     def is_live(self) -> bool:
