--- a/src/lycheerelay/_fit.py
+++ b/src/lycheerelay/_fit.py
@@ -21,6 +21,7 @@
     now_ms: int
     urgent: bool = False
     patient: bool = False
+    movable: bool = False
     racks: tuple[str, ...] = ()
 
     @property
@@ -98,7 +99,10 @@
     if request.demand.plus(held).fits_in(worker.free):
         return True
     end_ms = request.now_ms + request.run_ms
-    return reservations.ends_in_time(name, job_id, end_ms)
+    return all(
+        reservation.admits(end_ms, request.movable, request.now_ms)
+        for reservation in reservations.others(name, job_id)
+    )
 
 
 def strands_accelerators(
--- a/src/lycheerelay/_fit_room.py
+++ b/src/lycheerelay/_fit_room.py
@@ -11,8 +11,9 @@
     """Describe the room on one worker.
 
     `shared` is free and reserved for nobody; `plain` is the part of it that
-    work without accelerators may use. Work over within `backfill_ms` may
-    use reserved room, and so may the classes that it is reserved for.
+    work without accelerators may use. Reserved room is open to work that
+    is over within `backfill_ms`, to work that may be moved, and to the
+    classes that it is reserved for.
     """
 
     free: Resources
@@ -20,6 +21,7 @@
     plain: Resources
     backfill_ms: int = 0
     holders: tuple[FitClass, ...] = ()
+    is_clearing: bool = False
 
     def admits(self, fit_class: FitClass) -> bool:
         """Tell whether a class that fits the free room may use it."""
@@ -30,6 +32,7 @@
             or fit_class.urgent
             or fit_class in self.holders
             or fit_class.run_ms <= self.backfill_ms
+            or (fit_class.movable and not self.is_clearing)
         )
 
 
@@ -53,4 +56,8 @@
         for reservation in reservations.values()
     )
     shared = free.minus(held)
-    return Room(free, shared, shared.minus(kept), backfill_ms, holders)
+    is_clearing = any(
+        reservation.is_clearing(now_ms) for reservation in reservations.values()
+    )
+    plain = shared.minus(kept)
+    return Room(free, shared, plain, backfill_ms, holders, is_clearing)
--- a/src/lycheerelay/_gang.py
+++ b/src/lycheerelay/_gang.py
@@ -17,6 +17,7 @@
 REVIEW_MS: Final = 500
 URGENT_TTL_MS: Final = 2500
 CLEAR_MS: Final = 2000
+SETTLED_MS: Final = 600_000
 MIN_WORKERS: Final = 32
 WORKERS_PER_TASK: Final = 2
 
@@ -55,11 +56,32 @@
     if now_ms - state.reserved_ms < REVIEW_MS:
         return
     state.reserved_ms = now_ms
-    by_role = state.reservations.by_role
-    if GANG_ROLE not in by_role:
-        _reserve_first(state, GANG_ROLE, now_ms)
-    if PATIENT_ROLE not in by_role:
-        _reserve_first(state, PATIENT_ROLE, now_ms)
+    for role in (GANG_ROLE, PATIENT_ROLE):
+        reservation = state.reservations.by_role.get(role)
+        if reservation is None:
+            _reserve_first(state, role, now_ms)
+        elif reservation.hard and not reservation.is_clearing(now_ms):
+            _plan_again(state, role, reservation, now_ms)
+
+
+def _plan_again(
+    state: ShardState,
+    role: str,
+    reservation: Reservation,
+    now_ms: int,
+) -> None:
+    """Move an overdue reservation, but not for ever."""
+    if now_ms - reservation.made_ms >= SETTLED_MS:
+        return
+    drop_reservation(state, role)
+    entry = state.waiting.entries[reservation.job_id]
+    plan = plan_reservation(state, entry, now_ms)
+    if plan is None:
+        state.reservations.make(role, reservation)
+        return
+    plan.made_ms = reservation.made_ms
+    state.reservations.make(role, plan)
+    state.waiting.reopen(entry.key.fit_class)
 
 
 def _reserve_first(state: ShardState, role: str, now_ms: int) -> None:
--- a/src/lycheerelay/_kind_batch.py
+++ b/src/lycheerelay/_kind_batch.py
@@ -55,6 +55,7 @@
         now_ms,
         fit_class.urgent,
         state.reservations.role_of(job_id) is not None,
+        fit_class.movable,
     )
 
 
--- a/src/lycheerelay/_order_lanes.py
+++ b/src/lycheerelay/_order_lanes.py
@@ -20,6 +20,7 @@
     run_bits: int
     width: int
     urgent: bool
+    movable: bool = False
 
     @property
     def run_ms(self) -> int:
--- a/src/lycheerelay/_order_refresh.py
+++ b/src/lycheerelay/_order_refresh.py
@@ -6,7 +6,8 @@
 from ._gang import refresh_reservations
 from ._jobs import Kind, TaskState
 from ._order import ORDERS, OrderPolicy, band_of
-from ._order_lanes import Entry, FitClass, LaneKey
+from ._order_lanes import URGENT, Entry, FitClass, LaneKey
+from ._preempt_victims import movable_once_more
 from ._resources import Resources
 from ._state import JobBook, ShardState, WorkerBook
 
@@ -120,7 +121,9 @@
         demand_of(job),
         _run_bits(spec.expected_run_ms),
         len(indexes) if spec.kind is Kind.GANG else 1,
-        band == 0,
+        band == URGENT,
+        spec.kind is Kind.BATCH
+        and all(movable_once_more(job, job.tasks[index]) for index in indexes),
     )
     rank = (
         order.due_ms(job),
--- a/src/lycheerelay/_preempt_reserved.py
+++ b/src/lycheerelay/_preempt_reserved.py
@@ -4,7 +4,6 @@
 
 from ._handlers import Commands
 from ._preempt_victims import (
-    REPEAT_STOP_MS,
     Victim,
     cheapest_victims,
     movable_once_more,
@@ -17,27 +16,33 @@
 
 
 def clear_reserved(state: ShardState, now_ms: int) -> Commands:
-    """Checkpoint what stands in the way of a reservation that is due."""
+    """Checkpoint what may move once that frees all that is reserved."""
     for reservation in tuple(state.reservations.by_role.values()):
-        if reservation.urgent or not reservation.hard:
+        if reservation.is_clearing(now_ms):
             continue
-        if now_ms - reservation.cleared_ms < REPEAT_STOP_MS:
+        victims = _victims(state, reservation, now_ms)
+        if victims is None:
             continue
         reservation.cleared_ms = now_ms
-        yield from _clear(state, reservation, now_ms)
+        for victim in victims:
+            yield stop_victim(state, victim.key, reservation.job_id, now_ms)
 
 
-def _clear(
+def _victims(
     state: ShardState,
     reservation: Reservation,
     now_ms: int,
-) -> Commands:
+) -> list[Victim] | None:
+    victims: list[Victim] = []
     for name, held in reservation.holds.items():
         worker = state.workers[name]
         room = worker.free.plus(stopping_room(state, worker, now_ms))
         movable = _movable(state, worker, now_ms)
-        for victim in cheapest_victims(movable, held, room) or ():
-            yield stop_victim(state, victim.key, reservation.job_id, now_ms)
+        chosen = cheapest_victims(movable, held, room)
+        if chosen is None:
+            return None
+        victims.extend(chosen)
+    return victims
 
 
 def _movable(
--- a/src/lycheerelay/_reservation.py
+++ b/src/lycheerelay/_reservation.py
@@ -1,10 +1,13 @@
 """Hold room on workers for one job until that job can start."""
 
 from dataclasses import dataclass, field
+from typing import Final
 
 from ._resources import Resources
 from ._share import NOTHING
 
+CLEARING_MS: Final = 2500
+
 
 @dataclass(slots=True)
 class Reservation:
@@ -18,6 +21,16 @@
     hard: bool = False
     cleared_ms: int = 0
 
+    def is_clearing(self, now_ms: int) -> bool:
+        """Tell whether stops were sent lately to make the room free."""
+        return self.urgent or now_ms < self.cleared_ms + CLEARING_MS
+
+    def admits(self, end_ms: int, movable: bool, now_ms: int) -> bool:
+        """Tell whether other work may use the room for now."""
+        if movable and not self.is_clearing(now_ms):
+            return True
+        return not self.hard and end_ms <= self.at_ms
+
 
 @dataclass(slots=True)
 class Reservations:
@@ -59,10 +72,10 @@
                 total = total.plus(reservation.holds[worker])
         return total
 
-    def ends_in_time(self, worker: str, job_id: str, end_ms: int) -> bool:
-        """Tell whether work over by then delays no reservation."""
-        return all(
-            reservation.job_id == job_id
-            or (not reservation.hard and end_ms <= reservation.at_ms)
-            for reservation in self.by_worker[worker].values()
-        )
+    def others(self, worker: str, job_id: str) -> list[Reservation]:
+        """Return the reservations of other jobs on a worker."""
+        return [
+            reservation
+            for reservation in self.by_worker.get(worker, {}).values()
+            if reservation.job_id != job_id
+        ]
