--- a/src/lycheerelay/_admission.py
+++ b/src/lycheerelay/_admission.py
@@ -1,15 +1,20 @@
 """Refuse early what cannot or should not be taken on."""
 
+from collections import Counter
 from collections.abc import Callable
 from typing import Final
 
 from ._codes import Code, Refusal
-from ._jobs import JobSpec
+from ._jobs import JobSpec, Kind
 from ._registry import Registry
+from ._resources import Resources
 from ._state import ShardState
 
 Check = Callable[[ShardState, JobSpec, int], Refusal | None]
 
+RETRY_AFTER_MS: Final = 5000
+MAX_RETRY_AFTER_MS: Final = 60_000
+
 CHECKS: Final[Registry[str, Check]] = Registry('admission check')
 
 
@@ -41,16 +46,106 @@
     spec: JobSpec,
     now_ms: int,
 ) -> Refusal | None:
-    """Refuse a task that is larger than every known worker."""
-    if not state.workers:
+    """Refuse what no known worker, or not all together, could hold."""
+    if not state.workers or _could_hold(state.ledger.shapes, spec):
+        return None
+    shapes = Counter(worker.spec.capacity for worker in state.workers.values())
+    if _could_hold(shapes, spec):
         return None
-    for worker in state.workers.values():
-        if spec.demand.fits_in(worker.spec.capacity):
-            return None
-    detail = f'no worker of pool {state.pool} can hold one task'
+    detail = f'{_broken_limit(shapes, spec)} in pool {state.pool}'
     return Refusal(Code.NEVER_FITS, detail, not_run=True)
 
 
+def _could_hold(shapes: dict[Resources, int], spec: JobSpec) -> bool:
+    width = spec.tasks if spec.kind is Kind.GANG else 1
+    return _places(shapes, spec.demand) >= width
+
+
+def _places(shapes: dict[Resources, int], demand: Resources) -> int:
+    return sum(
+        demand.times_in(shape) * count for shape, count in shapes.items()
+    )
+
+
+def _broken_limit(shapes: dict[Resources, int], spec: JobSpec) -> str:
+    demand = spec.demand
+    for place, name in enumerate(Resources._fields):
+        most = max(shape[place] for shape in shapes)
+        if demand[place] > most:
+            return f'{name}: {demand[place]} is over {most}, the most'
+    places = _places(shapes, demand)
+    if places:
+        return f'tasks: {spec.tasks} at once is over {places}, the most'
+    return 'no worker has all that one task needs together'
+
+
+@CHECKS.register('team_quota')
+def check_team(
+    state: ShardState,
+    spec: JobSpec,
+    now_ms: int,
+) -> Refusal | None:
+    """Refuse when too many tasks of the team wait already."""
+    team = state.policy.team(spec.team)
+    if team is None:
+        return None
+    counts = state.waiting.counts
+    waiting = sum(counts.get((spec.team, kind), 0) for kind in Kind)
+    if waiting < team.max_waiting:
+        return None
+    detail = f'team {spec.team}: {waiting} tasks wait; max_waiting'
+    detail = f'{detail} is {team.max_waiting}'
+    return Refusal(
+        Code.QUOTA_EXCEEDED,
+        detail,
+        not_run=True,
+        retry_after_ms=RETRY_AFTER_MS,
+    )
+
+
+@CHECKS.register('predicted_wait')
+def check_wait(
+    state: ShardState,
+    spec: JobSpec,
+    now_ms: int,
+) -> Refusal | None:
+    """Refuse when the predicted wait is over the workload's limit."""
+    workload = state.policy.workload(spec.workload)
+    if workload is None or spec.urgent or spec.kind is Kind.SERVICE:
+        return None
+    wait_ms = predict_wait(state, spec, now_ms)
+    if wait_ms <= workload.max_wait_ms:
+        return None
+    detail = f'team {spec.team}, {spec.kind}: predicted wait {wait_ms} ms'
+    detail = f'{detail}; max_wait_ms is {workload.max_wait_ms}'
+    over_ms = wait_ms - workload.max_wait_ms
+    return Refusal(
+        Code.OVERLOADED,
+        detail,
+        not_run=True,
+        retry_after_ms=max(RETRY_AFTER_MS, min(over_ms, MAX_RETRY_AFTER_MS)),
+    )
+
+
+@CHECKS.register('deadline')
+def check_deadline(
+    state: ShardState,
+    spec: JobSpec,
+    now_ms: int,
+) -> Refusal | None:
+    """Refuse a job that is predicted to start after its deadline."""
+    if not spec.deadline_ms:
+        return None
+    start_ms = (
+        now_ms if spec.urgent else now_ms + predict_wait(state, spec, now_ms)
+    )
+    if start_ms < spec.deadline_ms:
+        return None
+    detail = f'deadline_ms: {spec.deadline_ms} is not after the'
+    detail = f'{detail} earliest start, {start_ms}'
+    return Refusal(Code.DEADLINE_PASSED, detail, not_run=True)
+
+
 @CHECKS.register('waiting')
 def check_waiting(
     state: ShardState,
@@ -59,12 +154,18 @@
 ) -> Refusal | None:
     """Refuse when too much work waits already."""
     limit = state.policy.limits.max_waiting_tasks
-    if len(state.waiting) < limit:
+    if len(state.waiting) + len(state.accepting) < limit:
         return None
     detail = f'{limit} jobs wait already'
     return Refusal(
         Code.OVERLOADED,
         detail,
         not_run=True,
-        retry_after_ms=5000,
+        retry_after_ms=RETRY_AFTER_MS,
     )
+
+
+def predict_wait(state: ShardState, spec: JobSpec, now_ms: int) -> int:
+    """Predict how long a task of the job's team and kind would wait."""
+    key = (spec.team, spec.kind)
+    return state.flows.predict(key, state.waiting.counts, now_ms)
--- a/src/lycheerelay/_fit.py
+++ b/src/lycheerelay/_fit.py
@@ -4,6 +4,7 @@
 from itertools import islice
 from typing import Final, NamedTuple
 
+from ._fit_room import plain_room
 from ._jobs import AttemptKey
 from ._registry import Registry
 from ._resources import Resources
@@ -111,11 +112,9 @@
     demand: Resources,
 ) -> bool:
     """Tell whether free accelerators would lack a slot, cores or memory."""
-    idle = worker.free.accelerators
-    if demand.accelerators or idle <= 0:
+    if demand.accelerators or not worker.spec.capacity.accelerators:
         return False
-    kept = state.ledger.need_for(idle)
-    return not demand.plus(kept).fits_in(worker.free)
+    return not demand.fits_in(plain_room(state, worker, worker.free))
 
 
 def leftover_score(
--- a/src/lycheerelay/_fit_room.py
+++ b/src/lycheerelay/_fit_room.py
@@ -36,14 +36,33 @@
         )
 
 
+def plain_room(
+    state: ShardState,
+    worker: WorkerBook,
+    free: Resources,
+) -> Resources:
+    """Return the room that work without accelerators may use.
+
+    Idle accelerators keep the mean need of the work that uses them. While
+    such work waits, used ones keep theirs too, so that what follows fits.
+    """
+    capacity = worker.spec.capacity
+    if not capacity.accelerators:
+        return free
+    if state.synced_ms < state.scarce_until_ms:
+        kept = state.ledger.need_for(capacity.accelerators)
+        bound = capacity.minus(kept).minus(worker.plain)
+        return Resources(*map(min, free, bound))
+    return free.minus(state.ledger.need_for(free.accelerators))
+
+
 def room_of(state: ShardState, worker: WorkerBook, now_ms: int) -> Room:
     """Return a worker's room with reservations taken off."""
     name = worker.spec.name
     free = worker.free
     reservations = state.reservations.by_worker.get(name)
-    kept = state.ledger.need_for(free.accelerators)
     if not reservations:
-        return Room(free, free, free.minus(kept))
+        return Room(free, free, plain_room(state, worker, free))
     held = state.reservations.held(name, '', urgent=False)
     entries = state.waiting.entries
     holders = tuple(
@@ -59,5 +78,5 @@
     is_clearing = any(
         reservation.is_clearing(now_ms) for reservation in reservations.values()
     )
-    plain = shared.minus(kept)
+    plain = plain_room(state, worker, shared)
     return Room(free, shared, plain, backfill_ms, holders, is_clearing)
--- a/src/lycheerelay/_order_lanes.py
+++ b/src/lycheerelay/_order_lanes.py
@@ -125,6 +125,7 @@
         self.classes: dict[FitClass, Blocked] = {}
         self.by_demand: dict[Resources, dict[FitClass, Blocked]] = {}
         self.urgent: dict[FitClass, None] = {}
+        self.scarce: dict[FitClass, None] = {}
 
     def add(self, fit_class: FitClass, missing: int) -> None:
         """Skip a class; what it gained before counts no more."""
@@ -133,12 +134,15 @@
         self.by_demand.setdefault(fit_class.demand, {})[fit_class] = blocked
         if fit_class.urgent:
             self.urgent[fit_class] = None
+        if fit_class.demand.accelerators:
+            self.scarce[fit_class] = None
 
     def remove(self, fit_class: FitClass) -> bool:
         """Skip a class no more; tell whether it was skipped."""
         if self.classes.pop(fit_class, None) is None:
             return False
         self.urgent.pop(fit_class, None)
+        self.scarce.pop(fit_class, None)
         classes = self.by_demand[fit_class.demand]
         classes.pop(fit_class)
         if not classes:
--- a/src/lycheerelay/_order_refresh.py
+++ b/src/lycheerelay/_order_refresh.py
@@ -13,6 +13,7 @@
 
 RESYNC_MS: Final = 1000
 GANG_REVIEW_MS: Final = 1000
+SCARCE_MS: Final = 5000
 
 
 def refresh(state: ShardState, now_ms: int) -> None:
@@ -32,13 +33,19 @@
 
 
 def _resync(state: ShardState, now_ms: int) -> None:
+    was_scarce = state.synced_ms < state.scarce_until_ms
     state.synced_ms = now_ms
+    if state.waiting.blocked.scarce:
+        state.scarce_until_ms = now_ms + SCARCE_MS
+    elif was_scarce and now_ms >= state.scarce_until_ms:
+        state.ledger.touched.update(dict.fromkeys(state.workers))
     shapes: dict[Resources, int] = {}
     for name, worker in state.workers.items():
         capacity = worker.spec.capacity
         shapes[capacity] = shapes.get(capacity, 0) + 1
         if _may_start(worker) != (name in state.index.places):
             state.ledger.touched[name] = None
+    state.flows.follow(state.waiting.counts, now_ms)
     quotas = {team.name: max(1, team.share) for team in state.policy.teams}
     state.ledger.resize(shapes, quotas)
 
--- a/src/lycheerelay/_schedule.py
+++ b/src/lycheerelay/_schedule.py
@@ -42,6 +42,8 @@
         placements = _place(state, entry, now_ms)
         if placements:
             planned.setdefault(entry.spec.job_id, []).extend(placements)
+            flow = (entry.spec.team, entry.spec.kind)
+            state.flows.note_starts(flow, len(placements), now_ms)
         starts += len(placements)
         if starts >= MAX_STARTS:
             break
--- a/src/lycheerelay/_share.py
+++ b/src/lycheerelay/_share.py
@@ -79,7 +79,7 @@
             self.need.cores_milli * accelerators // seen,
             self.need.memory_mb * accelerators // seen,
             0,
-            max(1, self.need.slots * accelerators // seen),
+            accelerators,
             self.need.connections * accelerators // seen,
         )
 
--- a/src/lycheerelay/_state.py
+++ b/src/lycheerelay/_state.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from ._admission_flow import Flows
 from ._events import WorkerSpec
 from ._fit_index import WorkerIndex
 from ._jobs import (
@@ -16,7 +17,7 @@
 from ._policy import Policy
 from ._reservation import Reservations
 from ._resources import Resources
-from ._share import Ledger
+from ._share import NOTHING, Ledger
 
 
 @dataclass(slots=True)
@@ -80,6 +81,7 @@
     lost_ms: int = 0
     charges: dict[AttemptKey, Resources] = field(default_factory=dict)
     ledger: Ledger | None = None
+    plain: Resources = NOTHING
 
     def charge(self, key: AttemptKey, demand: Resources) -> None:
         """Book an attempt once, however often it is told."""
@@ -87,6 +89,8 @@
             return
         self.charges[key] = demand
         self.free = self.free.minus(demand)
+        if not demand.accelerators:
+            self.plain = self.plain.plus(demand)
         if self.ledger is not None:
             self.ledger.charge(self.spec.name, key, demand)
 
@@ -96,6 +100,8 @@
         if demand is None:
             return
         self.free = self.free.plus(demand)
+        if not demand.accelerators:
+            self.plain = self.plain.minus(demand)
         if self.ledger is not None:
             self.ledger.release(self.spec.name, key, demand)
 
@@ -129,6 +135,8 @@
     synced_ms: int = -1
     reserved_ms: int = -1
     next_worker: int = 0
+    scarce_until_ms: int = 0
+    flows: Flows = field(default_factory=Flows)
 
     def __post_init__(self) -> None:
         """Let the ledger look up the team of a job."""
