--- a/benchmarks/_decide_scenarios.py
+++ b/benchmarks/_decide_scenarios.py
@@ -88,7 +88,7 @@
     times = poisson(rng, 320 * scale, 100, seconds * 1000)
     for number, at_ms in enumerate(times):
         yield draw_job(rng, PLANNED, 94, at_ms, f'j{number}')
-    for number in range(round(4000 * scale)):
+    for number in range(round(7000 * scale)):
         at_ms = 8000 + rng.randrange(1000)
         yield draw_job(rng, PLANNED, 94, at_ms, f'u{number}')
 
--- a/src/lycheerelay/_admission.py
+++ b/src/lycheerelay/_admission.py
@@ -86,7 +86,7 @@
     now_ms: int,
 ) -> Refusal | None:
     """Refuse when too many tasks of the team wait already."""
-    team = state.policy.team(spec.team)
+    team = state.ledger.policies.get(spec.team)
     if team is None:
         return None
     counts = state.waiting.counts
--- a/src/lycheerelay/_fit.py
+++ b/src/lycheerelay/_fit.py
@@ -10,7 +10,7 @@
 from ._resources import Resources
 from ._state import ShardState, WorkerBook
 
-MAX_COMPARED: Final = 12
+MAX_COMPARED: Final = 4
 
 
 class FitRequest(NamedTuple):
@@ -59,13 +59,7 @@
     names: Iterable[str],
 ) -> WorkerBook | None:
     """Choose among the named workers that can hold the task."""
-    fitting = (
-        worker
-        for worker in _books(state, names)
-        if can_hold(worker, request.demand)
-        and _leaves_reserved(state, worker, request)
-    )
-    return fit.choose(state, request, fitting)
+    return fit.choose(state, request, _fitting(state, request, names))
 
 
 def names_for(
@@ -79,10 +73,18 @@
     return state.workers
 
 
-def _books(state: ShardState, names: Iterable[str]) -> Iterator[WorkerBook]:
+def _fitting(
+    state: ShardState,
+    request: FitRequest,
+    names: Iterable[str],
+) -> Iterator[WorkerBook]:
+    demand = request.demand
+    reserved = state.reservations.by_worker
     for name in names:
         worker = state.workers.get(name)
-        if worker is not None:
+        if worker is None or not can_hold(worker, demand):
+            continue
+        if name not in reserved or _leaves_reserved(state, worker, request):
             yield worker
 
 
@@ -93,8 +95,6 @@
 ) -> bool:
     reservations = state.reservations
     name = worker.spec.name
-    if name not in reservations.by_worker:
-        return True
     job_id = request.key.job_id
     held = reservations.held(name, job_id, request.urgent)
     if request.demand.plus(held).fits_in(worker.free):
--- a/src/lycheerelay/_fit_index.py
+++ b/src/lycheerelay/_fit_index.py
@@ -2,10 +2,12 @@
 
 from bisect import bisect_left, insort
 from collections.abc import Iterator
-from typing import NamedTuple, final
+from typing import Final, NamedTuple, final
 
 from ._resources import Resources
 
+FULL: Final = -1
+
 
 class Bucket(NamedTuple):
     """Name workers with the same free accelerators and whole free cores."""
@@ -27,10 +29,11 @@
 
     def put(self, worker: str, free: Resources, capacity: Resources) -> None:
         """Move a worker to the bucket of its free room."""
+        has_place = free.slots > 0 and free.connections > 0
         bucket = Bucket(
             capacity.accelerators > 0,
             free.accelerators,
-            free.cores_milli // 1000,
+            free.cores_milli // 1000 if has_place else FULL,
         )
         if self.places.get(worker) == bucket:
             return
--- a/src/lycheerelay/_gang.py
+++ b/src/lycheerelay/_gang.py
@@ -51,11 +51,16 @@
     return not all(name in state.index.places for name in reservation.holds)
 
 
-def reserve_for_waiting(state: ShardState, now_ms: int) -> None:
-    """Reserve for the first blocked gang and the first overdue job."""
+def is_review_due(state: ShardState, now_ms: int) -> bool:
+    """Tell whether reservations are to be looked at again."""
     if now_ms - state.reserved_ms < REVIEW_MS:
-        return
+        return False
     state.reserved_ms = now_ms
+    return True
+
+
+def reserve_for_waiting(state: ShardState, now_ms: int) -> None:
+    """Reserve for the first blocked gang and the first overdue job."""
     for role in (GANG_ROLE, PATIENT_ROLE):
         reservation = state.reservations.by_role.get(role)
         if reservation is None:
--- a/src/lycheerelay/_order_refresh.py
+++ b/src/lycheerelay/_order_refresh.py
@@ -46,8 +46,7 @@
         if _may_start(worker) != (name in state.index.places):
             state.ledger.touched[name] = None
     state.flows.follow(state.waiting.counts, now_ms)
-    quotas = {team.name: max(1, team.share) for team in state.policy.teams}
-    state.ledger.resize(shapes, quotas)
+    state.ledger.resize(shapes, state.policy.teams)
 
 
 def _may_start(worker: WorkerBook) -> bool:
--- a/src/lycheerelay/_schedule.py
+++ b/src/lycheerelay/_schedule.py
@@ -6,7 +6,7 @@
 from . import _fit_baselines  # noqa: F401
 from ._commands import Append
 from ._fit import FITS, FitPolicy
-from ._gang import reserve_for_waiting
+from ._gang import is_review_due, reserve_for_waiting
 from ._handlers import Commands
 from ._jobs import Kind, TaskState
 from ._kind_batch import Placement, has_candidate, place_next
@@ -51,6 +51,7 @@
         yield Append(_reserve(state, state.jobs[job_id], chosen, now_ms))
     if order.is_managed:
         yield from preempt_for_urgent(state, now_ms)
+    if order.is_managed and is_review_due(state, now_ms):
         reserve_for_waiting(state, now_ms)
         yield from clear_reserved(state, now_ms)
 
--- a/src/lycheerelay/_share.py
+++ b/src/lycheerelay/_share.py
@@ -5,6 +5,7 @@
 from typing import Final, Protocol
 
 from ._jobs import AttemptKey, JobSpec
+from ._policy import TeamPolicy
 from ._resources import Resources
 
 NOTHING: Final = Resources()
@@ -27,7 +28,7 @@
     used: dict[str, Resources] = field(default_factory=dict)
     teams: dict[AttemptKey, str] = field(default_factory=dict)
     touched: dict[str, None] = field(default_factory=dict)
-    quotas: dict[str, int] = field(default_factory=dict)
+    policies: dict[str, TeamPolicy] = field(default_factory=dict)
     shares: dict[str, float] = field(default_factory=dict)
     need: Resources = NOTHING
 
@@ -58,7 +59,7 @@
         """
         share = self.shares.get(team)
         if share is None:
-            share = self._largest_part(team) / self.quotas.get(team, 1)
+            share = self._largest_part(team) / self.quota_of(team)
             self.shares[team] = share
         return share
 
@@ -86,16 +87,21 @@
     def resize(
         self,
         shapes: dict[Resources, int],
-        quotas: dict[str, int],
+        teams: tuple[TeamPolicy, ...],
     ) -> None:
         """Follow the workers of the pool and the quotas of its teams."""
         self.shapes = shapes
-        self.quotas = quotas
+        self.policies = {team.name: team for team in teams}
         self.total = NOTHING
         for shape, count in shapes.items():
             self.total = self.total.plus(shape.times(count))
         self.shares.clear()
 
+    def quota_of(self, team: str) -> int:
+        """Return the share that the operators gave a team."""
+        policy = self.policies.get(team)
+        return max(1, policy.share) if policy else 1
+
     def _largest_part(self, team: str) -> float:
         used = self.used.get(team)
         if used is None:
