--- a/src/lycheerelay/_state.py
+++ b/src/lycheerelay/_state.py
@@ -3,7 +3,9 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from ._admission_flow import Flows
 from ._events import WorkerSpec
+from ._fit_index import WorkerIndex
 from ._jobs import (
     FINAL_JOB_STATES,
     LIVE_TASK_STATES,
@@ -12,10 +14,13 @@
     JobState,
     TaskState,
 )
+from ._order_queue import WaitingJobs
 from ._policy import Policy
 from ._records import Record
+from ._reservation import Reservations
 from ._resources import Resources
 from ._retry import RetryBudget
+from ._share import NOTHING, Ledger
 
 
 @dataclass(slots=True)
@@ -34,6 +39,9 @@
     code: int = 0
     answer: str = ''
     runs: int = 0
+    stopping_ms: int = 0
+    moved_for: str = ''
+    moves: int = 0
 
     @property
     def is_live(self) -> bool:
@@ -107,6 +115,8 @@
     listed: bool = True
     told_leaving: bool = False
     strays: dict[AttemptKey, None] = field(default_factory=dict)
+    ledger: Ledger | None = None
+    plain: Resources = NOTHING
 
     @property
     def takes_work(self) -> bool:
@@ -119,12 +129,21 @@
             return
         self.charges[key] = demand
         self.free = self.free.minus(demand)
+        if not demand.accelerators:
+            self.plain = self.plain.plus(demand)
+        if self.ledger is not None:
+            self.ledger.charge(self.spec.name, key, demand)
 
     def release(self, key: AttemptKey) -> None:
         """Give an attempt's booking back, if it is still held."""
         demand = self.charges.pop(key, None)
-        if demand is not None:
-            self.free = self.free.plus(demand)
+        if demand is None:
+            return
+        self.free = self.free.plus(demand)
+        if not demand.accelerators:
+            self.plain = self.plain.minus(demand)
+        if self.ledger is not None:
+            self.ledger.release(self.spec.name, key, demand)
 
 
 @dataclass(slots=True)
@@ -164,7 +183,7 @@
     term: int = 0
     owner: str = ''
     jobs: dict[str, JobBook] = field(default_factory=dict)
-    waiting: dict[str, None] = field(default_factory=dict)
+    waiting: WaitingJobs = field(default_factory=WaitingJobs)
     workers: dict[str, WorkerBook] = field(default_factory=dict)
     accepting: dict[str, PendingAccept] = field(default_factory=dict)
     cancelling: dict[str, list[int]] = field(default_factory=dict)
@@ -181,6 +200,18 @@
     restating: RestateRound | None = None
     fence: Fence = field(default_factory=Fence)
     on_way: dict[str, list[Record]] = field(default_factory=dict)
+    index: WorkerIndex = field(default_factory=WorkerIndex)
+    reservations: Reservations = field(default_factory=Reservations)
+    ledger: Ledger = field(init=False)
+    synced_ms: int = -1
+    reserved_ms: int = -1
+    next_worker: int = 0
+    scarce_until_ms: int = 0
+    flows: Flows = field(default_factory=Flows)
+
+    def __post_init__(self) -> None:
+        """Let the ledger look up the team of a job."""
+        self.ledger = Ledger(self.jobs)
 
     @property
     def is_owner(self) -> bool:
