--- a/src/lycheerelay/_web.py
+++ b/src/lycheerelay/_web.py
@@ -244,7 +244,7 @@
     try:
         return handler(request)
     except ConnectionError:
-        # A handler ends the connection without an answer by raising this.
+        # A handler that dropped the connection wants no answer sent.
         raise
     except Exception:
         # A defect must not leave a caller without a numbered answer.
