--- a/src/lycheerelay/_api.py
+++ b/src/lycheerelay/_api.py
@@ -16,7 +16,7 @@
 from ._node_directory import NodeDirectory
 from ._options import name_near
 from ._routing import SUBMIT_TIMEOUT_MS, Router, RouterSettings
-from ._spec_checks import NAME, is_job_id, read_spec
+from ._spec_checks import NAME, find_undescribed, is_job_id, read_spec
 from ._state import JobBook
 from ._views import JobList, JobView, Receipt, line_of, view_job
 from ._web import Request, Response, Route, is_whole, refused, route
@@ -58,8 +58,10 @@
         )
 
     def health(self, request: Request) -> Response:
-        """Tell that the process answers."""
-        return Response(200, {'code': 0})
+        """Tell that the process answers and its core still steps."""
+        if self.node.thread.is_alive():
+            return Response(200, {'code': 0})
+        return refused(Refusal(Code.INTERNAL, 'the core has stopped'))
 
     def ready(self, request: Request) -> Response:
         """Tell whether the process can take jobs."""
@@ -145,12 +147,11 @@
         policy = self.node.policy
         if not policy.version or domain_of(spec.job_id) != self._domain:
             return None
-        known = [entry.name for entry in policy.workloads]
-        if spec.workload in known or self._is_known(spec.job_id):
+        wrong = find_undescribed(policy, spec)
+        if wrong is None or self._is_known(spec.job_id):
             return None
-        expected = name_near(spec.workload, known)
-        detail = f'workload: got {spec.workload!r}, expected {expected}'
-        return Refusal(Code.BAD_FIELD, detail)
+        # An earlier configuration may have let the same job in.
+        return wrong.refusal()._replace(not_run=False)
 
     @property
     def _domain(self) -> str:
--- a/src/lycheerelay/_folder.py
+++ b/src/lycheerelay/_folder.py
@@ -22,6 +22,7 @@
     read_option,
     shorten,
 )
+from ._order import ORDERS
 from ._policy import (
     Limits,
     Policy,
@@ -218,12 +219,24 @@
             yield part.fault('team', f'a team: {near}')
 
 
-@CROSS_CHECKS.register('fits')
-def check_fits(parts: list[Part]) -> Iterator[OptionError]:
-    """Check that every workload names a known placement score."""
-    for part in _parts(parts, WorkloadPolicy):
-        if part.entry.fit not in FITS:
-            yield part.fault('fit', name_near(part.entry.fit, FITS))
+@CROSS_CHECKS.register('policies')
+def check_policies(parts: list[Part]) -> Iterator[OptionError]:
+    """Check that options which name a registered policy name a known one."""
+    registered = {'fit': tuple(FITS), 'order': tuple(ORDERS)}
+    for part in parts:
+        for option, known in registered.items():
+            chosen = getattr(part.entry, option, None)
+            if chosen is not None and chosen not in known:
+                yield part.fault(option, name_near(chosen, known))
+
+
+@CROSS_CHECKS.register('bounds')
+def check_bounds(parts: list[Part]) -> Iterator[OptionError]:
+    """Check that the first delay of a retry is not over the longest."""
+    for part in _parts(parts, Limits):
+        if part.entry.retry_base_ms > part.entry.retry_max_ms:
+            expected = f'at most retry_max_ms, {part.entry.retry_max_ms}'
+            yield part.fault('retry_base_ms', expected)
 
 
 @CROSS_CHECKS.register('workloads')
--- a/src/lycheerelay/_spec_checks.py
+++ b/src/lycheerelay/_spec_checks.py
@@ -8,6 +8,8 @@
 from ._codec import FieldError, Json, from_json
 from ._codes import Code, Refusal
 from ._jobs import ID_SEPARATOR, JobSpec
+from ._options import name_near
+from ._policy import Policy
 
 DAY_MS: Final = 86_400_000
 MAX_TASKS: Final = 1000
@@ -73,6 +75,22 @@
     return None
 
 
+def find_undescribed(policy: Policy, spec: JobSpec) -> FieldError | None:
+    """Return the first field that the operators' folder rules out."""
+    workload = policy.workload(spec.workload)
+    if workload is None:
+        names = [entry.name for entry in policy.workloads]
+        expected = name_near(spec.workload, names)
+        return FieldError('workload', repr(spec.workload), expected)
+    if workload.kind != spec.kind:
+        expected = f'{workload.kind!r}, the kind of {spec.workload}'
+        return FieldError('kind', repr(spec.kind.value), expected)
+    if policy.team(spec.team) is None:
+        expected = name_near(spec.team, [entry.name for entry in policy.teams])
+        return FieldError('team', repr(spec.team), expected)
+    return None
+
+
 def is_job_id(text: str) -> bool:
     """Tell whether a text has the form of a job id."""
     return JOB_ID.fullmatch(text) is not None
--- /dev/null
+++ b/src/lycheerelay/core.py
@@ -0,0 +1,68 @@
+"""Decide placements: one event in, commands out."""
+
+from ._commands import (
+    Append,
+    Command,
+    ForgetTask,
+    JobFinal,
+    ReplyAccepted,
+    ReplyRefused,
+    StartTask,
+    StopTask,
+)
+from ._core import step
+from ._events import (
+    CancelRequested,
+    Configured,
+    Event,
+    LeaseHeld,
+    LeaseLost,
+    Recorded,
+    SubmitRequested,
+    TaskReport,
+    TasksReported,
+    Tick,
+    WorkerListed,
+    WorkerSpec,
+    WorkerUnlisted,
+)
+from ._jobs import AttemptKey, JobSpec, JobState, Kind, TaskState
+from ._policy import Policy
+from ._records import Record, TermTaken
+from ._resources import Resources
+from ._state import ShardState
+
+__all__ = (
+    'Append',
+    'AttemptKey',
+    'CancelRequested',
+    'Command',
+    'Configured',
+    'Event',
+    'ForgetTask',
+    'JobFinal',
+    'JobSpec',
+    'JobState',
+    'Kind',
+    'LeaseHeld',
+    'LeaseLost',
+    'Policy',
+    'Record',
+    'Recorded',
+    'ReplyAccepted',
+    'ReplyRefused',
+    'Resources',
+    'ShardState',
+    'StartTask',
+    'StopTask',
+    'SubmitRequested',
+    'TaskReport',
+    'TaskState',
+    'TasksReported',
+    'TermTaken',
+    'Tick',
+    'WorkerListed',
+    'WorkerSpec',
+    'WorkerUnlisted',
+    'step',
+)
--- a/src/lycheerelay/journal.py
+++ b/src/lycheerelay/journal.py
@@ -1,6 +1,14 @@
 """Commit records in groups and deliver them in log order."""
 
 from ._journal import Journal, JournalSettings, Log
+from ._log_client import LogEntry, LogPage
 from ._outbox import BatchFilter
 
-__all__ = ('BatchFilter', 'Journal', 'JournalSettings', 'Log')
+__all__ = (
+    'BatchFilter',
+    'Journal',
+    'JournalSettings',
+    'Log',
+    'LogEntry',
+    'LogPage',
+)
--- a/tests/test_folder.py
+++ b/tests/test_folder.py
@@ -66,6 +66,14 @@
     assert '40.ini: [batch s]: got nothing, expected a name' in report
 
 
+def test_limits_name_known_policies_and_right_bounds():
+    text = '[limits]\norder = fairr\nfit = none\nretry_base_ms = 90000\n'
+    report = '\n'.join(errors_of(FolderFile('9.ini', text)))
+    assert "order: got 'fairr', expected a known name; the nearest" in report
+    assert "fit: got 'none', expected" in report
+    assert "retry_base_ms: got '90000', expected at most" in report
+
+
 def test_check_prints_faults_and_exits_2(tmp_path, capsys):
     (tmp_path / 'a.ini').write_text('[limits]\ntask_ttl_ms = 0\n')
     assert main(['check', str(tmp_path)]) == 2
--- a/tests/test_publish.py
+++ b/tests/test_publish.py
@@ -94,6 +94,39 @@
     assert late.policy.team('design').share == 7
 
 
+@pytest.mark.parametrize(
+    ('field', 'wrong', 'expected'),
+    [
+        ('workload', 'corner-sweeps', "nearest is 'corner-sweep'"),
+        ('kind', 'gang', "'batch', the kind of corner-sweep"),
+        ('team', 'designs', "nearest is 'design'"),
+    ],
+)
+def test_what_the_folder_does_not_describe_is_refused(
+    cell,
+    tmp_path,
+    field,
+    wrong,
+    expected,
+):
+    _, log_server, add_node = cell
+    _, entry = add_node('e1')
+    folder = shutil.copytree(CARONI, tmp_path / 'caroni')
+    target = ['--log', log_server.address, '--entry', entry]
+    assert main(['publish', str(folder), *target]) == 0
+    body = {
+        'job_id': 'a.x',
+        'team': 'design',
+        'workload': 'corner-sweep',
+        'kind': 'batch',
+        field: wrong,
+    }
+    url = f'http://{entry}/v1/jobs'
+    reply = HttpCaller().call('POST', url, body, 5000).unwrap()
+    assert (reply.status, reply.body['not_run']) == (400, False)
+    assert expected in reply.body['detail']
+
+
 def test_removed_file_is_published(cell, tmp_path):
     log, log_server, add_node = cell
     log_address = log_server.address
