--- a/src/lycheerelay/_cli_entries.py
+++ b/src/lycheerelay/_cli_entries.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 ENTRIES_VARIABLE: Final = 'LYCHEERELAY_ENTRIES'
+DEFAULT_PATIENCE_MS: Final = 30_000
 
 
 def add_entry_option(parser: argparse.ArgumentParser) -> None:
@@ -18,6 +19,18 @@
     )
 
 
+def add_client_options(parser: argparse.ArgumentParser) -> None:
+    """Add the addresses of entry VMs and the time to repeat a request."""
+    add_entry_option(parser)
+    parser.add_argument(
+        '--patience-ms',
+        type=int,
+        default=DEFAULT_PATIENCE_MS,
+        help='how long to repeat a request that has no answer yet, '
+        'in milliseconds (default: %(default)s)',
+    )
+
+
 def entries_of(arguments: argparse.Namespace) -> tuple[str, ...]:
     """Return the addresses of the entry VMs to talk to."""
     if arguments.entry:
--- a/src/lycheerelay/_cli_jobs.py
+++ b/src/lycheerelay/_cli_jobs.py
@@ -9,7 +9,7 @@
 
 from result import Err
 
-from ._cli_entries import add_entry_option, entries_of
+from ._cli_entries import add_client_options, add_entry_option, entries_of
 from ._cli_parts import (
     add_json_flag,
     command,
@@ -57,7 +57,7 @@
         type=Path,
         help='file to take the payload from',
     )
-    add_entry_option(parser)
+    add_client_options(parser)
     add_json_flag(parser)
 
 
@@ -120,7 +120,7 @@
         default=100,
         help='with --team: number of jobs (default: %(default)s)',
     )
-    add_entry_option(parser)
+    add_client_options(parser)
     add_json_flag(parser)
 
 
@@ -180,7 +180,7 @@
         default=DEFAULT_WAIT_MS,
         help='how long to wait, in milliseconds (default: %(default)s)',
     )
-    add_entry_option(parser)
+    add_client_options(parser)
     add_json_flag(parser)
 
 
@@ -205,7 +205,7 @@
 
 def _describe_one(parser: argparse.ArgumentParser) -> None:
     parser.add_argument('job_id', help='id of the job')
-    add_entry_option(parser)
+    add_client_options(parser)
     add_json_flag(parser)
 
 
@@ -240,5 +240,9 @@
 def client_of(arguments: argparse.Namespace) -> Client:
     """Return a client of the entry VMs that the arguments name."""
     clock = SystemClock()
-    settings = ClientSettings(entries_of(arguments), seed=clock.now_ms())
+    settings = ClientSettings(
+        entries_of(arguments),
+        patience_ms=arguments.patience_ms,
+        seed=clock.now_ms(),
+    )
     return Client(settings, clock)
--- a/tests/cell_parts.py
+++ b/tests/cell_parts.py
@@ -23,7 +23,7 @@
 class Cell:
     """Hold the parts of a running cell."""
 
-    def __init__(self, stack):
+    def __init__(self, stack, pool):
         self.stack = stack
         self.log, self.vms = LogStandIn(), VmListStandIn()
         self.worker = WorkerStandIn(CAPACITY, 'boot-1', SystemClock())
@@ -33,7 +33,7 @@
         self.log_address = self.serve(self.log)
         self.vms_address = self.serve(self.vms)
         self.vms.list_worker(
-            WorkerSpec('w1', 'desk', 'a', 'r1', worker, CAPACITY),
+            WorkerSpec('w1', pool, 'a', 'r1', worker, CAPACITY),
         )
 
     def serve(self, part):
@@ -91,9 +91,9 @@
 
 
 @contextmanager
-def start_cell():
+def start_cell(pool='desk'):
     with ExitStack() as stack:
-        yield Cell(stack)
+        yield Cell(stack, pool)
 
 
 def wait_until(condition, seconds=10):
--- /dev/null
+++ b/tests/test_transcripts.py
@@ -0,0 +1,15 @@
+"""Compare golden transcripts with what the program prints today."""
+
+import pytest
+
+from transcript_files import FOLDER, play
+
+
+@pytest.mark.parametrize(
+    'path',
+    sorted(FOLDER.glob('*.txt')),
+    ids=lambda path: path.stem,
+)
+def test_transcript(path, tmp_path):
+    text = path.read_text()
+    assert play(text, tmp_path) == text
