Read the dump in short parts and leave derived indexes out

Each worker's book refers to the ledger, which refers to every job, so a dump grew with workers times jobs and held the core for all of it. Indexes are left out and every table is read in parts of 50 entries.

--- a/src/lycheerelay/_dump.py
+++ b/src/lycheerelay/_dump.py
@@ -1,6 +1,5 @@
 """Show the state of a process, stable in order and without contents."""
 
-from collections.abc import Iterator
 from dataclasses import fields, is_dataclass
 from enum import Enum
 from functools import partial
@@ -9,13 +8,14 @@
 from . import __version__
 from ._codec import Json
 from ._node import Node
-from ._state import JobBook
 from ._web import Request, Response, Route, route
 
 # Payloads and answers belong to callers; only their size is shown.
 HIDDEN: Final = frozenset(('payload', 'answer', 'content'))
 MAX_SHOWN_CHARS: Final = 200
-JOBS_PER_READ: Final = 200
+ITEMS_PER_READ: Final = 50
+# Indexes over the rest of the state; each refers back to all of it.
+DERIVED: Final = frozenset(('ledger', 'index', 'policy'))
 PLAIN: Final = (str, int, float, bool)
 
 
@@ -57,32 +57,32 @@
 
 
 def dump_pool(node: Node, pool: str) -> Json:
-    """Return one pool, its jobs in several short reads of the core."""
+    """Return one pool in several short reads of the core."""
     state = node.shards[pool]
-    shown = node.inspect(
-        lambda: {
-            field.name: dump_item(getattr(state, field.name))
-            for field in fields(state)
-            if field.name not in {'jobs', 'policy'}
-        },
-    )
-    shown['jobs'] = dict(_dump_jobs(node, pool))
-    return shown
+    names = sorted(field.name for field in fields(state))
+    return {
+        name: _dump_field(node, getattr(state, name))
+        for name in names
+        if name not in DERIVED
+    }
 
 
-def _dump_jobs(node: Node, pool: str) -> Iterator[tuple[str, Json]]:
-    jobs = node.shards[pool].jobs
-    names = node.inspect(lambda: sorted(jobs))
-    for start in range(0, len(names), JOBS_PER_READ):
-        part = names[start : start + JOBS_PER_READ]
-        yield from node.inspect(partial(_dump_some, jobs, part))
+def _dump_field(node: Node, item: object) -> Json:
+    if not isinstance(item, dict):
+        return node.inspect(partial(dump_item, item))
+    keys = node.inspect(partial(tuple, item))
+    shown: dict[str, Json] = {}
+    for start in range(0, len(keys), ITEMS_PER_READ):
+        part = keys[start : start + ITEMS_PER_READ]
+        shown.update(node.inspect(partial(_dump_some, item, part)))
+    return dict(sorted(shown.items()))
 
 
 def _dump_some(
-    jobs: dict[str, JobBook],
-    names: list[str],
-) -> list[tuple[str, Json]]:
-    return [(name, dump_item(jobs[name])) for name in names if name in jobs]
+    items: dict[object, object],
+    keys: tuple[object, ...],
+) -> dict[str, Json]:
+    return {_key(key): dump_item(items[key]) for key in keys if key in items}
 
 
 def dump_item(item: object, name: str = '') -> Json:
@@ -111,8 +111,10 @@
 
 def _dump_parts(item: object) -> Json:
     if is_dataclass(item):
-        names = [field.name for field in fields(item)]
-        return {name: dump_item(getattr(item, name), name) for name in names}
+        names = {field.name for field in fields(item)} - DERIVED
+        return {
+            name: dump_item(getattr(item, name), name) for name in sorted(names)
+        }
     if isinstance(item, tuple) and hasattr(item, '_fields'):
         return {
             name: dump_item(getattr(item, name), name) for name in item._fields
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -151,7 +151,9 @@
     assert job['state'] == 'done'
     assert job['spec']['payload'].startswith('<')
     assert 'of a.kept' not in json.dumps(shown)
-    assert shown['pools']['desk']['workers']['w1']['spec']['pool'] == 'desk'
+    worker = shown['pools']['desk']['workers']['w1']
+    assert worker['spec']['pool'] == 'desk'
+    assert 'ledger' not in worker
 
 
 def test_every_code_has_its_row():
