--- a/src/lycheerelay/_holding.py
+++ b/src/lycheerelay/_holding.py
@@ -6,6 +6,7 @@
 from result import Err
 
 from ._hold import Holders, HoldReply, HoldRequest, HoldVerdict
+from ._members import name_of
 from ._record_codec import Batch, decode_batches, encode_batches
 from ._records import TermTaken
 
@@ -64,11 +65,17 @@
             )
 
     def _hold_at_one(self) -> bool:
-        return any(self._ask(name) for name in self.holders.names())
+        # A pool's owner comes first: it must see what others keep for it.
+        owners = set(map(name_of, self.journal.terms.owners.values()))
+        live = self.holders.names()
+        return any(
+            self._ask(name)
+            for name in sorted(live, key=lambda name: name not in owners)
+        )
 
     def _hold_at_all(self, batch: Batch) -> bool:
         replaced = {
-            self.journal.terms.owners.get(record.pool, '').partition('@')[0]
+            name_of(self.journal.terms.owners.get(record.pool, ''))
             for record in batch.records
             if isinstance(record, TermTaken)
         }
--- a/src/lycheerelay/_members.py
+++ b/src/lycheerelay/_members.py
@@ -7,6 +7,11 @@
 from ._vm_client import EntryVm
 
 
+def name_of(identity: str) -> str:
+    """Return the name of the entry VM that an identity is one run of."""
+    return identity.partition('@')[0]
+
+
 class Members(Protocol):
     """Answer who is alive; each answer is only a suggestion.
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -178,7 +178,7 @@
 
 def test_claimant_learns_what_the_replaced_owner_kept():
     domain = Domain('e1', 'e2', 'e3')
-    domain.journals['e1'].append(TermTaken('p', 1, 'e1', 0))
+    domain.journals['e1'].append(TermTaken('p', 1, 'e1@1', 0))
     domain.turn()
     domain.take_down()
     domain.journals['e1'].append(note(1))
@@ -196,7 +196,7 @@
 
 def test_replaced_owner_finds_no_holder_any_more():
     domain = Domain('e1', 'e2', 'e3')
-    domain.journals['e1'].append(TermTaken('p', 1, 'e1', 0))
+    domain.journals['e1'].append(TermTaken('p', 1, 'e1@1', 0))
     domain.turn()
     domain.take_down()
     domain.cut.add('e1')
@@ -224,7 +224,7 @@
 
 def test_claim_needs_every_other_known_entry_vm():
     domain = Domain('e1', 'e2', 'e3')
-    domain.journals['e1'].append(TermTaken('p', 1, 'e1', 0))
+    domain.journals['e1'].append(TermTaken('p', 1, 'e1@1', 0))
     domain.turn()
     domain.take_down()
     domain.cut.update({'e1', 'e2'})
@@ -235,7 +235,7 @@
 
 def test_lost_claim_does_not_block_later_records():
     domain = Domain('e1', 'e2', 'e3')
-    domain.journals['e1'].append(TermTaken('p', 1, 'e1', 0))
+    domain.journals['e1'].append(TermTaken('p', 1, 'e1@1', 0))
     domain.turn()
     domain.take_down()
     domain.cut.add('e1')
