Check the promises over random histories of three cores

A hypothesis state machine drives three cores of one domain over a fake log, network and workers, and checks limits, places, starts, answers, terms and the agreement of replicas after each step, then lets faults stop and waits for every accepted job.

It found that a plan of the owner hid a queued task when another one failed, so that the owner settled a job that its replicas kept, and that a worker which takes back that it leaves never got work again. Both are mended.

--- a/src/lycheerelay/_books.py
+++ b/src/lycheerelay/_books.py
@@ -55,3 +55,10 @@
 def has_queued(job: JobBook) -> bool:
     """Tell whether a task of the job is to be placed."""
     return any(task.state is TaskState.QUEUED for task in job.tasks)
+
+
+def has_open(job: JobBook) -> bool:
+    """Tell whether a task is to be placed, as the records alone show it."""
+    return any(
+        task.state is TaskState.QUEUED or task.is_planned for task in job.tasks
+    )
--- a/src/lycheerelay/_handle_tasks.py
+++ b/src/lycheerelay/_handle_tasks.py
@@ -133,7 +133,7 @@
     worker = state.workers.get(event.worker)
     if worker is not None:
         worker.told_leaving = event.leaving
-        worker.leaving = worker.leaving or event.leaving
+        worker.follow_leaving()
         if worker.ready and worker.boot != event.boot:
             worker.boot = event.boot
             yield from resolve_reboot(state, worker, now_ms)
--- a/src/lycheerelay/_handle_workers.py
+++ b/src/lycheerelay/_handle_workers.py
@@ -28,11 +28,9 @@
     elif known.spec.capacity != event.spec.capacity:
         grown = event.spec.capacity.minus(known.spec.capacity)
         known.free = known.free.plus(grown)
-    if not known.listed:
-        known.leaving = known.told_leaving
     known.listed = True
-    known.leaving = known.leaving or event.spec.leaving
     known.spec = event.spec
+    known.follow_leaving()
     follow_majority(state, now_ms)
     yield from ()
 
@@ -46,8 +44,8 @@
     """Give a worker no new work once the list drops it."""
     worker = state.workers.get(event.worker)
     if worker is not None:
-        worker.leaving = True
         worker.listed = False
+        worker.follow_leaving()
         follow_majority(state, now_ms)
         retire_worker(state, worker)
     yield from ()
@@ -92,13 +90,11 @@
     worker: WorkerBook,
     event: LeaseHeld,
 ) -> None:
-    if worker.boot != event.boot and worker.listed:
-        worker.leaving = worker.spec.leaving
     worker.ready = True
     worker.term = event.term
     worker.boot = event.boot
     worker.told_leaving = event.leaving
-    worker.leaving = worker.leaving or event.leaving
+    worker.follow_leaving()
     worker.strays.clear()
 
 
--- a/src/lycheerelay/_settle.py
+++ b/src/lycheerelay/_settle.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from ._books import drop_plans, has_queued
+from ._books import drop_plans, has_open
 from ._codes import Code
 from ._commands import JobFinal
 from ._ends import restart_gang
@@ -58,7 +58,7 @@
         return Verdict(JobState.DONE, int(Code.DONE))
     bad = states & {TaskState.UNKNOWN, TaskState.FAILED}
     is_cut_short = job.cancel_asked or (bad and job.spec.kind is Kind.GANG)
-    if has_queued(job) and not is_cut_short:
+    if has_open(job) and not is_cut_short:
         return None
     if TaskState.UNKNOWN in states:
         detail = _detail(job, TaskState.UNKNOWN)
--- a/src/lycheerelay/_state.py
+++ b/src/lycheerelay/_state.py
@@ -111,6 +111,11 @@
         """Tell whether anything may be placed here now."""
         return self.ready and not self.leaving and not self.strays
 
+    def follow_leaving(self) -> None:
+        """Combine what the list and the worker itself say of leaving."""
+        is_gone = self.spec.leaving or not self.listed
+        self.leaving = is_gone or self.told_leaving
+
     def charge(self, key: AttemptKey, demand: Resources) -> None:
         """Book an attempt once, however often it is told."""
         if key in self.charges:
--- /dev/null
+++ b/tests/fake_domain.py
@@ -0,0 +1,253 @@
+"""Fake a failure domain: cores, log, workers, network and the promises."""
+
+from fake_node import FakeNode
+from fake_worker import CAPACITY, FakeWorker
+from lycheerelay._clock import ManualClock
+from lycheerelay._commands import ReplyAccepted
+from lycheerelay._events import CancelRequested, SubmitRequested, WorkerSpec
+from lycheerelay._jobs import TaskState
+from lycheerelay._policy import Limits, Policy
+
+NODES = ('e1', 'e2', 'e3')
+SKEWS_PERCENT = {'w1': -1, 'w2': 0, 'w3': 1}
+WORKERS = tuple(SKEWS_PERCENT)
+START_MS = 1_000_000
+ROUND_MS = 500
+DRAIN_PACE_MS = 2_500
+DRAIN_ROUNDS = 200
+
+
+class FakeDomain:
+    """Hold the truth that no core sees, and check the promises by it."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock(START_MS)
+        self.policy = Policy(limits=Limits(retention_ms=10**9))
+        self.log = []
+        self.wires = []
+        self.hold = False
+        self.is_whole = True
+        self.cuts = set()
+        self.drops = 0
+        self.twice = False
+        self.starts = {}
+        self.checkpoints = set()
+        self.accepted = {}
+        self.requested = {}
+        self.tokens = {}
+        self.finals = {}
+        self.specs = [
+            WorkerSpec(name, 'desk', 'a', f'r-{name}', '', CAPACITY)
+            for name in WORKERS
+        ]
+        self.workers = {
+            name: FakeWorker(name, self.clock, percent, self.count_start)
+            for name, percent in SKEWS_PERCENT.items()
+        }
+        self.nodes = {name: FakeNode(name, self) for name in NODES}
+
+    @property
+    def now_ms(self) -> int:
+        return self.clock.now_ms()
+
+    def is_cut(self, one, other) -> bool:
+        return frozenset((one, other)) in self.cuts
+
+    def send(self, source, target, action) -> None:
+        """Carry a message now or later, once, twice or never."""
+        if self.is_cut(source, target):
+            return
+        if self.drops > 0:
+            self.drops -= 1
+            return
+        if self.hold:
+            self.wires.append((source, target, action))
+            return
+        action()
+        if self.twice:
+            action()
+
+    def deliver(self, position: int, repeat: bool) -> None:
+        """Deliver one held message, out of order, perhaps again later."""
+        source, target, action = self.wires[position]
+        if not repeat:
+            del self.wires[position]
+        if not self.is_cut(source, target):
+            action()
+
+    def count_start(self, worker, key) -> None:
+        place = (key.job_id, key.task_index)
+        is_resumed = place in self.checkpoints
+        self.checkpoints.discard(place)
+        self.starts.setdefault(place, []).append((key, is_resumed))
+
+    def submit(self, node, spec) -> None:
+        token = len(self.tokens) + 1
+        self.tokens[token] = spec.job_id
+        self.requested[spec.job_id] = spec
+        node.step(SubmitRequested(token, spec))
+
+    def cancel(self, node, job_id) -> None:
+        token = len(self.tokens) + 1
+        self.tokens[token] = None
+        node.step(CancelRequested(token, job_id))
+
+    def answered(self, reply) -> None:
+        job_id = self.tokens.get(reply.token)
+        if job_id is None:
+            return
+        if isinstance(reply, ReplyAccepted):
+            self.accepted[job_id] = self.requested[job_id]
+
+    def working(self) -> list[FakeNode]:
+        return [
+            node
+            for node in self.nodes.values()
+            if node.alive and not node.paused
+        ]
+
+    def rounds(self, count: int, pace_ms: int = ROUND_MS) -> None:
+        for _ in range(count):
+            self.clock.advance(pace_ms)
+            for worker in self.workers.values():
+                self.advance_worker(worker)
+            for node in self.nodes.values():
+                node.work()
+                self.check()
+
+    def advance_worker(self, worker) -> None:
+        worker.advance()
+        for entry in worker.entries.values():
+            if entry.state is TaskState.CHECKPOINTED:
+                place = (entry.key.job_id, entry.key.task_index)
+                if place not in self.checkpoints and not self._resumed(entry):
+                    self.checkpoints.add(place)
+
+    def _resumed(self, entry) -> bool:
+        place = (entry.key.job_id, entry.key.task_index)
+        return any(
+            key.attempt > entry.key.attempt
+            for key, _ in self.starts.get(place, ())
+        )
+
+    def check(self) -> None:
+        """Check every promise against the truth."""
+        self.is_whole = False
+        for worker in self.workers.values():
+            self.advance_worker(worker)
+            assert worker.used().fits_in(CAPACITY), worker.name
+        self._check_places()
+        self._check_starts()
+        for node in self.nodes.values():
+            if node.alive:
+                self._check_node(node)
+        self._check_agreement()
+        self.is_whole = True
+
+    def _check_places(self) -> None:
+        places = [
+            (entry.key.job_id, entry.key.task_index)
+            for worker in self.workers.values()
+            for entry in worker.live()
+        ]
+        assert len(places) == len(set(places)), places
+
+    def _check_starts(self) -> None:
+        for (job_id, _), starts in self.starts.items():
+            if not self.requested[job_id].idempotent:
+                fresh = [key for key, is_resumed in starts if not is_resumed]
+                assert len(fresh) <= 1, starts
+
+    def _check_node(self, node) -> None:
+        state = node.state
+        assert state.term >= node.highest_term
+        node.highest_term = state.term
+        for name, worker in state.workers.items():
+            used = CAPACITY.minus(worker.free)
+            assert used.fits_in(CAPACITY), (node.name, name)
+        for job_id, job in state.jobs.items():
+            if job.is_final:
+                self._check_final(job_id, job)
+
+    def _check_final(self, job_id, job) -> None:
+        shown = (job.state, job.code, tuple(t.answer for t in job.tasks))
+        assert self.finals.setdefault(job_id, shown) == shown
+        started = any(place[0] == job_id for place in self.starts)
+        assert not (job.not_run and started), job_id
+        if job.state.value == 'done':
+            for index, task in enumerate(job.tasks):
+                key = job.attempt_key(index).to_text()
+                assert task.answer == f'answer {key}'
+
+    def _check_agreement(self) -> None:
+        views = {}
+        for node in self.nodes.values():
+            if node.alive:
+                view = _recorded_view(node.state)
+                first = views.setdefault(node.offset, view)
+                assert first == view, (node.name, first, view)
+
+    def drain(self) -> None:
+        """Let faults stop; every accepted job then ends."""
+        if not self.is_whole:
+            return
+        self.cuts.clear()
+        self.hold = self.twice = False
+        self.drops = 0
+        self.wires.clear()
+        for worker in self.workers.values():
+            worker.leaving = False
+        for node in self.nodes.values():
+            node.paused = False
+            if not node.alive:
+                node.restart()
+        self.rounds(2)
+        self.nodes['e1'].claim()
+        for _ in range(DRAIN_ROUNDS):
+            self.rounds(1, DRAIN_PACE_MS)
+            for worker in self.workers.values():
+                for entry in worker.live():
+                    worker.finish(entry, 0)
+            if self._all_final():
+                break
+        self._check_drained()
+
+    def _all_final(self) -> bool:
+        return all(
+            job_id in node.state.jobs and node.state.jobs[job_id].is_final
+            for node in self.nodes.values()
+            for job_id in self.accepted
+        )
+
+    def _check_drained(self) -> None:
+        for node in self.nodes.values():
+            for job_id, spec in self.accepted.items():
+                job = node.state.jobs[job_id]
+                assert job.is_final, (node.name, job)
+                if spec.idempotent:
+                    assert job.state.value != 'unknown', job
+
+
+def _recorded_view(state):
+    return state.term, {
+        job_id: (
+            job.state,
+            job.cancel_asked,
+            job.restarting,
+            [_task_view(task) for task in job.tasks],
+        )
+        for job_id, job in state.jobs.items()
+    }
+
+
+def _task_view(task):
+    if task.may_run:
+        return 'live', task.attempt, task.worker, task.runs, task.failures
+    task_state = TaskState.QUEUED if task.is_planned else task.state
+    return (
+        task_state,
+        task.recorded_attempt,
+        task.runs,
+        task.failures,
+        task.answer,
+    )
--- /dev/null
+++ b/tests/fake_worker.py
@@ -0,0 +1,160 @@
+"""Fake a worker that gives what the platform must give, and no more."""
+
+from typing import NamedTuple
+
+from lycheerelay._clock import ManualClock
+from lycheerelay._codes import Code
+from lycheerelay._events import TaskReport
+from lycheerelay._jobs import AttemptKey, JobSpec, TaskState
+from lycheerelay._lease import LeaseGrantor
+from lycheerelay._resources import Resources
+
+CAPACITY = Resources(4_000, 4_096, 0, 3, 64)
+PERCENT = 100
+
+
+class SkewedClock:
+    """Run a little fast or slow against the common clock."""
+
+    def __init__(self, clock: ManualClock, percent: int) -> None:
+        self.clock = clock
+        self.percent = percent
+
+    def now_ms(self) -> int:
+        return self.clock.now_ms() * (PERCENT + self.percent) // PERCENT
+
+
+class Entry:
+    """Track one task id; a void one has no demand."""
+
+    def __init__(self, key: AttemptKey, spec: JobSpec | None) -> None:
+        self.key = key
+        self.spec = spec
+        self.state = TaskState.RUNNING if spec else TaskState.NOT_STARTED
+        self.code = 0
+        self.answer = ''
+
+    @property
+    def is_live(self) -> bool:
+        return self.state is TaskState.RUNNING
+
+    def report(self) -> TaskReport:
+        return TaskReport(self.key, self.state, self.code, self.answer)
+
+
+class LeaseAnswer(NamedTuple):
+    """Answer a lease request; the stamp is the worker's own time."""
+
+    granted: bool
+    boot: str
+    stamp_ms: int
+    leaving: bool
+    table: tuple[TaskReport, ...]
+
+
+class Answer(NamedTuple):
+    """Answer a start or a stop."""
+
+    state: TaskState
+    code: int
+    boot: str
+
+
+class FakeWorker:
+    """Run tasks under leases, fenced by terms, created once by id."""
+
+    def __init__(self, name, clock, percent, on_start) -> None:
+        self.name = name
+        self.clock = SkewedClock(clock, percent)
+        self.on_start = on_start
+        self.boots = 0
+        self.leaving = False
+        self.reboot()
+
+    def reboot(self) -> None:
+        """Lose every task, id and lease."""
+        self.boots += 1
+        self.boot = f'b{self.boots}'
+        self.grantor = LeaseGrantor(self.clock)
+        self.entries: dict[AttemptKey, Entry] = {}
+        self.past: dict[AttemptKey, Entry] = {}
+        self.expiry_ms = 0
+
+    def advance(self) -> None:
+        """Stop what outlived its task lease."""
+        if self.clock.now_ms() < self.expiry_ms:
+            return
+        for entry in self.live():
+            entry.state = TaskState.LAPSED
+
+    def live(self) -> list[Entry]:
+        return [entry for entry in self.entries.values() if entry.is_live]
+
+    def used(self) -> Resources:
+        used = Resources()
+        for entry in self.live():
+            used = used.plus(entry.spec.demand)
+        return used
+
+    def lease(self, holder, term, ttl_ms, task_ttl_ms, echo_ms) -> LeaseAnswer:
+        """Grant by term; extend tasks from the reply that is echoed."""
+        self.advance()
+        before = self.grantor.term
+        granted = self.grantor.request(holder, term, ttl_ms).granted
+        if granted and term > before:
+            self.past.clear()
+        if granted and echo_ms is not None:
+            self.expiry_ms = max(self.expiry_ms, echo_ms + task_ttl_ms)
+        table = tuple(entry.report() for entry in self.entries.values())
+        return LeaseAnswer(
+            granted,
+            self.boot,
+            self.clock.now_ms(),
+            self.leaving,
+            table if granted else (),
+        )
+
+    def start(self, term, key, spec, boot) -> Answer:
+        """Create a task once under its id."""
+        self.advance()
+        if boot != self.boot:
+            return self._refuse(Code.WORKER_REFUSED)
+        known = self.entries.get(key) or self.past.get(key)
+        if known is not None:
+            return Answer(known.state, known.code, self.boot)
+        if not self.grantor.admits(term):
+            return self._refuse(Code.STALE_TERM)
+        if self.leaving or self.clock.now_ms() >= self.expiry_ms:
+            return self._refuse(Code.WORKER_REFUSED)
+        self.entries[key] = Entry(key, spec)
+        self.on_start(self, key)
+        return Answer(TaskState.RUNNING, 0, self.boot)
+
+    def stop(self, term, key, checkpoint) -> Answer:
+        """Stop a task; an unknown id is void from now on."""
+        self.advance()
+        if not self.grantor.admits(term):
+            return Answer(TaskState.UNKNOWN, Code.STALE_TERM, self.boot)
+        entry = self.entries.get(key) or self.past.get(key)
+        if entry is None:
+            entry = self.entries[key] = Entry(key, None)
+        elif entry.is_live:
+            entry.state = TaskState.STOPPED
+            if checkpoint and entry.spec.checkpointable:
+                entry.state = TaskState.CHECKPOINTED
+        return Answer(entry.state, entry.code, self.boot)
+
+    def forget(self, key) -> None:
+        """Drop the answer of an ended id; the id stays used in this term."""
+        entry = self.entries.get(key)
+        if entry is not None and not entry.is_live:
+            self.past[key] = self.entries.pop(key)
+
+    def finish(self, entry: Entry, code: int) -> None:
+        """Let a running task end by itself."""
+        entry.state = TaskState.FAILED if code else TaskState.DONE
+        entry.code = code
+        entry.answer = '' if code else f'answer {entry.key.to_text()}'
+
+    def _refuse(self, code: Code) -> Answer:
+        return Answer(TaskState.NOT_STARTED, code, self.boot)
