--- a/src/lycheerelay/_holding.py
+++ b/src/lycheerelay/_holding.py
@@ -68,10 +68,9 @@
         # A pool's owner comes first: it must see what others keep for it.
         owners = set(map(name_of, self.journal.terms.owners.values()))
         live = self.holders.names()
-        return any(
-            self._ask(name)
-            for name in sorted(live, key=lambda name: name not in owners)
-        )
+        first = [name for name in live if name in owners]
+        others = [name for name in live if name not in owners]
+        return any(self._ask(name) for name in (*first, *others))
 
     def _hold_at_all(self, batch: Batch) -> bool:
         replaced = {
