--- a/src/lycheerelay/_routing.py
+++ b/src/lycheerelay/_routing.py
@@ -134,6 +134,8 @@
         address = self._address_of(owner)
         if address is None or not self._may_hop(request):
             return None
+        if not self.members.is_alive(owner):
+            return _no_owner(f'owner {owner} is silent or leaving')
         return self._pass_on(request, (address,), f'owner {owner}')
 
     def _to_domain(self, request: Request, domain: str) -> Response:
@@ -157,6 +159,8 @@
         address = self._address_of(owner)
         if address is None or not self._may_hop(request):
             return None
+        if not self.members.is_alive(owner):
+            return None
         short = request._replace(query={**request.query, 'wait_ms': '0'})
         self._count_first()
         reply = self._call(short, address, READ_TIMEOUT_MS)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -28,6 +28,9 @@
     def address_of(self, name):
         return name
 
+    def is_alive(self, identity):
+        return identity == 'a2@7'
+
 
 class FakeDirectory:
     def __init__(self, owner='a2@7', located=None):
@@ -133,3 +136,12 @@
     assert router.read(request(), 'a.1').status == 200
     router, _ = make([Ok(Reply(404, {}))])
     assert router.read(request(), 'a.1') is None
+
+
+def test_silent_owner_costs_no_call():
+    located = Located('a2@6', is_final=False)
+    router, caller = make([], FakeDirectory('a2@6', located))
+    refusal = router.submit(request(), 'a.1', 'desk')
+    assert refusal.body['code'] == Code.NO_OWNER
+    assert router.read(request(), 'a.1') is None
+    assert caller.calls == []
