--- a/src/lycheerelay/_config_follow.py
+++ b/src/lycheerelay/_config_follow.py
@@ -26,7 +26,6 @@
 
 LOGGER: Final = logging.getLogger(__name__)
 PEER_TIMEOUT_MS: Final = 1000
-SNAPSHOTS_PER_RETENTION: Final = 3
 
 
 class FollowSettings(NamedTuple):
@@ -34,7 +33,7 @@
 
     name: str
     poll_ms: int = 1000
-    retention_ms: int = 3_600_000
+    restate_ms: int = 1_800_000
 
 
 @final
@@ -123,7 +122,7 @@
         if owner_of(STREAM, names) != self.settings.name:
             return False
         age_ms = self.clock.now_ms() - self.snapshot_ms
-        return age_ms * SNAPSHOTS_PER_RETENTION > self.settings.retention_ms
+        return age_ms > self.settings.restate_ms
 
     def _ask_peers(self) -> None:
         for name in self.members.alive_in_domain():
--- a/src/lycheerelay/_node.py
+++ b/src/lycheerelay/_node.py
@@ -63,6 +63,7 @@
     ) -> None:
         """Wire the parts; start none of them."""
         self.needs_config = needs_config
+        self.draining = False
         self.settings = settings
         self.clock = clock
         self.policy = policy
@@ -106,7 +107,7 @@
             FollowSettings(
                 settings.name,
                 settings.config_poll_ms,
-                settings.log_retention_ms,
+                settings.restate_ms,
             ),
             clock,
             self.configure,
