--- a/benchmarks/fault_cell.py
+++ b/benchmarks/fault_cell.py
@@ -180,8 +180,6 @@
         self.caller = HttpCaller()
         self.folder = folder
         command = [sys.executable, '-m', 'lycheerelay_standins']
-        for pool in POOLS:
-            command += [] if pool is POOLS[0] else []
         command += ['--max-seconds', '590', 'cell', '--domains', 'a,b,c']
         for pool in POOLS:
             command += ['--pool', pool]
@@ -263,10 +261,10 @@
 
     def owners(self, vm):
         """Return the owner of each pool as one VM sees it."""
-        pools = self.get(vm, '/dump', 500)
-        if pools is None:
+        body = self.get(vm, '/internal/owners', 500)
+        if body is None:
             return {}
-        return owners_in(pools)
+        return {pool: part['owner'] for pool, part in body['pools'].items()}
 
     def switch_log(self, **switches):
         self.switch(self.platform['log'], switches)
@@ -293,17 +291,6 @@
         self.platform_process.wait()
 
 
-def owners_in(body):
-    """Find `owner` fields of pools in a dump, whatever else it holds."""
-    found = {}
-    for key, part in body.items():
-        if isinstance(part, dict) and 'owner' in part and 'term' in part:
-            found[key] = part['owner']
-        elif isinstance(part, dict):
-            found.update(owners_in(part))
-    return found
-
-
 def make_folder():
     import tempfile
 
--- a/src/lycheerelay/_cli.py
+++ b/src/lycheerelay/_cli.py
@@ -18,6 +18,7 @@
 from ._clock import SystemClock
 from ._codes import CODES, Code
 from ._dump import DumpApi
+from ._internal_api import InternalApi
 from ._journal_api import JournalApi
 from ._membership_service import MembershipService
 from ._node import Node
@@ -114,6 +115,7 @@
             *Api(node).routes(),
             *ConfigApi(node).routes(),
             *DumpApi(node).routes(),
+            *InternalApi(node).routes(),
             *JournalApi(node.parts.journal, node.log).routes(),
         ),
         settings.http_threads,
--- a/src/lycheerelay/_shutdown.py
+++ b/src/lycheerelay/_shutdown.py
@@ -5,6 +5,7 @@
 from typing import Final, NamedTuple
 
 from ._clock import MS_PER_SECOND
+from ._hand_back import hand_back
 from ._node import Node
 from ._web import WebServer
 
@@ -28,11 +29,16 @@
     settings = node.settings
     node.draining = True
     LOGGER.info('shutting down', extra={'in_flight': server.in_flight})
-    time.sleep(settings.drain_notice_ms / MS_PER_SECOND)
+    handed = hand_back(node, settings.drain_notice_ms)
+    left_ms = started_ms + settings.drain_notice_ms - node.clock.now_ms()
+    time.sleep(max(left_ms, 0) / MS_PER_SECOND)
     node.parts.watchers.wake_all()
     answered = server.drain(settings.shutdown_ms)
     server.stop()
     node.stop()
     took_ms = node.clock.now_ms() - started_ms
-    LOGGER.info('stopped', extra={'answered': answered, 'took_ms': took_ms})
+    LOGGER.info(
+        'stopped',
+        extra={'answered': answered, 'handed': handed, 'took_ms': took_ms},
+    )
     return Farewell(answered, took_ms)
