Let only a report end a task that has an answer

Cause: a start whose reply was lost is sent again; the worker then answers that the task is done, without its answer, and the attempt was recorded as done with an empty one. The sender now passes such replies over; the report that the link delivers carries the answer. A test repeats a start of an ended task.

--- a/src/lycheerelay/_sender.py
+++ b/src/lycheerelay/_sender.py
@@ -14,6 +14,7 @@
 from ._clock import MS_PER_SECOND, Clock
 from ._commands import ForgetTask, StartTask, StopTask
 from ._events import Event, StartAnswered
+from ._jobs import TaskState
 from ._worker_link import WorkerLink
 
 THREADS: Final = 16
@@ -21,6 +22,10 @@
 MAX_QUEUED: Final = 2000
 IDLE_MS: Final = 1000
 
+# A reply to a command carries no answer of the task; the report that the link
+# delivers does, so only that one may end an attempt in these states.
+STATES_WITH_ANSWERS: Final = frozenset((TaskState.DONE, TaskState.FAILED))
+
 TaskCommand = StartTask | StopTask | ForgetTask
 
 
@@ -188,6 +193,8 @@
         if isinstance(reply, Err):
             return False
         answer = reply.ok_value
+        if answer.state in STATES_WITH_ANSWERS:
+            return True
         self.post(
             command.worker,
             StartAnswered(
--- a/tests/test_worker_link.py
+++ b/tests/test_worker_link.py
@@ -362,3 +362,22 @@
     sender._serve(sender._next_lane())
     assert (sender.dropped, link.needs_table) == (1, True)
     assert sender.lanes == {}
+
+
+def test_repeated_start_of_an_ended_task_leaves_the_answer_to_the_report():
+    rig = Rig()
+    link = rig.holder('e1@1', 1)
+    link.renew_once()
+    payload = '{"run_ms": 50, "answer": "17 dB"}'
+    short = SPEC._replace(payload=payload)
+    link.client.start(1, KEY, short)
+    rig.pass_time(60, link)
+    answered = []
+    sender = Sender(
+        {'w1': link}.get, lambda *pair: answered.append(pair), ManualClock(), 0
+    )
+    sender.send(StartTask('w1', 1, KEY, short))
+    sender._serve(sender._next_lane())
+    assert (sender.sent, answered) == (1, [])
+    link.renew_once()
+    assert rig.events[-1].reports[0].answer == '17 dB'
