--- /dev/null
+++ b/src/lycheerelay/_order_queue.py
@@ -0,0 +1,198 @@
+"""Keep waiting jobs in lanes, so that one lookup finds the next one."""
+
+from collections.abc import Iterator
+from heapq import heappop, heappush
+from typing import Final
+
+from ._jobs import Kind
+from ._order_lanes import (
+    BlockedClasses,
+    Entry,
+    FitClass,
+    HasRoom,
+    Lane,
+    LaneKey,
+    Rank,
+    TeamFronts,
+    rebuild,
+)
+
+MIN_COMPACTED: Final = 64
+
+
+class WaitingJobs(dict[str, None]):
+    """Hold the ids of waiting jobs and the lanes they stand in."""
+
+    def __init__(self) -> None:
+        """Hold nothing."""
+        super().__init__()
+        self.fresh: dict[str, None] = {}
+        self.entries: dict[str, Entry] = {}
+        self.lanes: dict[LaneKey, Lane] = {}
+        self.classes: dict[FitClass, dict[LaneKey, None]] = {}
+        self.fronts = (TeamFronts(), TeamFronts())
+        self.blocked = BlockedClasses()
+        self.counts: dict[tuple[str, Kind], int] = {}
+        self.delayed: list[tuple[int, str]] = []
+        self.delays: dict[str, int] = {}
+        self.serial = 0
+
+    def __setitem__(self, job_id: str, nothing: None) -> None:
+        """Note a job whose queued tasks are to be looked at."""
+        super().__setitem__(job_id, nothing)
+        self.fresh[job_id] = None
+
+    def pop(self, job_id: str, default: None = None) -> None:  # type: ignore[override]
+        """Drop a job in constant time, if it waits."""
+        super().pop(job_id, None)
+        self.fresh.pop(job_id, None)
+        self.delays.pop(job_id, None)
+        self.drop_entry(job_id)
+
+    def next_serial(self) -> int:
+        """Return a number that makes each rank unique."""
+        self.serial += 1
+        return self.serial
+
+    def add_entry(self, entry: Entry) -> None:
+        """Put a job in its lane, in place of an earlier entry."""
+        key = entry.key
+        self.drop_entry(entry.spec.job_id)
+        self.entries[entry.spec.job_id] = entry
+        lane = self.lanes.get(key)
+        if lane is None:
+            lane = Lane()
+            self.lanes[key] = lane
+            self.classes.setdefault(key.fit_class, {})[key] = None
+        heappush(lane.heap, entry.rank)
+        if lane.front is None or entry.rank < lane.front:
+            self.fronts[key.band].show(key, lane, entry.rank)
+        self._count(entry, len(entry.indexes))
+
+    def drop_entry(self, job_id: str) -> None:
+        """Take a job out of its lane, leaving no residue for long."""
+        entry = self.entries.pop(job_id, None)
+        if entry is None:
+            return
+        self._count(entry, -len(entry.indexes))
+        lane = self.lanes[entry.key]
+        lane.dead += 1
+        if lane.dead == len(lane.heap):
+            self._close_lane(entry.key)
+        elif lane.dead > max(MIN_COMPACTED, len(lane.heap) // 2):
+            live = [rank for rank in lane.heap if self._is_live(rank)]
+            rebuild(lane, live)
+
+    def take_index(self, entry: Entry) -> int:
+        """Take the next queued task of a job."""
+        self._count(entry, -1)
+        return entry.indexes.pop()
+
+    def put_back(self, entry: Entry, index: int) -> None:
+        """Return a task that was taken but not placed."""
+        self._count(entry, 1)
+        entry.indexes.append(index)
+
+    def head(self, key: LaneKey) -> Entry | None:
+        """Return the first live job of a lane."""
+        lane = self.lanes.get(key)
+        while lane is not None and lane.heap:
+            entry = self.entries.get(lane.heap[0][3])
+            if entry is not None and entry.rank == lane.heap[0]:
+                return entry
+            heappop(lane.heap)
+            lane.dead -= 1
+        return None
+
+    def first_of(self, band: int, team: str) -> Entry | None:
+        """Return the first job of a team whose class may fit."""
+        fronts = self.fronts[band]
+        shown = fronts.first(team)
+        while shown is not None:
+            entry = self._shown_entry(*shown)
+            if entry is not None and entry.rank == shown[0]:
+                return entry
+            fronts.hide_first(team)
+            if entry is not None:
+                fronts.show(entry.key, self.lanes[entry.key], entry.rank)
+            shown = fronts.first(team)
+        return None
+
+    def block(self, fit_class: FitClass, missing: int) -> None:
+        """Skip a class until a worker gains room for it."""
+        self.blocked.add(fit_class, missing)
+
+    def offer(self, worker: str, room: HasRoom) -> None:
+        """Try a worker with new room for each blocked class."""
+        for fit_class in self.blocked.offer(worker, room):
+            self._show(fit_class)
+
+    def reopen(self, fit_class: FitClass) -> None:
+        """Let a class look at every worker again."""
+        if self.blocked.remove(fit_class):
+            self._show(fit_class)
+
+    def is_open(self, key: LaneKey) -> bool:
+        """Tell whether a lane's class may fit somewhere."""
+        return self.blocked.is_open(key.fit_class)
+
+    def first_entries(self, key: LaneKey, count: int) -> list[Entry]:
+        """Return up to `count` jobs near the front of a lane."""
+        ranks = self.lanes[key].heap[:count]
+        return [self.entries[rank[3]] for rank in ranks if self._is_live(rank)]
+
+    def due(self, now_ms: int) -> Iterator[str]:
+        """Iterate over jobs whose retry delay is over."""
+        while self.delayed and self.delayed[0][0] <= now_ms:
+            at_ms, job_id = heappop(self.delayed)
+            if self.delays.get(job_id) == at_ms:
+                self.delays.pop(job_id)
+                yield job_id
+
+    def delay(self, at_ms: int, job_id: str) -> None:
+        """Look at a job again when a retry delay is over."""
+        if self.delays.get(job_id) != at_ms:
+            self.delays[job_id] = at_ms
+            heappush(self.delayed, (at_ms, job_id))
+
+    def is_delayed(self, job_id: str) -> bool:
+        """Tell whether a task of the job has a retry delay left."""
+        return job_id in self.delays
+
+    def _is_live(self, rank: Rank) -> bool:
+        entry = self.entries.get(rank[3])
+        return entry is not None and entry.rank == rank
+
+    def _shown_entry(self, rank: Rank, key: LaneKey) -> Entry | None:
+        """Return the first job of a shown lane, unless it is out of date."""
+        lane = self.lanes.get(key)
+        if lane is None or lane.front != rank:
+            return None
+        entry = self.head(key) if self.is_open(key) else None
+        if entry is None or entry.rank != rank:
+            lane.front = None
+        return entry
+
+    def _show(self, fit_class: FitClass) -> None:
+        """Let the teams of a class try its lanes again."""
+        for key in self.classes.get(fit_class, ()):
+            lane = self.lanes[key]
+            entry = self.head(key) if lane.front is None else None
+            if entry is not None:
+                self.fronts[key.band].show(key, lane, entry.rank)
+
+    def _close_lane(self, key: LaneKey) -> None:
+        self.lanes.pop(key)
+        keys = self.classes[key.fit_class]
+        keys.pop(key)
+        if not keys:
+            self.classes.pop(key.fit_class)
+            self.blocked.remove(key.fit_class)
+
+    def _count(self, entry: Entry, change: int) -> None:
+        key = (entry.spec.team, entry.spec.kind)
+        count = self.counts.get(key, 0) + change
+        if count:
+            self.counts[key] = count
+        else:
+            self.counts.pop(key, None)
