Tell of a held lease only once tasks are prolonged

A task that started right after the first grant could lapse at once, because the first request cannot name a time of the worker's clock. The first grant now only teaches that clock; the second one is told.

--- a/src/lycheerelay/_worker_link.py
+++ b/src/lycheerelay/_worker_link.py
@@ -61,6 +61,7 @@
         self.since = 0
         self.boot = ''
         self.held = False
+        self.told = False
         self.needs_table = True
         self.renewed_ms = 0
         self.worker_ms = 0
@@ -130,7 +131,7 @@
     def renew_once(self) -> None:
         """Ask for the lease once and pass on what the worker says."""
         term = self.term
-        since = 0 if self.needs_table or not self.held else self.since
+        since = 0 if self.needs_table or not self.told else self.since
         self.needs_table = False
         self.wake.clear()
         pace = self._pace()
@@ -201,16 +202,23 @@
         if since and reply.boot != self.boot:
             self.needs_table = True
             return
+        if not self.held:
+            # The first grant teaches the worker's clock, without which no
+            # task could be prolonged; nothing may start there before.
+            self.held = True
+            self.needs_table = True
+            return
         self.boot = reply.boot
         self.since = reply.seq
         parts = (reply.boot, reply.leaving, reply.reports)
         if not since:
-            self.held = True
+            self.told = True
             self.post(self.name, LeaseHeld(self.name, term, *parts))
         elif reply.reports or reply.leaving:
             self.post(self.name, TasksReported(self.name, *parts))
 
     def _lose(self) -> None:
-        if self.held:
-            self.held = False
+        self.held = False
+        if self.told:
+            self.told = False
             self.post(self.name, LeaseLost(self.name))
--- a/tests/test_worker_link.py
+++ b/tests/test_worker_link.py
@@ -57,6 +57,12 @@
         return Ok(StartReply(TaskState(reply['state']), reply['code']))
 
 
+def acquire(link):
+    """Learn the worker's clock, then its table."""
+    link.renew_once()
+    link.renew_once()
+
+
 class Guide:
     may = True
 
@@ -106,7 +112,7 @@
 def test_paused_holder_wakes_with_a_start_in_hand_and_sends_nothing():
     rig = Rig()
     link = rig.holder('e1@1', 1)
-    link.renew_once()
+    acquire(link)
     assert rig.start(link) is not None
     rig.pass_time(20_000, link)
     assert rig.start(link) is None
@@ -115,8 +121,8 @@
 def test_start_of_the_replaced_holder_is_refused():
     rig = Rig()
     old, new = rig.holder('e1@1', 1), rig.holder('e2@1', 2)
-    old.renew_once()
-    new.renew_once()
+    acquire(old)
+    acquire(new)
     assert old.lease.is_valid(1)
     assert rig.start(old).unwrap().state is TaskState.NOT_STARTED
     assert rig.worker.starts == {}
@@ -128,8 +134,8 @@
 def test_second_holder_of_one_term_is_refused():
     rig = Rig()
     first, second = rig.holder('e1@1', 3), rig.holder('e1@2', 3)
-    first.renew_once()
-    second.renew_once()
+    acquire(first)
+    acquire(second)
     assert first.lease.is_valid(3)
     assert not second.lease.is_valid(3)
 
@@ -137,10 +143,10 @@
 def test_start_that_arrives_after_the_takeover_is_refused():
     rig = Rig()
     old, new = rig.holder('e1@1', 1), rig.holder('e2@1', 2)
-    old.renew_once()
+    acquire(old)
     old.client.delayed = []
     rig.start(old)
-    new.renew_once()
+    acquire(new)
     handler, call = old.client.delayed[0]
     assert handler(call).body['state'] == 'not_started'
     assert rig.worker.starts == {}
@@ -149,7 +155,7 @@
 def test_start_that_arrives_after_its_lease_is_refused_under_the_same_term():
     rig = Rig()
     link = rig.holder('e1@1', 1)
-    link.renew_once()
+    acquire(link)
     link.client.delayed = []
     rig.start(link)
     handler, call = link.client.delayed[0]
@@ -164,7 +170,7 @@
 def test_late_renewal_prolongs_tasks_only_from_when_it_was_sent():
     rig = Rig()
     link = rig.holder('e1@1', 1)
-    link.renew_once()
+    acquire(link)
     rig.start(link)
     link.renew_once()
     link.client.delayed = []
@@ -182,7 +188,7 @@
 def test_tasks_are_not_prolonged_without_the_right(unsure):
     rig = Rig()
     link = rig.holder('e1@1', 1)
-    link.renew_once()
+    acquire(link)
     rig.start(link)
     link.renew_once()
     expiry_ms = rig.worker.table.expiry_ms
@@ -193,6 +199,16 @@
     assert rig.worker.table.expiry_ms == expiry_ms
 
 
+def test_holder_is_told_only_once_tasks_are_prolonged():
+    rig = Rig()
+    link = rig.holder('e1@1', 1)
+    link.renew_once()
+    assert rig.events == []
+    link.renew_once()
+    assert isinstance(rig.events[0], LeaseHeld)
+    assert rig.worker.table.expiry_ms == rig.worker_clock.now_ms() + 60_000
+
+
 RATES = st.floats(0.99, 1.01)
 
 
@@ -217,7 +233,7 @@
 def test_link_reports_table_changes_and_loss():
     rig = Rig()
     link = rig.holder('e1@1', 1)
-    link.renew_once()
+    acquire(link)
     rig.start(link)
     link.renew_once()
     kinds = [type(event) for event in rig.events]
@@ -229,14 +245,14 @@
     link.renew_once()
     assert isinstance(rig.events[-1], LeaseLost)
     link.client.cut = False
-    link.renew_once()
+    acquire(link)
     assert [report.key for report in rig.events[-1].table] == [KEY]
 
 
 def test_reboot_is_followed_by_the_whole_table():
     rig = Rig()
     link = rig.holder('e1@1', 1)
-    link.renew_once()
+    acquire(link)
     rig.worker.boot = 'boot-2'
     link.renew_once()
     link.renew_once()
@@ -354,7 +370,7 @@
     clock = ManualClock(1000)
     rig = Rig()
     link = rig.holder('e1@1', 1)
-    link.renew_once()
+    acquire(link)
     link.needs_table = False
     link.lease.drop()
     sender = Sender({'w1': link}.get, lambda *_: None, clock, 0)
@@ -367,7 +383,7 @@
 def test_repeated_start_of_an_ended_task_leaves_the_answer_to_the_report():
     rig = Rig()
     link = rig.holder('e1@1', 1)
-    link.renew_once()
+    acquire(link)
     payload = '{"run_ms": 50, "answer": "17 dB"}'
     short = SPEC._replace(payload=payload)
     link.client.start(1, KEY, short)
