--- a/benchmarks/fault_cell.py
+++ b/benchmarks/fault_cell.py
@@ -280,6 +280,19 @@
         url = f'http://{self.platform["control"]}/ledger'
         return self.caller.call('GET', url, timeout_ms=10_000).unwrap().body
 
+    def records(self, domain):
+        """Return every record on the log of a domain, with its place."""
+        url = f'http://{self.platform["log"]}/v1/streams/jobs.{domain}'
+        found, offset = [], 0
+        while True:
+            path = f'{url}?from={offset}'
+            page = self.caller.call('GET', path, timeout_ms=9000).unwrap().body
+            for entry in page['entries']:
+                offset = entry['offset'] + 1
+                found.append((entry['offset'], entry['value']))
+            if offset >= page['end']:
+                return found
+
     def stop(self):
         for vm in self.vms:
             if vm.process is not None:
--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -475,7 +475,12 @@
         load.drain(arguments.drain_s, arguments.seed)
         watch.stop()
         figures, details = judge(load, cell.ledger(), injector, watch)
-        details['open_views'] = open_views(cell, load)
+        if arguments.details:
+            details['open_views'] = open_views(cell, load)
+            details['records'] = {
+                domain: cell.records(domain) for domain in 'abc'
+            }
+            details['started_ms'] = cell.ledger()['started_ms']
     finally:
         cell.stop()
     figures['seed'] = arguments.seed
--- a/src/lycheerelay/_members.py
+++ b/src/lycheerelay/_members.py
@@ -58,7 +58,10 @@
         self.settings = settings
         self.identity = settings.name
         self.leaving = False
-        self.addresses = dict(peer.split('=', 1) for peer in settings.peers)
+        pairs = (peer.split('=', 1) for peer in settings.peers)
+        self.addresses = {
+            label.partition('@')[0]: address for label, address in pairs
+        }
 
     def alive_in_domain(self) -> tuple[str, ...]:
         """Return the configured entry VMs of this domain."""
--- a/src/lycheerelay/_settings.py
+++ b/src/lycheerelay/_settings.py
@@ -21,16 +21,17 @@
 SECTION: Final = 'node'
 MAX_PORT: Final = 65_535
 ADDRESS_TEXT: Final = 'an IP number and a port, as 10.0.0.7:8080'
-PEERS_TEXT: Final = 'a list with commas of NAME=IP:PORT'
+PEERS_TEXT: Final = 'a list with commas of NAME[@DOMAIN]=IP:PORT'
+NAME: Final = '[A-Za-z0-9][A-Za-z0-9_-]{0,62}'
 NAME_FORM: Final = (
-    re.compile('[A-Za-z0-9][A-Za-z0-9_-]{0,62}'),
+    re.compile(NAME),
     'a name of at most 63 letters, digits, "-" and "_"',
 )
 FORMS: Final = {
     'name': NAME_FORM,
     'domain': NAME_FORM,
     'region': NAME_FORM,
-    'peers': (re.compile('[A-Za-z0-9][A-Za-z0-9_-]{0,62}=.+'), PEERS_TEXT),
+    'peers': (re.compile(f'{NAME}(@{NAME})?=.+'), PEERS_TEXT),
 }
 
 
@@ -54,7 +55,11 @@
     @property
     def entry_names(self) -> tuple[str, ...]:
         """Return the names of the domain's entry VMs, this one included."""
-        names = (peer.partition('=')[0] for peer in self.peers)
+        labels = (peer.partition('=')[0] for peer in self.peers)
+        parts = (label.partition('@') for label in labels)
+        names = (
+            name for name, _, domain in parts if domain in {'', self.domain}
+        )
         return (self.name, *names)
 
     @property
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,6 +1,6 @@
 """Check a process's settings whole, at start."""
 
-from lycheerelay._settings import load_settings
+from lycheerelay._settings import NodeSettings, load_settings
 from lycheerelay.cli import main
 
 GOOD = """[node]
@@ -55,3 +55,16 @@
     path.write_text('[nod]\n')
     assert main(['serve', str(path)]) == 2
     assert 'error 210: e1.ini: got' in capsys.readouterr().err
+
+
+def test_peers_may_name_another_failure_domain():
+    settings = NodeSettings(
+        'e1',
+        'a',
+        'r',
+        '127.0.0.1:0',
+        '127.0.0.1:1',
+        '127.0.0.1:2',
+        ('e2=127.0.0.1:3', 'e3@a=127.0.0.1:4', 'e4@b=127.0.0.1:5'),
+    )
+    assert settings.entry_names == ('e1', 'e2', 'e3')
