--- a/src/lycheerelay/_shutdown.py
+++ b/src/lycheerelay/_shutdown.py
@@ -29,7 +29,7 @@
     settings = node.settings
     node.draining = True
     LOGGER.info('shutting down', extra={'in_flight': server.in_flight})
-    handed = hand_back(node, settings.drain_notice_ms)
+    handed = hand_back(node, settings.hand_back_ms if has_peers(node) else 0)
     left_ms = started_ms + settings.drain_notice_ms - node.clock.now_ms()
     time.sleep(max(left_ms, 0) / MS_PER_SECOND)
     node.parts.watchers.wake_all()
@@ -42,3 +42,9 @@
         extra={'answered': answered, 'handed': handed, 'took_ms': took_ms},
     )
     return Farewell(answered, took_ms)
+
+
+def has_peers(node: Node) -> bool:
+    """Tell whether another entry VM of the domain can take the pools."""
+    names = node.members.alive_in_domain()
+    return any(name != node.settings.name for name in names)
