--- a/src/lycheerelay/_fence.py
+++ b/src/lycheerelay/_fence.py
@@ -15,10 +15,14 @@
         fence.term = state.term
         fence.majority_ms = -1
         fence.is_open = False
+    if fence.is_open:
+        return
     if fence.majority_ms < 0 <= state.majority_ms:
         fence.majority_ms = now_ms
-    if fence.majority_ms >= 0 and not fence.is_open:
-        fence.is_open = _knows_all(state) or _is_quiet(state)
+        _look_again(state)
+    if fence.majority_ms >= 0 and (_knows_all(state) or _is_quiet(state)):
+        fence.is_open = True
+        _look_again(state)
 
 
 def may_start(state: ShardState, job: JobBook) -> bool:
@@ -29,6 +33,11 @@
     return fence.majority_ms >= 0 and job.accepted_term == state.term
 
 
+def _look_again(state: ShardState) -> None:
+    for job_id in tuple(state.waiting):
+        state.waiting[job_id] = None
+
+
 def _knows_all(state: ShardState) -> bool:
     return all(
         worker.term == state.term
--- a/src/lycheerelay/_folder.py
+++ b/src/lycheerelay/_folder.py
@@ -8,16 +8,20 @@
 
 from ._fit import FITS
 from ._folder_files import (
-    FolderError,
-    FolderErrors,
     FolderFile,
     Setting,
     check_sizes,
     merge_files,
-    shorten,
 )
 from ._jobs import Kind
-from ._options import field_types, name_near, read_option
+from ._options import (
+    OptionError,
+    OptionErrors,
+    field_types,
+    name_near,
+    read_option,
+    shorten,
+)
 from ._policy import (
     Limits,
     Policy,
@@ -47,11 +51,11 @@
     section: str
     settings: dict[str, Setting]
 
-    def fault(self, option: str, expected: str) -> FolderError:
+    def fault(self, option: str, expected: str) -> OptionError:
         """Report a value of this section."""
         setting = self.settings.get(option) or first_setting(self.settings)
         shown = shorten(setting.text) if option in self.settings else 'nothing'
-        return FolderError(setting.file, self.section, option, shown, expected)
+        return OptionError(setting.file, self.section, option, shown, expected)
 
 
 SECTION_KINDS: Final = {
@@ -65,14 +69,14 @@
     ),
 }
 
-CrossCheck = Callable[[list[Part]], Iterator[FolderError]]
+CrossCheck = Callable[[list[Part]], Iterator[OptionError]]
 CROSS_CHECKS: Final[Registry[str, CrossCheck]] = Registry('folder check')
 
 
 def build_policy(
     files: Iterable[FolderFile],
     version: int = 0,
-) -> Result[Policy, FolderErrors]:
+) -> Result[Policy, OptionErrors]:
     """Merge and check every file; either a policy or all errors."""
     kept = tuple(files)
     sections, errors = merge_files(kept)
@@ -98,7 +102,7 @@
 def _read_section(
     section: str,
     settings: dict[str, Setting],
-) -> Result[list[Part], list[FolderError]]:
+) -> Result[list[Part], list[OptionError]]:
     where = first_setting(settings).file
     if section == LIMITS_SECTION:
         return _read_targets(section, settings, SectionKind((Limits,), {}))
@@ -107,11 +111,11 @@
     if kind is None:
         known = (LIMITS_SECTION, *SECTION_KINDS)
         expected = f'as its first word {name_near(kind_name, known)}'
-        return Err([FolderError(where, section, '', kind_name, expected)])
+        return Err([OptionError(where, section, '', kind_name, expected)])
     name = name.strip()
     if not NAME.fullmatch(name):
         shown = shorten(name)
-        return Err([FolderError(where, section, '', shown, NAME_TEXT)])
+        return Err([OptionError(where, section, '', shown, NAME_TEXT)])
     fixed = {**kind.fixed, 'name': name, 'workload': name}
     return _read_targets(section, settings, kind._replace(fixed=fixed))
 
@@ -120,7 +124,7 @@
     section: str,
     settings: dict[str, Setting],
     kind: SectionKind,
-) -> Result[list[Part], list[FolderError]]:
+) -> Result[list[Part], list[OptionError]]:
     fields, errors = _read_settings(section, settings, kind)
     parts = []
     for target in kind.targets:
@@ -130,7 +134,7 @@
         missing = set(target._fields) - set(own) - set(target._field_defaults)
         where = first_setting(settings).file
         errors.extend(
-            FolderError(where, section, name, 'nothing', 'a value')
+            OptionError(where, section, name, 'nothing', 'a value')
             for name in sorted(missing - set(settings))
         )
         if not missing:
@@ -142,7 +146,7 @@
     section: str,
     settings: dict[str, Setting],
     kind: SectionKind,
-) -> tuple[dict[str, object], list[FolderError]]:
+) -> tuple[dict[str, object], list[OptionError]]:
     types: dict[str, Any] = {}
     for target in kind.targets:
         types.update(field_types(target))
@@ -161,7 +165,7 @@
         if isinstance(read, Err):
             expected = read.err_value
             errors.append(
-                FolderError(setting.file, section, option, shown, expected),
+                OptionError(setting.file, section, option, shown, expected),
             )
         else:
             fields[option] = read.ok_value
@@ -193,7 +197,7 @@
 
 
 @CROSS_CHECKS.register('pools')
-def check_pools(parts: list[Part]) -> Iterator[FolderError]:
+def check_pools(parts: list[Part]) -> Iterator[OptionError]:
     """Check that every workload names a described pool."""
     known = _names(parts, PoolPolicy)
     for part in _parts(parts, WorkloadPolicy):
@@ -205,7 +209,7 @@
 
 
 @CROSS_CHECKS.register('teams')
-def check_teams(parts: list[Part]) -> Iterator[FolderError]:
+def check_teams(parts: list[Part]) -> Iterator[OptionError]:
     """Check that every service names a described team."""
     known = _names(parts, TeamPolicy)
     for part in _parts(parts, ServicePolicy):
@@ -215,7 +219,7 @@
 
 
 @CROSS_CHECKS.register('fits')
-def check_fits(parts: list[Part]) -> Iterator[FolderError]:
+def check_fits(parts: list[Part]) -> Iterator[OptionError]:
     """Check that every workload names a known placement score."""
     for part in _parts(parts, WorkloadPolicy):
         if part.entry.fit not in FITS:
@@ -223,7 +227,7 @@
 
 
 @CROSS_CHECKS.register('workloads')
-def check_workloads(parts: list[Part]) -> Iterator[FolderError]:
+def check_workloads(parts: list[Part]) -> Iterator[OptionError]:
     """Check that no two kinds of section describe one workload."""
     seen: dict[str, str] = {}
     for part in _parts(parts, WorkloadPolicy):
@@ -233,7 +237,7 @@
 
 
 @CROSS_CHECKS.register('shapes')
-def check_shapes(parts: list[Part]) -> Iterator[FolderError]:
+def check_shapes(parts: list[Part]) -> Iterator[OptionError]:
     """Check that a replica of each service fits a worker of its pool."""
     pools = {entry.name: entry for entry in _entries(parts, PoolPolicy)}
     homes = {
--- /dev/null
+++ b/src/lycheerelay/_gang.py
@@ -0,0 +1,213 @@
+"""Reserve room in time for the first gang and the oldest large task."""
+
+from collections.abc import Iterator
+from heapq import nsmallest
+from itertools import islice
+from typing import Final
+
+from ._jobs import Kind, TaskState
+from ._order_lanes import Entry
+from ._preempt_victims import movable_once_more
+from ._reservation import Reservation
+from ._resources import Resources
+from ._state import JobBook, ShardState, TaskBook, WorkerBook
+
+GANG_ROLE: Final = 'gang'
+PATIENT_ROLE: Final = 'patient'
+REVIEW_MS: Final = 500
+URGENT_TTL_MS: Final = 2500
+CLEAR_MS: Final = 2000
+SETTLED_MS: Final = 600_000
+MIN_WORKERS: Final = 32
+WORKERS_PER_TASK: Final = 2
+
+Opening = tuple[int, int, str]
+
+
+def refresh_reservations(state: ShardState, now_ms: int) -> None:
+    """Drop reservations without use and harden those whose time came."""
+    for role, reservation in tuple(state.reservations.by_role.items()):
+        if _is_useless(state, reservation, now_ms):
+            drop_reservation(state, role)
+        elif now_ms >= reservation.at_ms:
+            reservation.hard = True
+
+
+def drop_reservation(state: ShardState, role: str) -> None:
+    """Offer the room of a reservation to others again."""
+    for name in state.reservations.drop(role):
+        state.ledger.touched[name] = None
+
+
+def _is_useless(
+    state: ShardState,
+    reservation: Reservation,
+    now_ms: int,
+) -> bool:
+    if reservation.job_id not in state.waiting.entries:
+        return True
+    if reservation.urgent:
+        return now_ms - reservation.made_ms >= URGENT_TTL_MS
+    return not all(name in state.index.places for name in reservation.holds)
+
+
+def is_review_due(state: ShardState, now_ms: int) -> bool:
+    """Tell whether reservations are to be looked at again."""
+    if now_ms - state.reserved_ms < REVIEW_MS:
+        return False
+    state.reserved_ms = now_ms
+    return True
+
+
+def reserve_for_waiting(state: ShardState, now_ms: int) -> None:
+    """Reserve for the first blocked gang and the first overdue job."""
+    for role in (GANG_ROLE, PATIENT_ROLE):
+        reservation = state.reservations.by_role.get(role)
+        if reservation is None:
+            _reserve_first(state, role, now_ms)
+        elif reservation.hard and not reservation.is_clearing(now_ms):
+            _plan_again(state, role, reservation, now_ms)
+
+
+def _plan_again(
+    state: ShardState,
+    role: str,
+    reservation: Reservation,
+    now_ms: int,
+) -> None:
+    """Move an overdue reservation, but not for ever."""
+    if now_ms - reservation.made_ms >= SETTLED_MS:
+        return
+    drop_reservation(state, role)
+    entry = state.waiting.entries[reservation.job_id]
+    plan = plan_reservation(state, entry, now_ms)
+    if plan is None:
+        state.reservations.make(role, reservation)
+        return
+    plan.made_ms = reservation.made_ms
+    state.reservations.make(role, plan)
+    state.waiting.reopen(entry.key.fit_class)
+
+
+def _reserve_first(state: ShardState, role: str, now_ms: int) -> None:
+    reserved = {held.job_id for held in state.reservations.by_role.values()}
+    entries = (
+        entry
+        for entry in _blocked_heads(state)
+        if entry.spec.job_id not in reserved
+        and _deserves(state, entry, role, now_ms)
+    )
+    first = min(entries, key=lambda entry: entry.rank, default=None)
+    if first is None:
+        return
+    reservation = plan_reservation(state, first, now_ms)
+    if reservation is not None:
+        state.reservations.make(role, reservation)
+        state.waiting.reopen(first.key.fit_class)
+
+
+def _deserves(
+    state: ShardState,
+    entry: Entry,
+    role: str,
+    now_ms: int,
+) -> bool:
+    if role == GANG_ROLE:
+        return entry.key.fit_class.width > 1
+    waited_ms = now_ms - entry.enqueued_ms
+    return waited_ms >= state.policy.limits.patience_ms
+
+
+def _blocked_heads(state: ShardState) -> Iterator[Entry]:
+    waiting = state.waiting
+    for fit_class in waiting.blocked.classes:
+        for key in waiting.classes.get(fit_class, ()):
+            entry = waiting.head(key)
+            if entry is not None:
+                yield entry
+
+
+def plan_reservation(
+    state: ShardState,
+    entry: Entry,
+    now_ms: int,
+) -> Reservation | None:
+    """Choose the workers that can hold every task the soonest."""
+    fit_class = entry.key.fit_class
+    openings = (
+        opening
+        for worker in _sample(state, fit_class.demand, fit_class.width)
+        for opening in _openings(state, worker, fit_class.demand, now_ms)
+    )
+    chosen = nsmallest(fit_class.width, openings)
+    if len(chosen) < fit_class.width:
+        return None
+    holds: dict[str, Resources] = {}
+    for _, _, name in chosen:
+        held = holds.get(name, Resources())
+        holds[name] = held.plus(fit_class.demand)
+    return Reservation(entry.spec.job_id, chosen[-1][0], now_ms, holds)
+
+
+def _sample(
+    state: ShardState,
+    demand: Resources,
+    width: int,
+) -> Iterator[WorkerBook]:
+    able = (
+        state.workers[name]
+        for name in state.index.emptiest()
+        if demand.fits_in(state.workers[name].spec.capacity)
+        and name not in state.reservations.by_worker
+    )
+    return islice(able, max(MIN_WORKERS, WORKERS_PER_TASK * width))
+
+
+def _openings(
+    state: ShardState,
+    worker: WorkerBook,
+    demand: Resources,
+    now_ms: int,
+) -> Iterator[Opening]:
+    """Iterate over the times at which one more task fits."""
+    name = worker.spec.name
+    free = worker.free
+    counted = 0
+    for end_ms, held in _ends(state, worker, now_ms):
+        free = free.plus(held)
+        count = demand.times_in(free)
+        for place in range(counted, count):
+            yield end_ms, place, name
+        counted = max(counted, count)
+
+
+def _ends(
+    state: ShardState,
+    worker: WorkerBook,
+    now_ms: int,
+) -> list[tuple[int, Resources]]:
+    ends = [(now_ms, Resources())]
+    for key, held in worker.charges.items():
+        job = state.jobs.get(key.job_id)
+        if job is not None and job.spec.kind is not Kind.SERVICE:
+            ends.append((_possible_end(job, key.task_index, now_ms), held))
+    return sorted(ends)
+
+
+def _possible_end(job: JobBook, index: int, now_ms: int) -> int:
+    """Return when an attempt ends, or may be checkpointed."""
+    task = job.tasks[index]
+    end_ms = expected_end(task, job.spec.expected_run_ms, now_ms)
+    if movable_once_more(job, task):
+        return min(end_ms, now_ms + CLEAR_MS)
+    return end_ms
+
+
+def expected_end(task: TaskBook, expected_ms: int, now_ms: int) -> int:
+    """Expect an overdue task to run as long again as it has run."""
+    if task.state is not TaskState.RUNNING and not task.recorded:
+        return now_ms + expected_ms
+    end_ms = task.started_ms + expected_ms
+    if end_ms > now_ms:
+        return end_ms
+    return now_ms + max(1, now_ms - task.started_ms)
--- a/src/lycheerelay/_handle_workers.py
+++ b/src/lycheerelay/_handle_workers.py
@@ -22,7 +22,12 @@
     name = event.spec.name
     known = state.workers.get(name)
     if known is None:
-        known = WorkerBook(event.spec, event.spec.capacity, lost_ms=now_ms)
+        known = WorkerBook(
+            event.spec,
+            event.spec.capacity,
+            lost_ms=now_ms,
+            ledger=state.ledger,
+        )
         state.workers[name] = known
         take_unlisted(state, name)
     elif known.spec.capacity != event.spec.capacity:
@@ -31,6 +36,7 @@
     if not known.listed:
         known.leaving = known.told_leaving
     known.listed = True
+    state.ledger.touched[name] = None
     known.leaving = known.leaving or event.spec.leaving
     known.spec = event.spec
     follow_majority(state, now_ms)
@@ -95,6 +101,7 @@
     if worker.boot != event.boot and worker.listed:
         worker.leaving = worker.spec.leaving
     worker.ready = True
+    state.ledger.touched[event.worker] = None
     worker.term = event.term
     worker.boot = event.boot
     worker.told_leaving = event.leaving
--- a/src/lycheerelay/_journal.py
+++ b/src/lycheerelay/_journal.py
@@ -97,6 +97,7 @@
         self.lock = threading.RLock()
         self.holding = Holding(self, holders)
         self.wake = threading.Condition()
+        self.note_read: Callable[[int], None] = _ignore
         self.stopping = False
         self.kicked = threading.Event()
         self.threads = (
@@ -162,9 +163,12 @@
         with self.wake:
             if not self._has_work():
                 self.wake.wait(self._pause_ms() / MS_PER_SECOND)
-            gap_ms = self.append_ms + self.settings.commit_ms
-            wait_ms = gap_ms - self.clock.now_ms()
-            if self._has_work() and wait_ms > 0 and not self.stopping:
+            # Each new record wakes this thread, so the rest of the pause is
+            # computed again until it is over.
+            while self._has_work() and not self.stopping:
+                wait_ms = self._gap_ms()
+                if wait_ms <= 0:
+                    return
                 self.wake.wait(wait_ms / MS_PER_SECOND)
 
     def take_hold(self, request: HoldRequest) -> HoldReply:
@@ -194,6 +198,10 @@
     def _has_work(self) -> bool:
         return bool(self.pending) or self.in_flight is not None
 
+    def _gap_ms(self) -> int:
+        next_ms = self.append_ms + self.settings.commit_ms
+        return next_ms - self.clock.now_ms()
+
     def _pause_ms(self) -> int:
         if self.outbox.batches and not self.health.is_down:
             return self.settings.commit_ms
@@ -238,6 +246,7 @@
     def read_to_end(self) -> None:
         """Deliver what the log holds beyond what was read."""
         while not self.stopping:
+            begun_ms = self.clock.now_ms()
             page = self.log.read(self.settings.stream, self.next_offset)
             self.health.note(not isinstance(page, Err))
             if isinstance(page, Err):
@@ -246,6 +255,7 @@
             if self.next_offset >= page.ok_value.end:
                 self.caught_up = True
                 self.health.note_end()
+                self.note_read(begun_ms)
                 return
 
     def _take_page(self, page: LogPage) -> None:
@@ -263,3 +273,7 @@
             for batch in batches.ok_value:
                 self.apply(batch, batch.held)
                 self.outbox.confirm(batch)
+
+
+def _ignore(begun_ms: int) -> None:
+    """Take no note of a read."""
--- a/src/lycheerelay/_settings.py
+++ b/src/lycheerelay/_settings.py
@@ -1,15 +1,37 @@
 """Read one process's settings from an INI file."""
 
 import configparser
-import difflib
+import ipaddress
+import re
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any, Final, NamedTuple
 
 from result import Err, Ok, Result
 
-from ._codes import Code, Refusal
+from ._options import (
+    OptionError,
+    OptionErrors,
+    field_types,
+    name_near,
+    read_option,
+    shorten,
+)
 
 SECTION: Final = 'node'
+MAX_PORT: Final = 65_535
+ADDRESS_TEXT: Final = 'an IP number and a port, as 10.0.0.7:8080'
+PEERS_TEXT: Final = 'a list with commas of NAME=IP:PORT'
+NAME_FORM: Final = (
+    re.compile('[A-Za-z0-9][A-Za-z0-9_-]{0,62}'),
+    'a name of at most 63 letters, digits, "-" and "_"',
+)
+FORMS: Final = {
+    'name': NAME_FORM,
+    'domain': NAME_FORM,
+    'region': NAME_FORM,
+    'peers': (re.compile('[A-Za-z0-9][A-Za-z0-9_-]{0,62}=.+'), PEERS_TEXT),
+}
 
 
 class NodeSettings(NamedTuple):
@@ -26,7 +48,8 @@
     restate_ms: int = 1_800_000
     http_threads: int = 48
     config_poll_ms: int = 1000
-    log_retention_ms: int = 3_600_000
+    drain_notice_ms: int = 1000
+    shutdown_ms: int = 10_000
 
     @property
     def entry_names(self) -> tuple[str, ...]:
@@ -41,51 +64,106 @@
         return host, int(port)
 
 
-def load_settings(path: Path) -> Result[NodeSettings, Refusal]:
-    """Read and check a settings file."""
-    parser = configparser.ConfigParser(interpolation=None)
+def load_settings(path: Path) -> Result[NodeSettings, OptionErrors]:
+    """Read a settings file; either every option is right or all errors."""
+    parser = configparser.ConfigParser(interpolation=None, default_section='')
     try:
-        parser.read_string(path.read_text(), source=path.name)
-    except (OSError, configparser.Error) as error:
-        return Err(Refusal(Code.BAD_SETTING, f'{path.name}: {error}'))
-    if SECTION not in parser:
-        detail = f'{path.name}: section [{SECTION}] is missing'
-        return Err(Refusal(Code.BAD_SETTING, detail))
-    return _check(path.name, dict(parser[SECTION]))
+        parser.read_string(path.read_text('utf-8'), source=path.name)
+    except (OSError, UnicodeError, configparser.Error) as error:
+        shown = ' '.join(str(error).split())
+        return _file_error(path, shown, 'a readable INI file')
+    if parser.sections() != [SECTION]:
+        shown = f'sections {parser.sections()}'
+        return _file_error(path, shown, f'one section, [{SECTION}]')
+    options = dict(parser[SECTION])
+    fields, errors = _read_options(path.name, options)
+    required = set(NodeSettings._fields) - set(NodeSettings._field_defaults)
+    errors.extend(
+        OptionError(path.name, SECTION, option, 'nothing', 'a value')
+        for option in sorted(required - set(options))
+    )
+    if not errors:
+        settings = NodeSettings(**fields)
+        errors.extend(_check_whole(path.name, settings))
+    return Err(tuple(errors)) if errors else Ok(settings)
+
 
+def _file_error(
+    path: Path,
+    shown: str,
+    expected: str,
+) -> Err[OptionErrors]:
+    return Err((OptionError(path.name, '', '', shown, expected),))
 
-def _check(
+
+def _read_options(
     source: str,
     options: dict[str, str],
-) -> Result[NodeSettings, Refusal]:
+) -> tuple[dict[str, Any], list[OptionError]]:
     fields: dict[str, Any] = {}
+    errors = []
     for option, text in options.items():
-        checked = _read_option(source, option, text)
-        if isinstance(checked, Err):
-            return checked
-        fields[option] = checked.ok_value
-    required = set(NodeSettings._fields) - set(NodeSettings._field_defaults)
-    missing = sorted(required - set(fields))
-    if missing:
-        detail = f'{source}: [{SECTION}] {missing[0]}: expected a value'
-        return Err(Refusal(Code.BAD_SETTING, detail))
-    return Ok(NodeSettings(**fields))
-
-
-def _read_option(source: str, option: str, text: str) -> Result[Any, Refusal]:
-    where = f'{source}: [{SECTION}] {option}'
-    kind = NodeSettings.__annotations__.get(option)
-    if kind is None:
-        near = difflib.get_close_matches(option, NodeSettings._fields, 1)
-        hint = f'; did you mean {near[0]}?' if near else ''
-        detail = f'{where}: unknown option{hint}'
-        return Err(Refusal(Code.BAD_SETTING, detail))
-    if kind is int:
-        if text.isdigit():
-            return Ok(int(text))
-        detail = f'{where}: got {text!r}, expected a whole number'
-        return Err(Refusal(Code.BAD_SETTING, detail))
-    if kind is str:
-        return Ok(text)
-    parts = (part.strip() for part in text.split(','))
-    return Ok(tuple(part for part in parts if part))
+        read = _read_known(option, text)
+        if isinstance(read, Err):
+            expected, shown = read.err_value, shorten(text)
+            errors.append(
+                OptionError(source, SECTION, option, shown, expected),
+            )
+        else:
+            fields[option] = read.ok_value
+    return fields, errors
+
+
+def _read_known(option: str, text: str) -> Result[Any, str]:
+    types = field_types(NodeSettings)
+    if option not in types:
+        return Err(f'as option {name_near(option, types)}')
+    read = read_option(types[option], option, text)
+    if isinstance(read, Err) or option not in FORMS:
+        return read
+    pattern, expected = FORMS[option]
+    parts = read.ok_value if isinstance(read.ok_value, tuple) else (text,)
+    if all(pattern.fullmatch(part) for part in parts):
+        return read
+    return Err(expected)
+
+
+def _check_whole(
+    source: str,
+    settings: NodeSettings,
+) -> Iterator[OptionError]:
+    addresses = {
+        'listen': settings.listen,
+        'log_address': settings.log_address,
+        'vm_list_address': settings.vm_list_address,
+    }
+    for option, text in addresses.items():
+        if not is_address(text, open_port=option == 'listen'):
+            yield _whole_error(source, option, text, ADDRESS_TEXT)
+    for peer in settings.peers:
+        if not is_address(peer.partition('=')[2], open_port=False):
+            yield _whole_error(source, 'peers', peer, PEERS_TEXT)
+    names = settings.entry_names
+    if len(set(names)) != len(names):
+        shown = ', '.join(names)
+        yield _whole_error(source, 'peers', shown, 'each name once, not ours')
+
+
+def is_address(text: str, open_port: bool) -> bool:
+    """Tell whether a text is an IP number and a port."""
+    host, _, port = text.rpartition(':')
+    try:
+        ipaddress.ip_address(host.strip('[]'))
+    except ValueError:
+        return False
+    low = 0 if open_port else 1
+    return port.isdecimal() and low <= int(port) <= MAX_PORT
+
+
+def _whole_error(
+    source: str,
+    option: str,
+    text: str,
+    expected: str,
+) -> OptionError:
+    return OptionError(source, SECTION, option, shorten(text), expected)
