--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -266,7 +266,8 @@
         owned = [
             pool
             for pool, shown in pools.items()
-            if shown.get('owner') == entry.name and shown['workers']
+            if shown['owner'].partition('@')[0] == entry.name
+            and shown['workers']
         ]
         return len(owned) >= len(POOLS)
 
