--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -262,7 +262,7 @@
     """Return a test for an entry VM that owns its pools."""
 
     def test(entry) -> bool:
-        pools = cell.get(entry.address, '/dump')
+        pools = cell.get(entry.address, '/dump')['pools']
         owned = [
             pool
             for pool, shown in pools.items()
