Tell control from decisions and callers on running entry VMs

The dump shows traffic by purpose, membership's counters and processor time by thread. benchmarks/control.py compares two dumps of every entry VM.

--- /dev/null
+++ b/benchmarks/control.py
@@ -0,0 +1,272 @@
+"""Measure what control costs a running entry VM.
+
+One failure domain runs as processes: entry VMs, log, VM list and workers.
+Processor time is told apart by thread, bytes and messages by purpose. The
+last line is one JSON object.
+"""
+
+import argparse
+import json
+import sys
+import threading
+import time
+from typing import Final, NamedTuple
+
+from bench_cell import ROOT, BenchCell, CellPlan, Entry, usage_of
+
+from lycheerelay._http import HttpCaller
+
+BUDGET: Final = {'cpu_percent': 1.2, 'rss_mb': 256, 'bytes_per_s': 4096}
+CONTROL_PURPOSES: Final = ('renewal', 'vm_list', 'log_read', 'config', 'other')
+CONTROL_THREADS: Final = ('config', 'link', 'membership', 'tail', 'vms')
+CALLER_THREADS: Final = ('CP Server', 'http', 'MainThread')
+SETTLE_S: Final = 6
+RUN_MS: Final = 2000
+CONTROL_UDP: Final = ('sent_bytes', 'received_bytes')
+SUBMITTERS: Final = 4
+
+
+class Case(NamedTuple):
+    """Describe one size of a failure domain and its load."""
+
+    name: str
+    entries: int
+    pools: tuple[str, ...]
+    jobs_per_s: float
+    tasks_per_job: int
+
+
+TODAY: Final = ('spice:7:16:65536:0:5:8', 'field:3:128:524288:8:3:8')
+PLANNED: Final = ('spice:147:16:65536:0:5:16', 'field:49:128:524288:8:3:16')
+CASES: Final = (
+    Case('today_idle', 3, TODAY, 0, 0),
+    Case('today_load', 3, TODAY, 2, 2),
+    Case('planned_idle', 8, PLANNED, 0, 0),
+    Case('planned_load', 8, PLANNED, 16, 4),
+)
+
+
+class Sample(NamedTuple):
+    """Hold the counters of one entry VM at one time."""
+
+    at_s: float
+    cpu_s: float
+    rss_mb: float
+    dump: dict
+
+
+def main() -> int:
+    """Run every case and print one JSON object."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seconds', type=float, default=20)
+    parser.add_argument('--case', action='append')
+    options = parser.parse_args()
+    results = {}
+    for case in CASES:
+        if options.case and case.name not in options.case:
+            continue
+        results[case.name] = run_case(case, options.seconds)
+        print(case.name, json.dumps(results[case.name]), flush=True)
+    print(json.dumps({'budget': BUDGET, 'cases': results}))
+    return 0
+
+
+def run_case(case: Case, seconds: float) -> dict:
+    """Run one cell and measure every entry VM over the same time."""
+    folder = ROOT / 'examples' / 'caroni'
+    cell = BenchCell(CellPlan(('a',), case.entries, case.pools, folder))
+    try:
+        cell.wait_for(lambda: owners_of(cell) is not None, 'owners')
+        stopped = threading.Event()
+        load = start_load(cell, case, stopped)
+        time.sleep(SETTLE_S)
+        before = [take_sample(cell, entry) for entry in cell.entries]
+        time.sleep(seconds)
+        after = [take_sample(cell, entry) for entry in cell.entries]
+        owners = owners_of(cell) or {}
+        stopped.set()
+        for thread in load:
+            thread.join()
+    finally:
+        cell.stop()
+    nodes = [compare(*pair) for pair in zip(before, after, strict=True)]
+    return summarise(cell.entries, nodes, owners)
+
+
+def owners_of(cell: BenchCell) -> dict[str, str] | None:
+    """Return the owner of each pool once every worker is ready."""
+    pools = cell.get(cell.entries[0].address, '/dump')['pools']
+    owners = {
+        pool: shown['owner'].partition('@')[0] for pool, shown in pools.items()
+    }
+    for entry in cell.entries:
+        shown = cell.get(entry.address, '/dump')['pools']
+        for pool, owner in owners.items():
+            workers = shown.get(pool, {}).get('workers', {}).values()
+            if owner == entry.name:
+                ready = all(worker['ready'] for worker in workers)
+                if not (workers and ready):
+                    return None
+    return owners if len(owners) > 1 and all(owners.values()) else None
+
+
+def start_load(
+    cell: BenchCell,
+    case: Case,
+    stopped: threading.Event,
+) -> list[threading.Thread]:
+    """Submit jobs at a steady rate, to every entry VM in turn."""
+    if not case.jobs_per_s:
+        return []
+    threads = [
+        threading.Thread(
+            target=submit_steadily,
+            args=(cell, case, number, stopped),
+        )
+        for number in range(SUBMITTERS)
+    ]
+    for thread in threads:
+        thread.start()
+    return threads
+
+
+def submit_steadily(
+    cell: BenchCell,
+    case: Case,
+    number: int,
+    stopped: threading.Event,
+) -> None:
+    """Submit one thread's share of the load."""
+    caller = HttpCaller()
+    serial = number
+    while not stopped.wait(SUBMITTERS / case.jobs_per_s):
+        entry = cell.entries[serial % len(cell.entries)]
+        accelerated = serial % 4 == 0
+        job = {
+            'job_id': f'a.load{serial}',
+            'team': 'design',
+            'kind': 'batch',
+            'workload': 'extraction' if accelerated else 'corner-sweep',
+            'tasks': case.tasks_per_job,
+            'cores_milli': 1000,
+            'accelerators': 0,
+            'memory_mb': 512,
+            'payload': json.dumps({'run_ms': RUN_MS, 'answer': 'ok'}),
+        }
+        caller.call('POST', f'http://{entry.address}/v1/jobs', job, 5000)
+        serial += SUBMITTERS
+
+
+def take_sample(cell: BenchCell, entry: Entry) -> Sample:
+    """Read the counters of one entry VM."""
+    dump = cell.get(entry.address, '/dump')
+    used = usage_of(entry.process.pid)
+    return Sample(time.monotonic(), used.cpu_s, used.rss_mb, dump)
+
+
+def compare(before: Sample, after: Sample) -> dict:
+    """Return rates between two samples."""
+    seconds = after.at_s - before.at_s
+    threads = {
+        name: (spent - before.dump['thread_cpu_ms'].get(name, 0)) / seconds / 10
+        for name, spent in after.dump['thread_cpu_ms'].items()
+    }
+    sums = {
+        purpose: rates(before.dump['traffic'].get(purpose), entry, seconds)
+        for purpose, entry in after.dump['traffic'].items()
+    }
+    udp = {
+        name: (after.dump['membership'][name] - before.dump['membership'][name])
+        / seconds
+        for name in CONTROL_UDP
+        if name in after.dump['membership']
+    }
+    return {
+        'cpu_percent': 100 * (after.cpu_s - before.cpu_s) / seconds,
+        'rss_mb': after.rss_mb,
+        'threads': threads,
+        'traffic': sums,
+        'membership_bytes_per_s': sum(udp.values()),
+        'appends_per_s': (
+            after.dump['journal']['appends'] - before.dump['journal']['appends']
+        )
+        / seconds,
+    }
+
+
+def rates(before: dict | None, after: dict, seconds: float) -> dict:
+    """Return calls and bytes a second of one purpose."""
+    start = before or dict.fromkeys(after, 0)
+    size = sum(
+        after[name] - start[name] for name in ('sent_bytes', 'received_bytes')
+    )
+    calls = after['calls'] - start['calls']
+    return {'calls_per_s': calls / seconds, 'bytes_per_s': size / seconds}
+
+
+def summarise(
+    entries: list[Entry],
+    nodes: list[dict],
+    owners: dict[str, str],
+) -> dict:
+    """Return the busiest owner and the mean of the others."""
+    by_name = {
+        entry.name: shorten(node)
+        for entry, node in zip(entries, nodes, strict=True)
+    }
+    owned = {
+        name: node for name, node in by_name.items() if name in owners.values()
+    }
+    busiest = max(owned, key=lambda name: owned[name]['control_bytes_per_s'])
+    others = [node for name, node in by_name.items() if name not in owned]
+    return {
+        'entries': len(entries),
+        'owners': owners,
+        'busiest_owner': owned[busiest],
+        'other': others[0] if others else None,
+    }
+
+
+def shorten(node: dict) -> dict:
+    """Return the figures that the page shows, rounded."""
+    traffic = node['traffic']
+    control_bytes = node['membership_bytes_per_s'] + sum(
+        traffic[purpose]['bytes_per_s']
+        for purpose in CONTROL_PURPOSES
+        if purpose in traffic
+    )
+    threads = node['threads']
+    control_cpu = sum(threads.get(name, 0) for name in CONTROL_THREADS)
+    caller_cpu = sum(threads.get(name, 0) for name in CALLER_THREADS)
+    return {
+        'cpu_percent': round(node['cpu_percent'], 2),
+        'control_cpu_percent': round(control_cpu, 2),
+        'decision_cpu_percent': round(
+            sum(threads.values()) - control_cpu - caller_cpu,
+            2,
+        ),
+        'caller_cpu_percent': round(caller_cpu, 2),
+        'rss_mb': round(node['rss_mb'], 1),
+        'control_bytes_per_s': round(control_bytes),
+        'control_calls_per_s': round(
+            sum(
+                traffic[purpose]['calls_per_s']
+                for purpose in CONTROL_PURPOSES
+                if purpose in traffic
+            ),
+            2,
+        ),
+        'bytes_per_s': {
+            purpose: round(entry['bytes_per_s'])
+            for purpose, entry in traffic.items()
+        }
+        | {'membership': round(node['membership_bytes_per_s'])},
+        'thread_cpu_percent': {
+            name: round(share, 2) for name, share in threads.items()
+        },
+        'appends_per_s': round(node['appends_per_s'], 2),
+    }
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/src/lycheerelay/_dump.py
+++ b/src/lycheerelay/_dump.py
@@ -7,9 +7,10 @@
 from typing import Final, final
 
 from . import __version__
-from ._codec import Json
+from ._codec import Json, to_json
 from ._node import Node
 from ._state import JobBook
+from ._usage import thread_cpu_ms
 from ._web import Request, Response, Route, route
 
 # Payloads and answers belong to callers; only their size is shown.
@@ -50,6 +51,9 @@
         'members': sorted(node.members.alive_in_domain()),
         'config': dump_item(node.config.config),
         'policy': dump_item(node.policy),
+        'traffic': to_json(node.caller.traffic.shown()),
+        'membership': dump_plain(node.members),
+        'thread_cpu_ms': thread_cpu_ms(),
         'journal': dump_plain(journal),
         'log': dump_plain(journal.health),
         'pools': {pool: dump_pool(node, pool) for pool in pools},
--- a/src/lycheerelay_standins/__main__.py
+++ b/src/lycheerelay_standins/__main__.py
@@ -20,6 +20,7 @@
 
 MAX_SECONDS: Final = 600
 MILLI: Final = 1000
+PER_RACK: Final = 5
 SLOTS: Final = 8
 CONNECTIONS: Final = 64
 
@@ -66,7 +67,7 @@
             '--pool',
             action='append',
             type=read_shape,
-            help='NAME:WORKERS:CORES:MEMORY_MB:ACCELERATORS[:PER_RACK]',
+            help='NAME:WORKERS:CORES:MEMORY_MB:ACCELERATORS[:PER_RACK[:SLOTS]]',
         )
         part.add_argument('--threads', type=int, default=8)
     return parser
@@ -75,15 +76,16 @@
 def read_shape(text: str) -> PoolShape:
     """Read the shape of a pool's workers."""
     name, *numbers = text.split(':')
-    workers, cores, memory_mb, accelerators, *rack = map(int, numbers)
+    workers, cores, memory_mb, accelerators, *more = map(int, numbers)
+    per_rack, slots = (*more, *(PER_RACK, SLOTS)[len(more) :])
     capacity = Resources(
         cores * MILLI,
         memory_mb,
         accelerators,
-        SLOTS,
+        slots,
         CONNECTIONS,
     )
-    return PoolShape(name, workers, capacity, *rack)
+    return PoolShape(name, workers, capacity, per_rack)
 
 
 def run_log(arguments: argparse.Namespace) -> object:
