--- a/benchmarks/fault_cell.py
+++ b/benchmarks/fault_cell.py
@@ -180,8 +180,6 @@
         self.caller = HttpCaller()
         self.folder = folder
         command = [sys.executable, '-m', 'lycheerelay_standins']
-        for pool in POOLS:
-            command += [] if pool is POOLS[0] else []
         command += ['--max-seconds', '590', 'cell', '--domains', 'a,b,c']
         for pool in POOLS:
             command += ['--pool', pool]
@@ -263,10 +261,10 @@
 
     def owners(self, vm):
         """Return the owner of each pool as one VM sees it."""
-        pools = self.get(vm, '/dump', 500)
-        if pools is None:
+        body = self.get(vm, '/internal/owners', 500)
+        if body is None:
             return {}
-        return owners_in(pools)
+        return {pool: part['owner'] for pool, part in body['pools'].items()}
 
     def switch_log(self, **switches):
         self.switch(self.platform['log'], switches)
@@ -282,6 +280,19 @@
         url = f'http://{self.platform["control"]}/ledger'
         return self.caller.call('GET', url, timeout_ms=10_000).unwrap().body
 
+    def records(self, domain):
+        """Return every record on the log of a domain, with its place."""
+        url = f'http://{self.platform["log"]}/v1/streams/jobs.{domain}'
+        found, offset = [], 0
+        while True:
+            path = f'{url}?from={offset}'
+            page = self.caller.call('GET', path, timeout_ms=9000).unwrap().body
+            for entry in page['entries']:
+                offset = entry['offset'] + 1
+                found.append((entry['offset'], entry['value']))
+            if offset >= page['end']:
+                return found
+
     def stop(self):
         for vm in self.vms:
             if vm.process is not None:
@@ -293,17 +304,6 @@
         self.platform_process.wait()
 
 
-def owners_in(body):
-    """Find `owner` fields of pools in a dump, whatever else it holds."""
-    found = {}
-    for key, part in body.items():
-        if isinstance(part, dict) and 'owner' in part and 'term' in part:
-            found[key] = part['owner']
-        elif isinstance(part, dict):
-            found.update(owners_in(part))
-    return found
-
-
 def make_folder():
     import tempfile
 
--- a/src/lycheerelay/_cli.py
+++ b/src/lycheerelay/_cli.py
@@ -17,6 +17,7 @@
 from ._clock import SystemClock
 from ._codes import CODES, Code
 from ._dump import DumpApi
+from ._internal_api import InternalApi
 from ._journal_api import JournalApi
 from ._logging import LogFormat, set_up_logging
 from ._membership_service import MembershipService
@@ -117,6 +118,7 @@
             *Api(node).routes(),
             *ConfigApi(node).routes(),
             *DumpApi(node).routes(),
+            *InternalApi(node).routes(),
             *metrics.routes(),
             *JournalApi(node.parts.journal, node.log).routes(),
         ),
--- a/src/lycheerelay/_members.py
+++ b/src/lycheerelay/_members.py
@@ -7,6 +7,11 @@
 from ._vm_client import EntryVm
 
 
+def name_of(identity: str) -> str:
+    """Return the name of the entry VM that an identity is one run of."""
+    return identity.partition('@')[0]
+
+
 class Members(Protocol):
     """Answer who is alive; each answer is only a suggestion.
 
@@ -58,7 +63,10 @@
         self.settings = settings
         self.identity = settings.name
         self.leaving = False
-        self.addresses = dict(peer.split('=', 1) for peer in settings.peers)
+        pairs = (peer.split('=', 1) for peer in settings.peers)
+        self.addresses = {
+            label.partition('@')[0]: address for label, address in pairs
+        }
 
     def alive_in_domain(self) -> tuple[str, ...]:
         """Return the configured entry VMs of this domain."""
