Let no reader start to wait once a shutdown has begun

A reader that registered just after the waiting ones were woken held the shutdown for its whole wait. Tests cover a domain that is cut from the log and takes the configuration from another one.

--- a/src/lycheerelay/_watchers.py
+++ b/src/lycheerelay/_watchers.py
@@ -12,13 +12,17 @@
     def __init__(self) -> None:
         """Start with no callers."""
         self.futures: dict[str, list[Future[None]]] = {}
+        self.closed = False
         self.lock = threading.Lock()
 
     def open(self, job_id: str) -> 'Future[None]':
         """Return a future that is resolved when the job is final."""
         future: Future[None] = Future()
         with self.lock:
-            self.futures.setdefault(job_id, []).append(future)
+            if self.closed:
+                future.set_result(None)
+            else:
+                self.futures.setdefault(job_id, []).append(future)
         return future
 
     def close(self, job_id: str, future: 'Future[None]') -> None:
@@ -38,8 +42,9 @@
             future.set_result(None)
 
     def wake_all(self) -> None:
-        """Resolve every future, so that no caller waits any longer."""
+        """Let no caller wait any longer, now or later."""
         with self.lock:
+            self.closed = True
             jobs = tuple(self.futures)
         for job_id in jobs:
             self.wake(job_id)
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -4,12 +4,14 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
+from lycheerelay._codec import to_json
 from lycheerelay._config_follow import ConfigFollower, FollowSettings
 from lycheerelay._config_publish import FileBase, bases_of
 from lycheerelay._hashing import digest_of
 from lycheerelay._http import CallError, HttpCaller
 from lycheerelay._log_client import LogEntry, LogPage
 from lycheerelay._versions import ConfigEntry
+from lycheerelay._web import Response, WebServer, route
 from lycheerelay.clock import ManualClock
 from lycheerelay.codes import Code
 from lycheerelay.folder import FolderFile
@@ -59,14 +61,17 @@
 
 
 class Members:
+    def __init__(self, values=(), addresses=()):
+        self.values, self.addresses = dict(values), dict(addresses)
+
     def alive_in_domain(self):
         return ('e1', 'e2')
 
     def address_of(self, name):
-        return None
+        return self.addresses.get(name)
 
     def seen_values(self):
-        return {}
+        return self.values
 
     def publish(self, key, value):
         return True
@@ -244,6 +249,45 @@
     assert seen[-1].teams[0].share == 4
 
 
+def test_domain_cut_from_the_log_takes_a_higher_version_from_another():
+    log, time, seen = MemoryLog(), clock(), []
+    publish(log, time, request({'a.ini': TEAM.format(4)})).unwrap()
+    source = follower(log, time, [])
+    source.poll()
+    offers = [source.config, VersionedConfig(9, (), 9, complete=False)]
+
+    def offer(asked):
+        return Response(200, {'config': to_json(offers[0])})
+
+    server = WebServer(
+        '127.0.0.1', 0, (route('GET', '/internal/config', offer),)
+    )
+    server.start()
+    cut_log = MemoryLog()
+    cut_log.fail_reads = True
+    cut = follower(cut_log, time, seen)
+    cut.members = Members({'far@7': {}}, {'far': server.address})
+    cut.poll()
+    assert [policy.version for policy in seen] == [1]
+    offers.pop(0)
+    cut.poll()
+    offers[0] = VersionedConfig(0, (), 0)
+    cut.poll()
+    server.stop()
+    assert cut.config == source.config
+    assert len(seen) == 1
+
+
+def test_a_peers_version_brings_the_next_read_forward():
+    cut = follower(MemoryLog(), clock(), [])
+    cut.members = Members({'e2@1': {'config': 'x'}}, {})
+    cut._take_hints()
+    assert not cut.wake.is_set()
+    cut.members = Members({'e2@1': {'config': '3'}}, {})
+    cut._take_hints()
+    assert cut.wake.is_set()
+
+
 def test_nothing_is_in_force_while_history_is_missing():
     log, time, seen = MemoryLog(), clock(), []
     publish(log, time, request({'a.ini': TEAM.format(4)})).unwrap()
