--- a/src/lycheerelay/_api.py
+++ b/src/lycheerelay/_api.py
@@ -3,10 +3,12 @@
 import heapq
 import secrets
 import threading
+import time
 from typing import Final, final
 
 from result import Err
 
+from ._clock import MS_PER_SECOND
 from ._codec import to_json
 from ._codes import CODES, Code, Refusal
 from ._commands import ReplyAccepted, ReplyRefused
@@ -26,6 +28,8 @@
 DEFAULT_LISTED: Final = 100
 ID_BYTES: Final = 9
 RETRY_AFTER_MS: Final = 1000
+REPLICA_LAG_MS: Final = 1500
+KNOWN_POLL_MS: Final = 50
 
 
 @final
@@ -167,10 +171,21 @@
         if self.node.draining or not self.waiting.acquire(blocking=False):
             return
         try:
-            self.node.watch(job_id, wait_ms)
+            self._watch(job_id, wait_ms)
         finally:
             self.waiting.release()
 
+    def _watch(self, job_id: str, wait_ms: int) -> None:
+        # A job that was just accepted elsewhere is not in the replica yet.
+        clock = self.node.clock
+        until_ms = clock.now_ms() + wait_ms
+        known_by_ms = min(until_ms, clock.now_ms() + REPLICA_LAG_MS)
+        while not self._is_known(job_id):
+            if clock.now_ms() >= known_by_ms or self.node.draining:
+                return
+            time.sleep(KNOWN_POLL_MS / MS_PER_SECOND)
+        self.node.watch(job_id, max(until_ms - clock.now_ms(), 0))
+
     def _view(self, job_id: str) -> JobView | None:
         found = self.node.find_job(job_id)
         return view_job(found[1]) if found else None
--- a/src/lycheerelay/_shutdown.py
+++ b/src/lycheerelay/_shutdown.py
@@ -28,6 +28,7 @@
     started_ms = node.clock.now_ms()
     settings = node.settings
     node.draining = True
+    server.end_connections()
     LOGGER.info('shutting down', extra={'in_flight': server.in_flight})
     handed = hand_back(node, settings.hand_back_ms if has_peers(node) else 0)
     left_ms = started_ms + settings.drain_notice_ms - node.clock.now_ms()
--- a/src/lycheerelay/_web.py
+++ b/src/lycheerelay/_web.py
@@ -148,8 +148,12 @@
         """Serve from a thread of its own."""
         self.thread.start()
 
+    def end_connections(self) -> None:
+        """End each connection with its next answer from now on."""
+        self.closing = True
+
     def drain(self, timeout_ms: int) -> bool:
-        """Close idle connections; tell whether all requests were answered."""
+        """Wait until no request is in flight; tell whether that came."""
         self.closing = True
         until = time.monotonic() + timeout_ms / 1000
         while self.in_flight and time.monotonic() < until:
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -2,10 +2,11 @@
 
 import json
 import socket
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
-from cell_parts import start_cell
+from cell_parts import start_cell, wait_until
 from lycheerelay._codes import CODES
 from lycheerelay._web import WebServer, route
 
@@ -133,6 +134,17 @@
     assert (view['state'], view['code']) == ('cancelled', 103)
 
 
+def test_reader_waits_for_a_job_that_the_replica_does_not_know_yet(served):
+    cell, server = served
+    cell.submit_ready(server, 'a.before', 1)
+    with ThreadPoolExecutor(1) as threads:
+        path = '/v1/jobs/a.after?wait_ms=9000'
+        read = threads.submit(cell.call, server, 'GET', path)
+        wait_until(lambda: server.in_flight == 1)
+        cell.submit_ready(server, 'a.after', 20)
+        assert read.result(15).body['state'] == 'done'
+
+
 def test_unknown_job_is_not_found(served):
     cell, server = served
     reply = cell.call(server, 'GET', '/v1/jobs/a.none?wait_ms=9000')
