--- a/src/lycheerelay/_cli.py
+++ b/src/lycheerelay/_cli.py
@@ -7,19 +7,28 @@
 import threading
 from collections.abc import Sequence
 from pathlib import Path
+from typing import Final
 
 from result import Err
 
-from . import __version__
+from . import __version__, _cli_check, _cli_config, _cli_jobs
 from ._api import Api
+from ._api_config import ConfigApi
+from ._cli_parts import COMMANDS, command, no_options, report_errors
 from ._clock import SystemClock
-from ._codes import CODES
-from ._members import StaticMembers
+from ._codes import CODES, Code
+from ._dump import DumpApi
+from ._journal_api import JournalApi
+from ._membership_service import MembershipService
 from ._node import Node
 from ._policy import Policy
 from ._settings import NodeSettings, load_settings
+from ._shutdown import shut_down
 from ._web import WebServer
 
+# Importing these modules registers their sub-commands.
+COMMAND_MODULES: Final = (_cli_check, _cli_config, _cli_jobs)
+
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the command line and return the exit status."""
@@ -29,41 +38,49 @@
 
 
 def build_parser() -> argparse.ArgumentParser:
-    """Describe every sub-command."""
+    """Describe every registered sub-command."""
     parser = argparse.ArgumentParser(prog='lycheerelay')
     commands = parser.add_subparsers(required=True, metavar='COMMAND')
-    serve = commands.add_parser('serve', help='run one entry VM')
-    serve.add_argument(
-        'settings',
-        type=Path,
-        help='INI file with the settings of this process',
-    )
-    serve.set_defaults(run=run_serve)
-    version = commands.add_parser('version', help='print the version')
-    version.set_defaults(run=run_version)
+    for name in COMMANDS:
+        entry = COMMANDS[name]
+        sub = commands.add_parser(
+            name,
+            help=entry.summary,
+            description=entry.summary,
+        )
+        entry.describe(sub)
+        sub.set_defaults(run=entry.run)
     return parser
 
 
+@command('version', 'print the version', no_options)
 def run_version(arguments: argparse.Namespace) -> int:
     """Print the version."""
     print(__version__)
     return 0
 
 
+def _describe_serve(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        'settings',
+        type=Path,
+        help='INI file with the settings of this process',
+    )
+
+
+@command('serve', 'run one entry VM until SIGTERM', _describe_serve)
 def run_serve(arguments: argparse.Namespace) -> int:
     """Run one entry VM until it is told to stop."""
     loaded = load_settings(arguments.settings)
     if isinstance(loaded, Err):
-        print(loaded.err_value.detail, file=sys.stderr)
-        return CODES[loaded.err_value.code].exit_status
+        return report_errors(loaded.err_value, Code.BAD_SETTING)
     settings = loaded.ok_value
     stopped = stop_on_signals()
-    node, server = start_node(settings)
+    node, server = start_node(settings, needs_config=True)
     print(f'listening on {server.address}', flush=True)
     stopped.wait()
-    server.stop()
-    node.stop()
-    return 0
+    farewell = shut_down(node, server)
+    return 0 if farewell.answered else CODES[Code.TIMEOUT].exit_status
 
 
 def stop_on_signals() -> threading.Event:
@@ -78,21 +95,30 @@
     return stopped
 
 
-def start_node(settings: NodeSettings) -> tuple[Node, WebServer]:
-    """Start an entry VM and its HTTP server."""
-    node = Node(
-        settings,
-        SystemClock(),
-        Policy(),
-        StaticMembers(settings),
-    )
+def start_node(
+    settings: NodeSettings,
+    needs_config: bool = False,
+) -> tuple[Node, WebServer]:
+    """Start an entry VM and its HTTP server.
+
+    Unless it needs a published configuration, it is ready with defaults.
+    """
+    clock = SystemClock()
+    members = MembershipService(settings, clock)
+    node = Node(settings, clock, Policy(), members, needs_config)
     host, port = settings.host_and_port
     server = WebServer(
         host,
         port,
-        Api(node).routes(),
+        (
+            *Api(node).routes(),
+            *ConfigApi(node).routes(),
+            *DumpApi(node).routes(),
+            *JournalApi(node.parts.journal, node.log).routes(),
+        ),
         settings.http_threads,
     )
+    members.start(server.address)
     node.start()
     server.start()
     return node, server
--- a/src/lycheerelay/_commands.py
+++ b/src/lycheerelay/_commands.py
@@ -20,6 +20,7 @@
     term: int
     key: AttemptKey
     spec: JobSpec
+    boot: str = ''
 
 
 class StopTask(NamedTuple):
@@ -29,6 +30,7 @@
     term: int
     key: AttemptKey
     checkpoint: bool
+    boot: str = ''
 
 
 class ForgetTask(NamedTuple):
@@ -45,6 +47,7 @@
     token: int
     job_id: str
     code: Code
+    held: bool = False
 
 
 class ReplyRefused(NamedTuple):
@@ -54,6 +57,13 @@
     refusal: Refusal
 
 
+class Restated(NamedTuple):
+    """Tell that every job was restated since an offset of the stream."""
+
+    pool: str
+    round_offset: int
+
+
 class JobFinal(NamedTuple):
     """Tell those who wait that a job's answer is complete."""
 
@@ -68,4 +78,5 @@
     | ReplyAccepted
     | ReplyRefused
     | JobFinal
+    | Restated
 )
--- a/src/lycheerelay/_gang.py
+++ b/src/lycheerelay/_gang.py
@@ -48,7 +48,8 @@
         return True
     if reservation.urgent:
         return now_ms - reservation.made_ms >= URGENT_TTL_MS
-    return not all(name in state.index.places for name in reservation.holds)
+    books = [state.workers.get(name) for name in reservation.holds]
+    return not all(book is not None and book.takes_work for book in books)
 
 
 def is_review_due(state: ShardState, now_ms: int) -> bool:
@@ -157,7 +158,8 @@
     able = (
         state.workers[name]
         for name in state.index.emptiest()
-        if demand.fits_in(state.workers[name].spec.capacity)
+        if name in state.workers
+        and demand.fits_in(state.workers[name].spec.capacity)
         and name not in state.reservations.by_worker
     )
     return islice(able, max(MIN_WORKERS, WORKERS_PER_TASK * width))
--- a/src/lycheerelay/_order_queue.py
+++ b/src/lycheerelay/_order_queue.py
@@ -49,6 +49,12 @@
         self.delays.pop(job_id, None)
         self.drop_entry(job_id)
 
+    def look_again(self, job_id: str) -> None:
+        """Look at a job's tasks again before it is placed."""
+        self.drop_entry(job_id)
+        if job_id in self:
+            self.fresh[job_id] = None
+
     def next_serial(self) -> int:
         """Return a number that makes each rank unique."""
         self.serial += 1
--- a/src/lycheerelay/_order_refresh.py
+++ b/src/lycheerelay/_order_refresh.py
@@ -1,7 +1,9 @@
 """Bring lanes and index up to date before work is placed."""
 
+from itertools import islice
 from typing import Final
 
+from ._fence import may_start
 from ._fit_room import room_of
 from ._gang import refresh_reservations
 from ._jobs import Kind, TaskState
@@ -9,11 +11,12 @@
 from ._order_lanes import URGENT, Entry, FitClass, LaneKey
 from ._preempt_victims import movable_once_more
 from ._resources import Resources
-from ._state import JobBook, ShardState, WorkerBook
+from ._state import JobBook, ShardState
 
 RESYNC_MS: Final = 1000
 GANG_REVIEW_MS: Final = 1000
 SCARCE_MS: Final = 5000
+MAX_FRESH: Final = 500
 
 
 def refresh(state: ShardState, now_ms: int) -> None:
@@ -43,19 +46,15 @@
     for name, worker in state.workers.items():
         capacity = worker.spec.capacity
         shapes[capacity] = shapes.get(capacity, 0) + 1
-        if _may_start(worker) != (name in state.index.places):
+        if worker.takes_work != (name in state.index.places):
             state.ledger.touched[name] = None
     state.flows.follow(state.waiting.counts, now_ms)
     state.ledger.resize(shapes, state.policy.teams)
 
 
-def _may_start(worker: WorkerBook) -> bool:
-    return worker.ready and not worker.leaving
-
-
 def _offer(state: ShardState, name: str, now_ms: int) -> None:
     worker = state.workers.get(name)
-    if worker is None or not _may_start(worker):
+    if worker is None or not worker.takes_work:
         state.index.remove(name)
         return
     state.index.put(name, worker.free, worker.spec.capacity)
@@ -65,15 +64,26 @@
 def _enqueue_changed(state: ShardState, now_ms: int) -> None:
     waiting = state.waiting
     order = ORDERS[state.policy.limits.order]
+    _release_fenced(state)
     changed = dict.fromkeys(waiting.due(now_ms))
-    changed.update(waiting.fresh)
-    waiting.fresh.clear()
+    changed.update(dict.fromkeys(islice(waiting.fresh, MAX_FRESH)))
     for job_id in changed:
+        waiting.fresh.pop(job_id, None)
         job = state.jobs.get(job_id)
         if job is not None and job_id in waiting:
             _enqueue(state, order, job, now_ms)
 
 
+def _release_fenced(state: ShardState) -> None:
+    """Look at held back jobs again once the fence lets more start."""
+    fence = state.fence
+    stage = (fence.term, fence.majority_ms >= 0, fence.is_open)
+    if stage != state.fence_stage:
+        state.fence_stage = stage
+        state.waiting.fresh.update(state.fenced)
+        state.fenced.clear()
+
+
 def _enqueue(
     state: ShardState,
     order: OrderPolicy,
@@ -81,15 +91,21 @@
     now_ms: int,
 ) -> None:
     waiting = state.waiting
-    ready = []
-    later = 0
-    for index, task in enumerate(job.tasks):
-        if task.state is not TaskState.QUEUED:
-            continue
-        if task.not_before_ms <= now_ms:
-            ready.append(index)
-        else:
-            later = min(later or task.not_before_ms, task.not_before_ms)
+    if not may_start(state, job):
+        state.fenced[job.spec.job_id] = None
+        return
+    queued = [
+        index
+        for index, task in enumerate(job.tasks)
+        if task.state is TaskState.QUEUED
+    ]
+    due = [job.tasks[index].not_before_ms for index in queued]
+    ready = [
+        index
+        for index, due_ms in zip(queued, due, strict=True)
+        if due_ms <= now_ms
+    ]
+    later = min((due_ms for due_ms in due if due_ms > now_ms), default=0)
     if later:
         waiting.delay(later, job.spec.job_id)
     if job.spec.kind is Kind.GANG and _is_split(job, later):
--- a/src/lycheerelay/_schedule.py
+++ b/src/lycheerelay/_schedule.py
@@ -5,11 +5,12 @@
 
 from . import _fit_baselines  # noqa: F401
 from ._commands import Append
+from ._fence import follow_fence
 from ._fit import FITS, FitPolicy
 from ._gang import is_review_due, reserve_for_waiting
 from ._handlers import Commands
 from ._jobs import Kind, TaskState
-from ._kind_batch import Placement, has_candidate, place_next
+from ._kind_batch import Placement, has_candidate, is_current, place_next
 from ._kind_gang import place_all
 from ._kind_service import place_spread
 from ._order import ORDERS
@@ -34,6 +35,7 @@
 
 def schedule(state: ShardState, now_ms: int) -> Commands:
     """Announce starts for waiting work in policy order."""
+    follow_fence(state, now_ms)
     refresh(state, now_ms)
     planned: dict[str, list[Placement]] = {}
     starts = 0
@@ -62,6 +64,9 @@
     now_ms: int,
 ) -> list[Placement]:
     spec = entry.spec
+    if not is_current(state, entry, now_ms):
+        state.waiting.look_again(spec.job_id)
+        return []
     workload = state.policy.workload(spec.workload)
     fit = FITS[workload.fit if workload else state.policy.limits.fit]
     placements = []
--- a/src/lycheerelay/_state.py
+++ b/src/lycheerelay/_state.py
@@ -1,5 +1,6 @@
 """Hold what the decision core knows of one pool."""
 
+from collections import deque
 from dataclasses import dataclass, field
 
 from ._admission_flow import Flows
@@ -15,8 +16,10 @@
 )
 from ._order_queue import WaitingJobs
 from ._policy import Policy
+from ._records import Record
 from ._reservation import Reservations
 from ._resources import Resources
+from ._retry import RetryBudget
 from ._share import NOTHING, Ledger
 
 
@@ -35,15 +38,31 @@
     started_ms: int = 0
     code: int = 0
     answer: str = ''
+    runs: int = 0
     stopping_ms: int = 0
     moved_for: str = ''
     moves: int = 0
 
     @property
     def is_live(self) -> bool:
-        """Tell whether an attempt may be running."""
+        """Tell whether an attempt may be running or is planned."""
         return self.state in LIVE_TASK_STATES
 
+    @property
+    def may_run(self) -> bool:
+        """Tell whether the intent of a live attempt is recorded."""
+        return self.recorded and self.is_live
+
+    @property
+    def is_planned(self) -> bool:
+        """Tell whether an attempt is decided but not recorded."""
+        return self.is_live and not self.recorded
+
+    @property
+    def recorded_attempt(self) -> int:
+        """Return the last attempt whose intent is recorded."""
+        return self.attempt - 1 if self.is_planned else self.attempt
+
 
 @dataclass(slots=True)
 class JobBook:
@@ -57,12 +76,25 @@
     detail: str = ''
     cancel_asked: bool = False
     settled_ms: int = 0
+    max_attempts: int = 0
+    restarting: bool = False
+    failed_on: dict[str, None] = field(default_factory=dict)
+    accepted_term: int = 0
 
     @property
     def is_final(self) -> bool:
         """Tell whether the job's answer is complete."""
         return self.state in FINAL_JOB_STATES
 
+    @property
+    def not_run(self) -> bool:
+        """Tell whether it is proved that no task was ever started."""
+        return not any(task.runs for task in self.tasks)
+
+    def task(self, index: int) -> TaskBook | None:
+        """Return a task, or None for an index out of range."""
+        return self.tasks[index] if 0 <= index < len(self.tasks) else None
+
     def attempt_key(self, index: int) -> AttemptKey:
         """Return the key of a task's current attempt."""
         return AttemptKey(self.spec.job_id, index, self.tasks[index].attempt)
@@ -80,9 +112,17 @@
     leaving: bool = False
     lost_ms: int = 0
     charges: dict[AttemptKey, Resources] = field(default_factory=dict)
+    listed: bool = True
+    told_leaving: bool = False
+    strays: dict[AttemptKey, None] = field(default_factory=dict)
     ledger: Ledger | None = None
     plain: Resources = NOTHING
 
+    @property
+    def takes_work(self) -> bool:
+        """Tell whether anything may be placed here now."""
+        return self.ready and not self.leaving and not self.strays
+
     def charge(self, key: AttemptKey, demand: Resources) -> None:
         """Book an attempt once, however often it is told."""
         if key in self.charges:
@@ -114,6 +154,24 @@
     tokens: list[int]
 
 
+@dataclass(slots=True)
+class RestateRound:
+    """Track which jobs are still to be restated, or read back."""
+
+    offset: int
+    waiting: dict[str, None]
+    sent: dict[str, None] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Fence:
+    """Track whether an earlier owner can still start tasks."""
+
+    term: int = 0
+    majority_ms: int = -1
+    is_open: bool = False
+
+
 @dataclass(slots=True)
 class ShardState:
     """Hold one pool of one failure domain as one entry VM sees it."""
@@ -137,6 +195,21 @@
     next_worker: int = 0
     scarce_until_ms: int = 0
     flows: Flows = field(default_factory=Flows)
+    fenced: dict[str, None] = field(default_factory=dict)
+    fence_stage: tuple[int, bool, bool] = (0, False, False)
+    unlisted: dict[str, dict[AttemptKey, Resources]] = field(
+        default_factory=dict,
+    )
+    majority_ms: int = -1
+    confirmed_ms: int = -1
+    delayed: list[tuple[int, AttemptKey]] = field(default_factory=list)
+    deadlines: list[tuple[int, str]] = field(default_factory=list)
+    finals: deque[tuple[int, str]] = field(default_factory=deque)
+    budget: RetryBudget = field(default_factory=RetryBudget)
+    can_keep: bool = True
+    restating: RestateRound | None = None
+    fence: Fence = field(default_factory=Fence)
+    on_way: dict[str, list[Record]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Let the ledger look up the team of a job."""
--- a/src/lycheerelay/_worker_client.py
+++ b/src/lycheerelay/_worker_client.py
@@ -1,6 +1,6 @@
 """Adapt the task API of the platform's workers."""
 
-from typing import NamedTuple, final
+from typing import Final, NamedTuple, final
 
 from result import Err, Ok, Result
 
@@ -12,13 +12,16 @@
 HTTP_OK = 200
 HTTP_CONFLICT = 409
 POLL_SLACK_MS = 2000
+RENEWAL: Final = 'renewal'
+TASK: Final = 'task'
 
 
 class LeaseRequest(NamedTuple):
     """Ask for the placement lease of a worker, or renew it.
 
     The call returns at once when something changed after `since`, else
-    after `wait_ms`.
+    after `wait_ms`. Tasks live on until `as_of_ms + task_ttl_ms` by the
+    worker's clock; without `as_of_ms` none is prolonged.
     """
 
     pool: str
@@ -28,6 +31,7 @@
     task_ttl_ms: int
     since: int
     wait_ms: int
+    as_of_ms: int = 0
 
 
 class LeaseReply(NamedTuple):
@@ -40,6 +44,7 @@
     seq: int
     leaving: bool
     reports: tuple[TaskReport, ...]
+    now_ms: int = 0
 
 
 class StartReply(NamedTuple):
@@ -47,6 +52,7 @@
 
     state: TaskState
     code: int
+    boot: str = ''
 
 
 @final
@@ -55,7 +61,8 @@
 
     def __init__(self, caller: HttpCaller, address: str) -> None:
         """Remember where the worker is."""
-        self.caller = caller
+        self.caller = caller.tagged(RENEWAL)
+        self.task_caller = caller.tagged(TASK)
         self.base = f'http://{address}/v1'
 
     def renew(self, request: LeaseRequest) -> Result[LeaseReply, CallError]:
@@ -74,8 +81,13 @@
         term: int,
         key: AttemptKey,
         spec: JobSpec,
+        boot: str = '',
+        until_ms: int = 0,
     ) -> Result[StartReply, CallError]:
-        """Create a task under its attempt id; repeating is harmless."""
+        """Create a task under its attempt id; repeating is harmless.
+
+        The worker refuses it after `until_ms` by its own clock, if given.
+        """
         body = {
             'task_id': key.to_text(),
             'term': term,
@@ -84,6 +96,8 @@
             'accelerators': spec.accelerators,
             'connections': spec.connections,
             'payload': spec.payload,
+            'boot': boot,
+            'until_ms': until_ms,
         }
         return self._task_call('tasks', body)
 
@@ -92,15 +106,33 @@
         term: int,
         key: AttemptKey,
         checkpoint: bool,
+        boot: str = '',
     ) -> Result[StartReply, CallError]:
         """Stop an attempt; one that never started is void from now on."""
         body = {
             'task_id': key.to_text(),
             'term': term,
             'checkpoint': checkpoint,
+            'boot': boot,
         }
         return self._task_call('stop', body)
 
+    def throttle(
+        self,
+        term: int,
+        key: AttemptKey,
+        percent: int,
+        boot: str = '',
+    ) -> Result[StartReply, CallError]:
+        """Run an attempt at a share of its full speed."""
+        body = {
+            'task_id': key.to_text(),
+            'term': term,
+            'percent': percent,
+            'boot': boot,
+        }
+        return self._task_call('throttle', body)
+
     def forget(
         self,
         term: int,
@@ -116,13 +148,19 @@
         body: Json,
     ) -> Result[StartReply, CallError]:
         url = f'{self.base}/{path}'
-        reply = self.caller.call('POST', url, body)
+        reply = self.task_caller.call('POST', url, body)
         if isinstance(reply, Err):
             return reply
         if reply.ok_value.status not in {HTTP_OK, HTTP_CONFLICT}:
             return Err(CallError(url, f'status {reply.ok_value.status}'))
         answer = reply.ok_value.body
-        return Ok(StartReply(TaskState(answer['state']), answer['code']))
+        return Ok(
+            StartReply(
+                TaskState(answer['state']),
+                answer['code'],
+                answer.get('boot', ''),
+            ),
+        )
 
 
 def _lease_reply(body: Json) -> LeaseReply:
@@ -135,6 +173,7 @@
         body['seq'],
         body['leaving'],
         tuple(report for report in reports if report is not None),
+        body.get('now_ms', 0),
     )
 
 
