--- a/src/lycheerelay/_cli.py
+++ b/src/lycheerelay/_cli.py
@@ -11,20 +11,23 @@
 
 from result import Err
 
-from . import __version__, _cli_check
+from . import __version__, _cli_check, _cli_config, _cli_jobs
 from ._api import Api
-from ._cli_parts import COMMANDS, command, no_options
+from ._api_config import ConfigApi
+from ._cli_parts import COMMANDS, command, no_options, report_errors
 from ._clock import SystemClock
-from ._codes import CODES
+from ._codes import CODES, Code
+from ._dump import DumpApi
 from ._journal_api import JournalApi
-from ._members import StaticMembers
+from ._membership_service import MembershipService
 from ._node import Node
 from ._policy import Policy
 from ._settings import NodeSettings, load_settings
+from ._shutdown import shut_down
 from ._web import WebServer
 
 # Importing these modules registers their sub-commands.
-COMMAND_MODULES: Final = (_cli_check,)
+COMMAND_MODULES: Final = (_cli_check, _cli_config, _cli_jobs)
 
 
 def main(argv: Sequence[str] | None = None) -> int:
@@ -70,16 +73,14 @@
     """Run one entry VM until it is told to stop."""
     loaded = load_settings(arguments.settings)
     if isinstance(loaded, Err):
-        print(loaded.err_value.detail, file=sys.stderr)
-        return CODES[loaded.err_value.code].exit_status
+        return report_errors(loaded.err_value, Code.BAD_SETTING)
     settings = loaded.ok_value
     stopped = stop_on_signals()
-    node, server = start_node(settings)
+    node, server = start_node(settings, needs_config=True)
     print(f'listening on {server.address}', flush=True)
     stopped.wait()
-    server.stop()
-    node.stop()
-    return 0
+    farewell = shut_down(node, server)
+    return 0 if farewell.answered else CODES[Code.TIMEOUT].exit_status
 
 
 def stop_on_signals() -> threading.Event:
@@ -94,24 +95,30 @@
     return stopped
 
 
-def start_node(settings: NodeSettings) -> tuple[Node, WebServer]:
-    """Start an entry VM and its HTTP server."""
-    node = Node(
-        settings,
-        SystemClock(),
-        Policy(),
-        StaticMembers(settings),
-    )
+def start_node(
+    settings: NodeSettings,
+    needs_config: bool = False,
+) -> tuple[Node, WebServer]:
+    """Start an entry VM and its HTTP server.
+
+    Unless it needs a published configuration, it is ready with defaults.
+    """
+    clock = SystemClock()
+    members = MembershipService(settings, clock)
+    node = Node(settings, clock, Policy(), members, needs_config)
     host, port = settings.host_and_port
     server = WebServer(
         host,
         port,
         (
             *Api(node).routes(),
+            *ConfigApi(node).routes(),
+            *DumpApi(node).routes(),
             *JournalApi(node.parts.journal, node.log).routes(),
         ),
         settings.http_threads,
     )
+    members.start(server.address)
     node.start()
     server.start()
     return node, server
--- a/src/lycheerelay/_cli_check.py
+++ b/src/lycheerelay/_cli_check.py
@@ -1,21 +1,27 @@
 """Check an operators' folder from the command line."""
 
 import argparse
-import sys
 from pathlib import Path
 
 from result import Err, Result
 
-from ._cli_parts import add_json_flag, command, print_json, print_table
-from ._codes import CODES, Code
+from ._cli_parts import (
+    add_json_flag,
+    command,
+    print_json,
+    print_table,
+    report_errors,
+)
+from ._codes import Code
 from ._folder import build_policy
-from ._folder_files import FolderErrors, FolderFile, read_files
+from ._folder_files import FolderFile, read_files
+from ._options import OptionErrors
 from ._policy import Policy
 
 
 def load_folder(
     folder: Path,
-) -> Result[tuple[tuple[FolderFile, ...], Policy], FolderErrors]:
+) -> Result[tuple[tuple[FolderFile, ...], Policy], OptionErrors]:
     """Read a folder and check the whole merge."""
     files = read_files(folder)
     if isinstance(files, Err):
@@ -24,17 +30,6 @@
     return build_policy(kept).map(lambda policy: (kept, policy))
 
 
-def report_errors(errors: FolderErrors, as_json: bool) -> int:
-    """Print every fault and return the exit status."""
-    code = Code.BAD_FOLDER
-    if as_json:
-        print_json({'code': int(code), 'errors': errors})
-    else:
-        for error in errors:
-            print(f'error {int(code)}: {error.to_text()}', file=sys.stderr)
-    return CODES[code].exit_status
-
-
 def _describe(parser: argparse.ArgumentParser) -> None:
     parser.add_argument('folder', type=Path, help='folder of INI files')
     add_json_flag(parser)
@@ -45,7 +40,11 @@
     """Check a folder and print what it describes, or every fault."""
     loaded = load_folder(arguments.folder)
     if isinstance(loaded, Err):
-        return report_errors(loaded.err_value, arguments.json)
+        return report_errors(
+            loaded.err_value,
+            Code.BAD_FOLDER,
+            arguments.json,
+        )
     policy = loaded.ok_value[1]
     if arguments.json:
         print_json({'code': int(Code.OK), 'policy': policy})
--- a/src/lycheerelay/_events.py
+++ b/src/lycheerelay/_events.py
@@ -115,6 +115,15 @@
     at_ms: int
 
 
+class RestateAsked(NamedTuple):
+    """Ask the owner to restate every job, so that old records may expire.
+
+    The round names the offset from which a reader then needs no more.
+    """
+
+    round_offset: int
+
+
 class Configured(NamedTuple):
     """Put a newer configuration in force."""
 
@@ -138,5 +147,6 @@
     | OwnershipConfirmed
     | Configured
     | KeepingChanged
+    | RestateAsked
     | Tick
 )
--- a/src/lycheerelay/_folder_files.py
+++ b/src/lycheerelay/_folder_files.py
@@ -7,30 +7,12 @@
 
 from result import Err, Ok, Result
 
+from ._options import OptionError, OptionErrors
+
 FILE_SUFFIX: Final = '.ini'
 MAX_FILES: Final = 500
 MAX_FILE_BYTES: Final = 65_536
 MAX_FOLDER_BYTES: Final = 400_000
-MAX_SHOWN_CHARS: Final = 60
-
-
-class FolderError(NamedTuple):
-    """Locate one fault of a folder and say what was expected."""
-
-    file: str
-    section: str
-    option: str
-    shown: str
-    expected: str
-
-    def to_text(self) -> str:
-        """Word the fault for an operator."""
-        where = self.file
-        if self.section:
-            where = f'{where}: [{self.section}]'
-        if self.option:
-            where = f'{where} {self.option}'
-        return f'{where}: got {self.shown}, expected {self.expected}'
 
 
 class FolderFile(NamedTuple):
@@ -48,10 +30,9 @@
 
 
 Sections = dict[str, dict[str, Setting]]
-FolderErrors = tuple[FolderError, ...]
 
 
-def read_files(folder: Path) -> Result[tuple[FolderFile, ...], FolderErrors]:
+def read_files(folder: Path) -> Result[tuple[FolderFile, ...], OptionErrors]:
     """Read every INI file of a folder, in the order of their names."""
     if not folder.is_dir():
         return Err((_fault(str(folder), 'no folder', 'a folder of INI files'),))
@@ -72,7 +53,7 @@
     return Err(tuple(errors)) if errors else Ok(tuple(files))
 
 
-def check_sizes(files: Iterable[FolderFile]) -> Iterator[FolderError]:
+def check_sizes(files: Iterable[FolderFile]) -> Iterator[OptionError]:
     """Check the folder against its limits of count and size."""
     sizes = {entry.name: len(entry.content.encode()) for entry in files}
     if len(sizes) > MAX_FILES:
@@ -93,7 +74,7 @@
 
 def merge_files(
     files: Iterable[FolderFile],
-) -> tuple[Sections, list[FolderError]]:
+) -> tuple[Sections, list[OptionError]]:
     """Merge sections option by option; the later file name wins."""
     sections: Sections = {}
     errors = []
@@ -111,12 +92,7 @@
     return sections, errors
 
 
-def shorten(text: str) -> str:
-    """Return a value in quotes, cut to a length that can be shown."""
-    return repr(text[:MAX_SHOWN_CHARS])
-
-
-def _read_file(path: Path) -> Result[FolderFile, FolderError]:
+def _read_file(path: Path) -> Result[FolderFile, OptionError]:
     try:
         return Ok(FolderFile(path.name, path.read_text(encoding='utf-8')))
     except (OSError, UnicodeError) as error:
@@ -125,7 +101,7 @@
 
 def _parse(
     entry: FolderFile,
-) -> Result[configparser.ConfigParser, FolderError]:
+) -> Result[configparser.ConfigParser, OptionError]:
     parser = configparser.ConfigParser(
         interpolation=None,
         default_section='',
@@ -139,5 +115,5 @@
     return Ok(parser)
 
 
-def _fault(file: str, shown: str, expected: str) -> FolderError:
-    return FolderError(file, '', '', shown, expected)
+def _fault(file: str, shown: str, expected: str) -> OptionError:
+    return OptionError(file, '', '', shown, expected)
--- a/src/lycheerelay/_handle_tasks.py
+++ b/src/lycheerelay/_handle_tasks.py
@@ -7,6 +7,7 @@
 from ._delays import release_due
 from ._ends import END_RULES, apply_end
 from ._events import StartAnswered, TaskReport, TasksReported, Tick
+from ._handle_keeping import restate
 from ._handlers import FOLDS, HANDLERS, Commands
 from ._jobs import AttemptKey, TaskState
 from ._lapse import resolve_reboot
@@ -26,6 +27,7 @@
     yield from settle_late(state, now_ms)
     if state.is_owner:
         yield from schedule(state, now_ms)
+    yield from restate(state)
 
 
 @FOLDS.register(Intended)
--- a/src/lycheerelay/_handle_workers.py
+++ b/src/lycheerelay/_handle_workers.py
@@ -22,13 +22,19 @@
     name = event.spec.name
     known = state.workers.get(name)
     if known is None:
-        known = WorkerBook(event.spec, event.spec.capacity, lost_ms=now_ms)
+        known = WorkerBook(
+            event.spec,
+            event.spec.capacity,
+            lost_ms=now_ms,
+            ledger=state.ledger,
+        )
         state.workers[name] = known
         take_unlisted(state, name)
     elif known.spec.capacity != event.spec.capacity:
         grown = event.spec.capacity.minus(known.spec.capacity)
         known.free = known.free.plus(grown)
     known.listed = True
+    state.ledger.touched[name] = None
     known.spec = event.spec
     known.follow_leaving()
     follow_majority(state, now_ms)
@@ -91,6 +97,7 @@
     event: LeaseHeld,
 ) -> None:
     worker.ready = True
+    state.ledger.touched[event.worker] = None
     worker.term = event.term
     worker.boot = event.boot
     worker.told_leaving = event.leaving
--- a/src/lycheerelay/_node.py
+++ b/src/lycheerelay/_node.py
@@ -1,20 +1,22 @@
 """Join the decision core, the journal and the workers in one process."""
 
 import contextlib
-import queue
 import threading
 from collections.abc import Callable
-from concurrent.futures import Future
-from typing import Final, NamedTuple, TypeVar, final
+from typing import Final, TypeVar, final
 
 from ._clock import MS_PER_SECOND, Clock
+from ._compaction import Compaction, MarkStream
+from ._config_follow import ConfigFollower, FollowSettings
 from ._core import step
 from ._events import (
     CancelRequested,
     Configured,
     Event,
     KeepingChanged,
+    OwnershipConfirmed,
     Recorded,
+    RestateAsked,
     SubmitRequested,
     Tick,
     WorkerListed,
@@ -23,9 +25,11 @@
 from ._failover_log import FailoverLog
 from ._hold_client import HoldClient
 from ._http import HttpCaller
+from ._inbox import Entry, Inbox, Posted, ReadMark
 from ._jobs import JobSpec
 from ._journal import Journal, JournalSettings
 from ._log_client import LogClient
+from ._mark_keeper import MarkKeeper
 from ._members import Members
 from ._node_parts import NodeParts
 from ._ownership import Ownership
@@ -41,25 +45,10 @@
 from ._worker_links import WorkerLinks
 
 TICK_MS: Final = 20
-MAX_BURST: Final = 500
 
 T = TypeVar('T')
 
 
-class Posted(NamedTuple):
-    """Address an event to one pool."""
-
-    pool: str
-    event: Event
-
-
-class Inspection(NamedTuple):
-    """Run a reading of the state on the core's thread."""
-
-    read: Callable[[], object]
-    future: 'Future[object]'
-
-
 @final
 class Node:
     """Run one entry VM."""
@@ -70,21 +59,32 @@
         clock: Clock,
         policy: Policy,
         members: Members,
+        needs_config: bool = False,
     ) -> None:
         """Wire the parts; start none of them."""
+        self.needs_config = needs_config
+        self.draining = False
         self.settings = settings
         self.clock = clock
         self.policy = policy
         self.members = members
         self.caller = HttpCaller()
         self.log = LogClient(self.caller, settings.log_address)
-        self.inbox: queue.Queue[Posted | Inspection] = queue.Queue()
+        self.inbox = Inbox()
         self.shards: dict[str, ShardState] = {}
         self.stopping = threading.Event()
-        self.links = WorkerLinks(settings.name, self.caller, clock, self.post)
+        self.compaction = Compaction(clock, settings.restate_ms)
+        self.links = WorkerLinks(
+            members.identity,
+            self.caller,
+            clock,
+            self.post,
+        )
         self.parts = self._build_parts()
+        self.parts.journal.note_read = lambda begun_ms: self.inbox.put(
+            ReadMark(begun_ms),
+        )
         self.ownership = Ownership(
-            settings.name,
             members,
             clock,
             self.parts.journal.append,
@@ -94,6 +94,24 @@
             settings.domain,
             self.take_vm_list,
         )
+        self.config = ConfigFollower(
+            FailoverLog(
+                self.log,
+                self.caller,
+                settings.name,
+                members,
+                clock,
+            ),
+            self.caller,
+            members,
+            FollowSettings(
+                settings.name,
+                settings.config_poll_ms,
+                settings.restate_ms,
+            ),
+            clock,
+            self.configure,
+        )
         self.thread = threading.Thread(
             target=self.run,
             name='core',
@@ -103,22 +121,35 @@
     def start(self) -> None:
         """Start every thread."""
         self.thread.start()
+        self.config.start()
         self.vms.start()
         self.parts.journal.start()
 
     def stop(self) -> None:
         """Stop every thread; leases run out by themselves."""
         self.vms.stop()
+        self.config.stop()
         self.links.stop()
         self.parts.sender.stop()
         self.parts.journal.stop()
+        self.parts.marks.stop()
         self.stopping.set()
         self.thread.join()
+        self.members.stop()
 
     @property
     def is_ready(self) -> bool:
-        """Tell whether the log has been read to its end once."""
-        return self.parts.journal.caught_up
+        """Tell whether the node may take jobs."""
+        return not self.lacks
+
+    @property
+    def lacks(self) -> str:
+        """Name what the node still waits for, or nothing."""
+        if not self.parts.journal.caught_up:
+            return 'the log is not read to its end yet'
+        if self.needs_config and not self.policy.version:
+            return 'no published configuration is known yet'
+        return ''
 
     def submit(self, spec: JobSpec, timeout_ms: int) -> Outcome:
         """Accept or refuse a job whose pool is owned here."""
@@ -141,9 +172,7 @@
 
     def inspect(self, read: Callable[[], T]) -> T:
         """Read the state between two events."""
-        future: Future[object] = Future()
-        self.inbox.put(Inspection(read, future))
-        return future.result()  # type: ignore[return-value]
+        return self.inbox.inspect(read)
 
     def find_job(self, job_id: str) -> tuple[ShardState, JobBook] | None:
         """Find a job among the pools; call it through `inspect`."""
@@ -168,29 +197,34 @@
 
     def take_record(self, record: Record, held: bool) -> None:
         """Queue a record from the journal for its pool."""
+        self.compaction.count(record.pool)
         self.post(record.pool, Recorded(record, held))
 
     def take_vm_list(self, listed: VmList) -> None:
-        """Open links to listed workers and tell their pools."""
+        """Follow the listed VMs and tell the pools of their workers."""
+        self.members.take_list(listed.entries)
+        self.links.take_list(listed.workers)
         for spec in listed.workers:
-            self.links.open(spec)
             self.post(spec.pool, WorkerListed(spec))
 
     def run(self) -> None:
         """Step the core until stopped."""
         while not self.stopping.is_set():
-            for entry in self._next_entries():
+            for entry in self.inbox.take(TICK_MS):
                 self._take(entry)
             for state in tuple(self.shards.values()):
                 self._follow_keeping(state)
+                self._follow_compaction(state)
                 self._step(state, Tick())
                 self._follow_term(state)
 
     def _build_parts(self) -> NodeParts:
         settings = self.settings
         name, members = settings.name, self.members
+        log = FailoverLog(self.log, self.caller, name, members, self.clock)
+        marks = MarkKeeper(MarkStream(log, settings.domain))
         journal = Journal(
-            FailoverLog(self.log, self.caller, name, members, self.clock),
+            log,
             HoldClient(self.caller, name, members),
             JournalSettings(
                 f'jobs.{settings.domain}',
@@ -200,27 +234,18 @@
             ),
             self.clock,
             self.take_record,
+            marks.load,
         )
-        sender = Sender(self.links.get, self.links.post_event)
-        return NodeParts(journal, sender, Replies(), Watchers())
-
-    def _next_entries(self) -> list[Posted | Inspection]:
-        try:
-            entries = [self.inbox.get(timeout=TICK_MS / MS_PER_SECOND)]
-        except queue.Empty:
-            return []
-        while len(entries) < MAX_BURST and not self.inbox.empty():
-            entries.append(self.inbox.get_nowait())
-        return entries
+        sender = Sender(self.links.get, self.links.post_event, self.clock)
+        return NodeParts(journal, sender, Replies(), Watchers(), marks)
 
-    def _take(self, entry: Posted | Inspection) -> None:
+    def _take(self, entry: Entry) -> None:
         if isinstance(entry, Posted):
             self._step(self._shard(entry.pool), entry.event)
-            return
-        try:
-            entry.future.set_result(entry.read())
-        except Exception as error:
-            entry.future.set_exception(error)
+        elif isinstance(entry, ReadMark):
+            self._confirm(entry.begun_ms)
+        else:
+            entry.run()
 
     def _shard(self, pool: str) -> ShardState:
         state = self.shards.get(pool)
@@ -228,7 +253,7 @@
             state = ShardState(
                 self.settings.domain,
                 pool,
-                self.settings.name,
+                self.members.identity,
                 self.policy,
             )
             self.shards[pool] = state
@@ -243,9 +268,25 @@
         if policy.version <= self.policy.version:
             return
         self.policy = policy
+        self.links.task_ttl_ms = policy.limits.task_ttl_ms
         for state in tuple(self.shards.values()):
             self._step(state, Configured(policy))
 
+    def _follow_compaction(self, state: ShardState) -> None:
+        self.parts.marks.pools.add(state.pool)
+        if not (state.is_owner and self.is_ready):
+            return
+        if self.compaction.is_due(state.pool, len(state.jobs)):
+            offset = self.parts.journal.next_offset
+            self._step(state, RestateAsked(offset))
+
+    def _confirm(self, begun_ms: int) -> None:
+        # Behind the records of the read, so that a newer term is known.
+        self.links.log_read_ms = begun_ms
+        for state in tuple(self.shards.values()):
+            if state.is_owner:
+                self._step(state, OwnershipConfirmed(state.term, begun_ms))
+
     def _follow_keeping(self, state: ShardState) -> None:
         possible = self.parts.journal.can_keep
         if possible != state.can_keep:
--- /dev/null
+++ b/src/lycheerelay/_order_refresh.py
@@ -0,0 +1,143 @@
+"""Bring lanes and index up to date before work is placed."""
+
+from typing import Final
+
+from ._fence import may_start
+from ._fit_room import room_of
+from ._gang import refresh_reservations
+from ._jobs import Kind, TaskState
+from ._order import ORDERS, OrderPolicy, band_of
+from ._order_lanes import URGENT, Entry, FitClass, LaneKey
+from ._preempt_victims import movable_once_more
+from ._resources import Resources
+from ._state import JobBook, ShardState
+
+RESYNC_MS: Final = 1000
+GANG_REVIEW_MS: Final = 1000
+SCARCE_MS: Final = 5000
+
+
+def refresh(state: ShardState, now_ms: int) -> None:
+    """Take in what changed since the last time."""
+    if now_ms - state.synced_ms >= RESYNC_MS or state.synced_ms < 0:
+        _resync(state, now_ms)
+    refresh_reservations(state, now_ms)
+    for name in tuple(state.ledger.touched):
+        _offer(state, name, now_ms)
+    state.ledger.touched.clear()
+    _enqueue_changed(state, now_ms)
+
+
+def demand_of(job: JobBook) -> Resources:
+    """Return what one task of a job is booked with."""
+    return job.spec.demand
+
+
+def _resync(state: ShardState, now_ms: int) -> None:
+    was_scarce = state.synced_ms < state.scarce_until_ms
+    state.synced_ms = now_ms
+    if state.waiting.blocked.scarce:
+        state.scarce_until_ms = now_ms + SCARCE_MS
+    elif was_scarce and now_ms >= state.scarce_until_ms:
+        state.ledger.touched.update(dict.fromkeys(state.workers))
+    shapes: dict[Resources, int] = {}
+    for name, worker in state.workers.items():
+        capacity = worker.spec.capacity
+        shapes[capacity] = shapes.get(capacity, 0) + 1
+        if worker.takes_work != (name in state.index.places):
+            state.ledger.touched[name] = None
+    state.flows.follow(state.waiting.counts, now_ms)
+    state.ledger.resize(shapes, state.policy.teams)
+
+
+def _offer(state: ShardState, name: str, now_ms: int) -> None:
+    worker = state.workers.get(name)
+    if worker is None or not worker.takes_work:
+        state.index.remove(name)
+        return
+    state.index.put(name, worker.free, worker.spec.capacity)
+    state.waiting.offer(name, room_of(state, worker, now_ms))
+
+
+def _enqueue_changed(state: ShardState, now_ms: int) -> None:
+    waiting = state.waiting
+    order = ORDERS[state.policy.limits.order]
+    changed = dict.fromkeys(waiting.due(now_ms))
+    changed.update(waiting.fresh)
+    waiting.fresh.clear()
+    for job_id in changed:
+        job = state.jobs.get(job_id)
+        if job is None or job_id not in waiting:
+            continue
+        if may_start(state, job):
+            _enqueue(state, order, job, now_ms)
+        else:
+            waiting.drop_entry(job_id)
+
+
+def _enqueue(
+    state: ShardState,
+    order: OrderPolicy,
+    job: JobBook,
+    now_ms: int,
+) -> None:
+    waiting = state.waiting
+    ready = []
+    later = 0
+    for index, task in enumerate(job.tasks):
+        if task.state is not TaskState.QUEUED:
+            continue
+        if task.not_before_ms <= now_ms:
+            ready.append(index)
+        else:
+            later = min(later or task.not_before_ms, task.not_before_ms)
+    if later:
+        waiting.delay(later, job.spec.job_id)
+    if job.spec.kind is Kind.GANG and _is_split(job, later):
+        ready = []
+        waiting.delay(later or now_ms + GANG_REVIEW_MS, job.spec.job_id)
+    if ready:
+        waiting.add_entry(
+            _entry(state, order, job, tuple(reversed(ready)), now_ms)
+        )
+    else:
+        waiting.drop_entry(job.spec.job_id)
+
+
+def _run_bits(expected_ms: int) -> int:
+    """Round an expected run time up to a power of four."""
+    bits = max(1, expected_ms).bit_length()
+    return bits + bits % 2
+
+
+def _is_split(job: JobBook, later_ms: int) -> bool:
+    """Tell whether the queued tasks of a gang cannot start together yet."""
+    return later_ms > 0 or any(task.is_live for task in job.tasks)
+
+
+def _entry(
+    state: ShardState,
+    order: OrderPolicy,
+    job: JobBook,
+    indexes: tuple[int, ...],
+    now_ms: int,
+) -> Entry:
+    spec = job.spec
+    band = band_of(order, spec)
+    fit_class = FitClass(
+        demand_of(job),
+        _run_bits(spec.expected_run_ms),
+        len(indexes) if spec.kind is Kind.GANG else 1,
+        band == URGENT,
+        spec.kind is Kind.BATCH
+        and all(movable_once_more(job, job.tasks[index]) for index in indexes),
+    )
+    rank = (
+        order.due_ms(job),
+        job.accepted_ms,
+        state.waiting.next_serial(),
+        spec.job_id,
+    )
+    state.ledger.note_need(fit_class.demand)
+    key = LaneKey(band, spec.team, fit_class)
+    return Entry(spec, key, rank, list(indexes), now_ms)
--- a/src/lycheerelay/_worker_client.py
+++ b/src/lycheerelay/_worker_client.py
@@ -1,6 +1,6 @@
 """Adapt the task API of the platform's workers."""
 
-from typing import NamedTuple, final
+from typing import Final, NamedTuple, final
 
 from result import Err, Ok, Result
 
@@ -12,13 +12,16 @@
 HTTP_OK = 200
 HTTP_CONFLICT = 409
 POLL_SLACK_MS = 2000
+RENEWAL: Final = 'renewal'
+TASK: Final = 'task'
 
 
 class LeaseRequest(NamedTuple):
     """Ask for the placement lease of a worker, or renew it.
 
     The call returns at once when something changed after `since`, else
-    after `wait_ms`.
+    after `wait_ms`. Tasks live on until `as_of_ms + task_ttl_ms` by the
+    worker's clock; without `as_of_ms` none is prolonged.
     """
 
     pool: str
@@ -28,6 +31,7 @@
     task_ttl_ms: int
     since: int
     wait_ms: int
+    as_of_ms: int = 0
 
 
 class LeaseReply(NamedTuple):
@@ -40,6 +44,7 @@
     seq: int
     leaving: bool
     reports: tuple[TaskReport, ...]
+    now_ms: int = 0
 
 
 class StartReply(NamedTuple):
@@ -56,7 +61,8 @@
 
     def __init__(self, caller: HttpCaller, address: str) -> None:
         """Remember where the worker is."""
-        self.caller = caller
+        self.caller = caller.tagged(RENEWAL)
+        self.task_caller = caller.tagged(TASK)
         self.base = f'http://{address}/v1'
 
     def renew(self, request: LeaseRequest) -> Result[LeaseReply, CallError]:
@@ -76,8 +82,12 @@
         key: AttemptKey,
         spec: JobSpec,
         boot: str = '',
+        until_ms: int = 0,
     ) -> Result[StartReply, CallError]:
-        """Create a task under its attempt id; repeating is harmless."""
+        """Create a task under its attempt id; repeating is harmless.
+
+        The worker refuses it after `until_ms` by its own clock, if given.
+        """
         body = {
             'task_id': key.to_text(),
             'term': term,
@@ -87,6 +97,7 @@
             'connections': spec.connections,
             'payload': spec.payload,
             'boot': boot,
+            'until_ms': until_ms,
         }
         return self._task_call('tasks', body)
 
@@ -106,6 +117,22 @@
         }
         return self._task_call('stop', body)
 
+    def throttle(
+        self,
+        term: int,
+        key: AttemptKey,
+        percent: int,
+        boot: str = '',
+    ) -> Result[StartReply, CallError]:
+        """Run an attempt at a share of its full speed."""
+        body = {
+            'task_id': key.to_text(),
+            'term': term,
+            'percent': percent,
+            'boot': boot,
+        }
+        return self._task_call('throttle', body)
+
     def forget(
         self,
         term: int,
@@ -121,7 +148,7 @@
         body: Json,
     ) -> Result[StartReply, CallError]:
         url = f'{self.base}/{path}'
-        reply = self.caller.call('POST', url, body)
+        reply = self.task_caller.call('POST', url, body)
         if isinstance(reply, Err):
             return reply
         if reply.ok_value.status not in {HTTP_OK, HTTP_CONFLICT}:
@@ -146,6 +173,7 @@
         body['seq'],
         body['leaving'],
         tuple(report for report in reports if report is not None),
+        body.get('now_ms', 0),
     )
 
 
--- a/src/lycheerelay/folder.py
+++ b/src/lycheerelay/folder.py
@@ -1,6 +1,7 @@
 """Check and merge an operators' folder."""
 
 from ._folder import build_policy
-from ._folder_files import FolderError, FolderFile, read_files
+from ._folder_files import FolderFile, read_files
+from ._options import OptionError
 
-__all__ = ('FolderError', 'FolderFile', 'build_policy', 'read_files')
+__all__ = ('FolderFile', 'OptionError', 'build_policy', 'read_files')
