--- a/tests/fake_node.py
+++ b/tests/fake_node.py
@@ -246,6 +246,8 @@
     def send_command(self, command) -> None:
         worker = self.world.workers[command.worker]
         life = self.lives
+        if worker.boot == self.links[command.worker].boot:
+            worker.check_sendable(command.term)
 
         def request() -> None:
             if isinstance(command, ForgetTask):
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -114,6 +114,11 @@
             table if granted else (),
         )
 
+    def check_sendable(self, term) -> None:
+        """Check that a holder's view of its lease ends before the lease."""
+        lease = self.grantor
+        assert lease.term != term or self.clock.now_ms() < lease.expires_ms
+
     def start(self, term, key, spec, boot) -> Answer:
         """Create a task once under its id."""
         self.advance()
