--- a/src/lycheerelay/_gang.py
+++ b/src/lycheerelay/_gang.py
@@ -80,7 +80,9 @@
     if now_ms - reservation.made_ms >= SETTLED_MS:
         return
     drop_reservation(state, role)
-    entry = state.waiting.entries[reservation.job_id]
+    entry = state.waiting.entries.get(reservation.job_id)
+    if entry is None:
+        return
     plan = plan_reservation(state, entry, now_ms)
     if plan is None:
         state.reservations.make(role, reservation)
