--- a/src/lycheerelay/_node.py
+++ b/src/lycheerelay/_node.py
@@ -3,7 +3,7 @@
 import contextlib
 import threading
 from collections.abc import Callable
-from typing import Final, TypeVar, final
+from typing import TypeVar, final
 
 from ._clock import MS_PER_SECOND, Clock
 from ._compaction import Compaction, MarkStream
@@ -39,13 +39,12 @@
 from ._sender import Sender
 from ._settings import NodeSettings
 from ._state import JobBook, ShardState
+from ._tick_pace import sleep_ms
 from ._vm_client import VmList, VmListClient
 from ._vm_follower import VmFollower
 from ._watchers import Watchers
 from ._worker_links import WorkerLinks
 
-TICK_MS: Final = 20
-
 T = TypeVar('T')
 
 
@@ -209,14 +208,23 @@
 
     def run(self) -> None:
         """Step the core until stopped."""
+        wait_ms = 0
         while not self.stopping.is_set():
-            for entry in self.inbox.take(TICK_MS):
+            for entry in self.inbox.take(wait_ms):
                 self._take(entry)
-            for state in tuple(self.shards.values()):
-                self._follow_keeping(state)
-                self._follow_compaction(state)
-                self._step(state, Tick())
-                self._follow_term(state)
+            states = tuple(self.shards.values())
+            had_commands = [self._tick(state) for state in states]
+            now_ms = self.clock.now_ms()
+            wait_ms = sleep_ms(states, any(had_commands), now_ms)
+
+    def _tick(self, state: ShardState) -> bool:
+        possible = self.parts.journal.can_keep
+        if possible != state.can_keep:
+            self._step(state, KeepingChanged(possible))
+        self._follow_compaction(state)
+        had_commands = self._step(state, Tick())
+        self._follow_term(state)
+        return had_commands
 
     def _build_parts(self) -> NodeParts:
         settings = self.settings
@@ -259,10 +267,11 @@
             self.shards[pool] = state
         return state
 
-    def _step(self, state: ShardState, event: Event) -> None:
+    def _step(self, state: ShardState, event: Event) -> bool:
         _, commands = step(state, event, self.clock.now_ms())
         for command in commands:
             EXECUTORS[type(command)](self.parts, command)
+        return bool(commands)
 
     def _configure(self, policy: Policy) -> None:
         if policy.version <= self.policy.version:
@@ -287,11 +296,6 @@
             if state.is_owner:
                 self._step(state, OwnershipConfirmed(state.term, begun_ms))
 
-    def _follow_keeping(self, state: ShardState) -> None:
-        possible = self.parts.journal.can_keep
-        if possible != state.can_keep:
-            self._step(state, KeepingChanged(possible))
-
     def _follow_term(self, state: ShardState) -> None:
         if not self.is_ready:
             return
