--- a/src/lycheerelay/_order_refresh.py
+++ b/src/lycheerelay/_order_refresh.py
@@ -1,5 +1,6 @@
 """Bring lanes and index up to date before work is placed."""
 
+from itertools import islice
 from typing import Final
 
 from ._fence import may_start
@@ -15,6 +16,7 @@
 RESYNC_MS: Final = 1000
 GANG_REVIEW_MS: Final = 1000
 SCARCE_MS: Final = 5000
+MAX_FRESH: Final = 500
 
 
 def refresh(state: ShardState, now_ms: int) -> None:
@@ -63,9 +65,9 @@
     waiting = state.waiting
     order = ORDERS[state.policy.limits.order]
     changed = dict.fromkeys(waiting.due(now_ms))
-    changed.update(waiting.fresh)
-    waiting.fresh.clear()
+    changed.update(dict.fromkeys(islice(waiting.fresh, MAX_FRESH)))
     for job_id in changed:
+        waiting.fresh.pop(job_id, None)
         job = state.jobs.get(job_id)
         if job is None or job_id not in waiting:
             continue
@@ -82,15 +84,18 @@
     now_ms: int,
 ) -> None:
     waiting = state.waiting
-    ready = []
-    later = 0
-    for index, task in enumerate(job.tasks):
-        if task.state is not TaskState.QUEUED:
-            continue
-        if task.not_before_ms <= now_ms:
-            ready.append(index)
-        else:
-            later = min(later or task.not_before_ms, task.not_before_ms)
+    queued = [
+        index
+        for index, task in enumerate(job.tasks)
+        if task.state is TaskState.QUEUED
+    ]
+    due = [job.tasks[index].not_before_ms for index in queued]
+    ready = [
+        index
+        for index, due_ms in zip(queued, due, strict=True)
+        if due_ms <= now_ms
+    ]
+    later = min((due_ms for due_ms in due if due_ms > now_ms), default=0)
     if later:
         waiting.delay(later, job.spec.job_id)
     if job.spec.kind is Kind.GANG and _is_split(job, later):
--- a/src/lycheerelay/_schedule.py
+++ b/src/lycheerelay/_schedule.py
@@ -10,7 +10,7 @@
 from ._gang import is_review_due, reserve_for_waiting
 from ._handlers import Commands
 from ._jobs import Kind, TaskState
-from ._kind_batch import Placement, has_candidate, place_next
+from ._kind_batch import Placement, has_candidate, is_current, place_next
 from ._kind_gang import place_all
 from ._kind_service import place_spread
 from ._order import ORDERS
@@ -64,6 +64,9 @@
     now_ms: int,
 ) -> list[Placement]:
     spec = entry.spec
+    if not is_current(state, entry, now_ms):
+        state.waiting.look_again(spec.job_id)
+        return []
     workload = state.policy.workload(spec.workload)
     fit = FITS[workload.fit if workload else state.policy.limits.fit]
     placements = []
