Keep the services of the operators' folder up

A [service] section with replicas was checked and published but nothing ran it. The owner of a pool now submits one job per shape of a service, replaces it when number or shape change, and cancels it when the section goes, through the same path as a caller's jobs. Published file names may hold no path, and the metrics count the heartbeats.

--- a/src/lycheerelay/_folder_bases.py
+++ b/src/lycheerelay/_folder_bases.py
@@ -9,7 +9,7 @@
 from ._codec import from_json, to_json
 from ._codes import Code, Refusal
 from ._config_publish import FileBase, bases_of
-from ._folder_files import FILE_SUFFIX
+from ._folder_files import FILE_SUFFIX, is_file_name
 from ._versions import FileVersion, VersionedConfig
 
 BASES_FILE: Final = '.lycheerelay.json'
@@ -52,9 +52,11 @@
     for path in folder.glob(f'*{FILE_SUFFIX}'):
         if path.name not in names:
             path.unlink()
+    # A peer's answer is not checked by the fold; no name may leave the folder.
     for entry in config.files:
-        path = folder / entry.name
-        path.write_text(entry.content, encoding='utf-8')
+        if is_file_name(entry.name):
+            path = folder / entry.name
+            path.write_text(entry.content, encoding='utf-8')
     save_bases(folder, config.files)
 
 
--- a/src/lycheerelay/_folder_files.py
+++ b/src/lycheerelay/_folder_files.py
@@ -1,6 +1,7 @@
 """Read the files of an operators' folder and merge their sections."""
 
 import configparser
+import re
 from collections.abc import Iterable, Iterator
 from pathlib import Path
 from typing import Final, NamedTuple
@@ -10,6 +11,8 @@
 from ._options import OptionError, OptionErrors
 
 FILE_SUFFIX: Final = '.ini'
+FILE_NAME: Final = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,120}\.ini')
+FILE_NAME_TEXT: Final = 'one of letters, digits, ".", "-" and "_"'
 MAX_FILES: Final = 500
 MAX_FILE_BYTES: Final = 65_536
 MAX_FOLDER_BYTES: Final = 400_000
@@ -45,6 +48,8 @@
     errors = []
     for path in paths:
         read = _read_file(path)
+        if not is_file_name(path.name):
+            read = Err(_fault(path.name, 'the name of a file', FILE_NAME_TEXT))
         if isinstance(read, Err):
             errors.append(read.err_value)
         else:
@@ -53,6 +58,11 @@
     return Err(tuple(errors)) if errors else Ok(tuple(files))
 
 
+def is_file_name(name: str) -> bool:
+    """Tell whether a name is a plain file name that may be published."""
+    return FILE_NAME.fullmatch(name) is not None
+
+
 def check_sizes(files: Iterable[FolderFile]) -> Iterator[OptionError]:
     """Check the folder against its limits of count and size."""
     sizes = {entry.name: len(entry.content.encode()) for entry in files}
--- a/src/lycheerelay/_metrics.py
+++ b/src/lycheerelay/_metrics.py
@@ -9,6 +9,7 @@
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
+from ._membership_service import MembershipService
 from ._metrics_core import Wait
 from ._node import Node
 from ._resources import Resources
@@ -157,6 +158,8 @@
         yield Sample('log_appends_total', {}, node.parts.journal.appends)
         for purpose, traffic in node.caller.traffic.shown().items():
             yield from read_traffic(purpose, traffic)
+        if isinstance(node.members, MembershipService):
+            yield from read_traffic('membership', traffic_of(node.members))
         if self.server is not None:
             in_flight = self.server.in_flight
             yield Sample('requests_in_flight', {}, in_flight)
@@ -171,6 +174,15 @@
     ]
 
 
+def traffic_of(members: MembershipService) -> Traffic:
+    """Return what the heartbeats over UDP sum up to."""
+    return Traffic(
+        members.sent_messages,
+        members.sent_bytes,
+        members.received_bytes,
+    )
+
+
 def read_traffic(purpose: str, traffic: Traffic) -> Iterator[Sample]:
     """Return the counters of one purpose of calls."""
     labels = {'purpose': purpose}
--- a/src/lycheerelay/_node.py
+++ b/src/lycheerelay/_node.py
@@ -38,6 +38,7 @@
 from ._records import Record
 from ._replies import Outcome, Replies
 from ._sender import Sender
+from ._service_keeper import ServiceKeeper
 from ._settings import NodeSettings
 from ._state import JobBook, ShardState
 from ._tick_pace import sleep_ms
@@ -113,6 +114,7 @@
             clock,
             self.configure,
         )
+        self.services = ServiceKeeper(self)
         self.thread = threading.Thread(
             target=self.run,
             name='core',
@@ -123,11 +125,13 @@
         """Start every thread."""
         self.thread.start()
         self.config.start()
+        self.services.start()
         self.vms.start()
         self.parts.journal.start()
 
     def stop(self) -> None:
         """Stop every thread; leases run out by themselves."""
+        self.services.stop()
         self.vms.stop()
         self.config.stop()
         self.links.stop()
--- a/src/lycheerelay/_spec_checks.py
+++ b/src/lycheerelay/_spec_checks.py
@@ -10,6 +10,7 @@
 from ._jobs import ID_SEPARATOR, JobSpec
 from ._options import name_near
 from ._policy import Policy
+from ._services import SERVICE_PREFIX
 
 DAY_MS: Final = 86_400_000
 MAX_TASKS: Final = 1000
@@ -67,6 +68,9 @@
         text = getattr(spec, name)
         if not pattern.fullmatch(text):
             return FieldError(name, repr(text[:80]), expected)
+    if spec.job_id.partition(ID_SEPARATOR)[2].startswith(SERVICE_PREFIX):
+        expected = f'an id that does not begin with {SERVICE_PREFIX}'
+        return FieldError('job_id', repr(spec.job_id), expected)
     for bounds in RANGES:
         amount = getattr(spec, bounds.name)
         if not bounds.low <= amount <= bounds.high:
--- a/src/lycheerelay/_versions.py
+++ b/src/lycheerelay/_versions.py
@@ -5,12 +5,14 @@
 verdict on each of them.
 """
 
+from collections.abc import Iterator
 from enum import StrEnum, unique
 from typing import NamedTuple
 
 from result import Err, Result
 
 from ._codec import FieldError, Json, from_json, to_json
+from ._folder_files import FILE_NAME_TEXT, is_file_name
 
 
 class FileChange(NamedTuple):
@@ -146,9 +148,20 @@
     entry = from_json(ConfigEntry, value)
     if isinstance(entry, Err):
         return Err(entry.err_value)
+    for name in _names_in(entry.ok_value):
+        # A name with a path in it could be written outside the folder.
+        if not is_file_name(name):
+            return Err(FieldError('name', repr(name), FILE_NAME_TEXT))
     return entry
 
 
+def _names_in(entry: ConfigEntry) -> Iterator[str]:
+    if entry.publication is not None:
+        yield from (change.name for change in entry.publication.changes)
+    if entry.snapshot is not None:
+        yield from (file.name for file in entry.snapshot.files)
+
+
 def apply_changes(
     config: VersionedConfig,
     version: int,
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -22,6 +22,7 @@
     Verdict,
     VersionedConfig,
     decode_entry,
+    encode_entry,
     fold,
     publish,
     skip_to,
@@ -210,6 +211,12 @@
             assert late.version == 0
 
 
+def test_name_with_a_path_is_an_error():
+    change = FileChange('../a.ini', 0, TEAM.format(1))
+    publication = Publication('b', 'op', 0, (change,), 0)
+    assert isinstance(decode_entry(encode_entry(publication)), Err)
+
+
 def test_unknown_entry_is_an_error():
     assert isinstance(decode_entry({'other': 1}), Err)
 
