Tell bad workers from bad jobs and keep services up

A worker on which three different jobs fail is put in quarantine and probed with one task at a growing interval; a job that fails on three workers that fail nothing else fails early; retries look for another worker. Reports under another boot than the held one are ignored: a late report of an earlier boot was taken for a restart, so a live attempt was called over.

Services of the folder are reconciled by the owner, one change at a time, under job ids that every entry VM derives alike.

--- a/src/lycheerelay/_ends.py
+++ b/src/lycheerelay/_ends.py
@@ -6,6 +6,7 @@
 from ._codes import Code
 from ._delays import delay_rerun, queue_again
 from ._jobs import Kind, TaskState
+from ._quarantine import fails_everywhere, note_failure, note_success
 from ._records import Ended
 from ._registry import Registry
 from ._state import JobBook, ShardState, TaskBook
@@ -42,6 +43,7 @@
     record: Ended,
 ) -> None:
     """Keep a complete answer for good."""
+    note_success(state, task)
 
 
 @END_RULES.register(TaskState.UNKNOWN)
@@ -106,12 +108,14 @@
 ) -> None:
     """Retry an idempotent task until its attempts are used up."""
     task.failures += 1
-    job.failed_on[task.worker] = None
+    note_failure(state, job, task, record)
     allowed = job.max_attempts or DEFAULT_MAX_ATTEMPTS
     failures = task.failures
     if job.spec.kind is Kind.GANG:
         failures = sum(member.failures for member in job.tasks)
-    is_over = failures >= allowed and job.spec.kind is not Kind.SERVICE
+    is_over = failures >= allowed or fails_everywhere(state, job)
+    if job.spec.kind is Kind.SERVICE:
+        is_over = False
     if job.spec.idempotent and not is_over:
         delay_rerun(state, job, task, record)
 
--- a/src/lycheerelay/_handle_jobs.py
+++ b/src/lycheerelay/_handle_jobs.py
@@ -10,6 +10,7 @@
 from ._jobs import JobState
 from ._records import Accepted, CancelAsked, Settled
 from ._reports import stop_live
+from ._service import note_replica
 from ._settle import Verdict, make_final, settle_if_over
 from ._state import JobBook, PendingAccept, ShardState, TaskBook
 
@@ -68,6 +69,7 @@
         state.jobs[spec.job_id] = known
         state.waiting[spec.job_id] = None
         watch_deadline(state, known)
+        note_replica(state, spec.job_id)
     pending = state.accepting.pop(spec.job_id, None)
     if pending is None:
         return
--- a/src/lycheerelay/_handle_tasks.py
+++ b/src/lycheerelay/_handle_tasks.py
@@ -10,11 +10,12 @@
 from ._handle_keeping import restate
 from ._handlers import FOLDS, HANDLERS, Commands
 from ._jobs import AttemptKey, TaskState
-from ._lapse import resolve_reboot
+from ._quarantine import open_probes
 from ._records import Ended, Intended, Start
 from ._reports import Sender, ended, find_current, stop_live, take_report
 from ._retire import retire_final
 from ._schedule import schedule
+from ._service_reconcile import reconcile_services
 from ._settle import settle_if_over
 from ._state import JobBook, ShardState, TaskBook
 
@@ -26,6 +27,8 @@
     retire_final(state, now_ms)
     yield from settle_late(state, now_ms)
     if state.is_owner:
+        open_probes(state, now_ms)
+        yield from reconcile_services(state, now_ms)
         yield from schedule(state, now_ms)
     yield from restate(state)
 
@@ -133,12 +136,9 @@
 ) -> Commands:
     """Take in what a worker says of its attempts."""
     worker = state.workers.get(event.worker)
-    if worker is not None:
+    if worker is not None and worker.boot == event.boot:
         worker.told_leaving = event.leaving
         worker.follow_leaving()
-        if worker.ready and worker.boot != event.boot:
-            worker.boot = event.boot
-            yield from resolve_reboot(state, worker, now_ms)
     sender = Sender(event.worker, event.boot)
     for report in event.reports:
         yield from take_report(state, sender, report, now_ms)
--- a/src/lycheerelay/_handle_workers.py
+++ b/src/lycheerelay/_handle_workers.py
@@ -6,6 +6,7 @@
 from ._handlers import FOLDS, HANDLERS, Commands
 from ._jobs import AttemptKey
 from ._lapse import call_over, follow_majority
+from ._quarantine import clear_worker
 from ._records import TermTaken
 from ._reports import OPEN_STATES, Sender, stop_task, take_report
 from ._retire import retire_worker
@@ -96,6 +97,8 @@
     worker: WorkerBook,
     event: LeaseHeld,
 ) -> None:
+    if worker.boot not in {'', event.boot}:
+        clear_worker(state, worker)
     worker.ready = True
     state.ledger.touched[event.worker] = None
     worker.term = event.term
--- a/src/lycheerelay/_images.py
+++ b/src/lycheerelay/_images.py
@@ -4,6 +4,7 @@
 from ._deadlines import watch_deadline
 from ._jobs import JobState, TaskState
 from ._records import JobImage, TaskImage
+from ._service import note_replica
 from ._state import JobBook, ShardState, TaskBook
 
 
@@ -47,6 +48,7 @@
     )
     job_id = image.spec.job_id
     state.jobs[job_id] = job
+    note_replica(state, job_id)
     if _waits(job):
         state.waiting[job_id] = None
     for index, task in enumerate(job.tasks):
--- a/src/lycheerelay/_kind_batch.py
+++ b/src/lycheerelay/_kind_batch.py
@@ -5,6 +5,7 @@
 from ._fit import FitPolicy, FitRequest, find_worker, names_for
 from ._jobs import AttemptKey
 from ._order_lanes import Entry
+from ._quarantine import name_choices
 from ._state import ShardState
 
 Placement = tuple[int, str]
@@ -28,8 +29,12 @@
     request: FitRequest,
 ) -> list[Placement]:
     """Place one task as requested and charge it at once."""
-    names = _names(state, entry, fit)
-    worker = find_worker(state, fit, request, names)
+    job = state.jobs[request.key.job_id]
+    found = (
+        find_worker(state, fit, request, names)
+        for names in name_choices(state, job, _names(state, entry, fit))
+    )
+    worker = next(filter(None, found), None)
     if worker is None:
         return []
     index = state.waiting.take_index(entry)
--- a/src/lycheerelay/_kind_service.py
+++ b/src/lycheerelay/_kind_service.py
@@ -3,6 +3,7 @@
 from ._fit import FitPolicy
 from ._kind_batch import Placement, place_request, request_for
 from ._order_lanes import Entry
+from ._service import jobs_beside
 from ._state import ShardState
 
 
@@ -21,6 +22,7 @@
 def _used_racks(state: ShardState, job_id: str) -> tuple[str, ...]:
     return tuple(
         state.workers[task.worker].spec.rack
-        for task in state.jobs[job_id].tasks
+        for job in jobs_beside(state, job_id)
+        for task in job.tasks
         if task.is_live and task.worker in state.workers
     )
--- a/src/lycheerelay/_lapse.py
+++ b/src/lycheerelay/_lapse.py
@@ -75,19 +75,6 @@
         yield from call_over(state, key, now_ms)
 
 
-def resolve_reboot(
-    state: ShardState,
-    worker: WorkerBook,
-    now_ms: int,
-) -> Commands:
-    """Call attempts of an earlier boot over; they died with it."""
-    worker.strays.clear()
-    for key in tuple(worker.charges):
-        job = state.jobs.get(key.job_id)
-        if job and job.tasks[key.task_index].boot != worker.boot:
-            yield from call_over(state, key, now_ms)
-
-
 def call_over(
     state: ShardState,
     key: AttemptKey,
--- /dev/null
+++ b/src/lycheerelay/_quarantine.py
@@ -0,0 +1,113 @@
+"""Tell workers that fail everything from jobs that fail everywhere."""
+
+from collections.abc import Iterable, Iterator
+from typing import Final
+
+from ._records import Ended
+from ._state import JobBook, Quarantine, ShardState, TaskBook, WorkerBook
+
+SUSPECT_JOBS: Final = 3
+SUSPECT_WORKERS: Final = 3
+FIRST_PROBE_MS: Final = 30_000
+MAX_PROBE_MS: Final = 600_000
+MAX_SHARE_DIVISOR: Final = 2
+
+
+def note_success(state: ShardState, task: TaskBook) -> None:
+    """Clear a worker that completed a task."""
+    state.suspects.pop(task.worker, None)
+    worker = state.workers.get(task.worker)
+    if worker is not None and worker.quarantine is not None:
+        worker.quarantine = None
+        state.ledger.touched[task.worker] = None
+
+
+def note_failure(
+    state: ShardState,
+    job: JobBook,
+    task: TaskBook,
+    record: Ended,
+) -> None:
+    """Hold a failure against both its worker and its job."""
+    job.failed_on[task.worker] = None
+    failing = state.suspects.setdefault(task.worker, {})
+    failing[record.job_id] = None
+    if len(failing) < SUSPECT_JOBS:
+        return
+    for job_id in failing:
+        blamed = state.jobs.get(job_id)
+        if blamed is not None:
+            blamed.failed_on.pop(task.worker, None)
+    worker = state.workers.get(task.worker)
+    if worker is not None:
+        _quarantine(state, worker, record.at_ms)
+
+
+def fails_everywhere(state: ShardState, job: JobBook) -> bool:
+    """Tell whether a job failed on several workers that fail nothing else."""
+    alone = {job.spec.job_id}
+    blaming = [
+        name
+        for name in job.failed_on
+        if state.suspects.get(name, {}).keys() <= alone
+    ]
+    return len(blaming) >= SUSPECT_WORKERS
+
+
+def name_choices(
+    state: ShardState,
+    job: JobBook,
+    names: Iterable[str],
+) -> Iterator[Iterable[str]]:
+    """Prefer workers that the job has not failed on.
+
+    Work that may run only once is never used as a probe.
+    """
+    barred = set()
+    if not job.spec.idempotent:
+        barred = {name for name in state.suspects if _is_barred(state, name)}
+    if not barred and not job.failed_on:
+        yield names
+        return
+    usable = [name for name in names if name not in barred]
+    yield [name for name in usable if name not in job.failed_on]
+    yield usable
+
+
+def _is_barred(state: ShardState, name: str) -> bool:
+    worker = state.workers.get(name)
+    return worker is not None and worker.quarantine is not None
+
+
+def _quarantine(state: ShardState, worker: WorkerBook, at_ms: int) -> None:
+    known = worker.quarantine
+    if known is not None:
+        known.interval_ms = min(2 * known.interval_ms, MAX_PROBE_MS)
+        known.probe_ms = at_ms + known.interval_ms
+        known.probing = False
+        return
+    listed = sum(book.listed for book in state.workers.values())
+    barred = sum(book.quarantine is not None for book in state.workers.values())
+    if MAX_SHARE_DIVISOR * (barred + 1) > listed:
+        # So many at once speak for a common cause, not for bad workers.
+        return
+    probe_ms = at_ms + FIRST_PROBE_MS
+    worker.quarantine = Quarantine(probe_ms, FIRST_PROBE_MS)
+
+
+def open_probes(state: ShardState, now_ms: int) -> None:
+    """Let each quarantined worker take one task when its time comes."""
+    for name in state.suspects:
+        worker = state.workers.get(name)
+        if worker is None or worker.quarantine is None:
+            continue
+        if now_ms >= worker.quarantine.probe_ms:
+            worker.quarantine.probing = True
+            worker.quarantine.probe_ms = now_ms + worker.quarantine.interval_ms
+            state.ledger.touched[name] = None
+
+
+def clear_worker(state: ShardState, worker: WorkerBook) -> None:
+    """Forget the failures of an earlier boot."""
+    state.suspects.pop(worker.spec.name, None)
+    worker.quarantine = None
--- a/src/lycheerelay/_retire.py
+++ b/src/lycheerelay/_retire.py
@@ -15,3 +15,4 @@
     """Forget a worker that is not listed and holds nothing."""
     if not worker.listed and not worker.ready and not worker.charges:
         state.workers.pop(worker.spec.name, None)
+        state.suspects.pop(worker.spec.name, None)
--- /dev/null
+++ b/src/lycheerelay/_service_reconcile.py
@@ -0,0 +1,107 @@
+"""Bring the replicas that run in line with the services in force."""
+
+from collections.abc import Iterator
+from itertools import islice
+from typing import Final
+
+from ._commands import Append
+from ._handlers import Commands
+from ._jobs import JobState
+from ._policy import ServicePolicy
+from ._records import Accepted, CancelAsked
+from ._retry import RetryPace, retry_delay_ms
+from ._service import ReplicaId, replica_spec, replicas_of
+from ._state import JobBook, PendingAccept, ShardState
+
+RECONCILE_MS: Final = 500
+
+
+def reconcile_services(state: ShardState, now_ms: int) -> Commands:
+    """Start what lacks, replace what failed, cancel what is not wanted."""
+    if now_ms - state.reconciled_ms < RECONCILE_MS:
+        return
+    state.reconciled_ms = now_ms
+    wanted = {service.name: service for service in _services_here(state)}
+    for service in wanted.values():
+        changes = (
+            change
+            for index in range(service.replicas)
+            for change in _keep_up(state, service, index, now_ms)
+        )
+        # One change at a time, so that each is spread against the last.
+        yield from islice(changes, 1)
+    for name in tuple(state.services):
+        yield from _shrink(state, name, wanted.get(name), now_ms)
+
+
+def _services_here(state: ShardState) -> Iterator[ServicePolicy]:
+    for service in state.policy.services:
+        if state.policy.pool_of(service.workload) == state.pool:
+            yield service
+
+
+def _keep_up(
+    state: ShardState,
+    service: ServicePolicy,
+    index: int,
+    now_ms: int,
+) -> Commands:
+    generation = state.services.get(service.name, {}).get(index, 0)
+    latest = ReplicaId(service.name, index, generation)
+    job = state.jobs.get(latest.job_id(state.domain))
+    if job is not None and not job.is_final:
+        if job.spec != replica_spec(service, job.spec.job_id):
+            yield from _cancel(state, job, now_ms)
+    elif job is None or now_ms >= _next_ms(state, job, generation):
+        following = latest._replace(generation=generation + 1)
+        job_id = following.job_id(state.domain)
+        yield from _accept(state, service, job_id, now_ms)
+
+
+def _next_ms(state: ShardState, job: JobBook, generation: int) -> int:
+    """Delay the replacement of a replica that ended by itself."""
+    if job.state is JobState.CANCELLED:
+        return job.settled_ms
+    limits = state.policy.limits
+    pace = RetryPace(limits.retry_base_ms, limits.retry_max_ms)
+    delay_ms = retry_delay_ms(pace, generation, job.spec.job_id)
+    return job.settled_ms + delay_ms
+
+
+def _accept(
+    state: ShardState,
+    service: ServicePolicy,
+    job_id: str,
+    now_ms: int,
+) -> Commands:
+    if job_id in state.accepting or not state.can_keep:
+        return
+    spec = replica_spec(service, job_id)
+    state.accepting[job_id] = PendingAccept(spec, [])
+    yield Append(Accepted(state.pool, spec, now_ms))
+
+
+def _shrink(
+    state: ShardState,
+    name: str,
+    service: ServicePolicy | None,
+    now_ms: int,
+) -> Commands:
+    wanted = service.replicas if service else 0
+    domain = state.domain
+    kept = {
+        ReplicaId(name, index, generation).job_id(domain)
+        for index, generation in state.services[name].items()
+        if index < wanted
+    }
+    for job in replicas_of(state, name):
+        if job.spec.job_id not in kept:
+            yield from _cancel(state, job, now_ms)
+
+
+def _cancel(state: ShardState, job: JobBook, now_ms: int) -> Commands:
+    job_id = job.spec.job_id
+    if job.is_final or job.cancel_asked or job_id in state.cancelling:
+        return
+    state.cancelling[job_id] = []
+    yield Append(CancelAsked(state.pool, job_id, now_ms))
--- a/src/lycheerelay/_state.py
+++ b/src/lycheerelay/_state.py
@@ -100,6 +100,15 @@
         return AttemptKey(self.spec.job_id, index, self.tasks[index].attempt)
 
 
+@dataclass(slots=True)
+class Quarantine:
+    """Bar a worker but for one task at a time, at a growing interval."""
+
+    probe_ms: int
+    interval_ms: int
+    probing: bool = False
+
+
 @dataclass(slots=True)
 class WorkerBook:
     """Track what is booked on one worker."""
@@ -115,12 +124,15 @@
     listed: bool = True
     told_leaving: bool = False
     strays: dict[AttemptKey, None] = field(default_factory=dict)
+    quarantine: Quarantine | None = None
     ledger: Ledger | None = None
     plain: Resources = NOTHING
 
     @property
     def takes_work(self) -> bool:
         """Tell whether anything may be placed here now."""
+        if self.quarantine is not None and not self.quarantine.probing:
+            return False
         return self.ready and not self.leaving and not self.strays
 
     def follow_leaving(self) -> None:
@@ -133,6 +145,8 @@
         if key in self.charges:
             return
         self.charges[key] = demand
+        if self.quarantine is not None:
+            self.quarantine.probing = False
         self.free = self.free.minus(demand)
         if not demand.accelerators:
             self.plain = self.plain.plus(demand)
@@ -201,6 +215,9 @@
     deadlines: list[tuple[int, str]] = field(default_factory=list)
     finals: deque[tuple[int, str]] = field(default_factory=deque)
     budget: RetryBudget = field(default_factory=RetryBudget)
+    suspects: dict[str, dict[str, None]] = field(default_factory=dict)
+    services: dict[str, dict[int, int]] = field(default_factory=dict)
+    reconciled_ms: int = 0
     can_keep: bool = True
     restating: RestateRound | None = None
     fence: Fence = field(default_factory=Fence)
--- a/tests/fake_node.py
+++ b/tests/fake_node.py
@@ -211,8 +211,7 @@
             return
         reports = TasksReported(name, answer.boot, answer.leaving, answer.table)
         if number != link.last_request:
-            if link.held and answer.boot == link.boot:
-                self.step(reports)
+            self.step(reports)
             return
         link.lease.extend(link.term, sent_ms)
         if not link.lease.is_valid(link.term):
