Learn sizes from use and relieve workers before they are overfull

Declared sizes are often far off. Reported use raises a running task's booking as far as its worker has room; later tasks of the same team and workload are booked at the higher of declared and learned, and the booking is recorded with the intent so that replicas agree.

--- a/src/lycheerelay/_commands.py
+++ b/src/lycheerelay/_commands.py
@@ -33,6 +33,15 @@
     boot: str = ''
 
 
+class ThrottleTask(NamedTuple):
+    """Slow an attempt down to a share of its full speed."""
+
+    worker: str
+    term: int
+    key: AttemptKey
+    percent: int
+
+
 class ForgetTask(NamedTuple):
     """Let a worker drop an attempt whose end is recorded."""
 
@@ -74,6 +83,7 @@
     Append
     | StartTask
     | StopTask
+    | ThrottleTask
     | ForgetTask
     | ReplyAccepted
     | ReplyRefused
--- a/src/lycheerelay/_ends.py
+++ b/src/lycheerelay/_ends.py
@@ -6,6 +6,7 @@
 from ._codes import Code
 from ._delays import delay_rerun, queue_again
 from ._jobs import Kind, TaskState
+from ._learn import note_run
 from ._quarantine import fails_everywhere, note_failure, note_success
 from ._records import Ended
 from ._registry import Registry
@@ -44,6 +45,7 @@
 ) -> None:
     """Keep a complete answer for good."""
     note_success(state, task)
+    note_run(state, job, task, record.at_ms)
 
 
 @END_RULES.register(TaskState.UNKNOWN)
--- a/src/lycheerelay/_executors.py
+++ b/src/lycheerelay/_executors.py
@@ -12,6 +12,7 @@
     Restated,
     StartTask,
     StopTask,
+    ThrottleTask,
 )
 from ._node_parts import NodeParts
 from ._registry import Registry
@@ -28,10 +29,11 @@
 
 @EXECUTORS.register(StartTask)
 @EXECUTORS.register(StopTask)
+@EXECUTORS.register(ThrottleTask)
 @EXECUTORS.register(ForgetTask)
 def execute_send(
     parts: NodeParts,
-    command: StartTask | StopTask | ForgetTask,
+    command: StartTask | StopTask | ThrottleTask | ForgetTask,
 ) -> None:
     """Hand a task command to the sender."""
     parts.sender.send(command)
--- a/src/lycheerelay/_handle_tasks.py
+++ b/src/lycheerelay/_handle_tasks.py
@@ -18,6 +18,7 @@
 from ._service_reconcile import reconcile_services
 from ._settle import settle_if_over
 from ._state import JobBook, ShardState, TaskBook
+from ._usage import relieve
 
 
 @HANDLERS.register(Tick)
@@ -70,7 +71,7 @@
     if not task.runs:
         state.budget.count_first()
     _book_start(task, record, start)
-    charge(state, start.worker, key, job.spec.demand)
+    charge(state, start.worker, key, job.booked(start.task_index))
     if state.is_owner:
         yield from _send_start(state, job, key, now_ms)
 
@@ -84,6 +85,10 @@
     task.ending = False
     task.started_ms = record.at_ms
     task.runs += 1
+    task.booked_cores_milli = start.booked_cores_milli
+    task.booked_memory_mb = start.booked_memory_mb
+    task.used_cores_milli = 0
+    task.used_memory_mb = 0
 
 
 def _send_start(
@@ -142,6 +147,8 @@
     sender = Sender(event.worker, event.boot)
     for report in event.reports:
         yield from take_report(state, sender, report, now_ms)
+    if worker is not None:
+        yield from relieve(state, worker, now_ms)
 
 
 @FOLDS.register(Ended)
--- a/src/lycheerelay/_images.py
+++ b/src/lycheerelay/_images.py
@@ -54,7 +54,7 @@
     for index, task in enumerate(job.tasks):
         if task.is_live:
             key = job.attempt_key(index)
-            charge(state, task.worker, key, job.spec.demand)
+            charge(state, task.worker, key, job.booked(index))
     if job.is_final:
         state.finals.append((job.settled_ms, job_id))
     else:
@@ -79,6 +79,8 @@
         task.code,
         task.answer,
         task.runs,
+        task.booked_cores_milli,
+        task.booked_memory_mb,
     )
 
 
@@ -95,4 +97,6 @@
         code=image.code,
         answer=image.answer,
         runs=image.runs,
+        booked_cores_milli=image.booked_cores_milli,
+        booked_memory_mb=image.booked_memory_mb,
     )
--- /dev/null
+++ b/src/lycheerelay/_learned.py
@@ -0,0 +1,54 @@
+"""Summarise what tasks used and how long they ran."""
+
+from dataclasses import dataclass
+from typing import Final
+
+DECAY_DIVISOR: Final = 8
+MEAN_DIVISOR: Final = 8
+DEVIATION_DIVISOR: Final = 4
+DEVIATIONS: Final = 4
+
+
+@dataclass(slots=True)
+class Learned:
+    """Hold decaying peaks of use and the mean and deviation of run times.
+
+    Sources: Rzadca et al., "Autopilot: workload autoscaling at Google",
+    EuroSys 2020 (decaying peaks of use); Jacobson, "Congestion avoidance
+    and control", SIGCOMM 1988 (mean and deviation).
+    """
+
+    cores_milli: int = 0
+    memory_mb: int = 0
+    mean_run_ms: int = 0
+    deviation_ms: int = 0
+    runs: int = 0
+
+    @property
+    def long_run_ms(self) -> int:
+        """Return a run time that few tasks exceed."""
+        return self.mean_run_ms + DEVIATIONS * self.deviation_ms
+
+    def note_use(self, cores_milli: int, memory_mb: int) -> None:
+        """Follow a higher use at once."""
+        self.cores_milli = max(self.cores_milli, cores_milli)
+        self.memory_mb = max(self.memory_mb, memory_mb)
+
+    def note_end(self, run_ms: int, cores_milli: int, memory_mb: int) -> None:
+        """Let peaks decay towards what the task used; learn its time."""
+        if memory_mb:
+            self.cores_milli = _decay(self.cores_milli, cores_milli)
+            self.memory_mb = _decay(self.memory_mb, memory_mb)
+        self.runs += 1
+        if self.runs == 1:
+            self.mean_run_ms = run_ms
+            self.deviation_ms = run_ms // 2
+            return
+        error_ms = run_ms - self.mean_run_ms
+        self.mean_run_ms += error_ms // MEAN_DIVISOR
+        growth_ms = abs(error_ms) - self.deviation_ms
+        self.deviation_ms += growth_ms // DEVIATION_DIVISOR
+
+
+def _decay(peak: int, used: int) -> int:
+    return max(used, peak - (peak - used) // DECAY_DIVISOR)
--- a/src/lycheerelay/_order_refresh.py
+++ b/src/lycheerelay/_order_refresh.py
@@ -6,6 +6,7 @@
 from ._fit_room import room_of
 from ._gang import refresh_reservations
 from ._jobs import Kind, TaskState
+from ._learn import booked_demand
 from ._order import ORDERS, OrderPolicy, band_of
 from ._order_lanes import URGENT, Entry, FitClass, LaneKey
 from ._preempt_victims import movable_once_more
@@ -28,9 +29,9 @@
     _enqueue_changed(state, now_ms)
 
 
-def demand_of(job: JobBook) -> Resources:
+def demand_of(state: ShardState, job: JobBook) -> Resources:
     """Return what one task of a job is booked with."""
-    return job.spec.demand
+    return booked_demand(state, job.spec)
 
 
 def _resync(state: ShardState, now_ms: int) -> None:
@@ -125,7 +126,7 @@
     spec = job.spec
     band = band_of(order, spec)
     fit_class = FitClass(
-        demand_of(job),
+        demand_of(state, job),
         _run_bits(spec.expected_run_ms),
         len(indexes) if spec.kind is Kind.GANG else 1,
         band == URGENT,
--- a/src/lycheerelay/_records.py
+++ b/src/lycheerelay/_records.py
@@ -21,6 +21,8 @@
     attempt: int
     worker: str
     boot: str
+    booked_cores_milli: int = 0
+    booked_memory_mb: int = 0
 
 
 class Intended(NamedTuple):
@@ -93,6 +95,8 @@
     code: int = 0
     answer: str = ''
     runs: int = 0
+    booked_cores_milli: int = 0
+    booked_memory_mb: int = 0
 
 
 class JobImage(NamedTuple):
--- a/src/lycheerelay/_reports.py
+++ b/src/lycheerelay/_reports.py
@@ -8,6 +8,7 @@
 from ._jobs import LIVE_TASK_STATES, AttemptKey, TaskState
 from ._records import Ended
 from ._state import JobBook, ShardState, TaskBook
+from ._usage import note_usage
 
 # A worker that says one of these has not said how an attempt ended.
 OPEN_STATES: Final = frozenset((TaskState.QUEUED, TaskState.UNKNOWN))
@@ -50,6 +51,7 @@
         return
     if report.state in LIVE_TASK_STATES:
         task.state = TaskState.RUNNING
+        note_usage(state, state.workers[sender.worker], task, report)
     elif not task.ending:
         task.ending = True
         yield Append(ended(state.pool, report, now_ms))
--- a/src/lycheerelay/_schedule.py
+++ b/src/lycheerelay/_schedule.py
@@ -20,6 +20,7 @@
 from ._preempt_reserved import clear_reserved
 from ._records import Intended, Start
 from ._registry import Registry
+from ._resources import Resources
 from ._state import JobBook, ShardState
 
 MAX_STARTS: Final = 32
@@ -88,6 +89,17 @@
         state.waiting.pop(job_id)
 
 
+def _start(job: JobBook, index: int, booked: Resources) -> Start:
+    task = job.tasks[index]
+    start = Start(index, task.attempt, task.worker, task.boot)
+    if booked == job.spec.demand:
+        return start
+    return start._replace(
+        booked_cores_milli=booked.cores_milli,
+        booked_memory_mb=booked.memory_mb,
+    )
+
+
 def _reserve(
     state: ShardState,
     job: JobBook,
@@ -103,7 +115,8 @@
         task.stopping_ms = 0
         task.worker = worker
         task.boot = state.workers[worker].boot
-        starts.append(Start(index, task.attempt, worker, task.boot))
+        booked = state.workers[worker].charges[job.attempt_key(index)]
+        starts.append(_start(job, index, booked))
     return Intended(
         state.pool,
         state.term,
--- a/src/lycheerelay/_sender.py
+++ b/src/lycheerelay/_sender.py
@@ -12,7 +12,7 @@
 
 from ._backoff import Backoff
 from ._clock import MS_PER_SECOND, Clock
-from ._commands import ForgetTask, StartTask, StopTask
+from ._commands import ForgetTask, StartTask, StopTask, ThrottleTask
 from ._events import Event, StartAnswered
 from ._worker_link import WorkerLink
 
@@ -21,7 +21,7 @@
 MAX_QUEUED: Final = 2000
 IDLE_MS: Final = 1000
 
-TaskCommand = StartTask | StopTask | ForgetTask
+TaskCommand = StartTask | StopTask | ThrottleTask | ForgetTask
 
 
 @dataclass(slots=True)
@@ -170,6 +170,13 @@
         if isinstance(command, ForgetTask):
             forgotten = link.client.forget(command.term, command.key)
             return not isinstance(forgotten, Err)
+        if isinstance(command, ThrottleTask):
+            slowed = link.client.throttle(
+                command.term,
+                command.key,
+                command.percent,
+            )
+            return not isinstance(slowed, Err)
         if isinstance(command, StartTask):
             reply = link.client.start(
                 command.term,
--- a/src/lycheerelay/_state.py
+++ b/src/lycheerelay/_state.py
@@ -14,6 +14,7 @@
     JobState,
     TaskState,
 )
+from ._learned import Learned
 from ._order_queue import WaitingJobs
 from ._policy import Policy
 from ._records import Record
@@ -39,6 +40,10 @@
     code: int = 0
     answer: str = ''
     runs: int = 0
+    booked_cores_milli: int = 0
+    booked_memory_mb: int = 0
+    used_cores_milli: int = 0
+    used_memory_mb: int = 0
     stopping_ms: int = 0
     moved_for: str = ''
     moves: int = 0
@@ -91,6 +96,15 @@
         """Tell whether it is proved that no task was ever started."""
         return not any(task.runs for task in self.tasks)
 
+    def booked(self, index: int) -> Resources:
+        """Return what a recorded attempt books on its worker."""
+        task = self.tasks[index]
+        declared = self.spec.demand
+        return declared._replace(
+            cores_milli=max(declared.cores_milli, task.booked_cores_milli),
+            memory_mb=max(declared.memory_mb, task.booked_memory_mb),
+        )
+
     def task(self, index: int) -> TaskBook | None:
         """Return a task, or None for an index out of range."""
         return self.tasks[index] if 0 <= index < len(self.tasks) else None
@@ -125,6 +139,7 @@
     told_leaving: bool = False
     strays: dict[AttemptKey, None] = field(default_factory=dict)
     quarantine: Quarantine | None = None
+    relieved_ms: int = -1
     ledger: Ledger | None = None
     plain: Resources = NOTHING
 
@@ -218,6 +233,7 @@
     suspects: dict[str, dict[str, None]] = field(default_factory=dict)
     services: dict[str, dict[int, int]] = field(default_factory=dict)
     reconciled_ms: int = 0
+    learned: dict[tuple[str, str], Learned] = field(default_factory=dict)
     can_keep: bool = True
     restating: RestateRound | None = None
     fence: Fence = field(default_factory=Fence)
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -39,7 +39,16 @@
         return self.state is TaskState.RUNNING
 
     def report(self) -> TaskReport:
-        return TaskReport(self.key, self.state, self.code, self.answer)
+        used_mb = (
+            self.spec.memory_mb * (1 + self.key.attempt) if self.spec else 0
+        )
+        return TaskReport(
+            self.key,
+            self.state,
+            self.code,
+            self.answer,
+            used_memory_mb=used_mb,
+        )
 
 
 class LeaseAnswer(NamedTuple):
