--- a/src/lycheerelay/_handle_tasks.py
+++ b/src/lycheerelay/_handle_tasks.py
@@ -18,7 +18,7 @@
 from ._service_reconcile import reconcile_services
 from ._settle import settle_if_over
 from ._state import JobBook, ShardState, TaskBook
-from ._usage import relieve
+from ._task_use import relieve
 
 
 @HANDLERS.register(Tick)
--- a/src/lycheerelay/_kind_batch.py
+++ b/src/lycheerelay/_kind_batch.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from ._fit import FitPolicy, FitRequest, find_worker, names_for
-from ._jobs import AttemptKey
+from ._jobs import AttemptKey, TaskState
 from ._order_lanes import Entry
 from ._quarantine import name_choices
 from ._state import ShardState
@@ -64,6 +64,18 @@
     )
 
 
+def is_current(state: ShardState, entry: Entry, now_ms: int) -> bool:
+    """Tell whether the tasks of an entry are still to be placed."""
+    job = state.jobs.get(entry.spec.job_id)
+    if job is None:
+        return False
+    tasks = [job.tasks[index] for index in entry.indexes[-1:]]
+    return all(
+        task.state is TaskState.QUEUED and task.not_before_ms <= now_ms
+        for task in tasks
+    )
+
+
 def has_candidate(state: ShardState, entry: Entry) -> bool:
     """Tell cheaply whether any worker may have room for a task."""
     fit_class = entry.key.fit_class
--- a/src/lycheerelay/_preempt.py
+++ b/src/lycheerelay/_preempt.py
@@ -110,8 +110,8 @@
     now_ms: int,
 ) -> Iterator[Option]:
     for name in state.index.emptiest():
-        worker = state.workers[name]
-        if not demand.fits_in(worker.spec.capacity):
+        worker = state.workers.get(name)
+        if worker is None or not demand.fits_in(worker.spec.capacity):
             continue
         option = _cheapest(state, worker, demand, plan, now_ms)
         if option is not None:
--- a/src/lycheerelay/_preempt_victims.py
+++ b/src/lycheerelay/_preempt_victims.py
@@ -53,7 +53,13 @@
     task.stopping_ms = now_ms
     task.moved_for = job_id
     task.moves += 1
-    return StopTask(task.worker, state.term, victim, checkpoint=True)
+    return StopTask(
+        task.worker,
+        state.term,
+        victim,
+        checkpoint=True,
+        boot=task.boot,
+    )
 
 
 def stopping_room(
@@ -93,7 +99,7 @@
 def can_preempt(state: ShardState, job: JobBook, task: TaskBook) -> bool:
     """Tell whether stopping an attempt loses nothing for good."""
     spec = job.spec
-    if spec.urgent or job.cancel_asked or task.ending or not task.recorded:
+    if spec.urgent or job.cancel_asked or task.ending or not task.may_run:
         return False
     if spec.kind is not Kind.BATCH:
         return False
--- a/src/lycheerelay/_reports.py
+++ b/src/lycheerelay/_reports.py
@@ -8,7 +8,7 @@
 from ._jobs import LIVE_TASK_STATES, AttemptKey, TaskState
 from ._records import Ended
 from ._state import JobBook, ShardState, TaskBook
-from ._usage import note_usage
+from ._task_use import note_usage
 
 # A worker that says one of these has not said how an attempt ended.
 OPEN_STATES: Final = frozenset((TaskState.QUEUED, TaskState.UNKNOWN))
--- a/src/lycheerelay/_retire.py
+++ b/src/lycheerelay/_retire.py
@@ -16,3 +16,4 @@
     if not worker.listed and not worker.ready and not worker.charges:
         state.workers.pop(worker.spec.name, None)
         state.suspects.pop(worker.spec.name, None)
+        state.ledger.touched[worker.spec.name] = None
--- a/src/lycheerelay/_state.py
+++ b/src/lycheerelay/_state.py
@@ -221,6 +221,14 @@
     workers: dict[str, WorkerBook] = field(default_factory=dict)
     accepting: dict[str, PendingAccept] = field(default_factory=dict)
     cancelling: dict[str, list[int]] = field(default_factory=dict)
+    index: WorkerIndex = field(default_factory=WorkerIndex)
+    reservations: Reservations = field(default_factory=Reservations)
+    ledger: Ledger = field(init=False)
+    synced_ms: int = -1
+    reserved_ms: int = -1
+    next_worker: int = 0
+    scarce_until_ms: int = 0
+    flows: Flows = field(default_factory=Flows)
     unlisted: dict[str, dict[AttemptKey, Resources]] = field(
         default_factory=dict,
     )
@@ -238,14 +246,6 @@
     restating: RestateRound | None = None
     fence: Fence = field(default_factory=Fence)
     on_way: dict[str, list[Record]] = field(default_factory=dict)
-    index: WorkerIndex = field(default_factory=WorkerIndex)
-    reservations: Reservations = field(default_factory=Reservations)
-    ledger: Ledger = field(init=False)
-    synced_ms: int = -1
-    reserved_ms: int = -1
-    next_worker: int = 0
-    scarce_until_ms: int = 0
-    flows: Flows = field(default_factory=Flows)
 
     def __post_init__(self) -> None:
         """Let the ledger look up the team of a job."""
