--- a/src/lycheerelay/_deadlines.py
+++ b/src/lycheerelay/_deadlines.py
@@ -33,6 +33,7 @@
             task.is_live for task in job.tasks
         )
         if state.is_owner and is_idle:
+            state.waiting.pop(job_id, None)
             yield Append(_late(state, job, now_ms))
 
 
--- a/src/lycheerelay/_handle_tasks.py
+++ b/src/lycheerelay/_handle_tasks.py
@@ -147,7 +147,8 @@
     sender = Sender(event.worker, event.boot)
     for report in event.reports:
         yield from take_report(state, sender, report, now_ms)
-    if worker is not None:
+    tells_use = any(report.used_memory_mb for report in event.reports)
+    if worker is not None and tells_use:
         yield from relieve(state, worker, now_ms)
 
 
