--- a/src/lycheerelay/_retry.py
+++ b/src/lycheerelay/_retry.py
@@ -45,18 +45,22 @@
     firsts: int = 0
     reruns: int = 0
     denied: int = 0
+    earned: int = 0
 
     def count_first(self, starts: int = 1) -> None:
         """Earn a share of a rerun for each first start."""
         self.firsts += starts
+        self.earned += starts * RETRY_SHARE_PERCENT
         self._earn(starts * RETRY_SHARE_PERCENT)
 
     def may_rerun(self, now_ms: int) -> bool:
-        """Spend one token; each second gives one back, too."""
+        """Spend one token; a quiet pool earns one each second as well."""
         passed_ms = now_ms - self.refilled_ms
         if passed_ms >= TRICKLE_MS:
+            least = passed_ms * FULL_TOKEN // TRICKLE_MS
+            self._earn(max(0, least - self.earned))
             self.refilled_ms = now_ms
-            self._earn(passed_ms * FULL_TOKEN // TRICKLE_MS)
+            self.earned = 0
         if self.hundredths < FULL_TOKEN:
             self.denied += 1
             return False
