Count what an earlier owner logged before a held claim reached the log

Cause: an owner that takes over while the log is down applies its claim at once, but the log shows it only after the outage; until then the earlier owner, woken, may write and start under its own term, in log order rightly. The new owner held those intents void and placed the jobs again. Change: the core knows the highest term that the log itself shows; older intents read before that are counted, not sent. A held claim is told again when the log shows it, and a term is confirmed only then. A refusal for an old term no longer ends the attempt; the link asks for the table instead.

--- a/src/lycheerelay/_journal.py
+++ b/src/lycheerelay/_journal.py
@@ -16,7 +16,7 @@
 from ._log_health import LogHealth
 from ._outbox import BatchFilter, Outbox, TermBook
 from ._record_codec import Batch, decode_batches, encode_batches
-from ._records import Record
+from ._records import Record, TermTaken
 
 LOGGER: Final = logging.getLogger(__name__)
 MAX_ENTRY_RECORDS: Final = 1000
@@ -271,8 +271,16 @@
             return
         with self.lock:
             for batch in batches.ok_value:
-                self.apply(batch, batch.held)
+                is_new = self.apply(batch, batch.held)
                 self.outbox.confirm(batch)
+                if batch.held or not is_new:
+                    self._show_terms(batch)
+
+    def _show_terms(self, batch: Batch) -> None:
+        # A claim that took effect by being held has its place only now.
+        for record in batch.records:
+            if isinstance(record, TermTaken):
+                self.deliver(record, False)
 
 
 def _ignore(begun_ms: int) -> None:
--- a/src/lycheerelay/_node.py
+++ b/src/lycheerelay/_node.py
@@ -287,7 +287,7 @@
         # Behind the records of the read, so that a newer term is known.
         self.links.log_read_ms = begun_ms
         for state in tuple(self.shards.values()):
-            if state.is_owner:
+            if state.is_owner and state.log_term == state.term:
                 self._step(state, OwnershipConfirmed(state.term, begun_ms))
 
     def _follow_keeping(self, state: ShardState) -> None:
--- a/src/lycheerelay/_sender.py
+++ b/src/lycheerelay/_sender.py
@@ -12,6 +12,7 @@
 
 from ._backoff import Backoff
 from ._clock import MS_PER_SECOND, Clock
+from ._codes import Code
 from ._commands import ForgetTask, StartTask, StopTask
 from ._events import Event, StartAnswered
 from ._jobs import TaskState
@@ -193,6 +194,9 @@
         if isinstance(reply, Err):
             return False
         answer = reply.ok_value
+        if answer.code == Code.STALE_TERM:
+            link.resync()
+            return True
         if answer.state in STATES_WITH_ANSWERS:
             return True
         self.post(
--- a/src/lycheerelay/_state.py
+++ b/src/lycheerelay/_state.py
@@ -218,6 +218,8 @@
         """Let the ledger look up the team of a job."""
         self.ledger = Ledger(self.jobs)
 
+    log_term: int = 0
+
     @property
     def is_owner(self) -> bool:
         """Tell whether this node holds the highest recorded term."""
--- a/tests/test_worker_link.py
+++ b/tests/test_worker_link.py
@@ -386,6 +386,7 @@
     acquire(link)
     payload = '{"run_ms": 50, "answer": "17 dB"}'
     short = SPEC._replace(payload=payload)
+    link.renew_once()
     link.client.start(1, KEY, short)
     rig.pass_time(60, link)
     answered = []
@@ -397,3 +398,21 @@
     assert (sender.sent, answered) == (1, [])
     link.renew_once()
     assert rig.events[-1].reports[0].answer == '17 dB'
+
+
+def test_refusal_for_an_old_term_ends_no_attempt():
+    rig = Rig()
+    old, new = rig.holder('e1@1', 1), rig.holder('e2@1', 2)
+    acquire(old)
+    acquire(new)
+    old.needs_table = False
+    posted = []
+    sender = Sender(
+        {'w1': old}.get,
+        lambda *pair: posted.append(pair),
+        ManualClock(),
+        0,
+    )
+    sender.send(StartTask('w1', 1, KEY, SPEC))
+    sender._serve(sender._next_lane())
+    assert (posted, old.needs_table) == ([], True)
