--- a/src/lycheerelay/_members.py
+++ b/src/lycheerelay/_members.py
@@ -1,9 +1,10 @@
 """Say which entry VMs are alive and where they are."""
 
 from collections.abc import Iterable
-from typing import Protocol, final
+from typing import NamedTuple, Protocol, final
 
 from ._settings import NodeSettings
+from ._traffic import Traffic
 from ._vm_client import EntryVm
 
 
@@ -12,6 +13,14 @@
     return identity.partition('@')[0]
 
 
+class MemberCounts(NamedTuple):
+    """Count what membership saw and sent."""
+
+    suspicions: int = 0
+    deaths: int = 0
+    traffic: Traffic = Traffic()
+
+
 class Members(Protocol):
     """Answer who is alive; each answer is only a suggestion.
 
@@ -53,6 +62,9 @@
     def stop(self) -> None:
         """Fall silent."""
 
+    def counted(self) -> MemberCounts:
+        """Return the counters since the start."""
+
 
 @final
 class StaticMembers:
@@ -109,3 +121,7 @@
 
     def stop(self) -> None:
         """Need not fall silent."""
+
+    def counted(self) -> MemberCounts:
+        """Count nothing."""
+        return MemberCounts()
--- a/src/lycheerelay/_membership_service.py
+++ b/src/lycheerelay/_membership_service.py
@@ -10,6 +10,7 @@
 from result import Err
 
 from ._clock import MS_PER_SECOND, Clock
+from ._members import MemberCounts
 from ._membership import Datagram, Membership
 from ._membership_messages import (
     MAX_DATAGRAM_BYTES,
@@ -20,6 +21,7 @@
 from ._membership_peers import PeerState
 from ._membership_settings import MembershipSettings
 from ._settings import NodeSettings
+from ._traffic import Traffic
 from ._vm_client import EntryVm
 
 LOGGER: Final = logging.getLogger(__name__)
@@ -132,6 +134,20 @@
         with self.lock:
             return self.state.seen_values()
 
+    def counted(self) -> MemberCounts:
+        """Return the counters since the start."""
+        with self.lock:
+            table = self.state.table
+            return MemberCounts(
+                table.suspicions,
+                table.deaths,
+                Traffic(
+                    self.sent_messages,
+                    self.sent_bytes,
+                    self.received_bytes,
+                ),
+            )
+
     def run(self) -> None:
         """Receive and send until stopped."""
         next_ms = 0
--- a/src/lycheerelay/_metrics.py
+++ b/src/lycheerelay/_metrics.py
@@ -81,6 +81,12 @@
     ),
     'config_version': Described(Gauge, 'Configuration version in force.'),
     'ready': Described(Gauge, '1 while the node takes jobs.'),
+    'members_alive': Described(Gauge, 'Entry VMs of the domain that live.'),
+    'suspicions_total': Described(Counter, 'Silences of entry VMs noticed.'),
+    'members_lost_total': Described(Counter, 'Entry VMs taken for dead.'),
+    'claims_total': Described(Counter, 'Claims of pools sent to the log.'),
+    'sends_repeated_total': Described(Counter, 'Commands sent again.'),
+    'sends_dropped_total': Described(Counter, 'Commands without a lease.'),
     'requests_in_flight': Described(Gauge, 'HTTP requests being answered.'),
 }
 
@@ -155,6 +161,7 @@
         yield Sample('config_version', {}, node.policy.version)
         yield Sample('ready', {}, int(node.is_ready and not node.draining))
         yield Sample('log_appends_total', {}, node.parts.journal.appends)
+        yield from read_domain(node)
         for purpose, traffic in node.caller.traffic.shown().items():
             yield from read_traffic(purpose, traffic)
         if self.server is not None:
@@ -171,6 +178,19 @@
     ]
 
 
+def read_domain(node: Node) -> Iterator[Sample]:
+    """Return what coordination among entry VMs and workers counted."""
+    counted = node.members.counted()
+    alive = len(node.members.alive_in_domain())
+    yield Sample('members_alive', {}, alive)
+    yield Sample('suspicions_total', {}, counted.suspicions)
+    yield Sample('members_lost_total', {}, counted.deaths)
+    yield from read_traffic('membership', counted.traffic)
+    yield Sample('claims_total', {}, node.ownership.claims)
+    yield Sample('sends_repeated_total', {}, node.parts.sender.repeated)
+    yield Sample('sends_dropped_total', {}, node.parts.sender.dropped)
+
+
 def read_traffic(purpose: str, traffic: Traffic) -> Iterator[Sample]:
     """Return the counters of one purpose of calls."""
     labels = {'purpose': purpose}
