--- a/benchmarks/fault_cell.py
+++ b/benchmarks/fault_cell.py
@@ -14,6 +14,8 @@
 from lycheerelay._http import HttpCaller
 
 HOST = '127.0.0.1'
+LOW_PORT = 12_000
+PORT_SPAN = 9000
 LAYOUT = (('a', 3), ('b', 2), ('c', 2))
 POOLS = ('desk:6:16:65536:0', 'field:3:128:524288:8')
 FOLDER = """
@@ -201,10 +203,7 @@
             for domain, count in LAYOUT
             for number in range(1, count + 1)
         ]
-        sockets = [socket.create_server((HOST, 0)) for _ in names]
-        ports = [entry.getsockname()[1] for entry in sockets]
-        for entry in sockets:
-            entry.close()
+        ports = free_ports(len(names))
         vms = [
             Vm(name, domain, port, self.platform, self.folder)
             for (name, domain), port in zip(names, ports, strict=True)
@@ -304,6 +303,21 @@
         self.platform_process.wait()
 
 
+def free_ports(count):
+    """Find ports that no outgoing connection takes while a VM is away."""
+    found = []
+    first = LOW_PORT + os.getpid() * 37 % PORT_SPAN
+    for port in range(first, first + PORT_SPAN):
+        with contextlib.suppress(OSError):
+            socket.create_server((HOST, port)).close()
+            with socket.socket(type=socket.SOCK_DGRAM) as entry:
+                entry.bind((HOST, port))
+            found.append(port)
+        if len(found) == count:
+            break
+    return found
+
+
 def make_folder():
     import tempfile
 
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -9,13 +9,14 @@
 import os
 import random
 import signal
-import socket
 import statistics
 import subprocess
 import sys
 import threading
 import time
 
+from fault_cell import free_ports
+
 from lycheerelay._clock import SystemClock
 from lycheerelay._membership_service import MembershipService
 from lycheerelay._settings import NodeSettings
@@ -181,15 +182,10 @@
 
 
 def start_nodes(count):
-    sockets = [socket.socket(type=socket.SOCK_DGRAM) for _ in range(count)]
-    for entry in sockets:
-        entry.bind((HOST, 0))
     nodes = [
-        (f'n{index}', f'd{index % DOMAINS}', entry.getsockname()[1])
-        for index, entry in enumerate(sockets)
+        (f'n{index}', f'd{index % DOMAINS}', port)
+        for index, port in enumerate(free_ports(count))
     ]
-    for entry in sockets:
-        entry.close()
     return [
         Child(
             {
