--- a/src/lycheerelay/_routing.py
+++ b/src/lycheerelay/_routing.py
@@ -2,6 +2,7 @@
 
 import random
 import threading
+from collections import Counter
 from collections.abc import Iterable, Sequence
 from typing import Final, NamedTuple, Protocol, final
 
@@ -23,6 +24,7 @@
 RETRY_AFTER_MS: Final = 1000
 MAX_HOPS: Final = 3
 MAX_TRIES: Final = 3
+MAX_IN_FLIGHT: Final = 16
 HTTP_OK: Final = 200
 HTTP_NOT_FOUND: Final = 404
 
@@ -93,6 +95,8 @@
         self.random = random.Random(settings.seed)
         self.budget = RetryBudget()
         self.lock = threading.Lock()
+        self.in_flight: Counter[str] = Counter()
+        self.crowded = 0
 
     def submit(
         self,
@@ -213,7 +217,30 @@
         if wait_ms:
             query = f'{query}&wait_ms={max(wait_ms - SLACK_MS, 0)}'
         url = f'http://{address}{request.path}?{query}'
-        return self.caller.call(request.method, url, request.body, timeout_ms)
+        if not self._enter(address):
+            return Err(CallError(url, 'too many requests wait for it'))
+        try:
+            return self.caller.call(
+                request.method,
+                url,
+                request.body,
+                timeout_ms,
+            )
+        finally:
+            self._leave(address)
+
+    def _enter(self, address: str) -> bool:
+        # A node that hangs must not take up every thread of this one.
+        with self.lock:
+            if self.in_flight[address] >= MAX_IN_FLIGHT:
+                self.crowded += 1
+                return False
+            self.in_flight[address] += 1
+            return True
+
+    def _leave(self, address: str) -> None:
+        with self.lock:
+            self.in_flight[address] -= 1
 
     def _may_hop(self, request: Request) -> bool:
         return request.query_int('hop', 0) < MAX_HOPS
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -8,6 +8,7 @@
 from lycheerelay._http import CallError, Reply
 from lycheerelay._routing import (
     MAX_HOPS,
+    MAX_IN_FLIGHT,
     ROUTE_TIMEOUT_MS,
     Located,
     Router,
@@ -145,3 +146,15 @@
     assert refusal.body['code'] == Code.NO_OWNER
     assert router.read(request(), 'a.1') is None
     assert caller.calls == []
+
+
+def test_hanging_node_takes_a_bounded_number_of_threads():
+    router, caller = make([])
+    router.in_flight['a2'] = MAX_IN_FLIGHT
+    refusal = router.submit(request(), 'a.1', 'desk')
+    assert refusal.body['code'] == Code.NO_OWNER
+    assert refusal.body['not_run'] is False
+    assert (caller.calls, router.crowded) == ([], 1)
+    router.in_flight['a2'] = 0
+    router.submit(request(), 'a.1', 'desk')
+    assert (len(caller.calls), router.in_flight['a2']) == (1, 0)
