--- a/benchmarks/fault_load.py
+++ b/benchmarks/fault_load.py
@@ -11,6 +11,8 @@
 SUBMIT_S = 45
 READ_S = 30
 PAUSE_S = 0.15
+REPEAT_SHARE = 0.1
+CANCEL_SHARE = 0.08
 DOMAINS = ('a', 'b', 'c')
 
 
@@ -23,6 +25,7 @@
         self.accepted_at = None
         self.not_run = False
         self.held = False
+        self.cancelled = False
         self.refused = None
         self.answer = None
 
@@ -74,8 +77,12 @@
             job = Job(make_body(rng))
             with self.lock:
                 self.jobs.append(job)
+            if rng.random() < REPEAT_SHARE:
+                self.submit_elsewhere(job, rng)
             self.submit(job, rng, caller)
             if job.accepted_at is not None:
+                if rng.random() < CANCEL_SHARE:
+                    self.cancel(job, rng, caller)
                 self.read(job, rng, caller, READ_S)
             self.stopping.wait(rng.uniform(0, PAUSE_S))
 
@@ -88,6 +95,21 @@
                 return
             time.sleep(rng.uniform(0.1, 0.5))
 
+    def submit_elsewhere(self, job, rng):
+        vm = rng.choice(self.cell.vms)
+        url = f'http://{vm.address}/v1/jobs'
+        threading.Thread(
+            target=HttpCaller().call,
+            args=('POST', url, job.body, 5000),
+            daemon=True,
+        ).start()
+
+    def cancel(self, job, rng, caller):
+        job.cancelled = True
+        vm = rng.choice(self.cell.vms)
+        url = f'http://{vm.address}/v1/jobs/{job.job_id}/cancel'
+        caller.call('POST', url, {}, 5000)
+
     def read(self, job, rng, caller, for_s):
         until = time.monotonic() + for_s
         while time.monotonic() < until:
