--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -75,19 +75,20 @@
     """Run one cell and measure every entry VM over the same time."""
     folder = ROOT / 'examples' / 'caroni'
     cell = BenchCell(CellPlan(('a',), case.entries, case.pools, folder))
+    stopped = threading.Event()
+    load: list[threading.Thread] = []
     try:
         cell.wait_for(lambda: owners_of(cell) is not None, 'owners')
-        stopped = threading.Event()
+        owners = owners_of(cell) or {}
         load = start_load(cell, case, stopped)
         time.sleep(SETTLE_S)
         before = [take_sample(cell, entry) for entry in cell.entries]
         time.sleep(seconds)
         after = [take_sample(cell, entry) for entry in cell.entries]
-        owners = owners_of(cell) or {}
+    finally:
         stopped.set()
         for thread in load:
             thread.join()
-    finally:
         cell.stop()
     nodes = [compare(*pair) for pair in zip(before, after, strict=True)]
     return summarise(cell.entries, nodes, owners)
@@ -159,7 +160,7 @@
 
 def take_sample(cell: BenchCell, entry: Entry) -> Sample:
     """Read the counters of one entry VM."""
-    dump = cell.get(entry.address, '/dump')
+    dump = cell.get(entry.address, '/dump/usage')
     used = usage_of(entry.process.pid)
     return Sample(time.monotonic(), used.cpu_s, used.rss_mb, dump)
 
--- a/src/lycheerelay/_dump.py
+++ b/src/lycheerelay/_dump.py
@@ -30,17 +30,33 @@
 
     def routes(self) -> tuple[Route, ...]:
         """Return the route of this part."""
-        return (route('GET', '/dump', self.dump),)
+        return (
+            route('GET', '/dump', self.dump),
+            route('GET', '/dump/usage', self.usage),
+        )
 
     def dump(self, request: Request) -> Response:
         """Show the whole state of the process."""
         return Response(200, dump_node(self.node))
 
+    def usage(self, request: Request) -> Response:
+        """Show what the process uses, without its jobs."""
+        return Response(200, dump_usage(self.node))
+
+
+def dump_usage(node: Node) -> Json:
+    """Return processor time by thread and traffic by purpose."""
+    return {
+        'traffic': to_json(node.caller.traffic.shown()),
+        'membership': dump_plain(node.members),
+        'thread_cpu_ms': thread_cpu_ms(),
+        'journal': dump_plain(node.parts.journal),
+    }
+
 
 def dump_node(node: Node) -> Json:
     """Return the state of a node; each read of its core stays short."""
     pools = node.inspect(lambda: sorted(node.shards))
-    journal = node.parts.journal
     return {
         'code': 0,
         'program': __version__,
@@ -51,11 +67,8 @@
         'members': sorted(node.members.alive_in_domain()),
         'config': dump_item(node.config.config),
         'policy': dump_item(node.policy),
-        'traffic': to_json(node.caller.traffic.shown()),
-        'membership': dump_plain(node.members),
-        'thread_cpu_ms': thread_cpu_ms(),
-        'journal': dump_plain(journal),
-        'log': dump_plain(journal.health),
+        **dump_usage(node),
+        'log': dump_plain(node.parts.journal.health),
         'pools': {pool: dump_pool(node, pool) for pool in pools},
     }
 
--- a/src/lycheerelay/_http.py
+++ b/src/lycheerelay/_http.py
@@ -1,6 +1,7 @@
 """Call other processes over HTTP with JSON, bounded in size and time."""
 
 import json
+import threading
 from collections.abc import Mapping
 from typing import Final, NamedTuple, final
 
@@ -15,6 +16,7 @@
 CONNECTIONS_PER_POOL: Final = 32
 MS_PER_SECOND: Final = 1000
 OTHER_PURPOSE: Final = 'other'
+SCHEME: Final = 'http://'
 FIXED_HEADERS: Final = {
     'content-type': 'application/json',
     'user-agent': urllib3.util.SKIP_HEADER,
@@ -23,7 +25,7 @@
 HEADER_EXTRA_BYTES: Final = 4
 FIXED_HEADER_BYTES: Final = len('content-type: application/json\r\n')
 CONTENT_LENGTH_BYTES: Final = len('Content-Length: 123\r\n')
-REQUEST_LINE_BYTES: Final = len('  HTTP/1.1\r\nHost: \r\n\r\n') - len('http://')
+REQUEST_LINE_BYTES: Final = len('  HTTP/1.1\r\nHost: \r\n\r\n') - len(SCHEME)
 STATUS_LINE_BYTES: Final = len('HTTP/1.1 200 OK\r\n\r\n')
 
 
@@ -41,18 +43,48 @@
     reason: str
 
 
+@final
+class HostPools:
+    """Keep the connections to each address, to a bounded number of them."""
+
+    def __init__(self) -> None:
+        """Start without connections."""
+        self.pools: dict[str, urllib3.HTTPConnectionPool] = {}
+        self.lock = threading.Lock()
+
+    def get(self, address: str) -> urllib3.HTTPConnectionPool:
+        """Return the pool of an address; the longest kept one makes room."""
+        with self.lock:
+            pool = self.pools.get(address)
+            if pool is None:
+                pool = _open_pool(address)
+                self.pools[address] = pool
+                if len(self.pools) > POOLS:
+                    self.pools.pop(next(iter(self.pools))).close()
+        return pool
+
+    def close(self) -> None:
+        """Close every connection that is not in use."""
+        with self.lock:
+            for pool in self.pools.values():
+                pool.close()
+            self.pools.clear()
+
+
+def _open_pool(address: str) -> urllib3.HTTPConnectionPool:
+    return urllib3.connection_from_url(
+        f'{SCHEME}{address}',
+        maxsize=CONNECTIONS_PER_POOL,
+    )
+
+
 @final
 class HttpCaller:
     """Send JSON requests over reused connections, without retries."""
 
     def __init__(self, traffic: TrafficBook | None = None) -> None:
         """Open an empty connection pool and count what passes."""
-        self.pool = urllib3.PoolManager(
-            num_pools=POOLS,
-            maxsize=CONNECTIONS_PER_POOL,
-            retries=False,
-            headers=FIXED_HEADERS,
-        )
+        self.pools = HostPools()
         self.traffic = traffic or TrafficBook()
         self.purpose = OTHER_PURPOSE
 
@@ -70,7 +102,7 @@
     def tagged(self, purpose: str) -> 'HttpCaller':
         """Return a caller on the same connections that counts apart."""
         caller = HttpCaller(self.traffic)
-        caller.pool = self.pool
+        caller.pools = self.pools
         caller.purpose = purpose
         return caller
 
@@ -87,11 +119,14 @@
             self.purpose,
             _request_bytes(method, url, payload),
         )
+        address, _, path = url.removeprefix(SCHEME).partition('/')
         try:
-            response = self.pool.request(
+            response = self.pools.get(address).urlopen(
                 method,
-                url,
+                f'/{path}',
                 body=payload or None,
+                headers=FIXED_HEADERS,
+                retries=False,
                 timeout=urllib3.Timeout(total=timeout_ms / MS_PER_SECOND),
                 redirect=False,
                 preload_content=False,
@@ -107,7 +142,7 @@
 
     def close(self) -> None:
         """Close every pooled connection."""
-        self.pool.clear()
+        self.pools.close()
 
 
 def _read_bounded(response: urllib3.BaseHTTPResponse) -> bytes | None:
