--- a/src/lycheerelay/_kind_batch.py
+++ b/src/lycheerelay/_kind_batch.py
@@ -71,20 +71,6 @@
     )
 
 
-def has_candidate(state: ShardState, entry: Entry) -> bool:
-    """Tell cheaply whether any worker may have room for a task."""
-    fit_class = entry.key.fit_class
-    blocked = state.waiting.blocked.classes.get(fit_class)
-    if blocked is None or fit_class.width > 1:
-        return True
-    workers = state.workers
-    return any(
-        fit_class.demand.fits_in(workers[name].free)
-        for name in blocked.candidates
-        if name in workers
-    )
-
-
 def _names(
     state: ShardState,
     entry: Entry,
@@ -92,7 +78,7 @@
 ) -> Iterable[str]:
     """Look only at new room where all else is known not to fit."""
     fit_class = entry.key.fit_class
-    blocked = state.waiting.blocked.classes.get(fit_class)
-    if blocked is None or fit_class.width > 1:
+    names = state.waiting.blocked.candidates(fit_class)
+    if names is None:
         return names_for(state, fit, fit_class.demand)
-    return tuple(blocked.candidates)
+    return names
--- a/src/lycheerelay/_order.py
+++ b/src/lycheerelay/_order.py
@@ -50,7 +50,9 @@
 def _pick_band(state: ShardState, band: int) -> Iterator[Entry]:
     waiting = state.waiting
     heap = [
-        (share_of(state, team), team) for team in waiting.fronts[band].heaps
+        (share_of(state, team), team)
+        for team, lanes in waiting.teams[band].items()
+        if waiting.blocked.may_open(lanes)
     ]
     heapify(heap)
     while heap:
--- /dev/null
+++ b/src/lycheerelay/_order_blocked.py
@@ -0,0 +1,128 @@
+"""Skip the classes that fit nowhere until a worker gains room."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from ._order_lanes import FitClass, TeamLanes
+from ._resources import Resources
+
+
+class HasRoom(Protocol):
+    """Tell which classes may use a worker's free room."""
+
+    @property
+    def free(self) -> Resources:
+        """Return what nothing is booked on."""
+
+    def admits(self, fit_class: FitClass) -> bool:
+        """Tell whether a class that fits the free room may use it."""
+
+
+@dataclass(slots=True)
+class Blocked:
+    """Remember when a class was last tried in vain."""
+
+    tried: int
+    missing: int = 1
+    gained: int = 0
+
+
+class BlockedClasses:
+    """Track classes that were tried everywhere, and the room since then."""
+
+    def __init__(self) -> None:
+        """Skip nothing."""
+        self.classes: dict[FitClass, Blocked] = {}
+        self.untried: dict[FitClass, None] = {}
+        self.rooms: dict[Resources, dict[str, HasRoom]] = {}
+        self.offers: dict[Resources, int] = {}
+        self.demands: dict[Resources, int] = {}
+        self.gangs: dict[FitClass, Blocked] = {}
+        self.urgent: dict[FitClass, None] = {}
+        self.scarce: dict[FitClass, None] = {}
+        self.serial = 0
+
+    def open(self, fit_class: FitClass) -> None:
+        """Let a class look at every worker."""
+        self.remove(fit_class)
+        self.untried[fit_class] = None
+
+    def block(self, fit_class: FitClass, missing: int) -> None:
+        """Skip a class; what was offered before counts no more."""
+        if fit_class not in self.classes:
+            demand = fit_class.demand
+            self.demands[demand] = self.demands.get(demand, 0) + 1
+        self.untried.pop(fit_class, None)
+        blocked = Blocked(self.serial, missing)
+        self.classes[fit_class] = blocked
+        if fit_class.width > 1:
+            self.gangs[fit_class] = blocked
+        if fit_class.urgent:
+            self.urgent[fit_class] = None
+        if fit_class.demand.accelerators:
+            self.scarce[fit_class] = None
+
+    def remove(self, fit_class: FitClass) -> None:
+        """Forget a class."""
+        self.untried.pop(fit_class, None)
+        if self.classes.pop(fit_class, None) is None:
+            return
+        self.gangs.pop(fit_class, None)
+        self.urgent.pop(fit_class, None)
+        self.scarce.pop(fit_class, None)
+        demand = fit_class.demand
+        self.demands[demand] -= 1
+        if not self.demands[demand]:
+            self.demands.pop(demand)
+            self.rooms.pop(demand, None)
+            self.offers.pop(demand, None)
+
+    def offer(self, worker: str, room: HasRoom) -> None:
+        """Note a worker with new room for the demands that fit it."""
+        self.serial += 1
+        for demand in self.demands:
+            if demand.fits_in(room.free):
+                self.rooms.setdefault(demand, {})[worker] = room
+                self.offers[demand] = self.serial
+        for fit_class, blocked in self.gangs.items():
+            blocked.gained += fit_class.demand.times_in(room.free)
+
+    def use(self, worker: str, free: Resources) -> None:
+        """Withdraw offers that no longer hold after a placement."""
+        for demand in tuple(self.rooms):
+            if demand.fits_in(free):
+                continue
+            rooms = self.rooms[demand]
+            rooms.pop(worker, None)
+            if not rooms:
+                self.rooms.pop(demand)
+
+    def finish(self) -> None:
+        """Drop the offers once every class that they open was tried."""
+        self.rooms.clear()
+
+    def is_open(self, fit_class: FitClass) -> bool:
+        """Tell whether a class may fit somewhere."""
+        blocked = self.classes.get(fit_class)
+        if blocked is None:
+            return True
+        if fit_class.width > 1:
+            return blocked.gained >= blocked.missing
+        demand = fit_class.demand
+        if self.offers.get(demand, 0) <= blocked.tried:
+            return False
+        rooms = self.rooms.get(demand, {})
+        return any(room.admits(fit_class) for room in rooms.values())
+
+    def may_open(self, lanes: TeamLanes) -> bool:
+        """Tell cheaply whether a team could have an open lane."""
+        return not (
+            self.rooms.keys().isdisjoint(lanes.demands)
+            and self.untried.keys().isdisjoint(lanes.keys)
+        )
+
+    def candidates(self, fit_class: FitClass) -> tuple[str, ...] | None:
+        """Name the workers to look at; None stands for all of them."""
+        if fit_class.width > 1 or fit_class not in self.classes:
+            return None
+        return tuple(self.rooms.get(fit_class.demand, ()))
--- a/src/lycheerelay/_order_queue.py
+++ b/src/lycheerelay/_order_queue.py
@@ -5,15 +5,14 @@
 from typing import Final
 
 from ._jobs import Kind
+from ._order_blocked import BlockedClasses, HasRoom
 from ._order_lanes import (
-    BlockedClasses,
     Entry,
     FitClass,
-    HasRoom,
     Lane,
     LaneKey,
     Rank,
-    TeamFronts,
+    TeamLanes,
     rebuild,
 )
 
@@ -30,7 +29,7 @@
         self.entries: dict[str, Entry] = {}
         self.lanes: dict[LaneKey, Lane] = {}
         self.classes: dict[FitClass, dict[LaneKey, None]] = {}
-        self.fronts = (TeamFronts(), TeamFronts())
+        self.teams: tuple[dict[str, TeamLanes], ...] = ({}, {})
         self.blocked = BlockedClasses()
         self.counts: dict[tuple[str, Kind], int] = {}
         self.delayed: list[tuple[int, str]] = []
@@ -69,10 +68,8 @@
         if lane is None:
             lane = Lane()
             self.lanes[key] = lane
-            self.classes.setdefault(key.fit_class, {})[key] = None
+            self._open_lane(key)
         heappush(lane.heap, entry.rank)
-        if lane.front is None or entry.rank < lane.front:
-            self.fronts[key.band].show(key, lane, entry.rank)
         self._count(entry, len(entry.indexes))
 
     def drop_entry(self, job_id: str) -> None:
@@ -112,31 +109,28 @@
 
     def first_of(self, band: int, team: str) -> Entry | None:
         """Return the first job of a team whose class may fit."""
-        fronts = self.fronts[band]
-        shown = fronts.first(team)
-        while shown is not None:
-            entry = self._shown_entry(*shown)
-            if entry is not None and entry.rank == shown[0]:
-                return entry
-            fronts.hide_first(team)
-            if entry is not None:
-                fronts.show(entry.key, self.lanes[entry.key], entry.rank)
-            shown = fronts.first(team)
-        return None
+        lanes = self.teams[band].get(team)
+        if lanes is None or not self.blocked.may_open(lanes):
+            return None
+        best = None
+        for fit_class, key in lanes.keys.items():
+            entry = self.head(key) if self.blocked.is_open(fit_class) else None
+            if entry and (best is None or entry.rank < best.rank):
+                best = entry
+        return best
 
     def block(self, fit_class: FitClass, missing: int) -> None:
         """Skip a class until a worker gains room for it."""
-        self.blocked.add(fit_class, missing)
+        self.blocked.block(fit_class, missing)
 
     def offer(self, worker: str, room: HasRoom) -> None:
         """Try a worker with new room for each blocked class."""
-        for fit_class in self.blocked.offer(worker, room):
-            self._show(fit_class)
+        self.blocked.offer(worker, room)
 
     def reopen(self, fit_class: FitClass) -> None:
         """Let a class look at every worker again."""
-        if self.blocked.remove(fit_class):
-            self._show(fit_class)
+        if fit_class in self.classes:
+            self.blocked.open(fit_class)
 
     def is_open(self, key: LaneKey) -> bool:
         """Tell whether a lane's class may fit somewhere."""
@@ -169,26 +163,19 @@
         entry = self.entries.get(rank[3])
         return entry is not None and entry.rank == rank
 
-    def _shown_entry(self, rank: Rank, key: LaneKey) -> Entry | None:
-        """Return the first job of a shown lane, unless it is out of date."""
-        lane = self.lanes.get(key)
-        if lane is None or lane.front != rank:
-            return None
-        entry = self.head(key) if self.is_open(key) else None
-        if entry is None or entry.rank != rank:
-            lane.front = None
-        return entry
-
-    def _show(self, fit_class: FitClass) -> None:
-        """Let the teams of a class try its lanes again."""
-        for key in self.classes.get(fit_class, ()):
-            lane = self.lanes[key]
-            entry = self.head(key) if lane.front is None else None
-            if entry is not None:
-                self.fronts[key.band].show(key, lane, entry.rank)
+    def _open_lane(self, key: LaneKey) -> None:
+        if key.fit_class not in self.classes:
+            self.classes[key.fit_class] = {}
+            self.blocked.open(key.fit_class)
+        self.classes[key.fit_class][key] = None
+        self.teams[key.band].setdefault(key.team, TeamLanes()).add(key)
 
     def _close_lane(self, key: LaneKey) -> None:
         self.lanes.pop(key)
+        lanes = self.teams[key.band][key.team]
+        lanes.remove(key)
+        if not lanes.keys:
+            self.teams[key.band].pop(key.team)
         keys = self.classes[key.fit_class]
         keys.pop(key)
         if not keys:
--- a/src/lycheerelay/_preempt_reserved.py
+++ b/src/lycheerelay/_preempt_reserved.py
@@ -20,6 +20,10 @@
     for reservation in tuple(state.reservations.by_role.values()):
         if reservation.is_clearing(now_ms):
             continue
+        if reservation.cleared_ms:
+            # What may move may use the room again.
+            reservation.cleared_ms = 0
+            state.ledger.touched.update(dict.fromkeys(reservation.holds))
         victims = _victims(state, reservation, now_ms)
         if victims is None:
             continue
--- a/src/lycheerelay/_schedule.py
+++ b/src/lycheerelay/_schedule.py
@@ -10,10 +10,10 @@
 from ._gang import is_review_due, reserve_for_waiting
 from ._handlers import Commands
 from ._jobs import Kind, TaskState
-from ._kind_batch import Placement, has_candidate, is_current, place_next
+from ._kind_batch import Placement, is_current, place_next
 from ._kind_gang import place_all
 from ._kind_service import place_spread
-from ._order import ORDERS
+from ._order import ORDERS, OrderPolicy
 from ._order_lanes import Entry
 from ._order_refresh import refresh
 from ._preempt import preempt_for_urgent
@@ -37,9 +37,24 @@
     """Announce starts for waiting work in policy order."""
     follow_fence(state, now_ms)
     refresh(state, now_ms)
+    order = ORDERS[state.policy.limits.order]
+    for job_id, chosen in _plan(state, order, now_ms).items():
+        yield Append(_reserve(state, state.jobs[job_id], chosen, now_ms))
+    if order.is_managed:
+        yield from preempt_for_urgent(state, now_ms)
+    if order.is_managed and is_review_due(state, now_ms):
+        reserve_for_waiting(state, now_ms)
+        yield from clear_reserved(state, now_ms)
+
+
+def _plan(
+    state: ShardState,
+    order: OrderPolicy,
+    now_ms: int,
+) -> dict[str, list[Placement]]:
+    """Place what fits, by job, up to a bound on one step."""
     planned: dict[str, list[Placement]] = {}
     starts = 0
-    order = ORDERS[state.policy.limits.order]
     for entry in order.pick(state):
         placements = _place(state, entry, now_ms)
         if placements:
@@ -48,14 +63,9 @@
             state.flows.note_starts(flow, len(placements), now_ms)
         starts += len(placements)
         if starts >= MAX_STARTS:
-            break
-    for job_id, chosen in planned.items():
-        yield Append(_reserve(state, state.jobs[job_id], chosen, now_ms))
-    if order.is_managed:
-        yield from preempt_for_urgent(state, now_ms)
-    if order.is_managed and is_review_due(state, now_ms):
-        reserve_for_waiting(state, now_ms)
-        yield from clear_reserved(state, now_ms)
+            return planned
+    state.waiting.blocked.finish()
+    return planned
 
 
 def _place(
@@ -69,9 +79,9 @@
         return []
     workload = state.policy.workload(spec.workload)
     fit = FITS[workload.fit if workload else state.policy.limits.fit]
-    placements = []
-    if has_candidate(state, entry):
-        placements = KINDS[spec.kind](state, entry, fit, now_ms)
+    placements = KINDS[spec.kind](state, entry, fit, now_ms)
+    for _, name in placements:
+        state.waiting.blocked.use(name, state.workers[name].free)
     if not placements:
         missing = entry.missing if spec.kind is Kind.GANG else 1
         state.waiting.block(entry.key.fit_class, missing)
