--- a/src/lycheerelay/_metrics.py
+++ b/src/lycheerelay/_metrics.py
@@ -9,6 +9,7 @@
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
+from ._journal import Journal
 from ._metrics_core import Wait
 from ._node import Node
 from ._resources import Resources
@@ -62,6 +63,11 @@
     'settled_total': Described(Counter, 'Final results of jobs by code.'),
     'answers_total': Described(Counter, 'HTTP answers by result code.'),
     'log_appends_total': Described(Counter, 'Appends sent to the log.'),
+    'log_down': Described(Gauge, '1 while no entry VM reaches the log.'),
+    'log_outages_total': Described(Counter, 'Outages of the log noticed.'),
+    'records_waiting': Described(Gauge, 'Records that took no effect yet.'),
+    'records_held': Described(Gauge, 'Records that the log still lacks.'),
+    'records_kept': Described(Gauge, '1 while new records can be kept.'),
     'control_messages_total': Described(Counter, 'Calls by purpose.'),
     'control_sent_bytes_total': Described(Counter, 'Bytes sent by purpose.'),
     'control_received_bytes_total': Described(
@@ -160,7 +166,7 @@
         yield Sample('resident_bytes', {}, resident_bytes())
         yield Sample('config_version', {}, node.policy.version)
         yield Sample('ready', {}, int(node.is_ready and not node.draining))
-        yield Sample('log_appends_total', {}, node.parts.journal.appends)
+        yield from read_journal(node.parts.journal)
         yield from read_domain(node)
         for purpose, traffic in node.caller.traffic.shown().items():
             yield from read_traffic(purpose, traffic)
@@ -178,6 +184,16 @@
     ]
 
 
+def read_journal(journal: Journal) -> Iterator[Sample]:
+    """Return what is on its way to the log, and whether it is reached."""
+    yield Sample('log_appends_total', {}, journal.appends)
+    yield Sample('log_down', {}, int(journal.health.is_down))
+    yield Sample('log_outages_total', {}, journal.health.outages)
+    yield Sample('records_waiting', {}, len(journal.pending))
+    yield Sample('records_held', {}, journal.outbox.records)
+    yield Sample('records_kept', {}, int(journal.can_keep))
+
+
 def read_domain(node: Node) -> Iterator[Sample]:
     """Return what coordination among entry VMs and workers counted."""
     counted = node.members.counted()
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -1,6 +1,7 @@
 """Replace entry VMs while work runs, with the log whole, short or down."""
 
 import pytest
+import urllib3
 
 from cell_parts import start_cell, wait_until
 from lycheerelay._vm_client import EntryVm
@@ -31,6 +32,12 @@
     return view['state'], [task['answer'] for task in view['tasks']]
 
 
+def gauge(cell, server, name):
+    reply = urllib3.request('GET', f'http://{server.address}/metrics')
+    lines = [line.split() for line in reply.data.decode().splitlines()]
+    return next(float(line[-1]) for line in lines if line[0].endswith(name))
+
+
 def owner_among(nodes):
     for node, server in nodes:
         state = node.shards.get('desk')
@@ -64,7 +71,9 @@
     wait_until(
         lambda: all(node.parts.journal.health.is_down for node, _ in nodes),
     )
+    assert gauge(cell, nodes[0][1], 'log_down') == 1
     cell.submit_ready(nodes[0][1], 'a.during', 20)
+    assert gauge(cell, nodes[0][1], 'records_held') > 0
     assert answer_of(cell, nodes[1][1], 'a.during') == (
         'done',
         ['of a.during'],
