--- a/src/lycheerelay/_reports.py
+++ b/src/lycheerelay/_reports.py
@@ -51,7 +51,7 @@
         return
     if report.state in LIVE_TASK_STATES:
         task.state = TaskState.RUNNING
-        note_usage(state, state.workers[sender.worker], task, report)
+        note_usage(state, sender.worker, task, report)
     elif not task.ending:
         task.ending = True
         yield Append(ended(state.pool, report, now_ms))
--- a/src/lycheerelay/_task_use.py
+++ b/src/lycheerelay/_task_use.py
@@ -18,12 +18,13 @@
 
 def note_usage(
     state: ShardState,
-    worker: WorkerBook,
+    worker_name: str,
     task: TaskBook,
     report: TaskReport,
 ) -> None:
     """Follow an attempt's use and book more where it uses more."""
-    if not report.used_memory_mb:
+    worker = state.workers.get(worker_name)
+    if worker is None or not report.used_memory_mb:
         return
     task.used_cores_milli = report.used_cores_milli
     task.used_memory_mb = report.used_memory_mb
--- a/tests/fake_domain.py
+++ b/tests/fake_domain.py
@@ -3,9 +3,15 @@
 from fake_node import FakeNode
 from fake_worker import CAPACITY, FakeWorker
 from lycheerelay._clock import ManualClock
+from lycheerelay._codes import Code
 from lycheerelay._commands import ReplyAccepted
-from lycheerelay._events import CancelRequested, SubmitRequested, WorkerSpec
-from lycheerelay._jobs import TaskState
+from lycheerelay._events import (
+    CancelRequested,
+    SubmitRequested,
+    WorkerListed,
+    WorkerSpec,
+)
+from lycheerelay._jobs import JobState, TaskState
 from lycheerelay._policy import Limits, Policy
 
 NODES = ('e1', 'e2', 'e3')
@@ -36,6 +42,8 @@
         self.requested = {}
         self.tokens = {}
         self.finals = {}
+        self.cancelled = set()
+        self.failed = set()
         self.specs = [
             WorkerSpec(name, 'desk', 'a', f'r-{name}', '', CAPACITY)
             for name in WORKERS
@@ -84,6 +92,11 @@
         self.checkpoints.discard(place)
         self.starts.setdefault(place, []).append((key, is_resumed))
 
+    def tell(self, event) -> None:
+        """Let every working node see a change of the VM list."""
+        for node in self.working():
+            node.step(event)
+
     def submit(self, node, spec) -> None:
         token = len(self.tokens) + 1
         self.tokens[token] = spec.job_id
@@ -93,6 +106,7 @@
     def cancel(self, node, job_id) -> None:
         token = len(self.tokens) + 1
         self.tokens[token] = None
+        self.cancelled.add(job_id)
         node.step(CancelRequested(token, job_id))
 
     def answered(self, reply) -> None:
@@ -162,11 +176,23 @@
         assert self.finals.setdefault(job_id, shown) == shown
         started = any(place[0] == job_id for place in self.starts)
         assert not (job.not_run and started), job_id
+        self._check_reason(job_id, job)
         if job.state.value == 'done':
             for index, task in enumerate(job.tasks):
                 key = job.attempt_key(index).to_text()
                 assert task.answer == f'answer {key}'
 
+    def _check_reason(self, job_id, job) -> None:
+        spec = job.spec
+        if job.state is JobState.CANCELLED:
+            assert job_id in self.cancelled
+        elif job.state is JobState.UNKNOWN:
+            assert not spec.idempotent
+        elif job.code == Code.DEADLINE_PASSED:
+            assert 0 < spec.deadline_ms < self.now_ms
+        elif job.state is JobState.FAILED and spec.idempotent:
+            assert job_id in self.failed
+
     def _check_agreement(self) -> None:
         views = {}
         for node in self.nodes.values():
@@ -189,6 +215,8 @@
             node.paused = False
             if not node.alive:
                 node.restart()
+        for spec in self.specs:
+            self.tell(WorkerListed(spec))
         self.rounds(2)
         self.nodes['e1'].claim()
         for _ in range(DRAIN_ROUNDS):
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -169,6 +169,8 @@
         """Let a running task end by itself."""
         entry.state = TaskState.FAILED if code else TaskState.DONE
         entry.code = code
+        if code:
+            self.world.failed.add(entry.key.job_id)
         entry.answer = '' if code else f'answer {entry.key.to_text()}'
 
     def _refuse(self, code: Code) -> Answer:
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -14,6 +14,7 @@
 )
 
 from fake_domain import NODES, WORKERS, FakeDomain
+from lycheerelay._events import WorkerListed, WorkerUnlisted
 from lycheerelay._jobs import JobSpec, Kind
 
 EXAMPLES = int(os.environ.get('PROMISES_EXAMPLES', '200'))
@@ -162,6 +163,15 @@
         self.world.workers[worker].leaving = leaving
         self.world.rounds(1)
 
+    @rule(worker=workers, is_listed=st.booleans())
+    def change_list(self, worker, is_listed):
+        for spec in self.world.specs:
+            if spec.name == worker and is_listed:
+                self.world.tell(WorkerListed(spec))
+        if not is_listed:
+            self.world.tell(WorkerUnlisted(worker))
+        self.world.rounds(1)
+
     @rule(count=st.integers(1, 6))
     def drop(self, count):
         self.world.drops = count
