Let a claimant's intent replace an unsent one that the log shows first

A claim held while the log was down stands on the log behind intents that the replaced owner appended later. Nodes that did not hold the claim kept that intent and passed over the claimant's for the same attempt; the next owner would have started it again on the wrong worker. An intent of a higher term now replaces one of a lower term. tests/test_held_claim.py compares the claimant and a witness.

--- a/src/lycheerelay/_handle_records.py
+++ b/src/lycheerelay/_handle_records.py
@@ -2,6 +2,7 @@
 
 from ._commands import ReplyAccepted, StartTask
 from ._events import Recorded
+from ._handle_tasks import take_intent
 from ._handlers import FOLDS, HANDLERS, Commands
 from ._records import Intended, Record, Settled, TermTaken
 from ._state import ShardState
@@ -42,9 +43,14 @@
 def _fold_past(state: ShardState, record: Record, now_ms: int) -> Commands:
     # A start of an older term was sent by its owner or never will be; its end
     # may already be on the way, so it is not sent again here.
-    if isinstance(record, Intended | Settled):
-        record = record._replace(term=state.term)
-    for command in FOLDS[type(record)](state, record, now_ms):
+    if isinstance(record, Intended):
+        folded = take_intent(state, record, now_ms)
+    elif isinstance(record, Settled):
+        current = record._replace(term=state.term)
+        folded = FOLDS[Settled](state, current, now_ms)
+    else:
+        folded = FOLDS[type(record)](state, record, now_ms)
+    for command in folded:
         if not isinstance(command, StartTask):
             yield command
 
--- a/src/lycheerelay/_handle_tasks.py
+++ b/src/lycheerelay/_handle_tasks.py
@@ -37,10 +37,18 @@
     now_ms: int,
 ) -> Commands:
     """Book recorded intents; start them where this node is the owner."""
+    if record.term >= state.term:
+        yield from take_intent(state, record, now_ms)
+
+
+def take_intent(
+    state: ShardState,
+    record: Intended,
+    now_ms: int,
+) -> Commands:
+    """Book an intent that counts, whatever its term."""
     job = state.jobs.get(record.job_id)
-    if job is None or record.term < state.term:
-        return
-    if job.is_final or job.cancel_asked:
+    if job is None or job.is_final or job.cancel_asked:
         return
     for start in record.starts:
         yield from _fold_start(state, job, record, start, now_ms)
@@ -57,12 +65,10 @@
     now_ms: int,
 ) -> Commands:
     task = job.task(start.task_index)
-    if task is None or start.attempt <= task.recorded_attempt:
-        return
-    if task.state is not TaskState.QUEUED and not task.is_planned:
+    if task is None or not _takes(task, record, start):
         return
     key = AttemptKey(record.job_id, start.task_index, start.attempt)
-    if task.is_planned and task.worker != start.worker:
+    if task.is_live and task.worker != start.worker:
         release(state, task.worker, job.attempt_key(start.task_index))
     if not task.runs:
         state.budget.count_first()
@@ -72,6 +78,18 @@
         yield from _send_start(state, job, key, now_ms)
 
 
+def _takes(task: TaskBook, record: Intended, start: Start) -> bool:
+    if task.state is not TaskState.QUEUED and not task.is_live:
+        return False
+    if 0 < task.intent_term < record.term:
+        # Its owner could not know the earlier intent, which the log shows
+        # first, and made sure on the workers that it was never sent.
+        return True
+    if start.attempt <= task.recorded_attempt:
+        return False
+    return task.state is TaskState.QUEUED or task.is_planned
+
+
 def _book_start(task: TaskBook, record: Intended, start: Start) -> None:
     task.attempt = start.attempt
     task.state = TaskState.INTENDED
@@ -80,6 +98,7 @@
     task.recorded = True
     task.ending = False
     task.started_ms = record.at_ms
+    task.intent_term = record.term
     task.runs += 1
 
 
--- a/src/lycheerelay/_state.py
+++ b/src/lycheerelay/_state.py
@@ -42,6 +42,7 @@
     stopping_ms: int = 0
     moved_for: str = ''
     moves: int = 0
+    intent_term: int = 0
 
     @property
     def is_live(self) -> bool:
--- a/tests/test_held_claim.py
+++ b/tests/test_held_claim.py
@@ -44,3 +44,19 @@
     assert state.log_term == 3
     fold(state, INTENT)
     assert state.jobs['a.1'].tasks[0].state is TaskState.QUEUED
+
+
+def test_intent_of_the_claimant_replaces_an_unsent_one_shown_before():
+    later = INTENT._replace(term=3, starts=(Start(0, 1, 'w2', 'boot'),))
+    claim = TermTaken('desk', 3, 'e2@1', 8)
+    owner = claimant()
+    fold(owner, later, held=True)
+    fold(owner, INTENT, claim, later)
+    witness = ShardState('a', 'desk', 'e3@1')
+    fold(witness, TermTaken('desk', 2, 'e1@1', 0), Accepted('desk', SPEC, 5))
+    fold(witness, INTENT, claim, later)
+    for state in (owner, witness):
+        task = state.jobs['a.1'].tasks[0]
+        assert (task.worker, task.attempt) == ('w2', 1)
+    fold(witness, INTENT._replace(starts=(Start(0, 2, 'w1', 'boot'),)))
+    assert witness.jobs['a.1'].tasks[0].worker == 'w2'
