--- a/src/lycheerelay/_images.py
+++ b/src/lycheerelay/_images.py
@@ -4,6 +4,7 @@
 from ._deadlines import watch_deadline
 from ._jobs import JobState, TaskState
 from ._records import JobImage, TaskImage
+from ._service import note_replica
 from ._state import JobBook, ShardState, TaskBook
 
 
@@ -47,12 +48,13 @@
     )
     job_id = image.spec.job_id
     state.jobs[job_id] = job
+    note_replica(state, job_id)
     if _waits(job):
         state.waiting[job_id] = None
     for index, task in enumerate(job.tasks):
         if task.is_live:
             key = job.attempt_key(index)
-            charge(state, task.worker, key, job.spec.demand)
+            charge(state, task.worker, key, job.booked(index))
     if job.is_final:
         state.finals.append((job.settled_ms, job_id))
     else:
@@ -77,6 +79,8 @@
         task.code,
         task.answer,
         task.runs,
+        task.booked_cores_milli,
+        task.booked_memory_mb,
     )
 
 
@@ -93,4 +97,6 @@
         code=image.code,
         answer=image.answer,
         runs=image.runs,
+        booked_cores_milli=image.booked_cores_milli,
+        booked_memory_mb=image.booked_memory_mb,
     )
--- a/src/lycheerelay/_sender.py
+++ b/src/lycheerelay/_sender.py
@@ -13,7 +13,7 @@
 from ._backoff import Backoff
 from ._clock import MS_PER_SECOND, Clock
 from ._codes import Code
-from ._commands import ForgetTask, StartTask, StopTask
+from ._commands import ForgetTask, StartTask, StopTask, ThrottleTask
 from ._events import Event, StartAnswered
 from ._jobs import TaskState
 from ._worker_link import WorkerLink
@@ -27,7 +27,7 @@
 # delivers does, so only that one may end an attempt in these states.
 STATES_WITH_ANSWERS: Final = frozenset((TaskState.DONE, TaskState.FAILED))
 
-TaskCommand = StartTask | StopTask | ForgetTask
+TaskCommand = StartTask | StopTask | ThrottleTask | ForgetTask
 
 
 @dataclass(slots=True)
@@ -176,6 +176,13 @@
         if isinstance(command, ForgetTask):
             forgotten = link.client.forget(command.term, command.key)
             return not isinstance(forgotten, Err)
+        if isinstance(command, ThrottleTask):
+            slowed = link.client.throttle(
+                command.term,
+                command.key,
+                command.percent,
+            )
+            return not isinstance(slowed, Err)
         if isinstance(command, StartTask):
             reply = link.client.start(
                 command.term,
