Say not_run only where every node would refuse at any time

Change: refusals for what holds at the moment (quota, overload, deadline, not kept) no longer say not_run.

--- a/src/lycheerelay/_admission.py
+++ b/src/lycheerelay/_admission.py
@@ -19,7 +19,12 @@
 
 
 def refuse(state: ShardState, spec: JobSpec, now_ms: int) -> Refusal | None:
-    """Return the first refusal of the registered checks, or None."""
+    """Return the first refusal of the registered checks, or None.
+
+    Only a refusal that every node would give at any time says `not_run`: an
+    earlier request with the id may wait at an owner that was replaced, and
+    its record may reach the log after this refusal.
+    """
     for name in CHECKS:
         refusal = CHECKS[name](state, spec, now_ms)
         if refusal is not None:
@@ -53,7 +58,7 @@
     if state.can_keep:
         return None
     detail = 'the log is down and no second entry VM keeps records'
-    return Refusal(Code.NOT_KEPT, detail, not_run=True, retry_after_ms=2000)
+    return Refusal(Code.NOT_KEPT, detail, retry_after_ms=2000)
 
 
 @CHECKS.register('never_fits')
@@ -114,7 +119,6 @@
     return Refusal(
         Code.QUOTA_EXCEEDED,
         detail,
-        not_run=True,
         retry_after_ms=RETRY_AFTER_MS,
     )
 
@@ -138,7 +142,6 @@
     return Refusal(
         Code.OVERLOADED,
         detail,
-        not_run=True,
         retry_after_ms=max(RETRY_AFTER_MS, min(over_ms, MAX_RETRY_AFTER_MS)),
     )
 
@@ -159,7 +162,7 @@
         return None
     detail = f'deadline_ms: {spec.deadline_ms} is not after the'
     detail = f'{detail} earliest start, {start_ms}'
-    return Refusal(Code.DEADLINE_PASSED, detail, not_run=True)
+    return Refusal(Code.DEADLINE_PASSED, detail)
 
 
 @CHECKS.register('waiting')
@@ -176,7 +179,6 @@
     return Refusal(
         Code.OVERLOADED,
         detail,
-        not_run=True,
         retry_after_ms=RETRY_AFTER_MS,
     )
 
