--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -71,6 +71,7 @@
             return
         vms = [vm for vm in self.cell.vms if self.claim(vm)]
         self.counts['kill_all'] += 1
+        self.note('kill_all')
         for vm in vms:
             vm.kill()
         self.later(1, lambda: [self.revive(vm) for vm in vms])
@@ -223,6 +224,7 @@
 
     def log_lost_replies(self):
         self.cell.switch_log(lose_replies=self.random.randint(1, 6))
+        self.note('log_lost_replies')
         return True
 
     def log_repeats(self):
@@ -291,6 +293,7 @@
                     mine = owner.partition('@')[0] == other.name
                     if pool in left and owner != left[pool] and mine:
                         self.taken(time.monotonic() - began, hindered)
+                        self.note('taken', vm.name, pool, other.name, hindered)
                         left.pop(pool)
             time.sleep(0.02)
         if left and not hindered:
--- a/src/lycheerelay/_sender.py
+++ b/src/lycheerelay/_sender.py
@@ -131,7 +131,7 @@
         link = self.find_link(lane.worker)
         is_past = link is None or command.term != link.term
         may_send = link is not None and link.lease.is_valid(command.term)
-        answered = may_send and self._try(link, command)
+        answered = may_send and self._try(link, command, lane.is_probe)
         with self.wake:
             self.probing -= lane.is_probe
             lane.scheduled = False
@@ -170,7 +170,12 @@
         if link is not None:
             link.resync()
 
-    def _try(self, link: WorkerLink | None, command: TaskCommand) -> bool:
+    def _try(
+        self,
+        link: WorkerLink | None,
+        command: TaskCommand,
+        is_repeat: bool,
+    ) -> bool:
         if link is None:
             return False
         if isinstance(command, ForgetTask):
@@ -201,7 +206,9 @@
         if isinstance(reply, Err):
             return False
         answer = reply.ok_value
-        if answer.code == Code.STALE_TERM:
+        is_refused = answer.state is TaskState.NOT_STARTED
+        if answer.code == Code.STALE_TERM or (is_refused and is_repeat):
+            # An earlier copy may have been taken; the table tells.
             link.resync()
             return True
         if answer.state in STATES_WITH_ANSWERS:
--- a/tests/test_worker_link.py
+++ b/tests/test_worker_link.py
@@ -416,3 +416,26 @@
     sender.send(StartTask('w1', 1, KEY, SPEC))
     sender._serve(sender._next_lane())
     assert (posted, old.needs_table) == ([], True)
+
+
+def test_refused_repeat_is_settled_by_the_table():
+    rig = Rig()
+    link = rig.holder('e1@1', 1)
+    acquire(link)
+    link.needs_table = False
+    posted = []
+    clock = ManualClock(1000)
+    sender = Sender(
+        {'w1': link}.get, lambda *pair: posted.append(pair), clock, 0
+    )
+    sender.send(StartTask('w1', 1, KEY, SPEC))
+    link.client.delayed = []
+    sender._serve(sender._next_lane())
+    link.client.delayed = None
+    rig.worker.leaving = True
+    clock.advance(10_000)
+    sender._serve(sender._next_lane())
+    assert (posted, link.needs_table) == ([], True)
+    sender.send(StartTask('w1', 1, KEY, SPEC))
+    sender._serve(sender._next_lane())
+    assert posted[0][1].state is TaskState.NOT_STARTED
