--- a/src/lycheerelay/_order_queue.py
+++ b/src/lycheerelay/_order_queue.py
@@ -15,6 +15,7 @@
     TeamLanes,
     rebuild,
 )
+from ._resources import Resources
 
 MIN_COMPACTED: Final = 64
 
@@ -35,6 +36,7 @@
         self.delayed: list[tuple[int, str]] = []
         self.delays: dict[str, int] = {}
         self.serial = 0
+        self.volume = [0, 0, 0, 0]
 
     def __setitem__(self, job_id: str, nothing: None) -> None:
         """Note a job whose queued tasks are to be looked at."""
@@ -189,3 +191,17 @@
             self.counts[key] = count
         else:
             self.counts.pop(key, None)
+        demand = entry.key.fit_class.demand
+        span_ms = change * entry.spec.expected_run_ms
+        self.volume = [
+            volume + amount * span_ms
+            for volume, amount in zip(self.volume, demand, strict=False)
+        ]
+
+    def is_scarce(self, place: int, total: Resources) -> bool:
+        """Tell whether waiting work asks the most for one resource."""
+        loads = [
+            volume / (amount or 1)
+            for volume, amount in zip(self.volume, total, strict=False)
+        ]
+        return loads[place] > 0 and loads[place] >= max(loads)
--- a/src/lycheerelay/_order_refresh.py
+++ b/src/lycheerelay/_order_refresh.py
@@ -17,6 +17,7 @@
 GANG_REVIEW_MS: Final = 1000
 SCARCE_MS: Final = 5000
 MAX_FRESH: Final = 500
+ACCELERATORS: Final = Resources._fields.index('accelerators')
 
 
 def refresh(state: ShardState, now_ms: int) -> None:
@@ -38,7 +39,8 @@
 def _resync(state: ShardState, now_ms: int) -> None:
     was_scarce = state.synced_ms < state.scarce_until_ms
     state.synced_ms = now_ms
-    if state.waiting.blocked.scarce:
+    is_scarce = state.waiting.is_scarce(ACCELERATORS, state.ledger.total)
+    if is_scarce and state.waiting.blocked.scarce:
         state.scarce_until_ms = now_ms + SCARCE_MS
     elif was_scarce and now_ms >= state.scarce_until_ms:
         state.ledger.touched.update(dict.fromkeys(state.workers))
