--- a/benchmarks/fault_cell.py
+++ b/benchmarks/fault_cell.py
@@ -14,6 +14,8 @@
 from lycheerelay._http import HttpCaller
 
 HOST = '127.0.0.1'
+LOW_PORT = 12_000
+PORT_SPAN = 9000
 LAYOUT = (('a', 3), ('b', 2), ('c', 2))
 POOLS = ('desk:6:16:65536:0', 'field:3:128:524288:8')
 FOLDER = """
@@ -180,8 +182,6 @@
         self.caller = HttpCaller()
         self.folder = folder
         command = [sys.executable, '-m', 'lycheerelay_standins']
-        for pool in POOLS:
-            command += [] if pool is POOLS[0] else []
         command += ['--max-seconds', '590', 'cell', '--domains', 'a,b,c']
         for pool in POOLS:
             command += ['--pool', pool]
@@ -203,10 +203,7 @@
             for domain, count in LAYOUT
             for number in range(1, count + 1)
         ]
-        sockets = [socket.create_server((HOST, 0)) for _ in names]
-        ports = [entry.getsockname()[1] for entry in sockets]
-        for entry in sockets:
-            entry.close()
+        ports = free_ports(len(names))
         vms = [
             Vm(name, domain, port, self.platform, self.folder)
             for (name, domain), port in zip(names, ports, strict=True)
@@ -263,10 +260,10 @@
 
     def owners(self, vm):
         """Return the owner of each pool as one VM sees it."""
-        pools = self.get(vm, '/dump', 500)
-        if pools is None:
+        body = self.get(vm, '/internal/owners', 500)
+        if body is None:
             return {}
-        return owners_in(pools)
+        return {pool: part['owner'] for pool, part in body['pools'].items()}
 
     def switch_log(self, **switches):
         self.switch(self.platform['log'], switches)
@@ -282,6 +279,19 @@
         url = f'http://{self.platform["control"]}/ledger'
         return self.caller.call('GET', url, timeout_ms=10_000).unwrap().body
 
+    def records(self, domain):
+        """Return every record on the log of a domain, with its place."""
+        url = f'http://{self.platform["log"]}/v1/streams/jobs.{domain}'
+        found, offset = [], 0
+        while True:
+            path = f'{url}?from={offset}'
+            page = self.caller.call('GET', path, timeout_ms=9000).unwrap().body
+            for entry in page['entries']:
+                offset = entry['offset'] + 1
+                found.append((entry['offset'], entry['value']))
+            if offset >= page['end']:
+                return found
+
     def stop(self):
         for vm in self.vms:
             if vm.process is not None:
@@ -293,14 +303,18 @@
         self.platform_process.wait()
 
 
-def owners_in(body):
-    """Find `owner` fields of pools in a dump, whatever else it holds."""
-    found = {}
-    for key, part in body.items():
-        if isinstance(part, dict) and 'owner' in part and 'term' in part:
-            found[key] = part['owner']
-        elif isinstance(part, dict):
-            found.update(owners_in(part))
+def free_ports(count):
+    """Find ports that no outgoing connection takes while a VM is away."""
+    found = []
+    first = LOW_PORT + os.getpid() * 37 % PORT_SPAN
+    for port in range(first, first + PORT_SPAN):
+        with contextlib.suppress(OSError):
+            socket.create_server((HOST, port)).close()
+            with socket.socket(type=socket.SOCK_DGRAM) as entry:
+                entry.bind((HOST, port))
+            found.append(port)
+        if len(found) == count:
+            break
     return found
 
 
--- a/src/lycheerelay/_api.py
+++ b/src/lycheerelay/_api.py
@@ -3,10 +3,12 @@
 import heapq
 import secrets
 import threading
+import time
 from typing import Final, final
 
 from result import Err
 
+from ._clock import MS_PER_SECOND
 from ._codec import to_json
 from ._codes import CODES, Code, Refusal
 from ._commands import ReplyAccepted, ReplyRefused
@@ -16,7 +18,7 @@
 from ._node_directory import NodeDirectory
 from ._options import name_near
 from ._routing import SUBMIT_TIMEOUT_MS, Router, RouterSettings
-from ._spec_checks import NAME, is_job_id, read_spec
+from ._spec_checks import NAME, find_undescribed, is_job_id, read_spec
 from ._state import JobBook
 from ._views import JobList, JobView, Receipt, line_of, view_job
 from ._web import Request, Response, Route, is_whole, refused, route
@@ -26,6 +28,8 @@
 DEFAULT_LISTED: Final = 100
 ID_BYTES: Final = 9
 RETRY_AFTER_MS: Final = 1000
+REPLICA_LAG_MS: Final = 1500
+KNOWN_POLL_MS: Final = 50
 
 
 @final
@@ -58,8 +62,10 @@
         )
 
     def health(self, request: Request) -> Response:
-        """Tell that the process answers."""
-        return Response(200, {'code': 0})
+        """Tell that the process answers and its core still steps."""
+        if self.node.thread.is_alive():
+            return Response(200, {'code': 0})
+        return refused(Refusal(Code.INTERNAL, 'the core has stopped'))
 
     def ready(self, request: Request) -> Response:
         """Tell whether the process can take jobs."""
@@ -145,12 +151,11 @@
         policy = self.node.policy
         if not policy.version or domain_of(spec.job_id) != self._domain:
             return None
-        known = [entry.name for entry in policy.workloads]
-        if spec.workload in known or self._is_known(spec.job_id):
+        wrong = find_undescribed(policy, spec)
+        if wrong is None or self._is_known(spec.job_id):
             return None
-        expected = name_near(spec.workload, known)
-        detail = f'workload: got {spec.workload!r}, expected {expected}'
-        return Refusal(Code.BAD_FIELD, detail)
+        # An earlier configuration may have let the same job in.
+        return wrong.refusal()._replace(not_run=False)
 
     @property
     def _domain(self) -> str:
@@ -166,10 +171,21 @@
         if self.node.draining or not self.waiting.acquire(blocking=False):
             return
         try:
-            self.node.watch(job_id, wait_ms)
+            self._watch(job_id, wait_ms)
         finally:
             self.waiting.release()
 
+    def _watch(self, job_id: str, wait_ms: int) -> None:
+        # A job that was just accepted elsewhere is not in the replica yet.
+        clock = self.node.clock
+        until_ms = clock.now_ms() + wait_ms
+        known_by_ms = min(until_ms, clock.now_ms() + REPLICA_LAG_MS)
+        while not self._is_known(job_id):
+            if clock.now_ms() >= known_by_ms or self.node.draining:
+                return
+            time.sleep(KNOWN_POLL_MS / MS_PER_SECOND)
+        self.node.watch(job_id, max(until_ms - clock.now_ms(), 0))
+
     def _view(self, job_id: str) -> JobView | None:
         found = self.node.find_job(job_id)
         return view_job(found[1]) if found else None
--- a/src/lycheerelay/_handle_tasks.py
+++ b/src/lycheerelay/_handle_tasks.py
@@ -10,13 +10,15 @@
 from ._handle_keeping import restate
 from ._handlers import FOLDS, HANDLERS, Commands
 from ._jobs import AttemptKey, TaskState
-from ._lapse import resolve_reboot
+from ._quarantine import open_probes
 from ._records import Ended, Intended, Start
 from ._reports import Sender, ended, find_current, stop_live, take_report
 from ._retire import retire_final
 from ._schedule import schedule
+from ._service_reconcile import reconcile_services
 from ._settle import settle_if_over
 from ._state import JobBook, ShardState, TaskBook
+from ._task_use import relieve
 
 
 @HANDLERS.register(Tick)
@@ -26,6 +28,8 @@
     retire_final(state, now_ms)
     yield from settle_late(state, now_ms)
     if state.is_owner:
+        open_probes(state, now_ms)
+        yield from reconcile_services(state, now_ms)
         yield from schedule(state, now_ms)
     yield from restate(state)
 
@@ -67,7 +71,7 @@
     if not task.runs:
         state.budget.count_first()
     _book_start(task, record, start)
-    charge(state, start.worker, key, job.spec.demand)
+    charge(state, start.worker, key, job.booked(start.task_index))
     if state.is_owner:
         yield from _send_start(state, job, key, now_ms)
 
@@ -81,6 +85,10 @@
     task.ending = False
     task.started_ms = record.at_ms
     task.runs += 1
+    task.booked_cores_milli = start.booked_cores_milli
+    task.booked_memory_mb = start.booked_memory_mb
+    task.used_cores_milli = 0
+    task.used_memory_mb = 0
 
 
 def _send_start(
@@ -133,15 +141,15 @@
 ) -> Commands:
     """Take in what a worker says of its attempts."""
     worker = state.workers.get(event.worker)
-    if worker is not None:
+    if worker is not None and worker.boot == event.boot:
         worker.told_leaving = event.leaving
-        worker.leaving = worker.leaving or event.leaving
-        if worker.ready and worker.boot != event.boot:
-            worker.boot = event.boot
-            yield from resolve_reboot(state, worker, now_ms)
+        worker.follow_leaving()
     sender = Sender(event.worker, event.boot)
     for report in event.reports:
         yield from take_report(state, sender, report, now_ms)
+    tells_use = any(report.used_memory_mb for report in event.reports)
+    if worker is not None and tells_use:
+        yield from relieve(state, worker, now_ms)
 
 
 @FOLDS.register(Ended)
--- a/src/lycheerelay/_handle_workers.py
+++ b/src/lycheerelay/_handle_workers.py
@@ -6,6 +6,7 @@
 from ._handlers import FOLDS, HANDLERS, Commands
 from ._jobs import AttemptKey
 from ._lapse import call_over, follow_majority
+from ._quarantine import clear_worker
 from ._records import TermTaken
 from ._reports import OPEN_STATES, Sender, stop_task, take_report
 from ._retire import retire_worker
@@ -33,12 +34,10 @@
     elif known.spec.capacity != event.spec.capacity:
         grown = event.spec.capacity.minus(known.spec.capacity)
         known.free = known.free.plus(grown)
-    if not known.listed:
-        known.leaving = known.told_leaving
     known.listed = True
     state.ledger.touched[name] = None
-    known.leaving = known.leaving or event.spec.leaving
     known.spec = event.spec
+    known.follow_leaving()
     follow_majority(state, now_ms)
     yield from ()
 
@@ -52,8 +51,8 @@
     """Give a worker no new work once the list drops it."""
     worker = state.workers.get(event.worker)
     if worker is not None:
-        worker.leaving = True
         worker.listed = False
+        worker.follow_leaving()
         follow_majority(state, now_ms)
         retire_worker(state, worker)
     yield from ()
@@ -98,14 +97,14 @@
     worker: WorkerBook,
     event: LeaseHeld,
 ) -> None:
-    if worker.boot != event.boot and worker.listed:
-        worker.leaving = worker.spec.leaving
+    if worker.boot not in {'', event.boot}:
+        clear_worker(state, worker)
     worker.ready = True
     state.ledger.touched[event.worker] = None
     worker.term = event.term
     worker.boot = event.boot
     worker.told_leaving = event.leaving
-    worker.leaving = worker.leaving or event.leaving
+    worker.follow_leaving()
     worker.strays.clear()
 
 
--- a/src/lycheerelay/_order_refresh.py
+++ b/src/lycheerelay/_order_refresh.py
@@ -7,6 +7,7 @@
 from ._fit_room import room_of
 from ._gang import refresh_reservations
 from ._jobs import Kind, TaskState
+from ._learn import booked_demand
 from ._order import ORDERS, OrderPolicy, band_of
 from ._order_lanes import URGENT, Entry, FitClass, LaneKey
 from ._preempt_victims import movable_once_more
@@ -31,9 +32,9 @@
     _enqueue_changed(state, now_ms)
 
 
-def demand_of(job: JobBook) -> Resources:
+def demand_of(state: ShardState, job: JobBook) -> Resources:
     """Return what one task of a job is booked with."""
-    return job.spec.demand
+    return booked_demand(state, job.spec)
 
 
 def _resync(state: ShardState, now_ms: int) -> None:
@@ -66,24 +67,17 @@
 def _enqueue_changed(state: ShardState, now_ms: int) -> None:
     waiting = state.waiting
     order = ORDERS[state.policy.limits.order]
-    _release_fenced(state)
     changed = dict.fromkeys(waiting.due(now_ms))
     changed.update(dict.fromkeys(islice(waiting.fresh, MAX_FRESH)))
     for job_id in changed:
         waiting.fresh.pop(job_id, None)
         job = state.jobs.get(job_id)
-        if job is not None and job_id in waiting:
+        if job is None or job_id not in waiting:
+            continue
+        if may_start(state, job):
             _enqueue(state, order, job, now_ms)
-
-
-def _release_fenced(state: ShardState) -> None:
-    """Look at held back jobs again once the fence lets more start."""
-    fence = state.fence
-    stage = (fence.term, fence.majority_ms >= 0, fence.is_open)
-    if stage != state.fence_stage:
-        state.fence_stage = stage
-        state.waiting.fresh.update(state.fenced)
-        state.fenced.clear()
+        else:
+            waiting.drop_entry(job_id)
 
 
 def _enqueue(
@@ -93,9 +87,6 @@
     now_ms: int,
 ) -> None:
     waiting = state.waiting
-    if not may_start(state, job):
-        state.fenced[job.spec.job_id] = None
-        return
     queued = [
         index
         for index, task in enumerate(job.tasks)
@@ -142,7 +133,7 @@
     spec = job.spec
     band = band_of(order, spec)
     fit_class = FitClass(
-        demand_of(job),
+        demand_of(state, job),
         _run_bits(spec.expected_run_ms),
         len(indexes) if spec.kind is Kind.GANG else 1,
         band == URGENT,
--- a/src/lycheerelay/_sender.py
+++ b/src/lycheerelay/_sender.py
@@ -12,8 +12,10 @@
 
 from ._backoff import Backoff
 from ._clock import MS_PER_SECOND, Clock
-from ._commands import ForgetTask, StartTask, StopTask
+from ._codes import Code
+from ._commands import ForgetTask, StartTask, StopTask, ThrottleTask
 from ._events import Event, StartAnswered
+from ._jobs import TaskState
 from ._worker_link import WorkerLink
 
 THREADS: Final = 16
@@ -21,7 +23,11 @@
 MAX_QUEUED: Final = 2000
 IDLE_MS: Final = 1000
 
-TaskCommand = StartTask | StopTask | ForgetTask
+# A reply to a command carries no answer of the task; the report that the link
+# delivers does, so only that one may end an attempt in these states.
+STATES_WITH_ANSWERS: Final = frozenset((TaskState.DONE, TaskState.FAILED))
+
+TaskCommand = StartTask | StopTask | ThrottleTask | ForgetTask
 
 
 @dataclass(slots=True)
@@ -170,6 +176,13 @@
         if isinstance(command, ForgetTask):
             forgotten = link.client.forget(command.term, command.key)
             return not isinstance(forgotten, Err)
+        if isinstance(command, ThrottleTask):
+            slowed = link.client.throttle(
+                command.term,
+                command.key,
+                command.percent,
+            )
+            return not isinstance(slowed, Err)
         if isinstance(command, StartTask):
             reply = link.client.start(
                 command.term,
@@ -188,6 +201,11 @@
         if isinstance(reply, Err):
             return False
         answer = reply.ok_value
+        if answer.code == Code.STALE_TERM:
+            link.resync()
+            return True
+        if answer.state in STATES_WITH_ANSWERS:
+            return True
         self.post(
             command.worker,
             StartAnswered(
--- a/src/lycheerelay/_state.py
+++ b/src/lycheerelay/_state.py
@@ -14,6 +14,7 @@
     JobState,
     TaskState,
 )
+from ._learned import Learned
 from ._order_queue import WaitingJobs
 from ._policy import Policy
 from ._records import Record
@@ -39,6 +40,10 @@
     code: int = 0
     answer: str = ''
     runs: int = 0
+    booked_cores_milli: int = 0
+    booked_memory_mb: int = 0
+    used_cores_milli: int = 0
+    used_memory_mb: int = 0
     stopping_ms: int = 0
     moved_for: str = ''
     moves: int = 0
@@ -91,6 +96,15 @@
         """Tell whether it is proved that no task was ever started."""
         return not any(task.runs for task in self.tasks)
 
+    def booked(self, index: int) -> Resources:
+        """Return what a recorded attempt books on its worker."""
+        task = self.tasks[index]
+        declared = self.spec.demand
+        return declared._replace(
+            cores_milli=max(declared.cores_milli, task.booked_cores_milli),
+            memory_mb=max(declared.memory_mb, task.booked_memory_mb),
+        )
+
     def task(self, index: int) -> TaskBook | None:
         """Return a task, or None for an index out of range."""
         return self.tasks[index] if 0 <= index < len(self.tasks) else None
@@ -100,6 +114,15 @@
         return AttemptKey(self.spec.job_id, index, self.tasks[index].attempt)
 
 
+@dataclass(slots=True)
+class Quarantine:
+    """Bar a worker but for one task at a time, at a growing interval."""
+
+    probe_ms: int
+    interval_ms: int
+    probing: bool = False
+
+
 @dataclass(slots=True)
 class WorkerBook:
     """Track what is booked on one worker."""
@@ -115,19 +138,30 @@
     listed: bool = True
     told_leaving: bool = False
     strays: dict[AttemptKey, None] = field(default_factory=dict)
+    quarantine: Quarantine | None = None
+    relieved_ms: int = -1
     ledger: Ledger | None = None
     plain: Resources = NOTHING
 
     @property
     def takes_work(self) -> bool:
         """Tell whether anything may be placed here now."""
+        if self.quarantine is not None and not self.quarantine.probing:
+            return False
         return self.ready and not self.leaving and not self.strays
 
+    def follow_leaving(self) -> None:
+        """Combine what the list and the worker itself say of leaving."""
+        is_gone = self.spec.leaving or not self.listed
+        self.leaving = is_gone or self.told_leaving
+
     def charge(self, key: AttemptKey, demand: Resources) -> None:
         """Book an attempt once, however often it is told."""
         if key in self.charges:
             return
         self.charges[key] = demand
+        if self.quarantine is not None:
+            self.quarantine.probing = False
         self.free = self.free.minus(demand)
         if not demand.accelerators:
             self.plain = self.plain.plus(demand)
@@ -195,8 +229,6 @@
     next_worker: int = 0
     scarce_until_ms: int = 0
     flows: Flows = field(default_factory=Flows)
-    fenced: dict[str, None] = field(default_factory=dict)
-    fence_stage: tuple[int, bool, bool] = (0, False, False)
     unlisted: dict[str, dict[AttemptKey, Resources]] = field(
         default_factory=dict,
     )
@@ -206,6 +238,10 @@
     deadlines: list[tuple[int, str]] = field(default_factory=list)
     finals: deque[tuple[int, str]] = field(default_factory=deque)
     budget: RetryBudget = field(default_factory=RetryBudget)
+    suspects: dict[str, dict[str, None]] = field(default_factory=dict)
+    services: dict[str, dict[int, int]] = field(default_factory=dict)
+    reconciled_ms: int = 0
+    learned: dict[tuple[str, str], Learned] = field(default_factory=dict)
     can_keep: bool = True
     restating: RestateRound | None = None
     fence: Fence = field(default_factory=Fence)
@@ -215,6 +251,8 @@
         """Let the ledger look up the team of a job."""
         self.ledger = Ledger(self.jobs)
 
+    log_term: int = 0
+
     @property
     def is_owner(self) -> bool:
         """Tell whether this node holds the highest recorded term."""
--- a/src/lycheerelay/_web.py
+++ b/src/lycheerelay/_web.py
@@ -148,8 +148,12 @@
         """Serve from a thread of its own."""
         self.thread.start()
 
+    def end_connections(self) -> None:
+        """End each connection with its next answer from now on."""
+        self.closing = True
+
     def drain(self, timeout_ms: int) -> bool:
-        """Close idle connections; tell whether all requests were answered."""
+        """Wait until no request is in flight; tell whether that came."""
         self.closing = True
         until = time.monotonic() + timeout_ms / 1000
         while self.in_flight and time.monotonic() < until:
@@ -243,6 +247,9 @@
 def _guarded(handler: Handler, request: Request) -> Response:
     try:
         return handler(request)
+    except ConnectionError:
+        # A handler that dropped the connection wants no answer sent.
+        raise
     except Exception:
         # A defect must not leave a caller without a numbered answer.
         LOGGER.exception('handler failed', extra={'path': request.path})
