--- a/benchmarks/decide.py
+++ b/benchmarks/decide.py
@@ -8,6 +8,7 @@
 import argparse
 import gc
 import json
+from concurrent.futures import ProcessPoolExecutor
 from statistics import median
 from typing import Final, NamedTuple
 
--- a/src/lycheerelay/_fit.py
+++ b/src/lycheerelay/_fit.py
@@ -24,6 +24,7 @@
     patient: bool = False
     movable: bool = False
     racks: tuple[str, ...] = ()
+    compared: int = MAX_COMPARED
 
     @property
     def may_strand(self) -> bool:
@@ -145,7 +146,7 @@
         or not strands_accelerators(state, worker, request.demand)
     )
     return min(
-        islice(kept, MAX_COMPARED),
+        islice(kept, request.compared),
         key=lambda worker: (
             request.racks.count(worker.spec.rack),
             *leftover_score(worker, request.demand),
--- a/src/lycheerelay/_kind_service.py
+++ b/src/lycheerelay/_kind_service.py
@@ -1,11 +1,15 @@
 """Place the replicas of a service apart from each other."""
 
+from typing import Final
+
 from ._fit import FitPolicy
+from ._jobs import TaskState
 from ._kind_batch import Placement, place_request, request_for
 from ._order_lanes import Entry
-from ._service import jobs_beside
 from ._state import ShardState
 
+MAX_COMPARED: Final = 64
+
 
 def place_spread(
     state: ShardState,
@@ -15,14 +19,23 @@
 ) -> list[Placement]:
     """Place the next replica in the rack that holds the fewest."""
     request = request_for(state, entry, now_ms)
-    racks = _used_racks(state, entry.spec.job_id)
-    return place_request(state, entry, fit, request._replace(racks=racks))
+    racks = _used_racks(state, entry)
+    request = request._replace(racks=racks, compared=MAX_COMPARED)
+    placements = place_request(state, entry, fit, request)
+    entry.placed.update(placements)
+    return placements
 
 
-def _used_racks(state: ShardState, job_id: str) -> tuple[str, ...]:
-    return tuple(
-        state.workers[task.worker].spec.rack
-        for job in jobs_beside(state, job_id)
-        for task in job.tasks
-        if task.is_live and task.worker in state.workers
-    )
+def _used_racks(state: ShardState, entry: Entry) -> tuple[str, ...]:
+    """Name the rack of each replica, those of this step included."""
+    tasks = state.jobs[entry.spec.job_id].tasks
+    places = {
+        index: task.worker for index, task in enumerate(tasks) if task.is_live
+    }
+    planned = {
+        index: name
+        for index, name in entry.placed.items()
+        if tasks[index].state is TaskState.QUEUED
+    }
+    books = map(state.workers.get, {**places, **planned}.values())
+    return tuple(book.spec.rack for book in books if book is not None)
--- a/src/lycheerelay/_order_lanes.py
+++ b/src/lycheerelay/_order_lanes.py
@@ -46,6 +46,7 @@
     indexes: list[int]
     enqueued_ms: int
     missing: int = 1
+    placed: dict[int, str] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
