--- a/src/lycheerelay/_kind_service.py
+++ b/src/lycheerelay/_kind_service.py
@@ -6,6 +6,7 @@
 from ._jobs import TaskState
 from ._kind_batch import Placement, place_request, request_for
 from ._order_lanes import Entry
+from ._service import jobs_beside
 from ._state import ShardState
 
 MAX_COMPARED: Final = 64
@@ -28,14 +29,18 @@
 
 def _used_racks(state: ShardState, entry: Entry) -> tuple[str, ...]:
     """Name the rack of each replica, those of this step included."""
-    tasks = state.jobs[entry.spec.job_id].tasks
-    places = {
-        index: task.worker for index, task in enumerate(tasks) if task.is_live
-    }
-    planned = {
-        index: name
+    job_id = entry.spec.job_id
+    names = [
+        task.worker
+        for job in jobs_beside(state, job_id)
+        for task in job.tasks
+        if task.is_live
+    ]
+    tasks = state.jobs[job_id].tasks
+    names += [
+        name
         for index, name in entry.placed.items()
         if tasks[index].state is TaskState.QUEUED
-    }
-    books = map(state.workers.get, {**places, **planned}.values())
+    ]
+    books = map(state.workers.get, names)
     return tuple(book.spec.rack for book in books if book is not None)
--- a/src/lycheerelay/_order_blocked.py
+++ b/src/lycheerelay/_order_blocked.py
@@ -116,10 +116,9 @@
 
     def may_open(self, lanes: TeamLanes) -> bool:
         """Tell cheaply whether a team could have an open lane."""
-        return not (
-            self.rooms.keys().isdisjoint(lanes.demands)
-            and self.untried.keys().isdisjoint(lanes.keys)
-        )
+        if self.rooms and not self.rooms.keys().isdisjoint(lanes.demands):
+            return True
+        return not self.untried.keys().isdisjoint(lanes.keys)
 
     def candidates(self, fit_class: FitClass) -> tuple[str, ...] | None:
         """Name the workers to look at; None stands for all of them."""
--- a/src/lycheerelay/_order_queue.py
+++ b/src/lycheerelay/_order_queue.py
@@ -18,6 +18,7 @@
 from ._resources import Resources
 
 MIN_COMPACTED: Final = 64
+SCARCE_PART: Final = 0.5
 
 
 class WaitingJobs(dict[str, None]):
@@ -199,9 +200,12 @@
         ]
 
     def is_scarce(self, place: int, total: Resources) -> bool:
-        """Tell whether waiting work asks the most for one resource."""
+        """Tell whether waiting work asks about the most for one resource.
+
+        Declared run times are far off, so a rough comparison has to do.
+        """
         loads = [
             volume / (amount or 1)
             for volume, amount in zip(self.volume, total, strict=False)
         ]
-        return loads[place] > 0 and loads[place] >= max(loads)
+        return loads[place] > 0 and loads[place] >= max(loads) * SCARCE_PART
