--- a/src/lycheerelay/_fit.py
+++ b/src/lycheerelay/_fit.py
@@ -21,15 +21,14 @@
     run_ms: int
     now_ms: int
     urgent: bool = False
-    patient: bool = False
+    reserved: tuple[str, ...] = ()
     movable: bool = False
     racks: tuple[str, ...] = ()
     compared: int = MAX_COMPARED
 
-    @property
-    def may_strand(self) -> bool:
+    def may_strand(self, worker: str) -> bool:
         """Tell whether the task may leave accelerators without cores."""
-        return self.urgent or self.patient
+        return self.urgent or worker in self.reserved
 
 
 Choice = Callable[
@@ -142,7 +141,7 @@
     kept = (
         worker
         for worker in fitting
-        if request.may_strand
+        if request.may_strand(worker.spec.name)
         or not strands_accelerators(state, worker, request.demand)
     )
     return min(
--- a/src/lycheerelay/_gang.py
+++ b/src/lycheerelay/_gang.py
@@ -161,12 +161,25 @@
         state.workers[name]
         for name in state.index.emptiest()
         if name in state.workers
-        and demand.fits_in(state.workers[name].spec.capacity)
+        and _suits(state, state.workers[name].spec.capacity, demand)
         and name not in state.reservations.by_worker
     )
     return islice(able, max(MIN_WORKERS, WORKERS_PER_TASK * width))
 
 
+def _suits(state: ShardState, capacity: Resources, demand: Resources) -> bool:
+    """Spare accelerators where a plain worker can hold the task too."""
+    if not demand.fits_in(capacity):
+        return False
+    if demand.accelerators or not capacity.accelerators:
+        return True
+    return not any(
+        demand.fits_in(shape)
+        for shape in state.ledger.shapes
+        if not shape.accelerators
+    )
+
+
 def _openings(
     state: ShardState,
     worker: WorkerBook,
--- a/src/lycheerelay/_kind_batch.py
+++ b/src/lycheerelay/_kind_batch.py
@@ -59,7 +59,7 @@
         fit_class.run_ms,
         now_ms,
         fit_class.urgent,
-        state.reservations.role_of(job_id) is not None,
+        state.reservations.names_for(job_id),
         fit_class.movable,
     )
 
--- a/src/lycheerelay/_reservation.py
+++ b/src/lycheerelay/_reservation.py
@@ -64,6 +64,11 @@
                 return role
         return None
 
+    def names_for(self, job_id: str) -> tuple[str, ...]:
+        """Name the workers on which a job holds room."""
+        role = self.role_of(job_id)
+        return tuple(self.by_role[role].holds) if role else ()
+
     def held(self, worker: str, job_id: str, urgent: bool) -> Resources:
         """Sum what others hold on a worker; urgent work yields to urgent."""
         total = NOTHING
--- a/src/lycheerelay/_schedule.py
+++ b/src/lycheerelay/_schedule.py
@@ -7,7 +7,7 @@
 from ._commands import Append
 from ._fence import follow_fence
 from ._fit import FITS, FitPolicy
-from ._gang import is_review_due, reserve_for_waiting
+from ._gang import drop_reservation, is_review_due, reserve_for_waiting
 from ._handlers import Commands
 from ._jobs import Kind, TaskState
 from ._kind_batch import Placement, is_current, place_next
@@ -86,17 +86,17 @@
     if not placements:
         missing = entry.missing if spec.kind is Kind.GANG else 1
         state.waiting.block(entry.key.fit_class, missing)
-    elif not entry.indexes:
+        return placements
+    role = state.reservations.role_of(spec.job_id)
+    if role is not None and (spec.kind is not Kind.GANG or not entry.indexes):
+        drop_reservation(state, role)
+    if not entry.indexes:
         _leave_queue(state, spec.job_id)
     return placements
 
 
 def _leave_queue(state: ShardState, job_id: str) -> None:
     """Keep a job waiting only while a task has its retry delay left."""
-    role = state.reservations.role_of(job_id)
-    if role is not None:
-        for name in state.reservations.drop(role):
-            state.ledger.touched[name] = None
     state.waiting.drop_entry(job_id)
     if not state.waiting.is_delayed(job_id):
         state.waiting.pop(job_id)
