--- a/src/lycheerelay/_kind_service.py
+++ b/src/lycheerelay/_kind_service.py
@@ -29,17 +29,18 @@
 
 def _used_racks(state: ShardState, entry: Entry) -> tuple[str, ...]:
     """Name the rack of each replica, those of this step included."""
-    tasks = state.jobs[entry.spec.job_id].tasks
-    live = [
+    job_id = entry.spec.job_id
+    names = [
         task.worker
-        for job in jobs_beside(state, entry.spec.job_id)
+        for job in jobs_beside(state, job_id)
         for task in job.tasks
         if task.is_live
     ]
-    planned = [
+    tasks = state.jobs[job_id].tasks
+    names += [
         name
         for index, name in entry.placed.items()
         if tasks[index].state is TaskState.QUEUED
     ]
-    books = map(state.workers.get, (*live, *planned))
+    books = map(state.workers.get, names)
     return tuple(book.spec.rack for book in books if book is not None)
