--- a/src/lycheerelay/_handle_tasks.py
+++ b/src/lycheerelay/_handle_tasks.py
@@ -10,13 +10,15 @@
 from ._handle_keeping import restate
 from ._handlers import FOLDS, HANDLERS, Commands
 from ._jobs import AttemptKey, TaskState
-from ._lapse import resolve_reboot
+from ._quarantine import open_probes
 from ._records import Ended, Intended, Start
 from ._reports import Sender, ended, find_current, stop_live, take_report
 from ._retire import retire_final
 from ._schedule import schedule
+from ._service_reconcile import reconcile_services
 from ._settle import settle_if_over
 from ._state import JobBook, ShardState, TaskBook
+from ._task_use import relieve
 
 
 @HANDLERS.register(Tick)
@@ -26,6 +28,8 @@
     retire_final(state, now_ms)
     yield from settle_late(state, now_ms)
     if state.is_owner:
+        open_probes(state, now_ms)
+        yield from reconcile_services(state, now_ms)
         yield from schedule(state, now_ms)
     yield from restate(state)
 
@@ -37,10 +41,18 @@
     now_ms: int,
 ) -> Commands:
     """Book recorded intents; start them where this node is the owner."""
+    if record.term >= state.term:
+        yield from take_intent(state, record, now_ms)
+
+
+def take_intent(
+    state: ShardState,
+    record: Intended,
+    now_ms: int,
+) -> Commands:
+    """Book an intent that counts, whatever its term."""
     job = state.jobs.get(record.job_id)
-    if job is None or record.term < state.term:
-        return
-    if job.is_final or job.cancel_asked:
+    if job is None or job.is_final or job.cancel_asked:
         return
     for start in record.starts:
         yield from _fold_start(state, job, record, start, now_ms)
@@ -57,21 +69,31 @@
     now_ms: int,
 ) -> Commands:
     task = job.task(start.task_index)
-    if task is None or start.attempt <= task.recorded_attempt:
-        return
-    if task.state is not TaskState.QUEUED and not task.is_planned:
+    if task is None or not _takes(task, record, start):
         return
     key = AttemptKey(record.job_id, start.task_index, start.attempt)
-    if task.is_planned and task.worker != start.worker:
+    if task.is_live and task.worker != start.worker:
         release(state, task.worker, job.attempt_key(start.task_index))
     if not task.runs:
         state.budget.count_first()
     _book_start(task, record, start)
-    charge(state, start.worker, key, job.spec.demand)
+    charge(state, start.worker, key, job.booked(start.task_index))
     if state.is_owner:
         yield from _send_start(state, job, key, now_ms)
 
 
+def _takes(task: TaskBook, record: Intended, start: Start) -> bool:
+    if task.state is not TaskState.QUEUED and not task.is_live:
+        return False
+    if 0 < task.intent_term < record.term:
+        # Its owner could not know the earlier intent, which the log shows
+        # first, and made sure on the workers that it was never sent.
+        return True
+    if start.attempt <= task.recorded_attempt:
+        return False
+    return task.state is TaskState.QUEUED or task.is_planned
+
+
 def _book_start(task: TaskBook, record: Intended, start: Start) -> None:
     task.attempt = start.attempt
     task.state = TaskState.INTENDED
@@ -80,7 +102,12 @@
     task.recorded = True
     task.ending = False
     task.started_ms = record.at_ms
+    task.intent_term = record.term
     task.runs += 1
+    task.booked_cores_milli = start.booked_cores_milli
+    task.booked_memory_mb = start.booked_memory_mb
+    task.used_cores_milli = 0
+    task.used_memory_mb = 0
 
 
 def _send_start(
@@ -91,7 +118,11 @@
 ) -> Commands:
     task = job.tasks[key.task_index]
     worker = state.workers.get(task.worker)
-    if worker is not None and worker.ready and worker.boot != task.boot:
+    if worker is None or not worker.ready:
+        # The comparison with the worker's table decides once it is held. A
+        # start sent from a replay of the log could come after its end.
+        return
+    if worker.boot != task.boot:
         # This node alone may send the start, and does not.
         task.ending = True
         report = TaskReport(key, TaskState.NOT_STARTED)
@@ -133,15 +164,15 @@
 ) -> Commands:
     """Take in what a worker says of its attempts."""
     worker = state.workers.get(event.worker)
-    if worker is not None:
+    if worker is not None and worker.boot == event.boot:
         worker.told_leaving = event.leaving
         worker.follow_leaving()
-        if worker.ready and worker.boot != event.boot:
-            worker.boot = event.boot
-            yield from resolve_reboot(state, worker, now_ms)
     sender = Sender(event.worker, event.boot)
     for report in event.reports:
         yield from take_report(state, sender, report, now_ms)
+    tells_use = any(report.used_memory_mb for report in event.reports)
+    if worker is not None and tells_use:
+        yield from relieve(state, worker, now_ms)
 
 
 @FOLDS.register(Ended)
--- a/src/lycheerelay/_node.py
+++ b/src/lycheerelay/_node.py
@@ -38,7 +38,6 @@
 from ._records import Record
 from ._replies import Outcome, Replies
 from ._sender import Sender
-from ._service_keeper import ServiceKeeper
 from ._settings import NodeSettings
 from ._state import JobBook, ShardState
 from ._tick_pace import sleep_ms
@@ -114,7 +113,6 @@
             clock,
             self.configure,
         )
-        self.services = ServiceKeeper(self)
         self.thread = threading.Thread(
             target=self.run,
             name='core',
@@ -125,13 +123,11 @@
         """Start every thread."""
         self.thread.start()
         self.config.start()
-        self.services.start()
         self.vms.start()
         self.parts.journal.start()
 
     def stop(self) -> None:
         """Stop every thread; leases run out by themselves."""
-        self.services.stop()
         self.vms.stop()
         self.config.stop()
         self.links.stop()
@@ -300,7 +296,7 @@
         # Behind the records of the read, so that a newer term is known.
         self.links.log_read_ms = begun_ms
         for state in tuple(self.shards.values()):
-            if state.is_owner:
+            if state.is_owner and state.log_term == state.term:
                 self._step(state, OwnershipConfirmed(state.term, begun_ms))
 
     def _follow_term(self, state: ShardState) -> None:
--- a/src/lycheerelay/_schedule.py
+++ b/src/lycheerelay/_schedule.py
@@ -7,19 +7,20 @@
 from ._commands import Append
 from ._fence import follow_fence
 from ._fit import FITS, FitPolicy
-from ._gang import is_review_due, reserve_for_waiting
+from ._gang import drop_reservation, is_review_due, reserve_for_waiting
 from ._handlers import Commands
 from ._jobs import Kind, TaskState
-from ._kind_batch import Placement, has_candidate, is_current, place_next
+from ._kind_batch import Placement, is_current, place_next
 from ._kind_gang import place_all
 from ._kind_service import place_spread
-from ._order import ORDERS
+from ._order import ORDERS, OrderPolicy
 from ._order_lanes import Entry
 from ._order_refresh import refresh
 from ._preempt import preempt_for_urgent
 from ._preempt_reserved import clear_reserved
 from ._records import Intended, Start
 from ._registry import Registry
+from ._resources import Resources
 from ._state import JobBook, ShardState
 
 MAX_STARTS: Final = 32
@@ -37,9 +38,24 @@
     """Announce starts for waiting work in policy order."""
     follow_fence(state, now_ms)
     refresh(state, now_ms)
+    order = ORDERS[state.policy.limits.order]
+    for job_id, chosen in _plan(state, order, now_ms).items():
+        yield Append(_reserve(state, state.jobs[job_id], chosen, now_ms))
+    if order.is_managed:
+        yield from preempt_for_urgent(state, now_ms)
+    if order.is_managed and is_review_due(state, now_ms):
+        reserve_for_waiting(state, now_ms)
+        yield from clear_reserved(state, now_ms)
+
+
+def _plan(
+    state: ShardState,
+    order: OrderPolicy,
+    now_ms: int,
+) -> dict[str, list[Placement]]:
+    """Place what fits, by job, up to a bound on one step."""
     planned: dict[str, list[Placement]] = {}
     starts = 0
-    order = ORDERS[state.policy.limits.order]
     for entry in order.pick(state):
         placements = _place(state, entry, now_ms)
         if placements:
@@ -48,14 +64,9 @@
             state.flows.note_starts(flow, len(placements), now_ms)
         starts += len(placements)
         if starts >= MAX_STARTS:
-            break
-    for job_id, chosen in planned.items():
-        yield Append(_reserve(state, state.jobs[job_id], chosen, now_ms))
-    if order.is_managed:
-        yield from preempt_for_urgent(state, now_ms)
-    if order.is_managed and is_review_due(state, now_ms):
-        reserve_for_waiting(state, now_ms)
-        yield from clear_reserved(state, now_ms)
+            return planned
+    state.waiting.blocked.finish()
+    return planned
 
 
 def _place(
@@ -69,28 +80,39 @@
         return []
     workload = state.policy.workload(spec.workload)
     fit = FITS[workload.fit if workload else state.policy.limits.fit]
-    placements = []
-    if has_candidate(state, entry):
-        placements = KINDS[spec.kind](state, entry, fit, now_ms)
+    placements = KINDS[spec.kind](state, entry, fit, now_ms)
+    for _, name in placements:
+        state.waiting.blocked.use(name, state.workers[name].free)
     if not placements:
         missing = entry.missing if spec.kind is Kind.GANG else 1
         state.waiting.block(entry.key.fit_class, missing)
-    elif not entry.indexes:
+        return placements
+    role = state.reservations.role_of(spec.job_id)
+    if role is not None and (spec.kind is not Kind.GANG or not entry.indexes):
+        drop_reservation(state, role)
+    if not entry.indexes:
         _leave_queue(state, spec.job_id)
     return placements
 
 
 def _leave_queue(state: ShardState, job_id: str) -> None:
     """Keep a job waiting only while a task has its retry delay left."""
-    role = state.reservations.role_of(job_id)
-    if role is not None:
-        for name in state.reservations.drop(role):
-            state.ledger.touched[name] = None
     state.waiting.drop_entry(job_id)
     if not state.waiting.is_delayed(job_id):
         state.waiting.pop(job_id)
 
 
+def _start(job: JobBook, index: int, booked: Resources) -> Start:
+    task = job.tasks[index]
+    start = Start(index, task.attempt, task.worker, task.boot)
+    if booked == job.spec.demand:
+        return start
+    return start._replace(
+        booked_cores_milli=booked.cores_milli,
+        booked_memory_mb=booked.memory_mb,
+    )
+
+
 def _reserve(
     state: ShardState,
     job: JobBook,
@@ -106,7 +128,8 @@
         task.stopping_ms = 0
         task.worker = worker
         task.boot = state.workers[worker].boot
-        starts.append(Start(index, task.attempt, worker, task.boot))
+        booked = state.workers[worker].charges[job.attempt_key(index)]
+        starts.append(_start(job, index, booked))
     return Intended(
         state.pool,
         state.term,
--- a/src/lycheerelay/_sender.py
+++ b/src/lycheerelay/_sender.py
@@ -12,7 +12,8 @@
 
 from ._backoff import Backoff
 from ._clock import MS_PER_SECOND, Clock
-from ._commands import ForgetTask, StartTask, StopTask
+from ._codes import Code
+from ._commands import ForgetTask, StartTask, StopTask, ThrottleTask
 from ._events import Event, StartAnswered
 from ._jobs import TaskState
 from ._worker_link import WorkerLink
@@ -26,7 +27,7 @@
 # delivers does, so only that one may end an attempt in these states.
 STATES_WITH_ANSWERS: Final = frozenset((TaskState.DONE, TaskState.FAILED))
 
-TaskCommand = StartTask | StopTask | ForgetTask
+TaskCommand = StartTask | StopTask | ThrottleTask | ForgetTask
 
 
 @dataclass(slots=True)
@@ -130,7 +131,7 @@
         link = self.find_link(lane.worker)
         is_past = link is None or command.term != link.term
         may_send = link is not None and link.lease.is_valid(command.term)
-        answered = may_send and self._try(link, command)
+        answered = may_send and self._try(link, command, lane.is_probe)
         with self.wake:
             self.probing -= lane.is_probe
             lane.scheduled = False
@@ -169,12 +170,24 @@
         if link is not None:
             link.resync()
 
-    def _try(self, link: WorkerLink | None, command: TaskCommand) -> bool:
+    def _try(
+        self,
+        link: WorkerLink | None,
+        command: TaskCommand,
+        is_repeat: bool,
+    ) -> bool:
         if link is None:
             return False
         if isinstance(command, ForgetTask):
             forgotten = link.client.forget(command.term, command.key)
             return not isinstance(forgotten, Err)
+        if isinstance(command, ThrottleTask):
+            slowed = link.client.throttle(
+                command.term,
+                command.key,
+                command.percent,
+            )
+            return not isinstance(slowed, Err)
         if isinstance(command, StartTask):
             reply = link.client.start(
                 command.term,
@@ -193,6 +206,11 @@
         if isinstance(reply, Err):
             return False
         answer = reply.ok_value
+        is_refused = answer.state is TaskState.NOT_STARTED
+        if answer.code == Code.STALE_TERM or (is_refused and is_repeat):
+            # An earlier copy may have been taken; the table tells.
+            link.resync()
+            return True
         if answer.state in STATES_WITH_ANSWERS:
             return True
         self.post(
--- a/src/lycheerelay/_spec_checks.py
+++ b/src/lycheerelay/_spec_checks.py
@@ -10,7 +10,7 @@
 from ._jobs import ID_SEPARATOR, JobSpec
 from ._options import name_near
 from ._policy import Policy
-from ._services import SERVICE_PREFIX
+from ._service import PREFIX
 
 DAY_MS: Final = 86_400_000
 MAX_TASKS: Final = 1000
@@ -18,9 +18,9 @@
 MAX_TIME_MS: Final = 1 << 45
 NAME: Final = re.compile(r'[A-Za-z0-9][A-Za-z0-9_-]{0,62}')
 JOB_ID: Final = re.compile(
-    rf'{NAME.pattern}{re.escape(ID_SEPARATOR)}[A-Za-z0-9_-]{{1,64}}',
+    rf'{NAME.pattern}{re.escape(ID_SEPARATOR)}[A-Za-z0-9_-]{{1,96}}',
 )
-JOB_ID_TEXT: Final = 'DOMAIN.ID, with ID of at most 64 letters, digits, - or _'
+JOB_ID_TEXT: Final = 'DOMAIN.ID, with ID of at most 96 letters, digits, - or _'
 NAME_TEXT: Final = 'a name of at most 63 letters, digits, - or _'
 
 
@@ -68,8 +68,8 @@
         text = getattr(spec, name)
         if not pattern.fullmatch(text):
             return FieldError(name, repr(text[:80]), expected)
-    if spec.job_id.partition(ID_SEPARATOR)[2].startswith(SERVICE_PREFIX):
-        expected = f'an id that does not begin with {SERVICE_PREFIX}'
+    if spec.job_id.partition(ID_SEPARATOR)[2].startswith(PREFIX):
+        expected = f'an id that does not begin with {PREFIX}'
         return FieldError('job_id', repr(spec.job_id), expected)
     for bounds in RANGES:
         amount = getattr(spec, bounds.name)
--- a/tests/fake_node.py
+++ b/tests/fake_node.py
@@ -211,8 +211,7 @@
             return
         reports = TasksReported(name, answer.boot, answer.leaving, answer.table)
         if number != link.last_request:
-            if link.held and answer.boot == link.boot:
-                self.step(reports)
+            self.step(reports)
             return
         link.lease.extend(link.term, sent_ms)
         if not link.lease.is_valid(link.term):
@@ -246,6 +245,7 @@
     def send_command(self, command) -> None:
         worker = self.world.workers[command.worker]
         life = self.lives
+        until_ms = self.links[command.worker].echo_ms + LEASE_TTL_MS
         if worker.boot == self.links[command.worker].boot:
             worker.check_sendable(command.term)
 
@@ -265,6 +265,7 @@
                     command.key,
                     command.spec,
                     command.boot,
+                    until_ms,
                 )
 
             def reply() -> None:
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -39,7 +39,16 @@
         return self.state is TaskState.RUNNING
 
     def report(self) -> TaskReport:
-        return TaskReport(self.key, self.state, self.code, self.answer)
+        used_mb = (
+            self.spec.memory_mb * (1 + self.key.attempt) if self.spec else 0
+        )
+        return TaskReport(
+            self.key,
+            self.state,
+            self.code,
+            self.answer,
+            used_memory_mb=used_mb,
+        )
 
 
 class LeaseAnswer(NamedTuple):
@@ -119,9 +128,11 @@
         lease = self.grantor
         assert lease.term != term or self.clock.now_ms() < lease.expires_ms
 
-    def start(self, term, key, spec, boot) -> Answer:
-        """Create a task once under its id."""
+    def start(self, term, key, spec, boot, until_ms) -> Answer:
+        """Create a task once under its id, unless the start comes late."""
         self.advance()
+        if self.clock.now_ms() >= until_ms:
+            return self._refuse(Code.STALE_TERM)
         if boot != self.boot:
             return self._refuse(Code.WORKER_REFUSED)
         known = self.entries.get(key) or self.past.get(key)
@@ -160,6 +171,8 @@
         """Let a running task end by itself."""
         entry.state = TaskState.FAILED if code else TaskState.DONE
         entry.code = code
+        if code:
+            self.world.failed.add(entry.key.job_id)
         entry.answer = '' if code else f'answer {entry.key.to_text()}'
 
     def _refuse(self, code: Code) -> Answer:
