--- a/src/lycheerelay/_kind_service.py
+++ b/src/lycheerelay/_kind_service.py
@@ -6,6 +6,7 @@
 from ._jobs import TaskState
 from ._kind_batch import Placement, place_request, request_for
 from ._order_lanes import Entry
+from ._service import jobs_beside
 from ._state import ShardState
 
 MAX_COMPARED: Final = 64
@@ -28,7 +29,8 @@
 
 def _used_racks(state: ShardState, entry: Entry) -> tuple[str, ...]:
     """Name the rack of each replica, those of this step included."""
-    tasks = state.jobs[entry.spec.job_id].tasks
+    job_id = entry.spec.job_id
+    tasks = state.jobs[job_id].tasks
     places = {
         index: task.worker for index, task in enumerate(tasks) if task.is_live
     }
@@ -37,5 +39,12 @@
         for index, name in entry.placed.items()
         if tasks[index].state is TaskState.QUEUED
     }
-    books = map(state.workers.get, {**places, **planned}.values())
+    beside = (
+        task.worker
+        for job in jobs_beside(state, job_id)
+        for task in job.tasks
+        if task.is_live and job.spec.job_id != job_id
+    )
+    names = (*{**places, **planned}.values(), *beside)
+    books = map(state.workers.get, names)
     return tuple(book.spec.rack for book in books if book is not None)
