Record early failures and never starve behind a quarantine

A probe that nothing used for a whole interval now ends the quarantine. Blame can differ between replicas after a cold start, so the early failure that follows from it is recorded as a settlement instead of being folded.

--- a/src/lycheerelay/_ends.py
+++ b/src/lycheerelay/_ends.py
@@ -7,7 +7,7 @@
 from ._delays import delay_rerun, queue_again
 from ._jobs import Kind, TaskState
 from ._learn import note_run
-from ._quarantine import fails_everywhere, note_failure, note_success
+from ._quarantine import note_failure, note_success
 from ._records import Ended
 from ._registry import Registry
 from ._state import JobBook, ShardState, TaskBook
@@ -115,9 +115,7 @@
     failures = task.failures
     if job.spec.kind is Kind.GANG:
         failures = sum(member.failures for member in job.tasks)
-    is_over = failures >= allowed or fails_everywhere(state, job)
-    if job.spec.kind is Kind.SERVICE:
-        is_over = False
+    is_over = failures >= allowed and job.spec.kind is not Kind.SERVICE
     if job.spec.idempotent and not is_over:
         delay_rerun(state, job, task, record)
 
--- a/src/lycheerelay/_handle_tasks.py
+++ b/src/lycheerelay/_handle_tasks.py
@@ -10,7 +10,7 @@
 from ._handle_keeping import restate
 from ._handlers import FOLDS, HANDLERS, Commands
 from ._jobs import AttemptKey, TaskState
-from ._quarantine import open_probes
+from ._quarantine import give_up, open_probes
 from ._records import Ended, Intended, Start
 from ._reports import Sender, ended, find_current, stop_live, take_report
 from ._retire import retire_final
@@ -191,3 +191,5 @@
         if job.restarting:
             yield from stop_live(state, job)
     yield from settle_if_over(state, job, record.at_ms)
+    if state.is_owner and record.state is TaskState.FAILED:
+        yield from give_up(state, job, now_ms)
--- a/src/lycheerelay/_quarantine.py
+++ b/src/lycheerelay/_quarantine.py
@@ -3,7 +3,11 @@
 from collections.abc import Iterable, Iterator
 from typing import Final
 
-from ._records import Ended
+from ._codes import Code
+from ._commands import Append
+from ._handlers import Commands
+from ._jobs import JobState, Kind
+from ._records import Ended, Settled
 from ._state import JobBook, Quarantine, ShardState, TaskBook, WorkerBook
 
 SUSPECT_JOBS: Final = 3
@@ -43,6 +47,32 @@
         _quarantine(state, worker, record.at_ms)
 
 
+def give_up(state: ShardState, job: JobBook, now_ms: int) -> Commands:
+    """Settle a job early that is itself at fault.
+
+    Blame is no part of the records, so what follows from it is recorded.
+    """
+    if job.is_final or job.spec.kind is Kind.SERVICE:
+        return
+    if any(task.may_run for task in job.tasks) or job.cancel_asked:
+        return
+    if not fails_everywhere(state, job):
+        return
+    state.waiting.pop(job.spec.job_id, None)
+    detail = f'failed on {len(job.failed_on)} workers that fail nothing else'
+    yield Append(
+        Settled(
+            state.pool,
+            job.spec.job_id,
+            JobState.FAILED.value,
+            int(Code.TASK_FAILED),
+            detail,
+            now_ms,
+            state.term,
+        ),
+    )
+
+
 def fails_everywhere(state: ShardState, job: JobBook) -> bool:
     """Tell whether a job failed on several workers that fail nothing else."""
     alone = {job.spec.job_id}
@@ -99,12 +129,25 @@
     """Let each quarantined worker take one task when its time comes."""
     for name in state.suspects:
         worker = state.workers.get(name)
-        if worker is None or worker.quarantine is None:
-            continue
-        if now_ms >= worker.quarantine.probe_ms:
-            worker.quarantine.probing = True
-            worker.quarantine.probe_ms = now_ms + worker.quarantine.interval_ms
-            state.ledger.touched[name] = None
+        if worker is not None and worker.quarantine is not None:
+            _open_probe(state, worker, worker.quarantine, now_ms)
+
+
+def _open_probe(
+    state: ShardState,
+    worker: WorkerBook,
+    quarantine: Quarantine,
+    now_ms: int,
+) -> None:
+    if now_ms < quarantine.probe_ms:
+        return
+    state.ledger.touched[worker.spec.name] = None
+    if quarantine.probing:
+        # Only work that may not be a probe waits; it must not starve.
+        worker.quarantine = None
+        return
+    quarantine.probing = True
+    quarantine.probe_ms = now_ms + quarantine.interval_ms
 
 
 def clear_worker(state: ShardState, worker: WorkerBook) -> None:
