Spread replicas over workers where one rack holds them all

Cause: scripts/quickstart showed both replicas of a service on one worker: in a pool with one rack every worker tied, and the fuller one won. Change: among equal racks, the worker with the fewest replicas comes first.

--- a/src/lycheerelay/_fit.py
+++ b/src/lycheerelay/_fit.py
@@ -24,6 +24,7 @@
     reserved: tuple[str, ...] = ()
     movable: bool = False
     racks: tuple[str, ...] = ()
+    neighbours: tuple[str, ...] = ()
     compared: int = MAX_COMPARED
 
     def may_strand(self, worker: str) -> bool:
@@ -148,6 +149,7 @@
         islice(kept, request.compared),
         key=lambda worker: (
             request.racks.count(worker.spec.rack),
+            request.neighbours.count(worker.spec.name),
             *leftover_score(worker, request.demand),
         ),
         default=None,
--- a/src/lycheerelay/_kind_service.py
+++ b/src/lycheerelay/_kind_service.py
@@ -18,17 +18,20 @@
     fit: FitPolicy,
     now_ms: int,
 ) -> list[Placement]:
-    """Place the next replica in the rack that holds the fewest."""
-    request = request_for(state, entry, now_ms)
-    racks = _used_racks(state, entry)
-    request = request._replace(racks=racks, compared=MAX_COMPARED)
+    """Place the next replica in the rack, then worker, with the fewest."""
+    neighbours = _used_workers(state, entry)
+    request = request_for(state, entry, now_ms)._replace(
+        racks=tuple(state.workers[name].spec.rack for name in neighbours),
+        neighbours=neighbours,
+        compared=MAX_COMPARED,
+    )
     placements = place_request(state, entry, fit, request)
     entry.placed.update(placements)
     return placements
 
 
-def _used_racks(state: ShardState, entry: Entry) -> tuple[str, ...]:
-    """Name the rack of each replica, those of this step included."""
+def _used_workers(state: ShardState, entry: Entry) -> tuple[str, ...]:
+    """Name the worker of each replica, those of this step included."""
     job_id = entry.spec.job_id
     names = [
         task.worker
@@ -42,5 +45,4 @@
         for index, name in entry.placed.items()
         if tasks[index].state is TaskState.QUEUED
     ]
-    books = map(state.workers.get, names)
-    return tuple(book.spec.rack for book in books if book is not None)
+    return tuple(name for name in names if name in state.workers)
