--- /dev/null
+++ b/src/lycheerelay/_explain.py
@@ -0,0 +1,161 @@
+"""Tell why a job waits, moved, ended or was refused."""
+
+from typing import Final, NamedTuple
+
+from ._codes import Code
+from ._fence import may_start
+from ._gang import PATIENT_ROLE
+from ._jobs import Kind, TaskState
+from ._order import ORDERS, share_of
+from ._order_lanes import URGENT, Entry
+from ._resources import Resources
+from ._state import JobBook, ShardState
+
+MAX_MOVES_SHOWN: Final = 10
+
+
+class Reason(NamedTuple):
+    """State one fact about a job, with a code and a sentence."""
+
+    code: Code
+    text: str
+
+
+class Explanation(NamedTuple):
+    """Hold what is known of a job and why it stands where it does."""
+
+    job_id: str
+    state: str
+    reasons: tuple[Reason, ...]
+
+
+def explain(state: ShardState, job_id: str, now_ms: int) -> Explanation | None:
+    """Explain a job from what the pool knows; None for an unknown one."""
+    job = state.jobs.get(job_id)
+    if job is None:
+        return None
+    reasons = [*_ended(job), *_running(job), *_moved(job)]
+    if not job.is_final and _has_queued(job):
+        reasons.extend(_waiting(state, job, now_ms))
+    return Explanation(job_id, job.state.value, tuple(reasons))
+
+
+def _has_queued(job: JobBook) -> bool:
+    return any(task.state is TaskState.QUEUED for task in job.tasks)
+
+
+def _ended(job: JobBook) -> list[Reason]:
+    if not job.is_final:
+        return []
+    detail = job.detail or f'every task ended; the job is {job.state.value}'
+    return [Reason(Code(job.code), detail)]
+
+
+def _running(job: JobBook) -> list[Reason]:
+    live = [task for task in job.tasks if task.is_live]
+    if not live:
+        return []
+    names = sorted({task.worker for task in live})
+    text = f'{len(live)} of {len(job.tasks)} tasks on {", ".join(names)}'
+    return [Reason(Code.RUNNING, text)]
+
+
+def _moved(job: JobBook) -> list[Reason]:
+    moved = [
+        (index, task) for index, task in enumerate(job.tasks) if task.moves
+    ]
+    return [
+        Reason(
+            Code.ACCEPTED,
+            f'task {index} was checkpointed {task.moves} times, last in '
+            f'favour of {task.moved_for}',
+        )
+        for index, task in moved[:MAX_MOVES_SHOWN]
+    ]
+
+
+def _waiting(state: ShardState, job: JobBook, now_ms: int) -> list[Reason]:
+    if not state.is_owner:
+        text = f'pool {state.pool} is placed by {state.owner or "nobody yet"}'
+        return [Reason(Code.NO_OWNER, text)]
+    if not may_start(state, job):
+        text = 'held back until no earlier owner can start tasks'
+        return [Reason(Code.NO_OWNER, text)]
+    entry = state.waiting.entries.get(job.spec.job_id)
+    if entry is None:
+        return [_delayed(job, now_ms)]
+    return [
+        _room(state, entry),
+        *_reserved(state, entry, now_ms),
+        _turn(state, entry),
+    ]
+
+
+def _delayed(job: JobBook, now_ms: int) -> Reason:
+    queued = [task for task in job.tasks if task.state is TaskState.QUEUED]
+    due_ms = min(task.not_before_ms for task in queued)
+    if due_ms > now_ms:
+        text = f'a rerun is delayed for another {due_ms - now_ms} ms'
+        return Reason(Code.ACCEPTED, text)
+    if job.spec.kind is Kind.GANG and any(task.is_live for task in job.tasks):
+        text = 'the gang starts again once all its tasks are stopped'
+        return Reason(Code.ACCEPTED, text)
+    return Reason(Code.ACCEPTED, 'looked at in the next step')
+
+
+def _room(state: ShardState, entry: Entry) -> Reason:
+    demand = entry.key.fit_class.demand
+    books = [book for book in state.workers.values() if book.takes_work]
+    fitting = sum(demand.times_in(book.free) for book in books)
+    width = entry.key.fit_class.width
+    if fitting >= width:
+        text = f'room for {fitting} tasks, held for others or taken in turn'
+        return Reason(Code.ACCEPTED, text)
+    able = [book for book in books if demand.fits_in(book.spec.capacity)]
+    lacking = [
+        f'{name} on {count}'
+        for place, name in enumerate(Resources._fields)
+        if (count := sum(book.free[place] < demand[place] for book in able))
+    ]
+    text = (
+        f'{fitting} of {width} tasks fit now; of {len(able)} workers that '
+        f'could hold one, too little is free: {", ".join(lacking)}'
+    )
+    return Reason(Code.ACCEPTED, text)
+
+
+def _reserved(
+    state: ShardState,
+    entry: Entry,
+    now_ms: int,
+) -> list[Reason]:
+    role = state.reservations.role_of(entry.spec.job_id)
+    if role is None:
+        return []
+    reservation = state.reservations.by_role[role]
+    names = ', '.join(sorted(reservation.holds))
+    wait_ms = max(0, reservation.at_ms - now_ms)
+    why = 'waited past its patience' if role == PATIENT_ROLE else role
+    text = f'{why}: holds room on {names}, expected in {wait_ms} ms'
+    return [Reason(Code.ACCEPTED, text)]
+
+
+def _turn(state: ShardState, entry: Entry) -> Reason:
+    team = entry.spec.team
+    if entry.key.band == URGENT:
+        return Reason(Code.ACCEPTED, 'urgent: tried before all other work')
+    ahead = sum(
+        other.rank < entry.rank
+        for other in state.waiting.entries.values()
+        if other.spec.team == team and other.key.band == entry.key.band
+    )
+    text = f'{ahead} jobs of team {team} are due before it'
+    if not ORDERS[state.policy.limits.order].is_managed:
+        return Reason(Code.ACCEPTED, text)
+    share = share_of(state, team)
+    lower = sum(
+        share_of(state, name) < share
+        for name in state.waiting.teams[entry.key.band]
+    )
+    text = f'{text}; {lower} waiting teams hold less of their quota'
+    return Reason(Code.ACCEPTED, text)
