--- a/src/lycheerelay/_kind_service.py
+++ b/src/lycheerelay/_kind_service.py
@@ -18,33 +18,31 @@
     fit: FitPolicy,
     now_ms: int,
 ) -> list[Placement]:
-    """Place the next replica in the rack that holds the fewest."""
-    request = request_for(state, entry, now_ms)
-    racks = _used_racks(state, entry)
-    request = request._replace(racks=racks, compared=MAX_COMPARED)
+    """Place the next replica in the rack, then worker, with the fewest."""
+    neighbours = _used_workers(state, entry)
+    request = request_for(state, entry, now_ms)._replace(
+        racks=tuple(state.workers[name].spec.rack for name in neighbours),
+        neighbours=neighbours,
+        compared=MAX_COMPARED,
+    )
     placements = place_request(state, entry, fit, request)
     entry.placed.update(placements)
     return placements
 
 
-def _used_racks(state: ShardState, entry: Entry) -> tuple[str, ...]:
-    """Name the rack of each replica, those of this step included."""
+def _used_workers(state: ShardState, entry: Entry) -> tuple[str, ...]:
+    """Name the worker of each replica, those of this step included."""
     job_id = entry.spec.job_id
-    tasks = state.jobs[job_id].tasks
-    places = {
-        index: task.worker for index, task in enumerate(tasks) if task.is_live
-    }
-    planned = {
-        index: name
-        for index, name in entry.placed.items()
-        if tasks[index].state is TaskState.QUEUED
-    }
-    beside = (
+    names = [
         task.worker
         for job in jobs_beside(state, job_id)
         for task in job.tasks
-        if task.is_live and job.spec.job_id != job_id
-    )
-    names = (*{**places, **planned}.values(), *beside)
-    books = map(state.workers.get, names)
-    return tuple(book.spec.rack for book in books if book is not None)
+        if task.is_live
+    ]
+    tasks = state.jobs[job_id].tasks
+    names += [
+        name
+        for index, name in entry.placed.items()
+        if tasks[index].state is TaskState.QUEUED
+    ]
+    return tuple(name for name in names if name in state.workers)
