Wait for the report where a reply lacks the task's answer

A start that is repeated after its task ended is answered with the state alone. The core took it for the end and would have recorded an empty answer, where the sender did not hold it back. The core now waits for the report.

--- a/src/lycheerelay/_handle_tasks.py
+++ b/src/lycheerelay/_handle_tasks.py
@@ -1,5 +1,7 @@
 """Start tasks and take in their results."""
 
+from typing import Final
+
 from ._books import charge, has_queued, release
 from ._codes import Code
 from ._commands import Append, ForgetTask, StartTask, StopTask
@@ -20,6 +22,8 @@
 from ._state import JobBook, ShardState, TaskBook
 from ._task_use import relieve
 
+STATES_WITH_ANSWERS: Final = frozenset((TaskState.DONE, TaskState.FAILED))
+
 
 @HANDLERS.register(Tick)
 def on_tick(state: ShardState, event: Tick, now_ms: int) -> Commands:
@@ -140,6 +144,9 @@
     """Take in a worker's answer; void a start that it refused."""
     if event.code == Code.STALE_TERM or not state.is_owner:
         return
+    if event.state in STATES_WITH_ANSWERS:
+        # The reply lacks the task's answer; the report that follows has it.
+        return
     sender = Sender(event.worker, event.boot)
     if event.state is TaskState.NOT_STARTED and event.code != Code.OK:
         task = find_current(state, sender, event.key)
