--- a/benchmarks/bench_cell.py
+++ b/benchmarks/bench_cell.py
@@ -3,6 +3,7 @@
 import json
 import os
 import shutil
+import signal
 import socket
 import subprocess
 import sys
@@ -66,6 +67,7 @@
         self.entries: list[Entry] = []
         self.caller = HttpCaller()
         self.scratch = tempfile.TemporaryDirectory()
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
         try:
             self._start_stand_ins()
             self._start_entries()
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -8,8 +8,10 @@
 import argparse
 import json
 import sys
+import tempfile
 import threading
 import time
+from pathlib import Path
 from typing import Final, NamedTuple
 
 from bench_cell import ROOT, BenchCell, CellPlan, Entry, usage_of
@@ -34,15 +36,20 @@
     pools: tuple[str, ...]
     jobs_per_s: float
     tasks_per_job: int
+    groups: int = 0
 
 
 TODAY: Final = ('spice:7:16:65536:0:5:8', 'field:3:128:524288:8:3:8')
 PLANNED: Final = ('spice:147:16:65536:0:5:16', 'field:49:128:524288:8:3:16')
+GROUPS: Final = 16
+SPLIT: Final = tuple(f'group{n}:12:16:65536:0:6:16' for n in range(GROUPS))
 CASES: Final = (
     Case('today_idle', 3, TODAY, 0, 0),
     Case('today_load', 3, TODAY, 2, 2),
     Case('planned_idle', 8, PLANNED, 0, 0),
     Case('planned_load', 8, PLANNED, 16, 4),
+    Case('split_idle', 8, SPLIT, 0, 0, GROUPS),
+    Case('split_load', 8, SPLIT, 16, 4, GROUPS),
 )
 
 
@@ -73,8 +80,12 @@
 
 def run_case(case: Case, seconds: float) -> dict:
     """Run one cell and measure every entry VM over the same time."""
-    folder = ROOT / 'examples' / 'caroni'
-    cell = BenchCell(CellPlan(('a',), case.entries, case.pools, folder))
+    with tempfile.TemporaryDirectory() as scratch:
+        folder = ROOT / 'examples' / 'caroni'
+        if case.groups:
+            folder = write_groups(Path(scratch), case.groups)
+        plan = CellPlan(('a',), case.entries, case.pools, folder)
+        cell = BenchCell(plan)
     stopped = threading.Event()
     load: list[threading.Thread] = []
     try:
@@ -94,6 +105,20 @@
     return summarise(cell.entries, nodes, owners)
 
 
+def write_groups(scratch: Path, groups: int) -> Path:
+    """Write a folder whose pools are rack groups of one kind of worker."""
+    folder = scratch / 'groups'
+    folder.mkdir()
+    sections = (
+        f'[pool group{number}]\ncores_milli = 16000\nmemory_mb = 65536\n'
+        f'[batch work{number}]\npool = group{number}\nmax_wait_ms = 600000\n'
+        for number in range(groups)
+    )
+    (folder / '10-groups.ini').write_text('\n'.join(sections))
+    (folder / '20-teams.ini').write_text('[team design]\nshare = 1\n')
+    return folder
+
+
 def owners_of(cell: BenchCell) -> dict[str, str] | None:
     """Return the owner of each pool once every worker is ready."""
     pools = cell.get(cell.entries[0].address, '/dump')['pools']
@@ -142,12 +167,11 @@
     serial = number
     while not stopped.wait(SUBMITTERS / case.jobs_per_s):
         entry = cell.entries[serial % len(cell.entries)]
-        accelerated = serial % 4 == 0
         job = {
             'job_id': f'a.load{serial}',
             'team': 'design',
             'kind': 'batch',
-            'workload': 'extraction' if accelerated else 'corner-sweep',
+            'workload': workload_of(case, serial),
             'tasks': case.tasks_per_job,
             'cores_milli': 1000,
             'accelerators': 0,
@@ -158,6 +182,13 @@
         serial += SUBMITTERS
 
 
+def workload_of(case: Case, serial: int) -> str:
+    """Spread jobs over the pools of a case."""
+    if case.groups:
+        return f'work{serial % case.groups}'
+    return 'corner-sweep' if serial % 4 else 'extraction'
+
+
 def take_sample(cell: BenchCell, entry: Entry) -> Sample:
     """Read the counters of one entry VM."""
     dump = cell.get(entry.address, '/dump/usage')
--- a/src/lycheerelay_standins/_log.py
+++ b/src/lycheerelay_standins/_log.py
@@ -62,17 +62,15 @@
 
     def append(self, request: Request) -> Response:
         """Append one entry."""
-        text = dumps(request.body).decode()
         with self.lock:
             now_ms = self.clock.now_ms()
             if self._is_over_rate(now_ms):
                 return Response(HTTP_UNAVAILABLE, {'detail': 'over the rate'})
             stream = request.parts['stream']
-            self.streams.setdefault(stream, []).append(request.body)
-            entries = self.stored.setdefault(stream, [])
-            entries.append(StoredEntry(text, now_ms))
+            entries = self.streams.setdefault(stream, [])
+            entries.append(request.body)
             self.appends += 1
-            self.appended_bytes += len(text)
+            self._encode_new(stream)
             end = self.firsts.get(stream, 0) + len(entries)
         return Response(200, {'offset': end - 1})
 
@@ -81,6 +79,7 @@
         stream = request.parts['stream']
         with self.lock:
             self.reads += 1
+            self._encode_new(stream)
             self._expire_old(stream)
             kept = self.stored.get(stream, [])
             first = self.firsts.get(stream, 0)
@@ -111,6 +110,15 @@
         """Refuse appends above a rate; 0 refuses none."""
         self.appends_per_s = appends_per_s
 
+    def _encode_new(self, stream: str) -> None:
+        """Encode each entry once, however often it is read."""
+        entries = self.streams.get(stream, [])
+        stored = self.stored.setdefault(stream, [])
+        for entry in entries[len(stored) :]:
+            text = dumps(entry).decode()
+            self.appended_bytes += len(text)
+            stored.append(StoredEntry(text, self.clock.now_ms()))
+
     def _drop(self, stream: str, count: int) -> None:
         kept = self.stored.get(stream, [])
         dropped = min(count, len(kept))
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -225,3 +225,78 @@
     caller.call('POST', f'{url}/switch', {'pause_ms': 0}).unwrap()
     reply = caller.call('POST', f'{url}/v1/streams/s', {}, timeout_ms=9000)
     assert reply.unwrap().status == 200
+
+
+def test_higher_term_takes_the_lease_and_fences_the_lower():
+    worker = WorkerStandIn(CAPACITY, 'b', ManualClock(1000))
+    lease(worker, term=1)
+    assert lease(worker, term=2)['granted']
+    refused = lease(worker, term=1)
+    assert (refused['granted'], refused['term']) == (False, 2)
+    assert start(worker, term=1).body['code'] == 403
+    stopped = ask(worker.stop, task_id='a.j:0:1', term=1, checkpoint=False)
+    assert stopped.body['state'] == 'unknown'
+    assert start(worker, term=2).status == 200
+
+
+def test_stop_of_an_unknown_id_makes_it_void():
+    worker = WorkerStandIn(CAPACITY, 'b', ManualClock(1000))
+    lease(worker)
+    other = ask(
+        worker.stop,
+        task_id='a.j:0:1',
+        term=1,
+        checkpoint=False,
+        boot='older',
+    )
+    assert other.body['state'] == 'unknown'
+    stopped = ask(worker.stop, task_id='a.j:0:1', term=1, checkpoint=False)
+    assert stopped.body['state'] == 'not_started'
+    assert start(worker).body['state'] == 'not_started'
+    assert worker.starts == {}
+
+
+def test_late_start_is_refused_and_renewal_counts_from_its_time():
+    clock = ManualClock(1000)
+    worker = WorkerStandIn(CAPACITY, 'b', clock)
+    lease(worker, task_ttl_ms=500)
+    assert start(worker, until_ms=999).body['code'] == 404
+    assert start(worker, until_ms=1000).status == 200
+    body = {
+        'holder': 'e1',
+        'term': 1,
+        'ttl_ms': 10_000,
+        'task_ttl_ms': 500,
+        'since': 0,
+        'wait_ms': 0,
+    }
+    clock.advance(400)
+    ask(worker.lease, **body, as_of_ms=0)
+    assert worker.task_expiry_ms == 1500
+    ask(worker.lease, **body, as_of_ms=1300)
+    assert worker.task_expiry_ms == 1800
+
+
+def test_poll_returns_when_the_worker_leaves():
+    worker = WorkerStandIn(CAPACITY, 'b', SystemClock())
+    since = lease(worker)['seq']
+    replies = []
+    poll = threading.Thread(
+        target=lambda: replies.append(
+            lease(worker, since=since, wait_ms=30_000),
+        ),
+    )
+    poll.start()
+    worker.board.set(leaving=True)
+    poll.join(20)
+    assert replies[0]['leaving'] is True
+    assert start(worker).status == 409
+
+
+def test_unlisted_worker_is_no_longer_named():
+    vms = VmListStandIn(ManualClock(0))
+    vms.list_worker(WorkerSpec('w1', 'p', 'a', 'r', '127.0.0.1:1', CAPACITY))
+    asked = Request('GET', '/', {}, {'domain': 'a', 'since': '1'}, None)
+    assert vms.read(asked).body is None
+    vms.board.set(unlist='w1')
+    assert vms.read(asked).body['workers'] == []
