--- a/src/lycheerelay/_gang.py
+++ b/src/lycheerelay/_gang.py
@@ -48,7 +48,8 @@
         return True
     if reservation.urgent:
         return now_ms - reservation.made_ms >= URGENT_TTL_MS
-    return not all(name in state.index.places for name in reservation.holds)
+    books = [state.workers.get(name) for name in reservation.holds]
+    return not all(book is not None and book.takes_work for book in books)
 
 
 def is_review_due(state: ShardState, now_ms: int) -> bool:
@@ -79,7 +80,9 @@
     if now_ms - reservation.made_ms >= SETTLED_MS:
         return
     drop_reservation(state, role)
-    entry = state.waiting.entries[reservation.job_id]
+    entry = state.waiting.entries.get(reservation.job_id)
+    if entry is None:
+        return
     plan = plan_reservation(state, entry, now_ms)
     if plan is None:
         state.reservations.make(role, reservation)
@@ -157,12 +160,26 @@
     able = (
         state.workers[name]
         for name in state.index.emptiest()
-        if demand.fits_in(state.workers[name].spec.capacity)
+        if name in state.workers
+        and _suits(state, state.workers[name].spec.capacity, demand)
         and name not in state.reservations.by_worker
     )
     return islice(able, max(MIN_WORKERS, WORKERS_PER_TASK * width))
 
 
+def _suits(state: ShardState, capacity: Resources, demand: Resources) -> bool:
+    """Spare accelerators where a plain worker can hold the task too."""
+    if not demand.fits_in(capacity):
+        return False
+    if demand.accelerators or not capacity.accelerators:
+        return True
+    return not any(
+        demand.fits_in(shape)
+        for shape in state.ledger.shapes
+        if not shape.accelerators
+    )
+
+
 def _openings(
     state: ShardState,
     worker: WorkerBook,
--- a/src/lycheerelay/_kind_batch.py
+++ b/src/lycheerelay/_kind_batch.py
@@ -3,8 +3,9 @@
 from collections.abc import Iterable
 
 from ._fit import FitPolicy, FitRequest, find_worker, names_for
-from ._jobs import AttemptKey
+from ._jobs import AttemptKey, TaskState
 from ._order_lanes import Entry
+from ._quarantine import name_choices
 from ._state import ShardState
 
 Placement = tuple[int, str]
@@ -28,8 +29,12 @@
     request: FitRequest,
 ) -> list[Placement]:
     """Place one task as requested and charge it at once."""
-    names = _names(state, entry, fit)
-    worker = find_worker(state, fit, request, names)
+    job = state.jobs[request.key.job_id]
+    found = (
+        find_worker(state, fit, request, names)
+        for names in name_choices(state, job, _names(state, entry, fit))
+    )
+    worker = next(filter(None, found), None)
     if worker is None:
         return []
     index = state.waiting.take_index(entry)
@@ -54,22 +59,20 @@
         fit_class.run_ms,
         now_ms,
         fit_class.urgent,
-        state.reservations.role_of(job_id) is not None,
+        state.reservations.names_for(job_id),
         fit_class.movable,
     )
 
 
-def has_candidate(state: ShardState, entry: Entry) -> bool:
-    """Tell cheaply whether any worker may have room for a task."""
-    fit_class = entry.key.fit_class
-    blocked = state.waiting.blocked.classes.get(fit_class)
-    if blocked is None or fit_class.width > 1:
-        return True
-    workers = state.workers
-    return any(
-        fit_class.demand.fits_in(workers[name].free)
-        for name in blocked.candidates
-        if name in workers
+def is_current(state: ShardState, entry: Entry, now_ms: int) -> bool:
+    """Tell whether the tasks of an entry are still to be placed."""
+    job = state.jobs.get(entry.spec.job_id)
+    if job is None:
+        return False
+    tasks = [job.tasks[index] for index in entry.indexes[-1:]]
+    return all(
+        task.state is TaskState.QUEUED and task.not_before_ms <= now_ms
+        for task in tasks
     )
 
 
@@ -80,7 +83,7 @@
 ) -> Iterable[str]:
     """Look only at new room where all else is known not to fit."""
     fit_class = entry.key.fit_class
-    blocked = state.waiting.blocked.classes.get(fit_class)
-    if blocked is None or fit_class.width > 1:
+    names = state.waiting.blocked.candidates(fit_class)
+    if names is None:
         return names_for(state, fit, fit_class.demand)
-    return tuple(blocked.candidates)
+    return names
--- a/src/lycheerelay/_members.py
+++ b/src/lycheerelay/_members.py
@@ -1,12 +1,26 @@
 """Say which entry VMs are alive and where they are."""
 
 from collections.abc import Iterable
-from typing import Protocol, final
+from typing import NamedTuple, Protocol, final
 
 from ._settings import NodeSettings
+from ._traffic import Traffic
 from ._vm_client import EntryVm
 
 
+def name_of(identity: str) -> str:
+    """Return the name of the entry VM that an identity is one run of."""
+    return identity.partition('@')[0]
+
+
+class MemberCounts(NamedTuple):
+    """Count what membership saw and sent."""
+
+    suspicions: int = 0
+    deaths: int = 0
+    traffic: Traffic = Traffic()
+
+
 class Members(Protocol):
     """Answer who is alive; each answer is only a suggestion.
 
@@ -48,6 +62,9 @@
     def stop(self) -> None:
         """Fall silent."""
 
+    def counted(self) -> MemberCounts:
+        """Return the counters since the start."""
+
 
 @final
 class StaticMembers:
@@ -58,7 +75,10 @@
         self.settings = settings
         self.identity = settings.name
         self.leaving = False
-        self.addresses = dict(peer.split('=', 1) for peer in settings.peers)
+        pairs = (peer.split('=', 1) for peer in settings.peers)
+        self.addresses = {
+            label.partition('@')[0]: address for label, address in pairs
+        }
 
     def alive_in_domain(self) -> tuple[str, ...]:
         """Return the configured entry VMs of this domain."""
@@ -101,3 +121,7 @@
 
     def stop(self) -> None:
         """Need not fall silent."""
+
+    def counted(self) -> MemberCounts:
+        """Count nothing."""
+        return MemberCounts()
--- a/src/lycheerelay/_node.py
+++ b/src/lycheerelay/_node.py
@@ -31,6 +31,7 @@
 from ._log_client import LogClient
 from ._mark_keeper import MarkKeeper
 from ._members import Members
+from ._metrics_core import CoreCounters, observe
 from ._node_parts import NodeParts
 from ._ownership import Ownership
 from ._policy import Policy
@@ -63,6 +64,7 @@
         """Wire the parts; start none of them."""
         self.needs_config = needs_config
         self.draining = False
+        self.counters = CoreCounters()
         self.settings = settings
         self.clock = clock
         self.policy = policy
@@ -269,6 +271,7 @@
 
     def _step(self, state: ShardState, event: Event) -> bool:
         _, commands = step(state, event, self.clock.now_ms())
+        observe(self.counters, state, event, commands)
         for command in commands:
             EXECUTORS[type(command)](self.parts, command)
         return bool(commands)
@@ -293,7 +296,7 @@
         # Behind the records of the read, so that a newer term is known.
         self.links.log_read_ms = begun_ms
         for state in tuple(self.shards.values()):
-            if state.is_owner:
+            if state.is_owner and state.log_term == state.term:
                 self._step(state, OwnershipConfirmed(state.term, begun_ms))
 
     def _follow_term(self, state: ShardState) -> None:
--- a/src/lycheerelay/_order_refresh.py
+++ b/src/lycheerelay/_order_refresh.py
@@ -1,11 +1,13 @@
 """Bring lanes and index up to date before work is placed."""
 
+from itertools import islice
 from typing import Final
 
 from ._fence import may_start
 from ._fit_room import room_of
 from ._gang import refresh_reservations
 from ._jobs import Kind, TaskState
+from ._learn import booked_demand
 from ._order import ORDERS, OrderPolicy, band_of
 from ._order_lanes import URGENT, Entry, FitClass, LaneKey
 from ._preempt_victims import movable_once_more
@@ -15,6 +17,8 @@
 RESYNC_MS: Final = 1000
 GANG_REVIEW_MS: Final = 1000
 SCARCE_MS: Final = 5000
+MAX_FRESH: Final = 500
+ACCELERATORS: Final = Resources._fields.index('accelerators')
 
 
 def refresh(state: ShardState, now_ms: int) -> None:
@@ -28,15 +32,16 @@
     _enqueue_changed(state, now_ms)
 
 
-def demand_of(job: JobBook) -> Resources:
+def demand_of(state: ShardState, job: JobBook) -> Resources:
     """Return what one task of a job is booked with."""
-    return job.spec.demand
+    return booked_demand(state, job.spec)
 
 
 def _resync(state: ShardState, now_ms: int) -> None:
     was_scarce = state.synced_ms < state.scarce_until_ms
     state.synced_ms = now_ms
-    if state.waiting.blocked.scarce:
+    is_scarce = state.waiting.is_scarce(ACCELERATORS, state.ledger.total)
+    if is_scarce and state.waiting.blocked.scarce:
         state.scarce_until_ms = now_ms + SCARCE_MS
     elif was_scarce and now_ms >= state.scarce_until_ms:
         state.ledger.touched.update(dict.fromkeys(state.workers))
@@ -63,9 +68,9 @@
     waiting = state.waiting
     order = ORDERS[state.policy.limits.order]
     changed = dict.fromkeys(waiting.due(now_ms))
-    changed.update(waiting.fresh)
-    waiting.fresh.clear()
+    changed.update(dict.fromkeys(islice(waiting.fresh, MAX_FRESH)))
     for job_id in changed:
+        waiting.fresh.pop(job_id, None)
         job = state.jobs.get(job_id)
         if job is None or job_id not in waiting:
             continue
@@ -82,15 +87,18 @@
     now_ms: int,
 ) -> None:
     waiting = state.waiting
-    ready = []
-    later = 0
-    for index, task in enumerate(job.tasks):
-        if task.state is not TaskState.QUEUED:
-            continue
-        if task.not_before_ms <= now_ms:
-            ready.append(index)
-        else:
-            later = min(later or task.not_before_ms, task.not_before_ms)
+    queued = [
+        index
+        for index, task in enumerate(job.tasks)
+        if task.state is TaskState.QUEUED
+    ]
+    due = [job.tasks[index].not_before_ms for index in queued]
+    ready = [
+        index
+        for index, due_ms in zip(queued, due, strict=True)
+        if due_ms <= now_ms
+    ]
+    later = min((due_ms for due_ms in due if due_ms > now_ms), default=0)
     if later:
         waiting.delay(later, job.spec.job_id)
     if job.spec.kind is Kind.GANG and _is_split(job, later):
@@ -125,7 +133,7 @@
     spec = job.spec
     band = band_of(order, spec)
     fit_class = FitClass(
-        demand_of(job),
+        demand_of(state, job),
         _run_bits(spec.expected_run_ms),
         len(indexes) if spec.kind is Kind.GANG else 1,
         band == URGENT,
--- a/src/lycheerelay/_sender.py
+++ b/src/lycheerelay/_sender.py
@@ -12,8 +12,10 @@
 
 from ._backoff import Backoff
 from ._clock import MS_PER_SECOND, Clock
-from ._commands import ForgetTask, StartTask, StopTask
+from ._codes import Code
+from ._commands import ForgetTask, StartTask, StopTask, ThrottleTask
 from ._events import Event, StartAnswered
+from ._jobs import TaskState
 from ._worker_link import WorkerLink
 
 THREADS: Final = 16
@@ -21,7 +23,11 @@
 MAX_QUEUED: Final = 2000
 IDLE_MS: Final = 1000
 
-TaskCommand = StartTask | StopTask | ForgetTask
+# A reply to a command carries no answer of the task; the report that the link
+# delivers does, so only that one may end an attempt in these states.
+STATES_WITH_ANSWERS: Final = frozenset((TaskState.DONE, TaskState.FAILED))
+
+TaskCommand = StartTask | StopTask | ThrottleTask | ForgetTask
 
 
 @dataclass(slots=True)
@@ -125,7 +131,7 @@
         link = self.find_link(lane.worker)
         is_past = link is None or command.term != link.term
         may_send = link is not None and link.lease.is_valid(command.term)
-        answered = may_send and self._try(link, command)
+        answered = may_send and self._try(link, command, lane.is_probe)
         with self.wake:
             self.probing -= lane.is_probe
             lane.scheduled = False
@@ -164,12 +170,24 @@
         if link is not None:
             link.resync()
 
-    def _try(self, link: WorkerLink | None, command: TaskCommand) -> bool:
+    def _try(
+        self,
+        link: WorkerLink | None,
+        command: TaskCommand,
+        is_repeat: bool,
+    ) -> bool:
         if link is None:
             return False
         if isinstance(command, ForgetTask):
             forgotten = link.client.forget(command.term, command.key)
             return not isinstance(forgotten, Err)
+        if isinstance(command, ThrottleTask):
+            slowed = link.client.throttle(
+                command.term,
+                command.key,
+                command.percent,
+            )
+            return not isinstance(slowed, Err)
         if isinstance(command, StartTask):
             reply = link.client.start(
                 command.term,
@@ -188,6 +206,13 @@
         if isinstance(reply, Err):
             return False
         answer = reply.ok_value
+        is_refused = answer.state is TaskState.NOT_STARTED
+        if answer.code == Code.STALE_TERM or (is_refused and is_repeat):
+            # An earlier copy may have been taken; the table tells.
+            link.resync()
+            return True
+        if answer.state in STATES_WITH_ANSWERS:
+            return True
         self.post(
             command.worker,
             StartAnswered(
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -8,6 +8,7 @@
 from lycheerelay._http import CallError, Reply
 from lycheerelay._routing import (
     MAX_HOPS,
+    MAX_IN_FLIGHT,
     ROUTE_TIMEOUT_MS,
     Located,
     Router,
@@ -28,6 +29,9 @@
     def address_of(self, name):
         return name
 
+    def is_alive(self, identity):
+        return identity == 'a2@7'
+
 
 class FakeDirectory:
     def __init__(self, owner='a2@7', located=None):
@@ -133,3 +137,24 @@
     assert router.read(request(), 'a.1').status == 200
     router, _ = make([Ok(Reply(404, {}))])
     assert router.read(request(), 'a.1') is None
+
+
+def test_silent_owner_costs_no_call():
+    located = Located('a2@6', is_final=False)
+    router, caller = make([], FakeDirectory('a2@6', located))
+    refusal = router.submit(request(), 'a.1', 'desk')
+    assert refusal.body['code'] == Code.NO_OWNER
+    assert router.read(request(), 'a.1') is None
+    assert caller.calls == []
+
+
+def test_hanging_node_takes_a_bounded_number_of_threads():
+    router, caller = make([])
+    router.in_flight['a2'] = MAX_IN_FLIGHT
+    refusal = router.submit(request(), 'a.1', 'desk')
+    assert refusal.body['code'] == Code.NO_OWNER
+    assert refusal.body['not_run'] is False
+    assert (caller.calls, router.crowded) == ([], 1)
+    router.in_flight['a2'] = 0
+    router.submit(request(), 'a.1', 'desk')
+    assert (len(caller.calls), router.in_flight['a2']) == (1, 0)
