--- a/src/lycheerelay/_inbox.py
+++ b/src/lycheerelay/_inbox.py
@@ -8,7 +8,7 @@
 from ._clock import MS_PER_SECOND
 from ._events import Event
 
-MAX_BURST: Final = 500
+MAX_BURST: Final = 200
 
 T = TypeVar('T')
 
--- a/src/lycheerelay/_order_blocked.py
+++ b/src/lycheerelay/_order_blocked.py
@@ -114,6 +114,15 @@
         rooms = self.rooms.get(demand, {})
         return any(room.admits(fit_class) for room in rooms.values())
 
+    def is_hopeless(self, fit_class: FitClass) -> bool:
+        """Tell whether a blocked class that asks for less implies this one."""
+        if fit_class in self.classes or fit_class.width > 1:
+            return False
+        return any(
+            _implies(other, fit_class) and not self.is_open(other)
+            for other in self.classes
+        )
+
     def may_open(self, lanes: TeamLanes) -> bool:
         """Tell cheaply whether a team could have an open lane."""
         if self.rooms and not self.rooms.keys().isdisjoint(lanes.demands):
@@ -125,3 +134,15 @@
         if fit_class.width > 1 or fit_class not in self.classes:
             return None
         return tuple(self.rooms.get(fit_class.demand, ()))
+
+
+def _implies(less: FitClass, more: FitClass) -> bool:
+    """Tell whether what keeps one class out keeps the other out too."""
+    return (
+        less.width == 1
+        and less.run_bits <= more.run_bits
+        and less.urgent == more.urgent
+        and less.movable == more.movable
+        and bool(less.demand.accelerators) == bool(more.demand.accelerators)
+        and less.demand.fits_in(more.demand)
+    )
--- a/src/lycheerelay/_order_refresh.py
+++ b/src/lycheerelay/_order_refresh.py
@@ -17,7 +17,7 @@
 RESYNC_MS: Final = 1000
 GANG_REVIEW_MS: Final = 1000
 SCARCE_MS: Final = 5000
-MAX_FRESH: Final = 500
+MAX_FRESH: Final = 128
 ACCELERATORS: Final = Resources._fields.index('accelerators')
 
 
--- a/src/lycheerelay/_schedule.py
+++ b/src/lycheerelay/_schedule.py
@@ -80,7 +80,9 @@
         return []
     workload = state.policy.workload(spec.workload)
     fit = FITS[workload.fit if workload else state.policy.limits.fit]
-    placements = KINDS[spec.kind](state, entry, fit, now_ms)
+    placements: list[Placement] = []
+    if not _is_hopeless(state, entry):
+        placements = KINDS[spec.kind](state, entry, fit, now_ms)
     for _, name in placements:
         state.waiting.blocked.use(name, state.workers[name].free)
     if not placements:
@@ -95,6 +97,13 @@
     return placements
 
 
+def _is_hopeless(state: ShardState, entry: Entry) -> bool:
+    """Spare a search of every worker where its result is implied."""
+    if state.reservations.role_of(entry.spec.job_id) is not None:
+        return False
+    return state.waiting.blocked.is_hopeless(entry.key.fit_class)
+
+
 def _leave_queue(state: ShardState, job_id: str) -> None:
     """Keep a job waiting only while a task has its retry delay left."""
     state.waiting.drop_entry(job_id)
