--- a/tests/test_worker_link.py
+++ b/tests/test_worker_link.py
@@ -439,3 +439,17 @@
     sender.send(StartTask('w1', 1, KEY, SPEC))
     sender._serve(sender._next_lane())
     assert posted[0][1].state is TaskState.NOT_STARTED
+
+
+def test_handed_back_lease_ends_while_tasks_go_on():
+    rig = Rig()
+    link = rig.holder('e1@1', 1)
+    acquire(link)
+    rig.start(link)
+    link.hand_back()
+    assert not rig.worker.grantor.admits(1)
+    assert not link.lease.is_valid(1)
+    rig.pass_time(5000, link)
+    heir = rig.holder('e2@1', 2)
+    acquire(heir)
+    assert rig.events[-1].table[0].state is TaskState.RUNNING
