--- a/benchmarks/_decide_late.py
+++ b/benchmarks/_decide_late.py
@@ -12,25 +12,29 @@
 
 @dataclass(slots=True)
 class LateBook(WorkerBook):
-    """Keep a decided placement off the books until it is reported."""
+    """Take a placement off the free room only once it is reported."""
 
-    planned: dict[AttemptKey, Resources] = field(default_factory=dict)
+    confirmed: set[AttemptKey] = field(default_factory=set)
 
     def charge(self, key: AttemptKey, demand: Resources) -> None:
-        """Remember the placement without booking it."""
-        if key not in self.charges:
-            self.planned[key] = demand
+        """Note the placement without taking it off the free room."""
+        self.charges.setdefault(key, demand)
 
     def release(self, key: AttemptKey) -> None:
-        """Forget the placement."""
-        self.planned.pop(key, None)
-        WorkerBook.release(self, key)
+        """Give back what was taken off."""
+        if key in self.confirmed:
+            self.confirmed.remove(key)
+            WorkerBook.release(self, key)
+        else:
+            self.charges.pop(key, None)
 
     def confirm(self, key: AttemptKey) -> None:
-        """Book a placement that the worker reported."""
-        demand = self.planned.pop(key, None)
-        if demand is not None:
+        """Take a reported placement off the free room."""
+        demand = self.charges.get(key)
+        if demand is not None and key not in self.confirmed:
+            self.charges.pop(key)
             WorkerBook.charge(self, key, demand)
+            self.confirmed.add(key)
 
 
 class LateWorld(World):
