--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -67,14 +67,26 @@
 
     def kill_everything(self):
         """Kill and replace all entry VMs at once."""
-        if self.log_trouble or any(self.domain_trouble.values()):
+        until = time.monotonic() + 20
+        while self.has_trouble() and time.monotonic() < until:
+            time.sleep(0.1)
+        if self.has_trouble():
             return
         vms = [vm for vm in self.cell.vms if self.claim(vm)]
         self.counts['kill_all'] += 1
+        self.note('kill_all')
         for vm in vms:
             vm.kill()
         self.later(1, lambda: [self.revive(vm) for vm in vms])
 
+    def has_trouble(self):
+        now = time.monotonic()
+        return (
+            self.log_trouble
+            or any(self.domain_trouble.values())
+            or any(now < at for at in self.guarded.values())
+        )
+
     def heal(self):
         for timer in self.timers:
             timer.join(30)
@@ -223,6 +235,7 @@
 
     def log_lost_replies(self):
         self.cell.switch_log(lose_replies=self.random.randint(1, 6))
+        self.note('log_lost_replies')
         return True
 
     def log_repeats(self):
@@ -291,6 +304,7 @@
                     mine = owner.partition('@')[0] == other.name
                     if pool in left and owner != left[pool] and mine:
                         self.taken(time.monotonic() - began, hindered)
+                        self.note('taken', vm.name, pool, other.name, hindered)
                         left.pop(pool)
             time.sleep(0.02)
         if left and not hindered:
--- a/tests/test_worker_link.py
+++ b/tests/test_worker_link.py
@@ -416,3 +416,40 @@
     sender.send(StartTask('w1', 1, KEY, SPEC))
     sender._serve(sender._next_lane())
     assert (posted, old.needs_table) == ([], True)
+
+
+def test_refused_repeat_is_settled_by_the_table():
+    rig = Rig()
+    link = rig.holder('e1@1', 1)
+    acquire(link)
+    link.needs_table = False
+    posted = []
+    clock = ManualClock(1000)
+    sender = Sender(
+        {'w1': link}.get, lambda *pair: posted.append(pair), clock, 0
+    )
+    sender.send(StartTask('w1', 1, KEY, SPEC))
+    link.client.delayed = []
+    sender._serve(sender._next_lane())
+    link.client.delayed = None
+    rig.worker.leaving = True
+    clock.advance(10_000)
+    sender._serve(sender._next_lane())
+    assert (posted, link.needs_table) == ([], True)
+    sender.send(StartTask('w1', 1, KEY, SPEC))
+    sender._serve(sender._next_lane())
+    assert posted[0][1].state is TaskState.NOT_STARTED
+
+
+def test_handed_back_lease_ends_while_tasks_go_on():
+    rig = Rig()
+    link = rig.holder('e1@1', 1)
+    acquire(link)
+    rig.start(link)
+    link.hand_back()
+    assert not rig.worker.grantor.admits(1)
+    assert not link.lease.is_valid(1)
+    rig.pass_time(5000, link)
+    heir = rig.holder('e2@1', 2)
+    acquire(heir)
+    assert rig.events[-1].table[0].state is TaskState.RUNNING
