--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -116,11 +116,12 @@
             self.world.cuts.add(frozenset((node, other)))
         self.world.rounds(1)
 
-    @rule(worker=workers)
-    def cut_worker(self, worker):
+    @rule(worker=workers, count=st.sampled_from((0, 0, 16)))
+    def cut_worker(self, worker, count):
         for node in NODES:
             self.world.cuts.add(frozenset((node, worker)))
         self.world.rounds(1)
+        self.world.rounds(count, LONG_ROUND_MS)
 
     @rule()
     def heal(self):
