--- a/src/lycheerelay/_handle_tasks.py
+++ b/src/lycheerelay/_handle_tasks.py
@@ -1,5 +1,7 @@
 """Start tasks and take in their results."""
 
+from typing import Final
+
 from ._books import charge, has_queued, release
 from ._codes import Code
 from ._commands import Append, ForgetTask, StartTask, StopTask
@@ -10,7 +12,7 @@
 from ._handle_keeping import restate
 from ._handlers import FOLDS, HANDLERS, Commands
 from ._jobs import AttemptKey, TaskState
-from ._quarantine import open_probes
+from ._quarantine import give_up, open_probes
 from ._records import Ended, Intended, Start
 from ._reports import Sender, ended, find_current, stop_live, take_report
 from ._retire import retire_final
@@ -20,6 +22,8 @@
 from ._state import JobBook, ShardState, TaskBook
 from ._task_use import relieve
 
+STATES_WITH_ANSWERS: Final = frozenset((TaskState.DONE, TaskState.FAILED))
+
 
 @HANDLERS.register(Tick)
 def on_tick(state: ShardState, event: Tick, now_ms: int) -> Commands:
@@ -140,6 +144,9 @@
     """Take in a worker's answer; void a start that it refused."""
     if event.code == Code.STALE_TERM or not state.is_owner:
         return
+    if event.state in STATES_WITH_ANSWERS:
+        # The reply lacks the task's answer; the report that follows has it.
+        return
     sender = Sender(event.worker, event.boot)
     if event.state is TaskState.NOT_STARTED and event.code != Code.OK:
         task = find_current(state, sender, event.key)
@@ -191,3 +198,5 @@
         if job.restarting:
             yield from stop_live(state, job)
     yield from settle_if_over(state, job, record.at_ms)
+    if state.is_owner and record.state is TaskState.FAILED:
+        yield from give_up(state, job, now_ms)
