--- a/src/lycheerelay/_api.py
+++ b/src/lycheerelay/_api.py
@@ -12,6 +12,7 @@
 from ._codec import to_json
 from ._codes import CODES, Code, Refusal
 from ._commands import ReplyAccepted, ReplyRefused
+from ._explain import Explanation, explain
 from ._http import HttpCaller
 from ._jobs import ID_SEPARATOR, JobSpec, JobState, domain_of
 from ._node import Node
@@ -58,6 +59,7 @@
             route('POST', '/v1/jobs', self.submit),
             route('GET', '/v1/jobs/{job_id}', self.read),
             route('POST', '/v1/jobs/{job_id}/cancel', self.cancel),
+            route('GET', '/v1/jobs/{job_id}/explain', self.explain),
             route('GET', '/v1/teams/{team}/jobs', self.list_team),
         )
 
@@ -122,6 +124,20 @@
         left_ms = self.router.time_left(request, SUBMIT_TIMEOUT_MS)
         return _answer(self.node.cancel(found[0].pool, job_id, left_ms))
 
+    def explain(self, request: Request) -> Response:
+        """Say why a job waits, moved or ended as it did."""
+        job_id = request.parts['job_id']
+        refusal = check_id(job_id)
+        if refusal is not None:
+            return refused(refusal)
+        passed = self.router.cancel(request, job_id)
+        if passed is not None:
+            return passed
+        found = self.node.inspect(lambda: self._explain(job_id))
+        if found is None:
+            return refused(unknown(job_id))
+        return Response(200, {'code': 0, **to_json(found)})
+
     def list_team(self, request: Request) -> Response:
         """List the newest jobs of a team in this failure domain."""
         team = request.parts['team']
@@ -190,6 +206,11 @@
         found = self.node.find_job(job_id)
         return view_job(found[1]) if found else None
 
+    def _explain(self, job_id: str) -> Explanation | None:
+        found = self.node.find_job(job_id)
+        now_ms = self.node.clock.now_ms()
+        return explain(found[0], job_id, now_ms) if found else None
+
     def _newest(self, team: str, wanted: str, count: int) -> list[JobBook]:
         jobs = (
             job
--- a/src/lycheerelay/_cli_jobs.py
+++ b/src/lycheerelay/_cli_jobs.py
@@ -222,6 +222,21 @@
     return 0
 
 
+@command('explain', 'say why a job waits, moved or ended', _describe_one)
+def run_explain(arguments: argparse.Namespace) -> int:
+    """Print the reasons for a job's state."""
+    told = client_of(arguments).explain(arguments.job_id)
+    if isinstance(told, Err):
+        return fail(told.err_value)
+    if arguments.json:
+        print_json(told.ok_value)
+        return 0
+    print(f'{told.ok_value.job_id}: {told.ok_value.state}')
+    rows = ((int(why.code), why.text) for why in told.ok_value.reasons)
+    print_table(('CODE', 'REASON'), rows)
+    return 0
+
+
 @command('dump', 'print the state of one entry VM as JSON', add_entry_option)
 def run_dump(arguments: argparse.Namespace) -> int:
     """Print the state of the first entry VM that is named."""
--- a/src/lycheerelay/_client.py
+++ b/src/lycheerelay/_client.py
@@ -11,6 +11,7 @@
 from ._clock import MS_PER_SECOND, Clock
 from ._codec import Json, from_json
 from ._codes import Code, Refusal
+from ._explain import Explanation
 from ._http import CallError, HttpCaller, Reply
 from ._jobs import JobSpec
 from ._retry import RetryBudget
@@ -130,6 +131,11 @@
             Call('POST', f'/v1/jobs/{job_id}/cancel', Receipt),
         )
 
+    def explain(self, job_id: str) -> Result[Explanation, Refusal]:
+        """Ask why a job waits, moved or ended as it did."""
+        path = f'/v1/jobs/{job_id}/explain'
+        return self._request(Call('GET', path, Explanation))
+
     def list_team(
         self,
         team: str,
--- a/tests/test_cli_jobs.py
+++ b/tests/test_cli_jobs.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cell_parts import start_cell
+from cell_parts import start_cell, wait_until
 from lycheerelay.cli import main
 
 
@@ -63,6 +63,16 @@
     assert run('wait', 'a.long')[0] == 10
 
 
+def test_waiting_job_is_explained(run):
+    wide = ('--tasks', '2', '--cores-milli', '16000')
+    assert submit(run, {'run_ms': 60_000}, '--job-id', 'a.wide', *wide)[0] == 0
+    wait_until(lambda: ' tasks on w1' in run('explain', 'a.wide')[1])
+    status, out, _ = run('explain', 'a.wide')
+    assert (status, '1 of 2 tasks on w1' in out) == (0, True)
+    assert run('cancel', 'a.wide')[0] == 0
+    assert run('explain', 'a.none')[0] == 3
+
+
 def test_wrong_use_is_refused(run):
     assert run('status')[0] == 2
     status, _, err = submit(run, {}, '--tasks', '0')
