--- a/benchmarks/_decide_world.py
+++ b/benchmarks/_decide_world.py
@@ -174,7 +174,7 @@
     def _on_start(self, command: StartTask) -> int:
         worker = self.workers[command.worker]
         key = command.key
-        if key in worker.tasks:
+        if key in worker.tasks or command.boot != worker.boot:
             return 0
         demand = command.spec.demand
         worker.tasks[key] = demand
