Let an end name the worker and boot of its attempt

Cause: with a log outage, a paused owner, a takeover and a worker's reboot in one window, two owners can give one attempt number to different workers; the earlier owner's "not started" would have freed the other's attempt to run again. Change: the record names worker and boot, and counts only for the intent that names the same.

--- a/src/lycheerelay/_handle_tasks.py
+++ b/src/lycheerelay/_handle_tasks.py
@@ -130,7 +130,7 @@
         # This node alone may send the start, and does not.
         task.ending = True
         report = TaskReport(key, TaskState.NOT_STARTED)
-        yield Append(ended(state.pool, report, now_ms))
+        yield Append(ended(state.pool, task, report, now_ms))
     else:
         yield StartTask(task.worker, state.term, key, job.spec, task.boot)
 
@@ -191,6 +191,11 @@
         return
     if task.attempt != record.attempt or not task.may_run:
         return
+    if record.worker and (record.worker, record.boot) != (
+        task.worker,
+        task.boot,
+    ):
+        return
     release(state, task.worker, record.key)
     apply_end(state, job, task, record)
     if state.is_owner:
--- a/src/lycheerelay/_lapse.py
+++ b/src/lycheerelay/_lapse.py
@@ -96,6 +96,7 @@
     key: AttemptKey,
     now_ms: int,
 ) -> Ended:
+    task = job.tasks[key.task_index]
     rerun = job.spec.idempotent
     lost_state = TaskState.LAPSED if rerun else TaskState.UNKNOWN
     return Ended(
@@ -107,4 +108,6 @@
         0,
         '',
         now_ms,
+        task.worker,
+        task.boot,
     )
--- a/src/lycheerelay/_records.py
+++ b/src/lycheerelay/_records.py
@@ -36,7 +36,7 @@
 
 
 class Ended(NamedTuple):
-    """State how one attempt ended."""
+    """State how one attempt ended on the worker that it was meant for."""
 
     pool: str
     job_id: str
@@ -46,6 +46,8 @@
     code: int
     answer: str
     at_ms: int
+    worker: str = ''
+    boot: str = ''
 
     @property
     def key(self) -> AttemptKey:
--- a/src/lycheerelay/_reports.py
+++ b/src/lycheerelay/_reports.py
@@ -54,7 +54,7 @@
         note_usage(state, sender.worker, task, report)
     elif not task.ending:
         task.ending = True
-        yield Append(ended(state.pool, report, now_ms))
+        yield Append(ended(state.pool, task, report, now_ms))
 
 
 def _clear_stray(
@@ -100,7 +100,12 @@
     )
 
 
-def ended(pool: str, report: TaskReport, now_ms: int) -> Ended:
+def ended(
+    pool: str,
+    task: TaskBook,
+    report: TaskReport,
+    now_ms: int,
+) -> Ended:
     """Return the record of a reported end."""
     key = report.key
     return Ended(
@@ -112,4 +117,6 @@
         report.code,
         report.answer,
         now_ms,
+        task.worker,
+        task.boot,
     )
--- a/tests/test_fence.py
+++ b/tests/test_fence.py
@@ -14,7 +14,13 @@
     WorkerUnlisted,
 )
 from lycheerelay._jobs import JobSpec, Kind, TaskState
-from lycheerelay._records import Accepted, Intended, Start, TermTaken
+from lycheerelay._records import (
+    Accepted,
+    Ended,
+    Intended,
+    Start,
+    TermTaken,
+)
 from lycheerelay._resources import Resources
 from lycheerelay._state import ShardState
 
@@ -96,3 +102,15 @@
     task = state.jobs['a.1'].tasks[0]
     assert (task.state is TaskState.INTENDED) == held
     assert intents(state) == ([] if held else ['a.1'])
+
+
+@pytest.mark.parametrize('boot', ['b', 'earlier'])
+def test_end_counts_only_for_the_worker_and_boot_of_the_intent(state, boot):
+    hold(state, 'w1', 'w2', 'w3')
+    start = Start(0, 1, 'w3', 'b')
+    record(state, Intended('p', 2, 'a.1', (start,), 30))
+    state_of_end = TaskState.NOT_STARTED
+    end = Ended('p', 'a.1', 0, 1, state_of_end, 0, '', 40, 'w3', boot)
+    record(state, end)
+    task = state.jobs['a.1'].tasks[0]
+    assert task.may_run == (boot == 'earlier')
