Wire a node in a module of its own; refuse a folder of another log

Change: wiring moved to _node_wiring.py; such a folder is a version conflict that names the file, both versions and the way out; serve collects seldom.

--- a/src/lycheerelay/_cli.py
+++ b/src/lycheerelay/_cli.py
@@ -1,6 +1,7 @@
 """Parse the command line and run its sub-commands."""
 
 import argparse
+import gc
 import logging
 import signal
 import threading
@@ -28,6 +29,8 @@
 from ._shutdown import shut_down
 from ._web import WebServer
 
+COLLECTOR_THRESHOLDS: Final = (50_000, 20, 1000)
+
 # Importing these modules registers their sub-commands.
 COMMAND_MODULES: Final = (_cli_check, _cli_config, _cli_jobs)
 
@@ -78,6 +81,8 @@
         return report_errors(loaded.err_value, Code.BAD_SETTING)
     settings = loaded.ok_value
     set_up_logging(settings.log_format)
+    # Books hold few cycles, and a full collection stops the core for long.
+    gc.set_threshold(*COLLECTOR_THRESHOLDS)
     stopped = stop_on_signals()
     node, server = start_node(settings, needs_config=True)
     print(f'listening on {server.address}', flush=True)
--- a/src/lycheerelay/_config_publish.py
+++ b/src/lycheerelay/_config_publish.py
@@ -143,6 +143,9 @@
     if not config.complete:
         detail = 'the log no longer holds the configuration; name an entry VM'
         return Err(Refusal(Code.NOT_READY, detail))
+    foreign = [base for base in request.bases if base.version > config.version]
+    if foreign:
+        return Err(_foreign(config, foreign[0]))
     changes = plan_changes(config, request.files, request.bases)
     stale = conflicts(config, changes)
     if stale:
@@ -164,6 +167,15 @@
     )
 
 
+def _foreign(config: VersionedConfig, base: FileBase) -> Refusal:
+    detail = (
+        f'{base.name}: based on version {base.version}, expected at most '
+        f'{config.version}, the newest on this log; the folder was published '
+        'to another log: remove .lycheerelay.json to publish it here anew'
+    )
+    return Refusal(Code.VERSION_CONFLICT, detail)
+
+
 def _commit(
     log: Log,
     clock: Clock,
--- a/src/lycheerelay/_node.py
+++ b/src/lycheerelay/_node.py
@@ -6,8 +6,7 @@
 from typing import TypeVar, final
 
 from ._clock import MS_PER_SECOND, Clock
-from ._compaction import Compaction, MarkStream
-from ._config_follow import ConfigFollower, FollowSettings
+from ._compaction import Compaction
 from ._core import step
 from ._events import (
     CancelRequested,
@@ -22,17 +21,19 @@
     WorkerListed,
 )
 from ._executors import EXECUTORS
-from ._failover_log import FailoverLog
-from ._hold_client import HoldClient
 from ._http import HttpCaller
 from ._inbox import Entry, Inbox, Posted, ReadMark
 from ._jobs import JobSpec
-from ._journal import Journal, JournalSettings
 from ._log_client import LogClient
-from ._mark_keeper import MarkKeeper
 from ._members import Members
 from ._metrics_core import CoreCounters, observe
 from ._node_parts import NodeParts
+from ._node_wiring import (
+    Surroundings,
+    build_config,
+    build_journal,
+    build_marks,
+)
 from ._ownership import Ownership
 from ._policy import Policy
 from ._records import Record
@@ -81,7 +82,14 @@
             clock,
             self.post,
         )
-        self.parts = self._build_parts()
+        around = Surroundings(
+            settings,
+            clock,
+            members,
+            self.caller,
+            self.log,
+        )
+        self.parts = self._build_parts(around)
         self.parts.journal.note_read = lambda begun_ms: self.inbox.put(
             ReadMark(begun_ms),
         )
@@ -95,24 +103,7 @@
             settings.domain,
             self.take_vm_list,
         )
-        self.config = ConfigFollower(
-            FailoverLog(
-                self.log,
-                self.caller,
-                settings.name,
-                members,
-                clock,
-            ),
-            self.caller,
-            members,
-            FollowSettings(
-                settings.name,
-                settings.config_poll_ms,
-                settings.restate_ms,
-            ),
-            clock,
-            self.configure,
-        )
+        self.config = build_config(around, self.configure)
         self.thread = threading.Thread(
             target=self.run,
             name='core',
@@ -228,24 +219,9 @@
         self._follow_term(state)
         return had_commands
 
-    def _build_parts(self) -> NodeParts:
-        settings = self.settings
-        name, members = settings.name, self.members
-        log = FailoverLog(self.log, self.caller, name, members, self.clock)
-        marks = MarkKeeper(MarkStream(log, settings.domain))
-        journal = Journal(
-            log,
-            HoldClient(self.caller, name, members),
-            JournalSettings(
-                f'jobs.{settings.domain}',
-                name,
-                f'{name}@{self.clock.now_ms()}',
-                settings.commit_ms,
-            ),
-            self.clock,
-            self.take_record,
-            marks.load,
-        )
+    def _build_parts(self, around: Surroundings) -> NodeParts:
+        marks = build_marks(around)
+        journal = build_journal(around, marks, self.take_record)
         sender = Sender(self.links.get, self.links.post_event, self.clock)
         return NodeParts(journal, sender, Replies(), Watchers(), marks)
 
--- a/tests/test_publish.py
+++ b/tests/test_publish.py
@@ -143,3 +143,18 @@
         entry for entry in log.streams['config'] if entry['publication']
     ]
     assert len(published) == 2
+
+
+def test_folder_of_another_log_is_refused(cell, tmp_path, capsys):
+    log_server = cell[1]
+    folder = tmp_path / 'caroni'
+    shutil.copytree(CARONI, folder)
+    assert main(['publish', str(folder), '--log', log_server.address]) == 0
+    other = LogStandIn()
+    server = WebServer('127.0.0.1', 0, other.routes())
+    server.start()
+    code = main(['publish', str(folder), '--log', server.address])
+    server.stop()
+    assert code == 4
+    assert 'published to another log' in capsys.readouterr().err
+    assert not other.streams.get('config')
