Add an order for cells where waiting counts more than packing

Cause: with fair shares, a team that sent a wave started nothing while any other team waited; its small jobs made the worst 1% of waits. Change: the order `short` ranks by age plus an allowance that grows with the expected work, and a team's share counts less the longer its first job waits.

--- a/benchmarks/decide.py
+++ b/benchmarks/decide.py
@@ -22,6 +22,7 @@
 
 POLICIES: Final = {
     'lycheerelay': ('fair', 'leftover', World),
+    'short': ('short', 'leftover', World),
     'first_fit': ('age', 'first_fit', World),
     'worst_fit': ('age', 'worst_fit', World),
     'round_robin': ('age', 'round_robin', World),
--- a/src/lycheerelay/_explain.py
+++ b/src/lycheerelay/_explain.py
@@ -6,7 +6,7 @@
 from ._fence import may_start
 from ._gang import PATIENT_ROLE
 from ._jobs import Kind, TaskState
-from ._order import ORDERS, share_of
+from ._order import ORDERS
 from ._order_lanes import URGENT, Entry
 from ._resources import Resources
 from ._state import JobBook, ShardState
@@ -152,9 +152,9 @@
     text = f'{ahead} jobs of team {team} are due before it'
     if not ORDERS[state.policy.limits.order].is_managed:
         return Reason(Code.ACCEPTED, text)
-    share = share_of(state, team)
+    share = state.ledger.dominant_share(team)
     lower = sum(
-        share_of(state, name) < share
+        state.ledger.dominant_share(name) < share
         for name in state.waiting.teams[entry.key.band]
     )
     text = f'{text}; {lower} waiting teams hold less of their quota'
--- a/src/lycheerelay/_order.py
+++ b/src/lycheerelay/_order.py
@@ -11,8 +11,12 @@
 from ._state import JobBook, ShardState
 
 DEFAULT_DUE_MS: Final = 600_000
+CORE_MS_PER_ALLOWED_MS: Final = 10
+AGING_MS: Final = 500
+CORE_MILLI: Final = 1000
 
 Pick = Callable[[ShardState], Iterator[Entry]]
+Weigh = Callable[[ShardState, int, str], float]
 
 
 class OrderPolicy(NamedTuple):
@@ -36,6 +40,15 @@
     return job.spec.deadline_ms or job.accepted_ms + DEFAULT_DUE_MS
 
 
+def due_by_work(job: JobBook) -> int:
+    """Rank by age plus an allowance that grows with the expected work."""
+    spec = job.spec
+    core_ms = spec.tasks * spec.expected_run_ms * spec.cores_milli // CORE_MILLI
+    allowed_ms = min(core_ms // CORE_MS_PER_ALLOWED_MS, DEFAULT_DUE_MS)
+    due_ms = job.accepted_ms + allowed_ms
+    return min(spec.deadline_ms or due_ms, due_ms)
+
+
 def due_by_age(job: JobBook) -> int:
     """Rank by age alone."""
     return job.accepted_ms
@@ -44,13 +57,23 @@
 def pick_fair(state: ShardState) -> Iterator[Entry]:
     """Pick for the team with the least share, urgent work first."""
     for band in (URGENT, NORMAL):
-        yield from _pick_band(state, band)
+        yield from _pick_band(state, band, share_of)
+
+
+def pick_short(state: ShardState) -> Iterator[Entry]:
+    """Pick for the least share, which counts less the longer a team waits."""
+    for band in (URGENT, NORMAL):
+        yield from _pick_band(state, band, aged_share_of)
 
 
-def _pick_band(state: ShardState, band: int) -> Iterator[Entry]:
+def _pick_band(
+    state: ShardState,
+    band: int,
+    weigh: Weigh,
+) -> Iterator[Entry]:
     waiting = state.waiting
     heap = [
-        (share_of(state, team), team)
+        (weigh(state, band, team), team)
         for team, lanes in waiting.teams[band].items()
         if waiting.blocked.may_open(lanes)
     ]
@@ -62,14 +85,25 @@
             heappop(heap)
             continue
         yield entry
-        heapreplace(heap, (share_of(state, team), team))
+        heapreplace(heap, (weigh(state, band, team), team))
 
 
-def share_of(state: ShardState, team: str) -> float:
+def share_of(state: ShardState, band: int, team: str) -> float:
     """Return a team's dominant share against its quota."""
     return state.ledger.dominant_share(team)
 
 
+def aged_share_of(state: ShardState, band: int, team: str) -> float:
+    """Return a team's share, divided as its first job waits longer."""
+    share = state.ledger.dominant_share(team)
+    entry = state.waiting.first_of(band, team)
+    if entry is None:
+        return share
+    accepted_ms = state.jobs[entry.spec.job_id].accepted_ms
+    waited_ms = max(state.synced_ms - accepted_ms, 0)
+    return share * AGING_MS / (AGING_MS + waited_ms)
+
+
 def pick_by_age(state: ShardState) -> Iterator[Entry]:
     """Pick the oldest job whose class may fit."""
     waiting = state.waiting
@@ -112,5 +146,8 @@
 ORDERS.register('fair')(
     OrderPolicy(pick_fair, due_by_deadline, is_managed=True),
 )
+ORDERS.register('short')(
+    OrderPolicy(pick_short, due_by_work, is_managed=True),
+)
 ORDERS.register('age')(OrderPolicy(pick_by_age, due_by_age))
 ORDERS.register('fifo')(OrderPolicy(pick_strictly, due_by_age))
--- /dev/null
+++ b/tests/test_order_short.py
@@ -0,0 +1,59 @@
+"""Let short work of a team that waits long go ahead of its share."""
+
+from lycheerelay._jobs import JobSpec, Kind
+from lycheerelay._order import aged_share_of, due_by_work, share_of
+from lycheerelay._order_lanes import NORMAL
+from lycheerelay._state import JobBook, ShardState, TaskBook
+
+
+def book(job_id, run_ms=1000, tasks=1, accepted_ms=0, deadline_ms=0):
+    spec = JobSpec(
+        job_id,
+        't',
+        'w',
+        Kind.BATCH,
+        tasks,
+        expected_run_ms=run_ms,
+        deadline_ms=deadline_ms,
+    )
+    return JobBook(spec, accepted_ms, [TaskBook() for _ in range(tasks)])
+
+
+def test_less_work_is_due_earlier_and_age_still_wins():
+    small, large = book('a.1', 1000), book('a.2', 60_000, tasks=8)
+    assert due_by_work(small) == 100
+    assert due_by_work(large) == 48_000
+    late = book('a.3', 1000, accepted_ms=48_000)
+    assert due_by_work(large) < due_by_work(late)
+
+
+def test_allowance_is_bounded_and_a_deadline_comes_first():
+    assert due_by_work(book('a.1', 10**9)) == 600_000
+    assert due_by_work(book('a.1', 10**9, deadline_ms=5)) == 5
+
+
+class Waiting:
+    def __init__(self, entry):
+        self.entry = entry
+
+    def first_of(self, band, team):
+        return self.entry
+
+
+class Waiter:
+    def __init__(self, spec):
+        self.spec = spec
+
+
+def test_share_counts_less_the_longer_the_first_job_waits(monkeypatch):
+    state = ShardState('a', 'p', 'e1')
+    job = book('a.1', accepted_ms=1000)
+    state.jobs['a.1'] = job
+    state.waiting = Waiting(Waiter(job.spec))
+    monkeypatch.setattr(
+        type(state.ledger), 'dominant_share', lambda ledger, team: 0.6
+    )
+    state.synced_ms = 1000
+    assert aged_share_of(state, NORMAL, 't') == share_of(state, NORMAL, 't')
+    state.synced_ms = 2000
+    assert aged_share_of(state, NORMAL, 't') == 0.6 * 500 / 1500
