Use one piece of code for names, draws and the second

Cause: a read of the whole change found the name of an identity cut out by hand in three places beside name_of, the same digest turned into a number in two, and the milliseconds of a second defined anew in three modules. Change: name_of, a new number_of and the clock's constant serve them all. Conclusion: behaviour as before.

--- a/src/lycheerelay/_fit_baselines.py
+++ b/src/lycheerelay/_fit_baselines.py
@@ -1,14 +1,11 @@
 """Register the usual simple fits, to be measured against."""
 
-import hashlib
 from collections.abc import Iterable
-from typing import Final
 
 from ._fit import FITS, FitPolicy, FitRequest
+from ._hashing import number_of
 from ._state import ShardState, WorkerBook
 
-DIGEST_BYTES: Final = 8
-
 
 def choose_first(
     state: ShardState,
@@ -74,9 +71,8 @@
     if not able:
         return None
     seed = state.policy.limits.fit_seed
-    text = f'{seed}\0{request.key.to_text()}'.encode()
-    digest = hashlib.blake2b(text, digest_size=DIGEST_BYTES).digest()
-    return able[int.from_bytes(digest, 'big') % len(able)]
+    draw = number_of(f'{seed}\0{request.key.to_text()}')
+    return able[draw % len(able)]
 
 
 FITS.register('first_fit')(FitPolicy(choose_first))
--- a/src/lycheerelay/_hashing.py
+++ b/src/lycheerelay/_hashing.py
@@ -34,6 +34,12 @@
     return hashlib.blake2b(text, digest_size=DIGEST_BYTES).digest()
 
 
+def number_of(text: str) -> int:
+    """Return a number of 64 bits that depends on the text alone."""
+    digest = hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES).digest()
+    return int.from_bytes(digest)
+
+
 def digest_of(text: str) -> str:
     """Return a short digest by which equal texts are recognised."""
     return hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES).hexdigest()
--- a/src/lycheerelay/_http.py
+++ b/src/lycheerelay/_http.py
@@ -8,13 +8,13 @@
 import urllib3
 from result import Err, Ok, Result
 
+from ._clock import MS_PER_SECOND
 from ._codec import Json, dumps
 from ._traffic import TrafficBook
 
 MAX_REPLY_BYTES: Final = 8_388_608
 POOLS: Final = 512
 CONNECTIONS_PER_POOL: Final = 32
-MS_PER_SECOND: Final = 1000
 OTHER_PURPOSE: Final = 'other'
 SCHEME: Final = 'http://'
 FIXED_HEADERS: Final = {
--- a/src/lycheerelay/_metrics.py
+++ b/src/lycheerelay/_metrics.py
@@ -9,6 +9,7 @@
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
+from ._clock import MS_PER_SECOND
 from ._journal import Journal
 from ._metrics_core import Wait
 from ._node import Node
@@ -31,7 +32,6 @@
     600.0,
     3600.0,
 )
-MS_PER_SECOND: Final = 1000
 PAGE_BYTES: Final = resource.getpagesize()
 RESIDENT_FIELD: Final = 1
 
--- a/src/lycheerelay/_ownership.py
+++ b/src/lycheerelay/_ownership.py
@@ -6,7 +6,7 @@
 
 from ._clock import Clock
 from ._hashing import owner_of
-from ._members import Members
+from ._members import Members, name_of
 from ._records import Record, TermTaken
 from ._state import ShardState
 
@@ -63,7 +63,7 @@
         return owner_of(key, self.members.alive_in_domain())
 
     def _is_chosen(self, state: ShardState) -> bool:
-        name = self.members.identity.partition('@')[0]
+        name = name_of(self.members.identity)
         return self.members.is_settled() and self.chosen_for(state) == name
 
     def _must_wait(self, state: ShardState, now_ms: int) -> bool:
--- a/src/lycheerelay/_renewal_pace.py
+++ b/src/lycheerelay/_renewal_pace.py
@@ -2,13 +2,14 @@
 
 from typing import Final, NamedTuple
 
+from ._clock import MS_PER_SECOND
+
 RENEWAL_BYTES: Final = 700
 BUDGET_BYTES_PER_S: Final = 2500
 MIN_WAIT_MS: Final = 3000
 MIN_TTL_MS: Final = 10_000
 TRY_SLACK_MS: Final = 4000
 TRIES_PER_TASK_TTL: Final = 3
-MS_PER_SECOND: Final = 1000
 
 
 class RenewalPace(NamedTuple):
--- a/src/lycheerelay/_retry.py
+++ b/src/lycheerelay/_retry.py
@@ -1,15 +1,15 @@
 """Delay retries and bound how many starts they add."""
 
-import hashlib
 from dataclasses import dataclass
 from typing import Final, NamedTuple
 
+from ._hashing import number_of
+
 RETRY_SHARE_PERCENT: Final = 10
 FULL_TOKEN: Final = 100
 BURST_TOKENS: Final = 10
 TRICKLE_MS: Final = 1000
 MAX_DOUBLINGS: Final = 20
-DIGEST_BYTES: Final = 8
 
 
 class RetryPace(NamedTuple):
@@ -28,8 +28,7 @@
     doublings = min(max(failures - 1, 0), MAX_DOUBLINGS)
     full_ms = min(pace.base_ms << doublings, pace.max_ms)
     half_ms = full_ms // 2
-    digest = hashlib.blake2b(seed.encode(), digest_size=DIGEST_BYTES).digest()
-    return half_ms + int.from_bytes(digest) % (full_ms - half_ms + 1)
+    return half_ms + number_of(seed) % (full_ms - half_ms + 1)
 
 
 @dataclass(slots=True)
--- a/src/lycheerelay/_routing.py
+++ b/src/lycheerelay/_routing.py
@@ -12,7 +12,7 @@
 from ._codes import Code, Refusal
 from ._http import CallError, Reply
 from ._jobs import domain_of
-from ._members import Members
+from ._members import Members, name_of
 from ._retry import RetryBudget
 from ._web import Request, Response, refused
 
@@ -246,7 +246,7 @@
         return request.query_int('hop', 0) < MAX_HOPS
 
     def _address_of(self, owner: str) -> str | None:
-        name = owner.partition('@')[0]
+        name = name_of(owner)
         if not name or name == self.settings.name:
             return None
         return self.members.address_of(name)
--- a/src/lycheerelay_standins/quickstart.py
+++ b/src/lycheerelay_standins/quickstart.py
@@ -16,6 +16,7 @@
 from lycheerelay._codec import Json
 from lycheerelay._http import HttpCaller
 from lycheerelay._jobs import JobSpec, Kind
+from lycheerelay._members import name_of
 from lycheerelay._node import Node
 from lycheerelay._resources import Resources
 from lycheerelay._settings import NodeSettings
@@ -216,7 +217,7 @@
             free = sum(
                 worker.free.cores_milli for worker in state.workers.values()
             )
-            owner, _, _ = state.owner.partition('@')
+            owner = name_of(state.owner)
             print(
                 f'{domain:<8}{pool:<8}{owner:<10}'
                 f'{len(state.workers):<9}{free / 1000:g}',
