--- /dev/null
+++ b/src/lycheerelay/platform/__init__.py
@@ -0,0 +1,5 @@
+"""Translate between the users' platform and the product."""
+
+from ._serve import main
+
+__all__ = ('main',)
--- /dev/null
+++ b/src/lycheerelay/platform/_advisor.py
@@ -0,0 +1,56 @@
+"""Reach the platform's placement advisor."""
+
+import logging
+from collections.abc import Sequence
+from typing import Final, final
+
+from result import Err, Ok, Result
+
+from ..serving import Advised, LogFault
+from ..workflow import StepKey
+from ._decode import UNREADABLE
+from ._http import NO_ANSWER, PlatformHttp
+
+logger = logging.getLogger('lycheerelay.advisor')
+
+# A call takes up to a second by itself, and calls of one VM wait in turn; in
+# ms, longer than that the answer helps nobody.
+TIMEOUT_MS: Final = 5000
+OK: Final = 200
+BUSY: Final = 429
+
+
+@final
+class AdvisorCalls:
+    """Ask the advisor; a VM that has none gets a refusal."""
+
+    def __init__(self, http: PlatformHttp, address: str) -> None:
+        """Name the advisor's address."""
+        self.http = http
+        self.address = address
+
+    async def ask(
+        self,
+        step: StepKey,
+        workers: Sequence[str],
+    ) -> Result[Advised, LogFault]:
+        """Return tickets for those of the workers that may run the step."""
+        reply = await self.http.call_json(
+            f'http://{self.address}/v1/advise',
+            TIMEOUT_MS,
+            {
+                'step': f'{step.job_id}.{step.occurrence}.{step.step}',
+                'workers': list(workers),
+            },
+        )
+        if reply.status != OK:
+            logger.info('advisor_refused', extra={'status': reply.status})
+            is_unsure = reply.status == NO_ANSWER
+            return Err(LogFault.UNKNOWN if is_unsure else LogFault.REFUSED)
+        fields = reply.fields()
+        try:
+            rows = tuple((str(row[0]), str(row[1])) for row in fields['good'])
+            return Ok(Advised(rows, int(fields['validityMs'])))
+        except UNREADABLE as error:
+            logger.warning('advice_unreadable', extra={'error': str(error)})
+            return Err(LogFault.REFUSED)
--- /dev/null
+++ b/src/lycheerelay/platform/_ingress.py
@@ -0,0 +1,194 @@
+"""Answer callers and the platform's readiness question."""
+
+import logging
+import string
+from collections.abc import Awaitable, Callable
+from typing import Final, NamedTuple, final
+
+import orjson
+from aiohttp import web
+from result import Err
+
+from .._clock import Clock
+from .._registry import Registry
+from ..serving import ConfigWatch, Desk, Outcome, Queue, QueueTable, Verdict
+from ._decode import decode_job
+
+logger = logging.getLogger('lycheerelay.ingress')
+
+READY_PATH: Final = '/v1/readiness'
+PATIENCE_HEADER: Final = 'X-Deadline-Milliseconds'
+# Callers that do not say how long they wait are taken to wait so long, in ms.
+PATIENCE_MS: Final = 3000
+ID_DIGITS: Final = 16
+HEX_DIGITS: Final = frozenset(string.hexdigits)
+
+STATUSES: Final = {
+    Verdict.OK: 200,
+    Verdict.REFUSED: 503,
+    Verdict.UNKNOWN_OUTCOME: 504,
+    Verdict.NO_SUCH_JOB: 410,
+    Verdict.UNAVAILABLE: 503,
+}
+NO_QUEUE: Final = 404
+BAD_BODY: Final = 400
+TOO_LARGE: Final = 413
+BAD_METHOD: Final = 405
+UNAVAILABLE: Final = 503
+
+
+class Target(NamedTuple):
+    """Name the job of a request and the configuration that decided."""
+
+    queue: Queue
+    job_id: str
+    table: QueueTable
+
+
+@final
+class Ingress:
+    """Translate callers' requests into requests to the desk."""
+
+    def __init__(
+        self,
+        desk: Desk,
+        config: ConfigWatch,
+        clock: Clock,
+        is_ready: Callable[[], bool],
+    ) -> None:
+        """Serve by the newest configuration."""
+        self.desk = desk
+        self.config = config
+        self.clock = clock
+        self.is_ready = is_ready
+        self.closing = False
+        self.active = 0
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request of a caller."""
+        self.active += 1
+        try:
+            response = await self._answer(request)
+        finally:
+            self.active -= 1
+        if self.closing:
+            response.force_close()
+        return response
+
+    async def ready(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Tell whether new channels are welcome."""
+        if request.path == READY_PATH and self.is_ready():
+            return web.Response()
+        return web.Response(status=UNAVAILABLE)
+
+    async def _answer(self, request: web.BaseRequest) -> web.Response:
+        table = self.config.table
+        if table is None:
+            return _refusal(UNAVAILABLE, 'no configuration yet', 1)
+        host = (request.headers.get('Host') or '').partition(':')[0]
+        queue = table.find(host, request.path)
+        if queue is None:
+            return _refusal(NO_QUEUE, 'no such queue')
+        job_id = request.path[len(queue.prefix) :]
+        if not job_id and request.method == 'GET':
+            outcome = await self.desk.waiting(queue, _patience(request))
+            return _reply(outcome, 'waiting')
+        if len(job_id) != ID_DIGITS or not HEX_DIGITS.issuperset(job_id):
+            return _refusal(NO_QUEUE, 'a job id has 16 hexadecimal digits')
+        handler = METHODS.entries.get(request.method)
+        if handler is None:
+            return _refusal(BAD_METHOD, 'POST, GET or DELETE a job')
+        return await handler(self, request, Target(queue, job_id, table))
+
+
+Method = Callable[
+    ['Ingress', web.BaseRequest, 'Target'], Awaitable[web.Response]
+]
+METHODS: Final[Registry[str, Method]] = Registry('method')
+
+
+@METHODS.register('POST')
+async def submit(
+    ingress: Ingress,
+    request: web.BaseRequest,
+    target: Target,
+) -> web.Response:
+    """Take a job in."""
+    raw = await request.read()
+    if len(raw) > target.table.most_body_bytes:
+        return _refusal(TOO_LARGE, 'the body is too large')
+    decoded = decode_job(
+        raw,
+        target.job_id,
+        target.queue,
+        ingress.clock.now_ms(),
+    )
+    if isinstance(decoded, Err):
+        logger.info(
+            'submission_malformed',
+            extra={'job': target.job_id, 'error': decoded.err_value},
+        )
+        return _refusal(BAD_BODY, decoded.err_value)
+    outcome = await ingress.desk.submit(decoded.ok_value, _patience(request))
+    return _reply(outcome, '')
+
+
+@METHODS.register('GET')
+async def state(
+    ingress: Ingress,
+    request: web.BaseRequest,
+    target: Target,
+) -> web.Response:
+    """Tell a job's state."""
+    outcome = await ingress.desk.state(
+        target.job_id,
+        target.queue,
+        _patience(request),
+    )
+    return _reply(outcome, 'state')
+
+
+@METHODS.register('DELETE')
+async def cancel(
+    ingress: Ingress,
+    request: web.BaseRequest,
+    target: Target,
+) -> web.Response:
+    """Cancel a job."""
+    outcome = await ingress.desk.cancel(
+        target.job_id,
+        target.queue,
+        _patience(request),
+    )
+    return _reply(outcome, '')
+
+
+def _patience(request: web.BaseRequest) -> int:
+    text = request.headers.get(PATIENCE_HEADER, '')
+    return int(text) if text.isdecimal() else PATIENCE_MS
+
+
+def _reply(outcome: Outcome, field: str) -> web.Response:
+    status = STATUSES[outcome.verdict]
+    if status == UNAVAILABLE:
+        text = 'the store or the owner is away'
+        return _refusal(status, text, outcome.retry_after_s)
+    if outcome.verdict is not Verdict.OK:
+        return _refusal(status, outcome.verdict.value)
+    body = {field: outcome.content} if field else {}
+    return _json(status, body)
+
+
+def _refusal(status: int, error: str, retry_after_s: int = 0) -> web.Response:
+    response = _json(status, {'error': error})
+    if retry_after_s:
+        response.headers['Retry-After'] = str(retry_after_s)
+    return response
+
+
+def _json(status: int, body: dict[str, object]) -> web.Response:
+    return web.Response(
+        status=status,
+        body=orjson.dumps(body),
+        content_type='application/json',
+    )
--- /dev/null
+++ b/src/lycheerelay/platform/_settings.py
@@ -0,0 +1,62 @@
+"""Read the platform's settings file."""
+
+import os
+import tomllib
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+from result import Err, Ok, Result
+
+PATH_VARIABLE: Final = 'LYCHEERELAY_CONFIG'
+MS_PER_SECOND: Final = 1000
+
+
+class PlatformSettings(NamedTuple):
+    """Hold what the process needs of the file; times in ms."""
+
+    vm: str
+    domain: str
+    host: str
+    callers_address: str
+    ready_address: str
+    internal_port: int
+    store_address: str
+    advisor_address: str
+    lease_ms: int
+    status_ms: int
+    stop_grace_ms: int
+    listing_every_ms: int
+
+
+def read_settings() -> Result[PlatformSettings, str]:
+    """Return the settings, or what is wrong with the file."""
+    path = os.environ.get(PATH_VARIABLE, '')
+    if not path:
+        return Err(f'{PATH_VARIABLE} is not set')
+    try:
+        return Ok(_decode(tomllib.loads(Path(path).read_text())))
+    except OSError as error:
+        return Err(f'{path}: {error.strerror}')
+    except KeyError as error:
+        return Err(f'{path}: {error.args[0]} is missing')
+    except (ValueError, TypeError, IndexError) as error:
+        return Err(f'{path}: {error}')
+
+
+def _decode(fields: dict[str, Any]) -> PlatformSettings:
+    bounds = fields['bounds']
+    return PlatformSettings(
+        vm=fields['nodeName'],
+        domain=fields['zone'],
+        host=fields['ip'],
+        callers_address=fields['listen']['front'],
+        ready_address=fields['listen']['ready'],
+        internal_port=int(fields['internalPortRange'][0]),
+        store_address=fields['platform']['address'],
+        advisor_address=fields.get('placementAdvisor', ''),
+        # The longest time for which anything may run unprolonged.
+        lease_ms=int(bounds['maxHoldMs']),
+        status_ms=int(bounds['status_s'] * MS_PER_SECOND),
+        stop_grace_ms=int(bounds['graceS'] * MS_PER_SECOND),
+        listing_every_ms=int(fields['heartbeatIntervalMs']),
+    )
--- /dev/null
+++ b/src/lycheerelay/platform/_workers.py
@@ -0,0 +1,190 @@
+"""Reach the workers: looks, starts, stops and paces."""
+
+import logging
+from collections.abc import Iterator, Mapping
+from typing import Any, Final, final
+
+from ..serving import (
+    Held,
+    HoldOrder,
+    PaceOrder,
+    StartOrder,
+    StopOrder,
+)
+from ..workflow import (
+    Answer,
+    End,
+    How,
+    Row,
+    RunKey,
+    Table,
+    TaskKey,
+)
+from ._decode import UNREADABLE
+from ._http import NO_ANSWER, NOT_SENT, PlatformHttp, Reply
+
+logger = logging.getLogger('lycheerelay.workers')
+
+# A worker answers within two ways across failure domains; a start that takes
+# longer than this, in ms, is voided and made elsewhere.
+ORDER_TIMEOUT_MS: Final = 700
+# A look answers at its wait's end; it is given so much longer, in ms.
+LOOK_TIMEOUT_MS: Final = 700
+EXPECTED_LIFE: Final = 'X-Expected-Instance'
+OK: Final = 200
+CONFLICT: Final = 409
+CORES_MILLI: Final = 1000
+
+ANSWERS: Final = {
+    NO_ANSWER: Answer.NONE,
+    NOT_SENT: Answer.UNSENT,
+    OK: Answer.DONE,
+    400: Answer.MALFORMED,
+    421: Answer.OTHER_LIFE,
+    429: Answer.UNWELL,
+    503: Answer.UNWELL,
+}
+REASONS: Final = {
+    'fence': Answer.FENCED,
+    'old': Answer.OLD_RUN,
+    'late': Answer.EXPIRED,
+    'room': Answer.NO_ROOM,
+    'ticket': Answer.BAD_TICKET,
+}
+
+
+@final
+class WorkerCalls:
+    """Call workers; each call names the life that it is meant for."""
+
+    def __init__(self, http: PlatformHttp, clock_ms: Any) -> None:
+        """Take the client and the clock of the answers."""
+        self.http = http
+        self.clock_ms = clock_ms
+
+    async def hold(self, order: HoldOrder) -> Held:
+        """Prolong the leases and look at what runs."""
+        body: dict[str, object] = {
+            'fencingToken': order.fence,
+            'lastSeen': order.last_seen,
+        }
+        if order.deadline_ms:
+            body['deadlineMs'] = order.deadline_ms
+        if order.wait_ms:
+            body['waitMs'] = order.wait_ms
+        asked_ms = self.clock_ms()
+        reply = await self.http.call_json(
+            f'http://{order.address}/v1/hold',
+            LOOK_TIMEOUT_MS + order.wait_ms,
+            body,
+            {EXPECTED_LIFE: order.worker_id},
+        )
+        answer = _answer(reply)
+        if answer is not Answer.DONE:
+            return Held(answer)
+        return _held(order.worker_id, asked_ms, reply.fields())
+
+    async def start(self, order: StartOrder) -> Answer:
+        """Start a run."""
+        body: dict[str, object] = {
+            'task': task_name(order.run.task),
+            'run': order.run.number,
+            'spec': order.payload,
+            'deadlineMs': order.deadline_ms,
+            'fencingToken': order.fence,
+        }
+        if order.checkpoint:
+            body['checkpoint'] = order.checkpoint
+        if order.ticket:
+            body['ticket'] = order.ticket
+        return await self._order(order, '/v1/run-start', body)
+
+    async def stop(self, order: StopOrder) -> Answer:
+        """Stop or void a run."""
+        return await self._order(order, '/v1/run-stop', _run_fields(order))
+
+    async def pace(self, order: PaceOrder) -> Answer:
+        """Set a run's pace."""
+        body = {**_run_fields(order), 'percent': order.percent}
+        return await self._order(order, '/v1/pace', body)
+
+    async def _order(
+        self,
+        order: StartOrder | StopOrder | PaceOrder,
+        path: str,
+        body: Mapping[str, object],
+    ) -> Answer:
+        reply = await self.http.call_json(
+            f'http://{order.address}{path}',
+            ORDER_TIMEOUT_MS,
+            body,
+            {EXPECTED_LIFE: order.worker_id},
+        )
+        return _answer(reply)
+
+
+def task_name(task: TaskKey) -> str:
+    """Return a task's name on the wire."""
+    return f'{task.job_id}.{task.occurrence}.{task.step}.{task.member}'
+
+
+def task_key(name: str) -> TaskKey:
+    """Return the task of a name; raise ValueError for another form."""
+    job_id, occurrence, step, member = name.rsplit('.', 3)
+    return TaskKey(job_id, int(occurrence), int(step), int(member))
+
+
+def _run_fields(order: StopOrder | PaceOrder) -> dict[str, object]:
+    return {
+        'task': task_name(order.run.task),
+        'run': order.run.number,
+        'fencingToken': order.fence,
+    }
+
+
+def _answer(reply: Reply) -> Answer:
+    if reply.status == CONFLICT:
+        reason = str(reply.fields().get('reason'))
+        return REASONS.get(reason, Answer.MALFORMED)
+    found = ANSWERS.get(reply.status)
+    if found is None:
+        logger.warning('worker_status_unknown', extra={'status': reply.status})
+        return Answer.NONE
+    return found
+
+
+def _held(worker_id: str, asked_ms: int, fields: Mapping[str, Any]) -> Held:
+    try:
+        table = Table(
+            worker_id,
+            asked_ms,
+            tuple(_rows(fields['running'])),
+            tuple(_ends(fields['ended'])),
+        )
+        return Held(Answer.DONE, int(fields['clockMs']), table)
+    except UNREADABLE as error:
+        logger.warning(
+            'look_unreadable',
+            extra={'worker': worker_id, 'error': str(error)},
+        )
+        return Held(Answer.NONE)
+
+
+def _rows(rows: list[list[Any]]) -> Iterator[Row]:
+    for name, number, checkpoint, percent, *rest in rows:
+        yield Row(
+            RunKey(task_key(name), int(number)),
+            str(checkpoint or ''),
+            int(percent),
+            int(rest[0]) if rest else 0,
+        )
+
+
+def _ends(rows: list[list[Any]]) -> Iterator[End]:
+    for number, name, run, how, checkpoint in rows:
+        yield End(
+            int(number),
+            RunKey(task_key(name), int(run)),
+            How(how),
+            str(checkpoint or ''),
+        )
--- /dev/null
+++ b/src/lycheerelay/serving/__init__.py
@@ -0,0 +1,71 @@
+"""Run one entry VM: callers, the owner's cell, and the calls between them."""
+
+from ._advice_desk import AdviceDesk
+from ._config_watch import ConfigWatch
+from ._context import Limits, OwnerContext
+from ._desk import Desk, Outcome, Verdict
+from ._event_log import set_up_event_log
+from ._internal import Internal
+from ._listings import ListingReader
+from ._meters import Meters
+from ._owner import Owner, clear_ms
+from ._peers import Peers
+from ._ports import (
+    Advised,
+    Advisor,
+    Grant,
+    Group,
+    Held,
+    HoldOrder,
+    KeyedLog,
+    KeyedRecord,
+    LogFault,
+    PaceOrder,
+    Slice,
+    StartOrder,
+    StopOrder,
+    Stream,
+    Workers,
+    Writer,
+)
+from ._queues import Queue, QueueTable
+from ._tenure import GROUP_TTL_MS, Tenure
+from ._terms import Terms
+
+__all__ = (
+    'GROUP_TTL_MS',
+    'AdviceDesk',
+    'Advised',
+    'Advisor',
+    'ConfigWatch',
+    'Desk',
+    'Grant',
+    'Group',
+    'Held',
+    'HoldOrder',
+    'Internal',
+    'KeyedLog',
+    'KeyedRecord',
+    'Limits',
+    'ListingReader',
+    'LogFault',
+    'Meters',
+    'Outcome',
+    'Owner',
+    'OwnerContext',
+    'PaceOrder',
+    'Peers',
+    'Queue',
+    'QueueTable',
+    'Slice',
+    'StartOrder',
+    'StopOrder',
+    'Stream',
+    'Tenure',
+    'Terms',
+    'Verdict',
+    'Workers',
+    'Writer',
+    'clear_ms',
+    'set_up_event_log',
+)
--- /dev/null
+++ b/src/lycheerelay/serving/_config_watch.py
@@ -0,0 +1,76 @@
+"""Follow the operators' configuration; never go back to an older version."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Final, final
+
+from result import Err
+
+from ._ports import KeyedLog, KeyedRecord, LogFault, Slice, Stream
+from ._queues import QueueTable
+
+logger = logging.getLogger('lycheerelay.config')
+
+# A change is waited for so long in one read, in ms: the bound for putting a
+# version in force is 2 s, and a channel that went silent must not exceed it
+# by much.
+WAIT_MS: Final = 1500
+# The pause after a read that was not served, in s.
+RETRY_S: Final = 0.1
+
+Decoder = Callable[[KeyedRecord], QueueTable | None]
+
+
+@final
+class ConfigWatch:
+    """Hold the newest configuration that this process has seen."""
+
+    def __init__(self, log: KeyedLog, decoder: Decoder) -> None:
+        """Start without a configuration."""
+        self.log = log
+        self.decoder = decoder
+        self.table: QueueTable | None = None
+        self.next_offset = -1
+
+    async def run(self) -> None:
+        """Follow the stream for ever."""
+        while True:
+            outcome = await self._read()
+            if isinstance(outcome, Err):
+                if outcome.err_value is LogFault.GONE:
+                    self.next_offset = -1
+                await asyncio.sleep(RETRY_S)
+
+    async def _read(self) -> Err[LogFault] | None:
+        if self.next_offset < 0:
+            outcome = await self.log.newest(Stream.OPERATOR)
+        else:
+            outcome = await self.log.read(
+                Stream.OPERATOR,
+                self.next_offset,
+                WAIT_MS,
+            )
+        if isinstance(outcome, Err):
+            return outcome
+        self._take(outcome.ok_value)
+        return None
+
+    def _take(self, part: Slice) -> None:
+        self.next_offset = max(self.next_offset, part.next_offset)
+        for record in part.records:
+            table = self.decoder(record)
+            if table is None:
+                continue
+            version = self.table.version if self.table else 0
+            if table.version > version:
+                self.table = table
+                logger.info(
+                    'config_in_force',
+                    extra={
+                        'version': table.version,
+                        'before': version,
+                        'queues': len(table.queues),
+                        'offset': record.offset,
+                    },
+                )
--- /dev/null
+++ b/src/lycheerelay/serving/_context.py
@@ -0,0 +1,58 @@
+"""Bundle what the parts of an owner share."""
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import Final
+
+from .._clock import Clock
+from ..workflow import CellState
+from ._meters import Meters
+from ._ports import Advisor, KeyedLog, Workers
+from ._tenure import Tenure
+
+# Several events are decided on together, at most this much later, in s.
+DECIDE_DELAY_S: Final = 0.002
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Hold the bounds that the surroundings set, in ms."""
+
+    lease_ms: int
+    status_ms: int
+
+
+@dataclass(slots=True, eq=False)
+class OwnerContext:
+    """Share one cell among the tasks that serve it."""
+
+    cell: CellState
+    tenure: Tenure
+    clock: Clock
+    log: KeyedLog
+    workers: Workers
+    advisor: Advisor
+    limits: Limits
+    meters: Meters
+    fence: int
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+    decide: asyncio.Event = field(default_factory=asyncio.Event)
+    recorded: asyncio.Event = field(default_factory=asyncio.Event)
+    loaded: asyncio.Event = field(default_factory=asyncio.Event)
+    tail_offset: int = 0
+    tail_read_ms: int = 0
+
+    def poke(self) -> None:
+        """Let the core decide and the recorder write soon."""
+        self.changed.set()
+        self.decide.set()
+
+    @property
+    def may_order(self) -> bool:
+        """Tell whether this owner may still send orders."""
+        return not self.cell.deposed and self.tenure.is_valid(self.now_ms)
+
+    @property
+    def now_ms(self) -> int:
+        """Return the time, which also counts while suspended."""
+        return self.clock.now_ms()
--- /dev/null
+++ b/src/lycheerelay/serving/_desk.py
@@ -0,0 +1,227 @@
+"""Serve callers: take jobs, cancel them, tell their state."""
+
+import asyncio
+import logging
+from enum import Enum, unique
+from typing import Any, Final, NamedTuple, final
+
+from result import Err, Ok
+
+from .._clock import Clock
+from ..workflow import JobPhase, WorkflowSpec
+from ._meters import Meters
+from ._owner import CANCEL_PREFIX, JOB_PREFIX, Owner
+from ._peers import SEEK_EVERY_MS, Peers
+from ._ports import KeyedLog, KeyedRecord, LogFault, Stream
+from ._queues import Queue
+from ._spec_codec import encode_spec
+
+logger = logging.getLogger('lycheerelay.desk')
+
+# One try of an append is given so long, in ms: twice what a slow store takes.
+APPEND_TIMEOUT_MS: Final = 700
+# A question to the owner is given so long, in ms, then the owner is sought.
+ASK_TIMEOUT_MS: Final = 500
+# Callers come back after this time, in s: an owner is replaced within it.
+RETRY_AFTER_S: Final = 1
+# The pause between two questions while the owner changes, in s.
+ASK_PAUSE_S: Final = 0.1
+# Callers are told before their own patience ends, by so many ms.
+PATIENCE_MARGIN_MS: Final = 150
+# A question waits at most so long, in ms, for an owner that takes over.
+LONGEST_ASK_MS: Final = 1500
+
+
+@unique
+class Verdict(Enum):
+    """Name the outcome of a request."""
+
+    OK = 'ok'
+    REFUSED = 'refused'
+    UNKNOWN_OUTCOME = 'unknown_outcome'
+    NO_SUCH_JOB = 'no_such_job'
+    UNAVAILABLE = 'unavailable'
+
+
+class Outcome(NamedTuple):
+    """Answer one request."""
+
+    verdict: Verdict
+    content: Any = None
+    retry_after_s: int = RETRY_AFTER_S
+
+
+@final
+class Desk:
+    """Answer requests, from the own cell or through the owner."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        log: KeyedLog,
+        peers: Peers,
+        meters: Meters,
+    ) -> None:
+        """Start without being the owner."""
+        self.clock = clock
+        self.log = log
+        self.peers = peers
+        self.meters = meters
+        self.owner: Owner | None = None
+
+    async def submit(self, spec: WorkflowSpec, patience_ms: int) -> Outcome:
+        """Store a job; it is accepted once the store has acknowledged it."""
+        record = KeyedRecord(f'{JOB_PREFIX}{spec.job_id}', encode_spec(spec))
+        outcome = await self._append(record, patience_ms, 'submit')
+        return self._said('submit', spec.job_id, spec.queue, outcome)
+
+    async def cancel(
+        self,
+        job_id: str,
+        queue: Queue,
+        patience_ms: int,
+    ) -> Outcome:
+        """Store that a job is cancelled."""
+        known = await self._ask('/state', {'job': job_id}, patience_ms // 2)
+        if known is not None and known.get('phase') is None:
+            outcome = Outcome(Verdict.NO_SUCH_JOB)
+            return self._said('cancel', job_id, queue.name, outcome)
+        record = KeyedRecord(f'{CANCEL_PREFIX}{job_id}', b'{}')
+        outcome = await self._append(record, patience_ms, 'cancel')
+        return self._said('cancel', job_id, queue.name, outcome)
+
+    async def state(
+        self,
+        job_id: str,
+        queue: Queue,
+        patience_ms: int,
+    ) -> Outcome:
+        """Return the phase of a job."""
+        answer = await self._ask('/state', {'job': job_id}, patience_ms)
+        if answer is None:
+            outcome = Outcome(Verdict.UNAVAILABLE)
+        elif answer['phase'] is None:
+            outcome = Outcome(Verdict.NO_SUCH_JOB)
+        else:
+            outcome = Outcome(Verdict.OK, answer['phase'])
+        return self._said('state', job_id, queue.name, outcome)
+
+    async def waiting(self, queue: Queue, patience_ms: int) -> Outcome:
+        """Return how many jobs of a queue have not begun."""
+        answer = await self._ask('/waiting', {'queue': queue.name}, patience_ms)
+        if answer is None:
+            return Outcome(Verdict.UNAVAILABLE)
+        return Outcome(Verdict.OK, answer['waiting'])
+
+    async def answer_state(self, job_id: str) -> dict[str, Any] | None:
+        """Answer for the own cell; None while it cannot be known."""
+        owner = self.owner
+        if owner is None or not owner.is_serving:
+            return None
+        job = owner.cell.jobs.get(job_id)
+        if job is None:
+            if not await owner.read_up() or not owner.is_serving:
+                return None
+            job = owner.cell.jobs.get(job_id)
+        phase: JobPhase | None = None if job is None else job.shown
+        return {'phase': phase}
+
+    def answer_waiting(self, queue: str) -> dict[str, Any] | None:
+        """Count the waiting jobs of a queue in the own cell."""
+        owner = self.owner
+        if owner is None or not owner.is_serving:
+            return None
+        waiting = sum(
+            1
+            for job in owner.cell.jobs.values()
+            if job.spec.queue == queue and not job.begun and not job.is_final
+        )
+        return {'waiting': waiting}
+
+    async def _append(
+        self,
+        record: KeyedRecord,
+        patience_ms: int,
+        what: str,
+    ) -> Outcome:
+        ends_ms = self.clock.now_ms() + patience_ms - PATIENCE_MARGIN_MS
+        is_unsure = False
+        fault = LogFault.REFUSED
+        for _ in range(2):
+            asked_ms = self.clock.now_ms()
+            outcome = await self.log.append(
+                Stream.JOBS,
+                (record,),
+                timeout_ms=min(APPEND_TIMEOUT_MS, max(ends_ms - asked_ms, 1)),
+            )
+            self.meters.observe('append', self.clock.now_ms() - asked_ms)
+            if isinstance(outcome, Ok):
+                return Outcome(Verdict.OK, outcome.ok_value)
+            fault = outcome.err_value
+            is_unsure = is_unsure or fault is LogFault.UNKNOWN
+            if self.clock.now_ms() >= ends_ms:
+                break
+        logger.info(
+            'append_failed',
+            extra={'what': what, 'key': record.key, 'fault': fault.value},
+        )
+        if is_unsure:
+            return Outcome(Verdict.UNKNOWN_OUTCOME)
+        return Outcome(Verdict.REFUSED)
+
+    async def _ask(
+        self,
+        path: str,
+        body: dict[str, Any],
+        patience_ms: int,
+    ) -> dict[str, Any] | None:
+        patience_ms = min(patience_ms - PATIENCE_MARGIN_MS, LONGEST_ASK_MS)
+        ends_ms = self.clock.now_ms() + patience_ms
+        while True:
+            answer = await self._ask_once(path, body, ends_ms)
+            if answer is not None:
+                return answer
+            left_ms = ends_ms - self.clock.now_ms()
+            if left_ms <= 0:
+                return None
+            await self.peers.refresh(SEEK_EVERY_MS)
+            await asyncio.sleep(ASK_PAUSE_S)
+
+    async def _ask_once(
+        self,
+        path: str,
+        body: dict[str, Any],
+        ends_ms: int,
+    ) -> dict[str, Any] | None:
+        if self.owner is not None:
+            if path == '/state':
+                return await self.answer_state(body['job'])
+            return self.answer_waiting(body['queue'])
+        left_ms = max(ends_ms - self.clock.now_ms(), 1)
+        outcome = await self.peers.call_owner(
+            path,
+            body,
+            min(ASK_TIMEOUT_MS, left_ms),
+        )
+        return None if isinstance(outcome, Err) else outcome.ok_value
+
+    def _said(
+        self,
+        what: str,
+        job_id: str,
+        queue: str,
+        outcome: Outcome,
+    ) -> Outcome:
+        verdict = outcome.verdict.value
+        self.meters.count('requests', what=what, verdict=verdict)
+        logger.info(
+            'request',
+            extra={
+                'what': what,
+                'job': job_id,
+                'queue': queue,
+                'verdict': verdict,
+                'answer': outcome.content,
+            },
+        )
+        return outcome
--- /dev/null
+++ b/src/lycheerelay/serving/_holder.py
@@ -0,0 +1,151 @@
+"""Hold one worker: prolong its leases and look at what it runs."""
+
+import asyncio
+import logging
+from typing import Final, final
+
+from ..workflow import (
+    Answer,
+    WorkerBook,
+    apply_table,
+    bury_worker,
+    pace_worker,
+)
+from ._context import OwnerContext
+from ._ports import Held, HoldOrder
+from ._worker_clock import WorkerClock
+
+logger = logging.getLogger('lycheerelay.holder')
+
+# A look waits at most so long for an end, in ms. Longer looks cost less and
+# find a silent worker, and a run that stands still, later.
+LOOK_WAIT_MS: Final = 1000
+# The pause after a look that was not answered, in s.
+UNANSWERED_PAUSE_S: Final = 0.25
+# A look waits so long for the record of the ends before, in s.
+RECORD_WAIT_S: Final = 0.15
+# The pause between looks while ends cannot be recorded, in s.
+UNRECORDED_PAUSE_S: Final = 0.2
+# Leases that are asked for end so much before the longest allowed, in ms.
+LEASE_MARGIN_MS: Final = 50
+
+
+@final
+class Holder:
+    """Look at one worker again and again."""
+
+    def __init__(
+        self,
+        context: OwnerContext,
+        worker_id: str,
+        address: str,
+    ) -> None:
+        """Start without a reading of the worker's clock."""
+        self.context = context
+        self.worker_id = worker_id
+        self.address = address
+        self.clock = WorkerClock()
+
+    async def run(self) -> None:
+        """Look until the worker or the ownership is over."""
+        while not self.context.cell.deposed:
+            if self.worker_id in self.context.cell.dead:
+                return
+            if not self.context.may_order:
+                await asyncio.sleep(UNANSWERED_PAUSE_S)
+                continue
+            held = await self._look()
+            await self._take_in(held)
+
+    def lease_deadline(self) -> int:
+        """Return a deadline on the worker's clock and note that it is given."""
+        if not self.clock.is_known:
+            return 0
+        now_ms = self.context.now_ms
+        span_ms = self.context.limits.lease_ms - LEASE_MARGIN_MS
+        deadline_ms = self.clock.deadline(span_ms, now_ms)
+        worker = self.context.cell.workers.get(self.worker_id)
+        if worker is not None:
+            over_ms = self.clock.over_by(deadline_ms)
+            worker.lease_until_ms = max(worker.lease_until_ms, over_ms)
+        return deadline_ms
+
+    async def _look(self) -> Held:
+        worker = self.context.cell.workers.get(self.worker_id)
+        is_known = worker is not None and self.clock.is_known
+        wait_ms = LOOK_WAIT_MS if is_known else 0
+        if worker is None or worker.silent:
+            wait_ms = 0
+        last_seen = worker.recorded_end if worker else 0
+        if worker and worker.recorded_end < worker.handled_end:
+            wait_ms = 0
+        return await self.context.workers.hold(
+            HoldOrder(
+                self.worker_id,
+                self.address,
+                self.context.fence,
+                last_seen,
+                self.lease_deadline(),
+                wait_ms,
+            ),
+        )
+
+    async def _take_in(self, held: Held) -> None:
+        context = self.context
+        now_ms = context.now_ms
+        if held.answer is Answer.DONE and held.table is not None:
+            self.clock.heard(held.clock_ms, now_ms)
+            await context.loaded.wait()
+            await self._apply(held)
+        elif held.answer is Answer.OTHER_LIFE:
+            bury_worker(
+                context.cell,
+                self.worker_id,
+                now_ms,
+                'another life answers there',
+            )
+            context.poke()
+        elif held.answer is Answer.FENCED:
+            logger.warning('fenced_by_worker', extra={'worker': self.worker_id})
+            context.cell.deposed = True
+            context.poke()
+        else:
+            await self._unanswered(held.answer)
+
+    async def _apply(self, held: Held) -> None:
+        context = self.context
+        worker = context.cell.workers.get(self.worker_id)
+        if held.table is None or worker is None:
+            return
+        if worker.silent:
+            logger.info('worker_regained', extra={'worker': self.worker_id})
+        apply_table(context.cell, held.table, context.now_ms)
+        pace_worker(context.cell, worker)
+        context.poke()
+        await self._await_record(worker)
+
+    async def _await_record(self, worker: WorkerBook) -> None:
+        if worker.recorded_end >= worker.handled_end:
+            return
+        try:
+            async with asyncio.timeout(RECORD_WAIT_S):
+                while worker.recorded_end < worker.handled_end:
+                    await self.context.recorded.wait()
+        except TimeoutError:
+            # The store is slow or away; look on without forgetting ends.
+            await asyncio.sleep(UNRECORDED_PAUSE_S)
+
+    async def _unanswered(self, answer: Answer) -> None:
+        worker = self.context.cell.workers.get(self.worker_id)
+        if worker is not None and not worker.silent:
+            worker.silent = True
+            logger.warning(
+                'worker_lost',
+                extra={
+                    'worker': self.worker_id,
+                    'answer': answer.value,
+                    'heard_ms_ago': self.context.now_ms - worker.heard_ms,
+                    'runs': len(worker.runs),
+                },
+            )
+        await asyncio.sleep(UNANSWERED_PAUSE_S)
--- /dev/null
+++ b/src/lycheerelay/serving/_internal.py
@@ -0,0 +1,75 @@
+"""Serve the internal interface between entry VMs."""
+
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Any, Final, final
+
+import orjson
+from aiohttp import web
+from result import Err
+
+from .._registry import Registry
+from ..workflow import StepKey
+from ._desk import Desk
+from ._ports import Advisor
+
+logger = logging.getLogger('lycheerelay.internal')
+
+Body = dict[str, Any]
+Route = Callable[['Internal', Body], Awaitable[Body | None]]
+ROUTES: Final[Registry[str, Route]] = Registry('internal route')
+
+UNAVAILABLE: Final = 503
+BAD_REQUEST: Final = 400
+NOT_FOUND: Final = 404
+
+
+@final
+class Internal:
+    """Answer other entry VMs."""
+
+    def __init__(self, desk: Desk, advisor: Advisor) -> None:
+        """Answer from the desk's cell."""
+        self.desk = desk
+        self.advisor = advisor
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one call."""
+        if request.path not in ROUTES:
+            return web.Response(status=NOT_FOUND)
+        raw = await request.read()
+        try:
+            body = orjson.loads(raw)
+            answer = await ROUTES[request.path](self, body)
+        except (ValueError, KeyError, TypeError) as error:
+            logger.warning(
+                'internal_call_unreadable',
+                extra={'path': request.path, 'error': str(error)},
+            )
+            return web.Response(status=BAD_REQUEST)
+        if answer is None:
+            return web.Response(status=UNAVAILABLE)
+        return web.Response(body=orjson.dumps(answer))
+
+
+@ROUTES.register('/state')
+async def state(internal: Internal, body: Body) -> Body | None:
+    """Tell the phase of a job."""
+    return await internal.desk.answer_state(body['job'])
+
+
+@ROUTES.register('/waiting')
+async def waiting(internal: Internal, body: Body) -> Body | None:
+    """Count the waiting jobs of a queue."""
+    return internal.desk.answer_waiting(body['queue'])
+
+
+@ROUTES.register('/advice')
+async def advice(internal: Internal, body: Body) -> Body | None:
+    """Call the advisor for another entry VM."""
+    step = StepKey(*body['step'])
+    outcome = await internal.advisor.ask(step, body['workers'])
+    if isinstance(outcome, Err):
+        return None
+    advised = outcome.ok_value
+    return {'tickets': advised.tickets, 'valid_ms': advised.valid_ms}
--- /dev/null
+++ b/src/lycheerelay/serving/_orders.py
@@ -0,0 +1,214 @@
+"""Carry out the commands of the core."""
+
+import asyncio
+import logging
+from collections.abc import Coroutine
+from typing import Any, Final, final
+
+from result import Ok
+
+from .._registry import Registry
+from ..workflow import (
+    Advice,
+    Answer,
+    AskAdvice,
+    Note,
+    PaceRun,
+    StartRun,
+    StopRun,
+    advice_failed,
+    apply_advice,
+    start_answered,
+    stop_answered,
+)
+from ._advice_desk import AdviceDesk
+from ._cell_log import write_note
+from ._context import OwnerContext
+from ._holder import Holder
+from ._ports import PaceOrder, StartOrder, StopOrder
+
+logger = logging.getLogger('lycheerelay.orders')
+
+CARRIERS: Final[Registry[type, Any]] = Registry('command')
+
+
+@final
+class Orders:
+    """Send what the core decided, each order by a task of its own."""
+
+    def __init__(self, context: OwnerContext, desk: AdviceDesk) -> None:
+        """Start with nothing on its way."""
+        self.context = context
+        self.desk = desk
+        self.holders: dict[str, Holder] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def carry_out(self) -> None:
+        """Empty the core's outbox."""
+        commands = self.context.cell.outbox
+        self.context.cell.outbox = []
+        for command in commands:
+            CARRIERS[type(command)](self, command)
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run one order; its task is kept until it ends."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._over)
+
+    def cancel(self) -> None:
+        """Give up every order on its way."""
+        for task in self.tasks:
+            task.cancel()
+
+    def _over(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger.error('order_crashed', exc_info=task.exception())
+
+
+@CARRIERS.register(Note)
+def carry_note(orders: Orders, command: Note) -> None:
+    """Write a line."""
+    orders.context.meters.count('events', event=command.event)
+    write_note(command)
+
+
+@CARRIERS.register(StartRun)
+def carry_start(orders: Orders, command: StartRun) -> None:
+    """Send a start."""
+    orders.spawn(_start(orders, command))
+
+
+@CARRIERS.register(StopRun)
+def carry_stop(orders: Orders, command: StopRun) -> None:
+    """Send a stop."""
+    orders.spawn(_stop(orders, command))
+
+
+@CARRIERS.register(PaceRun)
+def carry_pace(orders: Orders, command: PaceRun) -> None:
+    """Send a pace."""
+    orders.spawn(_pace(orders, command))
+
+
+@CARRIERS.register(AskAdvice)
+def carry_question(orders: Orders, command: AskAdvice) -> None:
+    """Ask for advice."""
+    orders.spawn(_ask(orders, command))
+
+
+async def _start(orders: Orders, command: StartRun) -> None:
+    context = orders.context
+    holder = orders.holders.get(command.worker_id)
+    answer = Answer.UNSENT
+    sent_ms = context.now_ms
+    if holder is not None and holder.clock.is_known and context.may_order:
+        deadline_ms = holder.lease_deadline()
+        _note_expiry(context, command, holder.clock.over_by(deadline_ms))
+        answer = await context.workers.start(
+            StartOrder(
+                command.worker_id,
+                holder.address,
+                context.fence,
+                command.run,
+                command.payload,
+                command.checkpoint,
+                command.ticket,
+                deadline_ms,
+            ),
+        )
+        context.meters.observe('start', context.now_ms - sent_ms)
+    context.meters.count('starts', answer=answer.value)
+    start_answered(
+        context.cell,
+        command.worker_id,
+        command.run,
+        answer,
+        context.now_ms,
+    )
+    if answer is not Answer.DONE:
+        context.poke()
+
+
+def _note_expiry(
+    context: OwnerContext,
+    command: StartRun,
+    expires_ms: int,
+) -> None:
+    worker = context.cell.workers.get(command.worker_id)
+    run = worker.runs.get(command.run) if worker else None
+    if run is not None:
+        run.start_expires_ms = expires_ms
+
+
+async def _stop(orders: Orders, command: StopRun) -> None:
+    context = orders.context
+    holder = orders.holders.get(command.worker_id)
+    if holder is None or not context.may_order:
+        return
+    answer = await context.workers.stop(
+        StopOrder(
+            command.worker_id,
+            holder.address,
+            context.fence,
+            command.run,
+        ),
+    )
+    context.meters.count('stops', answer=answer.value)
+    stop_answered(
+        context.cell,
+        command.worker_id,
+        command.run,
+        answer,
+        context.now_ms,
+    )
+
+
+async def _pace(orders: Orders, command: PaceRun) -> None:
+    context = orders.context
+    holder = orders.holders.get(command.worker_id)
+    if holder is None or not context.may_order:
+        return
+    answer = await context.workers.pace(
+        PaceOrder(
+            command.worker_id,
+            holder.address,
+            context.fence,
+            command.run,
+            command.percent,
+        ),
+    )
+    context.meters.count('paces', answer=answer.value)
+    worker = context.cell.workers.get(command.worker_id)
+    run = worker.runs.get(command.run) if worker else None
+    if answer is not Answer.DONE and run is not None:
+        # An unknown pace is set again at the next look.
+        run.pace = -1
+
+
+async def _ask(orders: Orders, command: AskAdvice) -> None:
+    context = orders.context
+    outcome = await orders.desk.ask(command)
+    now_ms = context.now_ms
+    if isinstance(outcome, Ok):
+        advised = outcome.ok_value
+        advice = Advice(
+            command.step,
+            command.workers,
+            advised.tickets,
+            advised.valid_ms,
+            now_ms,
+        )
+        apply_advice(context.cell, advice)
+    else:
+        logger.info(
+            'advice_failed',
+            extra={
+                'job': command.step.job_id,
+                'step': command.step.step,
+                'fault': outcome.err_value.value,
+            },
+        )
+        advice_failed(context.cell, command.step, now_ms)
+    context.poke()
--- /dev/null
+++ b/src/lycheerelay/serving/_owner.py
@@ -0,0 +1,398 @@
+"""Take a cell over and run it while the ownership lasts."""
+
+import asyncio
+import logging
+from typing import Any, Final, final
+
+import orjson
+from result import Err, Ok
+
+from .._resources import Resources
+from ..workflow import (
+    CellState,
+    JobBook,
+    WorkerListing,
+    cancel,
+    dispatch,
+    expire_jobs,
+    list_worker,
+    open_occurrences,
+    restore,
+    submit,
+    unlist_worker,
+    watch,
+    watch_strays,
+)
+from ._advice_desk import AdviceDesk
+from ._context import DECIDE_DELAY_S, OwnerContext
+from ._holder import Holder
+from ._listings import ListingReader
+from ._orders import Orders
+from ._ports import KeyedRecord, LogFault, Slice, Stream
+from ._recorder import ROSTER_KEY, Recorder
+from ._spec_codec import decode_spec
+from ._tenure import GROUP_TTL_MS
+
+logger = logging.getLogger('lycheerelay.owner')
+
+CANCEL_PREFIX: Final = 'cancel/'
+JOB_PREFIX: Final = 'job/'
+# New jobs are waited for so long in one read, in ms. A channel that went
+# silent delays them by as much.
+TAIL_WAIT_MS: Final = 1500
+# Registrations are read this often, in s: a worker that drains must get
+# nothing new within its bound of 2 s.
+LISTING_EVERY_S: Final = 0.35
+# Time alone is judged this often, in s.
+TICK_S: Final = 0.1
+# Strays are stopped again every so many ticks.
+STRAY_TICKS: Final = 5
+# Finished jobs are looked through for expired ones every so many ticks.
+EXPIRE_TICKS: Final = 100
+# The pause after a read that was not served, in s.
+RETRY_S: Final = 0.1
+# A worker's clock may be this much slow, and what an earlier owner sent may
+# take so many ms on its way.
+SLOW_CLOCK: Final = 1.03
+WAY_MARGIN_MS: Final = 500
+
+
+@final
+class Owner:
+    """Run one term of ownership."""
+
+    def __init__(
+        self,
+        context: OwnerContext,
+        desk: AdviceDesk,
+        listings: ListingReader,
+    ) -> None:
+        """Wire the parts of one term."""
+        self.context = context
+        self.recorder = Recorder(context)
+        self.orders = Orders(context, desk)
+        self.listings = listings
+        self.started_ms = context.now_ms
+        self.tasks: list[asyncio.Task[None]] = []
+        self.is_over = False
+
+    @property
+    def cell(self) -> CellState:
+        """Return what this owner decides on."""
+        return self.context.cell
+
+    @property
+    def is_serving(self) -> bool:
+        """Tell whether questions about jobs can be answered."""
+        return self.cell.loaded and self.context.may_order
+
+    async def run(self) -> None:
+        """Serve until the ownership ends."""
+        logger.info('takeover_begun', extra={'fence': self.context.fence})
+        try:
+            if await self._load():
+                await self._serve()
+        finally:
+            self._stop()
+
+    def depose(self) -> None:
+        """Send nothing more from now on."""
+        self.cell.deposed = True
+        self.context.poke()
+        self.context.recorded.set()
+
+    async def read_up(self) -> bool:
+        """Read the job stream to its present end; False without an answer."""
+        context = self.context
+        outcome = await context.log.read(Stream.JOBS, context.tail_offset, 0)
+        if isinstance(outcome, Err):
+            return False
+        self._take_records(outcome.ok_value)
+        return True
+
+    def decide(self) -> None:
+        """Let the core decide and carry out what it asks."""
+        if self.context.may_order:
+            dispatch(self.cell, self.context.now_ms)
+        self.orders.carry_out()
+
+    async def _load(self) -> bool:
+        if not await self.recorder.fence():
+            return False
+        jobs, progress, listed = await asyncio.gather(
+            self._newest(Stream.JOBS),
+            self._newest(Stream.PROGRESS),
+            self._newest(Stream.WORKERS),
+        )
+        if jobs is None or progress is None or listed is None:
+            return False
+        self.context.tail_offset = jobs.next_offset
+        self.listings.next_offset = listed.next_offset
+        self._list_all(listed, progress)
+        self._fold(jobs, progress)
+        self.cell.loaded = True
+        self.context.loaded.set()
+        self.context.poke()
+        logger.info(
+            'takeover_loaded',
+            extra={
+                'fence': self.context.fence,
+                'jobs': len(self.cell.jobs),
+                'workers': len(self.cell.workers),
+                'took_ms': self.context.now_ms - self.started_ms,
+                'job_offset': self.context.tail_offset,
+            },
+        )
+        return True
+
+    async def _newest(self, stream: Stream) -> Slice | None:
+        while self.context.may_order:
+            outcome = await self.context.log.newest(stream)
+            if isinstance(outcome, Ok):
+                return outcome.ok_value
+            logger.warning(
+                'store_unread',
+                extra={
+                    'stream': stream.value,
+                    'fault': outcome.err_value.value,
+                },
+            )
+            await asyncio.sleep(RETRY_S)
+        return None
+
+    def _list_all(self, listed: Slice, progress: Slice) -> None:
+        cell = self.cell
+        now_ms = self.context.now_ms
+        for entry in self.listings.decode(listed.records):
+            if isinstance(entry, WorkerListing):
+                list_worker(cell, entry, now_ms)
+        for worker_id, address in _roster(progress).items():
+            if worker_id not in cell.workers:
+                list_worker(cell, _absentee(worker_id, address), now_ms)
+                unlist_worker(cell, worker_id)
+        cell.unanswered.update(dict.fromkeys(cell.workers))
+        for worker_id in cell.workers:
+            self._hold(worker_id)
+
+    def _fold(self, jobs: Slice, progress: Slice) -> None:
+        payloads = {record.key: record.payload for record in progress.records}
+        ordered = sorted(jobs.records, key=lambda record: record.offset)
+        for record in ordered:
+            if record.key.startswith(JOB_PREFIX):
+                self._take_job(record, payloads)
+        for record in ordered:
+            if record.key.startswith(CANCEL_PREFIX):
+                self._take_cancel(record)
+
+    def _take_job(
+        self,
+        record: KeyedRecord,
+        progress: dict[str, bytes | None],
+    ) -> None:
+        job = self._submit(record)
+        if job is None:
+            return
+        payload = progress.get(job.spec.job_id)
+        if payload is not None:
+            restore(self.cell, job, payload)
+            if job.is_final:
+                job.settled_ms = self.context.now_ms
+
+    def _submit(self, record: KeyedRecord) -> JobBook | None:
+        if record.payload is None:
+            return None
+        decoded = decode_spec(record.payload)
+        if isinstance(decoded, Err):
+            logger.warning(
+                'job_record_unreadable',
+                extra={'key': record.key, 'error': decoded.err_value},
+            )
+            return None
+        return submit(self.cell, decoded.ok_value, record.offset)
+
+    def _take_cancel(self, record: KeyedRecord) -> None:
+        job_id = record.key.removeprefix(CANCEL_PREFIX)
+        done = cancel(self.cell, job_id, self.context.now_ms)
+        logger.info(
+            'cancel_read',
+            extra={'job': job_id, 'offset': record.offset, 'effect': done},
+        )
+
+    def _take_records(self, part: Slice) -> None:
+        context = self.context
+        for record in part.records:
+            if record.offset < context.tail_offset:
+                continue
+            if record.key.startswith(JOB_PREFIX):
+                self._submit(record)
+            elif record.key.startswith(CANCEL_PREFIX):
+                self._take_cancel(record)
+        context.tail_offset = max(context.tail_offset, part.next_offset)
+        context.tail_read_ms = context.now_ms
+        if part.records:
+            context.poke()
+            if self.cell.loaded:
+                self.decide()
+
+    async def _serve(self) -> None:
+        jobs: tuple[Any, ...] = (
+            self._tail(),
+            self._follow_workers(),
+            self.recorder.run(),
+            self._tick(),
+            self._decide_on_change(),
+        )
+        self.tasks.extend(
+            asyncio.get_running_loop().create_task(job) for job in jobs
+        )
+        done, _ = await asyncio.wait(
+            self.tasks[-len(jobs) :],
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        for task in done:
+            if task.exception() is not None:
+                logger.error('term_crashed', exc_info=task.exception())
+
+    def _stop(self) -> None:
+        self.is_over = True
+        self.depose()
+        for task in self.tasks:
+            task.cancel()
+        self.orders.cancel()
+        logger.info(
+            'term_over',
+            extra={
+                'fence': self.context.fence,
+                'after_ms': self.context.now_ms - self.started_ms,
+                'jobs': len(self.cell.jobs),
+            },
+        )
+
+    async def _tail(self) -> None:
+        context = self.context
+        while not self.cell.deposed:
+            outcome = await context.log.read(
+                Stream.JOBS,
+                context.tail_offset,
+                TAIL_WAIT_MS,
+            )
+            if isinstance(outcome, Ok):
+                self._take_records(outcome.ok_value)
+                continue
+            if outcome.err_value is LogFault.GONE:
+                await self._tail_anew()
+            await asyncio.sleep(RETRY_S)
+
+    async def _tail_anew(self) -> None:
+        newest = await self._newest(Stream.JOBS)
+        if newest is not None:
+            logger.warning(
+                'job_history_gone',
+                extra={'from': self.context.tail_offset},
+            )
+            ordered = sorted(newest.records, key=lambda record: record.offset)
+            self._take_records(newest._replace(records=tuple(ordered)))
+
+    async def _follow_workers(self) -> None:
+        while not self.cell.deposed:
+            await asyncio.sleep(LISTING_EVERY_S)
+            for entry in await self.listings.poll(self.context.log):
+                if isinstance(entry, WorkerListing):
+                    list_worker(self.cell, entry, self.context.now_ms)
+                    self._hold(entry.worker_id)
+                else:
+                    unlist_worker(self.cell, entry)
+            self.context.poke()
+
+    def _hold(self, worker_id: str) -> None:
+        worker = self.cell.workers.get(worker_id)
+        if worker is None or worker_id in self.orders.holders:
+            return
+        holder = Holder(self.context, worker_id, worker.address)
+        self.orders.holders[worker_id] = holder
+        self.tasks.append(
+            asyncio.get_running_loop().create_task(holder.run()),
+        )
+
+    async def _tick(self) -> None:
+        ticks = 0
+        while not self.cell.deposed:
+            await asyncio.sleep(TICK_S)
+            ticks += 1
+            now_ms = self.context.now_ms
+            self._settle_offset(now_ms)
+            if not self.context.may_order:
+                continue
+            watch(self.cell, now_ms)
+            open_occurrences(self.cell, now_ms + self.cell.wall_offset_ms)
+            if ticks % STRAY_TICKS == 0:
+                watch_strays(self.cell)
+            if ticks % EXPIRE_TICKS == 0:
+                expired = expire_jobs(
+                    self.cell,
+                    self.context.limits.status_ms,
+                    now_ms,
+                )
+                self.recorder.drop(expired)
+            _gauge(self.context)
+            self.decide()
+            if self.cell.dirty:
+                self.context.poke()
+
+    def _settle_offset(self, now_ms: int) -> None:
+        """Learn from which job on no earlier owner can have acted.
+
+        An earlier owner stops by itself when its tenure ends.
+        """
+        limit_ms = self.started_ms + GROUP_TTL_MS + WAY_MARGIN_MS
+        if self.cell.is_clear or now_ms >= limit_ms:
+            self.cell.taken_offset = min(
+                self.cell.taken_offset,
+                self.context.tail_offset,
+            )
+
+    async def _decide_on_change(self) -> None:
+        while not self.cell.deposed:
+            await self.context.decide.wait()
+            await asyncio.sleep(DECIDE_DELAY_S)
+            self.context.decide.clear()
+            self._settle_offset(self.context.now_ms)
+            self.decide()
+
+
+def _gauge(context: OwnerContext) -> None:
+    cell = context.cell
+    context.meters.gauge('jobs', len(cell.jobs))
+    context.meters.gauge('open_steps', len(cell.open_steps))
+    context.meters.gauge('workers', len(cell.workers))
+    context.meters.gauge('workers_unanswered', len(cell.unanswered))
+
+
+def clear_ms(now_ms: int, lease_ms: int) -> int:
+    """Return from when no order of an earlier owner can be in effect."""
+    return now_ms + GROUP_TTL_MS + int(lease_ms * SLOW_CLOCK) + WAY_MARGIN_MS
+
+
+def _roster(progress: Slice) -> dict[str, str]:
+    for record in progress.records:
+        if record.key == ROSTER_KEY and record.payload is not None:
+            try:
+                roster: dict[str, str] = orjson.loads(record.payload)
+            except ValueError as error:
+                logger.warning('roster_unreadable', extra={'error': str(error)})
+                return {}
+            return roster
+    return {}
+
+
+def _absentee(worker_id: str, address: str) -> WorkerListing:
+    return WorkerListing(
+        worker_id=worker_id,
+        address=address,
+        pool='',
+        domain='',
+        rack='',
+        labels=frozenset(),
+        capacity=Resources(),
+        draining=False,
+    )
--- /dev/null
+++ b/src/lycheerelay/serving/_peers.py
@@ -0,0 +1,156 @@
+"""Find the other entry VMs and call them.
+
+A member of the group is named `HOST:PORT#INCARNATION`; the first part is the
+address of its internal interface. Calls are JSON over HTTP: `POST /state`,
+`/waiting` and `/advice`.
+"""
+
+import asyncio
+import logging
+from typing import Any, Final, final
+
+import aiohttp
+import orjson
+from result import Err, Ok, Result
+
+from .._clock import Clock
+from ..workflow import AskAdvice
+from ._ports import Advised, Group, LogFault
+
+logger = logging.getLogger('lycheerelay.peers')
+
+# The directory is read again at most this often, in ms, while the owner is
+# sought, and this often while all is well: members seldom change.
+SEEK_EVERY_MS: Final = 250
+REFRESH_EVERY_MS: Final = 5000
+# A peer that did not answer is left alone for so long, in ms.
+SUSPECT_MS: Final = 3000
+# An answer of a peer takes a few ms; one that takes longer than this, in ms,
+# comes from a peer that is cut off or stopped.
+CALL_TIMEOUT_MS: Final = 500
+MS_PER_SECOND: Final = 1000
+HTTP_OK: Final = 200
+
+
+def address_of(member: str) -> str:
+    """Return the address in a member's name."""
+    return member.partition('#')[0]
+
+
+@final
+class Peers:
+    """Know the members of the group and call them."""
+
+    def __init__(self, own_name: str, group: Group, clock: Clock) -> None:
+        """Start without a directory."""
+        self.own_name = own_name
+        self.group = group
+        self.clock = clock
+        self.owner = ''
+        self.members: tuple[str, ...] = ()
+        self.read_ms = -REFRESH_EVERY_MS
+        self.suspects: dict[str, int] = {}
+        self.reading = asyncio.Lock()
+        self.session: aiohttp.ClientSession | None = None
+
+    def others(self) -> list[str]:
+        """Return the addresses of peers that answered lately."""
+        now_ms = self.clock.now_ms()
+        return [
+            address_of(member)
+            for member in self.members
+            if member != self.own_name
+            and self.suspects.get(address_of(member), 0) <= now_ms
+        ]
+
+    def suspect(self, address: str) -> None:
+        """Leave a peer alone for a while."""
+        self.suspects[address] = self.clock.now_ms() + SUSPECT_MS
+
+    async def refresh(self, pause_ms: int) -> None:
+        """Read the directory, unless that was done a moment ago."""
+        async with self.reading:
+            now_ms = self.clock.now_ms()
+            if now_ms - self.read_ms < pause_ms:
+                return
+            self.read_ms = now_ms
+            outcome = await self.group.members()
+            if isinstance(outcome, Err):
+                return
+            self.members = tuple(sorted(outcome.ok_value))
+            owners = [name for name, own in outcome.ok_value.items() if own]
+            found = owners[0] if owners else ''
+            if found != self.owner:
+                logger.info(
+                    'owner_found',
+                    extra={'owner': found, 'before': self.owner},
+                )
+                self.owner = found
+
+    async def call_owner(
+        self,
+        path: str,
+        body: dict[str, Any],
+        timeout_ms: int,
+    ) -> Result[dict[str, Any], LogFault]:
+        """Ask the owner; without an answer it is sought anew next time."""
+        if not self.owner:
+            return Err(LogFault.REFUSED)
+        return await self.call(address_of(self.owner), path, body, timeout_ms)
+
+    async def ask_advice(
+        self,
+        address: str,
+        command: AskAdvice,
+        expected_ms: int,
+    ) -> Result[Advised, LogFault]:
+        """Let a peer make a call for advice."""
+        outcome = await self.call(
+            address,
+            '/advice',
+            {'step': list(command.step), 'workers': list(command.workers)},
+            expected_ms + CALL_TIMEOUT_MS,
+        )
+        if isinstance(outcome, Err):
+            return outcome
+        answer = outcome.ok_value
+        tickets = tuple((row[0], row[1]) for row in answer['tickets'])
+        return Ok(Advised(tickets, answer['valid_ms']))
+
+    async def call(
+        self,
+        address: str,
+        path: str,
+        body: dict[str, Any],
+        timeout_ms: int,
+    ) -> Result[dict[str, Any], LogFault]:
+        """Call one peer."""
+        if self.session is None:
+            self.session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=60),
+            )
+        try:
+            async with self.session.post(
+                f'http://{address}{path}',
+                data=orjson.dumps(body),
+                timeout=aiohttp.ClientTimeout(timeout_ms / MS_PER_SECOND),
+            ) as reply:
+                raw = await reply.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            logger.info(
+                'peer_unreached',
+                extra={
+                    'peer': address,
+                    'path': path,
+                    'error': type(error).__name__,
+                },
+            )
+            return Err(LogFault.UNKNOWN)
+        if reply.status != HTTP_OK:
+            return Err(LogFault.REFUSED)
+        return Ok(orjson.loads(raw))
+
+    async def close(self) -> None:
+        """Close the channels to peers."""
+        if self.session is not None:
+            await self.session.close()
--- /dev/null
+++ b/src/lycheerelay/serving/_ports.py
@@ -0,0 +1,190 @@
+"""Name what the serving process needs from its surroundings."""
+
+from collections.abc import Sequence
+from enum import Enum, unique
+from typing import NamedTuple, Protocol
+
+from result import Result
+
+from ..workflow import Answer, RunKey, StepKey, Table
+
+
+@unique
+class Stream(Enum):
+    """Name a stream of keyed records in the store."""
+
+    JOBS = 'jobs'
+    PROGRESS = 'progress'
+    OPERATOR = 'operator'
+    WORKERS = 'workers'
+
+
+@unique
+class LogFault(Enum):
+    """Tell why the store did not serve a call.
+
+    After REFUSED and THROTTLED nothing was done; after UNKNOWN it may have
+    been, or may be later; FENCED means that a later writer took over; GONE
+    that the wanted records are deleted.
+    """
+
+    REFUSED = 'refused'
+    THROTTLED = 'throttled'
+    UNKNOWN = 'unknown'
+    FENCED = 'fenced'
+    GONE = 'gone'
+
+
+class KeyedRecord(NamedTuple):
+    """Hold one record; without a payload its key is dropped."""
+
+    key: str
+    payload: bytes | None
+    offset: int = -1
+
+
+class Slice(NamedTuple):
+    """Hold records that were read, and the offset to go on from."""
+
+    records: tuple[KeyedRecord, ...]
+    next_offset: int
+
+
+class Writer(NamedTuple):
+    """Identify an append so that later owners fence earlier ones."""
+
+    name: str
+    epoch: int
+    sequence: int
+
+
+class Grant(NamedTuple):
+    """Tell what the store dealt to this member of the group."""
+
+    generation: int
+    is_owner: bool
+
+
+class KeyedLog(Protocol):
+    """Reach the streams of the store."""
+
+    async def append(
+        self,
+        stream: Stream,
+        records: Sequence[KeyedRecord],
+        writer: Writer | None = None,
+        timeout_ms: int = 0,
+    ) -> Result[int, LogFault]:
+        """Append all records or none; return the first offset."""
+
+    async def read(
+        self,
+        stream: Stream,
+        from_offset: int,
+        wait_ms: int,
+    ) -> Result[Slice, LogFault]:
+        """Return records from an offset on; wait for the first one."""
+
+    async def newest(self, stream: Stream) -> Result[Slice, LogFault]:
+        """Return the newest record of each key."""
+
+
+class Group(Protocol):
+    """Take part in dealing out ownership."""
+
+    async def join(self, generation: int) -> Result[Grant, LogFault]:
+        """Join, or stay in, the group."""
+
+    async def leave(self) -> Result[None, LogFault]:
+        """Hand back what was dealt."""
+
+    async def members(self) -> Result[dict[str, bool], LogFault]:
+        """Return the members' names, and which of them is the owner."""
+
+
+class Held(NamedTuple):
+    """Answer a look at a worker.
+
+    `clock_ms` is the worker's own clock at the answer.
+    """
+
+    answer: Answer
+    clock_ms: int = 0
+    table: Table | None = None
+
+
+class HoldOrder(NamedTuple):
+    """Ask for a look; `deadline_ms` is on the worker's clock, 0 for none."""
+
+    worker_id: str
+    address: str
+    fence: int
+    last_seen: int
+    deadline_ms: int
+    wait_ms: int
+
+
+class StartOrder(NamedTuple):
+    """Order a start; `deadline_ms` is on the worker's clock."""
+
+    worker_id: str
+    address: str
+    fence: int
+    run: RunKey
+    payload: str
+    checkpoint: str
+    ticket: str
+    deadline_ms: int
+
+
+class StopOrder(NamedTuple):
+    """Order a stop."""
+
+    worker_id: str
+    address: str
+    fence: int
+    run: RunKey
+
+
+class PaceOrder(NamedTuple):
+    """Order a pace, in percent."""
+
+    worker_id: str
+    address: str
+    fence: int
+    run: RunKey
+    percent: int
+
+
+class Advised(NamedTuple):
+    """Answer a call for advice: rows of worker and ticket."""
+
+    tickets: tuple[tuple[str, str], ...]
+    valid_ms: int
+
+
+class Workers(Protocol):
+    """Reach the workers."""
+
+    async def hold(self, order: HoldOrder) -> Held:
+        """Prolong the leases and look at what runs."""
+
+    async def start(self, order: StartOrder) -> Answer:
+        """Start a run."""
+
+    async def stop(self, order: StopOrder) -> Answer:
+        """Stop or void a run."""
+
+    async def pace(self, order: PaceOrder) -> Answer:
+        """Set a run's pace."""
+
+
+class Advisor(Protocol):
+    """Reach the service that knows which workers may run a step."""
+
+    async def ask(
+        self,
+        step: StepKey,
+        workers: Sequence[str],
+    ) -> Result[Advised, LogFault]:
+        """Return tickets for those of the workers that may run the step."""
--- /dev/null
+++ b/src/lycheerelay/serving/_recorder.py
@@ -0,0 +1,181 @@
+"""Make the owner's progress durable before it is relied upon."""
+
+import asyncio
+import logging
+from typing import Final, final
+
+import orjson
+from result import Err, Ok
+
+from ..workflow import JobPhase, encode
+from ._context import OwnerContext
+from ._ports import KeyedRecord, LogFault, Stream, Writer
+
+logger = logging.getLogger('lycheerelay.recorder')
+
+ROSTER_KEY: Final = 'workers'
+WRITER: Final = 'owner'
+# Records that come within this time share an append, in s.
+GATHER_S: Final = 0.003
+# The pause after an append that was not served, in s.
+RETRY_S: Final = 0.12
+# One append carries at most so many bytes of records; the store takes more.
+BATCH_BYTES: Final = 256 * 1024
+
+
+@final
+class Recorder:
+    """Append progress in order; one append is on its way at a time."""
+
+    def __init__(self, context: OwnerContext) -> None:
+        """Start with nothing written."""
+        self.context = context
+        self.sequence = 0
+        self.roster: frozenset[str] = frozenset()
+        self.removals: list[str] = []
+
+    async def fence(self) -> bool:
+        """Refuse the appends of earlier owners from now on."""
+        while self.context.may_order:
+            outcome = await self.context.log.append(
+                Stream.PROGRESS,
+                (),
+                Writer(WRITER, self.context.fence, self.sequence),
+            )
+            if isinstance(outcome, Ok):
+                return True
+            if outcome.err_value is LogFault.FENCED:
+                self.context.cell.deposed = True
+                return False
+            await asyncio.sleep(RETRY_S)
+        return False
+
+    async def run(self) -> None:
+        """Write whatever has changed until the ownership ends."""
+        while not self.context.cell.deposed:
+            if not self._has_work():
+                await self.context.changed.wait()
+                self.context.changed.clear()
+                await asyncio.sleep(GATHER_S)
+            if self._has_work():
+                await self._write()
+
+    def verify(self) -> None:
+        """Write the roster again, to learn whether a later owner wrote."""
+        self.roster = frozenset()
+        self.context.poke()
+
+    def drop(self, job_ids: list[str]) -> None:
+        """Let the records of expired jobs be dropped."""
+        self.removals.extend(job_ids)
+        self.context.poke()
+
+    def _has_work(self) -> bool:
+        cell = self.context.cell
+        if not cell.loaded:
+            return False
+        return bool(
+            cell.dirty
+            or self.removals
+            or self._wanted_roster() - self.roster
+            or any(
+                worker.recorded_end < worker.handled_end
+                for worker in cell.workers.values()
+            ),
+        )
+
+    def _wanted_roster(self) -> frozenset[str]:
+        return frozenset(self.context.cell.workers)
+
+    async def _write(self) -> None:
+        cell = self.context.cell
+        roster = self._wanted_roster()
+        seen = {
+            worker.worker_id: worker.handled_end
+            for worker in cell.workers.values()
+        }
+        phases: dict[str, JobPhase] = {}
+        records = []
+        if roster - self.roster:
+            records.append(KeyedRecord(ROSTER_KEY, self._roster_payload()))
+        for job_id in self.removals:
+            records.append(KeyedRecord(job_id, None))
+        self.removals = []
+        size = 0
+        for job_id in list(cell.dirty):
+            if size > BATCH_BYTES:
+                seen = {}
+                break
+            cell.dirty.pop(job_id)
+            job = cell.jobs.get(job_id)
+            if job is None:
+                continue
+            payload = encode(job)
+            size += len(payload)
+            phases[job_id] = job.phase
+            records.append(KeyedRecord(job_id, payload))
+        if not records or await self._append(records):
+            self._recorded(seen, phases, roster)
+
+    def _recorded(
+        self,
+        seen: dict[str, int],
+        phases: dict[str, JobPhase],
+        roster: frozenset[str],
+    ) -> None:
+        cell = self.context.cell
+        self.roster = roster
+        for worker_id, number in seen.items():
+            worker = cell.workers.get(worker_id)
+            if worker is not None:
+                worker.recorded_end = max(worker.recorded_end, number)
+        for worker_id in roster:
+            worker = cell.workers.get(worker_id)
+            if worker is not None:
+                worker.enrolled = True
+        for job_id, phase in phases.items():
+            job = cell.jobs.get(job_id)
+            if job is not None:
+                job.durable_phase = phase
+        self.context.recorded.set()
+        self.context.recorded.clear()
+
+    async def _append(self, records: list[KeyedRecord]) -> bool:
+        self.sequence += 1
+        writer = Writer(WRITER, self.context.fence, self.sequence)
+        asked_ms = self.context.now_ms
+        while not self.context.cell.deposed:
+            outcome = await self.context.log.append(
+                Stream.PROGRESS,
+                records,
+                writer,
+            )
+            if isinstance(outcome, Ok):
+                took_ms = self.context.now_ms - asked_ms
+                self.context.meters.observe('record', took_ms)
+                return True
+            self._note_fault(outcome, asked_ms)
+            await asyncio.sleep(RETRY_S)
+        return False
+
+    def _note_fault(self, outcome: Err[LogFault], asked_ms: int) -> None:
+        fault = outcome.err_value
+        logger.warning(
+            'progress_not_recorded',
+            extra={
+                'fault': fault.value,
+                'since_ms': self.context.now_ms - asked_ms,
+                'fence': self.context.fence,
+            },
+        )
+        if fault is LogFault.FENCED:
+            self.context.cell.deposed = True
+
+    def _roster_payload(self) -> bytes:
+        cell = self.context.cell
+        return orjson.dumps(
+            {
+                worker.worker_id: worker.address
+                for worker in cell.workers.values()
+            },
+        )
--- /dev/null
+++ b/src/lycheerelay/serving/_tenure.py
@@ -0,0 +1,31 @@
+"""Tell how long this process may act as the owner."""
+
+from typing import Final, final
+
+# A member that sent nothing for so long, in ms, loses what it was dealt. Short
+# enough to replace a dead owner within 2 s, long enough for a slow store.
+GROUP_TTL_MS: Final = 1500
+# Joins are sent this often, in ms: three may be lost within the time above.
+JOIN_EVERY_MS: Final = 400
+# Orders stop so much before the store may deal the ownership anew, in ms.
+TENURE_MARGIN_MS: Final = 100
+
+
+@final
+class Tenure:
+    """Track until when the store cannot have dealt the ownership anew."""
+
+    def __init__(self, generation: int, asked_ms: int) -> None:
+        """Count from the call that brought the ownership."""
+        self.generation = generation
+        self.until_ms = 0
+        self.confirm(asked_ms)
+
+    def confirm(self, asked_ms: int) -> None:
+        """Prolong by a call that was sent then and confirmed it."""
+        until_ms = asked_ms + GROUP_TTL_MS - TENURE_MARGIN_MS
+        self.until_ms = max(self.until_ms, until_ms)
+
+    def is_valid(self, now_ms: int) -> bool:
+        """Tell whether orders may be sent now."""
+        return now_ms < self.until_ms
--- /dev/null
+++ b/src/lycheerelay/workflow/__init__.py
@@ -0,0 +1,93 @@
+"""Decide on jobs of steps: pure, without clock, socket or thread."""
+
+from ._advice import Advice, advice_failed, apply_advice
+from ._answers import Answer, start_answered, stop_answered
+from ._commands import (
+    AskAdvice,
+    Command,
+    Note,
+    PaceRun,
+    StartRun,
+    StopRun,
+)
+from ._dispatch import dispatch
+from ._ends import End, How
+from ._intake import cancel, submit
+from ._pacing import pace_worker
+from ._progress import encode, restore
+from ._spec import (
+    AdvicePolicy,
+    RunKey,
+    StepKey,
+    StepSpec,
+    TaskKey,
+    WorkflowSpec,
+    chain_ms,
+)
+from ._state import (
+    FINAL_PHASES,
+    NEVER,
+    CellState,
+    JobBook,
+    JobPhase,
+    WorkerBook,
+)
+from ._tables import (
+    Row,
+    Table,
+    WorkerListing,
+    apply_table,
+    bury_worker,
+    list_worker,
+    settle_gangs,
+    unlist_worker,
+)
+from ._watch import expire_jobs, open_occurrences, watch, watch_strays
+
+__all__ = (  # noqa: WPS410
+    'FINAL_PHASES',
+    'NEVER',
+    'Advice',
+    'AdvicePolicy',
+    'Answer',
+    'AskAdvice',
+    'CellState',
+    'Command',
+    'End',
+    'How',
+    'JobBook',
+    'JobPhase',
+    'Note',
+    'PaceRun',
+    'Row',
+    'RunKey',
+    'StartRun',
+    'StepKey',
+    'StepSpec',
+    'StopRun',
+    'Table',
+    'TaskKey',
+    'WorkerBook',
+    'WorkerListing',
+    'WorkflowSpec',
+    'advice_failed',
+    'apply_advice',
+    'apply_table',
+    'bury_worker',
+    'cancel',
+    'chain_ms',
+    'dispatch',
+    'encode',
+    'expire_jobs',
+    'list_worker',
+    'open_occurrences',
+    'pace_worker',
+    'restore',
+    'settle_gangs',
+    'start_answered',
+    'stop_answered',
+    'submit',
+    'unlist_worker',
+    'watch',
+    'watch_strays',
+)
--- /dev/null
+++ b/src/lycheerelay/workflow/_answers.py
@@ -0,0 +1,131 @@
+"""Take in the answers of workers to single orders."""
+
+from enum import Enum, unique
+from typing import Final
+
+from ._commands import StopRun
+from ._notes import note
+from ._runs import stop_run
+from ._spec import RunKey
+from ._state import NEVER, CellState, Run, RunState
+from ._tables import bury_worker, drop_run
+
+# A worker that has no room, or says it is unwell, gets nothing for so long,
+# in ms: about one look.
+PAUSE_MS: Final = 500
+# A refused run number was passed by runs that this owner did not see.
+SKIP_RUNS: Final = 5
+
+
+@unique
+class Answer(Enum):
+    """Name a worker's answer to an order."""
+
+    DONE = 'done'
+    FENCED = 'fenced'
+    OLD_RUN = 'old_run'
+    EXPIRED = 'expired'
+    NO_ROOM = 'no_room'
+    BAD_TICKET = 'bad_ticket'
+    UNWELL = 'unwell'
+    MALFORMED = 'malformed'
+    OTHER_LIFE = 'other_life'
+    NONE = 'none'
+    UNSENT = 'unsent'
+
+
+def start_answered(
+    cell: CellState,
+    worker_id: str,
+    key: RunKey,
+    answer: Answer,
+    now_ms: int,
+) -> None:
+    """Judge the answer to a start."""
+    worker = cell.workers.get(worker_id)
+    if answer is Answer.OTHER_LIFE:
+        bury_worker(cell, worker_id, now_ms, 'another life answers there')
+        return
+    run = worker.runs.get(key) if worker else None
+    if run is None or worker is None:
+        return
+    if answer is Answer.DONE:
+        run.answered_ms = now_ms
+        if run.state is RunState.SENT:
+            run.state = RunState.RUNNING
+        return
+    note(
+        cell,
+        'start_refused',
+        run=key,
+        worker=worker_id,
+        answer=answer.value,
+        after_ms=now_ms - run.sent_ms,
+    )
+    if answer is Answer.NONE:
+        run.unsure_ms = now_ms
+        worker.silent = True
+        return
+    if answer is Answer.FENCED:
+        cell.deposed = True
+        return
+    if answer is Answer.OLD_RUN:
+        run.task.last_run += SKIP_RUNS
+    if answer is Answer.BAD_TICKET:
+        run.step.tickets.pop(worker_id, None)
+    if answer in {Answer.NO_ROOM, Answer.UNWELL}:
+        worker.barred_until_ms = max(
+            worker.barred_until_ms,
+            now_ms + PAUSE_MS,
+        )
+    if answer is Answer.MALFORMED:
+        run.task.not_before_ms = now_ms + PAUSE_MS
+    drop_run(cell, run, now_ms)
+
+
+def stop_answered(
+    cell: CellState,
+    worker_id: str,
+    key: RunKey,
+    answer: Answer,
+    now_ms: int,
+) -> None:
+    """Judge the answer to a stop."""
+    if answer is Answer.OTHER_LIFE:
+        bury_worker(cell, worker_id, now_ms, 'another life answers there')
+        return
+    if answer is Answer.FENCED:
+        cell.deposed = True
+        return
+    worker = cell.workers.get(worker_id)
+    run = worker.runs.get(key) if worker else None
+    if run is not None and answer is Answer.DONE:
+        run.stop_answered_ms = now_ms
+
+
+def repeat_stops(cell: CellState, now_ms: int) -> None:
+    """Send unanswered stops again, and stop runs that may not have begun."""
+    for worker in cell.workers.values():
+        for run in list(worker.runs.values()):
+            _repeat_stop(cell, run, now_ms)
+
+
+# A start without an answer is voided after this time, in ms, unless a look
+# shows its run first: looks come at least that often while ends come.
+UNSURE_MS: Final = 300
+
+
+def _repeat_stop(cell: CellState, run: Run, now_ms: int) -> None:
+    if run.state is RunState.STOPPING:
+        stop_run(cell, run, now_ms, run.stop_reason)
+        return
+    is_unsure = run.state is RunState.SENT and run.unsure_ms != NEVER
+    if is_unsure and now_ms - run.unsure_ms >= UNSURE_MS:
+        stop_run(cell, run, now_ms, 'its start was not answered')
+
+
+def stop_strays(cell: CellState) -> None:
+    """Stop again what runs for no open job."""
+    for worker in cell.workers.values():
+        for stray in worker.strays:
+            cell.outbox.append(StopRun(worker.worker_id, stray))
--- /dev/null
+++ b/src/lycheerelay/workflow/_dispatch.py
@@ -0,0 +1,272 @@
+"""Start what waits, in order, where it fits."""
+
+from dataclasses import dataclass, field
+from typing import Final
+
+from ._advice import (
+    FRESH_STEPS,
+    ask_first,
+    can_ask,
+    renew,
+    renew_ahead,
+)
+from ._fit import (
+    Reserved,
+    candidates,
+    free_at,
+    has_ticket,
+    room_for,
+    score,
+)
+from ._notes import note
+from ._order import order_key
+from ._runs import start_run
+from ._state import CellState, StepBook, TaskBook, WorkerBook
+
+# Room is kept for so many steps of a pool that do not fit yet; more would
+# keep too much of it idle.
+RESERVING_STEPS: Final = 2
+# Runs of jobs from before a takeover are numbered from this times the fence
+# number: an earlier owner may have started runs that were never seen.
+RUNS_PER_OWNER: Final = 10
+
+
+@dataclass(slots=True)
+class PoolPass:
+    """Track one pass over the waiting steps of a pool."""
+
+    rank: int = 0
+    reserving: int = 0
+    reserved: dict[str, Reserved] = field(default_factory=dict)
+
+
+def dispatch(cell: CellState, now_ms: int) -> int:
+    """Start what fits; return how many runs were started."""
+    if not cell.loaded or cell.deposed:
+        return 0
+    wall_ms = now_ms + cell.wall_offset_ms
+    waiting = [step for step in cell.open_steps.values() if step.waiting]
+    waiting.sort(key=lambda step: order_key(step, wall_ms))
+    passes: dict[str, PoolPass] = {}
+    started = 0
+    for step in waiting:
+        if not _may_start(cell, step, now_ms):
+            continue
+        turn = passes.setdefault(step.job.spec.pool, PoolPass())
+        started += _serve(cell, step, turn, now_ms)
+        turn.rank += 1
+    return started
+
+
+def _may_start(cell: CellState, step: StepBook, now_ms: int) -> bool:
+    return (
+        step.job.offset >= cell.taken_offset
+        or cell.is_clear
+        or now_ms >= cell.clear_ms
+    )
+
+
+def _serve(
+    cell: CellState,
+    step: StepBook,
+    turn: PoolPass,
+    now_ms: int,
+) -> int:
+    tasks = [
+        step.tasks[index]
+        for index in step.waiting
+        if step.tasks[index].not_before_ms <= now_ms
+    ]
+    if not tasks:
+        return 0
+    workers = candidates(cell, step, now_ms)
+    policy = step.job.spec.advice
+    if policy is not None:
+        if not step.asked:
+            ask_first(cell, step, policy, now_ms)
+            return 0
+        workers = [
+            worker for worker in workers if worker.worker_id in step.good
+        ]
+    if step.spec.gang:
+        started = _start_gang(cell, step, turn, workers, now_ms)
+    else:
+        started = _start_tasks(cell, step, turn, tasks, workers, now_ms)
+    if step.waiting and started < len(tasks):
+        _wait_for_room(cell, step, turn, workers, now_ms)
+    return started
+
+
+def _wait_for_room(
+    cell: CellState,
+    step: StepBook,
+    turn: PoolPass,
+    workers: list[WorkerBook],
+    now_ms: int,
+) -> None:
+    policy = step.job.spec.advice
+    if policy is not None and can_ask(step, now_ms):
+        expired = [
+            worker
+            for worker in workers
+            if not has_ticket(step, worker, now_ms)
+            and room_for(step, worker, turn.reserved, now_ms)
+        ]
+        if expired:
+            renew(cell, step, policy, expired, now_ms)
+        elif turn.rank < FRESH_STEPS:
+            renew_ahead(cell, step, policy, now_ms)
+        if can_ask(step, now_ms):
+            ask_first(cell, step, policy, now_ms)
+    if _is_wide(step) and turn.reserving < RESERVING_STEPS:
+        turn.reserving += 1
+        _reserve(step, turn, workers, now_ms)
+
+
+def _is_wide(step: StepBook) -> bool:
+    demand = step.spec.demand
+    return step.spec.gang or demand.accelerators > 1
+
+
+def _reserve(
+    step: StepBook,
+    turn: PoolPass,
+    workers: list[WorkerBook],
+    now_ms: int,
+) -> None:
+    demand = step.spec.demand
+    missing = len(step.waiting)
+    options = sorted(
+        (free_at(worker, demand, now_ms), index, worker)
+        for index, worker in enumerate(workers)
+        if worker.worker_id not in turn.reserved
+    )
+    for from_ms, _, worker in options:
+        if missing <= 0:
+            return
+        fitting = max(demand.times_in(worker.capacity), 1)
+        count = min(missing, fitting)
+        turn.reserved[worker.worker_id] = Reserved(demand.times(count), from_ms)
+        missing -= count
+
+
+def _start_tasks(
+    cell: CellState,
+    step: StepBook,
+    turn: PoolPass,
+    tasks: list[TaskBook],
+    workers: list[WorkerBook],
+    now_ms: int,
+) -> int:
+    started = 0
+    open_workers = [
+        worker for worker in workers if has_ticket(step, worker, now_ms)
+    ]
+    for task in tasks:
+        fitting = [
+            worker
+            for worker in open_workers
+            if room_for(step, worker, turn.reserved, now_ms) > 0
+        ]
+        if not fitting:
+            break
+        best = _best(step, fitting, task)
+        _start(cell, step, task, best, next_run(cell, step, [task]), now_ms)
+        started += 1
+    return started
+
+
+def _best(
+    step: StepBook,
+    workers: list[WorkerBook],
+    task: TaskBook,
+) -> WorkerBook:
+    return min(workers, key=lambda worker: score(step, worker, task))
+
+
+def _start_gang(
+    cell: CellState,
+    step: StepBook,
+    turn: PoolPass,
+    workers: list[WorkerBook],
+    now_ms: int,
+) -> int:
+    if len(step.waiting) < len(step.tasks):
+        return 0
+    open_workers = [
+        worker for worker in workers if has_ticket(step, worker, now_ms)
+    ]
+    plan = _plan_gang(step, turn, open_workers, now_ms)
+    if not plan:
+        return 0
+    number = next_run(cell, step, step.tasks)
+    for task, worker in zip(step.tasks, plan, strict=True):
+        _start(cell, step, task, worker, number, now_ms)
+    return len(plan)
+
+
+def _plan_gang(
+    step: StepBook,
+    turn: PoolPass,
+    workers: list[WorkerBook],
+    now_ms: int,
+) -> list[WorkerBook]:
+    groups = [workers]
+    if step.spec.same_rack:
+        racks = dict.fromkeys(worker.rack for worker in workers)
+        groups = [
+            [worker for worker in workers if worker.rack == rack]
+            for rack in racks
+        ]
+        groups.append(workers)
+    for group in groups:
+        plan = _fill_group(step, turn, group, now_ms)
+        if len(plan) == len(step.tasks):
+            return plan
+    return []
+
+
+def _fill_group(
+    step: StepBook,
+    turn: PoolPass,
+    workers: list[WorkerBook],
+    now_ms: int,
+) -> list[WorkerBook]:
+    plan: list[WorkerBook] = []
+    first = step.tasks[0]
+    ranked = sorted(workers, key=lambda worker: score(step, worker, first))
+    for worker in ranked:
+        missing = len(step.tasks) - len(plan)
+        room = room_for(step, worker, turn.reserved, now_ms)
+        plan.extend(worker for _ in range(min(room, missing)))
+    return plan
+
+
+def next_run(cell: CellState, step: StepBook, tasks: list[TaskBook]) -> int:
+    """Return a number above every run that may have been started."""
+    last = max(task.last_run for task in tasks)
+    if step.job.offset < cell.taken_offset:
+        last = max(last, RUNS_PER_OWNER * cell.fence)
+    return last + 1
+
+
+def _start(
+    cell: CellState,
+    step: StepBook,
+    task: TaskBook,
+    worker: WorkerBook,
+    number: int,
+    now_ms: int,
+) -> None:
+    start_run(cell, step, task, worker, number, now_ms)
+    wall_ms = now_ms + cell.wall_offset_ms
+    note(
+        cell,
+        'run_started',
+        run=step.key,
+        index=task.index,
+        number=number,
+        worker=worker.worker_id,
+        slack_ms=step.latest_start_ms - wall_ms,
+        fence=cell.fence,
+    )
--- /dev/null
+++ b/src/lycheerelay/workflow/_fit.py
@@ -0,0 +1,157 @@
+"""Choose workers for tasks."""
+
+from collections.abc import Iterator
+from typing import Final, NamedTuple
+
+from .._resources import Resources
+from ._state import CellState, Run, StepBook, TaskBook, WorkerBook
+
+# A worker that has not been heard for so long, in ms, gets nothing new: a
+# look that waits its longest and a few round trips.
+QUIET_MS: Final = 2800
+# A task that fills starts where at least this share of what it wants is
+# unused; with less it would hold memory and hardly work.
+LEAST_FILL_SHARE: Final = 0.25
+# A ticket must hold for so long, in ms, when a start leaves: a slow way.
+TICKET_MARGIN_MS: Final = 60
+
+
+class Reserved(NamedTuple):
+    """Tell what a worker is kept for, and from when."""
+
+    demand: Resources
+    from_ms: int
+
+
+def is_usable(worker: WorkerBook, now_ms: int) -> bool:
+    """Tell whether new runs may be started on a worker."""
+    return (
+        worker.listed
+        and worker.enrolled
+        and worker.synced
+        and not worker.draining
+        and not worker.silent
+        and not worker.strays
+        and worker.barred_until_ms <= now_ms
+        and now_ms - worker.heard_ms < QUIET_MS
+    )
+
+
+def may_ever_run(step: StepBook, worker: WorkerBook) -> bool:
+    """Tell whether an empty worker would do for a task of the step."""
+    spec = step.spec
+    if worker.pool != step.job.spec.pool or worker.draining:
+        return False
+    if spec.label and spec.label not in worker.labels:
+        return False
+    return spec.demand.fits_in(worker.capacity)
+
+
+def has_ticket(step: StepBook, worker: WorkerBook, now_ms: int) -> bool:
+    """Tell whether a start now would carry a valid ticket."""
+    if step.job.spec.advice is None:
+        return True
+    ticket = step.tickets.get(worker.worker_id)
+    return ticket is not None and ticket.until_ms > now_ms + TICKET_MARGIN_MS
+
+
+def room_for(
+    step: StepBook,
+    worker: WorkerBook,
+    reserved: dict[str, Reserved],
+    now_ms: int,
+) -> int:
+    """Return how many tasks of a step a worker can take now."""
+    spec = step.spec
+    free = worker.free
+    kept = reserved.get(worker.worker_id)
+    if kept is not None and now_ms + spec.expected_ms > kept.from_ms:
+        free = free.minus(kept.demand)
+    count = spec.width
+    if any(spec.demand):
+        count = spec.demand.times_in(free)
+    if spec.spread_limit:
+        used = step.on_worker.get(worker.worker_id, 0)
+        count = min(count, spec.spread_limit - used)
+    if spec.fills and count > 0:
+        wanted = max(spec.filler_cores_milli, 1)
+        unused = worker.free.cores_milli - fill_load(worker)
+        count = min(count, int(unused / (wanted * LEAST_FILL_SHARE)))
+    return max(count, 0)
+
+
+def fill_load(worker: WorkerBook) -> int:
+    """Return the cores, in thousandths, that filling runs would like."""
+    return sum(
+        run.step.spec.filler_cores_milli
+        for run in worker.runs.values()
+        if run.step.spec.fills
+    )
+
+
+def serving_runs(worker: WorkerBook) -> Iterator[Run]:
+    """Iterate over the runs with a target for their response times."""
+    return (run for run in worker.runs.values() if run.step.spec.tail_target_ms)
+
+
+Score = tuple[float, ...]
+
+
+def score(step: StepBook, worker: WorkerBook, task: TaskBook | None) -> Score:
+    """Rank a worker for a task; lower is better."""
+    spec = step.spec
+    avoided = task is not None and task.avoid == worker.worker_id
+    trouble = len(worker.failures_in_row) + 2 * avoided
+    far = bool(spec.rack) and spec.rack != worker.rack
+    slow = round(worker.slowness, 1)
+    if spec.fills:
+        unused = worker.free.cores_milli - fill_load(worker)
+        serving = sum(1 for _ in serving_runs(worker))
+        return trouble, far, slow, serving, -unused
+    left = worker.free.minus(spec.demand)
+    if spec.tail_target_ms:
+        return trouble, far, slow, fill_load(worker), left.cores_milli
+    if spec.demand.accelerators:
+        return trouble, far, slow, left.accelerators, left.cores_milli
+    return trouble, far, slow, left.cores_milli, left.memory_mb
+
+
+def candidates(
+    cell: CellState,
+    step: StepBook,
+    now_ms: int,
+) -> list[WorkerBook]:
+    """Return the usable workers that may run the step."""
+    return [
+        worker
+        for worker in cell.workers.values()
+        if is_usable(worker, now_ms) and may_ever_run(step, worker)
+    ]
+
+
+def free_at(worker: WorkerBook, demand: Resources, now_ms: int) -> int:
+    """Estimate when a worker can take one demand, from its runs' ends."""
+    free = worker.free
+    if demand.fits_in(free):
+        return now_ms
+    ends = sorted(
+        (_end_of(run, now_ms), index, run)
+        for index, run in enumerate(worker.runs.values())
+        if not run.step.spec.lasts
+    )
+    for end_ms, _, run in ends:
+        free = free.plus(run.demand)
+        if demand.fits_in(free):
+            return end_ms
+    return now_ms + NO_ROOM_MS
+
+
+# Stands for room that no known end will give, in ms.
+NO_ROOM_MS: Final = 60_000
+# A run that is over its expected time is taken to end after this, in ms.
+OVERDUE_MS: Final = 200
+
+
+def _end_of(run: Run, now_ms: int) -> int:
+    end_ms = run.sent_ms + run.step.spec.expected_ms
+    return max(end_ms, now_ms + OVERDUE_MS)
--- /dev/null
+++ b/src/lycheerelay/workflow/_progress.py
@@ -0,0 +1,123 @@
+"""Write and read the durable record of a job's progress.
+
+The record is a JSON object: `phase` and `why` of the job, `finished` with the
+numbers of finished occurrences, and `steps`, a row for each step that has
+something to tell: occurrence, step, done tasks as a hexadecimal bit mask, and
+a row for each task that failed or saved: index, failed runs, last run,
+checkpoint.
+"""
+
+from typing import Final, TypedDict
+
+import orjson
+
+from ._ends import mark_done
+from ._intake import open_if_ready, open_occurrence
+from ._notes import note
+from ._state import (
+    FINAL_PHASES,
+    CellState,
+    JobBook,
+    JobPhase,
+    StepBook,
+    TaskBook,
+)
+
+HEX: Final = 16
+UNREADABLE: Final = (ValueError, KeyError, IndexError, TypeError)
+
+
+class ProgressRecord(TypedDict, total=False):
+    """Shape of the record."""
+
+    phase: str
+    why: str
+    finished: list[int]
+    steps: list[list[object]]
+
+
+def encode(job: JobBook) -> bytes:
+    """Return the record of a job."""
+    record: ProgressRecord = {'phase': job.phase.value}
+    if job.is_final:
+        record['why'] = job.why
+        return orjson.dumps(record)
+    if job.finished:
+        record['finished'] = list(job.finished)
+    rows = [
+        _step_row(step)
+        for number, steps in job.occurrences.items()
+        for step in steps
+        if number not in job.finished
+    ]
+    record['steps'] = [row for row in rows if row[2] != '0' or row[3]]
+    return orjson.dumps(record)
+
+
+def _step_row(step: StepBook) -> list[object]:
+    mask = sum(1 << task.index for task in step.tasks if task.done)
+    tasks = [
+        [task.index, list(task.failed_runs), task.last_run, task.checkpoint]
+        for task in step.tasks
+        if not task.done and (task.failed_runs or task.checkpoint)
+    ]
+    return [step.key.occurrence, step.key.step, f'{mask:x}', tasks]
+
+
+def restore(cell: CellState, job: JobBook, raw: bytes) -> None:
+    """Bring a job to what its record tells."""
+    try:
+        record: ProgressRecord = orjson.loads(raw)
+        _restore(cell, job, record)
+    except UNREADABLE as error:
+        note(cell, 'record_unreadable', job=job.spec.job_id, error=str(error))
+
+
+def _restore(cell: CellState, job: JobBook, record: ProgressRecord) -> None:
+    phase = JobPhase(record['phase'])
+    if phase in FINAL_PHASES:
+        job.phase = phase
+        job.durable_phase = phase
+        job.begun = True
+        job.why = record.get('why', '')
+        for steps in job.occurrences.values():
+            for step in steps:
+                cell.open_steps.pop(step.key, None)
+        return
+    for number in record.get('finished', ()):
+        job.finished[number] = None
+        job.begun = True
+    for row in record.get('steps', ()):
+        _restore_step(cell, job, row)
+
+
+def _restore_step(cell: CellState, job: JobBook, row: list[object]) -> None:
+    occurrence, index, mask_text, tasks = row
+    if not isinstance(occurrence, int) or not isinstance(index, int):
+        raise ValueError('a step row needs two numbers')
+    if occurrence not in job.occurrences:
+        open_occurrence(cell, job, occurrence)
+    steps = job.occurrences[occurrence]
+    step = steps[index]
+    job.begun = True
+    mask = int(str(mask_text), HEX)
+    for task in step.tasks:
+        if mask >> task.index & 1:
+            mark_done(step, task)
+    for number, failed, last_run, checkpoint in tasks:  # type: ignore[attr-defined]
+        _restore_task(step.tasks[number], failed, last_run, checkpoint)
+    if step.is_done:
+        cell.open_steps.pop(step.key, None)
+    for other in steps:
+        open_if_ready(cell, job, other)
+
+
+def _restore_task(
+    task: TaskBook,
+    failed: list[int],
+    last_run: int,
+    checkpoint: str,
+) -> None:
+    task.failed_runs.update(dict.fromkeys(failed))
+    task.last_run = max(task.last_run, last_run)
+    task.checkpoint = checkpoint
--- /dev/null
+++ b/src/lycheerelay/workflow/_tables.py
@@ -0,0 +1,262 @@
+"""Compare what workers say they run with the books."""
+
+from typing import Final, NamedTuple
+
+from .._resources import Resources
+from ._commands import StopRun
+from ._ends import (
+    End,
+    apply_end,
+    find_step,
+    keep_checkpoint,
+    requeue,
+    run_vanished,
+)
+from ._intake import steps_of
+from ._notes import note
+from ._runs import adopt, release_run, stop_run, worker_over
+from ._spec import RunKey
+from ._state import NEVER, CellState, Run, RunState, TaskBook, WorkerBook
+
+
+class Row(NamedTuple):
+    """Tell one run as its worker lists it.
+
+    `load` is the tail of response times in ms for a task that serves, else
+    the thousandths of a core in use.
+    """
+
+    run: RunKey
+    checkpoint: str
+    percent: int
+    load: int
+
+
+class Table(NamedTuple):
+    """Tell all that a worker runs and which ends it still lists."""
+
+    worker_id: str
+    asked_ms: int
+    rows: tuple[Row, ...]
+    ends: tuple[End, ...]
+
+
+class WorkerListing(NamedTuple):
+    """Describe one life of a worker as it registered itself."""
+
+    worker_id: str
+    address: str
+    pool: str
+    domain: str
+    rack: str
+    labels: frozenset[str]
+    capacity: Resources
+    draining: bool
+    leaves_in_ms: int = NEVER
+
+
+def list_worker(cell: CellState, entry: WorkerListing, now_ms: int) -> None:
+    """Take in a new or changed registration."""
+    if entry.worker_id in cell.dead:
+        return
+    worker = cell.workers.get(entry.worker_id)
+    if worker is None:
+        worker = WorkerBook(
+            entry.worker_id,
+            entry.address,
+            entry.pool,
+            entry.rack,
+            entry.labels,
+            entry.capacity,
+            entry.domain,
+            free=entry.capacity,
+            heard_ms=now_ms,
+        )
+        cell.workers[entry.worker_id] = worker
+        note(cell, 'worker_listed', worker=entry.worker_id, pool=entry.pool)
+    elif entry.capacity != worker.capacity:
+        used = worker.capacity.minus(worker.free)
+        worker.capacity = entry.capacity
+        worker.free = entry.capacity.minus(used)
+    worker.pool = entry.pool
+    worker.rack = entry.rack
+    worker.labels = entry.labels
+    worker.domain = entry.domain
+    worker.listed = True
+    if entry.draining and not worker.draining:
+        worker.draining = True
+        note(cell, 'worker_draining', worker=entry.worker_id)
+    if entry.leaves_in_ms != NEVER:
+        worker.leaves_ms = now_ms + entry.leaves_in_ms
+
+
+def unlist_worker(cell: CellState, worker_id: str) -> None:
+    """Start nothing more on a worker whose registration is gone."""
+    worker = cell.workers.get(worker_id)
+    if worker is not None and worker.listed:
+        worker.listed = False
+        note(cell, 'worker_unlisted', worker=worker_id)
+
+
+def bury_worker(
+    cell: CellState,
+    worker_id: str,
+    now_ms: int,
+    reason: str,
+) -> None:
+    """Forget a worker whose life is proved to be over."""
+    cell.unanswered.pop(worker_id, None)
+    cell.dead[worker_id] = None
+    worker = cell.workers.pop(worker_id, None)
+    if worker is None:
+        return
+    for run in worker_over(cell, worker, reason):
+        if not run.step.job.is_final:
+            requeue(cell, run.step, run.task, now_ms)
+
+
+def lapse_worker(cell: CellState, worker: WorkerBook, now_ms: int) -> None:
+    """Give up the runs of a worker after every lease there has run out."""
+    worker.synced = False
+    worker.silent = True
+    for run in worker_over(cell, worker, 'leases ran out'):
+        if not run.step.job.is_final:
+            requeue(cell, run.step, run.task, now_ms)
+
+
+def apply_table(cell: CellState, table: Table, now_ms: int) -> bool:
+    """Bring the books in line with a table; return whether ends came."""
+    worker = cell.workers.get(table.worker_id)
+    if worker is None:
+        return False
+    worker.heard_ms = now_ms
+    worker.silent = False
+    fresh = [end for end in table.ends if end.number > worker.handled_end]
+    for end in fresh:
+        apply_end(cell, worker, end, now_ms)
+        worker.handled_end = end.number
+    shown = {row.run for row in table.rows}
+    shown.update(end.run for end in table.ends)
+    for row in table.rows:
+        _apply_row(cell, worker, row, now_ms)
+    for run in list(worker.runs.values()):
+        if run.key not in shown:
+            _judge_absent(cell, run, table.asked_ms, now_ms)
+    for stray in list(worker.strays):
+        if stray not in shown:
+            worker.strays.pop(stray)
+    if not worker.synced:
+        worker.synced = True
+        cell.unanswered.pop(worker.worker_id, None)
+        note(
+            cell,
+            'worker_synced',
+            worker=worker.worker_id,
+            runs=len(table.rows),
+            ends=len(fresh),
+        )
+    return bool(fresh)
+
+
+def _apply_row(
+    cell: CellState,
+    worker: WorkerBook,
+    row: Row,
+    now_ms: int,
+) -> None:
+    run = worker.runs.get(row.run)
+    if run is None:
+        run = _take_in(cell, worker, row.run, now_ms)
+        if run is None:
+            worker.strays[row.run] = None
+            cell.outbox.append(StopRun(worker.worker_id, row.run))
+            return
+    if run.state is RunState.SENT:
+        run.state = RunState.RUNNING
+        run.answered_ms = now_ms
+    if run.state is RunState.STOPPING:
+        stop_run(cell, run, now_ms, run.stop_reason)
+    if row.percent != run.percent:
+        run.percent = row.percent
+        run.percent_ms = now_ms
+    run.load = row.load
+    if row.checkpoint and row.checkpoint != run.task.checkpoint:
+        keep_checkpoint(run.step, run.task, row.checkpoint)
+
+
+def _take_in(
+    cell: CellState,
+    worker: WorkerBook,
+    key: RunKey,
+    now_ms: int,
+) -> Run | None:
+    step = find_step(cell, key)
+    if step is None:
+        return None
+    run = Run(key, worker, step, step.spec.demand, now_ms)
+    run.state = RunState.RUNNING
+    run.answered_ms = now_ms
+    others = step.tasks[key.task.member].runs
+    is_spare = bool(others) and not step.spec.copies
+    if not step.spec.gang and is_spare:
+        newest = max(others)
+        if newest > key.number:
+            adopt(run)
+            stop_run(cell, run, now_ms, 'a later run is in place')
+            return run
+        stop_run(cell, others[newest], now_ms, 'a later run is in place')
+    adopt(run)
+    step.job.begun = True
+    step.waiting.pop(key.task.member, None)
+    if step.job.is_final or step.tasks[key.task.member].done:
+        stop_run(cell, run, now_ms, 'not wanted any more')
+    note(cell, 'run_adopted', run=key, worker=worker.worker_id)
+    return run
+
+
+# A worker's clock may run slow and messages take their time: an unanswered
+# start counts as void only so many ms after its deadline.
+VOID_MARGIN_MS: Final = 300
+
+
+def _judge_absent(
+    cell: CellState,
+    run: Run,
+    asked_ms: int,
+    now_ms: int,
+) -> None:
+    is_answered = run.answered_ms != NEVER
+    if is_answered and run.answered_ms < asked_ms:
+        run_vanished(cell, run, now_ms, 'its worker does not list it')
+        return
+    if run.stop_answered_ms != NEVER and run.stop_answered_ms < asked_ms:
+        run_vanished(cell, run, now_ms, 'stopped before it began')
+        return
+    expires_ms = run.start_expires_ms
+    if is_answered or expires_ms == NEVER:
+        return
+    if expires_ms + VOID_MARGIN_MS < asked_ms:
+        run_vanished(cell, run, now_ms, 'its start expired unanswered')
+
+
+def settle_gangs(cell: CellState, now_ms: int) -> None:
+    """Stop gangs of an earlier owner of which members are missing."""
+    for job in cell.jobs.values():
+        for step in steps_of(job):
+            if step.spec.gang and step.has_runs and not step.is_done:
+                _settle_gang(cell, step.tasks, now_ms)
+
+
+def _settle_gang(cell: CellState, members: list[TaskBook], now_ms: int) -> None:
+    numbers = [set(member.runs) for member in members]
+    if not set.intersection(*numbers):
+        for member in members:
+            for run in list(member.runs.values()):
+                stop_run(cell, run, now_ms, 'members are missing')
+
+
+def drop_run(cell: CellState, run: Run, now_ms: int) -> None:
+    """Release a run that its worker refused to start."""
+    release_run(run)
+    if not run.step.job.is_final:
+        requeue(cell, run.step, run.task, now_ms)
