Use one HTTP client for the platform and for peers

Cause: peers had a client of their own, a second copy of timeouts and errors.

Change: `serving/_http_calls.py` serves both; callers are passed in, so that a stand-in can take its place.

--- a/src/lycheerelay/platform/_advisor.py
+++ b/src/lycheerelay/platform/_advisor.py
@@ -6,10 +6,9 @@
 
 from result import Err, Ok, Result
 
-from ..serving import Advised, LogFault
+from ..serving import NO_ANSWER, Advised, Caller, LogFault, post_json
 from ..workflow import StepKey
 from ._decode import UNREADABLE
-from ._http import NO_ANSWER, PlatformHttp
 
 logger = logging.getLogger('lycheerelay.advisor')
 
@@ -24,7 +23,7 @@
 class AdvisorCalls:
     """Ask the advisor; a VM that has none gets a refusal."""
 
-    def __init__(self, http: PlatformHttp, address: str) -> None:
+    def __init__(self, http: Caller, address: str) -> None:
         """Name the advisor's address."""
         self.http = http
         self.address = address
@@ -35,7 +34,8 @@
         workers: Sequence[str],
     ) -> Result[Advised, LogFault]:
         """Return tickets for those of the workers that may run the step."""
-        reply = await self.http.call_json(
+        reply = await post_json(
+            self.http,
             f'http://{self.address}/v1/advise',
             TIMEOUT_MS,
             {
--- a/src/lycheerelay/platform/_serve.py
+++ b/src/lycheerelay/platform/_serve.py
@@ -14,8 +14,10 @@
 from .._clock import SystemClock
 from ..serving import (
     AdviceDesk,
+    Caller,
     ConfigWatch,
     Desk,
+    HttpCalls,
     Internal,
     Limits,
     ListingReader,
@@ -31,7 +33,6 @@
 from ..workflow import CellState
 from ._advisor import AdvisorCalls
 from ._decode import decode_config, decode_worker
-from ._http import PlatformHttp
 from ._ingress import Ingress
 from ._settings import PlatformSettings, read_settings
 from ._store import StoreGroup, StoreLog
@@ -66,7 +67,7 @@
         self.settings = settings
         self.clock = SystemClock()
         self.meters = Meters()
-        self.http = PlatformHttp()
+        self.http: Caller = HttpCalls()
         self.log = StoreLog(self.http, settings.store_address)
         incarnation = f'{os.getpid()}-{self.clock.now_ms()}'
         address = f'{settings.host}:{settings.internal_port}'
@@ -74,7 +75,7 @@
         group = StoreGroup(self.http, settings.store_address, member)
         self.workers = WorkerCalls(self.http, self.clock.now_ms)
         self.advisor = AdvisorCalls(self.http, settings.advisor_address)
-        self.peers = Peers(member, group, self.clock)
+        self.peers = Peers(member, group, self.clock, self.http)
         self.desk = Desk(self.clock, self.log, self.peers, self.meters)
         self.advice_desk = AdviceDesk(self.clock, self.advisor, self.peers)
         self.config = ConfigWatch(self.log, decode_config)
@@ -213,7 +214,6 @@
     async def _close(self) -> None:
         for runner in self.runners:
             await runner.cleanup()
-        await self.peers.close()
         await self.http.close()
 
 
--- a/src/lycheerelay/platform/_store.py
+++ b/src/lycheerelay/platform/_store.py
@@ -11,14 +11,18 @@
 
 from ..serving import (
     GROUP_TTL_MS,
+    NO_ANSWER,
+    NOT_SENT,
+    Caller,
     Grant,
     KeyedRecord,
     LogFault,
+    Reply,
     Slice,
     Stream,
     Writer,
+    post_json,
 )
-from ._http import NO_ANSWER, NOT_SENT, PlatformHttp, Reply
 from ._records import BOUNDS, pack, unpack
 
 logger = logging.getLogger('lycheerelay.store')
@@ -49,7 +53,7 @@
 class StoreLog:
     """Append to and read from the store's keyed topics."""
 
-    def __init__(self, http: PlatformHttp, address: str) -> None:
+    def __init__(self, http: Caller, address: str) -> None:
         """Name the store's address."""
         self.http = http
         self.base = f'http://{address}/v1'
@@ -130,7 +134,7 @@
 class StoreGroup:
     """Let the store deal the ownership among the entry VMs."""
 
-    def __init__(self, http: PlatformHttp, address: str, member: str) -> None:
+    def __init__(self, http: Caller, address: str, member: str) -> None:
         """Name the store's address and this member."""
         self.http = http
         self.base = f'http://{address}/v1'
@@ -138,7 +142,8 @@
 
     async def join(self, generation: int) -> Result[Grant, LogFault]:
         """Join, or stay in, the group."""
-        reply = await self.http.call_json(
+        reply = await post_json(
+            self.http,
             f'{self.base}/log-join',
             JOIN_TIMEOUT_MS,
             {
@@ -157,7 +162,8 @@
 
     async def leave(self) -> Result[None, LogFault]:
         """Hand back what was dealt."""
-        reply = await self.http.call_json(
+        reply = await post_json(
+            self.http,
             f'{self.base}/log-leave',
             JOIN_TIMEOUT_MS,
             {'group': GROUP, 'member': self.member},
--- a/src/lycheerelay/platform/_workers.py
+++ b/src/lycheerelay/platform/_workers.py
@@ -5,11 +5,16 @@
 from typing import Any, Final, final
 
 from ..serving import (
+    NO_ANSWER,
+    NOT_SENT,
+    Caller,
     Held,
     HoldOrder,
     PaceOrder,
+    Reply,
     StartOrder,
     StopOrder,
+    post_json,
 )
 from ..workflow import (
     Answer,
@@ -21,7 +26,6 @@
     TaskKey,
 )
 from ._decode import UNREADABLE
-from ._http import NO_ANSWER, NOT_SENT, PlatformHttp, Reply
 
 logger = logging.getLogger('lycheerelay.workers')
 
@@ -57,7 +61,7 @@
 class WorkerCalls:
     """Call workers; each call names the life that it is meant for."""
 
-    def __init__(self, http: PlatformHttp, clock_ms: Any) -> None:
+    def __init__(self, http: Caller, clock_ms: Any) -> None:
         """Take the client and the clock of the answers."""
         self.http = http
         self.clock_ms = clock_ms
@@ -73,7 +77,8 @@
         if order.wait_ms:
             body['waitMs'] = order.wait_ms
         asked_ms = self.clock_ms()
-        reply = await self.http.call_json(
+        reply = await post_json(
+            self.http,
             f'http://{order.address}/v1/hold',
             LOOK_TIMEOUT_MS + order.wait_ms,
             body,
@@ -114,7 +119,8 @@
         path: str,
         body: Mapping[str, object],
     ) -> Answer:
-        reply = await self.http.call_json(
+        reply = await post_json(
+            self.http,
             f'http://{order.address}{path}',
             ORDER_TIMEOUT_MS,
             body,
--- a/src/lycheerelay/serving/__init__.py
+++ b/src/lycheerelay/serving/__init__.py
@@ -5,6 +5,14 @@
 from ._context import Limits, OwnerContext
 from ._desk import Desk, Outcome, Verdict
 from ._event_log import set_up_event_log
+from ._http_calls import (
+    NO_ANSWER,
+    NOT_SENT,
+    Caller,
+    HttpCalls,
+    Reply,
+    post_json,
+)
 from ._internal import Internal
 from ._listings import ListingReader
 from ._meters import Meters
@@ -34,6 +42,12 @@
 
 __all__ = (
     'GROUP_TTL_MS',
+    'NOT_SENT',
+    'NO_ANSWER',
+    'Caller',
+    'HttpCalls',
+    'Reply',
+    'post_json',
     'AdviceDesk',
     'Advised',
     'Advisor',
--- a/src/lycheerelay/platform/_http.py
+++ b/src/lycheerelay/serving/_http_calls.py
@@ -1,7 +1,7 @@
-"""Call the platform over HTTP: the one client for all its services."""
+"""Call over HTTP: the one client for the platform and for peers."""
 
 from collections.abc import Mapping
-from typing import Any, Final, NamedTuple, final
+from typing import Any, Final, NamedTuple, Protocol, final
 
 import aiohttp
 import orjson
@@ -35,9 +35,38 @@
         return decoded if isinstance(decoded, dict) else {}
 
 
+class Caller(Protocol):
+    """Make calls; `HttpCalls` does so over the network."""
+
+    async def call(
+        self,
+        method: str,
+        url: str,
+        timeout_ms: int,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> Reply:
+        """Make one call, once."""
+
+    async def close(self) -> None:
+        """Close every channel."""
+
+
+async def post_json(
+    caller: Caller,
+    url: str,
+    timeout_ms: int,
+    body: Mapping[str, object],
+    headers: Mapping[str, str] | None = None,
+) -> Reply:
+    """Post one JSON object."""
+    named = {'Content-Type': 'application/json', **(headers or {})}
+    return await caller.call('POST', url, timeout_ms, orjson.dumps(body), named)
+
+
 @final
-class PlatformHttp:
-    """Keep channels to the platform's services and the workers."""
+class HttpCalls:
+    """Keep channels to the store, the workers and the peers."""
 
     def __init__(self) -> None:
         """Open no channel yet; needs a running event loop."""
@@ -78,23 +107,6 @@
         except (aiohttp.ClientError, TimeoutError, OSError):
             return Reply(NO_ANSWER)
 
-    async def call_json(
-        self,
-        url: str,
-        timeout_ms: int,
-        body: Mapping[str, object],
-        headers: Mapping[str, str] | None = None,
-    ) -> Reply:
-        """Post one JSON object."""
-        named = {'Content-Type': 'application/json', **(headers or {})}
-        return await self.call(
-            'POST',
-            url,
-            timeout_ms,
-            orjson.dumps(body),
-            named,
-        )
-
     async def close(self) -> None:
         """Close every channel."""
         await self.session.close()
--- a/src/lycheerelay/serving/_peers.py
+++ b/src/lycheerelay/serving/_peers.py
@@ -9,12 +9,11 @@
 import logging
 from typing import Any, Final, final
 
-import aiohttp
-import orjson
 from result import Err, Ok, Result
 
 from .._clock import Clock
 from ..workflow import AskAdvice
+from ._http_calls import NO_ANSWER, NOT_SENT, Caller, post_json
 from ._ports import Advised, Group, LogFault
 
 logger = logging.getLogger('lycheerelay.peers')
@@ -28,7 +27,6 @@
 # An answer of a peer takes a few ms; one that takes longer than this, in ms,
 # comes from a peer that is cut off or stopped.
 CALL_TIMEOUT_MS: Final = 500
-MS_PER_SECOND: Final = 1000
 HTTP_OK: Final = 200
 
 
@@ -41,17 +39,23 @@
 class Peers:
     """Know the members of the group and call them."""
 
-    def __init__(self, own_name: str, group: Group, clock: Clock) -> None:
+    def __init__(
+        self,
+        own_name: str,
+        group: Group,
+        clock: Clock,
+        http: Caller,
+    ) -> None:
         """Start without a directory."""
         self.own_name = own_name
         self.group = group
         self.clock = clock
+        self.http = http
         self.owner = ''
         self.members: tuple[str, ...] = ()
         self.read_ms = -REFRESH_EVERY_MS
         self.suspects: dict[str, int] = {}
         self.reading = asyncio.Lock()
-        self.session: aiohttp.ClientSession | None = None
 
     def others(self) -> list[str]:
         """Return the addresses of peers that answered lately."""
@@ -125,32 +129,15 @@
         timeout_ms: int,
     ) -> Result[dict[str, Any], LogFault]:
         """Call one peer."""
-        if self.session is None:
-            self.session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=60),
-            )
-        try:
-            async with self.session.post(
-                f'http://{address}{path}',
-                data=orjson.dumps(body),
-                timeout=aiohttp.ClientTimeout(timeout_ms / MS_PER_SECOND),
-            ) as reply:
-                raw = await reply.read()
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            logger.info(
-                'peer_unreached',
-                extra={
-                    'peer': address,
-                    'path': path,
-                    'error': type(error).__name__,
-                },
-            )
+        reply = await post_json(
+            self.http,
+            f'http://{address}{path}',
+            timeout_ms,
+            body,
+        )
+        if reply.status == HTTP_OK:
+            return Ok(reply.fields())
+        if reply.status in {NO_ANSWER, NOT_SENT}:
+            logger.info('peer_unreached', extra={'peer': address, 'path': path})
             return Err(LogFault.UNKNOWN)
-        if reply.status != HTTP_OK:
-            return Err(LogFault.REFUSED)
-        return Ok(orjson.loads(raw))
-
-    async def close(self) -> None:
-        """Close the channels to peers."""
-        if self.session is not None:
-            await self.session.close()
+        return Err(LogFault.REFUSED)
