Play the platform in virtual time; let the leases of lost workers run out

The first scenarios showed two faults: a running job was shown as queued, and each look at a silent worker prolonged the leases that the owner assumes there, so that its tasks never started elsewhere.

Change: a stand-in of store, workers, advisor and network under a loop with virtual time, with an auditor of the promises; looks at a silent worker carry no deadline; a job with a started task is shown as running.

--- a/src/lycheerelay/serving/_holder.py
+++ b/src/lycheerelay/serving/_holder.py
@@ -77,6 +77,10 @@
         if worker is None or worker.silent:
             wait_ms = 0
         last_seen = worker.recorded_end if worker else 0
+        # A worker that does not answer may still carry out what it is sent:
+        # its leases run out only if no look prolongs them.
+        is_lost = worker is None or worker.silent
+        deadline_ms = 0 if is_lost else self.lease_deadline()
         if worker and worker.recorded_end < worker.handled_end:
             wait_ms = 0
         return await self.context.workers.hold(
@@ -85,7 +89,7 @@
                 self.address,
                 self.context.fence,
                 last_seen,
-                self.lease_deadline(),
+                deadline_ms,
                 wait_ms,
             ),
         )
--- a/src/lycheerelay/serving/_internal.py
+++ b/src/lycheerelay/serving/_internal.py
@@ -5,12 +5,12 @@
 from typing import Any, Final, final
 
 import orjson
-from aiohttp import web
 from result import Err
 
 from .._registry import Registry
 from ..workflow import StepKey
 from ._desk import Desk
+from ._http_calls import Reply
 from ._ports import Advisor
 
 logger = logging.getLogger('lycheerelay.internal')
@@ -19,6 +19,7 @@
 Route = Callable[['Internal', Body], Awaitable[Body | None]]
 ROUTES: Final[Registry[str, Route]] = Registry('internal route')
 
+OK: Final = 200
 UNAVAILABLE: Final = 503
 BAD_REQUEST: Final = 400
 NOT_FOUND: Final = 404
@@ -33,23 +34,21 @@
         self.desk = desk
         self.advisor = advisor
 
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Answer one call."""
-        if request.path not in ROUTES:
-            return web.Response(status=NOT_FOUND)
-        raw = await request.read()
+    async def answer(self, path: str, raw: bytes) -> Reply:
+        """Answer one call with a status and a JSON body."""
+        if path not in ROUTES:
+            return Reply(NOT_FOUND)
         try:
-            body = orjson.loads(raw)
-            answer = await ROUTES[request.path](self, body)
+            answer = await ROUTES[path](self, orjson.loads(raw))
         except (ValueError, KeyError, TypeError) as error:
             logger.warning(
                 'internal_call_unreadable',
-                extra={'path': request.path, 'error': str(error)},
+                extra={'path': path, 'error': str(error)},
             )
-            return web.Response(status=BAD_REQUEST)
+            return Reply(BAD_REQUEST)
         if answer is None:
-            return web.Response(status=UNAVAILABLE)
-        return web.Response(body=orjson.dumps(answer))
+            return Reply(UNAVAILABLE)
+        return Reply(OK, orjson.dumps(answer))
 
 
 @ROUTES.register('/state')
--- a/src/lycheerelay/serving/_terms.py
+++ b/src/lycheerelay/serving/_terms.py
@@ -66,7 +66,7 @@
     async def leave(self) -> None:
         """Stop acting and hand the ownership back."""
         self.leaving = True
-        self._end_term('leaving')
+        self.end_term('leaving')
         await self.group.leave()
 
     def _not_joined(self, fault: str) -> None:
@@ -83,7 +83,7 @@
         self.generation = grant.generation
         reason = self._why_over(grant, has_changed)
         if reason:
-            self._end_term(reason)
+            self.end_term(reason)
         if not grant.is_owner:
             return
         if self.owner is None or self.tenure is None:
@@ -113,7 +113,8 @@
         self.set_owner(self.owner)
         self.task = asyncio.get_running_loop().create_task(self.owner.run())
 
-    def _end_term(self, reason: str) -> None:
+    def end_term(self, reason: str) -> None:
+        """Stop acting as the owner."""
         if self.owner is None:
             return
         logger.info(
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -146,9 +146,9 @@
     @property
     def shown(self) -> JobPhase:
         """Return the phase that survives the loss of this process."""
-        if self.is_final and self.durable_phase is not self.phase:
-            return JobPhase.RUNNING if self.begun else JobPhase.QUEUED
-        return self.phase
+        if self.is_final and self.durable_phase is self.phase:
+            return self.phase
+        return JobPhase.RUNNING if self.begun else JobPhase.QUEUED
 
 
 @dataclass(slots=True, eq=False)
--- /dev/null
+++ b/src/lycheerelay_standins/platform/__init__.py
@@ -0,0 +1,23 @@
+"""Stand in for the users' platform, in virtual time."""
+
+from ._audit import Audit
+from ._cell import CellShape, PlatformCell, QueueShape
+from ._net import Net, NetCaller, Request
+from ._store import StoreStandIn
+from ._virtual_time import LoopClock, run_virtual
+from ._worker import Shape, WorkerStandIn
+
+__all__ = (
+    'Audit',
+    'CellShape',
+    'LoopClock',
+    'Net',
+    'NetCaller',
+    'PlatformCell',
+    'QueueShape',
+    'Request',
+    'Shape',
+    'StoreStandIn',
+    'WorkerStandIn',
+    'run_virtual',
+)
--- /dev/null
+++ b/src/lycheerelay_standins/platform/_net.py
@@ -0,0 +1,166 @@
+"""Carry calls between processes in virtual time, with faults."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Final, NamedTuple, final
+from urllib.parse import parse_qsl, urlsplit
+
+from lycheerelay.serving import NO_ANSWER, NOT_SENT, Reply
+
+MS_PER_SECOND: Final = 1000
+ONE_WAY_MS: Final = 1
+CONNECT_MS: Final = 400
+REFUSED: Final = 503
+
+
+class Request(NamedTuple):
+    """Hold a call as its receiver sees it."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: Mapping[str, str]
+    body: bytes
+
+
+Handler = Callable[[Request], Awaitable[Reply]]
+
+
+@final
+class Net:
+    """Know who listens where, and which ways are harmed.
+
+    `cuts` holds pairs of origin and address (or `*`) between which nothing
+    passes. `lost` is the share of answers that get lost for an address,
+    `late` the share of calls that are answered never and carried out after
+    the given delay in s, `slow` a delay in ms before each answer.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        """Start with every way in order."""
+        self.rng = rng
+        self.hosts: dict[str, Handler] = {}
+        self.owners: dict[str, str] = {}
+        self.cuts: set[tuple[str, str]] = set()
+        self.refusing: set[tuple[str, str]] = set()
+        self.lost: dict[str, float] = {}
+        self.late: dict[str, tuple[float, float, float]] = {}
+        self.slow: dict[str, int] = {}
+        self.pending: set[asyncio.Task[object]] = set()
+
+    def listen(self, address: str, vm: str, handler: Handler) -> None:
+        """Let a handler answer at an address of a machine."""
+        self.hosts[address] = handler
+        self.owners[address] = vm
+
+    def is_cut(self, origin: str, address: str) -> bool:
+        """Tell whether nothing passes between the two."""
+        vm = self.owners.get(address, '')
+        pairs = (
+            (origin, address),
+            (origin, vm),
+            (origin, '*'),
+            (vm, origin),
+            ('*', vm),
+            ('*', address),
+        )
+        return any(pair in self.cuts for pair in pairs)
+
+    async def call(
+        self,
+        origin: str,
+        address: str,
+        request: Request,
+        timeout_ms: int,
+    ) -> Reply:
+        """Deliver one call and bring its answer back."""
+        if (origin, address) in self.refusing or (
+            '*',
+            address,
+        ) in self.refusing:
+            await _sleep_ms(ONE_WAY_MS * 2)
+            return Reply(REFUSED)
+        if self.is_cut(origin, address):
+            is_new = self.rng.choice((True, False))
+            await _sleep_ms(
+                min(CONNECT_MS if is_new else timeout_ms, timeout_ms)
+            )
+            return Reply(NOT_SENT if is_new else NO_ANSWER)
+        await _sleep_ms(ONE_WAY_MS)
+        handler = self.hosts.get(address)
+        if handler is None:
+            return Reply(NOT_SENT)
+        task = asyncio.ensure_future(self._serve(address, handler, request))
+        self.pending.add(task)
+        task.add_done_callback(self.pending.discard)
+        done, _ = await asyncio.wait({task}, timeout=timeout_ms / MS_PER_SECOND)
+        if not done:
+            return Reply(NO_ANSWER)
+        reply = task.result()
+        is_lost = reply is None or self.is_cut(origin, address)
+        await _sleep_ms(timeout_ms if is_lost else ONE_WAY_MS)
+        return Reply(NO_ANSWER) if reply is None or is_lost else reply
+
+    def _is_refusing(self, origin: str, address: str) -> bool:
+        pairs = {(origin, address), ('*', address)}
+        return not pairs.isdisjoint(self.refusing)
+
+    async def _time_out(self, timeout_ms: int) -> Reply:
+        # Half of the calls find an open channel, on which they may be read.
+        is_new = self.rng.choice((True, False))
+        await _sleep_ms(min(CONNECT_MS, timeout_ms) if is_new else timeout_ms)
+        return Reply(NOT_SENT if is_new else NO_ANSWER)
+
+    async def _serve(
+        self,
+        address: str,
+        handler: Handler,
+        request: Request,
+    ) -> Reply | None:
+        share, least_s, most_s = self.late.get(address, (0, 0, 0))
+        if self.rng.random() < share:
+            await asyncio.sleep(self.rng.uniform(least_s, most_s))
+            await handler(request)
+            return None
+        reply = await handler(request)
+        await _sleep_ms(self.slow.get(address, 0))
+        if self.rng.random() < self.lost.get(address, 0):
+            return None
+        return reply
+
+
+@final
+class NetCaller:
+    """Make the calls of one machine; stands in for the HTTP client."""
+
+    def __init__(self, net: Net, vm: str) -> None:
+        """Call from a machine."""
+        self.net = net
+        self.vm = vm
+
+    async def call(
+        self,
+        method: str,
+        url: str,
+        timeout_ms: int,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> Reply:
+        """Make one call, once."""
+        parts = urlsplit(url)
+        request = Request(
+            method,
+            parts.path,
+            dict(parse_qsl(parts.query)),
+            headers or {},
+            body or b'',
+        )
+        return await self.net.call(self.vm, parts.netloc, request, timeout_ms)
+
+    async def close(self) -> None:
+        """Close nothing."""
+
+
+async def _sleep_ms(time_ms: float) -> None:
+    await asyncio.sleep(time_ms / MS_PER_SECOND)
