Fuzz the platform path; mend a look that spun after its owner was deposed

Cause: an event that stayed set let a look that waited for the record of its ends loop without giving the processor back, once its owner was deposed.

Change: the event is set and cleared only by the recorder, and the wait ends with the ownership.

--- a/src/lycheerelay/serving/_holder.py
+++ b/src/lycheerelay/serving/_holder.py
@@ -133,12 +133,16 @@
             return
         try:
             async with asyncio.timeout(RECORD_WAIT_S):
-                while worker.recorded_end < worker.handled_end:
+                while self._has_unrecorded(worker):
                     await self.context.recorded.wait()
         except TimeoutError:
             # The store is slow or away; look on without forgetting ends.
             await asyncio.sleep(UNRECORDED_PAUSE_S)
 
+    def _has_unrecorded(self, worker: WorkerBook) -> bool:
+        is_over = self.context.cell.deposed
+        return not is_over and worker.recorded_end < worker.handled_end
+
     async def _unanswered(self, answer: Answer) -> None:
         worker = self.context.cell.workers.get(self.worker_id)
         if worker is not None and not worker.silent:
--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -99,7 +99,6 @@
         """Send nothing more from now on."""
         self.cell.deposed = True
         self.context.poke()
-        self.context.recorded.set()
 
     async def read_up(self) -> bool:
         """Read the job stream to its present end; False without an answer."""
--- a/src/lycheerelay_standins/platform/__init__.py
+++ b/src/lycheerelay_standins/platform/__init__.py
@@ -2,14 +2,17 @@
 
 from ._audit import Audit
 from ._cell import CellShape, PlatformCell, QueueShape
+from ._fuzz import FAULTS, FuzzResult, fuzz
 from ._net import Net, NetCaller, Request
 from ._store import StoreStandIn
 from ._virtual_time import LoopClock, run_virtual
 from ._worker import Shape, WorkerStandIn
 
 __all__ = (
+    'FAULTS',
     'Audit',
     'CellShape',
+    'FuzzResult',
     'LoopClock',
     'Net',
     'NetCaller',
@@ -19,5 +22,6 @@
     'Shape',
     'StoreStandIn',
     'WorkerStandIn',
+    'fuzz',
     'run_virtual',
 )
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,279 @@
+"""Decode what the platform's other writers send; nothing may raise."""
+
+import ast
+import json
+import re
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any, Final
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Err, Ok
+
+import lycheerelay
+from lycheerelay._resources import Resources
+from lycheerelay.platform import (
+    decode_config,
+    decode_job,
+    decode_worker,
+)
+from lycheerelay.platform._records import pack, unpack
+from lycheerelay.platform._settings import read_settings
+from lycheerelay.platform._workers import task_key, task_name
+from lycheerelay.serving import KeyedRecord, Queue
+from lycheerelay.serving._spec_codec import decode_spec, encode_spec
+from lycheerelay.workflow import TaskKey, WorkflowSpec
+
+EXAMPLES: Final = settings(max_examples=150, derandomize=True, deadline=None)
+QUEUE: Final = Queue('q', 'h', '/q/', 'pool', 3, 2.0, 1000, 1, None)
+JSON: Final = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=12,
+)
+WORKER: Final[dict[str, Any]] = {
+    'service': 'pool',
+    'address': '10.0.0.1:80',
+    'zone': 'a',
+    'version': 'v1',
+    'slots': 8,
+    'state': 'ready',
+    'coldRemainingMs': 0,
+    'capacity': {'cpu': 16000, 'memMb': 32768, 'gpus': 2},
+    'labels': ['a', 'r1-3'],
+    'clockMs': 482113,
+    'sequence': 4,
+}
+CONFIG: Final[dict[str, Any]] = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r',
+            'host': 'h',
+            'pathPrefix': '/q/',
+            'service': 'pool',
+            'maxAttempts': 3,
+            'stretch': 2.2,
+            'targetLatencyMs': 1000,
+            'placementAdvisor': {
+                'decisionMs': 784.0,
+                'periodMs': 7.0,
+                'validityMs': 2000,
+            },
+        },
+    ],
+    'services': [{'name': 'pool'}],
+    'limits': {'maxBodyBytes': 1000},
+}
+STEP: Final[dict[str, Any]] = {
+    'count': 4,
+    'cpu': 500,
+    'memMb': 256,
+    'estimatedMs': 900,
+    'affinity': 'r1-3',
+    'after': [],
+}
+
+
+def raw(fields: object) -> bytes:
+    """Return fields as the wire carries them."""
+    return json.dumps(fields).encode()
+
+
+def test_a_registration_is_decoded() -> None:
+    """Each field ends where its meaning is."""
+    entry = decode_worker(KeyedRecord('i-1', raw(WORKER), 3))
+    assert entry is not None
+    assert entry.pool == 'pool'
+    assert entry.rack == 'r1-3'
+    assert entry.labels == {'a', 'r1-3'}
+    assert entry.capacity == Resources(16000, 32768, 2)
+    assert not entry.draining
+
+
+@EXAMPLES
+@given(st.sampled_from(sorted(WORKER)), JSON)
+def test_a_registration_with_a_strange_field_harms_nothing(
+    name: str,
+    content: Any,
+) -> None:
+    """It is either taken with sound types or not at all."""
+    entry = decode_worker(KeyedRecord('i-1', raw({**WORKER, name: content}), 3))
+    if entry is not None:
+        assert isinstance(entry.pool, str)
+        assert isinstance(entry.address, str)
+        assert all(isinstance(label, str) for label in entry.labels)
+        assert min(entry.capacity) >= 0
+
+
+@pytest.mark.parametrize('name', ['service', 'address', 'state', 'capacity'])
+def test_a_registration_without_a_field_names_no_worker(name: str) -> None:
+    """What a worker always writes must be there."""
+    fields = {key: value for key, value in WORKER.items() if key != name}
+    assert decode_worker(KeyedRecord('i-1', raw(fields), 3)) is None
+
+
+@EXAMPLES
+@given(st.binary())
+def test_bytes_are_no_entry(content: bytes) -> None:
+    """Bytes of any kind raise nothing."""
+    decode_worker(KeyedRecord('x', content, 1))
+    decode_config(KeyedRecord('config', content, 1))
+    assert isinstance(decode_job(content, 'a' * 16, QUEUE, 0), Ok | Err)
+
+
+def test_a_configuration_is_decoded() -> None:
+    """Queues carry their pool, limits and advice."""
+    table = decode_config(KeyedRecord('config', raw(CONFIG), 1))
+    assert table is not None
+    queue = table.find('h', '/q/abc')
+    assert queue is not None
+    assert queue.pool == 'pool'
+    assert queue.advice is not None
+    assert queue.advice.call_ms(10) == pytest.approx(854)
+    assert table.find('h', '/other') is None
+    assert table.find('other', '/q/abc') is None
+
+
+@EXAMPLES
+@given(st.sampled_from(sorted(CONFIG)), JSON)
+def test_a_strange_configuration_is_refused(name: str, content: Any) -> None:
+    """It is taken whole or not at all."""
+    fields = {**CONFIG, name: content}
+    table = decode_config(KeyedRecord('config', raw(fields), 1))
+    if table is not None:
+        assert isinstance(table.version, int)
+
+
+@EXAMPLES
+@given(st.sampled_from(sorted(STEP)), JSON)
+def test_a_submission_is_read_or_refused(name: str, content: Any) -> None:
+    """A step with a strange field is an error text, or a sound step."""
+    body = raw({'spec': 'text', 'steps': [STEP, {**STEP, name: content}]})
+    outcome = decode_job(body, 'a' * 16, QUEUE, 5)
+    if isinstance(outcome, Ok):
+        spec = outcome.ok_value
+        assert decode_spec(encode_spec(spec)) == Ok(spec)
+    else:
+        assert outcome.err_value
+
+
+def test_what_fills_takes_no_counted_cores() -> None:
+    """Its cores are kept apart."""
+    body = raw({'spec': 'x', 'steps': [{**STEP, 'fills': True}]})
+    spec: WorkflowSpec = decode_job(body, 'a' * 16, QUEUE, 5).unwrap()
+    assert spec.steps[0].demand == Resources(0, 256, 0)
+    assert spec.steps[0].filler_cores_milli == 500
+
+
+@pytest.mark.parametrize(
+    'steps',
+    [
+        [],
+        [{**STEP, 'after': [0]}],
+        [{**STEP, 'count': 0}],
+        [{**STEP, 'cpu': -1}],
+        [{**STEP, 'after': [-1]}],
+    ],
+)
+def test_impossible_steps_are_refused(steps: list[dict[str, Any]]) -> None:
+    """A later step, no task or a negative amount is an error."""
+    body = raw({'spec': 'x', 'steps': steps})
+    assert isinstance(decode_job(body, 'a' * 16, QUEUE, 5), Err)
+
+
+@EXAMPLES
+@given(
+    st.lists(
+        st.tuples(
+            st.text(min_size=1, max_size=20),
+            st.none() | st.binary(min_size=1),
+        ),
+    ),
+)
+def test_records_survive_the_wire(rows: list[tuple[str, bytes | None]]) -> None:
+    """What is packed is unpacked with its offsets."""
+    records = [
+        KeyedRecord(key, payload, 7 + number)
+        for number, (key, payload) in enumerate(rows)
+    ]
+    assert list(unpack(pack(records), 7)) == records
+
+
+@EXAMPLES
+@given(st.binary())
+def test_foreign_records_are_unpacked(content: bytes) -> None:
+    """Bytes that are no records raise nothing."""
+    body = len(content).to_bytes(4) + content
+    assert len(list(unpack(body, 0))) == 1
+
+
+def test_a_task_keeps_its_name() -> None:
+    """Names on the wire lead back to their task."""
+    task = TaskKey('5c0e7a21d94b36f8', 2, 1, 17)
+    assert task_name(task) == '5c0e7a21d94b36f8.2.1.17'
+    assert task_key(task_name(task)) == task
+
+
+def test_settings_name_what_is_missing(
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A file without a field is refused with the field's name."""
+    monkeypatch.delenv('LYCHEERELAY_CONFIG', raising=False)
+    assert 'not set' in read_settings().unwrap_err()
+    path = tmp_path / 'settings.toml'
+    monkeypatch.setenv('LYCHEERELAY_CONFIG', str(path))
+    assert 'settings.toml' in read_settings().unwrap_err()
+    path.write_text('nodeName = "a"\n')
+    assert 'bounds is missing' in read_settings().unwrap_err()
+    path.write_text('nodeName = \n')
+    assert read_settings().is_err()
+
+
+# Names that only the platform uses; the adapter is their one place.
+WIRE_WORDS: Final = re.compile(
+    r'\b(fencingToken|deadlineMs|lastSeen|waitMs|memMb|estimatedMs|longRunning'
+    r'|targetMs|missBudget|antiAffinity|tightlyCoupled|checkpointing'
+    r'|firstRunMs|intervalMs|pathPrefix|targetLatencyMs|maxAttempts'
+    r'|placementAdvisor|validityMs|decisionMs|periodMs|clockMs|remainingMs'
+    r'|nodeName|heartbeatIntervalMs|maxHoldMs|run-start|run-stop|log-append'
+    r'|log-read|log-newest|log-join|X-Expected-Instance|X-Deadline'
+    r'|LYCHEERELAY_CONFIG|keyed\.)',
+)
+
+
+def _sources() -> Iterator[Path]:
+    root = Path(lycheerelay.__file__).parent
+    for path in sorted(root.rglob('*.py')):
+        if 'platform' not in path.relative_to(root).parts:
+            yield path
+
+
+def test_only_the_adapter_knows_the_wire() -> None:
+    """No word of the platform stands outside its folder."""
+    found = [
+        f'{path.name}: {match.group()}'
+        for path in _sources()
+        for match in WIRE_WORDS.finditer(path.read_text())
+    ]
+    assert found == []
+
+
+def _imports(path: Path) -> Iterator[str]:
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.ImportFrom):
+            yield '.' * node.level + (node.module or '')
+
+
+def test_the_layers_import_in_one_direction() -> None:
+    """The core knows no process, and neither knows the adapter."""
+    root = Path(lycheerelay.__file__).parent
+    for path in sorted((root / 'workflow').glob('*.py')):
+        upward = [name for name in _imports(path) if name.startswith('..')]
+        assert set(upward) <= {'.._resources'}, path.name
+    for path in sorted((root / 'serving').glob('*.py')):
+        names = list(_imports(path))
+        assert not any('platform' in name for name in names), path.name
