Keep the ownership where it is while members come and go

Change: one group tells that something changed; the owner alone sits in a second one, the seat; a conditional append to the lock's log makes the claim and the fence number, and the owner reads the lock in each round. A leaving owner tells the others. An owner that hears none of most workers hands over.

--- a/src/lycheerelay/platform/_entry.py
+++ b/src/lycheerelay/platform/_entry.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from typing import final
+from typing import Final, final
 
 from .._clock import Clock
 from ..serving import (
@@ -26,16 +26,16 @@
 from ._decode import decode_config, decode_worker
 from ._ingress import Ingress
 from ._settings import PlatformSettings
-from ._store import StoreGroup, StoreLog
+from ._store import StoreGroup, StoreLog, StoreSeat
 from ._workers import WorkerCalls
 
 logger = logging.getLogger('lycheerelay.entry')
 
-# The directory of peers is looked after this often, in s.
-DIRECTORY_EVERY_S = 1
-# It is read again after so many ms without an owner, and with one.
-SEEK_MS = 1000
-KEEP_MS = 5000
+# The members are read this often, in s; they only carry advice.
+DIRECTORY_EVERY_S: Final = 5
+# The owner is read anew after so many ms without one, and with one.
+SEEK_MS: Final = 1000
+KEEP_MS: Final = 5000
 
 
 @final
@@ -58,15 +58,27 @@
         address = f'{settings.host}:{settings.internal_port}'
         member = f'{address}#{settings.vm}-{incarnation}'
         group = StoreGroup(http, settings.store_address, member)
+        seat = StoreSeat(http, self.log, settings.store_address, member)
         self.workers = WorkerCalls(http, clock.now_ms)
         self.advisor = AdvisorCalls(http, settings.advisor_address)
-        self.peers = Peers(member, group, clock, http)
+        self.peers = Peers(member, group, seat, clock, http)
         self.desk = Desk(clock, self.log, self.peers, self.meters)
         self.advice_desk = AdviceDesk(clock, self.advisor, self.peers)
         self.config = ConfigWatch(self.log, decode_config)
-        self.terms = Terms(clock, group, self.make_owner, self.set_owner)
+        self.terms = Terms(
+            clock,
+            group,
+            seat,
+            self.peers,
+            self.make_owner,
+            self.set_owner,
+        )
         self.ingress = Ingress(self.desk, self.config, clock, self.is_ready)
-        self.internal = Internal(self.desk, self.advisor)
+        self.internal = Internal(
+            self.desk,
+            self.advisor,
+            self.terms.look_now,
+        )
         self.stopping = asyncio.Event()
         self.background: list[asyncio.Task[None]] = []
 
@@ -118,5 +130,6 @@
 
     async def _refresh(self) -> None:
         while True:
+            await self.peers.refresh_members()
             await self.peers.refresh(KEEP_MS if self.peers.owner else SEEK_MS)
             await asyncio.sleep(DIRECTORY_EVERY_S)
--- a/src/lycheerelay/platform/_store.py
+++ b/src/lycheerelay/platform/_store.py
@@ -14,7 +14,6 @@
     NO_ANSWER,
     NOT_SENT,
     Caller,
-    Grant,
     KeyedRecord,
     LogFault,
     Reply,
@@ -31,12 +30,15 @@
     Stream.JOBS: 'keyed.jobs',
     Stream.PROGRESS: 'keyed.progress',
     Stream.OPERATOR: 'keyed.op',
+    Stream.LOCK: 'keyed.lock',
     Stream.WORKERS: 'keyed.servers',
 }
 # All jobs share one partition: a queue may change its service, and wide gangs
 # need every worker of a service at once.
 PARTITION: Final = 0
-GROUP: Final = 'owners'
+GROUP: Final = 'entries'
+SEAT: Final = 'seat'
+LOCK_KEY: Final = 'owner'
 # An answer takes 4 ms; a slow store takes 60 times as long. Calls are given
 # twice that, in ms.
 TIMEOUT_MS: Final = 600
@@ -44,6 +46,7 @@
 JOIN_TIMEOUT_MS: Final = 450
 OK: Final = 200
 CONFLICT: Final = 409
+RACED: Final = 412
 DELETED: Final = 410
 THROTTLED: Final = 429
 UNAVAILABLE: Final = 503
@@ -71,10 +74,22 @@
             query['producer'] = writer.name
             query['epoch'] = writer.epoch
             query['sequence'] = writer.sequence
+        return await self._append(
+            urlencode(query),
+            records,
+            timeout_ms or TIMEOUT_MS,
+        )
+
+    async def _append(
+        self,
+        query: str,
+        records: Sequence[KeyedRecord],
+        timeout_ms: int,
+    ) -> Result[int, LogFault]:
         reply = await self.http.call(
             'POST',
-            f'{self.base}/log-append?{urlencode(query)}',
-            timeout_ms or TIMEOUT_MS,
+            f'{self.base}/log-append?{query}',
+            timeout_ms,
             pack(records),
             {'Content-Type': 'application/octet-stream'},
         )
@@ -82,6 +97,16 @@
             return Ok(int(reply.fields().get('offset', 0)))
         return Err(_fault(reply))
 
+    async def append_at(
+        self,
+        stream: Stream,
+        record: KeyedRecord,
+        end: int,
+    ) -> Result[int, LogFault]:
+        """Append a record only if the stream ends there."""
+        query = urlencode({**_partition(stream), 'at': end})
+        return await self._append(query, (record,), TIMEOUT_MS)
+
     async def read(
         self,
         stream: Stream,
@@ -132,22 +157,98 @@
 
 @final
 class StoreGroup:
-    """Let the store deal the ownership among the entry VMs."""
+    """Join the group of all entry VMs."""
 
     def __init__(self, http: Caller, address: str, member: str) -> None:
         """Name the store's address and this member."""
+        self.calls = GroupCalls(http, address, member, GROUP)
+
+    async def join(self, generation: int) -> Result[int, LogFault]:
+        """Join, or stay in, the group; return its generation."""
+        return await self.calls.join(generation)
+
+    async def leave(self) -> Result[None, LogFault]:
+        """Leave the group."""
+        return await self.calls.leave()
+
+    async def members(self) -> Result[tuple[str, ...], LogFault]:
+        """Return the names of members."""
+        return await self.calls.members()
+
+
+@final
+class StoreSeat:
+    """Hold the owner's seat, a group of one, and the lock behind it."""
+
+    def __init__(
+        self,
+        http: Caller,
+        log: StoreLog,
+        address: str,
+        member: str,
+    ) -> None:
+        """Name the store's address and this member."""
+        self.calls = GroupCalls(http, address, member, SEAT)
+        self.log = log
+        self.member = member
+
+    async def keep(self) -> Result[None, LogFault]:
+        """Take, or stay in, the seat."""
+        outcome = await self.calls.join(0)
+        return outcome.map(lambda _: None)
+
+    async def release(self) -> Result[None, LogFault]:
+        """Leave the seat."""
+        return await self.calls.leave()
+
+    async def holder(self) -> Result[str, LogFault]:
+        """Return the name of the member in the seat, or an empty text."""
+        outcome = await self.calls.members()
+        return outcome.map(lambda members: members[0] if members else '')
+
+    async def lock_end(self) -> Result[int, LogFault]:
+        """Return the end of the lock's log."""
+        outcome = await self.log.newest(Stream.LOCK)
+        return outcome.map(lambda part: part.next_offset)
+
+    async def claim(self, lock_end: int) -> Result[int, LogFault]:
+        """Claim the lock if its end is there; return the fence number."""
+        record = KeyedRecord(LOCK_KEY, self.member.encode())
+        outcome = await self.log.append_at(Stream.LOCK, record, lock_end)
+        # Offsets start at 0, and a worker takes a missing number as 0.
+        return outcome.map(lambda offset: offset + 1)
+
+    async def is_latest(self, fence: int) -> Result[bool, LogFault]:
+        """Tell whether nobody has claimed after this fence number."""
+        outcome = await self.log.read(Stream.LOCK, fence, 0)
+        return outcome.map(lambda part: not part.records)
+
+
+@final
+class GroupCalls:
+    """Make the calls of one member of one group."""
+
+    def __init__(
+        self,
+        http: Caller,
+        address: str,
+        member: str,
+        group: str,
+    ) -> None:
+        """Name the store's address, the member and the group."""
         self.http = http
         self.base = f'http://{address}/v1'
         self.member = member
+        self.group = group
 
-    async def join(self, generation: int) -> Result[Grant, LogFault]:
-        """Join, or stay in, the group."""
+    async def join(self, generation: int) -> Result[int, LogFault]:
+        """Join, or stay in, the group; return its generation."""
         reply = await post_json(
             self.http,
             f'{self.base}/log-join',
             JOIN_TIMEOUT_MS,
             {
-                'group': GROUP,
+                'group': self.group,
                 'member': self.member,
                 'topics': [TOPICS[Stream.JOBS]],
                 'ttlMs': GROUP_TTL_MS,
@@ -156,36 +257,29 @@
         )
         if reply.status != OK:
             return Err(_fault(reply))
-        fields = reply.fields()
-        dealt = [row[1] for row in fields.get('parts') or []]
-        return Ok(Grant(int(fields['generation']), PARTITION in dealt))
+        return Ok(int(reply.fields()['generation']))
 
     async def leave(self) -> Result[None, LogFault]:
-        """Hand back what was dealt."""
+        """Leave the group."""
         reply = await post_json(
             self.http,
             f'{self.base}/log-leave',
             JOIN_TIMEOUT_MS,
-            {'group': GROUP, 'member': self.member},
+            {'group': self.group, 'member': self.member},
         )
         return Ok(None) if reply.status == OK else Err(_fault(reply))
 
-    async def members(self) -> Result[dict[str, bool], LogFault]:
-        """Return the members' names, and which of them is the owner."""
+    async def members(self) -> Result[tuple[str, ...], LogFault]:
+        """Return the names of members that were dealt partitions."""
         reply = await self.http.call(
             'GET',
-            f'{self.base}/log-owners?{urlencode({"group": GROUP})}',
+            f'{self.base}/log-owners?{urlencode({"group": self.group})}',
             TIMEOUT_MS,
         )
         if reply.status != OK:
             return Err(_fault(reply))
-        found: dict[str, bool] = {}
-        for row in _rows(reply.fields()):
-            member = str(row[2])
-            if member:
-                is_owner = row[1] == PARTITION
-                found[member] = found.get(member, False) or is_owner
-        return Ok(found)
+        names = {str(row[2]) for row in _rows(reply.fields())}
+        return Ok(tuple(sorted(names - {''})))
 
 
 def _rows(fields: Mapping[str, Any]) -> list[list[Any]]:
@@ -218,6 +312,8 @@
         return LogFault.REFUSED
     if reply.status == THROTTLED:
         return LogFault.THROTTLED
+    if reply.status == RACED:
+        return LogFault.RACED
     if reply.status == DELETED:
         return LogFault.GONE
     if reply.status == CONFLICT and reply.fields().get('reason') == 'fenced':
--- a/src/lycheerelay/serving/_internal.py
+++ b/src/lycheerelay/serving/_internal.py
@@ -29,10 +29,16 @@
 class Internal:
     """Answer other entry VMs."""
 
-    def __init__(self, desk: Desk, advisor: Advisor) -> None:
+    def __init__(
+        self,
+        desk: Desk,
+        advisor: Advisor,
+        look_now: Callable[[], None],
+    ) -> None:
         """Answer from the desk's cell."""
         self.desk = desk
         self.advisor = advisor
+        self.look_now = look_now
 
     async def answer(self, path: str, raw: bytes) -> Reply:
         """Answer one call with a status and a JSON body."""
@@ -72,3 +78,10 @@
         return None
     advised = outcome.ok_value
     return {'tickets': advised.tickets, 'valid_ms': advised.valid_ms}
+
+
+@ROUTES.register('/vacant')
+async def vacant(internal: Internal, body: Body) -> Body | None:
+    """Hear that the owner's seat is vacant."""
+    internal.look_now()
+    return {}
--- a/src/lycheerelay/serving/_peers.py
+++ b/src/lycheerelay/serving/_peers.py
@@ -2,7 +2,7 @@
 
 A member of the group is named `HOST:PORT#INCARNATION`; the first part is the
 address of its internal interface. Calls are JSON over HTTP: `POST /state`,
-`/waiting` and `/advice`.
+`/waiting`, `/advice` and `/vacant`.
 """
 
 import asyncio
@@ -14,7 +14,7 @@
 from .._clock import Clock
 from ..workflow import AskAdvice
 from ._http_calls import NO_ANSWER, NOT_SENT, Caller, post_json
-from ._ports import Advised, Group, LogFault
+from ._ports import Advised, Group, LogFault, Seat
 
 logger = logging.getLogger('lycheerelay.peers')
 
@@ -27,6 +27,8 @@
 # An answer of a peer takes a few ms; one that takes longer than this, in ms,
 # comes from a peer that is cut off or stopped.
 CALL_TIMEOUT_MS: Final = 500
+# A member that is told of a vacant seat answers within a way, in ms.
+VACANT_TIMEOUT_MS: Final = 150
 HTTP_OK: Final = 200
 
 
@@ -43,12 +45,14 @@
         self,
         own_name: str,
         group: Group,
+        seat: Seat,
         clock: Clock,
         http: Caller,
     ) -> None:
         """Start without a directory."""
         self.own_name = own_name
         self.group = group
+        self.seat = seat
         self.clock = clock
         self.http = http
         self.owner = ''
@@ -72,24 +76,39 @@
         self.suspects[address] = self.clock.now_ms() + SUSPECT_MS
 
     async def refresh(self, pause_ms: int) -> None:
-        """Read the directory, unless that was done a moment ago."""
+        """Read who holds the seat, unless that was done a moment ago."""
         async with self.reading:
             now_ms = self.clock.now_ms()
             if now_ms - self.read_ms < pause_ms:
                 return
             self.read_ms = now_ms
-            outcome = await self.group.members()
-            if isinstance(outcome, Err):
-                return
-            self.members = tuple(sorted(outcome.ok_value))
-            owners = [name for name, own in outcome.ok_value.items() if own]
-            found = owners[0] if owners else ''
-            if found != self.owner:
-                logger.info(
-                    'owner_found',
-                    extra={'owner': found, 'before': self.owner},
-                )
-                self.owner = found
+            outcome = await self.seat.holder()
+            if isinstance(outcome, Ok):
+                self.found(outcome.ok_value)
+
+    async def refresh_members(self) -> None:
+        """Read who is in the group."""
+        outcome = await self.group.members()
+        if isinstance(outcome, Ok):
+            self.members = outcome.ok_value
+
+    def found(self, owner: str) -> None:
+        """Take in who holds the seat."""
+        if owner != self.owner:
+            logger.info(
+                'owner_found',
+                extra={'owner': owner, 'before': self.owner},
+            )
+            self.owner = owner
+
+    async def tell_vacant(self) -> None:
+        """Tell every other member that the seat is vacant."""
+        await asyncio.gather(
+            *(
+                self.call(address, '/vacant', {}, VACANT_TIMEOUT_MS)
+                for address in self.others()
+            ),
+        )
 
     async def call_owner(
         self,
--- a/src/lycheerelay/serving/_ports.py
+++ b/src/lycheerelay/serving/_ports.py
@@ -16,6 +16,7 @@
     JOBS = 'jobs'
     PROGRESS = 'progress'
     OPERATOR = 'operator'
+    LOCK = 'lock'
     WORKERS = 'workers'
 
 
@@ -25,7 +26,7 @@
 
     After REFUSED and THROTTLED nothing was done; after UNKNOWN it may have
     been, or may be later; FENCED means that a later writer took over; GONE
-    that the wanted records are deleted.
+    that the wanted records are deleted, and RACED that a condition failed.
     """
 
     REFUSED = 'refused'
@@ -33,6 +34,7 @@
     UNKNOWN = 'unknown'
     FENCED = 'fenced'
     GONE = 'gone'
+    RACED = 'raced'
 
 
 class KeyedRecord(NamedTuple):
@@ -58,13 +60,6 @@
     sequence: int
 
 
-class Grant(NamedTuple):
-    """Tell what the store dealt to this member of the group."""
-
-    generation: int
-    is_owner: bool
-
-
 class KeyedLog(Protocol):
     """Reach the streams of the store."""
 
@@ -90,16 +85,38 @@
 
 
 class Group(Protocol):
-    """Take part in dealing out ownership."""
+    """Take part in the group of all entry VMs."""
 
-    async def join(self, generation: int) -> Result[Grant, LogFault]:
-        """Join, or stay in, the group."""
+    async def join(self, generation: int) -> Result[int, LogFault]:
+        """Join, or stay in, the group; return its generation."""
 
     async def leave(self) -> Result[None, LogFault]:
-        """Hand back what was dealt."""
+        """Leave the group."""
+
+    async def members(self) -> Result[tuple[str, ...], LogFault]:
+        """Return the names of members."""
+
+
+class Seat(Protocol):
+    """Reach the owner's seat and the lock behind it."""
+
+    async def keep(self) -> Result[None, LogFault]:
+        """Take, or stay in, the seat."""
+
+    async def release(self) -> Result[None, LogFault]:
+        """Leave the seat."""
+
+    async def holder(self) -> Result[str, LogFault]:
+        """Return the name of the member in the seat, or an empty text."""
+
+    async def lock_end(self) -> Result[int, LogFault]:
+        """Return the end of the lock's log."""
+
+    async def claim(self, lock_end: int) -> Result[int, LogFault]:
+        """Claim the lock if its end is there; return the fence number."""
 
-    async def members(self) -> Result[dict[str, bool], LogFault]:
-        """Return the members' names, and which of them is the owner."""
+    async def is_latest(self, fence: int) -> Result[bool, LogFault]:
+        """Tell whether nobody has claimed after this fence number."""
 
 
 class Held(NamedTuple):
--- a/src/lycheerelay/serving/_recorder.py
+++ b/src/lycheerelay/serving/_recorder.py
@@ -60,11 +60,6 @@
             if self._has_work():
                 await self._write()
 
-    def verify(self) -> None:
-        """Write the roster again, to learn whether a later owner wrote."""
-        self.roster = frozenset()
-        self.context.poke()
-
     def drop(self, job_ids: list[str]) -> None:
         """Let the records of expired jobs be dropped."""
         self.removals.extend(job_ids)
--- a/src/lycheerelay/serving/_terms.py
+++ b/src/lycheerelay/serving/_terms.py
@@ -1,38 +1,60 @@
-"""Stay in the group, and run a term whenever the ownership is dealt here."""
+"""Claim the ownership when it is vacant, and keep it while confirmed.
+
+Every member joins one group; its generation changes when a member comes or
+goes, which is the sign to look whether the owner is still there. The owner
+alone joins a second group, the seat. A claim is a conditional append to the
+lock's log: its offset makes the fence number. The seat tells others not to
+claim; what makes acting safe is the lock, which the owner reads in each round.
+"""
 
 import asyncio
 import logging
 from collections.abc import Callable
 from typing import Final, final
 
-from result import Err
+from result import Err, Ok
 
 from .._clock import Clock
+from ..workflow import silence_ms
 from ._owner import Owner
-from ._ports import Grant, Group
+from ._peers import Peers
+from ._ports import Group, Seat
 from ._tenure import GROUP_TTL_MS, JOIN_EVERY_MS, Tenure
 
 logger = logging.getLogger('lycheerelay.terms')
 
 MS_PER_SECOND: Final = 1000
+# After a change in the group the seat is looked at for so long, in ms: the
+# owner's membership may end a little later than what showed the change.
+LOOK_FOR_MS: Final = 2000
+# Without any change the seat is looked at this often, in ms.
+LOOK_EVERY_MS: Final = 4000
+# An owner that has not heard most workers for so long, in ms, hands over, and
+# does not claim again for the second time, in ms. A look waits 1 s by itself.
+CUT_OFF_MS: Final = 2500
+STAND_BACK_MS: Final = 6000
 
 MakeOwner = Callable[[Tenure], Owner]
 
 
 @final
 class Terms:
-    """Follow what the store deals to this member."""
+    """Take part in finding an owner, and run the own terms."""
 
     def __init__(
         self,
         clock: Clock,
         group: Group,
+        seat: Seat,
+        peers: Peers,
         make_owner: MakeOwner,
         set_owner: Callable[[Owner | None], None],
     ) -> None:
         """Start outside the group."""
         self.clock = clock
         self.group = group
+        self.seat = seat
+        self.peers = peers
         self.make_owner = make_owner
         self.set_owner = set_owner
         self.generation = 0
@@ -42,6 +64,10 @@
         self.joined_ms = 0
         self.leaving = False
         self.faults = 0
+        self.look_until_ms = 0
+        self.looked_ms = 0
+        self.stand_back_ms = 0
+        self.wake = asyncio.Event()
 
     @property
     def is_in_touch(self) -> bool:
@@ -52,66 +78,26 @@
         """Join again and again until leaving."""
         while not self.leaving:
             asked_ms = self.clock.now_ms()
-            outcome = await self.group.join(self.generation)
-            if self.leaving:
-                break
-            if isinstance(outcome, Err):
-                self._not_joined(outcome.err_value.value)
-            else:
-                self._joined(outcome.ok_value, asked_ms)
+            await self._round(asked_ms)
             passed_ms = self.clock.now_ms() - asked_ms
             pause_ms = max(JOIN_EVERY_MS - passed_ms, JOIN_EVERY_MS // 4)
-            await asyncio.sleep(pause_ms / MS_PER_SECOND)
+            await self._pause(pause_ms)
 
     async def leave(self) -> None:
-        """Stop acting and hand the ownership back."""
+        """Stop acting, make the seat vacant and tell the others."""
         self.leaving = True
+        was_owner = self.owner is not None
         self.end_term('leaving')
+        if was_owner:
+            await self.seat.release()
+            await self.peers.tell_vacant()
         await self.group.leave()
 
-    def _not_joined(self, fault: str) -> None:
-        self.faults += 1
-        if self.faults == 1:
-            logger.warning('store_lost', extra={'fault': fault})
-
-    def _joined(self, grant: Grant, asked_ms: int) -> None:
-        if self.faults:
-            logger.info('store_regained', extra={'after_tries': self.faults})
-            self.faults = 0
-        self.joined_ms = asked_ms
-        has_changed = self.generation != grant.generation
-        self.generation = grant.generation
-        reason = self._why_over(grant, has_changed)
-        if reason:
-            self.end_term(reason)
-        if not grant.is_owner:
-            return
-        if self.owner is None or self.tenure is None:
-            self._begin_term(grant, asked_ms)
-            return
-        self.tenure.confirm(asked_ms)
-        if has_changed:
-            self.owner.recorder.verify()
-
-    def _why_over(self, grant: Grant, has_changed: bool) -> str:
-        if not grant.is_owner:
-            return 'dealt to another member'
-        if self.owner is None or self.tenure is None:
-            return ''
-        if self.owner.cell.deposed:
-            return 'a later owner was met'
-        if self.owner.is_over:
-            return 'the takeover came to nothing'
-        is_valid = self.tenure.is_valid(self.clock.now_ms())
-        if has_changed and not is_valid:
-            return 'another member may have been the owner'
-        return ''
-
-    def _begin_term(self, grant: Grant, asked_ms: int) -> None:
-        self.tenure = Tenure(grant.generation, asked_ms)
-        self.owner = self.make_owner(self.tenure)
-        self.set_owner(self.owner)
-        self.task = asyncio.get_running_loop().create_task(self.owner.run())
+    def look_now(self) -> None:
+        """Look at once whether the seat is vacant."""
+        self.looked_ms = 0
+        self.look_until_ms = self.clock.now_ms() + LOOK_FOR_MS
+        self.wake.set()
 
     def end_term(self, reason: str) -> None:
         """Stop acting as the owner."""
@@ -128,3 +114,89 @@
         self.tenure = None
         self.task = None
         self.set_owner(None)
+
+    async def _pause(self, pause_ms: int) -> None:
+        try:
+            async with asyncio.timeout(pause_ms / MS_PER_SECOND):
+                await self.wake.wait()
+        except TimeoutError:
+            # Nobody asked for a round before its time.
+            return
+        self.wake.clear()
+
+    async def _round(self, asked_ms: int) -> None:
+        outcome = await self.group.join(self.generation)
+        if isinstance(outcome, Err):
+            self.faults += 1
+            if self.faults == 1:
+                fault = outcome.err_value.value
+                logger.warning('store_lost', extra={'fault': fault})
+            return
+        if self.faults:
+            logger.info('store_regained', extra={'after_tries': self.faults})
+            self.faults = 0
+        self.joined_ms = asked_ms
+        if self.generation != outcome.ok_value:
+            self.look_until_ms = asked_ms + LOOK_FOR_MS
+        self.generation = outcome.ok_value
+        if self.leaving:
+            return
+        if self.owner is not None and self.tenure is not None:
+            await self._keep(self.owner, self.tenure)
+        elif self._is_look_due(asked_ms):
+            await self._look(asked_ms)
+
+    def _is_look_due(self, now_ms: int) -> bool:
+        if now_ms < self.look_until_ms:
+            return True
+        return now_ms - self.looked_ms > LOOK_EVERY_MS
+
+    async def _keep(self, owner: Owner, tenure: Tenure) -> None:
+        if owner.cell.deposed or owner.is_over:
+            await self._step_down('a later owner was met')
+            return
+        asked_ms = self.clock.now_ms()
+        if silence_ms(owner.cell, asked_ms) > CUT_OFF_MS:
+            await self._hand_over(asked_ms)
+            return
+        await self.seat.keep()
+        latest = await self.seat.is_latest(tenure.generation)
+        if isinstance(latest, Err):
+            return
+        if latest.ok_value:
+            tenure.confirm(asked_ms)
+        else:
+            await self._step_down('another member has claimed')
+
+    async def _hand_over(self, now_ms: int) -> None:
+        self.stand_back_ms = now_ms + STAND_BACK_MS
+        await self._step_down('most workers are out of reach')
+        await self.peers.tell_vacant()
+
+    async def _step_down(self, reason: str) -> None:
+        self.end_term(reason)
+        await self.seat.release()
+        self.look_until_ms = self.clock.now_ms() + LOOK_FOR_MS
+
+    async def _look(self, now_ms: int) -> None:
+        self.looked_ms = now_ms
+        end = await self.seat.lock_end()
+        holder = await self.seat.holder()
+        if isinstance(end, Err) or isinstance(holder, Err):
+            return
+        if holder.ok_value:
+            self.peers.found(holder.ok_value)
+            return
+        if now_ms < self.stand_back_ms:
+            return
+        asked_ms = self.clock.now_ms()
+        claimed = await self.seat.claim(end.ok_value)
+        if isinstance(claimed, Ok) and not self.leaving:
+            await self.seat.keep()
+            self._begin_term(claimed.ok_value, asked_ms)
+
+    def _begin_term(self, fence: int, asked_ms: int) -> None:
+        self.tenure = Tenure(fence, asked_ms)
+        self.owner = self.make_owner(self.tenure)
+        self.set_owner(self.owner)
+        self.task = asyncio.get_running_loop().create_task(self.owner.run())
--- a/src/lycheerelay/workflow/__init__.py
+++ b/src/lycheerelay/workflow/__init__.py
@@ -42,7 +42,13 @@
     settle_gangs,
     unlist_worker,
 )
-from ._watch import expire_jobs, open_occurrences, watch, watch_strays
+from ._watch import (
+    expire_jobs,
+    open_occurrences,
+    silence_ms,
+    watch,
+    watch_strays,
+)
 
 __all__ = (  # noqa: WPS410
     'FINAL_PHASES',
@@ -84,6 +90,7 @@
     'pace_worker',
     'restore',
     'settle_gangs',
+    'silence_ms',
     'start_answered',
     'stop_answered',
     'submit',
--- a/src/lycheerelay/workflow/_watch.py
+++ b/src/lycheerelay/workflow/_watch.py
@@ -57,6 +57,16 @@
                 _watch_run(cell, worker, run, now_ms)
 
 
+def silence_ms(cell: CellState, now_ms: int) -> int:
+    """Return for how long half of the listed workers or more are silent."""
+    silent = sorted(
+        now_ms - worker.heard_ms
+        for worker in cell.workers.values()
+        if worker.listed
+    )
+    return silent[len(silent) // 2] if silent else 0
+
+
 def watch_strays(cell: CellState) -> None:
     """Stop again what should not run anywhere."""
     stop_strays(cell)
--- a/src/lycheerelay_standins/platform/_fuzz.py
+++ b/src/lycheerelay_standins/platform/_fuzz.py
@@ -277,6 +277,12 @@
         await asyncio.sleep(day.rng.uniform(0, 1))
 
 
+@fault('revoke')
+async def revoke(day: Day) -> None:
+    """Take the owner's seat away at once."""
+    day.cell.store.revoke('seat')
+
+
 @fault('history')
 async def history(day: Day) -> None:
     """Delete the history of every stream."""
--- a/src/lycheerelay_standins/platform/_store.py
+++ b/src/lycheerelay_standins/platform/_store.py
@@ -14,6 +14,7 @@
 
 OK: Final = 200
 CONFLICT: Final = 409
+RACED: Final = 412
 DELETED: Final = 410
 PARTS: Final = 12
 MS_PER_SECOND: Final = 1000
@@ -60,6 +61,83 @@
     known: int = 0
 
 
+@final
+class GroupStandIn:
+    """Deal partitions evenly among members."""
+
+    def __init__(self) -> None:
+        """Start without members."""
+        self.members: dict[str, Member] = {}
+        self.generation = 0
+        self.dealt: dict[int, str] = {}
+        self.claims: dict[int, str] = {}
+
+    def deal_anew(self) -> None:
+        """Deal every partition anew at once, to other members if possible."""
+        names = sorted(self.members)
+        if names:
+            self.generation += 1
+            holder = self.dealt.get(0, names[0])
+            start = (names.index(holder) + 1) if holder in names else 0
+            self.dealt = {
+                part: names[(start + part) % len(names)]
+                for part in range(PARTS)
+            }
+            self.claims = dict(self.dealt)
+
+    def expire(self, now_ms: int) -> None:
+        """Remove the members that sent nothing for their time."""
+        gone = [
+            name
+            for name, member in self.members.items()
+            if now_ms - member.joined_ms > member.ttl_ms
+        ]
+        for name in gone:
+            self.remove(name)
+        if gone:
+            self.deal()
+
+    def remove(self, name: str) -> None:
+        """Remove a member with what it holds."""
+        self.members.pop(name, None)
+        for part, member in list(self.claims.items()):
+            if member == name:
+                self.claims.pop(part)
+
+    def deal(self) -> None:
+        """Deal the partitions; a member keeps its even share."""
+        self.generation += 1
+        names = sorted(self.members)
+        if not names:
+            self.dealt = {}
+            return
+        most = -(-PARTS // len(names))
+        counts = dict.fromkeys(names, 0)
+        dealt: dict[int, str] = {}
+        for part in range(PARTS):
+            holder = self.dealt.get(part, '')
+            if holder in counts and counts[holder] < most:
+                dealt[part] = holder
+                counts[holder] += 1
+        for part in range(PARTS):
+            if part not in dealt:
+                least = min((counts[name], name) for name in names)[1]
+                dealt[part] = least
+                counts[least] += 1
+        self.dealt = dealt
+
+    def settle(self) -> None:
+        """Hand over what its former holder has let go."""
+        for part, wanted in self.dealt.items():
+            holder = self.claims.get(part)
+            if holder is None or holder == wanted:
+                self.claims[part] = wanted
+                continue
+            member = self.members.get(holder)
+            if member is None or member.known >= self.generation:
+                self.claims[part] = wanted
+
+
 @final
 class StoreStandIn:
     """Answer the store's calls from memory."""
@@ -68,12 +146,13 @@
         """Start empty."""
         self.now_ms = now_ms
         self.topics: dict[str, Partition] = {}
-        self.members: dict[str, Member] = {}
-        self.generation = 0
-        self.dealt: dict[int, str] = {}
-        self.claims: dict[int, str] = {}
+        self.groups: dict[str, GroupStandIn] = {}
         self.calls = 0
 
+    def group(self, name: str) -> GroupStandIn:
+        """Return a group, made on first use."""
+        return self.groups.setdefault(name, GroupStandIn())
+
     def partition(self, topic: str) -> Partition:
         """Return the partition that tests and the product use."""
         return self.topics.setdefault(topic, Partition())
@@ -96,17 +175,16 @@
         part.records = []
 
     def deal_anew(self) -> None:
-        """Deal every partition anew at once, to other members if possible."""
-        names = sorted(self.members)
-        if names:
-            self.generation += 1
-            holder = self.dealt.get(0, names[0])
-            start = (names.index(holder) + 1) if holder in names else 0
-            self.dealt = {
-                part: names[(start + part) % len(names)]
-                for part in range(PARTS)
-            }
-            self.claims = dict(self.dealt)
+        """Deal every partition of every group anew at once."""
+        for group in self.groups.values():
+            group.deal_anew()
+
+    def revoke(self, name: str) -> None:
+        """Take the seats of a group away at once, unasked."""
+        group = self.group(name)
+        for member in list(group.members):
+            group.remove(member)
+        group.deal()
 
     async def handle(self, request: Request) -> Reply:
         """Answer one call."""
@@ -125,6 +203,8 @@
             refusal = self._check(part, producer, epoch, sequence, request.body)
             if refusal is not None:
                 return refusal
+        if int(request.query.get('at', part.end)) != part.end:
+            return _json(RACED, {'end': part.end})
         offset = part.end
         for content in _contents(request.body):
             part.add(content)
@@ -193,87 +273,39 @@
     async def _log_join(self, request: Request) -> Reply:
         body = json.loads(request.body)
         name = body['member']
+        group = self.group(body['group'])
         now_ms = self.now_ms()
-        self._expire(now_ms)
-        is_new = name not in self.members
-        self.members[name] = Member(now_ms, body['ttlMs'], body['generation'])
+        group.expire(now_ms)
+        is_new = name not in group.members
+        group.members[name] = Member(now_ms, body['ttlMs'], body['generation'])
         if is_new:
-            self._deal()
-        self._settle()
+            group.deal()
+        group.settle()
         parts = [
             ['keyed.jobs', part, 0]
-            for part, member in self.claims.items()
-            if member == name and self.dealt.get(part) == name
+            for part, member in group.claims.items()
+            if member == name and group.dealt.get(part) == name
         ]
-        return _json(
-            OK,
-            {'generation': self.generation, 'ttlMs': 0, 'parts': parts},
-        )
+        fields = {'generation': group.generation, 'ttlMs': 0, 'parts': parts}
+        return _json(OK, fields)
 
     async def _log_leave(self, request: Request) -> Reply:
-        name = json.loads(request.body)['member']
-        self._remove(name)
-        self._deal()
+        body = json.loads(request.body)
+        group = self.group(body['group'])
+        group.remove(body['member'])
+        group.deal()
         return _json(OK, {})
 
     async def _log_owners(self, request: Request) -> Reply:
-        self._expire(self.now_ms())
-        self._settle()
+        group = self.group(request.query['group'])
+        group.expire(self.now_ms())
+        group.settle()
         rows = [
             ['keyed.jobs', part, member, 0]
-            for part, member in self.claims.items()
+            for part, member in group.claims.items()
         ]
         return _json(OK, {'parts': rows})
 
-    def _expire(self, now_ms: int) -> None:
-        gone = [
-            name
-            for name, member in self.members.items()
-            if now_ms - member.joined_ms > member.ttl_ms
-        ]
-        for name in gone:
-            self._remove(name)
-        if gone:
-            self._deal()
-
-    def _remove(self, name: str) -> None:
-        self.members.pop(name, None)
-        for part, member in list(self.claims.items()):
-            if member == name:
-                self.claims.pop(part)
-
-    def _deal(self) -> None:
-        self.generation += 1
-        names = sorted(self.members)
-        if not names:
-            self.dealt = {}
-            return
-        # A member keeps what it has while the share stays even.
-        most = -(-PARTS // len(names))
-        counts = dict.fromkeys(names, 0)
-        dealt: dict[int, str] = {}
-        for part in range(PARTS):
-            holder = self.dealt.get(part, '')
-            if holder in counts and counts[holder] < most:
-                dealt[part] = holder
-                counts[holder] += 1
-        for part in range(PARTS):
-            if part not in dealt:
-                least = min((counts[name], name) for name in names)[1]
-                dealt[part] = least
-                counts[least] += 1
-        self.dealt = dealt
-
-    def _settle(self) -> None:
-        for part, wanted in self.dealt.items():
-            holder = self.claims.get(part)
-            if holder is None or holder == wanted:
-                self.claims[part] = wanted
-                continue
-            member = self.members.get(holder)
-            if member is None or member.known >= self.generation:
-                self.claims[part] = wanted
-
 
 def _contents(body: bytes) -> list[bytes]:
     found = []
--- a/tests/test_platform_cell.py
+++ b/tests/test_platform_cell.py
@@ -338,3 +338,71 @@
         assert set(phases.values()) == {'completed'}
 
     play(scenario)
+
+
+def test_ownership_stays_while_others_come_and_go() -> None:
+    """Members that start and stop do not move the ownership."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        before = cell.owner()
+        others = [name for name in sorted(cell.entries) if name != before]
+        for name in others:
+            cell.kill_vm(name)
+            await asyncio.sleep(2)
+            cell.start_vm(name)
+            await asyncio.sleep(2)
+            assert cell.owner() == before
+
+    play(scenario)
+
+
+def test_an_owner_without_its_workers_hands_over() -> None:
+    """A VM that reaches the store but no worker does not stay the owner."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        before = cell.owner()
+        cell.net.cuts.update((before, name) for name in cell.workers)
+        name, _ = await cell.submit('vm-0', job(step(4)))
+        await asyncio.sleep(6)
+        assert cell.owner() not in {'', before}
+        assert await cell.settle([name], 15) == {name: 'completed'}
+
+    play(scenario)
+
+
+def test_a_seat_that_is_taken_away_does_no_harm() -> None:
+    """The former owner stops, and running tasks are adopted."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        name, _ = await cell.submit('vm-0', job(step(6)), work_ms=4000)
+        await asyncio.sleep(1)
+        cell.store.revoke('seat')
+        assert await cell.settle([name], 20) == {name: 'completed'}
+        assert sum(worker.starts for worker in cell.workers.values()) == 6
+
+    play(scenario)
+
+
+@pytest.mark.parametrize(
+    ('how', 'most_ms'),
+    [('kill', 3500), ('store', 4000), ('workers', 6500)],
+)
+def test_an_owner_is_replaced_in_time(how: str, most_ms: int) -> None:
+    """Starts go on within the stated time after the owner is lost."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        before = cell.owner()
+        if how == 'kill':
+            cell.kill_vm(before)
+        elif how == 'store':
+            cell.net.cuts.add((before, STORE))
+        else:
+            cell.net.cuts.update((before, name) for name in cell.workers)
+        begun_ms = cell.clock.now_ms()
+        other = next(name for name in sorted(cell.entries) if name != before)
+        await cell.submit(other, job(step(1)))
+        while not any(worker.starts for worker in cell.workers.values()):
+            await asyncio.sleep(0.05)
+            assert cell.clock.now_ms() - begun_ms < most_ms
+
+    play(scenario)
