Refuse at once while the store takes no appends

Cause: each submission waited for its own timeout while the store was away and then got 504, so callers used up their tries within the outage.

--- a/src/lycheerelay/serving/_desk.py
+++ b/src/lycheerelay/serving/_desk.py
@@ -5,10 +5,11 @@
 from enum import Enum, unique
 from typing import Any, Final, NamedTuple, final
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from .._clock import Clock
 from ..workflow import JobPhase, WorkflowSpec
+from ._append_gate import RETRY_AFTER_S, AppendGate
 from ._meters import Meters
 from ._owner import CANCEL_PREFIX, JOB_PREFIX, Owner
 from ._peers import SEEK_EVERY_MS, Peers
@@ -22,8 +23,7 @@
 APPEND_TIMEOUT_MS: Final = 700
 # A question to the owner is given so long, in ms, then the owner is sought.
 ASK_TIMEOUT_MS: Final = 500
-# Callers come back after this time, in s: an owner is replaced within it.
-RETRY_AFTER_S: Final = 1
+APPEND_TRIES: Final = 2
 # The pause between two questions while the owner changes, in s.
 ASK_PAUSE_S: Final = 0.1
 # Callers are told before their own patience ends, by so many ms.
@@ -68,6 +68,7 @@
         self.peers = peers
         self.meters = meters
         self.owner: Owner | None = None
+        self.gate = AppendGate(clock)
 
     async def submit(self, spec: WorkflowSpec, patience_ms: int) -> Outcome:
         """Store a job; it is accepted once the store has acknowledged it."""
@@ -147,14 +148,10 @@
         ends_ms = self.clock.now_ms() + patience_ms - PATIENCE_MARGIN_MS
         is_unsure = False
         fault = LogFault.REFUSED
-        for _ in range(2):
-            asked_ms = self.clock.now_ms()
-            outcome = await self.log.append(
-                Stream.JOBS,
-                (record,),
-                timeout_ms=min(APPEND_TIMEOUT_MS, max(ends_ms - asked_ms, 1)),
-            )
-            self.meters.observe('append', self.clock.now_ms() - asked_ms)
+        for _ in range(APPEND_TRIES):
+            if not self.gate.may_pass():
+                break
+            outcome = await self._try_append(record, ends_ms)
             if isinstance(outcome, Ok):
                 return Outcome(Verdict.OK, outcome.ok_value)
             fault = outcome.err_value
@@ -163,11 +160,38 @@
                 break
         logger.info(
             'append_failed',
-            extra={'what': what, 'key': record.key, 'fault': fault.value},
+            extra={
+                'what': what,
+                'key': record.key,
+                'fault': fault.value,
+                'unsure': is_unsure,
+                'store_failing_since_ms': self.gate.failing_since_ms,
+            },
         )
         if is_unsure:
             return Outcome(Verdict.UNKNOWN_OUTCOME)
-        return Outcome(Verdict.REFUSED)
+        return Outcome(
+            Verdict.REFUSED,
+            retry_after_s=self.gate.retry_after_s(),
+        )
+
+    async def _try_append(
+        self,
+        record: KeyedRecord,
+        ends_ms: int,
+    ) -> Result[int, LogFault]:
+        asked_ms = self.clock.now_ms()
+        outcome = await self.log.append(
+            Stream.JOBS,
+            (record,),
+            timeout_ms=min(APPEND_TIMEOUT_MS, max(ends_ms - asked_ms, 1)),
+        )
+        self.meters.observe('append', self.clock.now_ms() - asked_ms)
+        if isinstance(outcome, Ok):
+            self.gate.succeeded()
+        else:
+            self.gate.failed()
+        return outcome
 
     async def _ask(
         self,
--- a/tests/test_platform_cell.py
+++ b/tests/test_platform_cell.py
@@ -406,3 +406,24 @@
             assert cell.clock.now_ms() - begun_ms < most_ms
 
     play(scenario)
+
+
+def test_callers_are_refused_at_once_while_the_store_is_silent() -> None:
+    """After a first timeout, refusals come at once and say when to return."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        cell.net.cuts.add(('vm-0', STORE))
+        _, first = await cell.submit('vm-0', job(step(1)))
+        assert first.verdict.value in {'unknown_outcome', 'refused'}
+        begun_ms = cell.clock.now_ms()
+        _, second = await cell.submit('vm-0', job(step(1)))
+        assert second.verdict.value == 'refused'
+        assert second.retry_after_s >= 1
+        assert cell.clock.now_ms() - begun_ms < 50
+        cell.net.cuts.clear()
+        await asyncio.sleep(1)
+        name, third = await cell.submit('vm-0', job(step(1)))
+        assert third.verdict.value == 'ok'
+        assert await cell.settle([name], 10) == {name: 'completed'}
+
+    play(scenario)
