Record assignments before starts, so that a takeover blocks only what it must

Change: a start leaves once the job's record names its worker; a new owner holds back only tasks assigned to workers that have not answered. Run numbers go on from the record. Appends get short first tries under their number. An owner whose tenure paused is not taken for cut off from its workers. A lock record that has expired ends a former owner; the fencing append carries a record, and numbers out of order end the term.

--- a/src/lycheerelay/platform/_store.py
+++ b/src/lycheerelay/platform/_store.py
@@ -50,6 +50,10 @@
 DELETED: Final = 410
 THROTTLED: Final = 429
 UNAVAILABLE: Final = 503
+CONFLICTS: Final = {
+    'fenced': LogFault.FENCED,
+    'seq': LogFault.OUT_OF_ORDER,
+}
 
 
 @final
@@ -221,6 +225,9 @@
     async def is_latest(self, fence: int) -> Result[bool, LogFault]:
         """Tell whether nobody has claimed after this fence number."""
         outcome = await self.log.read(Stream.LOCK, fence, 0)
+        if outcome == Err(LogFault.GONE):
+            # Records after the own claim were made and have expired.
+            return Ok(False)
         return outcome.map(lambda part: not part.records)
 
 
@@ -316,8 +323,9 @@
         return LogFault.RACED
     if reply.status == DELETED:
         return LogFault.GONE
-    if reply.status == CONFLICT and reply.fields().get('reason') == 'fenced':
-        return LogFault.FENCED
+    if reply.status == CONFLICT:
+        reason = str(reply.fields().get('reason'))
+        return CONFLICTS.get(reason, LogFault.REFUSED)
     logger.warning(
         'store_refused',
         extra={
--- a/src/lycheerelay/serving/_orders.py
+++ b/src/lycheerelay/serving/_orders.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterable
 from typing import Any, Final, final
 
 from result import Ok
@@ -14,6 +14,7 @@
     AskAdvice,
     Note,
     PaceRun,
+    RunState,
     StartRun,
     StopRun,
     advice_failed,
@@ -42,6 +43,7 @@
         self.desk = desk
         self.holders: dict[str, Holder] = {}
         self.tasks: set[asyncio.Task[None]] = set()
+        self.unrecorded: dict[str, list[StartRun]] = {}
 
     def carry_out(self) -> None:
         """Empty the core's outbox."""
@@ -50,6 +52,12 @@
         for command in commands:
             CARRIERS[type(command)](self, command)
 
+    def release(self, job_ids: Iterable[str]) -> None:
+        """Send the starts of jobs whose record is durable now."""
+        for job_id in job_ids:
+            for command in self.unrecorded.pop(job_id, ()):
+                self.spawn(_start(self, command))
+
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Run one order; its task is kept until it ends."""
         task = asyncio.get_running_loop().create_task(work)
@@ -76,8 +84,10 @@
 
 @CARRIERS.register(StartRun)
 def carry_start(orders: Orders, command: StartRun) -> None:
-    """Send a start."""
-    orders.spawn(_start(orders, command))
+    """Keep a start until its record is durable."""
+    job_id = command.run.task.job_id
+    orders.unrecorded.setdefault(job_id, []).append(command)
+    orders.context.changed.set()
 
 
 @CARRIERS.register(StopRun)
@@ -102,8 +112,11 @@
     context = orders.context
     holder = orders.holders.get(command.worker_id)
     answer = Answer.UNSENT
+    if not _is_wanted(context, command):
+        return
     sent_ms = context.now_ms
-    if holder is not None and holder.clock.is_known and context.may_order:
+    is_due = context.may_order and _has_valid_ticket(context, command)
+    if holder is not None and holder.clock.is_known and is_due:
         deadline_ms = holder.lease_deadline()
         _note_expiry(context, command, holder.clock.over_by(deadline_ms))
         answer = await context.workers.start(
@@ -131,6 +144,21 @@
         context.poke()
 
 
+def _is_wanted(context: OwnerContext, command: StartRun) -> bool:
+    worker = context.cell.workers.get(command.worker_id)
+    run = worker.runs.get(command.run) if worker else None
+    return run is not None and run.state is RunState.SENT
+
+
+def _has_valid_ticket(context: OwnerContext, command: StartRun) -> bool:
+    if not command.ticket:
+        return True
+    worker = context.cell.workers.get(command.worker_id)
+    run = worker.runs.get(command.run) if worker else None
+    ticket = run.step.tickets.get(command.worker_id) if run else None
+    return ticket is not None and ticket.until_ms > context.now_ms
+
+
 def _note_expiry(
     context: OwnerContext,
     command: StartRun,
--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -69,8 +69,8 @@
     ) -> None:
         """Wire the parts of one term."""
         self.context = context
-        self.recorder = Recorder(context)
         self.orders = Orders(context, desk)
+        self.recorder = Recorder(context, self.orders.release)
         self.listings = listings
         self.started_ms = context.now_ms
         self.tasks: list[asyncio.Task[None]] = []
@@ -319,7 +319,6 @@
             await asyncio.sleep(TICK_S)
             ticks += 1
             now_ms = self.context.now_ms
-            self._settle_offset(now_ms)
             if not self.context.may_order:
                 continue
             watch(self.cell, now_ms)
@@ -338,24 +337,11 @@
             if self.cell.dirty:
                 self.context.poke()
 
-    def _settle_offset(self, now_ms: int) -> None:
-        """Learn from which job on no earlier owner can have acted.
-
-        An earlier owner stops by itself when its tenure ends.
-        """
-        limit_ms = self.started_ms + GROUP_TTL_MS + WAY_MARGIN_MS
-        if self.cell.is_clear or now_ms >= limit_ms:
-            self.cell.taken_offset = min(
-                self.cell.taken_offset,
-                self.context.tail_offset,
-            )
-
     async def _decide_on_change(self) -> None:
         while not self.cell.deposed:
             await self.context.decide.wait()
             await asyncio.sleep(DECIDE_DELAY_S)
             self.context.decide.clear()
-            self._settle_offset(self.context.now_ms)
             self.decide()
 
 
--- a/src/lycheerelay/serving/_ports.py
+++ b/src/lycheerelay/serving/_ports.py
@@ -26,7 +26,8 @@
 
     After REFUSED and THROTTLED nothing was done; after UNKNOWN it may have
     been, or may be later; FENCED means that a later writer took over; GONE
-    that the wanted records are deleted, and RACED that a condition failed.
+    that the wanted records are deleted, RACED that a condition failed, and
+    OUT_OF_ORDER that an append's number did not follow the last one.
     """
 
     REFUSED = 'refused'
@@ -35,6 +36,7 @@
     FENCED = 'fenced'
     GONE = 'gone'
     RACED = 'raced'
+    OUT_OF_ORDER = 'out_of_order'
 
 
 class KeyedRecord(NamedTuple):
--- a/src/lycheerelay/serving/_recorder.py
+++ b/src/lycheerelay/serving/_recorder.py
@@ -1,7 +1,9 @@
 """Make the owner's progress durable before it is relied upon."""
 
 import asyncio
+import itertools
 import logging
+from collections.abc import Callable, Iterable
 from typing import Final, final
 
 import orjson
@@ -14,11 +16,17 @@
 logger = logging.getLogger('lycheerelay.recorder')
 
 ROSTER_KEY: Final = 'workers'
+FENCE_KEY: Final = 'fence'
 WRITER: Final = 'owner'
+# After these a new term is needed: its epoch starts the numbers anew.
+ENDING: Final = frozenset((LogFault.FENCED, LogFault.OUT_OF_ORDER))
 # Records that come within this time share an append, in s.
-GATHER_S: Final = 0.003
+GATHER_S: Final = 0.002
 # The pause after an append that was not served, in s.
 RETRY_S: Final = 0.12
+# Starts wait for their record, and an append may be repeated under its number:
+# the first tries get little time, in ms, then what the store's calls get.
+TIMEOUTS_MS: Final = (100, 300)
 # One append carries at most so many bytes of records; the store takes more.
 BATCH_BYTES: Final = 256 * 1024
 
@@ -27,9 +35,14 @@
 class Recorder:
     """Append progress in order; one append is on its way at a time."""
 
-    def __init__(self, context: OwnerContext) -> None:
-        """Start with nothing written."""
+    def __init__(
+        self,
+        context: OwnerContext,
+        release: Callable[[Iterable[str]], None],
+    ) -> None:
+        """Start with nothing written; `release` hears of recorded jobs."""
         self.context = context
+        self.release = release
         self.sequence = 0
         self.roster: frozenset[str] = frozenset()
         self.removals: list[str] = []
@@ -39,12 +52,12 @@
         while self.context.may_order:
             outcome = await self.context.log.append(
                 Stream.PROGRESS,
-                (),
+                (KeyedRecord(FENCE_KEY, str(self.context.fence).encode()),),
                 Writer(WRITER, self.context.fence, self.sequence),
             )
             if isinstance(outcome, Ok):
                 return True
-            if outcome.err_value is LogFault.FENCED:
+            if outcome.err_value in ENDING:
                 self.context.cell.deposed = True
                 return False
             await asyncio.sleep(RETRY_S)
@@ -132,6 +145,7 @@
             job = cell.jobs.get(job_id)
             if job is not None:
                 job.durable_phase = phase
+        self.release(phases)
         self.context.recorded.set()
         self.context.recorded.clear()
 
@@ -139,18 +153,22 @@
         self.sequence += 1
         writer = Writer(WRITER, self.context.fence, self.sequence)
         asked_ms = self.context.now_ms
-        while not self.context.cell.deposed:
+        for timeout_ms in itertools.chain(TIMEOUTS_MS, itertools.repeat(0)):
+            if self.context.cell.deposed:
+                return False
             outcome = await self.context.log.append(
                 Stream.PROGRESS,
                 records,
                 writer,
+                timeout_ms,
             )
             if isinstance(outcome, Ok):
                 took_ms = self.context.now_ms - asked_ms
                 self.context.meters.observe('record', took_ms)
                 return True
             self._note_fault(outcome, asked_ms)
-            await asyncio.sleep(RETRY_S)
+            if outcome.err_value is not LogFault.UNKNOWN:
+                await asyncio.sleep(RETRY_S)
         return False
 
     def _note_fault(self, outcome: Err[LogFault], asked_ms: int) -> None:
@@ -163,7 +181,7 @@
                 'fence': self.context.fence,
             },
         )
-        if fault is LogFault.FENCED:
+        if fault in ENDING:
             self.context.cell.deposed = True
 
     def _roster_payload(self) -> bytes:
--- a/src/lycheerelay/serving/_terms.py
+++ b/src/lycheerelay/serving/_terms.py
@@ -67,6 +67,7 @@
         self.look_until_ms = 0
         self.looked_ms = 0
         self.stand_back_ms = 0
+        self.paused_ms = 0
         self.wake = asyncio.Event()
 
     @property
@@ -156,17 +157,22 @@
             await self._step_down('a later owner was met')
             return
         asked_ms = self.clock.now_ms()
-        if silence_ms(owner.cell, asked_ms) > CUT_OFF_MS:
+        if not tenure.is_valid(asked_ms):
+            # Workers were not asked while the tenure was over.
+            self.paused_ms = asked_ms
+        listened_ms = asked_ms - self.paused_ms
+        silent_ms = min(silence_ms(owner.cell, asked_ms), listened_ms)
+        if silent_ms > CUT_OFF_MS:
             await self._hand_over(asked_ms)
             return
-        await self.seat.keep()
         latest = await self.seat.is_latest(tenure.generation)
         if isinstance(latest, Err):
             return
-        if latest.ok_value:
-            tenure.confirm(asked_ms)
-        else:
+        if not latest.ok_value:
             await self._step_down('another member has claimed')
+            return
+        tenure.confirm(asked_ms)
+        await self.seat.keep()
 
     async def _hand_over(self, now_ms: int) -> None:
         self.stand_back_ms = now_ms + STAND_BACK_MS
--- a/src/lycheerelay/workflow/__init__.py
+++ b/src/lycheerelay/workflow/__init__.py
@@ -30,6 +30,7 @@
     CellState,
     JobBook,
     JobPhase,
+    RunState,
     WorkerBook,
 )
 from ._tables import (
@@ -67,6 +68,7 @@
     'PaceRun',
     'Row',
     'RunKey',
+    'RunState',
     'StartRun',
     'StepKey',
     'StepSpec',
--- a/src/lycheerelay/workflow/_dispatch.py
+++ b/src/lycheerelay/workflow/_dispatch.py
@@ -26,9 +26,6 @@
 # Room is kept for so many steps of a pool that do not fit yet; more would
 # keep too much of it idle.
 RESERVING_STEPS: Final = 2
-# Runs of jobs from before a takeover are numbered from this times the fence
-# number: an earlier owner may have started runs that were never seen.
-RUNS_PER_OWNER: Final = 10
 
 
 @dataclass(slots=True)
@@ -50,20 +47,15 @@
     passes: dict[str, PoolPass] = {}
     started = 0
     for step in waiting:
-        if not _may_start(cell, step, now_ms):
-            continue
         turn = passes.setdefault(step.job.spec.pool, PoolPass())
         started += _serve(cell, step, turn, now_ms)
         turn.rank += 1
     return started
 
 
-def _may_start(cell: CellState, step: StepBook, now_ms: int) -> bool:
-    return (
-        step.job.offset >= cell.taken_offset
-        or cell.is_clear
-        or now_ms >= cell.clear_ms
-    )
+def _may_run_unseen(cell: CellState, task: TaskBook, now_ms: int) -> bool:
+    """Tell whether a worker that has not answered may hold a run."""
+    return task.assigned in cell.unanswered and now_ms < cell.clear_ms
 
 
 def _serve(
@@ -76,6 +68,7 @@
         step.tasks[index]
         for index in step.waiting
         if step.tasks[index].not_before_ms <= now_ms
+        and not _may_run_unseen(cell, step.tasks[index], now_ms)
     ]
     if not tasks:
         return 0
@@ -89,7 +82,7 @@
             worker for worker in workers if worker.worker_id in step.good
         ]
     if step.spec.gang:
-        started = _start_gang(cell, step, turn, workers, now_ms)
+        started = _start_gang(cell, step, turn, tasks, workers, now_ms)
     else:
         started = _start_tasks(cell, step, turn, tasks, workers, now_ms)
     if step.waiting and started < len(tasks):
@@ -171,7 +164,7 @@
         if not fitting:
             break
         best = _best(step, fitting, task)
-        _start(cell, step, task, best, next_run(cell, step, [task]), now_ms)
+        _start(cell, step, task, best, next_run([task]), now_ms)
         started += 1
     return started
 
@@ -188,10 +181,11 @@
     cell: CellState,
     step: StepBook,
     turn: PoolPass,
+    tasks: list[TaskBook],
     workers: list[WorkerBook],
     now_ms: int,
 ) -> int:
-    if len(step.waiting) < len(step.tasks):
+    if len(tasks) < len(step.tasks):
         return 0
     open_workers = [
         worker for worker in workers if has_ticket(step, worker, now_ms)
@@ -199,7 +193,7 @@
     plan = _plan_gang(step, turn, open_workers, now_ms)
     if not plan:
         return 0
-    number = next_run(cell, step, step.tasks)
+    number = next_run(step.tasks)
     for task, worker in zip(step.tasks, plan, strict=True):
         _start(cell, step, task, worker, number, now_ms)
     return len(plan)
@@ -242,12 +236,9 @@
     return plan
 
 
-def next_run(cell: CellState, step: StepBook, tasks: list[TaskBook]) -> int:
-    """Return a number above every run that may have been started."""
-    last = max(task.last_run for task in tasks)
-    if step.job.offset < cell.taken_offset:
-        last = max(last, RUNS_PER_OWNER * cell.fence)
-    return last + 1
+def next_run(tasks: list[TaskBook]) -> int:
+    """Return a number above every run that was started."""
+    return max(task.last_run for task in tasks) + 1
 
 
 def _start(
--- a/src/lycheerelay/workflow/_progress.py
+++ b/src/lycheerelay/workflow/_progress.py
@@ -3,8 +3,8 @@
 The record is a JSON object: `phase` and `why` of the job, `finished` with the
 numbers of finished occurrences, and `steps`, a row for each step that has
 something to tell: occurrence, step, done tasks as a hexadecimal bit mask, and
-a row for each task that failed or saved: index, failed runs, last run,
-checkpoint.
+a row for each open task that was started: index, failed runs, last run,
+checkpoint, worker.
 """
 
 from typing import Final, TypedDict
@@ -57,9 +57,15 @@
 def _step_row(step: StepBook) -> list[object]:
     mask = sum(1 << task.index for task in step.tasks if task.done)
     tasks = [
-        [task.index, list(task.failed_runs), task.last_run, task.checkpoint]
+        [
+            task.index,
+            list(task.failed_runs),
+            task.last_run,
+            task.checkpoint,
+            task.assigned,
+        ]
         for task in step.tasks
-        if not task.done and (task.failed_runs or task.checkpoint)
+        if not task.done and task.last_run
     ]
     return [step.key.occurrence, step.key.step, f'{mask:x}', tasks]
 
@@ -104,8 +110,8 @@
     for task in step.tasks:
         if mask >> task.index & 1:
             mark_done(step, task)
-    for number, failed, last_run, checkpoint in tasks:  # type: ignore[attr-defined]
-        _restore_task(step.tasks[number], failed, last_run, checkpoint)
+    for number, *rest in tasks:  # type: ignore[attr-defined]
+        _restore_task(step.tasks[number], *rest)
     if step.is_done:
         cell.open_steps.pop(step.key, None)
     for other in steps:
@@ -117,7 +123,9 @@
     failed: list[int],
     last_run: int,
     checkpoint: str,
+    assigned: str,
 ) -> None:
     task.failed_runs.update(dict.fromkeys(failed))
     task.last_run = max(task.last_run, last_run)
     task.checkpoint = checkpoint
+    task.assigned = assigned
--- a/src/lycheerelay/workflow/_runs.py
+++ b/src/lycheerelay/workflow/_runs.py
@@ -31,6 +31,9 @@
     adopt(run)
     step.waiting.pop(task.index, None)
     step.job.begun = True
+    task.assigned = worker.worker_id
+    # The start leaves once its record is durable.
+    cell.dirty[step.job.spec.job_id] = None
     ticket = step.tickets.get(worker.worker_id)
     cell.outbox.append(
         StartRun(
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -11,8 +11,6 @@
     from ._commands import Command
 
 NEVER = -1
-# Above every offset: all jobs may have been started by an earlier owner.
-UNSETTLED_OFFSET = 1 << 62
 
 
 @unique
@@ -80,6 +78,7 @@
     not_before_ms: int = 0
     runs: dict[int, Run] = field(default_factory=dict)
     avoid: str = ''
+    assigned: str = ''
     restarts: int = 0
 
 
@@ -207,13 +206,11 @@
 
     `fence` is the number under which orders are sent, `clear_ms` the time
     from which no order of an earlier owner can be in effect anywhere, and
-    `taken_offset` the offset in the job stream from which on no earlier owner
-    can have started a job.
+    `unanswered` names the workers that have not shown what they run since.
     """
 
     fence: int
     clear_ms: int
-    taken_offset: int = UNSETTLED_OFFSET
     jobs: dict[str, JobBook] = field(default_factory=dict)
     workers: dict[str, WorkerBook] = field(default_factory=dict)
     dead: dict[str, None] = field(default_factory=dict)
--- a/src/lycheerelay/workflow/_watch.py
+++ b/src/lycheerelay/workflow/_watch.py
@@ -150,7 +150,7 @@
     if not others:
         return
     best = min(others, key=lambda other: score(step, other, task))
-    number = next_run(cell, step, [task])
+    number = next_run([task])
     note(
         cell,
         'run_copied',
--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -9,7 +9,9 @@
 
 # Seeds that failed once, each with its cause.
 REGRESSIONS = {
+    3: 'a former owner whose lock record had expired kept the seat',
     21: 'a look that waited for a record spun after its owner was deposed',
+    105: 'a fencing append that took effect late put the numbers back',
 }
 
 
@@ -21,7 +23,7 @@
     logging.disable(logging.NOTSET)
 
 
-@pytest.mark.parametrize('seed', [*range(1, 9), *REGRESSIONS])
+@pytest.mark.parametrize('seed', sorted({*range(1, 9), *REGRESSIONS}))
 def test_a_random_day_keeps_every_promise(seed: int) -> None:
     """Nothing is broken, and every accepted job becomes final."""
     result = fuzz(seed)
