Find a lost owner and a lost start sooner

Cause: an unanswered start waited 1 s and more until it was voided, because the look that could show it waited for its own end; a dead owner was replaced after 1.5 s and more; after a restart of all VMs the owner knew no members, so calls for advice queued behind one another (2 to 3 s without starts).

Change: an unanswered start (0.3 s) is looked for at once beside the waiting look, and voided if it has not begun; tables that a later one overtook are dropped by the worker's clock. The shortest group lifetime, rounds in parallel, fewer looks at the seat; the owner reads the members when the group changes.

--- a/src/lycheerelay/platform/_entry.py
+++ b/src/lycheerelay/platform/_entry.py
@@ -31,8 +31,8 @@
 
 logger = logging.getLogger('lycheerelay.entry')
 
-# The members are read this often, in s; they only carry advice.
-DIRECTORY_EVERY_S: Final = 5
+# Who the owner is is looked after this often, in s.
+DIRECTORY_EVERY_S: Final = 1
 # The owner is read anew after so many ms without one, and with one.
 SEEK_MS: Final = 1000
 KEEP_MS: Final = 5000
@@ -130,6 +130,5 @@
 
     async def _refresh(self) -> None:
         while True:
-            await self.peers.refresh_members()
             await self.peers.refresh(KEEP_MS if self.peers.owner else SEEK_MS)
             await asyncio.sleep(DIRECTORY_EVERY_S)
--- a/src/lycheerelay/platform/_workers.py
+++ b/src/lycheerelay/platform/_workers.py
@@ -29,9 +29,9 @@
 
 logger = logging.getLogger('lycheerelay.workers')
 
-# A worker answers within two ways across failure domains; a start that takes
-# longer than this, in ms, is voided and made elsewhere.
-ORDER_TIMEOUT_MS: Final = 700
+# A worker answers within two ways across failure domains, some ms; what takes
+# so much longer, in ms, is looked for, and voided if it has not begun.
+ORDER_TIMEOUT_MS: Final = 300
 # A look answers at its wait's end; it is given so much longer, in ms.
 LOOK_TIMEOUT_MS: Final = 700
 EXPECTED_LIFE: Final = 'X-Expected-Instance'
@@ -164,10 +164,11 @@
         table = Table(
             worker_id,
             asked_ms,
+            int(fields['clockMs']),
             tuple(_rows(fields['running'])),
             tuple(_ends(fields['ended'])),
         )
-        return Held(Answer.DONE, int(fields['clockMs']), table)
+        return Held(Answer.DONE, table.clock_ms, table)
     except UNREADABLE as error:
         logger.warning(
             'look_unreadable',
--- a/src/lycheerelay/serving/_holder.py
+++ b/src/lycheerelay/serving/_holder.py
@@ -57,6 +57,18 @@
             held = await self._look()
             await self._take_in(held)
 
+    async def look_once(self) -> None:
+        """Look at once, beside the look that may be waiting."""
+        worker = self.context.cell.workers.get(self.worker_id)
+        if worker is None or not self.context.may_order:
+            return
+        asked = self._question(worker.recorded_end, 0, 0)
+        held = await self.context.workers.hold(asked)
+        if held.answer is Answer.DONE and held.table is not None:
+            self.clock.heard(held.clock_ms, self.context.now_ms)
+            apply_table(self.context.cell, held.table, self.context.now_ms)
+            self.context.poke()
+
     def lease_deadline(self) -> int:
         """Return a deadline on the worker's clock and note that it is given."""
         if not self.clock.is_known:
@@ -83,15 +95,22 @@
         deadline_ms = 0 if is_lost else self.lease_deadline()
         if worker and worker.recorded_end < worker.handled_end:
             wait_ms = 0
-        return await self.context.workers.hold(
-            HoldOrder(
-                self.worker_id,
-                self.address,
-                self.context.fence,
-                last_seen,
-                deadline_ms,
-                wait_ms,
-            ),
+        asked = self._question(last_seen, deadline_ms, wait_ms)
+        return await self.context.workers.hold(asked)
+
+    def _question(
+        self,
+        last_seen: int,
+        deadline_ms: int,
+        wait_ms: int,
+    ) -> HoldOrder:
+        return HoldOrder(
+            self.worker_id,
+            self.address,
+            self.context.fence,
+            last_seen,
+            deadline_ms,
+            wait_ms,
         )
 
     async def _take_in(self, held: Held) -> None:
--- a/src/lycheerelay/serving/_orders.py
+++ b/src/lycheerelay/serving/_orders.py
@@ -12,6 +12,7 @@
     Advice,
     Answer,
     AskAdvice,
+    LookNow,
     Note,
     PaceRun,
     RunState,
@@ -102,6 +103,14 @@
     orders.spawn(_pace(orders, command))
 
 
+@CARRIERS.register(LookNow)
+def carry_look(orders: Orders, command: LookNow) -> None:
+    """Look at a worker."""
+    holder = orders.holders.get(command.worker_id)
+    if holder is not None:
+        orders.spawn(holder.look_once())
+
+
 @CARRIERS.register(AskAdvice)
 def carry_question(orders: Orders, command: AskAdvice) -> None:
     """Ask for advice."""
--- a/src/lycheerelay/serving/_tenure.py
+++ b/src/lycheerelay/serving/_tenure.py
@@ -2,11 +2,11 @@
 
 from typing import Final, final
 
-# A member that sent nothing for so long, in ms, loses what it was dealt. Short
-# enough to replace a dead owner within 2 s, long enough for a slow store.
-GROUP_TTL_MS: Final = 1500
-# Joins are sent this often, in ms: three may be lost within the time above.
-JOIN_EVERY_MS: Final = 400
+# A member that sent nothing for so long, in ms, loses its seat: the shortest
+# time that the store allows, so that a dead owner is replaced within 2 s.
+GROUP_TTL_MS: Final = 1000
+# Rounds begin this often, in ms: two may be lost within the time above.
+JOIN_EVERY_MS: Final = 250
 # Orders stop so much before the store may deal the ownership anew, in ms.
 TENURE_MARGIN_MS: Final = 100
 
--- a/src/lycheerelay/serving/_terms.py
+++ b/src/lycheerelay/serving/_terms.py
@@ -26,9 +26,9 @@
 MS_PER_SECOND: Final = 1000
 # After a change in the group the seat is looked at for so long, in ms: the
 # owner's membership may end a little later than what showed the change.
-LOOK_FOR_MS: Final = 2000
+LOOK_FOR_MS: Final = 600
 # Without any change the seat is looked at this often, in ms.
-LOOK_EVERY_MS: Final = 4000
+LOOK_EVERY_MS: Final = 3000
 # An owner that has not heard most workers for so long, in ms, hands over, and
 # does not claim again for the second time, in ms. A look waits 1 s by itself.
 CUT_OFF_MS: Final = 2500
@@ -68,6 +68,7 @@
         self.looked_ms = 0
         self.stand_back_ms = 0
         self.paused_ms = 0
+        self.members_due = True
         self.wake = asyncio.Event()
 
     @property
@@ -126,6 +127,16 @@
         self.wake.clear()
 
     async def _round(self, asked_ms: int) -> None:
+        if self.owner is not None and self.tenure is not None:
+            keep = self._keep(self.owner, self.tenure, asked_ms)
+            await asyncio.gather(self._join(asked_ms), keep)
+            await self._refresh_members()
+            return
+        await self._join(asked_ms)
+        if not self.leaving and self._is_look_due(asked_ms):
+            await self._look(asked_ms)
+
+    async def _join(self, asked_ms: int) -> None:
         outcome = await self.group.join(self.generation)
         if isinstance(outcome, Err):
             self.faults += 1
@@ -139,24 +150,31 @@
         self.joined_ms = asked_ms
         if self.generation != outcome.ok_value:
             self.look_until_ms = asked_ms + LOOK_FOR_MS
+            self.members_due = True
         self.generation = outcome.ok_value
-        if self.leaving:
-            return
-        if self.owner is not None and self.tenure is not None:
-            await self._keep(self.owner, self.tenure)
-        elif self._is_look_due(asked_ms):
-            await self._look(asked_ms)
+
+    async def _refresh_members(self) -> None:
+        """Let the owner know the members that can ask for advice."""
+        if self.members_due and self.owner is not None:
+            self.members_due = False
+            await self.peers.refresh_members()
 
     def _is_look_due(self, now_ms: int) -> bool:
+        if self.faults:
+            return False
         if now_ms < self.look_until_ms:
             return True
         return now_ms - self.looked_ms > LOOK_EVERY_MS
 
-    async def _keep(self, owner: Owner, tenure: Tenure) -> None:
+    async def _keep(
+        self,
+        owner: Owner,
+        tenure: Tenure,
+        asked_ms: int,
+    ) -> None:
         if owner.cell.deposed or owner.is_over:
             await self._step_down('a later owner was met')
             return
-        asked_ms = self.clock.now_ms()
         if not tenure.is_valid(asked_ms):
             # Workers were not asked while the tenure was over.
             self.paused_ms = asked_ms
@@ -165,14 +183,16 @@
         if silent_ms > CUT_OFF_MS:
             await self._hand_over(asked_ms)
             return
-        latest = await self.seat.is_latest(tenure.generation)
+        latest, _ = await asyncio.gather(
+            self.seat.is_latest(tenure.generation),
+            self.seat.keep(),
+        )
         if isinstance(latest, Err):
             return
         if not latest.ok_value:
             await self._step_down('another member has claimed')
             return
         tenure.confirm(asked_ms)
-        await self.seat.keep()
 
     async def _hand_over(self, now_ms: int) -> None:
         self.stand_back_ms = now_ms + STAND_BACK_MS
@@ -186,14 +206,12 @@
 
     async def _look(self, now_ms: int) -> None:
         self.looked_ms = now_ms
-        end = await self.seat.lock_end()
-        holder = await self.seat.holder()
-        if isinstance(end, Err) or isinstance(holder, Err):
-            return
-        if holder.ok_value:
-            self.peers.found(holder.ok_value)
+        if await self._is_taken() or now_ms < self.stand_back_ms:
             return
-        if now_ms < self.stand_back_ms:
+        # The lock's end is read before the seat is looked at again: a claim
+        # in between makes this one fail.
+        end = await self.seat.lock_end()
+        if isinstance(end, Err) or await self._is_taken():
             return
         asked_ms = self.clock.now_ms()
         claimed = await self.seat.claim(end.ok_value)
@@ -201,6 +219,15 @@
             await self.seat.keep()
             self._begin_term(claimed.ok_value, asked_ms)
 
+    async def _is_taken(self) -> bool:
+        holder = await self.seat.holder()
+        if isinstance(holder, Err):
+            # What cannot be read is not claimed either.
+            return True
+        if holder.ok_value:
+            self.peers.found(holder.ok_value)
+        return bool(holder.ok_value)
+
     def _begin_term(self, fence: int, asked_ms: int) -> None:
         self.tenure = Tenure(fence, asked_ms)
         self.owner = self.make_owner(self.tenure)
--- a/src/lycheerelay/workflow/__init__.py
+++ b/src/lycheerelay/workflow/__init__.py
@@ -5,6 +5,7 @@
 from ._commands import (
     AskAdvice,
     Command,
+    LookNow,
     Note,
     PaceRun,
     StartRun,
@@ -64,6 +65,7 @@
     'How',
     'JobBook',
     'JobPhase',
+    'LookNow',
     'Note',
     'PaceRun',
     'Row',
--- a/src/lycheerelay/workflow/_answers.py
+++ b/src/lycheerelay/workflow/_answers.py
@@ -3,7 +3,7 @@
 from enum import Enum, unique
 from typing import Final
 
-from ._commands import StopRun
+from ._commands import LookNow, StopRun
 from ._notes import note
 from ._runs import stop_run
 from ._spec import RunKey
@@ -65,6 +65,7 @@
     if answer is Answer.NONE:
         run.unsure_ms = now_ms
         worker.silent = True
+        cell.outbox.append(LookNow(worker_id))
         return
     if answer is Answer.FENCED:
         cell.deposed = True
@@ -101,6 +102,8 @@
     run = worker.runs.get(key) if worker else None
     if run is not None and answer is Answer.DONE:
         run.stop_answered_ms = now_ms
+        if run.unsure_ms != NEVER:
+            cell.outbox.append(LookNow(worker_id))
 
 
 def repeat_stops(cell: CellState, now_ms: int) -> None:
--- a/src/lycheerelay/workflow/_commands.py
+++ b/src/lycheerelay/workflow/_commands.py
@@ -38,6 +38,12 @@
     expected_ms: float
 
 
+class LookNow(NamedTuple):
+    """Look at a worker at once, beside the look that waits there."""
+
+    worker_id: str
+
+
 class Note(NamedTuple):
     """Record a decision in the log."""
 
@@ -45,4 +51,4 @@
     fields: tuple[tuple[str, object], ...]
 
 
-Command = StartRun | StopRun | PaceRun | AskAdvice | Note
+Command = StartRun | StopRun | PaceRun | AskAdvice | LookNow | Note
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -172,6 +172,7 @@
     heard_ms: int = 0
     silent: bool = False
     lease_until_ms: int = 0
+    table_clock_ms: int = 0
     handled_end: int = 0
     recorded_end: int = 0
     failures_in_row: dict[str, None] = field(default_factory=dict)
--- a/src/lycheerelay/workflow/_tables.py
+++ b/src/lycheerelay/workflow/_tables.py
@@ -33,10 +33,15 @@
 
 
 class Table(NamedTuple):
-    """Tell all that a worker runs and which ends it still lists."""
+    """Tell all that a worker runs and which ends it still lists.
+
+    `asked_ms` is the own time of the question, `clock_ms` the worker's clock
+    at the answer.
+    """
 
     worker_id: str
     asked_ms: int
+    clock_ms: int
     rows: tuple[Row, ...]
     ends: tuple[End, ...]
 
@@ -127,8 +132,10 @@
 def apply_table(cell: CellState, table: Table, now_ms: int) -> bool:
     """Bring the books in line with a table; return whether ends came."""
     worker = cell.workers.get(table.worker_id)
-    if worker is None:
+    if worker is None or table.clock_ms < worker.table_clock_ms:
+        # An answer that a later one has overtaken tells nothing new.
         return False
+    worker.table_clock_ms = table.clock_ms
     worker.heard_ms = now_ms
     worker.silent = False
     fresh = [end for end in table.ends if end.number > worker.handled_end]
@@ -232,6 +239,9 @@
     if run.stop_answered_ms != NEVER and run.stop_answered_ms < asked_ms:
         run_vanished(cell, run, now_ms, 'stopped before it began')
         return
+    if run.state is RunState.SENT and NEVER < run.unsure_ms <= asked_ms:
+        stop_run(cell, run, now_ms, 'its start was not answered')
+        return
     expires_ms = run.start_expires_ms
     if is_answered or expires_ms == NEVER:
         return
