--- a/src/lycheerelay/workflow/__init__.py
+++ b/src/lycheerelay/workflow/__init__.py
@@ -14,6 +14,7 @@
 from ._dispatch import dispatch
 from ._ends import End, How
 from ._intake import cancel, submit
+from ._order import ORDERS
 from ._pacing import pace_worker
 from ._progress import encode, restore
 from ._spec import (
@@ -55,6 +56,7 @@
 __all__ = (  # noqa: WPS410
     'FINAL_PHASES',
     'NEVER',
+    'ORDERS',
     'Advice',
     'AdvicePolicy',
     'Answer',
--- a/src/lycheerelay/workflow/_dispatch.py
+++ b/src/lycheerelay/workflow/_dispatch.py
@@ -1,7 +1,6 @@
 """Start what waits, in order, where it fits."""
 
 from dataclasses import dataclass, field
-from typing import Final
 
 from ._advice import (
     FRESH_STEPS,
@@ -19,14 +18,11 @@
     score,
 )
 from ._notes import note
-from ._order import order_key
+from ._order import ORDERS
+from ._preempt import kept_rooms, make_room
 from ._runs import start_run
 from ._state import CellState, StepBook, TaskBook, WorkerBook
 
-# Room is kept for so many steps of a pool that do not fit yet; more would
-# keep too much of it idle.
-RESERVING_STEPS: Final = 2
-
 
 @dataclass(slots=True)
 class PoolPass:
@@ -43,11 +39,14 @@
         return 0
     wall_ms = now_ms + cell.wall_offset_ms
     waiting = [step for step in cell.open_steps.values() if step.waiting]
-    waiting.sort(key=lambda step: order_key(step, wall_ms))
+    order = ORDERS[cell.order]
+    waiting.sort(key=lambda step: order(step, wall_ms))
     passes: dict[str, PoolPass] = {}
+    kept = kept_rooms(cell, now_ms)
     started = 0
     for step in waiting:
-        turn = passes.setdefault(step.job.spec.pool, PoolPass())
+        pool = step.job.spec.pool
+        turn = passes.setdefault(pool, PoolPass(reserved=dict(kept)))
         started += _serve(cell, step, turn, now_ms)
         turn.rank += 1
     return started
@@ -111,7 +110,11 @@
             renew_ahead(cell, step, policy, now_ms)
         if can_ask(step, now_ms):
             ask_first(cell, step, policy, now_ms)
-    if _is_wide(step) and turn.reserving < RESERVING_STEPS:
+    if not _is_wide(step):
+        return
+    if cell.preempts and not step.spec.gang:
+        make_room(cell, step, workers, turn.reserved, now_ms)
+    if turn.reserving < cell.reserving_steps:
         turn.reserving += 1
         _reserve(step, turn, workers, now_ms)
 
@@ -139,7 +142,8 @@
             return
         fitting = max(demand.times_in(worker.capacity), 1)
         count = min(missing, fitting)
-        turn.reserved[worker.worker_id] = Reserved(demand.times(count), from_ms)
+        room = demand.times(count)
+        turn.reserved[worker.worker_id] = Reserved(step.key, room, from_ms)
         missing -= count
 
 
--- a/src/lycheerelay/workflow/_fit.py
+++ b/src/lycheerelay/workflow/_fit.py
@@ -4,6 +4,7 @@
 from typing import Final, NamedTuple
 
 from .._resources import Resources
+from ._spec import StepKey
 from ._state import CellState, Run, StepBook, TaskBook, WorkerBook
 
 # A worker that has not been heard for so long, in ms, gets nothing new: a
@@ -19,6 +20,7 @@
 class Reserved(NamedTuple):
     """Tell what a worker is kept for, and from when."""
 
+    step: StepKey
     demand: Resources
     from_ms: int
 
@@ -65,7 +67,8 @@
     spec = step.spec
     free = worker.free
     kept = reserved.get(worker.worker_id)
-    if kept is not None and now_ms + spec.expected_ms > kept.from_ms:
+    is_kept = kept is not None and kept.step != step.key
+    if kept and is_kept and now_ms + spec.expected_ms > kept.from_ms:
         free = free.minus(kept.demand)
     count = spec.width
     if any(spec.demand):
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -11,6 +11,9 @@
     from ._commands import Command
 
 NEVER = -1
+# Room is kept for so many steps of a pool that do not fit yet; more would
+# keep too much of it idle.
+RESERVING_STEPS = 5
 
 
 @unique
@@ -223,6 +226,9 @@
     gangs_settled: bool = False
     deposed: bool = False
     wall_offset_ms: int = 0
+    order: str = 'slack'
+    reserving_steps: int = RESERVING_STEPS
+    preempts: bool = True
     due_checked_ms: int = NEVER
     orphans: dict[TaskKey, list[str]] = field(default_factory=dict)
 
