Stop no runs for urgent work

A stop frees room on one of the few workers that advice allows, and what is stopped then waits for another of its own few.

Conclusion: not worth it while advice allows a third of the workers.

--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -81,7 +81,6 @@
     rng: random.Random
     cell: CellState
     now_ms: int = 0
-    stopped: int = 0
     count: int = 0
     events: list[tuple[int, int, Any, tuple[Any, ...]]] = field(
         default_factory=list,
@@ -119,7 +118,6 @@
         0,
         order=order,
         reserving_steps=reserving,
-        preempts=load.get('preempts', True),
     )
     cell.loaded = True
     sim = Sim(load, rng, cell)
@@ -274,7 +272,6 @@
     saved = ''
     if how is How.STOPPED:
         saved = str(live.saved_ms + sim.now_ms - live.begun_ms)
-        sim.stopped += 1
     sim.numbers[worker] = sim.numbers.get(worker, 0) + 1
     sim.ends[worker].append(End(sim.numbers[worker], run, how, saved))
     sim.at(sim.now_ms + WAY_MS, look, worker)
@@ -405,14 +402,12 @@
     parser.add_argument('loads', nargs='*', default=names)
     parser.add_argument('--order', choices=sorted(ORDERS), action='append')
     parser.add_argument('--reserving', type=int, action='append')
-    parser.add_argument('--no-preempt', action='store_true')
     parser.add_argument('--pool', help='only the kinds of this pool')
     parser.add_argument('--seeds', type=int, default=1)
     options = parser.parse_args()
     for name in options.loads or names:
         load = tomllib.loads((LOADS / f'{name}.toml').read_text())
         load['seeds'] = options.seeds
-        load['preempts'] = not options.no_preempt
         if options.pool:
             load['kinds'] = [
                 kind for kind in load['kinds'] if kind['pool'] == options.pool
--- a/src/lycheerelay/workflow/_dispatch.py
+++ b/src/lycheerelay/workflow/_dispatch.py
@@ -19,7 +19,6 @@
 )
 from ._notes import note
 from ._order import ORDERS
-from ._preempt import kept_rooms, make_room
 from ._runs import start_run
 from ._state import CellState, StepBook, TaskBook, WorkerBook
 
@@ -42,11 +41,10 @@
     order = ORDERS[cell.order]
     waiting.sort(key=lambda step: order(step, wall_ms))
     passes: dict[str, PoolPass] = {}
-    kept = kept_rooms(cell, now_ms)
     started = 0
     for step in waiting:
         pool = step.job.spec.pool
-        turn = passes.setdefault(pool, PoolPass(reserved=dict(kept)))
+        turn = passes.setdefault(pool, PoolPass())
         started += _serve(cell, step, turn, now_ms)
         turn.rank += 1
     return started
@@ -112,8 +110,6 @@
             ask_first(cell, step, policy, now_ms)
     if not _is_wide(step):
         return
-    if cell.preempts and not step.spec.gang:
-        make_room(cell, step, workers, turn.reserved, now_ms)
     if turn.reserving < cell.reserving_steps:
         turn.reserving += 1
         _reserve(step, turn, workers, now_ms)
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -182,8 +182,6 @@
     barred_until_ms: int = 0
     bars: int = 0
     slowness: float = 1.0
-    reserved_for: StepKey | None = None
-    reserved_until_ms: int = 0
 
     def charge(self, run: Run) -> None:
         """Book what a run may use."""
@@ -228,7 +226,6 @@
     wall_offset_ms: int = 0
     order: str = 'slack'
     reserving_steps: int = RESERVING_STEPS
-    preempts: bool = True
     due_checked_ms: int = NEVER
     orphans: dict[TaskKey, list[str]] = field(default_factory=dict)
 
