--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -81,6 +81,13 @@
         """Return what this owner decides on."""
         return self.context.cell
 
+    @property
+    def why_over(self) -> str:
+        """Tell why this term has ended by itself."""
+        if self.cell.deposed and self.cell.loaded:
+            return 'a later owner was met'
+        return 'the takeover came to nothing'
+
     @property
     def is_serving(self) -> bool:
         """Tell whether questions about jobs can be answered."""
--- a/src/lycheerelay/serving/_terms.py
+++ b/src/lycheerelay/serving/_terms.py
@@ -173,7 +173,7 @@
         asked_ms: int,
     ) -> None:
         if owner.cell.deposed or owner.is_over:
-            await self._step_down('a later owner was met')
+            await self._step_down(owner.why_over)
             return
         if not tenure.is_valid(asked_ms):
             # Workers were not asked while the tenure was over.
