Respect the store's shortest membership and a VM's time to stop

Cause: the lifetime in the group was a constant, which a store with a longer shortest time refuses; a VM drained for 4 s whatever time it is given; the owner's module had grown past its job; two guards turned no test red (tenure, record before start).

Change: both times follow the settings; jobs and cancels are read in a module of their own; unused fields are gone; tests for the two guards. The test of layers lets the core import the registry, which is pure.

--- a/src/lycheerelay/platform/_entry.py
+++ b/src/lycheerelay/platform/_entry.py
@@ -26,7 +26,7 @@
 from ._decode import decode_config, decode_worker
 from ._ingress import Ingress
 from ._settings import PlatformSettings
-from ._store import StoreGroup, StoreLog, StoreSeat
+from ._store import Place, StoreGroup, StoreLog, StoreSeat
 from ._workers import WorkerCalls
 
 logger = logging.getLogger('lycheerelay.entry')
@@ -57,8 +57,9 @@
         self.log = StoreLog(http, settings.store_address)
         address = f'{settings.host}:{settings.internal_port}'
         member = f'{address}#{settings.vm}-{incarnation}'
-        group = StoreGroup(http, settings.store_address, member)
-        seat = StoreSeat(http, self.log, settings.store_address, member)
+        place = Place(settings.store_address, member, settings.group_ttl_ms)
+        group = StoreGroup(http, place)
+        seat = StoreSeat(http, self.log, place)
         self.workers = WorkerCalls(http, clock.now_ms)
         self.advisor = AdvisorCalls(http, settings.advisor_address)
         self.peers = Peers(member, group, seat, clock, http)
@@ -72,6 +73,7 @@
             self.peers,
             self.make_owner,
             self.set_owner,
+            settings.group_ttl_ms,
         )
         self.ingress = Ingress(self.desk, self.config, clock, self.is_ready)
         self.internal = Internal(
@@ -96,9 +98,12 @@
 
     def make_owner(self, tenure: Tenure) -> Owner:
         """Wire a new term."""
-        now_ms = self.clock.now_ms()
-        lease_ms = self.settings.lease_ms
-        cell = CellState(tenure.generation, clear_ms(now_ms, lease_ms))
+        limits = Limits(
+            self.settings.lease_ms,
+            self.settings.status_ms,
+            self.settings.group_ttl_ms,
+        )
+        cell = CellState(tenure.fence, clear_ms(self.clock.now_ms(), limits))
         context = OwnerContext(
             cell=cell,
             tenure=tenure,
@@ -106,9 +111,9 @@
             log=self.log,
             workers=self.workers,
             advisor=self.advisor,
-            limits=Limits(lease_ms, self.settings.status_ms),
+            limits=limits,
             meters=self.meters,
-            fence=tenure.generation,
+            fence=tenure.fence,
         )
         return Owner(context, self.advice_desk, ListingReader(decode_worker))
 
--- a/src/lycheerelay/platform/_serve.py
+++ b/src/lycheerelay/platform/_serve.py
@@ -24,10 +24,13 @@
 # pause, so that no request meets a closing channel.
 KEEP_S: Final = 75
 # New channels stop coming about two readiness questions after the first
-# refusal, in s.
-DRAIN_S: Final = 2.5
-# Requests in flight get so long after that, in ms.
+# refusal, in ms; no more than this share of the time before a SIGKILL.
+DRAIN_MS: Final = 2500
+DRAIN_SHARE: Final = 0.4
+# Requests in flight get so long after that, in ms, and at most this share.
 FINISH_MS: Final = 1500
+FINISH_SHARE: Final = 0.25
+MS_PER_SECOND: Final = 1000
 POLL_S: Final = 0.05
 # Channels that are still open then are closed within so long, in s.
 CLOSE_S: Final = 0.2
@@ -45,6 +48,9 @@
         self.entry = entry
         self.sites: list[web.TCPSite] = []
         self.runners: list[web.ServerRunner] = []
+        grace_ms = entry.settings.stop_grace_ms
+        self.drain_ms = min(DRAIN_MS, grace_ms * DRAIN_SHARE)
+        self.finish_ms = min(FINISH_MS, grace_ms * FINISH_SHARE)
 
     async def run(self) -> None:
         """Serve until a signal asks to stop."""
@@ -115,7 +121,7 @@
         logger.info('stopping', extra={'in_flight': self.entry.ingress.active})
         self.entry.ingress.closing = True
         await self.entry.terms.leave()
-        await asyncio.sleep(DRAIN_S)
+        await asyncio.sleep(self.drain_ms / MS_PER_SECOND)
         for site in self.sites:
             await site.stop()
         await self._finish_requests()
@@ -124,7 +130,7 @@
         logger.info('stopped', extra={'in_flight': self.entry.ingress.active})
 
     async def _finish_requests(self) -> None:
-        ends_ms = self.entry.clock.now_ms() + FINISH_MS
+        ends_ms = self.entry.clock.now_ms() + self.finish_ms
         while self.entry.ingress.active and self.entry.clock.now_ms() < ends_ms:
             await asyncio.sleep(POLL_S)
 
--- a/src/lycheerelay/platform/_settings.py
+++ b/src/lycheerelay/platform/_settings.py
@@ -7,6 +7,8 @@
 
 from result import Err, Ok, Result
 
+from ..serving import GROUP_TTL_MS
+
 PATH_VARIABLE: Final = 'LYCHEERELAY_CONFIG'
 MS_PER_SECOND: Final = 1000
 
@@ -25,7 +27,7 @@
     lease_ms: int
     status_ms: int
     stop_grace_ms: int
-    listing_every_ms: int
+    group_ttl_ms: int
 
 
 def read_settings() -> Result[PlatformSettings, str]:
@@ -58,5 +60,9 @@
         lease_ms=int(bounds['maxHoldMs']),
         status_ms=int(bounds['status_s'] * MS_PER_SECOND),
         stop_grace_ms=int(bounds['graceS'] * MS_PER_SECOND),
-        listing_every_ms=int(fields['heartbeatIntervalMs']),
+        # The store refuses members that ask for less than its shortest time.
+        group_ttl_ms=max(
+            GROUP_TTL_MS,
+            int(fields['platform'].get('minTtlMs', 0)),
+        ),
     )
--- a/src/lycheerelay/platform/_store.py
+++ b/src/lycheerelay/platform/_store.py
@@ -4,13 +4,12 @@
 import binascii
 import logging
 from collections.abc import Mapping, Sequence
-from typing import Any, Final, final
+from typing import Any, Final, NamedTuple, final
 from urllib.parse import urlencode
 
 from result import Err, Ok, Result
 
 from ..serving import (
-    GROUP_TTL_MS,
     NO_ANSWER,
     NOT_SENT,
     Caller,
@@ -56,6 +55,14 @@
 }
 
 
+class Place(NamedTuple):
+    """Tell where the store is and who joins its groups, for how long in ms."""
+
+    address: str
+    member: str
+    ttl_ms: int
+
+
 @final
 class StoreLog:
     """Append to and read from the store's keyed topics."""
@@ -163,9 +170,9 @@
 class StoreGroup:
     """Join the group of all entry VMs."""
 
-    def __init__(self, http: Caller, address: str, member: str) -> None:
-        """Name the store's address and this member."""
-        self.calls = GroupCalls(http, address, member, GROUP)
+    def __init__(self, http: Caller, place: Place) -> None:
+        """Name the store and this member."""
+        self.calls = GroupCalls(http, place, GROUP)
 
     async def join(self, generation: int) -> Result[int, LogFault]:
         """Join, or stay in, the group; return its generation."""
@@ -188,13 +195,12 @@
         self,
         http: Caller,
         log: StoreLog,
-        address: str,
-        member: str,
+        place: Place,
     ) -> None:
-        """Name the store's address and this member."""
-        self.calls = GroupCalls(http, address, member, SEAT)
+        """Name the store and this member."""
+        self.calls = GroupCalls(http, place, SEAT)
         self.log = log
-        self.member = member
+        self.member = place.member
 
     async def keep(self) -> Result[None, LogFault]:
         """Take, or stay in, the seat."""
@@ -238,14 +244,14 @@
     def __init__(
         self,
         http: Caller,
-        address: str,
-        member: str,
+        place: Place,
         group: str,
     ) -> None:
-        """Name the store's address, the member and the group."""
+        """Name the store, the member and the group."""
         self.http = http
-        self.base = f'http://{address}/v1'
-        self.member = member
+        self.base = f'http://{place.address}/v1'
+        self.member = place.member
+        self.ttl_ms = place.ttl_ms
         self.group = group
 
     async def join(self, generation: int) -> Result[int, LogFault]:
@@ -258,7 +264,7 @@
                 'group': self.group,
                 'member': self.member,
                 'topics': [TOPICS[Stream.JOBS]],
-                'ttlMs': GROUP_TTL_MS,
+                'ttlMs': self.ttl_ms,
                 'generation': generation,
             },
         )
--- a/src/lycheerelay/serving/_context.py
+++ b/src/lycheerelay/serving/_context.py
@@ -20,6 +20,7 @@
 
     lease_ms: int
     status_ms: int
+    group_ttl_ms: int
 
 
 @dataclass(slots=True, eq=False)
@@ -40,7 +41,6 @@
     recorded: asyncio.Event = field(default_factory=asyncio.Event)
     loaded: asyncio.Event = field(default_factory=asyncio.Event)
     tail_offset: int = 0
-    tail_read_ms: int = 0
 
     def poke(self) -> None:
         """Let the core decide and the recorder write soon."""
--- a/src/lycheerelay/serving/_desk.py
+++ b/src/lycheerelay/serving/_desk.py
@@ -11,8 +11,9 @@
 from ..workflow import JobPhase, WorkflowSpec
 from ._append_gate import RETRY_AFTER_S, AppendGate
 from ._job_appends import JobAppends
+from ._job_stream import CANCEL_PREFIX, JOB_PREFIX
 from ._meters import Meters
-from ._owner import CANCEL_PREFIX, JOB_PREFIX, Owner
+from ._owner import Owner
 from ._peers import SEEK_EVERY_MS, Peers
 from ._ports import KeyedLog, KeyedRecord, LogFault
 from ._queues import Queue
--- /dev/null
+++ b/src/lycheerelay/serving/_job_stream.py
@@ -0,0 +1,84 @@
+"""Take jobs and cancels in from their stream."""
+
+import logging
+from typing import Final, final
+
+from result import Err
+
+from ..workflow import JobBook, cancel, restore, submit
+from ._context import OwnerContext
+from ._ports import KeyedRecord, Slice
+from ._spec_codec import decode_spec
+
+logger = logging.getLogger('lycheerelay.jobs')
+
+CANCEL_PREFIX: Final = 'cancel/'
+JOB_PREFIX: Final = 'job/'
+
+
+@final
+class JobStream:
+    """Read one owner's cell from the stream of jobs."""
+
+    def __init__(self, context: OwnerContext) -> None:
+        """Read into the context's cell."""
+        self.context = context
+
+    def take(self, part: Slice) -> None:
+        """Take in the records that were not read before."""
+        context = self.context
+        for record in part.records:
+            if record.offset < context.tail_offset:
+                continue
+            if record.key.startswith(JOB_PREFIX):
+                self._submit(record)
+            elif record.key.startswith(CANCEL_PREFIX):
+                self._take_cancel(record)
+        context.tail_offset = max(context.tail_offset, part.next_offset)
+        if part.records:
+            context.poke()
+
+    def fold(self, jobs: Slice, progress: Slice) -> None:
+        """Bring an empty cell to what the two streams tell."""
+        payloads = {record.key: record.payload for record in progress.records}
+        ordered = sorted(jobs.records, key=lambda record: record.offset)
+        for record in ordered:
+            if record.key.startswith(JOB_PREFIX):
+                self._take_job(record, payloads)
+        for record in ordered:
+            if record.key.startswith(CANCEL_PREFIX):
+                self._take_cancel(record)
+
+    def _take_job(
+        self,
+        record: KeyedRecord,
+        progress: dict[str, bytes | None],
+    ) -> None:
+        job = self._submit(record)
+        if job is None:
+            return
+        payload = progress.get(job.spec.job_id)
+        if payload is not None:
+            restore(self.context.cell, job, payload)
+            if job.is_final:
+                job.settled_ms = self.context.now_ms
+
+    def _submit(self, record: KeyedRecord) -> JobBook | None:
+        if record.payload is None:
+            return None
+        decoded = decode_spec(record.payload)
+        if isinstance(decoded, Err):
+            logger.warning(
+                'job_record_unreadable',
+                extra={'key': record.key, 'error': decoded.err_value},
+            )
+            return None
+        return submit(self.context.cell, decoded.ok_value, record.offset)
+
+    def _take_cancel(self, record: KeyedRecord) -> None:
+        job_id = record.key.removeprefix(CANCEL_PREFIX)
+        done = cancel(self.context.cell, job_id, self.context.now_ms)
+        logger.info(
+            'cancel_read',
+            extra={'job': job_id, 'offset': record.offset, 'effect': done},
+        )
--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -10,33 +10,26 @@
 from .._resources import Resources
 from ..workflow import (
     CellState,
-    JobBook,
     WorkerListing,
-    cancel,
     dispatch,
     expire_jobs,
     list_worker,
     open_occurrences,
-    restore,
-    submit,
     unlist_worker,
     watch,
     watch_strays,
 )
 from ._advice_desk import AdviceDesk
-from ._context import DECIDE_DELAY_S, OwnerContext
+from ._context import DECIDE_DELAY_S, Limits, OwnerContext
 from ._holder import Holder
+from ._job_stream import JobStream
 from ._listings import ListingReader
 from ._orders import Orders
-from ._ports import KeyedRecord, LogFault, Slice, Stream
+from ._ports import LogFault, Slice, Stream
 from ._recorder import ROSTER_KEY, Recorder
-from ._spec_codec import decode_spec
-from ._tenure import GROUP_TTL_MS
 
 logger = logging.getLogger('lycheerelay.owner')
 
-CANCEL_PREFIX: Final = 'cancel/'
-JOB_PREFIX: Final = 'job/'
 # New jobs are waited for so long in one read, in ms. A channel that went
 # silent delays them by as much.
 TAIL_WAIT_MS: Final = 1500
@@ -72,6 +65,7 @@
         self.orders = Orders(context, desk)
         self.recorder = Recorder(context, self.orders.release)
         self.listings = listings
+        self.stream = JobStream(context)
         self.started_ms = context.now_ms
         self.tasks: list[asyncio.Task[None]] = []
         self.is_over = False
@@ -113,7 +107,7 @@
         outcome = await context.log.read(Stream.JOBS, context.tail_offset, 0)
         if isinstance(outcome, Err):
             return False
-        self._take_records(outcome.ok_value)
+        self._take(outcome.ok_value)
         return True
 
     def decide(self) -> None:
@@ -135,7 +129,7 @@
         self.context.tail_offset = jobs.next_offset
         self.listings.next_offset = listed.next_offset
         self._list_all(listed, progress)
-        self._fold(jobs, progress)
+        self.stream.fold(jobs, progress)
         self.cell.loaded = True
         self.context.loaded.set()
         self.context.poke()
@@ -180,65 +174,10 @@
         for worker_id in cell.workers:
             self._hold(worker_id)
 
-    def _fold(self, jobs: Slice, progress: Slice) -> None:
-        payloads = {record.key: record.payload for record in progress.records}
-        ordered = sorted(jobs.records, key=lambda record: record.offset)
-        for record in ordered:
-            if record.key.startswith(JOB_PREFIX):
-                self._take_job(record, payloads)
-        for record in ordered:
-            if record.key.startswith(CANCEL_PREFIX):
-                self._take_cancel(record)
-
-    def _take_job(
-        self,
-        record: KeyedRecord,
-        progress: dict[str, bytes | None],
-    ) -> None:
-        job = self._submit(record)
-        if job is None:
-            return
-        payload = progress.get(job.spec.job_id)
-        if payload is not None:
-            restore(self.cell, job, payload)
-            if job.is_final:
-                job.settled_ms = self.context.now_ms
-
-    def _submit(self, record: KeyedRecord) -> JobBook | None:
-        if record.payload is None:
-            return None
-        decoded = decode_spec(record.payload)
-        if isinstance(decoded, Err):
-            logger.warning(
-                'job_record_unreadable',
-                extra={'key': record.key, 'error': decoded.err_value},
-            )
-            return None
-        return submit(self.cell, decoded.ok_value, record.offset)
-
-    def _take_cancel(self, record: KeyedRecord) -> None:
-        job_id = record.key.removeprefix(CANCEL_PREFIX)
-        done = cancel(self.cell, job_id, self.context.now_ms)
-        logger.info(
-            'cancel_read',
-            extra={'job': job_id, 'offset': record.offset, 'effect': done},
-        )
-
-    def _take_records(self, part: Slice) -> None:
-        context = self.context
-        for record in part.records:
-            if record.offset < context.tail_offset:
-                continue
-            if record.key.startswith(JOB_PREFIX):
-                self._submit(record)
-            elif record.key.startswith(CANCEL_PREFIX):
-                self._take_cancel(record)
-        context.tail_offset = max(context.tail_offset, part.next_offset)
-        context.tail_read_ms = context.now_ms
-        if part.records:
-            context.poke()
-            if self.cell.loaded:
-                self.decide()
+    def _take(self, part: Slice) -> None:
+        self.stream.take(part)
+        if part.records and self.cell.loaded:
+            self.decide()
 
     async def _serve(self) -> None:
         jobs: tuple[Any, ...] = (
@@ -283,7 +222,7 @@
                 TAIL_WAIT_MS,
             )
             if isinstance(outcome, Ok):
-                self._take_records(outcome.ok_value)
+                self._take(outcome.ok_value)
                 continue
             if outcome.err_value is LogFault.GONE:
                 await self._tail_anew()
@@ -297,7 +236,7 @@
                 extra={'from': self.context.tail_offset},
             )
             ordered = sorted(newest.records, key=lambda record: record.offset)
-            self._take_records(newest._replace(records=tuple(ordered)))
+            self._take(newest._replace(records=tuple(ordered)))
 
     async def _follow_workers(self) -> None:
         while not self.cell.deposed:
@@ -360,9 +299,10 @@
     context.meters.gauge('workers_unanswered', len(cell.unanswered))
 
 
-def clear_ms(now_ms: int, lease_ms: int) -> int:
+def clear_ms(now_ms: int, limits: Limits) -> int:
     """Return from when no order of an earlier owner can be in effect."""
-    return now_ms + GROUP_TTL_MS + int(lease_ms * SLOW_CLOCK) + WAY_MARGIN_MS
+    lease_ms = int(limits.lease_ms * SLOW_CLOCK)
+    return now_ms + limits.group_ttl_ms + lease_ms + WAY_MARGIN_MS
 
 
 def _roster(progress: Slice) -> dict[str, str]:
--- a/src/lycheerelay/serving/_tenure.py
+++ b/src/lycheerelay/serving/_tenure.py
@@ -2,8 +2,8 @@
 
 from typing import Final, final
 
-# A member that sent nothing for so long, in ms, loses its seat: the shortest
-# time that the store allows, so that a dead owner is replaced within 2 s.
+# A member that sent nothing for so long, in ms, loses its seat, unless the
+# store asks for more: short, so that a dead owner is replaced within 2 s.
 GROUP_TTL_MS: Final = 1000
 # Rounds begin this often, in ms: two may be lost within the time above.
 JOIN_EVERY_MS: Final = 250
@@ -15,15 +15,16 @@
 class Tenure:
     """Track until when the store cannot have dealt the ownership anew."""
 
-    def __init__(self, generation: int, asked_ms: int) -> None:
+    def __init__(self, fence: int, asked_ms: int, ttl_ms: int) -> None:
         """Count from the call that brought the ownership."""
-        self.generation = generation
+        self.fence = fence
+        self.ttl_ms = ttl_ms
         self.until_ms = 0
         self.confirm(asked_ms)
 
     def confirm(self, asked_ms: int) -> None:
         """Prolong by a call that was sent then and confirmed it."""
-        until_ms = asked_ms + GROUP_TTL_MS - TENURE_MARGIN_MS
+        until_ms = asked_ms + self.ttl_ms - TENURE_MARGIN_MS
         self.until_ms = max(self.until_ms, until_ms)
 
     def is_valid(self, now_ms: int) -> bool:
--- a/src/lycheerelay/serving/_terms.py
+++ b/src/lycheerelay/serving/_terms.py
@@ -19,7 +19,7 @@
 from ._owner import Owner
 from ._peers import Peers
 from ._ports import Group, Seat
-from ._tenure import GROUP_TTL_MS, JOIN_EVERY_MS, Tenure
+from ._tenure import JOIN_EVERY_MS, Tenure
 
 logger = logging.getLogger('lycheerelay.terms')
 
@@ -49,6 +49,7 @@
         peers: Peers,
         make_owner: MakeOwner,
         set_owner: Callable[[Owner | None], None],
+        ttl_ms: int,
     ) -> None:
         """Start outside the group."""
         self.clock = clock
@@ -57,6 +58,7 @@
         self.peers = peers
         self.make_owner = make_owner
         self.set_owner = set_owner
+        self.ttl_ms = ttl_ms
         self.generation = 0
         self.tenure: Tenure | None = None
         self.owner: Owner | None = None
@@ -74,7 +76,7 @@
     @property
     def is_in_touch(self) -> bool:
         """Tell whether the store answered this member lately."""
-        return self.clock.now_ms() - self.joined_ms < GROUP_TTL_MS
+        return self.clock.now_ms() - self.joined_ms < self.ttl_ms
 
     async def run(self) -> None:
         """Join again and again until leaving."""
@@ -184,7 +186,7 @@
             await self._hand_over(asked_ms)
             return
         latest, _ = await asyncio.gather(
-            self.seat.is_latest(tenure.generation),
+            self.seat.is_latest(tenure.fence),
             self.seat.keep(),
         )
         if isinstance(latest, Err):
@@ -229,7 +231,7 @@
         return bool(holder.ok_value)
 
     def _begin_term(self, fence: int, asked_ms: int) -> None:
-        self.tenure = Tenure(fence, asked_ms)
+        self.tenure = Tenure(fence, asked_ms, self.ttl_ms)
         self.owner = self.make_owner(self.tenure)
         self.set_owner(self.owner)
         self.task = asyncio.get_running_loop().create_task(self.owner.run())
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from .._resources import Resources
-from ._spec import RunKey, StepKey, StepSpec, TaskKey, WorkflowSpec
+from ._spec import RunKey, StepKey, StepSpec, WorkflowSpec
 
 if TYPE_CHECKING:
     from ._commands import Command
@@ -61,7 +61,6 @@
     percent_ms: int = 0
     pace: int = 100
     load: int = 0
-    over_target_ms: int = NEVER
 
     @property
     def task(self) -> 'TaskBook':
@@ -82,7 +81,6 @@
     runs: dict[int, Run] = field(default_factory=dict)
     avoid: str = ''
     assigned: str = ''
-    restarts: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -226,8 +224,6 @@
     wall_offset_ms: int = 0
     order: str = 'slack'
     reserving_steps: int = RESERVING_STEPS
-    due_checked_ms: int = NEVER
-    orphans: dict[TaskKey, list[str]] = field(default_factory=dict)
 
     @property
     def is_clear(self) -> bool:
--- a/src/lycheerelay_standins/platform/_cell.py
+++ b/src/lycheerelay_standins/platform/_cell.py
@@ -6,7 +6,7 @@
 from typing import Any, Final, NamedTuple, final
 
 from lycheerelay.platform import Entry, PlatformSettings, decode_job
-from lycheerelay.serving import Outcome, Reply
+from lycheerelay.serving import GROUP_TTL_MS, Outcome, Reply
 
 from ._audit import Audit, JobTruth
 from ._net import Net, NetCaller, Request
@@ -125,7 +125,7 @@
             lease_ms=self.shape.lease_ms,
             status_ms=120_000,
             stop_grace_ms=6000,
-            listing_every_ms=BEAT_MS,
+            group_ttl_ms=GROUP_TTL_MS,
         )
         caller = NetCaller(self.net, name)
         entry = Entry(settings, caller, self.clock, str(self.made))
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -273,7 +273,39 @@
     root = Path(lycheerelay.__file__).parent
     for path in sorted((root / 'workflow').glob('*.py')):
         upward = [name for name in _imports(path) if name.startswith('..')]
-        assert set(upward) <= {'.._resources'}, path.name
+        assert set(upward) <= {'.._resources', '.._registry'}, path.name
     for path in sorted((root / 'serving').glob('*.py')):
         names = list(_imports(path))
         assert not any('platform' in name for name in names), path.name
+
+
+SETTINGS: Final = """
+nodeName = "front-a-1"
+zone = "a"
+ip = "10.1.0.30"
+internalPortRange = [7380, 7395]
+placementAdvisor = "10.200.1.9:8142"
+[listen]
+front = "10.1.0.30:8149"
+ready = "10.1.0.30:8141"
+[bounds]
+maxHoldMs = 6000
+status_s = 120
+graceS = 6
+[platform]
+address = "10.200.1.7:8142"
+minTtlMs = 1000
+"""
+
+
+def test_a_store_may_ask_for_longer_memberships(
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The shortest membership that the store takes is kept to."""
+    path = tmp_path / 'settings.toml'
+    path.write_text(SETTINGS.replace('minTtlMs = 1000', 'minTtlMs = 2500'))
+    monkeypatch.setenv('LYCHEERELAY_CONFIG', str(path))
+    assert read_settings().unwrap().group_ttl_ms == 2500
+    path.write_text(SETTINGS)
+    assert read_settings().unwrap().group_ttl_ms == 1000
--- a/tests/test_platform_cell.py
+++ b/tests/test_platform_cell.py
@@ -460,3 +460,35 @@
         assert cell.store.appends['keyed.jobs'] - before <= 3
 
     play(scenario)
+
+
+def test_a_former_owner_lets_leases_run_out() -> None:
+    """What only the former owner reaches ends before it starts elsewhere."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        name, _ = await cell.submit('vm-0', job(step(8)), work_ms=20_000)
+        await asyncio.sleep(1)
+        before = cell.owner()
+        others = [vm for vm in sorted(cell.entries) if vm != before]
+        busiest = max(cell.workers.values(), key=lambda one: len(one.runs))
+        cell.net.cuts.add((before, STORE))
+        cell.net.cuts.update((vm, busiest.worker_id) for vm in others)
+        await asyncio.sleep(14)
+        cell.net.cuts.clear()
+        assert await cell.settle([name], 60) == {name: 'completed'}
+
+    play(scenario)
+
+
+def test_a_start_waits_for_its_record() -> None:
+    """Nothing begins before the store has acknowledged the assignment."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        name, _ = await cell.submit('vm-0', job(step(4)))
+        cell.net.late[STORE] = (1, 3, 4)
+        await asyncio.sleep(0.3)
+        assert not any(worker.starts for worker in cell.workers.values())
+        cell.net.late.clear()
+        assert await cell.settle([name], 20) == {name: 'completed'}
+
+    play(scenario)
