--- a/tests/test_platform_cell.py
+++ b/tests/test_platform_cell.py
@@ -473,6 +473,11 @@
         busiest = max(cell.workers.values(), key=lambda one: len(one.runs))
         cell.net.cuts.add((before, STORE))
         cell.net.cuts.update((vm, busiest.worker_id) for vm in others)
+        cell.net.cuts.update(
+            (before, worker_id)
+            for worker_id in cell.workers
+            if worker_id != busiest.worker_id
+        )
         await asyncio.sleep(14)
         cell.net.cuts.clear()
         assert await cell.settle([name], 60) == {name: 'completed'}
@@ -492,3 +497,81 @@
         assert await cell.settle([name], 20) == {name: 'completed'}
 
     play(scenario)
+
+
+def test_an_end_whose_record_is_lost_is_not_forgotten() -> None:
+    """The next owner finds the end at its worker; the task runs once."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        name, _ = await cell.submit('vm-0', job(step(1)))
+        await asyncio.sleep(0.2)
+        before = cell.owner()
+        cell.net.late[STORE] = (1, 30, 40)
+        await asyncio.sleep(0.85)
+        assert await cell.state(before, name) != 'completed'
+        cell.kill_vm(before)
+        cell.net.late.clear()
+        assert await cell.settle([name], 20) == {name: 'completed'}
+        assert sum(worker.starts for worker in cell.workers.values()) == 1
+
+    play(scenario)
+
+
+def test_an_order_is_for_one_life_only() -> None:
+    """A start that reaches another worker at the address has no effect."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        worker = next(iter(cell.workers.values()))
+        address = cell.addresses[worker.worker_id]
+        cell.crash_worker(worker)
+        cell.add_worker(Shape('gpu'), address)
+        name, _ = await cell.submit('vm-0', job(step(40)))
+        assert await cell.settle([name], 20) == {name: 'completed'}
+
+    play(scenario)
+
+
+def test_a_job_is_not_denied_by_an_owner_that_reads_nothing() -> None:
+    """An owner cut from the store cannot know what was accepted since."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        before = cell.owner()
+        other = next(vm for vm in sorted(cell.entries) if vm != before)
+        cell.net.cuts.add((before, STORE))
+        name, outcome = await cell.submit(other, job(step(1)))
+        assert outcome.verdict.value == 'ok'
+        assert await cell.state(before, name) != 'no_such_job'
+
+    play(scenario)
+
+
+def test_a_former_owner_learns_it_from_the_lock() -> None:
+    """It stops within a second, though no worker refuses its orders."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        before = cell.owner()
+        cell.net.cuts.update((before, name) for name in cell.workers)
+        first = cell.entries[before].desk.owner
+        cell.store.put('keyed.lock', 'owner', b'another')
+        await asyncio.sleep(1)
+        assert cell.entries[before].desk.owner is not first
+
+    play(scenario)
+
+
+def test_the_configuration_never_goes_back() -> None:
+    """An older version that is written later changes nothing."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        cell.configure()
+        cell.configure()
+        await asyncio.sleep(0.5)
+        cell.version = 0
+        cell.configure()
+        await asyncio.sleep(0.5)
+        for entry in cell.entries.values():
+            table = entry.config.table
+            assert table is not None
+            assert table.version == 3
+
+    play(scenario)
