Give up a worker that dies before its first own lease

Cause: found by reading: a worker that answers a new owner's first look and dies before it is given a lease had no time after which its runs are over, so its tasks would have waited until another life answered there.

Change: a worker that shows its table keeps the time until which an earlier owner's leases may last.

--- a/src/lycheerelay/platform/_serve.py
+++ b/src/lycheerelay/platform/_serve.py
@@ -18,6 +18,7 @@
 
 logger = logging.getLogger('lycheerelay.serve')
 
+# As named in deploy/system.toml.
 METRICS_PORT: Final = 9464
 METRICS_PATH: Final = '/metrics'
 # Idle channels of callers stay open for so long, in s: longer than callers
@@ -31,6 +32,7 @@
 FINISH_MS: Final = 1500
 FINISH_SHARE: Final = 0.25
 MS_PER_SECOND: Final = 1000
+# While stopping, what is in flight is counted this often, in s.
 POLL_S: Final = 0.05
 # Channels that are still open then are closed within so long, in s.
 CLOSE_S: Final = 0.2
--- a/src/lycheerelay/workflow/_tables.py
+++ b/src/lycheerelay/workflow/_tables.py
@@ -154,6 +154,9 @@
             worker.strays.pop(stray)
     if not worker.synced:
         worker.synced = True
+        # Leases of an earlier owner may last until then; without this a worker
+        # that dies before its first own lease would never be given up.
+        worker.lease_until_ms = max(worker.lease_until_ms, cell.clear_ms)
         cell.unanswered.pop(worker.worker_id, None)
         note(
             cell,
--- a/src/lycheerelay/workflow/_watch.py
+++ b/src/lycheerelay/workflow/_watch.py
@@ -23,8 +23,8 @@
 )
 from ._tables import lapse_worker, settle_gangs
 
-# A run whose progress has not risen for this long, in ms, and for this many
-# times the time that it should take for what a look shows, stands still.
+# A run whose progress has not risen for this long, in ms, and for this share of
+# its expected time stands still: looks show progress each second.
 HUNG_MS: Final = 1500
 HUNG_FACTOR: Final = 0.5
 # A copy of a run is started where allowed once it takes so much longer than
