Let the owner know every member; hold its replacement to 4 s

Cause: the owner read the members when the group changed, before partitions had been handed to the new ones, so it did not see them: calls for advice had fewer lanes, and an owner that handed over told nobody (up to 4.97 s without starts in the stand-in). The test of that time had bounds of 6.5 s, wider than the target of 4 s.

Change: the members are read again for 3 s after a change and then each 5 s. The bound is 4 s for all three ways to lose the owner. The auditor counts the failed runs of a gang.

The test of members fails before. 49 tests of the platform path pass.

--- a/src/lycheerelay/serving/_terms.py
+++ b/src/lycheerelay/serving/_terms.py
@@ -34,6 +34,13 @@
 CUT_OFF_MS: Final = 2500
 STAND_BACK_MS: Final = 6000
 
+# A new member shows once others have handed partitions to it: after a change
+# the owner reads the members for the first time, in ms, at the second interval,
+# in ms, and else at the third.
+FRESH_MEMBERS_MS: Final = 3000
+FRESH_MEMBERS_EVERY_MS: Final = 500
+MEMBERS_EVERY_MS: Final = 5000
+
 MakeOwner = Callable[[Tenure], Owner]
 
 
@@ -70,7 +77,8 @@
         self.looked_ms = 0
         self.stand_back_ms = 0
         self.paused_ms = 0
-        self.members_due = True
+        self.members_ms = 0
+        self.members_until_ms = 0
         self.wake = asyncio.Event()
 
     @property
@@ -132,7 +140,7 @@
         if self.owner is not None and self.tenure is not None:
             keep = self._keep(self.owner, self.tenure, asked_ms)
             await asyncio.gather(self._join(asked_ms), keep)
-            await self._refresh_members()
+            await self._refresh_members(asked_ms)
             return
         await self._join(asked_ms)
         if not self.leaving and self._is_look_due(asked_ms):
@@ -152,13 +160,15 @@
         self.joined_ms = asked_ms
         if self.generation != outcome.ok_value:
             self.look_until_ms = asked_ms + LOOK_FOR_MS
-            self.members_due = True
+            self.members_until_ms = asked_ms + FRESH_MEMBERS_MS
         self.generation = outcome.ok_value
 
-    async def _refresh_members(self) -> None:
+    async def _refresh_members(self, now_ms: int) -> None:
         """Let the owner know the members that can ask for advice."""
-        if self.members_due and self.owner is not None:
-            self.members_due = False
+        is_fresh = now_ms < self.members_until_ms
+        every_ms = FRESH_MEMBERS_EVERY_MS if is_fresh else MEMBERS_EVERY_MS
+        if self.owner is not None and now_ms - self.members_ms > every_ms:
+            self.members_ms = now_ms
             await self.peers.refresh_members()
 
     def _is_look_due(self, now_ms: int) -> bool:
--- a/src/lycheerelay_standins/platform/_audit.py
+++ b/src/lycheerelay_standins/platform/_audit.py
@@ -176,7 +176,18 @@
 
     def _has_failed(self, job_id: str, job: JobTruth) -> bool:
         return any(
-            sum(1 for run in runs if run.how == 'failed') >= job.max_attempts
+            self._failures(job_id, number, step) >= job.max_attempts
+            for number, step in enumerate(job.body['steps'])
+        )
+
+    def _failures(self, job_id: str, number: int, step: dict[str, Any]) -> int:
+        """Count the failed runs of the worst task, or of the gang."""
+        failed = [
+            {run.number for run in runs if run.how == 'failed'}
             for name, runs in self.runs.items()
             if name.startswith(f'{job_id}.')
-        )
+            and name.split('.')[2] == f'{number}'
+        ]
+        if step.get('gang'):
+            return len(set().union(*failed))
+        return max((len(numbers) for numbers in failed), default=0)
--- a/tests/test_platform_cell.py
+++ b/tests/test_platform_cell.py
@@ -383,12 +383,9 @@
     play(scenario)
 
 
-@pytest.mark.parametrize(
-    ('how', 'most_ms'),
-    [('kill', 3500), ('store', 4000), ('workers', 6500)],
-)
-def test_an_owner_is_replaced_in_time(how: str, most_ms: int) -> None:
-    """Starts go on within the stated time after the owner is lost."""
+@pytest.mark.parametrize('how', ['kill', 'store', 'workers'])
+def test_an_owner_is_replaced_in_time(how: str) -> None:
+    """Starts go on within 4 s, the target at worst, after it is lost."""
 
     async def scenario(cell: PlatformCell) -> None:
         before = cell.owner()
@@ -403,7 +400,7 @@
         await cell.submit(other, job(step(1)))
         while not any(worker.starts for worker in cell.workers.values()):
             await asyncio.sleep(0.05)
-            assert cell.clock.now_ms() - begun_ms < most_ms
+            assert cell.clock.now_ms() - begun_ms < 4000
 
     play(scenario)
 
@@ -575,3 +572,17 @@
             assert table.version == 3
 
     play(scenario)
+
+
+def test_the_owner_knows_every_member() -> None:
+    """Also those that were dealt partitions only after they had joined."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        before = cell.owner()
+        await asyncio.sleep(1)
+        assert len(cell.entries[before].peers.others()) == 2
+        cell.start_vm('vm-9')
+        await asyncio.sleep(3)
+        assert len(cell.entries[before].peers.others()) == 3
+
+    play(scenario)
