Look a run up in one place; take out state that nothing reads

Change: `CellState.find_run` serves all; the rest is gone.

Still twice: metrics by hand in `serving` and by aioprometheus in the flat package.

--- a/src/lycheerelay/platform/_decode.py
+++ b/src/lycheerelay/platform/_decode.py
@@ -108,7 +108,6 @@
         labels=frozenset(labels),
         capacity=_resources(fields['capacity']),
         draining=state == 'draining',
-        leaves_in_ms=int(fields.get('remainingMs', NEVER)),
     )
 
 
--- a/src/lycheerelay/platform/_entry.py
+++ b/src/lycheerelay/platform/_entry.py
@@ -110,7 +110,6 @@
             clock=self.clock,
             log=self.log,
             workers=self.workers,
-            advisor=self.advisor,
             limits=limits,
             meters=self.meters,
             fence=tenure.fence,
--- a/src/lycheerelay/serving/_context.py
+++ b/src/lycheerelay/serving/_context.py
@@ -7,7 +7,7 @@
 from .._clock import Clock
 from ..workflow import CellState
 from ._meters import Meters
-from ._ports import Advisor, KeyedLog, Workers
+from ._ports import KeyedLog, Workers
 from ._tenure import Tenure
 
 # Several events are decided on together, at most this much later, in s.
@@ -32,7 +32,6 @@
     clock: Clock
     log: KeyedLog
     workers: Workers
-    advisor: Advisor
     limits: Limits
     meters: Meters
     fence: int
--- a/src/lycheerelay/serving/_orders.py
+++ b/src/lycheerelay/serving/_orders.py
@@ -154,16 +154,14 @@
 
 
 def _is_wanted(context: OwnerContext, command: StartRun) -> bool:
-    worker = context.cell.workers.get(command.worker_id)
-    run = worker.runs.get(command.run) if worker else None
+    run = context.cell.find_run(command.worker_id, command.run)
     return run is not None and run.state is RunState.SENT
 
 
 def _has_valid_ticket(context: OwnerContext, command: StartRun) -> bool:
     if not command.ticket:
         return True
-    worker = context.cell.workers.get(command.worker_id)
-    run = worker.runs.get(command.run) if worker else None
+    run = context.cell.find_run(command.worker_id, command.run)
     ticket = run.step.tickets.get(command.worker_id) if run else None
     return ticket is not None and ticket.until_ms > context.now_ms
 
@@ -173,8 +171,7 @@
     command: StartRun,
     expires_ms: int,
 ) -> None:
-    worker = context.cell.workers.get(command.worker_id)
-    run = worker.runs.get(command.run) if worker else None
+    run = context.cell.find_run(command.worker_id, command.run)
     if run is not None:
         run.start_expires_ms = expires_ms
 
@@ -217,8 +214,7 @@
         ),
     )
     context.meters.count('paces', answer=answer.value)
-    worker = context.cell.workers.get(command.worker_id)
-    run = worker.runs.get(command.run) if worker else None
+    run = context.cell.find_run(command.worker_id, command.run)
     if answer is not Answer.DONE and run is not None:
         # An unknown pace is set again at the next look.
         run.pace = -1
--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -15,9 +15,9 @@
     expire_jobs,
     list_worker,
     open_occurrences,
+    stop_strays,
     unlist_worker,
     watch,
-    watch_strays,
 )
 from ._advice_desk import AdviceDesk
 from ._context import DECIDE_DELAY_S, Limits, OwnerContext
@@ -270,7 +270,7 @@
             watch(self.cell, now_ms)
             open_occurrences(self.cell, now_ms + self.cell.wall_offset_ms)
             if ticks % STRAY_TICKS == 0:
-                watch_strays(self.cell)
+                stop_strays(self.cell)
             if ticks % EXPIRE_TICKS == 0:
                 expired = expire_jobs(
                     self.cell,
--- a/src/lycheerelay/workflow/__init__.py
+++ b/src/lycheerelay/workflow/__init__.py
@@ -1,7 +1,12 @@
 """Decide on jobs of steps: pure, without clock, socket or thread."""
 
 from ._advice import Advice, advice_failed, apply_advice
-from ._answers import Answer, start_answered, stop_answered
+from ._answers import (
+    Answer,
+    start_answered,
+    stop_answered,
+    stop_strays,
+)
 from ._commands import (
     AskAdvice,
     Command,
@@ -50,7 +55,6 @@
     open_occurrences,
     silence_ms,
     watch,
-    watch_strays,
 )
 
 __all__ = (  # noqa: WPS410
@@ -99,8 +103,8 @@
     'silence_ms',
     'start_answered',
     'stop_answered',
+    'stop_strays',
     'submit',
     'unlist_worker',
     'watch',
-    'watch_strays',
 )
--- a/src/lycheerelay/workflow/_answers.py
+++ b/src/lycheerelay/workflow/_answers.py
@@ -42,13 +42,13 @@
     now_ms: int,
 ) -> None:
     """Judge the answer to a start."""
-    worker = cell.workers.get(worker_id)
     if answer is Answer.OTHER_LIFE:
         bury_worker(cell, worker_id, now_ms, 'another life answers there')
         return
-    run = worker.runs.get(key) if worker else None
-    if run is None or worker is None:
+    run = cell.find_run(worker_id, key)
+    if run is None:
         return
+    worker = run.worker
     if answer is Answer.DONE:
         run.answered_ms = now_ms
         if run.state is RunState.SENT:
@@ -98,8 +98,7 @@
     if answer is Answer.FENCED:
         cell.deposed = True
         return
-    worker = cell.workers.get(worker_id)
-    run = worker.runs.get(key) if worker else None
+    run = cell.find_run(worker_id, key)
     if run is not None and answer is Answer.DONE:
         run.stop_answered_ms = now_ms
         if run.unsure_ms != NEVER:
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -167,7 +167,6 @@
     strays: dict[RunKey, None] = field(default_factory=dict)
     listed: bool = True
     draining: bool = False
-    leaves_ms: int = NEVER
     enrolled: bool = False
     synced: bool = False
     heard_ms: int = 0
@@ -225,6 +224,11 @@
     order: str = 'slack'
     reserving_steps: int = RESERVING_STEPS
 
+    def find_run(self, worker_id: str, key: RunKey) -> Run | None:
+        """Return a run that is booked on a worker."""
+        worker = self.workers.get(worker_id)
+        return worker.runs.get(key) if worker else None
+
     @property
     def is_clear(self) -> bool:
         """Tell whether no worker may hold runs that this owner missed."""
--- a/src/lycheerelay/workflow/_tables.py
+++ b/src/lycheerelay/workflow/_tables.py
@@ -57,7 +57,6 @@
     labels: frozenset[str]
     capacity: Resources
     draining: bool
-    leaves_in_ms: int = NEVER
 
 
 def list_worker(cell: CellState, entry: WorkerListing, now_ms: int) -> None:
@@ -91,8 +90,6 @@
     if entry.draining and not worker.draining:
         worker.draining = True
         note(cell, 'worker_draining', worker=entry.worker_id)
-    if entry.leaves_in_ms != NEVER:
-        worker.leaves_ms = now_ms + entry.leaves_in_ms
 
 
 def unlist_worker(cell: CellState, worker_id: str) -> None:
--- a/src/lycheerelay/workflow/_watch.py
+++ b/src/lycheerelay/workflow/_watch.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from ._answers import repeat_stops, stop_strays
+from ._answers import repeat_stops
 from ._dispatch import next_run
 from ._fit import (
     candidates,
@@ -67,11 +67,6 @@
     return silent[len(silent) // 2] if silent else 0
 
 
-def watch_strays(cell: CellState) -> None:
-    """Stop again what should not run anywhere."""
-    stop_strays(cell)
-
-
 def _leases_over(cell: CellState, worker: WorkerBook, now_ms: int) -> None:
     worker.lease_until_ms = 0
     if worker.runs or worker.synced:
