Decide in time on a cell of two hundred workers

Samples of the owner stood in `ask_first`, which sorted every worker by its room for each waiting step in each decision, also while a call was on its way; and each waiting step judged each worker.

Change: one pass looks at the workers of a pool once, a step looks at the workers that it was advised on, a step whose demand no worker has free is passed over, tasks of a step share their ranking, and a decision that took long is followed by a pause of four times its length.

Conclusion: a decision's cost grows with the steps that may start, not with steps times workers.

--- a/benchmarks/replay_load.py
+++ b/benchmarks/replay_load.py
@@ -51,6 +51,7 @@
         self.kinds: dict[str, dict[str, Any]] = {}
         self.poisoned: set[str] = set()
         self.good: dict[tuple[StepKey, str], bool] = {}
+        self.advised: set[StepKey] = set()
         self.troubles = load.get('troubles', ())
         self.unwell: list[set[str]] = []
         self.play: Play | None = None
@@ -78,7 +79,8 @@
         key = (step, worker_id)
         if key not in self.good:
             kind = self.kinds[step.job_id]
-            is_first = not any(known == step for known, _ in self.good)
+            is_first = step not in self.advised
+            self.advised.add(step)
             self.good[key] = is_first or self.rng.random() < kind['good']
         return self.good[key]
 
--- a/src/lycheerelay/rehearsal/_play.py
+++ b/src/lycheerelay/rehearsal/_play.py
@@ -242,7 +242,11 @@
             saved = str(run.saved_ms + self.now_ms - run.begun_ms)
         worker.end_count += 1
         worker.ends.append(End(worker.end_count, key, how, saved))
-        self.at(self.now_ms + WAY_MS, self._look, worker_id)
+        self.at(self.now_ms + WAY_MS, self._hear, worker_id)
+
+    def _hear(self, worker_id: str) -> None:
+        self._look(worker_id)
+        self._decide()
 
     def _look(self, worker_id: str) -> None:
         worker = self.workers[worker_id]
@@ -255,7 +259,6 @@
         asked_ms = self.now_ms
         table = Table(worker_id, asked_ms, asked_ms + 1, rows, ends)
         apply_table(self.cell, table, asked_ms)
-        self._decide()
 
     def _ask(self, command: AskAdvice) -> None:
         is_short = command.expected_ms <= SHORT_CALL_MS
--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -44,6 +44,10 @@
 EXPIRE_TICKS: Final = 100
 # The pause after a read that was not served, in s.
 RETRY_S: Final = 0.1
+# After a decision that took long, events gather so many times as long: the
+# owner has callers and workers to answer, too.
+PAUSE_FACTOR: Final = 4
+MS_PER_SECOND: Final = 1000
 # A worker's clock may be this much slow, and what an earlier owner sent may
 # take so many ms on its way.
 SLOW_CLOCK: Final = 1.03
@@ -69,6 +73,7 @@
         self.started_ms = context.now_ms
         self.tasks: list[asyncio.Task[None]] = []
         self.is_over = False
+        self.pause_s = DECIDE_DELAY_S
 
     @property
     def cell(self) -> CellState:
@@ -286,9 +291,14 @@
     async def _decide_on_change(self) -> None:
         while not self.cell.deposed:
             await self.context.decide.wait()
-            await asyncio.sleep(DECIDE_DELAY_S)
+            await asyncio.sleep(self.pause_s)
             self.context.decide.clear()
+            begun_ms = self.context.now_ms
             self.decide()
+            took_ms = self.context.now_ms - begun_ms
+            self.context.meters.observe('decide', took_ms)
+            pause_s = PAUSE_FACTOR * took_ms / MS_PER_SECOND
+            self.pause_s = max(DECIDE_DELAY_S, pause_s)
 
 
 def _gauge(context: OwnerContext) -> None:
--- a/src/lycheerelay/workflow/_advice.py
+++ b/src/lycheerelay/workflow/_advice.py
@@ -58,15 +58,16 @@
     cell: CellState,
     step: StepBook,
     policy: AdvicePolicy,
+    usable: dict[str, WorkerBook],
     now_ms: int,
 ) -> None:
-    """Ask about workers that the step has not been advised on."""
+    """Ask about usable workers that the step has not been advised on."""
+    if not can_ask(step, now_ms) or usable.keys() <= step.asked.keys():
+        return
     fresh = [
         worker
-        for worker in cell.workers.values()
-        if worker.worker_id not in step.asked
-        and worker.listed
-        and may_ever_run(step, worker)
+        for worker_id, worker in usable.items()
+        if worker_id not in step.asked and may_ever_run(step, worker)
     ]
     if fresh:
         fresh.sort(key=lambda worker: _least_busy(step, worker, now_ms))
--- a/src/lycheerelay/workflow/_dispatch.py
+++ b/src/lycheerelay/workflow/_dispatch.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from .._resources import Resources
 from ._advice import (
     FRESH_STEPS,
     ask_first,
@@ -10,10 +11,12 @@
     renew_ahead,
 )
 from ._fit import (
+    Options,
     Reserved,
     candidates,
     free_at,
     has_ticket,
+    is_usable,
     room_for,
     score,
 )
@@ -25,8 +28,14 @@
 
 @dataclass(slots=True)
 class PoolPass:
-    """Track one pass over the waiting steps of a pool."""
+    """Track one pass over the waiting steps of a pool.
 
+    `usable` holds the workers that take new runs, `most_free` the largest
+    free amounts among them, each for itself.
+    """
+
+    usable: dict[str, WorkerBook]
+    most_free: Resources
     rank: int = 0
     reserving: int = 0
     reserved: dict[str, Reserved] = field(default_factory=dict)
@@ -44,12 +53,28 @@
     started = 0
     for step in waiting:
         pool = step.job.spec.pool
-        turn = passes.setdefault(pool, PoolPass())
+        turn = passes.get(pool)
+        if turn is None:
+            turn = _begin_pass(cell, pool, now_ms)
+            passes[pool] = turn
         started += _serve(cell, step, turn, now_ms)
         turn.rank += 1
     return started
 
 
+def _begin_pass(cell: CellState, pool: str, now_ms: int) -> PoolPass:
+    usable = {
+        worker.worker_id: worker
+        for worker in cell.workers.values()
+        if worker.pool == pool and is_usable(worker, now_ms)
+    }
+    free = [worker.free for worker in usable.values()]
+    most_free = Resources(
+        *(max(amounts) for amounts in zip(*free, strict=True))
+    )
+    return PoolPass(usable, most_free)
+
+
 def _may_run_unseen(cell: CellState, task: TaskBook, now_ms: int) -> bool:
     """Tell whether a worker that has not answered may hold a run."""
     return task.assigned in cell.unanswered and now_ms < cell.clear_ms
@@ -69,24 +94,30 @@
     ]
     if not tasks:
         return 0
-    workers = candidates(cell, step, now_ms)
     policy = step.job.spec.advice
-    if policy is not None:
-        if not step.asked:
-            ask_first(cell, step, policy, now_ms)
-            return 0
-        workers = [
-            worker for worker in workers if worker.worker_id in step.good
-        ]
-    if step.spec.gang:
-        started = _start_gang(cell, step, turn, tasks, workers, now_ms)
-    else:
-        started = _start_tasks(cell, step, turn, tasks, workers, now_ms)
+    if policy is not None and not step.asked:
+        ask_first(cell, step, policy, turn.usable, now_ms)
+        return 0
+    may_fit = step.spec.demand.fits_in(turn.most_free)
+    if not may_fit and policy is None and not _is_wide(step):
+        return 0
+    workers = _candidates(step, turn)
+    started = 0
+    if may_fit:
+        serve = _start_gang if step.spec.gang else _start_tasks
+        started = serve(cell, step, turn, tasks, workers, now_ms)
     if step.waiting and started < len(tasks):
         _wait_for_room(cell, step, turn, workers, now_ms)
     return started
 
 
+def _candidates(step: StepBook, turn: PoolPass) -> list[WorkerBook]:
+    if step.job.spec.advice is None:
+        return candidates(turn.usable.values(), step)
+    advised = (turn.usable.get(worker_id) for worker_id in step.good)
+    return candidates(filter(None, advised), step)
+
+
 def _wait_for_room(
     cell: CellState,
     step: StepBook,
@@ -107,7 +138,7 @@
         elif turn.rank < FRESH_STEPS:
             renew_ahead(cell, step, policy, now_ms)
         if can_ask(step, now_ms):
-            ask_first(cell, step, policy, now_ms)
+            ask_first(cell, step, policy, turn.usable, now_ms)
     if not _is_wide(step):
         return
     if turn.reserving < cell.reserving_steps:
@@ -151,32 +182,21 @@
     workers: list[WorkerBook],
     now_ms: int,
 ) -> int:
+    options = Options(step, turn.reserved, now_ms)
+    for worker in workers:
+        if has_ticket(step, worker, now_ms):
+            options.judge(worker)
     started = 0
-    open_workers = [
-        worker for worker in workers if has_ticket(step, worker, now_ms)
-    ]
     for task in tasks:
-        fitting = [
-            worker
-            for worker in open_workers
-            if room_for(step, worker, turn.reserved, now_ms) > 0
-        ]
-        if not fitting:
+        best = options.best(task)
+        if best is None:
             break
-        best = _best(step, fitting, task)
         _start(cell, step, task, best, next_run([task]), now_ms)
+        options.judge(best)
         started += 1
     return started
 
 
-def _best(
-    step: StepBook,
-    workers: list[WorkerBook],
-    task: TaskBook,
-) -> WorkerBook:
-    return min(workers, key=lambda worker: score(step, worker, task))
-
-
 def _start_gang(
     cell: CellState,
     step: StepBook,
--- a/src/lycheerelay/workflow/_fit.py
+++ b/src/lycheerelay/workflow/_fit.py
@@ -1,7 +1,7 @@
 """Choose workers for tasks."""
 
-from collections.abc import Iterator
-from typing import Final, NamedTuple
+from collections.abc import Iterable, Iterator
+from typing import Final, NamedTuple, final
 
 from .._resources import Resources
 from ._spec import StepKey
@@ -104,7 +104,7 @@
     """Rank a worker for a task; lower is better."""
     spec = step.spec
     avoided = task is not None and task.avoid == worker.worker_id
-    trouble = len(worker.failures_in_row) + 2 * avoided
+    trouble = len(worker.failures_in_row) + AVOIDED * avoided
     far = bool(spec.rack) and spec.rack != worker.rack
     slow = round(worker.slowness, 1)
     if spec.fills:
@@ -120,16 +120,69 @@
 
 
 def candidates(
+    workers: Iterable[WorkerBook],
+    step: StepBook,
+) -> list[WorkerBook]:
+    """Return those of some usable workers that may run the step."""
+    return [worker for worker in workers if may_ever_run(step, worker)]
+
+
+def usable_workers(
     cell: CellState,
     step: StepBook,
     now_ms: int,
 ) -> list[WorkerBook]:
-    """Return the usable workers that may run the step."""
-    return [
-        worker
-        for worker in cell.workers.values()
-        if is_usable(worker, now_ms) and may_ever_run(step, worker)
-    ]
+    """Return the usable workers of a cell that may run the step."""
+    usable = (
+        worker for worker in cell.workers.values() if is_usable(worker, now_ms)
+    )
+    return candidates(usable, step)
+
+
+# A worker on which the task failed before ranks behind others in this much
+# trouble.
+AVOIDED: Final = 2
+
+
+@final
+class Options:
+    """Hold the workers with room for a task of a step, ranked."""
+
+    def __init__(
+        self,
+        step: StepBook,
+        reserved: dict[str, Reserved],
+        now_ms: int,
+    ) -> None:
+        """Start without workers."""
+        self.step = step
+        self.reserved = reserved
+        self.now_ms = now_ms
+        self.scores: dict[str, Score] = {}
+        self.workers: dict[str, WorkerBook] = {}
+
+    def judge(self, worker: WorkerBook) -> None:
+        """Rank a worker anew, or leave it out once it has no room."""
+        worker_id = worker.worker_id
+        if room_for(self.step, worker, self.reserved, self.now_ms) > 0:
+            self.workers[worker_id] = worker
+            self.scores[worker_id] = score(self.step, worker, None)
+        else:
+            self.workers.pop(worker_id, None)
+
+    def best(self, task: TaskBook) -> WorkerBook | None:
+        """Return the best worker for a task; None without room."""
+        if not self.workers:
+            return None
+        avoid = task.avoid
+
+        def rank(worker_id: str) -> Score:
+            trouble, *rest = self.scores[worker_id]
+            return (trouble + AVOIDED * (worker_id == avoid), *rest)
+
+        if avoid in self.workers:
+            return self.workers[min(self.workers, key=rank)]
+        return self.workers[min(self.workers, key=self.scores.__getitem__)]
 
 
 def free_at(worker: WorkerBook, demand: Resources, now_ms: int) -> int:
--- a/src/lycheerelay/workflow/_watch.py
+++ b/src/lycheerelay/workflow/_watch.py
@@ -5,10 +5,10 @@
 from ._answers import repeat_stops
 from ._dispatch import next_run
 from ._fit import (
-    candidates,
     has_ticket,
     room_for,
     score,
+    usable_workers,
 )
 from ._intake import open_due
 from ._notes import note
@@ -119,7 +119,7 @@
 ) -> None:
     others = [
         other
-        for other in candidates(cell, run.step, now_ms)
+        for other in usable_workers(cell, run.step, now_ms)
         if room_for(run.step, other, {}, now_ms)
     ]
     if others:
@@ -137,7 +137,7 @@
         return
     others = [
         other
-        for other in candidates(cell, step, now_ms)
+        for other in usable_workers(cell, step, now_ms)
         if other is not run.worker
         and has_ticket(step, other, now_ms)
         and room_for(step, other, {}, now_ms)
--- a/tests/test_workflow_core.py
+++ b/tests/test_workflow_core.py
@@ -1,17 +1,23 @@
 """Step the workflow core by hand where timing matters."""
 
+import pytest
+
 from lycheerelay._resources import Resources
 from lycheerelay.workflow import (
     CellState,
     JobPhase,
     Row,
     RunKey,
+    StepBook,
     StepSpec,
     Table,
     TaskKey,
+    WorkerBook,
     WorkerListing,
     WorkflowSpec,
+    _fit,
     apply_table,
+    dispatch,
     list_worker,
     submit,
     watch,
@@ -59,3 +65,40 @@
 def test_a_job_with_a_running_task_is_shown_as_running() -> None:
     """Also when the run was found at takeover."""
     assert taken_over().jobs['a' * 16].shown is JobPhase.RUNNING
+
+
+def test_a_long_queue_costs_little(monkeypatch: pytest.MonkeyPatch) -> None:
+    """What cannot start is passed over without a look at each worker."""
+    cell = CellState(fence=1, clear_ms=0)
+    cell.loaded = True
+    for number in range(100):
+        entry = WorkerListing(
+            f'w-{number}',
+            f'w-{number}:80',
+            'pool',
+            'a',
+            'r1',
+            frozenset(('r1',)),
+            Resources(1000, 4000),
+            draining=False,
+        )
+        list_worker(cell, entry, 0)
+        worker = cell.workers[entry.worker_id]
+        worker.enrolled = True
+        worker.synced = True
+    step = StepSpec(1, Resources(1000, 100), 500)
+    for number in range(400):
+        name = f'{number:016x}'
+        spec = WorkflowSpec(name, 'q', 'pool', 'x', (step,), 3, 2.0, 1000, 0)
+        submit(cell, spec, number)
+    assert dispatch(cell, 0) == 100
+    looks: list[str] = []
+    judge = _fit.may_ever_run
+
+    def count(step: StepBook, worker: WorkerBook) -> bool:
+        looks.append(worker.worker_id)
+        return judge(step, worker)
+
+    monkeypatch.setattr(_fit, 'may_ever_run', count)
+    assert dispatch(cell, 1) == 0
+    assert len(looks) < 400
