Split what surrounds the entry VMs from the virtual cell

Cause: the stand-in of the platform could be used in virtual time only; real processes need the same store, workers, advisor and auditor over HTTP. Change: Surroundings holds them; PlatformCell adds the net and the entry VMs of virtual time. Conclusion: a served cell can share it.

--- a/src/lycheerelay_standins/platform/__init__.py
+++ b/src/lycheerelay_standins/platform/__init__.py
@@ -1,10 +1,11 @@
 """Stand in for the users' platform, in virtual time."""
 
 from ._audit import Audit
-from ._cell import CellShape, PlatformCell, QueueShape
+from ._cell import PlatformCell
 from ._fuzz import FAULTS, FuzzResult, fuzz
 from ._net import Net, NetCaller, Request
 from ._store import StoreStandIn
+from ._surroundings import CellShape, QueueShape
 from ._virtual_time import LoopClock, run_virtual
 from ._worker import Shape, WorkerStandIn
 
--- a/src/lycheerelay_standins/platform/_cell.py
+++ b/src/lycheerelay_standins/platform/_cell.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import random
-from typing import Any, Final, NamedTuple, final
+from typing import Any, Final, final
 from urllib.parse import urlencode
 
 from lycheerelay.platform import Entry, PlatformSettings, decode_job
@@ -14,64 +14,40 @@
     is_workflow_path,
 )
 
-from ._audit import Audit, JobTruth
-from ._net import Net, NetCaller, Request
-from ._store import StoreStandIn
+from ._audit import JobTruth
+from ._net import Handler, Net, NetCaller, Request
+from ._surroundings import HOST, CellShape, Surroundings
 from ._virtual_time import LoopClock
-from ._worker import Live, Shape, WorkerStandIn
 
 EPOCH_MS: Final = 1_700_000_000_000
 STORE: Final = '10.9.0.1:80'
 ADVISOR: Final = '10.9.0.2:80'
-HOST: Final = 'cell.example'
-BEAT_MS: Final = 1500
-SILENT_BEATS: Final = 3
-MS_PER_SECOND: Final = 1000
-ID_DIGITS: Final = 16
-GANG_MS: Final = 3000
-
-
-class QueueShape(NamedTuple):
-    """Describe one queue of a cell."""
-
-    name: str
-    pool: str
-    max_attempts: int = 3
-    advice: dict[str, float] | None = None
-
-
-class CellShape(NamedTuple):
-    """Describe a cell."""
-
-    vms: int = 3
-    workers: tuple[Shape, ...] = ()
-    queues: tuple[QueueShape, ...] = (QueueShape('batch', 'cpu'),)
-    lease_ms: int = 6000
-    seed: int = 1
 
 
 @final
-class PlatformCell:
+class PlatformCell(Surroundings):
     """Run entry VMs of the product against stand-ins, with faults."""
 
     def __init__(self, shape: CellShape) -> None:
         """Build the platform; needs a running virtual loop."""
-        self.shape = shape
-        self.rng = random.Random(shape.seed)
         self.clock = LoopClock(EPOCH_MS)
+        super().__init__(shape, self.clock.now_ms)
+        self.rng = random.Random(shape.seed)
         self.net = Net(self.rng)
-        self.store = StoreStandIn(self.clock.now_ms)
-        self.audit = Audit()
         self.entries: dict[str, Entry] = {}
-        self.workers: dict[str, WorkerStandIn] = {}
-        self.addresses: dict[str, str] = {}
-        self.tasks: list[asyncio.Task[None]] = []
-        self.made = 0
-        self.tickets: dict[tuple[str, str], int] = {}
-        self.version = 0
-        self.gangs: dict[tuple[str, int], list[tuple[WorkerStandIn, Live]]] = {}
         self.net.listen(STORE, 'store', self.store.handle)
-        self.net.listen(ADVISOR, 'advisor', self._advise)
+        self.net.listen(ADVISOR, 'advisor', self.advise)
+
+    def reaches_store(self, worker_id: str) -> bool:
+        """Tell whether what a worker writes arrives at the store."""
+        is_cut = self.net.is_cut(worker_id, STORE)
+        return not is_cut and ('*', STORE) not in self.net.refusing
+
+    def give_address(self, name: str, handler: Handler, used: str) -> str:
+        """Let a worker answer, at a used address if one is given."""
+        place = used or f'10.2.0.{self.made}:80'
+        self.net.listen(place, name, handler)
+        return place
 
     async def begin(self) -> None:
         """Write the configuration and start every process."""
@@ -90,31 +66,6 @@
             task.cancel()
         await asyncio.sleep(0)
 
-    def configure(self, **changes: Any) -> None:
-        """Write a version of the configuration."""
-        self.version += 1
-        routes = [
-            {
-                'name': queue.name,
-                'host': HOST,
-                'pathPrefix': f'/{queue.name}/',
-                'service': changes.get(queue.name, queue.pool),
-                'maxAttempts': queue.max_attempts,
-                'stretch': 2.0,
-                'targetLatencyMs': 1000,
-                'placementAdvisor': queue.advice,
-            }
-            for queue in self.shape.queues
-        ]
-        pools = sorted({shape.pool for shape in self.shape.workers})
-        config = {
-            'version': self.version,
-            'routes': routes,
-            'services': [{'name': pool} for pool in pools],
-            'limits': {'maxBodyBytes': 262144},
-        }
-        self.store.put('keyed.op', 'config', config)
-
     def start_vm(self, name: str) -> Entry:
         """Start an entry VM, also again after a kill."""
         self.made += 1
@@ -154,32 +105,6 @@
                 return name
         return ''
 
-    def add_worker(self, shape: Shape, address: str = '') -> WorkerStandIn:
-        """Start a worker, at a used address if one is given."""
-        self.made += 1
-        worker_id = f'w-{self.made}'
-        worker = WorkerStandIn(
-            worker_id,
-            shape,
-            self.audit,
-            self.clock.now_ms,
-            self.shape.lease_ms,
-        )
-        worker.gang_started = self._gang_started
-        worker.gang_ended = self._gang_ended
-        place = address or f'10.2.0.{self.made}:80'
-        self.workers[worker_id] = worker
-        self.addresses[worker_id] = place
-        self.net.listen(place, worker_id, worker.handle)
-        loop = asyncio.get_running_loop()
-        self.tasks.append(loop.create_task(self._beat(worker, place)))
-        return worker
-
-    def crash_worker(self, worker: WorkerStandIn) -> None:
-        """Let a worker fall silent for good."""
-        worker.die()
-        self.workers.pop(worker.worker_id, None)
-
     async def submit(
         self,
         vm: str,
@@ -263,101 +188,6 @@
             await asyncio.sleep(0.5)
         return phases
 
-    async def _advise(self, request: Request) -> Reply:
-        body = json.loads(request.body)
-        await asyncio.sleep(0.02)
-        until_ms = self.clock.now_ms() + 2000
-        good = [name for name in body['workers'] if name in self.workers]
-        for name in good:
-            self.tickets[body['step'], name] = until_ms
-        rows = [[name, f'{body["step"]}@{name}'] for name in good]
-        answer = {'good': rows, 'validityMs': 2000}
-        return Reply(200, json.dumps(answer).encode())
-
-    async def _beat(self, worker: WorkerStandIn, address: str) -> None:
-        sequence = 0
-        silent = 0
-        while True:
-            is_heard = worker.is_up and not self.net.is_cut(
-                worker.worker_id,
-                STORE,
-            )
-            is_heard = is_heard and ('*', STORE) not in self.net.refusing
-            if is_heard:
-                silent = 0
-                sequence += 1
-                self._register(worker, address, sequence)
-            else:
-                silent += 1
-                if silent == SILENT_BEATS:
-                    self.store.drop('keyed.servers', worker.worker_id)
-                if silent > SILENT_BEATS and not worker.is_up:
-                    return
-            await asyncio.sleep(BEAT_MS / MS_PER_SECOND)
-
-    def _register(
-        self,
-        worker: WorkerStandIn,
-        address: str,
-        sequence: int,
-    ) -> None:
-        shape = worker.shape
-        self.store.put(
-            'keyed.servers',
-            worker.worker_id,
-            {
-                'service': shape.pool,
-                'address': address,
-                'zone': 'a',
-                'state': 'ready',
-                'capacity': {
-                    'cpu': shape.cores_milli,
-                    'memMb': shape.memory_mb,
-                    'gpus': shape.accelerators,
-                },
-                'labels': ['a', shape.rack],
-                'clockMs': worker.clock_ms(),
-                'sequence': sequence,
-            },
-        )
-
-    def _gang_started(
-        self,
-        worker: WorkerStandIn,
-        live: Live,
-        step: dict[str, Any],
-    ) -> None:
-        key = (live.truth.name.rsplit('.', 1)[0], live.truth.number)
-        members = self.gangs.setdefault(key, [])
-        members.append((worker, live))
-        if len(members) == step['count']:
-            for host, member in members:
-                host.begin(member)
-            return
-        asyncio.get_running_loop().call_later(
-            GANG_MS / MS_PER_SECOND,
-            self._gang_waited,
-            worker,
-            live,
-        )
-
-    def _gang_waited(self, worker: WorkerStandIn, live: Live) -> None:
-        if live.waiting:
-            worker.end(live, 'alone')
-
-    def _gang_ended(
-        self,
-        worker: WorkerStandIn,
-        live: Live,
-        how: str,
-    ) -> None:
-        key = (live.truth.name.rsplit('.', 1)[0], live.truth.number)
-        if how == 'done' or not live.order:
-            return
-        for host, member in self.gangs.pop(key, ()):
-            if member is not live:
-                host.end(member, 'broken')
-
 
 FINAL: Final = frozenset(('completed', 'failed', 'cancelled'))
 
--- a/src/lycheerelay_standins/platform/_fuzz.py
+++ b/src/lycheerelay_standins/platform/_fuzz.py
@@ -7,7 +7,8 @@
 
 from lycheerelay._hashing import number_of
 
-from ._cell import FINAL, STORE, CellShape, PlatformCell, QueueShape
+from ._cell import FINAL, STORE, PlatformCell
+from ._surroundings import CellShape, QueueShape
 from ._virtual_time import run_virtual
 from ._worker import Shape
 
