Soak real entry VMs on the loopback network

Change: scripts/soak starts deploy/serve.py as processes against the served stand-ins, each way through a proxy that delays, resets, swallows one way or both; processes are killed, stopped, paused, reloaded; the store loses answers and carries writes out late; the auditor judges as in virtual time.

--- a/src/lycheerelay_standins/platform/__init__.py
+++ b/src/lycheerelay_standins/platform/__init__.py
@@ -4,6 +4,7 @@
 from ._cell import PlatformCell
 from ._fuzz import FAULTS, FuzzResult, fuzz
 from ._net import Net, NetCaller, Request
+from ._soak import SoakResult, soak
 from ._store import StoreStandIn
 from ._surroundings import CellShape, QueueShape
 from ._virtual_time import LoopClock, run_virtual
@@ -21,8 +22,10 @@
     'QueueShape',
     'Request',
     'Shape',
+    'SoakResult',
     'StoreStandIn',
     'WorkerStandIn',
     'fuzz',
     'run_virtual',
+    'soak',
 )
--- a/src/lycheerelay_standins/platform/_net.py
+++ b/src/lycheerelay_standins/platform/_net.py
@@ -110,12 +110,8 @@
         timeout_ms: int,
     ) -> Reply:
         await _sleep_ms(ONE_WAY_MS)
-        handler = self.hosts.get(address)
-        if handler is None:
-            return Reply(NOT_SENT)
         reply = await self._await_reply(
             address,
-            handler,
             request,
             timeout_ms,
             origin,
@@ -127,12 +123,11 @@
     async def _await_reply(
         self,
         address: str,
-        handler: Handler,
         request: Request,
         timeout_ms: int,
         origin: str,
     ) -> Reply | None:
-        task = asyncio.ensure_future(self._serve(address, handler, request))
+        task = asyncio.ensure_future(self.carry_out(address, request))
         self.pending.add(task)
         task.add_done_callback(self.pending.discard)
         done, _ = await asyncio.wait({task}, timeout=timeout_ms / MS_PER_SECOND)
@@ -153,12 +148,11 @@
         await _sleep_ms(min(CONNECT_MS, timeout_ms) if is_new else timeout_ms)
         return Reply(NOT_SENT if is_new else NO_ANSWER)
 
-    async def _serve(
-        self,
-        address: str,
-        handler: Handler,
-        request: Request,
-    ) -> Reply | None:
+    async def carry_out(self, address: str, request: Request) -> Reply | None:
+        """Let a handler answer with the harm done there; None for no answer."""
+        handler = self.hosts.get(address)
+        if handler is None:
+            return Reply(NOT_SENT)
         await self._thaw(self.owners.get(address, ''))
         is_harmed = not request.path.startswith(UNHARMED)
         share, least_s, most_s = self.late.get(address, (0, 0, 0))
