Tell a cut-off owner from a lost worker within a second

Cause: an owner without its workers learned it from looks, which wait 1 s and are given 0.7 s more, and handed over after 2.5 s without most of them. A start whose connection came to nothing was tried at the same worker again and again.

Change: an order without an answer, or one that never reached its worker, puts the worker in doubt and lets the owner look at all workers that were not heard lately, at most once a second; those that leave the look unanswered count as silent. Half of them silent for 1.5 s hand the cell over.

The test of the median fails before.

--- a/src/lycheerelay/platform/_workers.py
+++ b/src/lycheerelay/platform/_workers.py
@@ -41,7 +41,7 @@
 
 ANSWERS: Final = {
     NO_ANSWER: Answer.NONE,
-    NOT_SENT: Answer.UNSENT,
+    NOT_SENT: Answer.UNREACHED,
     OK: Answer.DONE,
     400: Answer.MALFORMED,
     421: Answer.OTHER_LIFE,
--- a/src/lycheerelay/serving/_holder.py
+++ b/src/lycheerelay/serving/_holder.py
@@ -68,6 +68,8 @@
             self.clock.heard(held.clock_ms, self.context.now_ms)
             apply_table(self.context.cell, held.table, self.context.now_ms)
             self.context.poke()
+        elif held.answer in {Answer.NONE, Answer.UNREACHED}:
+            self._note_silence(held.answer)
 
     def lease_deadline(self) -> int:
         """Return a deadline on the worker's clock and note that it is given."""
@@ -163,6 +165,10 @@
         return not is_over and worker.recorded_end < worker.handled_end
 
     async def _unanswered(self, answer: Answer) -> None:
+        self._note_silence(answer)
+        await asyncio.sleep(UNANSWERED_PAUSE_S)
+
+    def _note_silence(self, answer: Answer) -> None:
         worker = self.context.cell.workers.get(self.worker_id)
         if worker is not None and not worker.silent:
             worker.silent = True
@@ -175,4 +181,3 @@
                     'runs': len(worker.runs),
                 },
             )
-        await asyncio.sleep(UNANSWERED_PAUSE_S)
--- a/src/lycheerelay/serving/_terms.py
+++ b/src/lycheerelay/serving/_terms.py
@@ -29,9 +29,10 @@
 LOOK_FOR_MS: Final = 600
 # Without any change the seat is looked at this often, in ms.
 LOOK_EVERY_MS: Final = 3000
-# An owner that has not heard most workers for so long, in ms, hands over, and
-# does not claim again for the second time, in ms. A look waits 1 s by itself.
-CUT_OFF_MS: Final = 2500
+# An owner that half of the workers leave unanswered for so long, in ms, hands
+# over, and does not claim again for the second time, in ms. A look waits 1 s by
+# itself and is given 0.7 s more.
+CUT_OFF_MS: Final = 1500
 STAND_BACK_MS: Final = 6000
 
 # A new member shows once others have handed partitions to it: after a change
--- a/src/lycheerelay/workflow/_answers.py
+++ b/src/lycheerelay/workflow/_answers.py
@@ -7,7 +7,7 @@
 from ._notes import note
 from ._runs import stop_run
 from ._spec import RunKey
-from ._state import NEVER, CellState, Run, RunState
+from ._state import NEVER, CellState, Run, RunState, WorkerBook
 from ._tables import bury_worker, drop_run
 
 # A worker that has no room, or says it is unwell, gets nothing for so long,
@@ -31,6 +31,7 @@
     MALFORMED = 'malformed'
     OTHER_LIFE = 'other_life'
     NONE = 'none'
+    UNREACHED = 'unreached'
     UNSENT = 'unsent'
 
 
@@ -62,10 +63,10 @@
         answer=answer.value,
         after_ms=now_ms - run.sent_ms,
     )
+    if answer in {Answer.NONE, Answer.UNREACHED}:
+        _doubt(cell, worker, now_ms)
     if answer is Answer.NONE:
         run.unsure_ms = now_ms
-        worker.silent = True
-        cell.outbox.append(LookNow(worker_id))
         return
     if answer is Answer.FENCED:
         cell.deposed = True
@@ -84,6 +85,26 @@
     drop_run(cell, run, now_ms)
 
 
+# After an order without an answer the other workers are looked at, too, at most
+# this often, in ms: it may be this process that is cut off.
+DOUBT_EVERY_MS: Final = 1000
+# Workers that were heard within so many ms are not looked at then.
+HEARD_LATELY_MS: Final = 300
+
+
+def _doubt(cell: CellState, worker: WorkerBook, now_ms: int) -> None:
+    worker.silent = True
+    cell.outbox.append(LookNow(worker.worker_id))
+    has_doubted = cell.doubted_ms != NEVER
+    if has_doubted and now_ms - cell.doubted_ms < DOUBT_EVERY_MS:
+        return
+    cell.doubted_ms = now_ms
+    for other in cell.workers.values():
+        is_unheard = now_ms - other.heard_ms > HEARD_LATELY_MS
+        if is_unheard and not other.silent:
+            cell.outbox.append(LookNow(other.worker_id))
+
+
 def stop_answered(
     cell: CellState,
     worker_id: str,
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -221,6 +221,7 @@
     gangs_settled: bool = False
     deposed: bool = False
     wall_offset_ms: int = 0
+    doubted_ms: int = NEVER
     order: str = 'slack'
     reserving_steps: int = RESERVING_STEPS
 
--- a/src/lycheerelay/workflow/_watch.py
+++ b/src/lycheerelay/workflow/_watch.py
@@ -58,9 +58,12 @@
 
 
 def silence_ms(cell: CellState, now_ms: int) -> int:
-    """Return for how long half of the listed workers or more are silent."""
+    """Return for how long half of the listed workers or more are silent.
+
+    A worker is silent once it leaves a look or an order unanswered.
+    """
     silent = sorted(
-        now_ms - worker.heard_ms
+        now_ms - worker.heard_ms if worker.silent else 0
         for worker in cell.workers.values()
         if worker.listed
     )
--- a/tests/test_platform_ownership.py
+++ b/tests/test_platform_ownership.py
@@ -1,6 +1,7 @@
 """Lose, hand over and find the owner on the stand-in of the platform."""
 
 import asyncio
+import statistics
 
 import pytest
 
@@ -119,11 +120,12 @@
     play(scenario)
 
 
-@pytest.mark.parametrize('how', ['kill', 'freeze', 'store', 'workers'])
-def test_an_owner_is_replaced_in_time(how: str) -> None:
-    """Starts go on within 4 s, the target at worst, after it is lost."""
+def time_without_starts(how: str, moment: int) -> int:
+    """Lose the owner at a moment; return the ms until the next start."""
+    taken: list[int] = []
 
     async def scenario(cell: PlatformCell) -> None:
+        await asyncio.sleep(moment * 0.07)
         before = cell.owner()
         if how == 'kill':
             cell.kill_vm(before)
@@ -138,10 +140,19 @@
         await cell.submit(other, job(step(1)))
         while not any(worker.starts for worker in cell.workers.values()):
             await asyncio.sleep(0.05)
-            assert cell.clock.now_ms() - begun_ms < 4000
+        taken.append(cell.clock.now_ms() - begun_ms)
         cell.net.thaw(before)
 
     play(scenario)
+    return taken[0]
+
+
+@pytest.mark.parametrize('how', ['kill', 'freeze', 'store', 'workers'])
+def test_an_owner_is_replaced_in_time(how: str) -> None:
+    """Starts go on within 2 s at the median, and 4 s at worst."""
+    times = [time_without_starts(how, moment) for moment in range(0, 15, 3)]
+    assert statistics.median(times) < 2000
+    assert max(times) < 4000
 
 
 @pytest.mark.parametrize('seconds', [2, 5, 12])
