Give each soak a part of the loopback network of its own

Cause: the test of the soak failed once, OSError, address in use, beside a run of scripts/soak: the network was named after the process number modulo 200.

Change: a soak claims a part of the network by a socket that it keeps open.

Conclusion: two soaks cannot meet any more.

--- a/src/lycheerelay_standins/platform/_soak_cell.py
+++ b/src/lycheerelay_standins/platform/_soak_cell.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import signal
+import socket
 import sys
 import time
 from pathlib import Path
@@ -22,6 +23,9 @@
 ADVISOR_NAME: Final = 'advisor'
 # Stops are given so long, in s, before a process is killed.
 STOP_S: Final = 10
+# A soak uses the addresses 127.N, for one of these numbers.
+NETWORKS: Final = range(20, 220)
+CLAIM_PORT: Final = 8999
 
 SETTINGS: Final = """
 nodeName = "{name}"
@@ -119,7 +123,8 @@
         self.store_ways: dict[str, Proxy] = {}
         self.worker_ways: dict[str, Proxy] = {}
         self.handlers: dict[str, Handler] = {}
-        self.network = f'127.{os.getpid() % 200 + 20}'
+        self.claim = _claim_network()
+        self.network = self.claim.getsockname()[0].removesuffix('.0.1')
 
     async def begin(self) -> None:
         """Serve the stand-ins and start every process."""
@@ -145,6 +150,7 @@
             way.stop()
         for runner in self.runners:
             await runner.cleanup()
+        self.claim.close()
 
     def ways(self) -> list[Proxy]:
         """Return every proxy."""
@@ -199,6 +205,20 @@
         return reply
 
 
+def _claim_network() -> socket.socket:
+    """Claim a part of the loopback network while the socket is open."""
+    for number in NETWORKS:
+        claim = socket.socket()
+        try:
+            claim.bind((f'127.{number}.0.1', CLAIM_PORT))
+        except OSError:
+            # Another soak runs there; the next part is tried.
+            claim.close()
+            continue
+        return claim
+    raise OSError('every part of the loopback network is in use')
+
+
 def _wall_ms() -> int:
     return int(time.time() * MS_PER_SECOND)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,12 +1,14 @@
 """Soak real processes for a few seconds; `scripts/soak` does more by hand."""
 
 import logging
+import random
 from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
-from lycheerelay_standins.platform import soak
+from lycheerelay_standins.platform import CellShape, Net, soak
+from lycheerelay_standins.platform._soak_cell import SoakCell
 
 LENGTH_S = 6
 # Seeds that failed once, each with its cause.
@@ -30,3 +32,12 @@
     assert result.unfinished == ()
     lines = (tmp_path / 'vm-0.log').read_text().splitlines()
     assert any('"started"' in line for line in lines)
+
+
+def test_two_soaks_use_networks_of_their_own(tmp_path: Path) -> None:
+    """A second one beside the first takes other addresses."""
+    shape = CellShape(vms=0)
+    cells = [SoakCell(shape, tmp_path, Net(random.Random(1))) for _ in 'ab']
+    assert cells[0].network != cells[1].network
+    for cell in cells:
+        cell.claim.close()
