Leave the seat to VMs whose links carry it; give up takeovers that do not load

From 18.4 s on a VM with a 10 Mbit/s link held the seat and never loaded the cell: a page of newest records takes longer than the 600 ms of a call there, and each try began at the first page. Nothing let go of a takeover without end.

Change: a page may take 5 s while bytes arrive, and is asked for again by itself; a takeover that has not loaded after 5 s is handed over; a VM with less than half a core's share or 50 Mbit/s claims 250 ms later for each halving. Also in here: a job that could only end too late is refused at once (429, Retry-After from the predicted room, spread; a repeat of an accepted id is accepted), the prediction rides on answers that the owner gives anyway.

--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -31,6 +31,9 @@
     How,
     JobPhase,
     chain_ms,
+    predict_waits,
+    predicted_wait,
+    too_late_by,
 )
 
 LOADS: Final = Path(__file__).parent / 'loads'
@@ -49,10 +52,10 @@
 
 
 class Outcome(NamedTuple):
-    """Tell what became of one job; times in ms."""
+    """Tell what became of one job; times in ms; no phase: refused."""
 
     kind: str
-    phase: JobPhase
+    phase: JobPhase | None
     wait_ms: int
     took_ms: int
     objective_ms: int
@@ -64,6 +67,7 @@
     outcomes: tuple[Outcome, ...]
     used: dict[str, float]
     wasted: dict[str, float]
+    errors_ms: tuple[int, ...]
 
 
 class KindRow(NamedTuple):
@@ -74,6 +78,7 @@
     in_time: float
     late: float
     failed: float
+    refused: float
     wait_p50_ms: int
     wait_p99_ms: int
 
@@ -118,16 +123,19 @@
     for entry in listings(load):
         play.add_worker(entry)
     truth.choose_unwell(list(play.workers))
+    refused: list[Outcome] = []
     for kind in load['kinds']:
         for arrival_ms in arrivals(rng, load, kind):
-            play.at(arrival_ms, _arrive, play, truth, kind)
+            play.at(arrival_ms, _arrive, play, truth, kind, refused)
     for wave in load.get('cancels', ()):
         play.at(wave['at'] * MS, _cancel_wave, play, rng, wave)
     usage = Usage(play)
     play.on_tick = usage.see
     until_ms = int(load['length_s'] * MS)
     play.run(until_ms * TAIL, lambda: _is_over(play, until_ms))
-    return Result(tuple(_outcomes(play)), usage.shares(), _wasted(play))
+    outcomes = (*_outcomes(play), *refused)
+    errors_ms = tuple(_prediction_errors(play, truth))
+    return Result(outcomes, usage.shares(), _wasted(play), errors_ms)
 
 
 def _is_over(play: Play, until_ms: int) -> bool:
@@ -135,8 +143,20 @@
     return play.now_ms > until_ms and all(job.is_final for job in jobs)
 
 
-def _arrive(play: Play, truth: DrawnTruth, kind: dict[str, Any]) -> None:
-    play.submit(draw_job(truth.rng, truth, kind, play.now_ms))
+def _arrive(
+    play: Play,
+    truth: DrawnTruth,
+    kind: dict[str, Any],
+    refused: list[Outcome],
+) -> None:
+    spec = draw_job(truth.rng, truth, kind, play.now_ms)
+    points = predict_waits(play.cell, play.now_ms).get(spec.pool, ())
+    wait_ms = predicted_wait(spec, points)
+    if too_late_by(spec, wait_ms):
+        refused.append(Outcome(spec.queue, None, 0, 0, 0))
+        return
+    truth.predicted_ms[spec.job_id] = wait_ms
+    play.submit(spec)
 
 
 def _cancel_wave(play: Play, rng: random.Random, wave: dict[str, Any]) -> None:
@@ -160,6 +180,15 @@
         )
 
 
+def _prediction_errors(play: Play, truth: DrawnTruth) -> Iterator[int]:
+    """Yield wait less prediction, for jobs of which a wait was predicted."""
+    for job_id, wait_ms in truth.predicted_ms.items():
+        if wait_ms:
+            spec = play.cell.jobs[job_id].spec
+            begun_ms = play.first_start.get(job_id, play.now_ms)
+            yield begun_ms - spec.accepted_ms - wait_ms
+
+
 def _wasted(play: Play) -> dict[str, float]:
     whole: Counter[str] = Counter()
     lost: Counter[str] = Counter()
@@ -189,6 +218,7 @@
             for row in done
         )
         failed = sum(row.phase is JobPhase.FAILED for row in rows)
+        refused = sum(row.phase is None for row in rows)
         waits = sorted(row.wait_ms for row in rows)
         yield KindRow(
             kind,
@@ -196,6 +226,7 @@
             in_time / len(rows),
             late / len(rows),
             failed / len(rows),
+            refused / len(rows),
             waits[len(waits) // 2],
             waits[int(len(waits) * 0.99)],
         )
@@ -221,6 +252,14 @@
         f'{sum(each.wasted.get(pool, 0) for each in results) / seeds:.3f}'
         for pool in sorted(results[0].wasted)
     )
+    errors_ms = sorted(error for each in results for error in each.errors_ms)
+    if errors_ms:
+        middle = errors_ms[len(errors_ms) // 2]
+        parts.append(
+            f'{len(errors_ms)} waits predicted, error p50 {middle} ms, '
+            f'p10 {errors_ms[len(errors_ms) // 10]} ms, '
+            f'p90 {errors_ms[len(errors_ms) * 9 // 10]} ms',
+        )
     return rows, ', '.join(parts)
 
 
@@ -231,7 +270,7 @@
         print(
             f'  {row.kind:14}{row.jobs:5} jobs'
             f'  in time {row.in_time:.3f}  late {row.late:.3f}'
-            f'  failed {row.failed:.3f}'
+            f'  failed {row.failed:.3f}  refused {row.refused:.3f}'
             f'  wait p50 {row.wait_p50_ms:6} ms  p99 {row.wait_p99_ms:6} ms',
         )
     print(f'  in use: {used}')
--- a/benchmarks/replay_load.py
+++ b/benchmarks/replay_load.py
@@ -54,6 +54,7 @@
         self.advised: set[StepKey] = set()
         self.troubles = load.get('troubles', ())
         self.unwell: list[set[str]] = []
+        self.predicted_ms: dict[str, int] = {}
         self.play: Play | None = None
 
     def choose_unwell(self, worker_ids: list[str]) -> None:
--- a/src/lycheerelay/platform/_entry.py
+++ b/src/lycheerelay/platform/_entry.py
@@ -17,9 +17,11 @@
     Owner,
     OwnerContext,
     Peers,
+    SeatTimes,
     Tenure,
     Terms,
     WorkflowApi,
+    claim_delay_ms,
     clear_ms,
 )
 from ..workflow import CellState
@@ -74,7 +76,10 @@
             self.peers,
             self.make_owner,
             self.set_owner,
-            settings.group_ttl_ms,
+            SeatTimes(
+                settings.group_ttl_ms,
+                claim_delay_ms(settings.cores, settings.link_mbps),
+            ),
         )
         self.ingress = Ingress(self.desk, self.config, clock, self.is_ready)
         self.workflows = WorkflowApi(self.desk, self.config, clock)
--- a/src/lycheerelay/platform/_ingress.py
+++ b/src/lycheerelay/platform/_ingress.py
@@ -29,6 +29,13 @@
     Verdict.UNKNOWN_OUTCOME: 504,
     Verdict.NO_SUCH_JOB: 410,
     Verdict.UNAVAILABLE: 503,
+    Verdict.TOO_LATE: 429,
+}
+# Callers are told when to come back after these.
+RETRY_TEXTS: Final = {
+    Verdict.REFUSED: 'the store is away',
+    Verdict.UNAVAILABLE: 'the owner is away',
+    Verdict.TOO_LATE: 'the job could only end too late',
 }
 NO_QUEUE: Final = 404
 BAD_BODY: Final = 400
@@ -172,8 +179,8 @@
 
 def _reply(outcome: Outcome, field: str) -> web.Response:
     status = STATUSES[outcome.verdict]
-    if status == UNAVAILABLE:
-        text = 'the store or the owner is away'
+    if outcome.verdict in RETRY_TEXTS:
+        text = RETRY_TEXTS[outcome.verdict]
         return _refusal(status, text, outcome.retry_after_s)
     if outcome.verdict is not Verdict.OK:
         return _refusal(status, outcome.verdict.value)
--- a/src/lycheerelay/platform/_settings.py
+++ b/src/lycheerelay/platform/_settings.py
@@ -28,6 +28,8 @@
     status_ms: int
     stop_grace_ms: int
     group_ttl_ms: int
+    cores: float = 1
+    link_mbps: float = 1000
 
 
 def read_settings() -> Result[PlatformSettings, str]:
@@ -47,6 +49,7 @@
 
 def _decode(fields: dict[str, Any]) -> PlatformSettings:
     bounds = fields['bounds']
+    limits = fields.get('limits', {})
     return PlatformSettings(
         vm=fields['nodeName'],
         domain=fields['zone'],
@@ -65,4 +68,7 @@
             GROUP_TTL_MS,
             int(fields['platform'].get('minTtlMs', 0)),
         ),
+        # The process runs on one core, and has this share of it.
+        cores=float(limits.get('cpuShare', 1)),
+        link_mbps=float(limits.get('linkMbps', 1000)),
     )
--- a/src/lycheerelay/platform/_store.py
+++ b/src/lycheerelay/platform/_store.py
@@ -41,6 +41,11 @@
 # An answer takes 4 ms; a slow store takes 60 times as long. Calls are given
 # twice that, in ms.
 TIMEOUT_MS: Final = 600
+# A page of newest records holds up to 1 MB, which takes some seconds on the
+# slowest links; in ms, while bytes arrive.
+LONGEST_PAGE_MS: Final = 5000
+# A page that did not come is asked for again so often.
+PAGE_TRIES: Final = 3
 # A join is given less, in ms, so that the next one still comes in time.
 JOIN_TIMEOUT_MS: Final = 500
 OK: Final = 200
@@ -147,11 +152,7 @@
         next_offset = -1
         query: dict[str, object] = _partition(stream)
         while True:
-            reply = await self.http.call(
-                'GET',
-                f'{self.base}/log-newest?{urlencode(query)}',
-                TIMEOUT_MS,
-            )
+            reply = await self._page(urlencode(query))
             if reply.status != OK:
                 return Err(_fault(reply))
             page = reply.fields()
@@ -165,6 +166,19 @@
                 return Ok(Slice(tuple(records), next_offset))
             query['after'] = items[-1]['key']
 
+    async def _page(self, query: str) -> Reply:
+        reply = Reply(NOT_SENT)
+        for _ in range(PAGE_TRIES):
+            reply = await self.http.call(
+                'GET',
+                f'{self.base}/log-newest?{query}',
+                TIMEOUT_MS,
+                longest_ms=LONGEST_PAGE_MS,
+            )
+            if reply.status == OK:
+                break
+        return reply
+
 
 @final
 class StoreGroup:
--- a/src/lycheerelay/serving/__init__.py
+++ b/src/lycheerelay/serving/__init__.py
@@ -37,7 +37,7 @@
     Writer,
 )
 from ._queues import Queue, QueueTable
-from ._tenure import GROUP_TTL_MS, Tenure
+from ._tenure import GROUP_TTL_MS, SeatTimes, Tenure, claim_delay_ms
 from ._terms import Terms
 from ._workflow_api import WorkflowApi, is_workflow_path
 
@@ -72,6 +72,7 @@
     'Peers',
     'Queue',
     'QueueTable',
+    'SeatTimes',
     'Slice',
     'StartOrder',
     'StopOrder',
@@ -82,6 +83,7 @@
     'WorkflowApi',
     'Workers',
     'Writer',
+    'claim_delay_ms',
     'clear_ms',
     'is_workflow_path',
     'set_up_event_log',
--- a/src/lycheerelay/serving/_desk.py
+++ b/src/lycheerelay/serving/_desk.py
@@ -2,13 +2,22 @@
 
 import asyncio
 import logging
+import math
 from enum import Enum, unique
 from typing import Any, Final, NamedTuple, final
 
 from result import Err, Ok, Result
 
 from .._clock import Clock
-from ..workflow import JobPhase, WorkflowSpec
+from .._hashing import number_of
+from ..workflow import (
+    JobPhase,
+    WaitPoint,
+    Waits,
+    WorkflowSpec,
+    predicted_wait,
+    too_late_by,
+)
 from ._append_gate import RETRY_AFTER_S, AppendGate
 from ._job_appends import JobAppends
 from ._job_stream import CANCEL_PREFIX, JOB_PREFIX
@@ -32,6 +41,38 @@
 LONGEST_ASK_MS: Final = 1500
 
 
+# A prediction of waits that is older than this, in ms, refuses nobody.
+OUTLOOK_MS: Final = 2000
+# Refused callers are told to come back up to this share later than room is
+# predicted, so that they do not come together.
+SPREAD: Final = 0.5
+PERCENT: Final = 100
+MS_PER_SECOND: Final = 1000
+
+
+class Outlook(NamedTuple):
+    """Tell how long new work of a pool waits, as the owner said it then."""
+
+    waits: Waits
+    told_ms: int
+
+
+def write_waits(waits: Waits) -> dict[str, list[list[int]]]:
+    """Return waits as another VM reads them."""
+    return {
+        pool: [list(point) for point in points]
+        for pool, points in waits.items()
+    }
+
+
+def read_waits(raw: dict[str, list[list[int]]]) -> Waits:
+    """Return waits as another VM sent them."""
+    return {
+        pool: tuple(WaitPoint(*point) for point in points)
+        for pool, points in raw.items()
+    }
+
+
 @unique
 class Verdict(Enum):
     """Name the outcome of a request."""
@@ -41,6 +82,7 @@
     UNKNOWN_OUTCOME = 'unknown_outcome'
     NO_SUCH_JOB = 'no_such_job'
     UNAVAILABLE = 'unavailable'
+    TOO_LATE = 'too_late'
 
 
 class Outcome(NamedTuple):
@@ -67,11 +109,19 @@
         self.peers = peers
         self.meters = meters
         self.owner: Owner | None = None
+        self.outlook = Outlook({}, 0)
         self.gate = AppendGate(clock)
         self.appends = JobAppends(clock, log, self.gate, meters)
 
     async def submit(self, spec: WorkflowSpec, patience_ms: int) -> Outcome:
-        """Store a job; it is accepted once the store has acknowledged it."""
+        """Store a job; it is accepted once the store has acknowledged it.
+
+        A job that could only end too late is refused at once.
+        """
+        refusal = self._refuse_late(spec)
+        if refusal is not None:
+            outcome = await self._repeat_or(refusal, spec.job_id)
+            return self._said('submit', spec.job_id, spec.queue, outcome)
         record = KeyedRecord(f'{JOB_PREFIX}{spec.job_id}', encode_spec(spec))
         outcome = await self._append(record, patience_ms, 'submit')
         return self._said('submit', spec.job_id, spec.queue, outcome)
@@ -125,7 +175,7 @@
                 return None
             job = owner.cell.jobs.get(job_id)
         phase: JobPhase | None = None if job is None else job.shown
-        return {'phase': phase}
+        return {'phase': phase, 'waits': write_waits(owner.waits)}
 
     def answer_waiting(self, queue: str) -> dict[str, Any] | None:
         """Count the waiting jobs of a queue in the own cell."""
@@ -137,7 +187,7 @@
             for job in owner.cell.jobs.values()
             if job.spec.queue == queue and not job.begun and not job.is_final
         )
-        return {'waiting': waiting}
+        return {'waiting': waiting, 'waits': write_waits(owner.waits)}
 
     async def _append(
         self,
@@ -217,7 +267,45 @@
             body,
             min(ASK_TIMEOUT_MS, left_ms),
         )
-        return None if isinstance(outcome, Err) else outcome.ok_value
+        if isinstance(outcome, Err):
+            return None
+        answer = outcome.ok_value
+        self.outlook = Outlook(read_waits(answer['waits']), self.clock.now_ms())
+        return answer
+
+    async def _repeat_or(self, refusal: Outcome, job_id: str) -> Outcome:
+        """Return success for a job that was accepted before."""
+        known = await self._ask('/state', {'job': job_id}, ASK_TIMEOUT_MS)
+        if known is not None and known.get('phase') is not None:
+            return Outcome(Verdict.OK)
+        return refusal
+
+    def _refuse_late(self, spec: WorkflowSpec) -> Outcome | None:
+        now_ms = self.clock.now_ms()
+        outlook = self.outlook
+        if self.owner is not None:
+            outlook = Outlook(self.owner.waits, now_ms)
+        age_ms = now_ms - outlook.told_ms
+        points = outlook.waits.get(spec.pool, ())
+        wait_ms = predicted_wait(spec, points, age_ms)
+        late_ms = too_late_by(spec, wait_ms)
+        if not late_ms or age_ms > OUTLOOK_MS:
+            return None
+        percent = number_of(spec.job_id) % PERCENT
+        spread = 1 + SPREAD * percent / PERCENT
+        retry_after_s = math.ceil(late_ms * spread / MS_PER_SECOND)
+        logger.info(
+            'too_late',
+            extra={
+                'job': spec.job_id,
+                'pool': spec.pool,
+                'wait_ms': wait_ms,
+                'age_ms': age_ms,
+                'late_ms': late_ms,
+                'retry_after_s': retry_after_s,
+            },
+        )
+        return Outcome(Verdict.TOO_LATE, retry_after_s=retry_after_s)
 
     def _said(
         self,
--- a/src/lycheerelay/serving/_http_calls.py
+++ b/src/lycheerelay/serving/_http_calls.py
@@ -45,8 +45,13 @@
         timeout_ms: int,
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
+        longest_ms: int = 0,
     ) -> Reply:
-        """Make one call, once."""
+        """Make one call, once.
+
+        With `longest_ms` a long answer may take that long, as long as some of
+        it arrives within each `timeout_ms`.
+        """
 
     async def close(self) -> None:
         """Close every channel."""
@@ -87,11 +92,13 @@
         timeout_ms: int,
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
+        longest_ms: int = 0,
     ) -> Reply:
         """Make one call, once."""
         timeout = aiohttp.ClientTimeout(
-            total=timeout_ms / MS_PER_SECOND,
+            total=max(timeout_ms, longest_ms) / MS_PER_SECOND,
             sock_connect=CONNECT_TIMEOUT_S,
+            sock_read=timeout_ms / MS_PER_SECOND,
         )
         try:
             async with self.session.request(
--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -10,11 +10,13 @@
 from .._resources import Resources
 from ..workflow import (
     CellState,
+    Waits,
     WorkerListing,
     dispatch,
     expire_jobs,
     list_worker,
     open_occurrences,
+    predict_waits,
     stop_strays,
     unlist_worker,
     watch,
@@ -40,6 +42,8 @@
 TICK_S: Final = 0.1
 # Strays are stopped again every so many ticks.
 STRAY_TICKS: Final = 5
+# Waits are predicted anew every so many ticks.
+OUTLOOK_TICKS: Final = 5
 # Finished jobs are looked through for expired ones every so many ticks.
 EXPIRE_TICKS: Final = 100
 # The pause after a read that was not served, in s.
@@ -74,6 +78,7 @@
         self.tasks: list[asyncio.Task[None]] = []
         self.is_over = False
         self.pause_s = DECIDE_DELAY_S
+        self.waits: Waits = {}
 
     @property
     def cell(self) -> CellState:
@@ -273,7 +278,7 @@
             if not self.context.may_order:
                 continue
             watch(self.cell, now_ms)
-            open_occurrences(self.cell, now_ms + self.cell.wall_offset_ms)
+            open_occurrences(self.cell, now_ms)
             if ticks % STRAY_TICKS == 0:
                 stop_strays(self.cell)
             if ticks % EXPIRE_TICKS == 0:
@@ -284,6 +289,8 @@
                 )
                 self.recorder.drop(expired)
             _gauge(self.context)
+            if ticks % OUTLOOK_TICKS == 0:
+                self.waits = predict_waits(self.cell, now_ms)
             self.decide()
             if self.cell.dirty:
                 self.context.poke()
--- a/src/lycheerelay/serving/_tenure.py
+++ b/src/lycheerelay/serving/_tenure.py
@@ -1,6 +1,7 @@
 """Tell how long this process may act as the owner."""
 
-from typing import Final, final
+import math
+from typing import Final, NamedTuple, final
 
 # A member that sent nothing for so long, in ms, loses its seat, unless the
 # store asks for more: short, so that a dead owner is replaced within 2 s.
@@ -11,6 +12,27 @@
 TENURE_MARGIN_MS: Final = 100
 
 
+# An owner needs about as much; each halving below delays a VM's claims by the
+# last of these, in ms, so that others come first.
+ABLE_CORES: Final = 0.5
+ABLE_LINK_MBPS: Final = 50
+CLAIM_DELAY_MS: Final = 250
+
+
+class SeatTimes(NamedTuple):
+    """Tell how long the seat is kept and left to others, in ms."""
+
+    ttl_ms: int
+    claim_delay_ms: int = 0
+
+
+def claim_delay_ms(cores: float, link_mbps: float) -> int:
+    """Return for how long a VM leaves a vacant seat to abler ones, in ms."""
+    lacking = (ABLE_CORES / cores, ABLE_LINK_MBPS / link_mbps)
+    halvings = sum(max(math.log2(part), 0) for part in lacking)
+    return int(CLAIM_DELAY_MS * halvings)
+
+
 @final
 class Tenure:
     """Track until when the store cannot have dealt the ownership anew."""
--- a/src/lycheerelay/serving/_terms.py
+++ b/src/lycheerelay/serving/_terms.py
@@ -19,7 +19,7 @@
 from ._owner import Owner
 from ._peers import Peers
 from ._ports import Group, Seat
-from ._tenure import JOIN_EVERY_MS, Tenure
+from ._tenure import JOIN_EVERY_MS, SeatTimes, Tenure
 
 logger = logging.getLogger('lycheerelay.terms')
 
@@ -34,6 +34,9 @@
 # itself and is given 0.7 s more.
 CUT_OFF_MS: Final = 1500
 STAND_BACK_MS: Final = 6000
+# A takeover that has not read everything by then, in ms, is left to others:
+# what is read takes 2 s on a slow link.
+LOAD_LIMIT_MS: Final = 5000
 
 # A new member shows once others have handed partitions to it: after a change
 # the owner reads the members for the first time, in ms, at the second interval,
@@ -57,7 +60,7 @@
         peers: Peers,
         make_owner: MakeOwner,
         set_owner: Callable[[Owner | None], None],
-        ttl_ms: int,
+        times: SeatTimes,
     ) -> None:
         """Start outside the group."""
         self.clock = clock
@@ -66,7 +69,8 @@
         self.peers = peers
         self.make_owner = make_owner
         self.set_owner = set_owner
-        self.ttl_ms = ttl_ms
+        self.times = times
+        self.vacant_ms = 0
         self.generation = 0
         self.tenure: Tenure | None = None
         self.owner: Owner | None = None
@@ -85,7 +89,7 @@
     @property
     def is_in_touch(self) -> bool:
         """Tell whether the store answered this member lately."""
-        return self.clock.now_ms() - self.joined_ms < self.ttl_ms
+        return self.clock.now_ms() - self.joined_ms < self.times.ttl_ms
 
     async def run(self) -> None:
         """Join again and again until leaving."""
@@ -194,7 +198,11 @@
         listened_ms = asked_ms - self.paused_ms
         silent_ms = min(silence_ms(owner.cell, asked_ms), listened_ms)
         if silent_ms > CUT_OFF_MS:
-            await self._hand_over(asked_ms)
+            await self._hand_over(asked_ms, 'most workers are out of reach')
+            return
+        is_slow = asked_ms - owner.started_ms > LOAD_LIMIT_MS
+        if is_slow and not owner.cell.loaded:
+            await self._hand_over(asked_ms, 'the takeover takes too long')
             return
         latest, _ = await asyncio.gather(
             self.seat.is_latest(tenure.fence),
@@ -207,9 +215,9 @@
             return
         tenure.confirm(asked_ms)
 
-    async def _hand_over(self, now_ms: int) -> None:
+    async def _hand_over(self, now_ms: int, reason: str) -> None:
         self.stand_back_ms = now_ms + STAND_BACK_MS
-        await self._step_down('most workers are out of reach')
+        await self._step_down(reason)
         await self.peers.tell_vacant()
 
     async def _step_down(self, reason: str) -> None:
@@ -220,6 +228,9 @@
     async def _look(self, now_ms: int) -> None:
         self.looked_ms = now_ms
         if await self._is_taken() or now_ms < self.stand_back_ms:
+            self.vacant_ms = 0
+            return
+        if self._leaves_seat(now_ms):
             return
         # The lock's end is read before the seat is looked at again: a claim
         # in between makes this one fail.
@@ -232,6 +243,14 @@
             self._begin_term(claimed.ok_value, asked_ms)
             await self.seat.keep()
 
+    def _leaves_seat(self, now_ms: int) -> bool:
+        """Tell whether abler members are to claim first."""
+        self.vacant_ms = self.vacant_ms or now_ms
+        if now_ms - self.vacant_ms >= self.times.claim_delay_ms:
+            return False
+        self.look_until_ms = now_ms + LOOK_FOR_MS
+        return True
+
     async def _is_taken(self) -> bool:
         holder = await self.seat.holder()
         if isinstance(holder, Err):
@@ -242,7 +261,8 @@
         return bool(holder.ok_value)
 
     def _begin_term(self, fence: int, asked_ms: int) -> None:
-        self.tenure = Tenure(fence, asked_ms, self.ttl_ms)
+        self.vacant_ms = 0
+        self.tenure = Tenure(fence, asked_ms, self.times.ttl_ms)
         self.owner = self.make_owner(self.tenure)
         self.set_owner(self.owner)
         self.task = asyncio.get_running_loop().create_task(self.owner.run())
--- a/src/lycheerelay/serving/_workflow_api.py
+++ b/src/lycheerelay/serving/_workflow_api.py
@@ -33,6 +33,7 @@
     Verdict.UNKNOWN_OUTCOME: Code.TIMEOUT,
     Verdict.NO_SUCH_JOB: Code.NOT_FOUND,
     Verdict.UNAVAILABLE: Code.NO_OWNER,
+    Verdict.TOO_LATE: Code.OVERLOADED,
 }
 CODE_OF_PHASE: Final = {
     JobPhase.QUEUED: Code.ACCEPTED,
--- a/src/lycheerelay/workflow/__init__.py
+++ b/src/lycheerelay/workflow/__init__.py
@@ -20,6 +20,13 @@
 from ._ends import End, How
 from ._intake import cancel, submit
 from ._order import ORDERS
+from ._outlook import (
+    WaitPoint,
+    Waits,
+    predict_waits,
+    predicted_wait,
+    too_late_by,
+)
 from ._pacing import pace_worker
 from ._progress import encode, restore
 from ._spec import (
@@ -93,6 +100,8 @@
     'StopRun',
     'Table',
     'TaskKey',
+    'WaitPoint',
+    'Waits',
     'WorkerBook',
     'WorkerListing',
     'WorkflowSpec',
@@ -108,6 +117,8 @@
     'list_worker',
     'open_occurrences',
     'pace_worker',
+    'predict_waits',
+    'predicted_wait',
     'restore',
     'settle_gangs',
     'silence_ms',
@@ -115,6 +126,7 @@
     'stop_answered',
     'stop_strays',
     'submit',
+    'too_late_by',
     'unlist_worker',
     'watch',
 )
--- a/src/lycheerelay/workflow/_dispatch.py
+++ b/src/lycheerelay/workflow/_dispatch.py
@@ -45,10 +45,9 @@
     """Start what fits; return how many runs were started."""
     if not cell.loaded or cell.deposed:
         return 0
-    wall_ms = now_ms + cell.wall_offset_ms
     waiting = [step for step in cell.open_steps.values() if step.waiting]
     order = ORDERS[cell.order]
-    waiting.sort(key=lambda step: order(step, wall_ms))
+    waiting.sort(key=lambda step: order(step, now_ms))
     passes: dict[str, PoolPass] = {}
     started = 0
     for step in waiting:
@@ -270,7 +269,6 @@
     now_ms: int,
 ) -> None:
     start_run(cell, step, task, worker, number, now_ms)
-    wall_ms = now_ms + cell.wall_offset_ms
     note(
         cell,
         'run_started',
@@ -278,6 +276,6 @@
         index=task.index,
         number=number,
         worker=worker.worker_id,
-        slack_ms=step.latest_start_ms - wall_ms,
+        slack_ms=step.latest_start_ms - now_ms,
         fence=cell.fence,
     )
--- a/src/lycheerelay/workflow/_order.py
+++ b/src/lycheerelay/workflow/_order.py
@@ -13,41 +13,41 @@
 LATE: Final = 1
 WORTHLESS: Final = 2
 
-# Orders of waiting steps: a step and the wall time in ms give a key, and the
+# Orders of waiting steps: a step and the time in ms give a key, and the
 # lowest key is served first.
 ORDERS: Final[Registry[str, Order]] = Registry('order')
 
 
 @ORDERS.register('slack')
-def by_slack(step: StepBook, wall_ms: int) -> OrderKey:
+def by_slack(step: StepBook, now_ms: int) -> OrderKey:
     """Serve the least slack first among what can still be in time.
 
     Then what is late but still worth something, the nearest to its limit
     first, then the rest.
     """
     offset = step.job.offset
-    if wall_ms <= step.latest_start_ms or step.spec.lasts:
+    if now_ms <= step.latest_start_ms or step.spec.lasts:
         return IN_TIME, step.latest_start_ms, offset
-    if wall_ms <= step.hopeless_ms:
+    if now_ms <= step.hopeless_ms:
         return LATE, step.hopeless_ms, offset
     return WORTHLESS, offset, offset
 
 
 @ORDERS.register('arrival')
-def by_arrival(step: StepBook, wall_ms: int) -> OrderKey:
+def by_arrival(step: StepBook, now_ms: int) -> OrderKey:
     """Serve in the order of acceptance."""
     return IN_TIME, step.job.offset, step.key.step
 
 
 @ORDERS.register('shortest')
-def by_length(step: StepBook, wall_ms: int) -> OrderKey:
+def by_length(step: StepBook, now_ms: int) -> OrderKey:
     """Serve the least expected work first."""
     work_ms = step.spec.expected_ms * len(step.waiting)
     return IN_TIME, work_ms, step.job.offset
 
 
 @ORDERS.register('priority')
-def by_priority(step: StepBook, wall_ms: int) -> OrderKey:
+def by_priority(step: StepBook, now_ms: int) -> OrderKey:
     """Serve by the queue's priority, then by slack."""
-    state, due_ms, _ = by_slack(step, wall_ms)
+    state, due_ms, _ = by_slack(step, now_ms)
     return state, step.job.spec.priority, due_ms
--- /dev/null
+++ b/src/lycheerelay/workflow/_outlook.py
@@ -0,0 +1,153 @@
+"""Predict how long new work waits, and tell what could only end too late."""
+
+import heapq
+from typing import Final, NamedTuple
+
+from .._resources import Resources
+from ._fit import is_usable
+from ._intake import LATE_LIMIT
+from ._order import IN_TIME, by_slack
+from ._spec import WorkflowSpec, chain_ms
+from ._state import CellState, Run, StepBook
+
+# Shorter waits are not told: they come and go within a few decisions.
+LEAST_WAIT_MS: Final = 1000
+# A pool's waits are told by so many points at most.
+MOST_POINTS: Final = 16
+
+
+class WaitPoint(NamedTuple):
+    """Tell the wait of work that has to start by a time; both in ms."""
+
+    latest_start_ms: int
+    wait_ms: int
+
+
+class PoolRoom(NamedTuple):
+    """Hold what the usable workers of a pool have, and have free."""
+
+    whole: Resources
+    free: Resources
+
+
+Waits = dict[str, tuple[WaitPoint, ...]]
+
+
+def predict_waits(cell: CellState, now_ms: int) -> Waits:
+    """Return, for each pool without room, how long waiting work waits.
+
+    Steps that can still be in time start in their order as runs end, each
+    after its expected time; a pool counts as one large worker, so the real
+    waits are longer where tasks do not fit side by side.
+    """
+    rooms = _rooms(cell, now_ms)
+    waiting: dict[str, list[StepBook]] = {}
+    for step in cell.open_steps.values():
+        pool = step.job.spec.pool
+        is_wanted = step.waiting and not (step.spec.lasts or step.spec.fills)
+        in_time = by_slack(step, now_ms)[0] == IN_TIME
+        if pool in rooms and is_wanted and in_time:
+            waiting.setdefault(pool, []).append(step)
+    waits: Waits = {}
+    for pool, steps in waiting.items():
+        steps.sort(key=lambda step: step.latest_start_ms)
+        points = _play(steps, rooms[pool], _ends(cell, pool, now_ms), now_ms)
+        if points and points[-1].wait_ms >= LEAST_WAIT_MS:
+            waits[pool] = _thin(points)
+    return waits
+
+
+def predicted_wait(
+    spec: WorkflowSpec,
+    points: tuple[WaitPoint, ...],
+    age_ms: int = 0,
+) -> int:
+    """Return the wait of a new job under its pool's waits, told so long ago."""
+    whole_ms = chain_ms(spec)
+    latest_ms = spec.accepted_ms + _objective_ms(spec) - whole_ms
+    waits_ms = (
+        point.wait_ms - age_ms
+        for point in points
+        if point.latest_start_ms <= latest_ms
+    )
+    return max((*waits_ms, 0))
+
+
+def too_late_by(spec: WorkflowSpec, wait_ms: int) -> int:
+    """Return by how many ms a job that waits so long is worth nothing.
+
+    A job that lasts, or runs at set times, is never too late.
+    """
+    if spec.occurrences or any(step.lasts for step in spec.steps):
+        return 0
+    limit_ms = LATE_LIMIT * _objective_ms(spec)
+    return max(wait_ms + chain_ms(spec) - limit_ms, 0)
+
+
+def _objective_ms(spec: WorkflowSpec) -> int:
+    return int(spec.stretch * chain_ms(spec)) + spec.objective_ms
+
+
+def _rooms(cell: CellState, now_ms: int) -> dict[str, PoolRoom]:
+    rooms: dict[str, PoolRoom] = {}
+    for worker in cell.workers.values():
+        if is_usable(worker, now_ms):
+            room = rooms.get(worker.pool, PoolRoom(Resources(), Resources()))
+            rooms[worker.pool] = PoolRoom(
+                room.whole.plus(worker.capacity),
+                room.free.plus(worker.free),
+            )
+    return rooms
+
+
+class PoolEnd(NamedTuple):
+    """Tell when a run gives its room back."""
+
+    end_ms: int
+    demand: Resources
+
+
+def _ends(cell: CellState, pool: str, now_ms: int) -> list[PoolEnd]:
+    ends = [
+        PoolEnd(
+            max(run.sent_ms + run.step.spec.expected_ms, now_ms), run.demand
+        )
+        for worker in cell.workers.values()
+        if worker.pool == pool and is_usable(worker, now_ms)
+        for run in worker.runs.values()
+        if _is_passing(run)
+    ]
+    heapq.heapify(ends)
+    return ends
+
+
+def _is_passing(run: Run) -> bool:
+    return not (run.step.spec.lasts or run.step.spec.fills)
+
+
+def _play(
+    steps: list[StepBook],
+    room: PoolRoom,
+    ends: list[PoolEnd],
+    now_ms: int,
+) -> list[WaitPoint]:
+    free = room.free
+    time_ms = now_ms
+    points = []
+    for step in steps:
+        wanted = step.spec.demand.times(len(step.waiting))
+        demand = Resources(*map(min, wanted, room.whole))
+        while not demand.fits_in(free) and ends:
+            end = heapq.heappop(ends)
+            time_ms = max(time_ms, end.end_ms)
+            free = free.plus(end.demand)
+        free = free.minus(demand)
+        end_ms = time_ms + step.spec.expected_ms
+        heapq.heappush(ends, PoolEnd(end_ms, demand))
+        points.append(WaitPoint(step.latest_start_ms, time_ms - now_ms))
+    return points
+
+
+def _thin(points: list[WaitPoint]) -> tuple[WaitPoint, ...]:
+    stride = -(-len(points) // MOST_POINTS)
+    return tuple(points[stride - 1 :: stride])
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -220,7 +220,6 @@
     loaded: bool = False
     gangs_settled: bool = False
     deposed: bool = False
-    wall_offset_ms: int = 0
     doubted_ms: int = NEVER
     order: str = 'slack'
     reserving_steps: int = RESERVING_STEPS
--- a/src/lycheerelay_standins/platform/_cell.py
+++ b/src/lycheerelay_standins/platform/_cell.py
@@ -22,6 +22,7 @@
 EPOCH_MS: Final = 1_700_000_000_000
 STORE: Final = '10.9.0.1:80'
 ADVISOR: Final = '10.9.0.2:80'
+BYTES_IN_MBIT: Final = 125_000
 
 
 @final
@@ -66,7 +67,7 @@
             task.cancel()
         await asyncio.sleep(0)
 
-    def start_vm(self, name: str) -> Entry:
+    def start_vm(self, name: str, link_mbps: float = 1000) -> Entry:
         """Start an entry VM, also again after a kill."""
         self.made += 1
         host = f'10.1.0.{self.made}'
@@ -83,7 +84,9 @@
             status_ms=120_000,
             stop_grace_ms=6000,
             group_ttl_ms=GROUP_TTL_MS,
+            link_mbps=link_mbps,
         )
+        self.net.bytes_per_s[name] = link_mbps * BYTES_IN_MBIT
         caller = NetCaller(self.net, name)
         entry = Entry(settings, caller, self.clock, str(self.made))
         self.entries[name] = entry
--- a/src/lycheerelay_standins/platform/_net.py
+++ b/src/lycheerelay_standins/platform/_net.py
@@ -26,6 +26,13 @@
     body: bytes
 
 
+class TimeLimits(NamedTuple):
+    """Bound the wait for an answer, and the answer's way, in ms."""
+
+    answer_ms: int
+    whole_ms: int
+
+
 Handler = Callable[[Request], Awaitable[Reply]]
 
 
@@ -36,7 +43,8 @@
     `cuts` holds pairs of origin and address (or `*`) between which nothing
     passes. `lost` is the share of answers that get lost for an address,
     `late` the share of calls that are answered never and carried out after
-    the given delay in s, `slow` a delay in ms before each answer. `frozen`
+    the given delay in s, `slow` a delay in ms before each answer, `bytes_per_s`
+    the rate of the links of machines that have slow ones. `frozen`
     holds machines that neither send nor read until their event is set: what
     they had in hand leaves then.
     """
@@ -51,6 +59,7 @@
         self.lost: dict[str, float] = {}
         self.late: dict[str, tuple[float, float, float]] = {}
         self.slow: dict[str, int] = {}
+        self.bytes_per_s: dict[str, float] = {}
         self.frozen: dict[str, asyncio.Event] = {}
         self.pending: set[asyncio.Task[object]] = set()
 
@@ -92,33 +101,33 @@
         origin: str,
         address: str,
         request: Request,
-        timeout_ms: int,
+        limits: TimeLimits,
     ) -> Reply:
         """Deliver one call and bring its answer back."""
         await self._thaw(origin)
         if self._is_refusing(origin, address):
             return await self._refuse()
         if self.is_cut(origin, address):
-            return await self._time_out(timeout_ms)
-        return await self._deliver(origin, address, request, timeout_ms)
+            return await self._time_out(limits.answer_ms)
+        return await self._deliver(origin, address, request, limits)
 
     async def _deliver(
         self,
         origin: str,
         address: str,
         request: Request,
-        timeout_ms: int,
+        limits: TimeLimits,
     ) -> Reply:
         await _sleep_ms(ONE_WAY_MS)
-        reply = await self._await_reply(
-            address,
-            request,
-            timeout_ms,
-            origin,
-        )
-        is_lost = reply is None or self.is_cut(origin, address)
-        await _sleep_ms(timeout_ms if is_lost else ONE_WAY_MS)
-        return Reply(NO_ANSWER) if reply is None or is_lost else reply
+        timeout_ms = limits.answer_ms
+        reply = await self._await_reply(address, request, timeout_ms, origin)
+        if reply is None or self.is_cut(origin, address):
+            await _sleep_ms(timeout_ms)
+            return Reply(NO_ANSWER)
+        rate = self.bytes_per_s.get(origin)
+        way_ms = len(reply.raw) * MS_PER_SECOND / rate if rate else 0
+        await _sleep_ms(min(ONE_WAY_MS + way_ms, limits.whole_ms))
+        return Reply(NO_ANSWER) if way_ms > limits.whole_ms else reply
 
     async def _await_reply(
         self,
@@ -183,6 +192,7 @@
         timeout_ms: int,
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
+        longest_ms: int = 0,
     ) -> Reply:
         """Make one call, once."""
         parts = urlsplit(url)
@@ -193,7 +203,8 @@
             headers or {},
             body or b'',
         )
-        return await self.net.call(self.vm, parts.netloc, request, timeout_ms)
+        limits = TimeLimits(timeout_ms, max(timeout_ms, longest_ms))
+        return await self.net.call(self.vm, parts.netloc, request, limits)
 
     async def close(self) -> None:
         """Close nothing."""
--- /dev/null
+++ b/tests/test_workflow_outlook.py
@@ -0,0 +1,102 @@
+"""Predict waits and refuse what could only end too late."""
+
+import asyncio
+
+from lycheerelay._resources import Resources
+from lycheerelay.workflow import (
+    CellState,
+    StepSpec,
+    WorkerListing,
+    WorkflowSpec,
+    dispatch,
+    list_worker,
+    predict_waits,
+    predicted_wait,
+    submit,
+    too_late_by,
+)
+from lycheerelay_standins.platform import CellShape, PlatformCell, Shape
+from platform_days import job, play, step
+
+
+def spec_of(number: int, accepted_ms: int = 0) -> WorkflowSpec:
+    """Return a job of one task that fills a worker for a second."""
+    only = StepSpec(1, Resources(1000, 100), 1000)
+    name = f'{number:016x}'
+    return WorkflowSpec(
+        name, 'q', 'pool', 'x', (only,), 3, 1.0, 500, accepted_ms
+    )
+
+
+def crowded(jobs: int) -> CellState:
+    """Return a cell of one worker with room for one task at a time."""
+    cell = CellState(fence=1, clear_ms=0)
+    cell.loaded = True
+    entry = WorkerListing(
+        'w',
+        'w:80',
+        'pool',
+        'a',
+        'r',
+        frozenset(),
+        Resources(1000, 4000),
+        draining=False,
+    )
+    list_worker(cell, entry, 0)
+    cell.workers['w'].enrolled = True
+    cell.workers['w'].synced = True
+    for number in range(jobs):
+        submit(cell, spec_of(number), number)
+    dispatch(cell, 0)
+    return cell
+
+
+def test_a_pool_with_room_has_no_wait() -> None:
+    """One running task and none waiting is no queue."""
+    assert predict_waits(crowded(1), 0) == {}
+
+
+def test_waits_follow_the_order() -> None:
+    """The last of five waits for the four before it."""
+    waits = predict_waits(crowded(5), 0)['pool']
+    assert [point.wait_ms for point in waits] == [1000, 2000, 3000, 4000]
+    assert predicted_wait(spec_of(9), waits) == 4000
+    assert predicted_wait(spec_of(9), waits, age_ms=300) == 3700
+
+
+def test_urgent_work_does_not_wait_for_the_rest() -> None:
+    """Work that has to start earlier goes ahead of what is waiting."""
+    waits = predict_waits(crowded(5), 0)['pool']
+    urgent = spec_of(9)._replace(objective_ms=100)
+    assert predicted_wait(urgent, waits) == 0
+
+
+def test_only_what_is_worth_nothing_is_too_late() -> None:
+    """Up to three times its objective of 1500 ms a job is worth something."""
+    assert too_late_by(spec_of(1), 3500) == 0
+    assert too_late_by(spec_of(1), 3600) == 100
+    timed = spec_of(1)._replace(occurrences=2)
+    assert too_late_by(timed, 99_999) == 0
+
+
+def test_a_caller_is_refused_while_the_queue_is_too_long() -> None:
+    """At any VM, at once, with a time to come back; a repeat is accepted."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        # The stand-in's objective is twice the work and one second.
+        long = job(step(1, cpu=16000, estimatedMs=6000))
+        taken = []
+        refused = []
+        for _ in range(16):
+            name, outcome = await cell.submit('vm-0', long, work_ms=6000)
+            kept = taken if outcome.verdict.value == 'ok' else refused
+            kept.append((name, outcome))
+            await asyncio.sleep(0.6)
+            await cell.state('vm-0', taken[0][0])
+        assert len(taken) >= 5
+        assert {outcome.verdict.value for _, outcome in refused} == {'too_late'}
+        assert all(outcome.retry_after_s >= 1 for _, outcome in refused)
+        _, again = await cell.submit('vm-1', long, job_id=taken[0][0])
+        assert again.verdict.value == 'ok'
+
+    play(scenario, CellShape(workers=(Shape('cpu'),)))
