Test that able VMs claim first among many weak ones

Change: six weak VMs instead of two, at other moments.

Measured: red with the delay at 0, green with it.

Conclusion: the guard has a test now.

--- a/tests/test_platform_ownership.py
+++ b/tests/test_platform_ownership.py
@@ -327,12 +327,14 @@
     """A VM with a slow link claims only what nobody else wants."""
 
     async def scenario(cell: PlatformCell) -> None:
-        cell.start_vm('vm-8', link_mbps=5)
+        for number in range(4, 9):
+            cell.start_vm(f'vm-{number}', link_mbps=5)
         cell.start_vm('vm-9', link_mbps=10)
         await asyncio.sleep(1)
-        for _ in range(3):
+        for moment in range(3):
             before = cell.owner()
-            assert before not in {'', 'vm-8', 'vm-9'}
+            assert before in {'vm-0', 'vm-1', 'vm-2'}
+            await asyncio.sleep(moment * 0.13)
             cell.kill_vm(before)
             await asyncio.sleep(3)
         assert cell.owner() == 'vm-9'
