Show the state of an entry VM on a platform

Cause: a process of the platform path had no dump; the desk held the prediction of waits beside everything else.

Conclusion: none.

--- a/src/lycheerelay/platform/_entry.py
+++ b/src/lycheerelay/platform/_entry.py
@@ -23,6 +23,7 @@
     WorkflowApi,
     claim_delay_ms,
     clear_ms,
+    dump_process,
 )
 from ..workflow import CellState
 from ._advisor import AdvisorCalls
@@ -87,6 +88,7 @@
             self.desk,
             self.advisor,
             self.terms.look_now,
+            lambda: dump_process(self.desk, self.config, self.terms),
         )
         self.stopping = asyncio.Event()
         self.background: list[asyncio.Task[None]] = []
--- a/src/lycheerelay/serving/__init__.py
+++ b/src/lycheerelay/serving/__init__.py
@@ -4,6 +4,7 @@
 from ._config_watch import ConfigWatch
 from ._context import Limits, OwnerContext
 from ._desk import Desk, Outcome, Verdict
+from ._dump import dump_process
 from ._event_log import set_up_event_log
 from ._http_calls import (
     NO_ANSWER,
@@ -85,6 +86,7 @@
     'Writer',
     'claim_delay_ms',
     'clear_ms',
+    'dump_process',
     'is_workflow_path',
     'set_up_event_log',
 )
--- a/src/lycheerelay/serving/_desk.py
+++ b/src/lycheerelay/serving/_desk.py
@@ -2,26 +2,18 @@
 
 import asyncio
 import logging
-import math
 from enum import Enum, unique
 from typing import Any, Final, NamedTuple, final
 
 from result import Err, Ok, Result
 
 from .._clock import Clock
-from .._hashing import number_of
-from ..workflow import (
-    JobPhase,
-    WaitPoint,
-    Waits,
-    WorkflowSpec,
-    predicted_wait,
-    too_late_by,
-)
+from ..workflow import JobPhase, WorkflowSpec
 from ._append_gate import RETRY_AFTER_S, AppendGate
 from ._job_appends import JobAppends
 from ._job_stream import CANCEL_PREFIX, JOB_PREFIX
 from ._meters import Meters
+from ._outlook import Outlook, come_back_after_s, read_waits, write_waits
 from ._owner import Owner
 from ._peers import SEEK_EVERY_MS, Peers
 from ._ports import KeyedLog, KeyedRecord, LogFault
@@ -41,38 +33,6 @@
 LONGEST_ASK_MS: Final = 1500
 
 
-# A prediction of waits that is older than this, in ms, refuses nobody.
-OUTLOOK_MS: Final = 2000
-# Refused callers are told to come back up to this share later than room is
-# predicted, so that they do not come together.
-SPREAD: Final = 0.5
-PERCENT: Final = 100
-MS_PER_SECOND: Final = 1000
-
-
-class Outlook(NamedTuple):
-    """Tell how long new work of a pool waits, as the owner said it then."""
-
-    waits: Waits
-    told_ms: int
-
-
-def write_waits(waits: Waits) -> dict[str, list[list[int]]]:
-    """Return waits as another VM reads them."""
-    return {
-        pool: [list(point) for point in points]
-        for pool, points in waits.items()
-    }
-
-
-def read_waits(raw: dict[str, list[list[int]]]) -> Waits:
-    """Return waits as another VM sent them."""
-    return {
-        pool: tuple(WaitPoint(*point) for point in points)
-        for pool, points in raw.items()
-    }
-
-
 @unique
 class Verdict(Enum):
     """Name the outcome of a request."""
@@ -118,8 +78,9 @@
 
         A job that could only end too late is refused at once.
         """
-        refusal = self._refuse_late(spec)
-        if refusal is not None:
+        late_s = come_back_after_s(spec, self._outlook(), self.clock.now_ms())
+        if late_s:
+            refusal = Outcome(Verdict.TOO_LATE, retry_after_s=late_s)
             outcome = await self._repeat_or(refusal, spec.job_id)
             return self._said('submit', spec.job_id, spec.queue, outcome)
         record = KeyedRecord(f'{JOB_PREFIX}{spec.job_id}', encode_spec(spec))
@@ -280,32 +241,10 @@
             return Outcome(Verdict.OK)
         return refusal
 
-    def _refuse_late(self, spec: WorkflowSpec) -> Outcome | None:
-        now_ms = self.clock.now_ms()
-        outlook = self.outlook
+    def _outlook(self) -> Outlook:
         if self.owner is not None:
-            outlook = Outlook(self.owner.waits, now_ms)
-        age_ms = now_ms - outlook.told_ms
-        points = outlook.waits.get(spec.pool, ())
-        wait_ms = predicted_wait(spec, points, age_ms)
-        late_ms = too_late_by(spec, wait_ms)
-        if not late_ms or age_ms > OUTLOOK_MS:
-            return None
-        percent = number_of(spec.job_id) % PERCENT
-        spread = 1 + SPREAD * percent / PERCENT
-        retry_after_s = math.ceil(late_ms * spread / MS_PER_SECOND)
-        logger.info(
-            'too_late',
-            extra={
-                'job': spec.job_id,
-                'pool': spec.pool,
-                'wait_ms': wait_ms,
-                'age_ms': age_ms,
-                'late_ms': late_ms,
-                'retry_after_s': retry_after_s,
-            },
-        )
-        return Outcome(Verdict.TOO_LATE, retry_after_s=retry_after_s)
+            return Outlook(self.owner.waits, self.clock.now_ms())
+        return self.outlook
 
     def _said(
         self,
--- a/src/lycheerelay/serving/_internal.py
+++ b/src/lycheerelay/serving/_internal.py
@@ -34,18 +34,20 @@
         desk: Desk,
         advisor: Advisor,
         look_now: Callable[[], None],
+        dump: Callable[[], Body],
     ) -> None:
         """Answer from the desk's cell."""
         self.desk = desk
         self.advisor = advisor
         self.look_now = look_now
+        self.dump = dump
 
     async def answer(self, path: str, raw: bytes) -> Reply:
         """Answer one call with a status and a JSON body."""
         if path not in ROUTES:
             return Reply(NOT_FOUND)
         try:
-            answer = await ROUTES[path](self, orjson.loads(raw))
+            answer = await ROUTES[path](self, orjson.loads(raw or b'{}'))
         except (ValueError, KeyError, TypeError) as error:
             logger.warning(
                 'internal_call_unreadable',
@@ -85,3 +87,9 @@
     """Hear that the owner's seat is vacant."""
     internal.look_now()
     return {}
+
+
+@ROUTES.register('/dump')
+async def dump(internal: Internal, body: Body) -> Body | None:
+    """Show the state of this process."""
+    return internal.dump()
--- /dev/null
+++ b/src/lycheerelay/serving/_outlook.py
@@ -0,0 +1,78 @@
+"""Refuse jobs that could only end too late, by what the owner predicts."""
+
+import logging
+import math
+from typing import Final, NamedTuple
+
+from .._hashing import number_of
+from ..workflow import (
+    WaitPoint,
+    Waits,
+    WorkflowSpec,
+    predicted_wait,
+    too_late_by,
+)
+
+logger = logging.getLogger('lycheerelay.outlook')
+
+# A prediction of waits that is older than this, in ms, refuses nobody.
+OUTLOOK_MS: Final = 2000
+# Refused callers are told to come back up to this share later than room is
+# predicted, so that they do not come together.
+SPREAD: Final = 0.5
+PERCENT: Final = 100
+MS_PER_SECOND: Final = 1000
+
+
+class Outlook(NamedTuple):
+    """Tell how long new work of a pool waits, as the owner said it then."""
+
+    waits: Waits
+    told_ms: int
+
+
+def write_waits(waits: Waits) -> dict[str, list[list[int]]]:
+    """Return waits as another VM reads them."""
+    return {
+        pool: [list(point) for point in points]
+        for pool, points in waits.items()
+    }
+
+
+def read_waits(raw: dict[str, list[list[int]]]) -> Waits:
+    """Return waits as another VM sent them."""
+    return {
+        pool: tuple(WaitPoint(*point) for point in points)
+        for pool, points in raw.items()
+    }
+
+
+def come_back_after_s(
+    spec: WorkflowSpec,
+    outlook: Outlook,
+    now_ms: int,
+) -> int:
+    """Return when a job that comes too late may come back; 0 if it does not.
+
+    The time is in s from now; an old prediction refuses nobody.
+    """
+    age_ms = now_ms - outlook.told_ms
+    wait_ms = predicted_wait(spec, outlook.waits.get(spec.pool, ()), age_ms)
+    late_ms = too_late_by(spec, wait_ms)
+    if not late_ms or age_ms > OUTLOOK_MS:
+        return 0
+    percent = number_of(spec.job_id) % PERCENT
+    spread = 1 + SPREAD * percent / PERCENT
+    retry_after_s = math.ceil(late_ms * spread / MS_PER_SECOND)
+    logger.info(
+        'too_late',
+        extra={
+            'job': spec.job_id,
+            'pool': spec.pool,
+            'wait_ms': wait_ms,
+            'age_ms': age_ms,
+            'late_ms': late_ms,
+            'retry_after_s': retry_after_s,
+        },
+    )
+    return retry_after_s
--- a/tests/test_workflow_api.py
+++ b/tests/test_workflow_api.py
@@ -9,7 +9,7 @@
 from lycheerelay._codes import Code
 from lycheerelay._job_document import read_document
 from lycheerelay_standins.platform import PlatformCell
-from platform_days import STORE, play
+from platform_days import STORE, job, play, step
 
 
 def document(**fields: Any) -> dict[str, Any]:
@@ -94,6 +94,29 @@
     play(scenario)
 
 
+def test_a_dump_shows_the_cell_at_its_owner() -> None:
+    """Other VMs show who owns it; everything is plain JSON."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        long = job(step(3), step(2, after=[0]))
+        await cell.submit('vm-0', long, work_ms=3000)
+        await asyncio.sleep(1)
+        dumps = {}
+        for name, entry in cell.entries.items():
+            reply = await entry.internal.answer('/dump', b'')
+            assert reply.status == 200
+            dumps[name] = reply.fields()
+        owner = dumps.pop(cell.owner())
+        assert owner['cell']['jobs'] == {'running': 1}
+        assert sum(row['runs'] for row in owner['cell']['workers']) == 3
+        assert owner['config_version'] == 1
+        for dump in dumps.values():
+            assert dump['cell'] is None
+            assert dump['owner'] == owner['name']
+
+    play(scenario)
+
+
 @pytest.mark.parametrize(
     ('fields', 'path'),
     [
