Judge advised workers and waiting tasks only where a step may fit

Cause: samples of an owner of 176 workers: half of its time in decisions, much of it in re-checking the workers that the advisor allowed, and in listing waiting tasks of steps that fit nowhere. Change: both are left out.

--- a/src/lycheerelay/workflow/_dispatch.py
+++ b/src/lycheerelay/workflow/_dispatch.py
@@ -85,36 +85,42 @@
     turn: PoolPass,
     now_ms: int,
 ) -> int:
-    tasks = [
-        step.tasks[index]
-        for index in step.waiting
-        if step.tasks[index].not_before_ms <= now_ms
-        and not _may_run_unseen(cell, step.tasks[index], now_ms)
-    ]
-    if not tasks:
-        return 0
     policy = step.job.spec.advice
     if policy is not None and not step.asked:
         ask_first(cell, step, policy, turn.usable, now_ms)
         return 0
+    started = 0
     may_fit = step.spec.demand.fits_in(turn.most_free)
     if not may_fit and policy is None and not _is_wide(step):
         return 0
     workers = _candidates(step, turn)
-    started = 0
     if may_fit:
+        tasks = _startable(cell, step, now_ms)
+        if not tasks:
+            return 0
         serve = _start_gang if step.spec.gang else _start_tasks
         started = serve(cell, step, turn, tasks, workers, now_ms)
-    if step.waiting and started < len(tasks):
-        _wait_for_room(cell, step, turn, workers, now_ms)
+        if started == len(tasks):
+            return started
+    _wait_for_room(cell, step, turn, workers, now_ms)
     return started
 
 
+def _startable(cell: CellState, step: StepBook, now_ms: int) -> list[TaskBook]:
+    return [
+        step.tasks[index]
+        for index in step.waiting
+        if step.tasks[index].not_before_ms <= now_ms
+        and not _may_run_unseen(cell, step.tasks[index], now_ms)
+    ]
+
+
 def _candidates(step: StepBook, turn: PoolPass) -> list[WorkerBook]:
     if step.job.spec.advice is None:
         return candidates(turn.usable.values(), step)
-    advised = (turn.usable.get(worker_id) for worker_id in step.good)
-    return candidates(filter(None, advised), step)
+    # Only workers that may run the step were asked about.
+    usable = turn.usable
+    return [usable[name] for name in step.good if name in usable]
 
 
 def _wait_for_room(
