--- a/src/lycheerelay/workflow/_dispatch.py
+++ b/src/lycheerelay/workflow/_dispatch.py
@@ -20,7 +20,6 @@
     room_for,
     score,
 )
-from ._headroom import room_to_keep
 from ._notes import note
 from ._order import ORDERS
 from ._runs import start_run
@@ -32,12 +31,11 @@
     """Track one pass over the waiting steps of a pool.
 
     `usable` holds the workers that take new runs, `most_free` the largest
-    free amounts among them, each for itself, `free` their sums.
+    free amounts among them, each for itself.
     """
 
     usable: dict[str, WorkerBook]
     most_free: Resources
-    free: Resources
     rank: int = 0
     reserving: int = 0
     reserved: dict[str, Reserved] = field(default_factory=dict)
@@ -73,8 +71,7 @@
     most_free = Resources(
         *(max(amounts) for amounts in zip(*free, strict=True))
     )
-    whole = Resources(*(sum(amounts) for amounts in zip(*free, strict=True)))
-    return PoolPass(usable, most_free, whole)
+    return PoolPass(usable, most_free)
 
 
 def _may_run_unseen(cell: CellState, task: TaskBook, now_ms: int) -> bool:
@@ -190,8 +187,6 @@
     workers: list[WorkerBook],
     now_ms: int,
 ) -> int:
-    kept = room_to_keep(cell, step, now_ms)
-    demand = step.spec.demand
     options = Options(step, turn.reserved, now_ms)
     for worker in workers:
         if has_ticket(step, worker, now_ms):
@@ -199,9 +194,8 @@
     started = 0
     for task in tasks:
         best = options.best(task)
-        if best is None or not demand.plus(kept).fits_in(turn.free):
+        if best is None:
             break
-        turn.free = turn.free.minus(demand)
         _start(cell, step, task, best, next_run([task]), now_ms)
         options.judge(best)
         started += 1
@@ -222,11 +216,8 @@
         worker for worker in workers if has_ticket(step, worker, now_ms)
     ]
     plan = _plan_gang(step, turn, open_workers, now_ms)
-    demand = step.spec.demand.times(len(plan))
-    kept = room_to_keep(cell, step, now_ms)
-    if not plan or not demand.plus(kept).fits_in(turn.free):
+    if not plan:
         return 0
-    turn.free = turn.free.minus(demand)
     number = next_run(step.tasks)
     for task, worker in zip(step.tasks, plan, strict=True):
         _start(cell, step, task, worker, number, now_ms)
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -9,7 +9,6 @@
 
 if TYPE_CHECKING:
     from ._commands import Command
-    from ._headroom import QueueUse
 
 NEVER = -1
 # Room is kept for so many steps of a pool that do not fit yet; more would
@@ -222,8 +221,6 @@
     gangs_settled: bool = False
     deposed: bool = False
     doubted_ms: int = NEVER
-    uses: 'dict[str, QueueUse]' = field(default_factory=dict)
-    use_noted_ms: int = NEVER
     order: str = 'slack'
     reserving_steps: int = RESERVING_STEPS
 
--- a/src/lycheerelay/workflow/_watch.py
+++ b/src/lycheerelay/workflow/_watch.py
@@ -10,7 +10,6 @@
     score,
     usable_workers,
 )
-from ._headroom import note_use
 from ._intake import open_due
 from ._notes import note
 from ._runs import start_run, stop_run
@@ -52,7 +51,6 @@
         cell.gangs_settled = True
         settle_gangs(cell, now_ms)
     repeat_stops(cell, now_ms)
-    note_use(cell, now_ms)
     for worker in list(cell.workers.values()):
         for run in list(worker.runs.values()):
             if run.state is RunState.RUNNING:
