Let the owner know every VM, not just those that hold a partition

Advice is asked for by one VM at a time each; the owner took the group's directory for all members, but it names holders of its 12 partitions only: 10 lanes of 35 for long calls.

Change: a member makes itself known to the owner when it finds it, and every 5 s and more, the more members the owner knows.

Measured: test_an_owner_of_many_vms_knows_them_all, red before.

--- a/src/lycheerelay/platform/_entry.py
+++ b/src/lycheerelay/platform/_entry.py
@@ -144,4 +144,5 @@
     async def _refresh(self) -> None:
         while True:
             await self.peers.refresh(KEEP_MS if self.peers.owner else SEEK_MS)
+            await self.peers.say_hello()
             await asyncio.sleep(DIRECTORY_EVERY_S)
--- a/src/lycheerelay/serving/_dump.py
+++ b/src/lycheerelay/serving/_dump.py
@@ -21,6 +21,7 @@
         'name': desk.peers.own_name,
         'owner': desk.peers.owner,
         'members': list(desk.peers.members),
+        'others': desk.peers.others(),
         'in_touch_with_store': terms.is_in_touch,
         'leaving': terms.leaving,
         'store_failing_since_ms': desk.gate.failing_since_ms,
--- a/src/lycheerelay/serving/_internal.py
+++ b/src/lycheerelay/serving/_internal.py
@@ -82,6 +82,12 @@
     return {'tickets': advised.tickets, 'valid_ms': advised.valid_ms}
 
 
+@ROUTES.register('/hello')
+async def hello(internal: Internal, body: Body) -> Body | None:
+    """Hear of a member that calls this one the owner."""
+    return {'again_ms': internal.desk.peers.hear_hello(str(body['member']))}
+
+
 @ROUTES.register('/vacant')
 async def vacant(internal: Internal, body: Body) -> Body | None:
     """Hear that the owner's seat is vacant."""
--- a/src/lycheerelay/serving/_peers.py
+++ b/src/lycheerelay/serving/_peers.py
@@ -2,7 +2,7 @@
 
 A member of the group is named `HOST:PORT#INCARNATION`; the first part is the
 address of its internal interface. Calls are JSON over HTTP: `POST /state`,
-`/waiting`, `/advice` and `/vacant`.
+`/waiting`, `/advice`, `/hello`, `/vacant` and `/dump`.
 """
 
 import asyncio
@@ -30,6 +30,14 @@
 # A member that is told of a vacant seat answers within a way, in ms.
 VACANT_TIMEOUT_MS: Final = 150
 HTTP_OK: Final = 200
+# A member makes itself known to the owner this often, in ms, and later by so
+# many ms for each member that the owner knows.
+HELLO_EVERY_MS: Final = 5000
+HELLO_MEMBER_MS: Final = 100
+# After a hello that did not reach the owner the next one comes after, in ms.
+HELLO_AGAIN_MS: Final = 1000
+# A member is known for so many times as long as it is told to wait.
+HELLO_KEPT: Final = 3
 
 
 def address_of(member: str) -> str:
@@ -59,18 +67,49 @@
         self.members: tuple[str, ...] = ()
         self.read_ms = -REFRESH_EVERY_MS
         self.suspects: dict[str, int] = {}
+        self.greeted: dict[str, int] = {}
+        self.hello_due_ms = 0
         self.reading = asyncio.Lock()
 
     def others(self) -> list[str]:
         """Return the addresses of peers that answered lately."""
         now_ms = self.clock.now_ms()
+        greeted = (
+            member
+            for member, until_ms in self.greeted.items()
+            if until_ms > now_ms
+        )
         return [
             address_of(member)
-            for member in self.members
+            for member in dict.fromkeys((*self.members, *greeted))
             if member != self.own_name
             and self.suspects.get(address_of(member), 0) <= now_ms
         ]
 
+    def hear_hello(self, member: str) -> int:
+        """Know a member for a while; return when it is to come again, in ms.
+
+        The group's directory names only members that hold a partition.
+        """
+        wait_ms = HELLO_EVERY_MS + HELLO_MEMBER_MS * len(self.greeted)
+        now_ms = self.clock.now_ms()
+        for known, until_ms in list(self.greeted.items()):
+            if until_ms <= now_ms:
+                self.greeted.pop(known)
+        self.greeted[member] = now_ms + HELLO_KEPT * wait_ms
+        return wait_ms
+
+    async def say_hello(self) -> None:
+        """Make this member known to the owner, unless that was done lately."""
+        now_ms = self.clock.now_ms()
+        if now_ms < self.hello_due_ms or self.owner in {'', self.own_name}:
+            return
+        self.hello_due_ms = now_ms + HELLO_AGAIN_MS
+        body = {'member': self.own_name}
+        outcome = await self.call_owner('/hello', body, CALL_TIMEOUT_MS)
+        if isinstance(outcome, Ok):
+            self.hello_due_ms = now_ms + int(outcome.ok_value['again_ms'])
+
     def suspect(self, address: str) -> None:
         """Leave a peer alone for a while."""
         self.suspects[address] = self.clock.now_ms() + SUSPECT_MS
@@ -100,6 +139,7 @@
                 extra={'owner': owner, 'before': self.owner},
             )
             self.owner = owner
+            self.hello_due_ms = 0
 
     async def tell_vacant(self) -> None:
         """Tell every other member that the seat is vacant."""
--- a/tests/test_platform_ownership.py
+++ b/tests/test_platform_ownership.py
@@ -6,7 +6,9 @@
 import pytest
 
 from lycheerelay_standins.platform import (
+    CellShape,
     PlatformCell,
+    Shape,
 )
 from platform_days import STORE, job, play, step
 
@@ -340,3 +342,22 @@
         assert cell.owner() == 'vm-9'
 
     play(scenario)
+
+
+def test_an_owner_of_many_vms_knows_them_all() -> None:
+    """Also those that the group deals nothing, and after a takeover."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        await asyncio.sleep(6)
+        before = cell.owner()
+        assert len(cell.entries[before].peers.others()) == 19
+        cell.kill_vm(before)
+        await asyncio.sleep(9)
+        after = cell.owner()
+        assert after not in {'', before}
+        known = set(cell.entries[after].peers.others())
+        hosts = {entry.settings.host for entry in cell.entries.values()}
+        hosts.discard(cell.entries[after].settings.host)
+        assert {f'{host}:3' for host in hosts} <= known
+
+    play(scenario, CellShape(vms=20, workers=(Shape('cpu'),) * 3))
