Leave slow workers alone for a while

Change: a run that by its progress needs four times its expected time bars its worker from new runs for 2.5 s, a quarter of a pool at most; the field is gone.

--- a/src/lycheerelay/workflow/_fit.py
+++ b/src/lycheerelay/workflow/_fit.py
@@ -106,17 +106,16 @@
     avoided = task is not None and task.avoid == worker.worker_id
     trouble = len(worker.failures_in_row) + AVOIDED * avoided
     far = bool(spec.rack) and spec.rack != worker.rack
-    slow = round(worker.slowness, 1)
     if spec.fills:
         unused = worker.free.cores_milli - fill_load(worker)
         serving = sum(1 for _ in serving_runs(worker))
-        return trouble, far, slow, serving, -unused
+        return trouble, far, serving, -unused
     left = worker.free.minus(spec.demand)
     if spec.tail_target_ms:
-        return trouble, far, slow, fill_load(worker), left.cores_milli
+        return trouble, far, fill_load(worker), left.cores_milli
     if spec.demand.accelerators:
-        return trouble, far, slow, left.accelerators, left.cores_milli
-    return trouble, far, slow, left.cores_milli, left.memory_mb
+        return trouble, far, left.accelerators, left.cores_milli
+    return trouble, far, left.cores_milli, left.memory_mb
 
 
 def candidates(
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -178,7 +178,6 @@
     failures_in_row: dict[str, None] = field(default_factory=dict)
     barred_until_ms: int = 0
     bars: int = 0
-    slowness: float = 1.0
 
     def charge(self, run: Run) -> None:
         """Book what a run may use."""
--- a/src/lycheerelay/workflow/_tables.py
+++ b/src/lycheerelay/workflow/_tables.py
@@ -15,6 +15,7 @@
 from ._intake import steps_of
 from ._notes import note
 from ._runs import adopt, release_run, stop_run, worker_over
+from ._slow import judge_pace
 from ._spec import RunKey
 from ._state import NEVER, CellState, Run, RunState, TaskBook, WorkerBook
 
@@ -187,6 +188,7 @@
         run.percent = row.percent
         run.percent_ms = now_ms
     run.load = row.load
+    judge_pace(cell, worker, run, now_ms)
     if row.checkpoint and row.checkpoint != run.task.checkpoint:
         keep_checkpoint(run.step, run.task, row.checkpoint)
 
