Let the clocks of workers run fast and slow in the soak

Cause: the soak left clocks alone, and leases hang on those of workers. Change: each worker's clock runs at 0.98 to 1.02.

--- a/src/lycheerelay_standins/platform/_soak.py
+++ b/src/lycheerelay_standins/platform/_soak.py
@@ -22,6 +22,8 @@
 SETTLE_S: Final = 90
 PATIENCE_S: Final = 5
 FAULT_S: Final = (0.3, 4)
+# The clocks of workers run fast and slow, within what leases allow for.
+CLOCK_RATES: Final = (0.98, 1.02)
 FINAL: Final = frozenset(('completed', 'failed', 'cancelled'))
 OK: Final = 200
 GONE: Final = 410
@@ -76,6 +78,8 @@
     async def play(self) -> SoakResult:
         """Start everything, do harm under load, heal, wait for the jobs."""
         await self.cell.begin()
+        for worker in self.cell.workers.values():
+            worker.clock_rate = self.rng.uniform(*CLOCK_RATES)
         try:
             async with aiohttp.ClientSession() as session:
                 unfinished = await self._play(session)
--- a/src/lycheerelay_standins/platform/_worker.py
+++ b/src/lycheerelay_standins/platform/_worker.py
@@ -58,7 +58,8 @@
     """Run tasks in virtual time, as the platform's workers do.
 
     `hangs` lets runs stand still, `fails` ends them as failed, `speed` makes
-    them take so many times as long.
+    them take so many times as long, `clock_rate` lets its clock run fast or
+    slow.
     """
 
     def __init__(
@@ -88,12 +89,13 @@
         self.hangs = False
         self.fails = False
         self.speed = 1
+        self.clock_rate = float(1)
         self.is_up = True
         self.starts = 0
 
     def clock_ms(self) -> int:
         """Return the worker's own clock."""
-        return self.now_ms() % 10_000_000 + 1
+        return int(self.now_ms() % 10_000_000 * self.clock_rate) + 1
 
     async def handle(self, request: Request) -> Reply:
         """Answer one call."""
@@ -243,7 +245,7 @@
             self.lease_timer.cancel()
         left_ms = until_ms - self.clock_ms()
         self.lease_timer = asyncio.get_running_loop().call_later(
-            left_ms / MS_PER_SECOND,
+            left_ms / self.clock_rate / MS_PER_SECOND,
             self._lapse,
         )
 
