--- a/tests/test_workflow_outlook.py
+++ b/tests/test_workflow_outlook.py
@@ -85,6 +85,8 @@
     async def scenario(cell: PlatformCell) -> None:
         # The stand-in's objective is twice the work and one second.
         long = job(step(1, cpu=16000, estimatedMs=6000))
+        short = job(step(1, cpu=16000, estimatedMs=500))
+        first, _ = await cell.submit('vm-0', short)
         taken = []
         refused = []
         for _ in range(16):
@@ -96,7 +98,11 @@
         assert len(taken) >= 5
         assert {outcome.verdict.value for _, outcome in refused} == {'too_late'}
         assert all(outcome.retry_after_s >= 1 for _, outcome in refused)
-        _, again = await cell.submit('vm-1', long, job_id=taken[0][0])
-        assert again.verdict.value == 'ok'
+        for vm in sorted(cell.entries):
+            await cell.state(vm, taken[0][0])
+            _, again = await cell.submit(vm, short, job_id=first)
+            assert again.verdict.value == 'ok'
+            _, fresh = await cell.submit(vm, short)
+            assert fresh.verdict.value == 'too_late'
 
     play(scenario, CellShape(workers=(Shape('cpu'),)))
