Compare a run with its like on other workers, not with its estimate

Change: a run bars its worker when it needs three times as long as the median of its step's tasks on other workers, done or under way.

--- a/src/lycheerelay/workflow/_ends.py
+++ b/src/lycheerelay/workflow/_ends.py
@@ -55,6 +55,8 @@
     run = worker.runs.get(end.run)
     if run is not None:
         release_run(run)
+        if end.how is How.DONE:
+            run.step.needed_ms[worker.worker_id] = now_ms - run.sent_ms
     step = find_step(cell, end.run)
     if step is None or step.job.is_final:
         return
--- a/src/lycheerelay/workflow/_slow.py
+++ b/src/lycheerelay/workflow/_slow.py
@@ -3,11 +3,12 @@
 from typing import Final
 
 from ._notes import note
-from ._state import CellState, Run, RunState, WorkerBook
+from ._state import NEVER, CellState, Run, RunState, WorkerBook
 
-# A run that needs so many times its expected time is slowed by its worker:
-# estimates are off by less than 2, and data far away costs half as much again.
-SLOW_FACTOR: Final = 4
+# A run that needs so many times as long as tasks of its step on other workers is
+# slowed by its worker: like tasks differ little, and data far away costs half as
+# much again. Estimates tell nothing here, they are off by any factor.
+SLOW_FACTOR: Final = 3
 # Below this time, in ms, a run tells nothing.
 LEAST_MS: Final = 300
 # A slow worker gets nothing new for so long, in ms, then is tried again.
@@ -30,10 +31,18 @@
     is_telling = run.state is RunState.RUNNING and run.pace == FULL
     if not is_telling or spec.lasts or spec.fills or not run.percent:
         return
-    if passed_ms < max(LEAST_MS, spec.expected_ms):
+    if passed_ms < LEAST_MS:
         return
-    needed_ms = passed_ms * FULL / run.percent
-    if needed_ms < SLOW_FACTOR * max(spec.expected_ms, LEAST_MS):
+    needed_ms = passed_ms * FULL // run.percent
+    step = run.step
+    step.needed_ms[worker.worker_id] = needed_ms
+    others_ms = [
+        taken_ms
+        for worker_id, taken_ms in step.needed_ms.items()
+        if worker_id != worker.worker_id
+    ]
+    usual_ms = sorted(others_ms)[len(others_ms) // 2] if others_ms else NEVER
+    if usual_ms == NEVER or needed_ms < SLOW_FACTOR * max(usual_ms, LEAST_MS):
         return
     if worker.barred_until_ms > now_ms or not _may_bar(cell, worker, now_ms):
         return
@@ -45,7 +54,7 @@
         run=run.key,
         percent=run.percent,
         passed_ms=passed_ms,
-        expected_ms=spec.expected_ms,
+        usual_ms=usual_ms,
         for_ms=BAR_MS,
     )
 
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -109,6 +109,7 @@
     asking: tuple[str, ...] = ()
     advice_retry_ms: int = 0
     on_worker: dict[str, int] = field(default_factory=dict)
+    needed_ms: dict[str, int] = field(default_factory=dict)
     latest_start_ms: int = 0
     hopeless_ms: int = 0
 
