Make one piece serve where the platform path had two

The objective of a job was computed in three places, ranges of fields were bound by two like classes and loops, two registries of faults were written beside Registry, final phases and the ms of a second were named anew, a group's wrapper only passed calls on, two orders looked for their way alike, a step ranked avoided workers by a copy of the score's rule. Waits were predicted by a look at every worker also while nothing waited, and a barred worker's like were sorted at each look.

Change: objective_ms, _field_ranges.py, Registry, FINAL_PHASES, _clock's MS_PER_SECOND, StoreGroup without wrapper, bury_replaced, _open_way; nothing waits, nothing is played. Groups and seat move to _store_groups.py, the faults of the soak to _soak_faults.py. No check, bound or expectation changes.

Conclusion: behaviour is meant to be the same.

--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -26,18 +26,18 @@
 
 from lycheerelay.rehearsal import Play
 from lycheerelay.workflow import (
+    LATE_LIMIT,
     ORDERS,
     CellState,
     How,
     JobPhase,
-    chain_ms,
+    objective_ms,
     predict_waits,
     predicted_wait,
     too_late_by,
 )
 
 LOADS: Final = Path(__file__).parent / 'loads'
-LATE_LIMIT: Final = 3
 # As the core keeps room by default.
 RESERVING: Final = 5
 # After the last arrival a replay goes on for as long again.
@@ -168,7 +168,6 @@
 def _outcomes(play: Play) -> Iterator[Outcome]:
     for job in play.cell.jobs.values():
         spec = job.spec
-        objective_ms = int(spec.stretch * chain_ms(spec)) + spec.objective_ms
         ended_ms = job.settled_ms if job.is_final else play.now_ms
         begun_ms = play.first_start.get(spec.job_id, play.now_ms)
         yield Outcome(
@@ -176,7 +175,7 @@
             job.phase,
             begun_ms - spec.accepted_ms,
             ended_ms - spec.accepted_ms,
-            objective_ms,
+            objective_ms(spec),
         )
 
 
--- a/src/lycheerelay/_job_document.py
+++ b/src/lycheerelay/_job_document.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from ._codec import FieldError, Json, from_json
+from ._field_ranges import FieldRange, find_out_of_range
 from ._resources import Resources
 from .workflow import (
     MOST_TASKS,
@@ -60,27 +61,19 @@
     every_ms: int = 0
 
 
-class Bounds(NamedTuple):
-    """Bound one field, both ends included."""
-
-    name: str
-    low: int
-    high: int
-
-
-STEP_BOUNDS: Final = (
-    Bounds('width', 1, MOST_TASKS),
-    Bounds('expected_ms', 0, MOST_MS),
-    Bounds('cores_milli', 0, MOST_AMOUNT),
-    Bounds('memory_mb', 0, MOST_AMOUNT),
-    Bounds('accelerators', 0, MOST_ACCELERATORS),
-    Bounds('spread_limit', 0, MOST_TASKS),
-    Bounds('tail_target_ms', 0, MOST_MS),
+STEP_RANGES: Final = (
+    FieldRange('width', 1, MOST_TASKS),
+    FieldRange('expected_ms', 0, MOST_MS),
+    FieldRange('cores_milli', 0, MOST_AMOUNT),
+    FieldRange('memory_mb', 0, MOST_AMOUNT),
+    FieldRange('accelerators', 0, MOST_ACCELERATORS),
+    FieldRange('spread_limit', 0, MOST_TASKS),
+    FieldRange('tail_target_ms', 0, MOST_MS),
 )
-JOB_BOUNDS: Final = (
-    Bounds('occurrences', 0, MOST_OCCURRENCES),
-    Bounds('first_due_ms', 0, MOST_MS),
-    Bounds('every_ms', 0, MOST_MS),
+JOB_RANGES: Final = (
+    FieldRange('occurrences', 0, MOST_OCCURRENCES),
+    FieldRange('first_due_ms', 0, MOST_MS),
+    FieldRange('every_ms', 0, MOST_MS),
 )
 # Pairs of step fields that contradict each other.
 EXCLUSIVE: Final = (
@@ -140,7 +133,7 @@
         return FieldError('steps', f'{count} steps', f'1 to {MOST_STEPS}')
     if document.occurrences > 1 and not document.every_ms:
         return FieldError('every_ms', '0', 'the time between occurrences')
-    return _find_out_of_bounds(document, JOB_BOUNDS)
+    return find_out_of_range(document, JOB_RANGES)
 
 
 def _find_wrong_step(step: StepDocument, number: int) -> FieldError | None:
@@ -153,19 +146,7 @@
     if later is not None:
         expected = f'numbers of earlier steps, 0 to {number - 1}'
         return FieldError('after', str(later), expected)
-    return _find_out_of_bounds(step, STEP_BOUNDS)
-
-
-def _find_out_of_bounds(
-    document: StepDocument | JobDocument,
-    table: tuple[Bounds, ...],
-) -> FieldError | None:
-    for bounds in table:
-        amount = getattr(document, bounds.name)
-        if not bounds.low <= amount <= bounds.high:
-            expected = f'a whole number from {bounds.low} to {bounds.high}'
-            return FieldError(bounds.name, str(amount), expected)
-    return None
+    return find_out_of_range(step, STEP_RANGES)
 
 
 def _to_step(step: StepDocument) -> StepSpec:
--- a/src/lycheerelay/_spec_checks.py
+++ b/src/lycheerelay/_spec_checks.py
@@ -1,12 +1,13 @@
 """Check the range and size of every field of a submitted job."""
 
 import re
-from typing import Final, NamedTuple
+from typing import Final
 
 from result import Err, Ok, Result
 
 from ._codec import FieldError, Json, from_json
 from ._codes import Code, Refusal
+from ._field_ranges import FieldRange, find_out_of_range
 from ._jobs import ID_SEPARATOR, JobSpec
 from ._options import name_near
 from ._policy import Policy
@@ -24,14 +25,6 @@
 NAME_TEXT: Final = 'a name of at most 63 letters, digits, - or _'
 
 
-class FieldRange(NamedTuple):
-    """Bound one numeric field, both ends included."""
-
-    name: str
-    low: int
-    high: int
-
-
 RANGES: Final = (
     FieldRange('tasks', 1, MAX_TASKS),
     FieldRange('cores_milli', 1, 10_000_000),
@@ -71,12 +64,7 @@
     if spec.job_id.partition(ID_SEPARATOR)[2].startswith(PREFIX):
         expected = f'an id that does not begin with {PREFIX}'
         return FieldError('job_id', repr(spec.job_id), expected)
-    for bounds in RANGES:
-        amount = getattr(spec, bounds.name)
-        if not bounds.low <= amount <= bounds.high:
-            expected = f'a whole number from {bounds.low} to {bounds.high}'
-            return FieldError(bounds.name, str(amount), expected)
-    return None
+    return find_out_of_range(spec, RANGES)
 
 
 def find_undescribed(policy: Policy, spec: JobSpec) -> FieldError | None:
--- a/src/lycheerelay/platform/_entry.py
+++ b/src/lycheerelay/platform/_entry.py
@@ -30,7 +30,8 @@
 from ._decode import decode_config, decode_worker
 from ._ingress import Ingress
 from ._settings import PlatformSettings
-from ._store import Place, StoreGroup, StoreLog, StoreSeat
+from ._store import StoreLog
+from ._store_groups import GROUP, Place, StoreGroup, StoreSeat
 from ._workers import WorkerCalls
 
 logger = logging.getLogger('lycheerelay.entry')
@@ -62,7 +63,7 @@
         address = f'{settings.host}:{settings.internal_port}'
         member = f'{address}#{settings.vm}-{incarnation}'
         place = Place(settings.store_address, member, settings.group_ttl_ms)
-        group = StoreGroup(http, place)
+        group = StoreGroup(http, place, GROUP)
         seat = StoreSeat(http, self.log, place)
         self.workers = WorkerCalls(http, clock.now_ms)
         self.advisor = AdvisorCalls(http, settings.advisor_address)
--- a/src/lycheerelay/platform/_serve.py
+++ b/src/lycheerelay/platform/_serve.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 from result import Err
 
-from .._clock import SystemClock
+from .._clock import MS_PER_SECOND, SystemClock
 from ..serving import HttpCalls, is_workflow_path, set_up_event_log
 from ._entry import Entry
 from ._settings import PlatformSettings, read_settings
@@ -31,7 +31,6 @@
 # Requests in flight get so long after that, in ms, and at most this share.
 FINISH_MS: Final = 1500
 FINISH_SHARE: Final = 0.25
-MS_PER_SECOND: Final = 1000
 # While stopping, what is in flight is counted this often, in s.
 POLL_S: Final = 0.05
 # Channels that are still open then are closed within so long, in s.
--- a/src/lycheerelay/platform/_settings.py
+++ b/src/lycheerelay/platform/_settings.py
@@ -7,10 +7,10 @@
 
 from result import Err, Ok, Result
 
+from .._clock import MS_PER_SECOND
 from ..serving import GROUP_TTL_MS
 
 PATH_VARIABLE: Final = 'LYCHEERELAY_CONFIG'
-MS_PER_SECOND: Final = 1000
 
 
 class PlatformSettings(NamedTuple):
--- a/src/lycheerelay/platform/_store.py
+++ b/src/lycheerelay/platform/_store.py
@@ -4,7 +4,7 @@
 import binascii
 import logging
 from collections.abc import Mapping, Sequence
-from typing import Any, Final, NamedTuple, final
+from typing import Any, Final, final
 from urllib.parse import urlencode
 
 from result import Err, Ok, Result
@@ -19,7 +19,6 @@
     Slice,
     Stream,
     Writer,
-    post_json,
 )
 from ._records import BOUNDS, pack, unpack
 
@@ -35,9 +34,6 @@
 # All jobs share one partition: a queue may change its service, and wide gangs
 # need every worker of a service at once.
 PARTITION: Final = 0
-GROUP: Final = 'entries'
-SEAT: Final = 'seat'
-LOCK_KEY: Final = 'owner'
 # An answer takes 4 ms; a slow store takes 60 times as long. Calls are given
 # twice that, in ms.
 TIMEOUT_MS: Final = 600
@@ -46,8 +42,6 @@
 LONGEST_PAGE_MS: Final = 5000
 # A page that did not come is asked for again so often.
 PAGE_TRIES: Final = 3
-# A join is given less, in ms, so that the next one still comes in time.
-JOIN_TIMEOUT_MS: Final = 500
 OK: Final = 200
 CONFLICT: Final = 409
 RACED: Final = 412
@@ -60,14 +54,6 @@
 }
 
 
-class Place(NamedTuple):
-    """Tell where the store is and who joins its groups, for how long in ms."""
-
-    address: str
-    member: str
-    ttl_ms: int
-
-
 @final
 class StoreLog:
     """Append to and read from the store's keyed topics."""
@@ -111,7 +97,7 @@
         )
         if reply.status == OK:
             return Ok(int(reply.fields().get('offset', 0)))
-        return Err(_fault(reply))
+        return Err(fault_of(reply))
 
     async def append_at(
         self,
@@ -141,7 +127,7 @@
             TIMEOUT_MS + wait_ms,
         )
         if reply.status != OK or len(reply.raw) < BOUNDS.size:
-            return Err(_fault(reply))
+            return Err(fault_of(reply))
         body = reply.raw[BOUNDS.size :]
         records = tuple(unpack(body, from_offset))
         return Ok(Slice(records, from_offset + len(records)))
@@ -154,7 +140,7 @@
         while True:
             reply = await self._page(urlencode(query))
             if reply.status != OK:
-                return Err(_fault(reply))
+                return Err(fault_of(reply))
             page = reply.fields()
             # Pages are no snapshot: what changed after the first page is read
             # again from its end on.
@@ -180,142 +166,6 @@
         return reply
 
 
-@final
-class StoreGroup:
-    """Join the group of all entry VMs."""
-
-    def __init__(self, http: Caller, place: Place) -> None:
-        """Name the store and this member."""
-        self.calls = GroupCalls(http, place, GROUP)
-
-    async def join(self, generation: int) -> Result[int, LogFault]:
-        """Join, or stay in, the group; return its generation."""
-        return await self.calls.join(generation)
-
-    async def leave(self) -> Result[None, LogFault]:
-        """Leave the group."""
-        return await self.calls.leave()
-
-    async def members(self) -> Result[tuple[str, ...], LogFault]:
-        """Return the names of members."""
-        return await self.calls.members()
-
-
-@final
-class StoreSeat:
-    """Hold the owner's seat, a group of one, and the lock behind it."""
-
-    def __init__(
-        self,
-        http: Caller,
-        log: StoreLog,
-        place: Place,
-    ) -> None:
-        """Name the store and this member."""
-        self.calls = GroupCalls(http, place, SEAT)
-        self.log = log
-        self.member = place.member
-
-    async def keep(self) -> Result[None, LogFault]:
-        """Take, or stay in, the seat."""
-        outcome = await self.calls.join(0)
-        return outcome.map(lambda _: None)
-
-    async def release(self) -> Result[None, LogFault]:
-        """Leave the seat."""
-        return await self.calls.leave()
-
-    async def holder(self) -> Result[str, LogFault]:
-        """Return the name of the member in the seat, or an empty text."""
-        outcome = await self.calls.members()
-        return outcome.map(lambda members: members[0] if members else '')
-
-    async def lock_end(self) -> Result[int, LogFault]:
-        """Return the end of the lock's log."""
-        outcome = await self.log.newest(Stream.LOCK)
-        return outcome.map(lambda part: part.next_offset)
-
-    async def claim(self, lock_end: int) -> Result[int, LogFault]:
-        """Claim the lock if its end is there; return the fence number."""
-        record = KeyedRecord(LOCK_KEY, self.member.encode())
-        outcome = await self.log.append_at(Stream.LOCK, record, lock_end)
-        # Offsets start at 0, and a worker takes a missing number as 0.
-        return outcome.map(lambda offset: offset + 1)
-
-    async def is_latest(self, fence: int) -> Result[bool, LogFault]:
-        """Tell whether nobody has claimed after this fence number."""
-        outcome = await self.log.read(Stream.LOCK, fence, 0)
-        if outcome == Err(LogFault.GONE):
-            # Records after the own claim were made and have expired.
-            return Ok(False)
-        return outcome.map(lambda part: not part.records)
-
-
-@final
-class GroupCalls:
-    """Make the calls of one member of one group."""
-
-    def __init__(
-        self,
-        http: Caller,
-        place: Place,
-        group: str,
-    ) -> None:
-        """Name the store, the member and the group."""
-        self.http = http
-        self.base = f'http://{place.address}/v1'
-        self.member = place.member
-        self.ttl_ms = place.ttl_ms
-        self.group = group
-
-    async def join(self, generation: int) -> Result[int, LogFault]:
-        """Join, or stay in, the group; return its generation."""
-        reply = await post_json(
-            self.http,
-            f'{self.base}/log-join',
-            JOIN_TIMEOUT_MS,
-            {
-                'group': self.group,
-                'member': self.member,
-                'topics': [TOPICS[Stream.JOBS]],
-                'ttlMs': self.ttl_ms,
-                'generation': generation,
-            },
-        )
-        if reply.status != OK:
-            return Err(_fault(reply))
-        return Ok(int(reply.fields()['generation']))
-
-    async def leave(self) -> Result[None, LogFault]:
-        """Leave the group."""
-        reply = await post_json(
-            self.http,
-            f'{self.base}/log-leave',
-            JOIN_TIMEOUT_MS,
-            {'group': self.group, 'member': self.member},
-        )
-        return Ok(None) if reply.status == OK else Err(_fault(reply))
-
-    async def members(self) -> Result[tuple[str, ...], LogFault]:
-        """Return the names of members that were dealt partitions."""
-        reply = await self.http.call(
-            'GET',
-            f'{self.base}/log-owners?{urlencode({"group": self.group})}',
-            TIMEOUT_MS,
-        )
-        if reply.status != OK:
-            return Err(_fault(reply))
-        names = {str(row[2]) for row in _rows(reply.fields())}
-        return Ok(tuple(sorted(names - {''})))
-
-
-def _rows(fields: Mapping[str, Any]) -> list[list[Any]]:
-    for rows in fields.values():
-        if isinstance(rows, list):
-            return rows
-    return []
-
-
 def _partition(stream: Stream) -> dict[str, object]:
     return {'topic': TOPICS[stream], 'part': PARTITION}
 
@@ -332,7 +182,7 @@
     return KeyedRecord(str(item['key']), payload, int(item['offset']))
 
 
-def _fault(reply: Reply) -> LogFault:
+def fault_of(reply: Reply) -> LogFault:
     if reply.status == NO_ANSWER:
         return LogFault.UNKNOWN
     if reply.status in {NOT_SENT, UNAVAILABLE}:
--- a/src/lycheerelay/serving/_event_log.py
+++ b/src/lycheerelay/serving/_event_log.py
@@ -14,7 +14,6 @@
 BURST_LINES: Final = 800
 # Lines that wait for a slow reader of standard output; the oldest go first.
 WAITING_LINES: Final = 2000
-MS_PER_SECOND: Final = 1000
 
 
 class FastJsonFormatter(FieldFormatter):
--- a/src/lycheerelay/serving/_holder.py
+++ b/src/lycheerelay/serving/_holder.py
@@ -8,7 +8,7 @@
     Answer,
     WorkerBook,
     apply_table,
-    bury_worker,
+    bury_replaced,
     pace_worker,
 )
 from ._context import OwnerContext
@@ -123,12 +123,7 @@
             await context.loaded.wait()
             await self._apply(held)
         elif held.answer is Answer.OTHER_LIFE:
-            bury_worker(
-                context.cell,
-                self.worker_id,
-                now_ms,
-                'another life answers there',
-            )
+            bury_replaced(context.cell, self.worker_id, now_ms)
             context.poke()
         elif held.answer is Answer.FENCED:
             logger.warning('fenced_by_worker', extra={'worker': self.worker_id})
--- a/src/lycheerelay/serving/_http_calls.py
+++ b/src/lycheerelay/serving/_http_calls.py
@@ -6,7 +6,8 @@
 import aiohttp
 import orjson
 
-MS_PER_SECOND: Final = 1000
+from .._clock import MS_PER_SECOND
+
 # Connecting takes two ways; longer, in s, and nobody listens there.
 CONNECT_TIMEOUT_S: Final = 0.4
 # Idle channels are kept for so long, in s, as new ones to workers cost.
--- a/src/lycheerelay/serving/_orders.py
+++ b/src/lycheerelay/serving/_orders.py
@@ -176,10 +176,17 @@
         run.start_expires_ms = expires_ms
 
 
+def _open_way(orders: Orders, worker_id: str) -> Holder | None:
+    """Return whom an order goes through; None while none may be sent."""
+    if not orders.context.may_order:
+        return None
+    return orders.holders.get(worker_id)
+
+
 async def _stop(orders: Orders, command: StopRun) -> None:
     context = orders.context
-    holder = orders.holders.get(command.worker_id)
-    if holder is None or not context.may_order:
+    holder = _open_way(orders, command.worker_id)
+    if holder is None:
         return
     answer = await context.workers.stop(
         StopOrder(
@@ -201,8 +208,8 @@
 
 async def _pace(orders: Orders, command: PaceRun) -> None:
     context = orders.context
-    holder = orders.holders.get(command.worker_id)
-    if holder is None or not context.may_order:
+    holder = _open_way(orders, command.worker_id)
+    if holder is None:
         return
     answer = await context.workers.pace(
         PaceOrder(
--- a/src/lycheerelay/serving/_outlook.py
+++ b/src/lycheerelay/serving/_outlook.py
@@ -4,6 +4,7 @@
 import math
 from typing import Final, NamedTuple
 
+from .._clock import MS_PER_SECOND
 from .._hashing import number_of
 from ..workflow import (
     WaitPoint,
@@ -21,7 +22,6 @@
 # predicted, so that they do not come together.
 SPREAD: Final = 0.5
 PERCENT: Final = 100
-MS_PER_SECOND: Final = 1000
 
 
 class Outlook(NamedTuple):
--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -7,6 +7,7 @@
 import orjson
 from result import Err, Ok
 
+from .._clock import MS_PER_SECOND
 from .._resources import Resources
 from ..workflow import (
     CellState,
@@ -51,7 +52,6 @@
 # After a decision that took long, events gather so many times as long: the
 # owner has callers and workers to answer, too.
 PAUSE_FACTOR: Final = 4
-MS_PER_SECOND: Final = 1000
 # A worker's clock may be this much slow, and what an earlier owner sent may
 # take so many ms on its way.
 SLOW_CLOCK: Final = 1.03
--- a/src/lycheerelay/serving/_terms.py
+++ b/src/lycheerelay/serving/_terms.py
@@ -14,7 +14,7 @@
 
 from result import Err, Ok
 
-from .._clock import Clock
+from .._clock import MS_PER_SECOND, Clock
 from ..workflow import silence_ms
 from ._owner import Owner
 from ._peers import Peers
@@ -23,7 +23,6 @@
 
 logger = logging.getLogger('lycheerelay.terms')
 
-MS_PER_SECOND: Final = 1000
 # After a change in the group the seat is looked at for so long, in ms: the
 # owner's membership may end a little later than what showed the change.
 LOOK_FOR_MS: Final = 600
--- a/src/lycheerelay/serving/_workflow_api.py
+++ b/src/lycheerelay/serving/_workflow_api.py
@@ -12,7 +12,7 @@
 import orjson
 from result import Err
 
-from .._clock import Clock
+from .._clock import MS_PER_SECOND, Clock
 from .._codes import CODES, Code, Refusal
 from .._job_document import JobDocument, read_document, to_spec
 from ..workflow import JobPhase
@@ -26,7 +26,6 @@
 # Callers of this interface are given so long, in ms; tools wait longer than
 # the callers of a platform.
 PATIENCE_MS: Final = 3000
-MS_PER_SECOND: Final = 1000
 BAD_METHOD: Final = 405
 CODE_OF_VERDICT: Final = {
     Verdict.REFUSED: Code.NOT_KEPT,
--- a/src/lycheerelay/workflow/__init__.py
+++ b/src/lycheerelay/workflow/__init__.py
@@ -18,7 +18,7 @@
 )
 from ._dispatch import dispatch
 from ._ends import End, How
-from ._intake import cancel, submit
+from ._intake import LATE_LIMIT, cancel, submit
 from ._order import ORDERS
 from ._outlook import (
     WaitPoint,
@@ -38,9 +38,9 @@
     StepSpec,
     TaskKey,
     WorkflowSpec,
-    chain_ms,
     find_later,
     make_step,
+    objective_ms,
 )
 from ._state import (
     FINAL_PHASES,
@@ -57,9 +57,8 @@
     Table,
     WorkerListing,
     apply_table,
-    bury_worker,
+    bury_replaced,
     list_worker,
-    settle_gangs,
     unlist_worker,
 )
 from ._watch import (
@@ -70,6 +69,7 @@
 )
 
 __all__ = (  # noqa: WPS410
+    'LATE_LIMIT',
     'MOST_TASKS',
     'find_later',
     'make_step',
@@ -108,19 +108,18 @@
     'advice_failed',
     'apply_advice',
     'apply_table',
-    'bury_worker',
+    'bury_replaced',
     'cancel',
-    'chain_ms',
     'dispatch',
     'encode',
     'expire_jobs',
     'list_worker',
+    'objective_ms',
     'open_occurrences',
     'pace_worker',
     'predict_waits',
     'predicted_wait',
     'restore',
-    'settle_gangs',
     'silence_ms',
     'start_answered',
     'stop_answered',
--- a/src/lycheerelay/workflow/_answers.py
+++ b/src/lycheerelay/workflow/_answers.py
@@ -8,7 +8,7 @@
 from ._runs import stop_run
 from ._spec import RunKey
 from ._state import NEVER, CellState, Run, RunState, WorkerBook
-from ._tables import bury_worker, drop_run
+from ._tables import bury_replaced, drop_run
 
 # A worker that has no room, or says it is unwell, gets nothing for so long,
 # in ms: about one look.
@@ -44,7 +44,7 @@
 ) -> None:
     """Judge the answer to a start."""
     if answer is Answer.OTHER_LIFE:
-        bury_worker(cell, worker_id, now_ms, 'another life answers there')
+        bury_replaced(cell, worker_id, now_ms)
         return
     run = cell.find_run(worker_id, key)
     if run is None:
@@ -114,7 +114,7 @@
 ) -> None:
     """Judge the answer to a stop."""
     if answer is Answer.OTHER_LIFE:
-        bury_worker(cell, worker_id, now_ms, 'another life answers there')
+        bury_replaced(cell, worker_id, now_ms)
         return
     if answer is Answer.FENCED:
         cell.deposed = True
--- a/src/lycheerelay/workflow/_fit.py
+++ b/src/lycheerelay/workflow/_fit.py
@@ -173,14 +173,11 @@
         """Return the best worker for a task; None without room."""
         if not self.workers:
             return None
-        avoid = task.avoid
-
-        def rank(worker_id: str) -> Score:
-            trouble, *rest = self.scores[worker_id]
-            return (trouble + AVOIDED * (worker_id == avoid), *rest)
-
-        if avoid in self.workers:
-            return self.workers[min(self.workers, key=rank)]
+        if task.avoid in self.workers:
+            return min(
+                self.workers.values(),
+                key=lambda worker: score(self.step, worker, task),
+            )
         return self.workers[min(self.workers, key=self.scores.__getitem__)]
 
 
--- a/src/lycheerelay/workflow/_intake.py
+++ b/src/lycheerelay/workflow/_intake.py
@@ -4,7 +4,7 @@
 
 from ._notes import note
 from ._runs import stop_run
-from ._spec import StepKey, WorkflowSpec, chain_ms
+from ._spec import StepKey, WorkflowSpec, chain_ms, objective_ms
 from ._state import (
     NEVER,
     CellState,
@@ -149,7 +149,7 @@
         begin_ms = spec.first_due_ms + occurrence * spec.every_ms
     whole_ms = chain_ms(spec)
     rest_ms = chain_ms(spec, index) if index else whole_ms
-    objective_ms = int(spec.stretch * whole_ms) + spec.objective_ms
-    step.latest_start_ms = begin_ms + objective_ms - rest_ms
-    step.hopeless_ms = begin_ms + LATE_LIMIT * objective_ms - rest_ms
+    in_time_ms = objective_ms(spec)
+    step.latest_start_ms = begin_ms + in_time_ms - rest_ms
+    step.hopeless_ms = begin_ms + LATE_LIMIT * in_time_ms - rest_ms
     return step
--- a/src/lycheerelay/workflow/_outlook.py
+++ b/src/lycheerelay/workflow/_outlook.py
@@ -7,7 +7,7 @@
 from ._fit import is_usable
 from ._intake import LATE_LIMIT
 from ._order import IN_TIME, by_slack
-from ._spec import WorkflowSpec, chain_ms
+from ._spec import WorkflowSpec, chain_ms, objective_ms
 from ._state import CellState, Run, StepBook
 
 # Shorter waits are not told: they come and go within a few decisions.
@@ -30,6 +30,13 @@
     free: Resources
 
 
+class PoolEnd(NamedTuple):
+    """Tell when a run gives its room back."""
+
+    end_ms: int
+    demand: Resources
+
+
 Waits = dict[str, tuple[WaitPoint, ...]]
 
 
@@ -40,21 +47,29 @@
     after its expected time; a pool counts as one large worker, so the real
     waits are longer where tasks do not fit side by side.
     """
-    rooms = _rooms(cell, now_ms)
+    waiting = _waiting_in_time(cell, now_ms)
+    rooms = _rooms(cell, now_ms) if waiting else {}
+    waits: Waits = {}
+    for pool in waiting.keys() & rooms.keys():
+        ends = _ends(cell, pool, now_ms)
+        points = _play(waiting[pool], rooms[pool], ends, now_ms)
+        if points[-1].wait_ms >= LEAST_WAIT_MS:
+            waits[pool] = _thin(points)
+    return waits
+
+
+def _waiting_in_time(
+    cell: CellState,
+    now_ms: int,
+) -> dict[str, list[StepBook]]:
     waiting: dict[str, list[StepBook]] = {}
     for step in cell.open_steps.values():
-        pool = step.job.spec.pool
         is_wanted = step.waiting and not (step.spec.lasts or step.spec.fills)
-        in_time = by_slack(step, now_ms)[0] == IN_TIME
-        if pool in rooms and is_wanted and in_time:
-            waiting.setdefault(pool, []).append(step)
-    waits: Waits = {}
-    for pool, steps in waiting.items():
+        if is_wanted and by_slack(step, now_ms)[0] == IN_TIME:
+            waiting.setdefault(step.job.spec.pool, []).append(step)
+    for steps in waiting.values():
         steps.sort(key=lambda step: step.latest_start_ms)
-        points = _play(steps, rooms[pool], _ends(cell, pool, now_ms), now_ms)
-        if points and points[-1].wait_ms >= LEAST_WAIT_MS:
-            waits[pool] = _thin(points)
-    return waits
+    return waiting
 
 
 def predicted_wait(
@@ -64,7 +79,7 @@
 ) -> int:
     """Return the wait of a new job under its pool's waits, told so long ago."""
     whole_ms = chain_ms(spec)
-    latest_ms = spec.accepted_ms + _objective_ms(spec) - whole_ms
+    latest_ms = spec.accepted_ms + objective_ms(spec) - whole_ms
     waits_ms = (
         point.wait_ms - age_ms
         for point in points
@@ -80,14 +95,10 @@
     """
     if spec.occurrences or any(step.lasts for step in spec.steps):
         return 0
-    limit_ms = LATE_LIMIT * _objective_ms(spec)
+    limit_ms = LATE_LIMIT * objective_ms(spec)
     return max(wait_ms + chain_ms(spec) - limit_ms, 0)
 
 
-def _objective_ms(spec: WorkflowSpec) -> int:
-    return int(spec.stretch * chain_ms(spec)) + spec.objective_ms
-
-
 def _rooms(cell: CellState, now_ms: int) -> dict[str, PoolRoom]:
     rooms: dict[str, PoolRoom] = {}
     for worker in cell.workers.values():
@@ -100,13 +111,6 @@
     return rooms
 
 
-class PoolEnd(NamedTuple):
-    """Tell when a run gives its room back."""
-
-    end_ms: int
-    demand: Resources
-
-
 def _ends(cell: CellState, pool: str, now_ms: int) -> list[PoolEnd]:
     ends = [
         PoolEnd(
--- a/src/lycheerelay/workflow/_slow.py
+++ b/src/lycheerelay/workflow/_slow.py
@@ -1,9 +1,10 @@
 """Tell workers that are slow from work that is long."""
 
+import statistics
 from typing import Final
 
 from ._notes import note
-from ._state import NEVER, CellState, Run, RunState, WorkerBook
+from ._state import CellState, Run, RunState, WorkerBook
 
 # A run that needs so many times as long as tasks of its step on other workers is
 # slowed by its worker: like tasks differ little, and data far away costs half as
@@ -36,15 +37,19 @@
     needed_ms = passed_ms * FULL // run.percent
     step = run.step
     step.needed_ms[worker.worker_id] = needed_ms
+    if worker.barred_until_ms > now_ms:
+        return
     others_ms = [
         taken_ms
         for worker_id, taken_ms in step.needed_ms.items()
         if worker_id != worker.worker_id
     ]
-    usual_ms = sorted(others_ms)[len(others_ms) // 2] if others_ms else NEVER
-    if usual_ms == NEVER or needed_ms < SLOW_FACTOR * max(usual_ms, LEAST_MS):
+    if not others_ms:
+        return
+    usual_ms = statistics.median_high(others_ms)
+    if needed_ms < SLOW_FACTOR * max(usual_ms, LEAST_MS):
         return
-    if worker.barred_until_ms > now_ms or not _may_bar(cell, worker, now_ms):
+    if not _may_bar(cell, worker, now_ms):
         return
     worker.barred_until_ms = now_ms + BAR_MS
     note(
--- a/src/lycheerelay/workflow/_spec.py
+++ b/src/lycheerelay/workflow/_spec.py
@@ -115,6 +115,11 @@
     return None
 
 
+def objective_ms(spec: WorkflowSpec) -> int:
+    """Return within how many ms a job is in time, from its begin."""
+    return int(spec.stretch * chain_ms(spec)) + spec.objective_ms
+
+
 def chain_ms(spec: WorkflowSpec, first: int = 0) -> int:
     """Return the longest chain of expected work through the steps.
 
--- a/src/lycheerelay/workflow/_tables.py
+++ b/src/lycheerelay/workflow/_tables.py
@@ -118,6 +118,11 @@
             requeue(cell, run.step, run.task, now_ms)
 
 
+def bury_replaced(cell: CellState, worker_id: str, now_ms: int) -> None:
+    """Forget a worker at whose address another life answers."""
+    bury_worker(cell, worker_id, now_ms, 'another life answers there')
+
+
 def lapse_worker(cell: CellState, worker: WorkerBook, now_ms: int) -> None:
     """Give up the runs of a worker after every lease there has run out."""
     worker.synced = False
--- a/src/lycheerelay_standins/platform/_cell.py
+++ b/src/lycheerelay_standins/platform/_cell.py
@@ -13,6 +13,7 @@
     Reply,
     is_workflow_path,
 )
+from lycheerelay.workflow import FINAL_PHASES
 
 from ._audit import JobTruth
 from ._net import Handler, Net, NetCaller, Request
@@ -186,15 +187,12 @@
             vm = self.rng.choice(sorted(self.entries))
             for job_id in job_ids:
                 phases[job_id] = await self.state(vm, job_id)
-            if all(phase in FINAL for phase in phases.values()):
+            if all(phase in FINAL_PHASES for phase in phases.values()):
                 break
             await asyncio.sleep(0.5)
         return phases
 
 
-FINAL: Final = frozenset(('completed', 'failed', 'cancelled'))
-
-
 def _internal(entry: Entry) -> Any:
     async def handle(request: Request) -> Reply:
         if is_workflow_path(request.path):
--- a/src/lycheerelay_standins/platform/_fuzz.py
+++ b/src/lycheerelay_standins/platform/_fuzz.py
@@ -6,8 +6,10 @@
 from typing import Any, Final, NamedTuple, final
 
 from lycheerelay._hashing import number_of
+from lycheerelay._registry import Registry
+from lycheerelay.workflow import FINAL_PHASES
 
-from ._cell import FINAL, STORE, PlatformCell
+from ._cell import STORE, PlatformCell
 from ._surroundings import CellShape, QueueShape
 from ._virtual_time import run_virtual
 from ._worker import Shape
@@ -23,7 +25,7 @@
     {'speculative': True},
 )
 Inject = Callable[['Day'], Coroutine[Any, Any, None]]
-FAULTS: Final[dict[str, Inject]] = {}
+FAULTS: Final[Registry[str, Inject]] = Registry('fault')
 HOLDING_S: Final = (0.5, 6)
 
 
@@ -37,16 +39,6 @@
     faults: tuple[str, ...]
 
 
-def fault(name: str) -> Callable[[Inject], Inject]:
-    """Return a decorator that registers a fault under a name."""
-
-    def store(inject: Inject) -> Inject:
-        FAULTS[name] = inject
-        return inject
-
-    return store
-
-
 @final
 class Day:
     """Hold one random day."""
@@ -87,7 +79,7 @@
         open_jobs = [
             f'{name}: {phase}'
             for name, phase in phases.items()
-            if phase not in FINAL
+            if phase not in FINAL_PHASES
         ]
         return FuzzResult(
             self.seed,
@@ -167,7 +159,7 @@
             harm.clear()
 
 
-@fault('kill')
+@FAULTS.register('kill')
 async def kill(day: Day) -> None:
     """Kill a VM and start it again."""
     vm = day.a_vm()
@@ -177,7 +169,7 @@
         day.cell.start_vm(vm)
 
 
-@fault('kill_all')
+@FAULTS.register('kill_all')
 async def kill_all(day: Day) -> None:
     """Kill every VM; they start again together."""
     names = sorted(day.cell.entries)
@@ -194,20 +186,20 @@
     day.cell.net.cuts.difference_update(pairs)
 
 
-@fault('store_cut')
+@FAULTS.register('store_cut')
 async def store_cut(day: Day) -> None:
     """Cut a VM off from the store."""
     await _cut(day, (day.a_vm(), STORE))
 
 
-@fault('worker_cut')
+@FAULTS.register('worker_cut')
 async def worker_cut(day: Day) -> None:
     """Cut a worker off from every VM and the store."""
     worker = day.a_worker()
     await _cut(day, ('*', worker), (worker, STORE))
 
 
-@fault('worker_vm_cut')
+@FAULTS.register('worker_vm_cut')
 async def worker_vm_cut(day: Day) -> None:
     """Cut some workers off from one VM."""
     vm = day.a_vm()
@@ -216,14 +208,14 @@
     await _cut(day, *((vm, worker) for worker in workers))
 
 
-@fault('vm_cut')
+@FAULTS.register('vm_cut')
 async def vm_cut(day: Day) -> None:
     """Cut a VM off from everything."""
     vm = day.a_vm()
     await _cut(day, (vm, '*'), ('*', vm))
 
 
-@fault('store_down')
+@FAULTS.register('store_down')
 async def store_down(day: Day) -> None:
     """Let the store refuse every call."""
     day.cell.net.refusing.add(('*', STORE))
@@ -231,7 +223,7 @@
     day.cell.net.refusing.discard(('*', STORE))
 
 
-@fault('store_slow')
+@FAULTS.register('store_slow')
 async def store_slow(day: Day) -> None:
     """Let the store answer slowly."""
     day.cell.net.slow[STORE] = 240
@@ -239,7 +231,7 @@
     day.cell.net.slow.pop(STORE, None)
 
 
-@fault('store_lost')
+@FAULTS.register('store_lost')
 async def store_lost(day: Day) -> None:
     """Lose answers of the store, or carry its calls out late."""
     day.cell.net.lost[STORE] = 0.35
@@ -249,7 +241,7 @@
     day.cell.net.late.pop(STORE, None)
 
 
-@fault('applied_late')
+@FAULTS.register('applied_late')
 async def applied_late(day: Day) -> None:
     """Let workers carry orders out late, unanswered."""
     for address in day.cell.addresses.values():
@@ -259,7 +251,7 @@
         day.cell.net.late.pop(address, None)
 
 
-@fault('crash')
+@FAULTS.register('crash')
 async def crash(day: Day) -> None:
     """Crash a worker; its address goes to a new one."""
     if len(day.cell.workers) > 2:
@@ -270,7 +262,7 @@
         day.cell.add_worker(Shape('cpu'), address)
 
 
-@fault('deal_anew')
+@FAULTS.register('deal_anew')
 async def deal_anew(day: Day) -> None:
     """Deal the ownership anew."""
     for _ in range(day.rng.randint(1, 3)):
@@ -278,20 +270,20 @@
         await asyncio.sleep(day.rng.uniform(0, 1))
 
 
-@fault('revoke')
+@FAULTS.register('revoke')
 async def revoke(day: Day) -> None:
     """Take the owner's seat away at once."""
     day.cell.store.revoke('seat')
 
 
-@fault('history')
+@FAULTS.register('history')
 async def history(day: Day) -> None:
     """Delete the history of every stream."""
     for topic in list(day.cell.store.topics):
         day.cell.store.forget_history(topic)
 
 
-@fault('grey')
+@FAULTS.register('grey')
 async def grey(day: Day) -> None:
     """Let a worker fail or stall what it runs."""
     worker = day.cell.workers[day.a_worker()]
--- a/src/lycheerelay_standins/platform/_net.py
+++ b/src/lycheerelay_standins/platform/_net.py
@@ -6,9 +6,9 @@
 from typing import Final, NamedTuple, final
 from urllib.parse import parse_qsl, urlsplit
 
+from lycheerelay._clock import MS_PER_SECOND
 from lycheerelay.serving import NO_ANSWER, NOT_SENT, Reply
 
-MS_PER_SECOND: Final = 1000
 ONE_WAY_MS: Final = 1
 CONNECT_MS: Final = 400
 REFUSED: Final = 503
--- a/src/lycheerelay_standins/platform/_soak.py
+++ b/src/lycheerelay_standins/platform/_soak.py
@@ -4,17 +4,18 @@
 import random
 import signal
 import tempfile
-from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any, Final, NamedTuple, final
 
 import aiohttp
 
 from lycheerelay._hashing import number_of
+from lycheerelay.workflow import FINAL_PHASES
 
 from ._audit import JobTruth
 from ._net import Net
-from ._soak_cell import STORE_NAME, EntryProcess, SoakCell, job_body
+from ._soak_cell import EntryProcess, SoakCell, job_body
+from ._soak_faults import SOAK_FAULTS
 from ._surroundings import HOST, CellShape
 from ._worker import Shape
 
@@ -24,13 +25,9 @@
 FAULT_S: Final = (0.3, 4)
 # The clocks of workers run fast and slow, within what leases allow for.
 CLOCK_RATES: Final = (0.98, 1.02)
-FINAL: Final = frozenset(('completed', 'failed', 'cancelled'))
 OK: Final = 200
 GONE: Final = 410
 
-Inject = Callable[['Soak'], Coroutine[Any, Any, None]]
-SOAK_FAULTS: Final[dict[str, Inject]] = {}
-
 
 class SoakResult(NamedTuple):
     """Tell what one soak came to."""
@@ -43,16 +40,6 @@
     faults: tuple[str, ...]
 
 
-def soak_fault(name: str) -> Callable[[Inject], Inject]:
-    """Return a decorator that registers a fault under a name."""
-
-    def store(inject: Inject) -> Inject:
-        SOAK_FAULTS[name] = inject
-        return inject
-
-    return store
-
-
 @final
 class Soak:
     """Hold one soak: its cell, its callers and its faults."""
@@ -176,7 +163,7 @@
         while waiting and loop.time() < ends_s:
             open_jobs = []
             for name in waiting:
-                if await self._state(session, name) not in FINAL:
+                if await self._state(session, name) not in FINAL_PHASES:
                     open_jobs.append(name)
             waiting = open_jobs
             await asyncio.sleep(0.3)
@@ -226,143 +213,6 @@
         return 0, {}
 
 
-@soak_fault('kill')
-async def kill(soak: Soak) -> None:
-    """Kill a VM and start it again."""
-    vm = soak.a_vm()
-    await vm.send(signal.SIGKILL)
-    await soak.pause()
-    await vm.start()
-
-
-@soak_fault('kill_all')
-async def kill_all(soak: Soak) -> None:
-    """Kill every VM; they start again together."""
-    for vm in soak.cell.vms.values():
-        await vm.send(signal.SIGKILL)
-    for vm in soak.cell.vms.values():
-        await vm.start()
-
-
-@soak_fault('leave')
-async def leave(soak: Soak) -> None:
-    """Let a VM leave while channels to it are open, and come back."""
-    vm = soak.a_vm()
-    await vm.send(signal.SIGTERM)
-    await vm.start()
-
-
-@soak_fault('freeze')
-async def freeze(soak: Soak) -> None:
-    """Let a VM stand still."""
-    vm = soak.a_vm()
-    await vm.send(signal.SIGSTOP)
-    await soak.pause()
-    await vm.send(signal.SIGCONT)
-
-
-@soak_fault('reload')
-async def reload(soak: Soak) -> None:
-    """Let a VM read its settings again."""
-    vm = soak.a_vm()
-    if vm.process is not None and vm.is_running:
-        vm.process.send_signal(signal.SIGHUP)
-
-
-@soak_fault('store_cut')
-async def store_cut(soak: Soak) -> None:
-    """Break a VM's channels to the store off, and refuse new ones."""
-    way = soak.cell.store_ways[soak.a_vm().name]
-    way.refusing = True
-    way.reset()
-    await soak.pause()
-    way.refusing = False
-
-
-@soak_fault('store_silent')
-async def store_silent(soak: Soak) -> None:
-    """Swallow what passes between a VM and the store, one way or both."""
-    way = soak.cell.store_ways[soak.a_vm().name]
-    way.silent = soak.rng.choice((True, False))
-    way.deaf = not way.silent
-    await soak.pause()
-    way.heal()
-
-
-@soak_fault('store_down')
-async def store_down(soak: Soak) -> None:
-    """Cut every VM off from the store."""
-    ways = list(soak.cell.store_ways.values())
-    for way in ways:
-        way.refusing = True
-        way.reset()
-    await soak.pause()
-    for way in ways:
-        way.refusing = False
-
-
-@soak_fault('store_slow')
-async def store_slow(soak: Soak) -> None:
-    """Let the store answer slowly."""
-    soak.net.slow[STORE_NAME] = 200
-    await soak.pause()
-    soak.net.slow.pop(STORE_NAME, None)
-
-
-@soak_fault('store_lost')
-async def store_lost(soak: Soak) -> None:
-    """Lose answers of the store, or carry its writes out late."""
-    soak.net.lost[STORE_NAME] = 0.3
-    soak.net.late[STORE_NAME] = (0.2, 1, 4)
-    await soak.pause()
-    soak.net.lost.pop(STORE_NAME, None)
-    soak.net.late.pop(STORE_NAME, None)
-
-
-@soak_fault('deal_anew')
-async def deal_anew(soak: Soak) -> None:
-    """Deal the ownership anew."""
-    soak.cell.store.deal_anew()
-
-
-@soak_fault('worker_silent')
-async def worker_silent(soak: Soak) -> None:
-    """Swallow what passes between a worker and every VM."""
-    ways = soak.cell.worker_ways
-    way = ways[soak.rng.choice(sorted(ways))]
-    way.silent = True
-    await soak.pause()
-    way.heal()
-
-
-@soak_fault('worker_resets')
-async def worker_resets(soak: Soak) -> None:
-    """Break channels to a worker off, again and again."""
-    ways = soak.cell.worker_ways
-    way = ways[soak.rng.choice(sorted(ways))]
-    for _ in range(5):
-        way.reset()
-        await asyncio.sleep(soak.rng.uniform(0, 0.4))
-
-
-@soak_fault('worker_slow')
-async def worker_slow(soak: Soak) -> None:
-    """Let what passes between a worker and every VM take long."""
-    ways = soak.cell.worker_ways
-    way = ways[soak.rng.choice(sorted(ways))]
-    way.delay_s = 0.2
-    await soak.pause()
-    way.delay_s = float(0)
-
-
-@soak_fault('crash')
-async def crash(soak: Soak) -> None:
-    """Crash a worker for good."""
-    cell = soak.cell
-    if len(cell.workers) > 2:
-        cell.crash_worker(cell.workers[soak.rng.choice(sorted(cell.workers))])
-
-
 async def soak_once(seed: int, length_s: float, folder: Path) -> SoakResult:
     """Play the soak of a seed; logs of its processes go to a folder."""
     folder.mkdir(parents=True, exist_ok=True)
--- a/src/lycheerelay_standins/platform/_soak_cell.py
+++ b/src/lycheerelay_standins/platform/_soak_cell.py
@@ -11,6 +11,7 @@
 
 from aiohttp import web
 
+from lycheerelay._clock import MS_PER_SECOND
 from lycheerelay.serving import Reply
 
 from ._net import Handler, Net, Request
@@ -18,7 +19,6 @@
 from ._surroundings import CellShape, Surroundings
 
 DEPLOYED: Final = Path(__file__).parents[3] / 'deploy' / 'serve.py'
-MS_PER_SECOND: Final = 1000
 STORE_NAME: Final = 'store'
 ADVISOR_NAME: Final = 'advisor'
 # Stops are given so long, in s, before a process is killed.
--- a/src/lycheerelay_standins/platform/_store.py
+++ b/src/lycheerelay_standins/platform/_store.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Final, final
 
+from lycheerelay._clock import MS_PER_SECOND
 from lycheerelay.serving import Reply
 
 from ._net import Request
@@ -18,7 +19,6 @@
 RACED: Final = 412
 DELETED: Final = 410
 PARTS: Final = 12
-MS_PER_SECOND: Final = 1000
 PAGE: Final = 500
 
 
--- a/src/lycheerelay_standins/platform/_surroundings.py
+++ b/src/lycheerelay_standins/platform/_surroundings.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Any, Final, NamedTuple
 
+from lycheerelay._clock import MS_PER_SECOND
 from lycheerelay.serving import Reply
 
 from ._audit import Audit
@@ -16,7 +17,6 @@
 HOST: Final = 'cell.example'
 BEAT_MS: Final = 1500
 SILENT_BEATS: Final = 3
-MS_PER_SECOND: Final = 1000
 GANG_MS: Final = 3000
 # A call to the advisor takes so long, in s, and its tickets hold, in ms.
 ADVICE_S: Final = 0.02
--- a/src/lycheerelay_standins/platform/_virtual_time.py
+++ b/src/lycheerelay_standins/platform/_virtual_time.py
@@ -3,9 +3,9 @@
 import asyncio
 import selectors
 from collections.abc import Coroutine, Mapping
-from typing import Any, Final, final
+from typing import Any, final
 
-MS_PER_SECOND: Final = 1000
+from lycheerelay._clock import MS_PER_SECOND
 
 
 @final
--- a/src/lycheerelay_standins/platform/_worker.py
+++ b/src/lycheerelay_standins/platform/_worker.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Any, Final, final
 
+from lycheerelay._clock import MS_PER_SECOND
 from lycheerelay.serving import Reply
 
 from ._audit import Audit, RunTruth
@@ -15,7 +16,6 @@
 CONFLICT: Final = 409
 OTHER_LIFE: Final = 421
 EXPECTED: Final = 'X-Expected-Instance'
-MS_PER_SECOND: Final = 1000
 FULL: Final = 100
 PAGE: Final = 500
 UNKNOWN_WORK_MS: Final = 500
