--- a/src/lycheerelay/_cli_workflow.py
+++ b/src/lycheerelay/_cli_workflow.py
@@ -189,7 +189,7 @@
     fields = outcome.ok_value
     code = Code(fields['code'])
     if 'job_id' not in fields:
-        return fail(Refusal(code, fields.get('detail', CODES[code].text)))
+        return fail(_refusal_of(code, fields))
     if arguments.json:
         print_json(fields)
     else:
@@ -198,6 +198,10 @@
     return exit_status_of(fields)
 
 
+def _refusal_of(code: Code, fields: dict[str, Any]) -> Refusal:
+    return Refusal(code, fields.get('detail', CODES[code].text))
+
+
 def _send(
     arguments: argparse.Namespace,
     method: str,
@@ -217,7 +221,8 @@
         if not isinstance(fields, dict) or 'code' not in fields:
             detail = f'entry VM {address}: status {reply.ok_value.status}'
             return Err(Refusal(Code.INTERNAL, detail))
-        if Code(fields['code']) not in RETRY_ELSEWHERE:
+        code = Code(fields['code'])
+        if code not in RETRY_ELSEWHERE:
             return Ok(fields)
-        refusal = Refusal(Code(fields['code']), fields['detail'])
+        refusal = _refusal_of(code, fields)
     return Err(refusal)
--- a/src/lycheerelay/_gang.py
+++ b/src/lycheerelay/_gang.py
@@ -21,6 +21,8 @@
 CHECKPOINT_MS: Final = 2000
 # An older reservation keeps its workers, so that it is not postponed forever.
 MAX_REPLANNING_MS: Final = 600_000
+# An overdue reservation stays closed to backfill if it can start this soon.
+MAX_HARD_WAIT_MS: Final = 5000
 MIN_COMPARED_WORKERS: Final = 32
 COMPARED_WORKERS_PER_TASK: Final = 2
 
@@ -72,7 +74,7 @@
         reservation = state.reservations.by_role.get(role)
         if reservation is None:
             _reserve_first(state, role, now_ms)
-        elif reservation.hard and not reservation.is_preempting(now_ms):
+        elif not reservation.is_preempting(now_ms):
             _replan(state, role, reservation, now_ms)
 
 
@@ -82,7 +84,11 @@
     reservation: Reservation,
     now_ms: int,
 ) -> None:
-    """Plan an overdue reservation again from the current allocations."""
+    """Plan a reservation again from the current allocations.
+
+    One that is not due yet is replaced only by an earlier start, which opens
+    up when other jobs end sooner than expected.
+    """
     if now_ms - reservation.made_ms >= MAX_REPLANNING_MS:
         return
     drop_reservation(state, role)
@@ -90,10 +96,13 @@
     if entry is None:
         return
     plan = plan_reservation(state, entry, now_ms)
-    if plan is None:
+    is_worse = not reservation.hard and plan and plan.at_ms >= reservation.at_ms
+    if plan is None or is_worse:
         state.reservations.make(role, reservation)
         return
     plan.made_ms = reservation.made_ms
+    # Backfill that ran longer than expected has postponed the start already.
+    plan.hard = reservation.hard and plan.at_ms - now_ms <= MAX_HARD_WAIT_MS
     state.reservations.make(role, plan)
     state.waiting.reopen(entry.key.fit_class)
 
--- a/src/lycheerelay/serving/_event_log.py
+++ b/src/lycheerelay/serving/_event_log.py
@@ -35,6 +35,8 @@
         self.refilled_s = float(0)
         self.dropped = 0
         self.pending: collections.deque[bytes] = collections.deque()
+        # The rest of a partly written line, which is never dropped.
+        self.unfinished = b''
         os.set_blocking(descriptor, False)
 
     def emit(self, record: logging.LogRecord) -> None:
@@ -54,19 +56,23 @@
         self._flush()
 
     def _flush(self) -> None:
-        while self.pending:
-            line = self.pending.popleft()
-            try:
-                written = os.write(self.descriptor, line)
-            except BlockingIOError:
-                written = 0
-            except OSError:
-                # The reader is gone, so the lines cannot be delivered.
-                self.pending.clear()
-                return
-            if written < len(line):
-                self.pending.appendleft(line[written:])
-                break
+        try:
+            self._write_pending()
+        except BlockingIOError:
+            self._drop_oldest()
+        except OSError:
+            # The reader is gone, so the lines cannot be delivered.
+            self.pending.clear()
+            self.unfinished = b''
+
+    def _write_pending(self) -> None:
+        while self.unfinished or self.pending:
+            if not self.unfinished:
+                self.unfinished = self.pending.popleft()
+            written = os.write(self.descriptor, self.unfinished)
+            self.unfinished = self.unfinished[written:]
+
+    def _drop_oldest(self) -> None:
         while len(self.pending) > MAX_PENDING_LINES:
             self.pending.popleft()
             self.dropped += 1
--- a/src/lycheerelay/serving/_job_appends.py
+++ b/src/lycheerelay/serving/_job_appends.py
@@ -73,21 +73,27 @@
     async def _send(self) -> None:
         while self.pending:
             batch = self._next_batch()
-            sent_ms = self.clock.now_ms()
-            outcome = await self.log.append(
-                Stream.JOBS,
-                [pending_append.record for pending_append in batch],
-                timeout_ms=APPEND_TIMEOUT_MS,
-            )
-            self.metrics.observe('append', self.clock.now_ms() - sent_ms)
-            if isinstance(outcome, Ok):
-                self.gate.succeeded()
-            else:
-                self.gate.failed()
-                self._refuse_pending()
-            for index, pending_append in enumerate(batch):
-                if not pending_append.future.done():
-                    pending_append.future.set_result(_offset_at(outcome, index))
+            outcome: AppendOutcome = Err(LogFault.UNKNOWN)
+            try:
+                outcome = await self._append_batch(batch)
+            finally:
+                # Callers get an outcome even if the append raised.
+                _resolve(batch, outcome)
+
+    async def _append_batch(self, batch: list[PendingAppend]) -> AppendOutcome:
+        sent_ms = self.clock.now_ms()
+        outcome = await self.log.append(
+            Stream.JOBS,
+            [pending_append.record for pending_append in batch],
+            timeout_ms=APPEND_TIMEOUT_MS,
+        )
+        self.metrics.observe('append', self.clock.now_ms() - sent_ms)
+        if isinstance(outcome, Ok):
+            self.gate.succeeded()
+        else:
+            self.gate.failed()
+            self._refuse_pending()
+        return outcome
 
     def _refuse_pending(self) -> None:
         # These records were not sent, so their callers can retry safely.
@@ -106,5 +112,11 @@
         return batch
 
 
+def _resolve(batch: list[PendingAppend], outcome: AppendOutcome) -> None:
+    for index, pending_append in enumerate(batch):
+        if not pending_append.future.done():
+            pending_append.future.set_result(_offset_at(outcome, index))
+
+
 def _offset_at(outcome: AppendOutcome, index: int) -> AppendOutcome:
     return outcome.map(lambda offset: offset + index)
--- a/src/lycheerelay/serving/_peers.py
+++ b/src/lycheerelay/serving/_peers.py
@@ -91,13 +91,13 @@
 
         Needed because the group lists only members that hold a partition.
         """
-        wait_ms = HELLO_INTERVAL_MS + HELLO_INTERVAL_PER_MEMBER_MS * len(
-            self.hello_expiry_ms
-        )
         now_ms = self.clock.now_ms()
         for known, until_ms in list(self.hello_expiry_ms.items()):
             if until_ms <= now_ms:
                 self.hello_expiry_ms.pop(known)
+        wait_ms = HELLO_INTERVAL_MS + HELLO_INTERVAL_PER_MEMBER_MS * len(
+            self.hello_expiry_ms
+        )
         self.hello_expiry_ms[member] = now_ms + HELLO_EXPIRY_INTERVALS * wait_ms
         return wait_ms
 
--- a/src/lycheerelay/workflow/_advice.py
+++ b/src/lycheerelay/workflow/_advice.py
@@ -106,8 +106,14 @@
     if not workers:
         return
     call_ms = policy.call_ms(min(len(workers), MAX_WORKERS_PER_RENEWAL))
+    # The ticket of an eligible worker is gone after a `bad_ticket` answer.
     latest_end_ms = max(
-        step.tickets[worker.worker_id].until_ms for worker in workers
+        (
+            step.tickets[worker.worker_id].until_ms
+            for worker in workers
+            if worker.worker_id in step.tickets
+        ),
+        default=NEVER,
     )
     if latest_end_ms < now_ms + call_ms + TICKET_EXPIRY_MARGIN_MS:
         renew_tickets(cell, step, policy, workers, now_ms)
