Plan the start of gangs and keep their capacity

Cause: a gang with advice started only once enough of its workers happened to hold both capacity and a valid ticket. Renewals named the first 12 eligible workers, whether they were to hold the gang or not, so a gang wider than 12 workers could wait without end, and waiting gangs filled the advisor's time.

Change: openings.py finds when and where each task fits, gangs.py keeps the earliest openings reserved (exact amounts, for five steps of a pool), asks for tickets for just these workers when they are nearly free, and starts all members. Tasks avoid reserved workers where others fit. A gang is planned ten times a second at most and three gangs a cycle, so that a backlog doesn't take the processor. Calls for one step may be in progress side by side. A member that hung makes the whole gang avoid its worker. The policies are one frozen value; the former way stays as gangs=ticketed.

--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -25,12 +25,12 @@
 )
 from replay_plot import Bar, draw_bars
 
-from lycheerelay.rehearsal import Simulation
+from lycheerelay.rehearsal import ADVICE_QUEUES, Simulation
 from lycheerelay.workflow import (
-    ORDERS,
     VALUE_EXPIRY_FACTOR,
     CellState,
     JobPhase,
+    Policies,
     RunOutcome,
     lateness_ms,
     objective_ms,
@@ -39,20 +39,11 @@
 )
 
 LOADS: Final = Path(__file__).parent / 'loads'
-# Same as the default of the core.
-DEFAULT_RESERVING_STEPS: Final = 5
 # A replay may take this multiple of the load's length, so that open jobs can
 # end after the last arrival.
 MAX_DURATION_FACTOR: Final = 2
 
 
-class SchedulerOptions(NamedTuple):
-    """Hold the scheduler options that a replay compares."""
-
-    order: str
-    reserving_steps: int
-
-
 class JobResult(NamedTuple):
     """Hold the result of one job; a refused job has no phase."""
 
@@ -110,19 +101,14 @@
         return {key: self.sums[key] / self.counts[key] for key in self.sums}
 
 
-def simulate_load(
-    load: Load, scheduler_options: SchedulerOptions
-) -> ReplayResult:
+def simulate_load(load: Load, policies: Policies) -> ReplayResult:
     """Simulate a load to its end."""
     rng = random.Random(load['seed'])
     model = DrawnRunModel(load, rng)
-    cell = CellState(
-        1,
-        0,
-        order=scheduler_options.order,
-        reserving_steps=scheduler_options.reserving_steps,
+    cell = CellState(1, 0, policies=policies)
+    simulation = Simulation(
+        cell, model, advice_queues=load.get('advice_queues', ADVICE_QUEUES)
     )
-    simulation = Simulation(cell, model)
     model.simulation = simulation
     for entry in worker_listings(load):
         simulation.add_worker(entry)
@@ -165,7 +151,7 @@
     kind: dict[str, Any],
     refused: list[JobResult],
 ) -> None:
-    spec = draw_job(model.rng, model, kind, simulation.now_ms)
+    spec = draw_job(model.job_rng, model, kind, simulation.now_ms)
     points = predict_waits(simulation.cell, simulation.now_ms).get(
         spec.pool, ()
     )
@@ -260,13 +246,11 @@
 
 
 def replay(
-    load: Load, scheduler_options: SchedulerOptions, seeds: int
+    load: Load, policies: Policies, seeds: int
 ) -> tuple[list[KindSummary], str]:
     """Simulate a load for each seed; return its rows and a usage summary."""
     results = [
-        simulate_load(
-            {**load, 'seed': load.get('seed', 1) + number}, scheduler_options
-        )
+        simulate_load({**load, 'seed': load.get('seed', 1) + number}, policies)
         for number in range(seeds)
     ]
     rows = list(
@@ -296,15 +280,15 @@
 
 def print_table(
     name: str,
-    scheduler_options: SchedulerOptions,
+    policies: Policies,
     rows: list[KindSummary],
     used: str,
 ) -> None:
     """Print the table of one replay."""
-    print(
-        f'{name}, order {scheduler_options.order}, '
-        f'capacity reserved for {scheduler_options.reserving_steps} steps'
+    settings = ', '.join(
+        f'{field} {choice}' for field, choice in policies._asdict().items()
     )
+    print(f'{name}, {settings}')
     for row in rows:
         print(
             f'  {row.kind:14}{row.jobs:5} jobs'
@@ -323,13 +307,29 @@
     return load
 
 
+def parse_policies(text: str) -> Policies:
+    """Return the default policies with the changes of `NAME=VALUE,...`."""
+    changes: dict[str, Any] = {}
+    for part in filter(None, text.split(',')):
+        name, _, choice = part.partition('=')
+        default = Policies._field_defaults[name]
+        changes[name] = (
+            choice == 'True' if default is True else type(default)(choice)
+        )
+    return Policies(**changes)
+
+
 def main() -> None:
     """Replay the selected loads with the selected scheduler options."""
     parser = argparse.ArgumentParser(description=__doc__)
     names = sorted(path.stem for path in LOADS.glob('*.toml'))
     parser.add_argument('loads', nargs='*', default=names)
-    parser.add_argument('--order', choices=sorted(ORDERS), action='append')
-    parser.add_argument('--reserving', type=int, action='append')
+    parser.add_argument(
+        '--policies',
+        action='append',
+        metavar='NAME=VALUE,...',
+        help='replay with these policies, the rest as by default',
+    )
     parser.add_argument('--pool', help='only the kinds of this pool')
     parser.add_argument('--seeds', type=int, default=1)
     parser.add_argument('--plot', type=Path, help='SVG file to draw')
@@ -337,18 +337,15 @@
     bars: list[Bar] = []
     for name in options.loads or names:
         load = read_load(name, options.pool)
-        for order in options.order or ['slack']:
-            for reserving_steps in options.reserving or [
-                DEFAULT_RESERVING_STEPS
-            ]:
-                scheduler_options = SchedulerOptions(order, reserving_steps)
-                rows, used = replay(load, scheduler_options, options.seeds)
-                print_table(name, scheduler_options, rows, used)
-                label = f'{order} {reserving_steps}'
-                bars.extend(
-                    Bar(f'{name}: {row.kind}', label, row.in_time, row.late)
-                    for row in rows
-                )
+        for choices in options.policies or ['']:
+            policies = parse_policies(choices)
+            rows, used = replay(load, policies, options.seeds)
+            print_table(name, policies, rows, used)
+            label = choices or 'default'
+            bars.extend(
+                Bar(f'{name}: {row.kind}', label, row.in_time, row.late)
+                for row in rows
+            )
     if options.plot is not None:
         options.plot.write_text(draw_bars(bars))
 
--- a/benchmarks/replay_load.py
+++ b/benchmarks/replay_load.py
@@ -7,12 +7,13 @@
 """
 
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any, Final
 
 from lycheerelay._resources import Resources
 from lycheerelay.rehearsal import RunPlan, Simulation
 from lycheerelay.workflow import (
+    MAX_TASKS_PER_STEP,
     AdvicePolicy,
     QueuePolicy,
     RunKey,
@@ -27,14 +28,24 @@
 MS_PER_S: Final = 1000
 RESTORE_MS: Final = 100
 DEFAULT_MAX_ATTEMPTS: Final = 3
+DEFAULT_MEMORY_MB: Final = 1000
+# Number of the widest gangs that fit in a pool side by side.
+GANGS_PER_POOL: Final = 4
 # The work of a task differs from that of its job by up to this share.
 TASK_WORK_VARIATION: Final = 0.15
 # Work outside the preferred rack takes longer by this factor.
 OTHER_RACK_FACTOR: Final = 1.5
 
 
-def draw_value(rng: random.Random, distribution: dict[str, float]) -> float:
-    """Draw from a gamma distribution; `spread` is relative to the mean."""
+def draw_value(
+    rng: random.Random, distribution: float | dict[str, float]
+) -> float:
+    """Draw from a gamma distribution; `spread` is relative to the mean.
+
+    A plain number is returned as it is.
+    """
+    if not isinstance(distribution, dict):
+        return distribution
     mean, spread = distribution['mean'], distribution.get('spread', 0)
     if not spread:
         return mean
@@ -46,13 +57,16 @@
     """Draw the run times of jobs, impaired workers and failing jobs."""
 
     def __init__(self, load: Load, rng: random.Random) -> None:
-        """Prepare an empty model of a load."""
+        """Prepare an empty model of a load.
+
+        Jobs are drawn apart from runs, so that all policies get the same jobs.
+        """
         self.rng = rng
+        self.job_rng = random.Random(rng.random())
         self.work_ms: dict[str, int] = {}
         self.kinds: dict[str, dict[str, Any]] = {}
         self.failing_jobs: set[str] = set()
-        self.allowed: dict[tuple[StepKey, str], bool] = {}
-        self.advised: set[StepKey] = set()
+        self.allowed: dict[StepKey, frozenset[str]] = {}
         self.impairments = load.get('troubles', ())
         self.impaired: list[set[str]] = []
         self.predicted_ms: dict[str, int] = {}
@@ -64,6 +78,23 @@
             count = max(1, round(impairment['share'] * len(worker_ids)))
             self.impaired.append(set(self.rng.sample(worker_ids, count)))
 
+    def max_width(self, kind: dict[str, Any]) -> Callable[[Resources], int]:
+        """Return the widest step of a kind by its demand for one task.
+
+        A gang takes a quarter of its pool at most, so that it can ever start.
+        """
+        if self.simulation is None or not kind.get('gang'):
+            return lambda demand: MAX_TASKS_PER_STEP
+        capacities = [
+            worker.capacity
+            for worker in self.simulation.cell.workers.values()
+            if worker.pool == kind['pool']
+        ]
+        return lambda demand: max(
+            1,
+            sum(demand.times_in(each) for each in capacities) // GANGS_PER_POOL,
+        )
+
     def plan(self, run: RunKey, worker_id: str, saved_ms: int) -> RunPlan:
         """Return the plan of a run that resumes after `saved_ms` of work."""
         work_ms = self.work_ms[run.task.job_id]
@@ -80,17 +111,33 @@
         return self._impaired_plan(worker_id, total_ms)
 
     def may_run(self, step: StepKey, worker_id: str) -> bool:
-        """Return whether the advisor allows a worker; the answer is constant.
+        """Return whether the advisor allows a worker; the answer is constant."""
+        if step not in self.allowed:
+            self.allowed[step] = self._draw_allowed(step)
+        return worker_id in self.allowed[step]
 
-        The advisor allows the first worker that is asked about for a step.
-        """
-        key = (step, worker_id)
-        if key not in self.allowed:
-            kind = self.kinds[step.job_id]
-            is_first = step not in self.advised
-            self.advised.add(step)
-            self.allowed[key] = is_first or self.rng.random() < kind['good']
-        return self.allowed[key]
+    def _draw_allowed(self, key: StepKey) -> frozenset[str]:
+        """Draw the allowed share of a pool, with capacity for the whole step."""
+        if self.simulation is None:
+            return frozenset()
+        cell = self.simulation.cell
+        spec = cell.jobs[key.job_id].spec
+        step = spec.steps[key.step]
+        share = self.kinds[key.job_id]['good']
+        pool = [
+            worker
+            for worker in cell.workers.values()
+            if worker.pool == spec.pool
+        ]
+        self.rng.shuffle(pool)
+        allowed: list[str] = []
+        fitting = 0
+        for worker in pool:
+            if len(allowed) >= share * len(pool) and fitting >= step.width:
+                break
+            allowed.append(worker.worker_id)
+            fitting += step.demand.times_in(worker.capacity)
+        return frozenset(allowed)
 
     def _is_in_other_rack(self, run: RunKey, worker_id: str) -> bool:
         if self.simulation is None:
@@ -171,7 +218,8 @@
         model.failing_jobs.add(name)
     count = max(1, round(draw_value(rng, kind.get('steps', {'mean': 1}))))
     steps = tuple(
-        _draw_step(rng, kind, work_ms, number) for number in range(count)
+        _draw_step(rng, kind, work_ms, number, model.max_width(kind))
+        for number in range(count)
     )
     policy = queue_policy(kind)
     return WorkflowSpec(
@@ -207,17 +255,19 @@
     kind: dict[str, Any],
     work_ms: int,
     number: int,
+    max_width: Callable[[Resources], int],
 ) -> StepSpec:
     estimate_factor = 1 + rng.uniform(-1, 1) * kind.get('estimate_off', 0.2)
     demand = Resources(
         int(draw_value(rng, kind['cores_milli'])),
-        int(kind.get('memory_mb', 1000)),
+        int(draw_value(rng, kind.get('memory_mb', DEFAULT_MEMORY_MB))),
         rng.choice(kind.get('accelerators', [0])),
     )
     preferred_rack = kind.get('wanted_rack', {'share': 0, 'rack': ''})
     prefers_rack = rng.random() < preferred_rack['share']
+    width = max(1, round(draw_value(rng, kind['width'])))
     return StepSpec(
-        width=max(1, round(draw_value(rng, kind['width']))),
+        width=min(width, max_width(demand)),
         demand=demand,
         expected_ms=max(int(work_ms * estimate_factor), 1),
         after=(number - 1,) if number else (),
--- a/src/lycheerelay/rehearsal/_rehearse.py
+++ b/src/lycheerelay/rehearsal/_rehearse.py
@@ -154,7 +154,7 @@
     if any(run.plan.hangs_from_ms < 0 for run in worker_runs):
         return True
     return any(
-        step.advice_sent_ms >= 0
+        bool(step.pending_calls)
         for steps in job.occurrences.values()
         for step in steps
     )
--- a/src/lycheerelay/rehearsal/_simulation.py
+++ b/src/lycheerelay/rehearsal/_simulation.py
@@ -128,6 +128,7 @@
         cell: CellState,
         model: RunModel,
         tick_ms: int = TICK_MS,
+        advice_queues: int = ADVICE_QUEUES,
     ) -> None:
         """Start at time 0 without workers or jobs."""
         self.cell = cell
@@ -137,7 +138,7 @@
         self.sequence = 0
         self.events: list[Event] = []
         self.workers: dict[str, SimulatedWorker] = {}
-        self.advice_free_ms = [float(0) for _ in range(ADVICE_QUEUES)]
+        self.advice_free_ms = [float(0) for _ in range(advice_queues)]
         self.history: list[RunRecord] = []
         self.first_start_ms: dict[str, int] = {}
         self.on_tick: Callable[[], None] = _do_nothing
@@ -270,9 +271,9 @@
     def _ask_advice(self, command: AskAdvice) -> None:
         is_short = command.expected_ms <= SHORT_CALL_MS
         queues = (
-            range(ADVICE_QUEUES)
+            range(len(self.advice_free_ms))
             if is_short
-            else range(SHORT_CALL_QUEUES, ADVICE_QUEUES)
+            else range(SHORT_CALL_QUEUES, len(self.advice_free_ms))
         )
         queue = min(queues, key=lambda number: self.advice_free_ms[number])
         done_ms = (
--- a/src/lycheerelay/serving/_dump.py
+++ b/src/lycheerelay/serving/_dump.py
@@ -50,7 +50,7 @@
                 'step': step.key.step,
                 'waiting': len(step.waiting),
                 'latest_start_ms': step.latest_start_ms,
-                'asking': len(step.pending_advice),
+                'asking': sum(map(len, step.pending_calls)),
                 'tickets': len(step.tickets),
             }
             for step in cell.open_steps.values()
--- a/src/lycheerelay/serving/_orders.py
+++ b/src/lycheerelay/serving/_orders.py
@@ -254,5 +254,5 @@
                 'fault': outcome.err_value.value,
             },
         )
-        advice_failed(context.cell, command.step, now_ms)
+        advice_failed(context.cell, command.step, command.workers, now_ms)
     context.notify_changed()
--- a/src/lycheerelay/workflow/__init__.py
+++ b/src/lycheerelay/workflow/__init__.py
@@ -27,6 +27,7 @@
     open_occurrences,
     run_periodic_checks,
 )
+from ._policies import Policies
 from ._progress import encode_progress, restore_progress
 from ._run_table import (
     RunTable,
@@ -88,6 +89,7 @@
     'RunOutcome',
     'JobInfo',
     'JobPhase',
+    'Policies',
     'PollNow',
     'LogEvent',
     'PaceRun',
--- a/src/lycheerelay/workflow/_advice.py
+++ b/src/lycheerelay/workflow/_advice.py
@@ -1,17 +1,22 @@
 """Request placement advice and renew tickets."""
 
+from collections.abc import Sequence
 from typing import Final, NamedTuple
 
+from ._advice_share import expected_share, observe_share
+from ._call_sizes import CALL_SIZES
 from ._commands import AskAdvice
 from ._fit import count_fitting, meets_requirements
 from ._spec import AdvicePolicy, StepKey
 from ._state import NEVER, CellState, StepInfo, Ticket, WorkerInfo
 
-# Limit on the workers of a first call. The objective of a job includes the time
-# of one call for 30 workers.
-MAX_WORKERS_PER_FIRST_CALL: Final = 30
-# Limit on the workers of a renewal call.
+# Limit of the advisor on the workers of a call.
+MAX_WORKERS_PER_CALL: Final = 100
+# Limit on the workers of a renewal call for tasks that start one by one.
 MAX_WORKERS_PER_RENEWAL: Final = 12
+# Limit on the calls for one step that are in progress at the same time. Each
+# occupies the advisor for another entry VM.
+MAX_PARALLEL_CALLS: Final = 4
 # Delay before a failed call is repeated.
 ADVICE_RETRY_MS: Final = 120
 # Tickets are treated as expiring this much earlier. Their validity begins when
@@ -37,8 +42,9 @@
     step = cell.open_steps.get(advice.step)
     if step is None:
         return
-    step.advice_sent_ms = NEVER
-    step.pending_advice = ()
+    step.pending_calls.pop(advice.asked, None)
+    step.replan_ms = 0
+    observe_share(cell, step, advice.asked, len(advice.tickets))
     step.asked_workers.update(dict.fromkeys(advice.asked))
     until_ms = advice.received_ms + advice.valid_ms - TICKET_EXPIRY_MARGIN_MS
     for worker_id, text in advice.tickets:
@@ -46,12 +52,14 @@
         step.tickets[worker_id] = Ticket(text, until_ms)
 
 
-def advice_failed(cell: CellState, key: StepKey, now_ms: int) -> None:
+def advice_failed(
+    cell: CellState, key: StepKey, asked: tuple[str, ...], now_ms: int
+) -> None:
     """Schedule a retry after a failed call."""
     step = cell.open_steps.get(key)
     if step is not None:
-        step.advice_sent_ms = NEVER
-        step.pending_advice = ()
+        step.pending_calls.pop(asked, None)
+        step.replan_ms = 0
         step.advice_retry_ms = now_ms + ADVICE_RETRY_MS
 
 
@@ -71,13 +79,29 @@
         if worker_id not in step.asked_workers
         and meets_requirements(step, worker)
     ]
-    if new_workers:
-        new_workers.sort(
-            key=lambda worker: _most_capacity_first(step, worker, now_ms)
+    if not new_workers:
+        return
+    fitting = {
+        worker.worker_id: count_fitting(step, worker, {}, now_ms)
+        for worker in new_workers
+    }
+    new_workers.sort(
+        key=lambda worker: (
+            -fitting[worker.worker_id],
+            -worker.free.accelerators,
         )
-        _call_advisor(
-            cell, step, policy, new_workers[:MAX_WORKERS_PER_FIRST_CALL], now_ms
+    )
+    sizes = CALL_SIZES[cell.policies.call_sizes](
+        len(step.waiting),
+        [fitting[worker.worker_id] for worker in new_workers],
+        expected_share(cell, step),
+    )
+    first = 0
+    for size in sizes[:MAX_PARALLEL_CALLS]:
+        call_advisor(
+            cell, step, policy, new_workers[first : first + size], now_ms
         )
+        first += size
 
 
 def renew_tickets(
@@ -88,7 +112,9 @@
     now_ms: int,
 ) -> None:
     """Request new tickets for workers whose tickets expired or soon expire."""
-    _call_advisor(cell, step, policy, workers[:MAX_WORKERS_PER_RENEWAL], now_ms)
+    if may_ask(step, now_ms):
+        first_workers = workers[:MAX_WORKERS_PER_RENEWAL]
+        call_advisor(cell, step, policy, first_workers, now_ms)
 
 
 def renew_expiring_tickets(
@@ -121,32 +147,23 @@
 
 def may_ask(step: StepInfo, now_ms: int) -> bool:
     """Return whether a call for the step may be made now."""
-    return step.advice_sent_ms == NEVER and now_ms >= step.advice_retry_ms
+    return not step.pending_calls and now_ms >= step.advice_retry_ms
 
 
-def _call_advisor(
+def call_advisor(
     cell: CellState,
     step: StepInfo,
     policy: AdvicePolicy,
-    workers: list[WorkerInfo],
+    workers: Sequence[WorkerInfo],
     now_ms: int,
 ) -> None:
-    worker_ids = tuple(worker.worker_id for worker in workers)
-    if not worker_ids or not may_ask(step, now_ms):
+    """Request tickets for some workers, besides calls in progress."""
+    worker_ids = tuple(
+        worker.worker_id for worker in workers[:MAX_WORKERS_PER_CALL]
+    )
+    if not worker_ids:
         return
-    step.advice_sent_ms = now_ms
-    step.pending_advice = worker_ids
+    step.pending_calls[worker_ids] = now_ms
     cell.outbox.append(
         AskAdvice(step.key, worker_ids, policy.call_ms(len(worker_ids))),
     )
-
-
-def _most_capacity_first(
-    step: StepInfo,
-    worker: WorkerInfo,
-    now_ms: int,
-) -> tuple[int, int]:
-    return (
-        -count_fitting(step, worker, {}, now_ms),
-        -worker.free.accelerators,
-    )
--- a/src/lycheerelay/workflow/_fit.py
+++ b/src/lycheerelay/workflow/_fit.py
@@ -1,6 +1,6 @@
 """Select and rank workers for tasks."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from typing import Final, NamedTuple, final
 
 from .._resources import Resources
@@ -26,6 +26,10 @@
     from_ms: int
 
 
+# Reservations by worker.
+Reserved = Mapping[str, Sequence[ReservedCapacity]]
+
+
 def is_usable(worker: WorkerInfo, now_ms: int) -> bool:
     """Return whether new runs may be started on a worker."""
     return (
@@ -63,22 +67,16 @@
 def count_fitting(
     step: StepInfo,
     worker: WorkerInfo,
-    reserved: dict[str, ReservedCapacity],
+    reserved: Reserved,
     now_ms: int,
 ) -> int:
     """Return how many tasks of a step fit on a worker now."""
     spec = step.spec
     free = worker.free
-    reservation = reserved.get(worker.worker_id)
-    is_reserved_for_other = (
-        reservation is not None and reservation.step != step.key
-    )
-    if (
-        reservation
-        and is_reserved_for_other
-        and now_ms + spec.expected_ms > reservation.from_ms
-    ):
-        free = free.minus(reservation.demand)
+    for reservation in reserved.get(worker.worker_id, ()):
+        is_backfill = now_ms + spec.expected_ms <= reservation.from_ms
+        if reservation.step != step.key and not is_backfill:
+            free = free.minus(reservation.demand)
     count = spec.width
     if any(spec.demand):
         count = spec.demand.times_in(free)
@@ -173,12 +171,14 @@
     def __init__(
         self,
         step: StepInfo,
-        reserved: dict[str, ReservedCapacity],
+        reserved: Reserved,
+        wanted: frozenset[str],
         now_ms: int,
     ) -> None:
-        """Create an empty ranking."""
+        """Create an empty ranking; `wanted` workers rank last."""
         self.step = step
         self.reserved = reserved
+        self.wanted = wanted
         self.now_ms = now_ms
         self.scores: dict[str, Score] = {}
         self.workers: dict[str, WorkerInfo] = {}
@@ -188,7 +188,7 @@
         worker_id = worker.worker_id
         if count_fitting(self.step, worker, self.reserved, self.now_ms) > 0:
             self.workers[worker_id] = worker
-            self.scores[worker_id] = score_worker(self.step, worker, None)
+            self.scores[worker_id] = self._score(worker, None)
         else:
             self.workers.pop(worker_id, None)
 
@@ -199,34 +199,20 @@
         if task.avoided_worker in self.workers:
             return min(
                 self.workers.values(),
-                key=lambda worker: score_worker(self.step, worker, task),
+                key=lambda worker: self._score(worker, task),
             )
         return self.workers[min(self.workers, key=self.scores.__getitem__)]
 
-
-def estimate_free_ms(worker: WorkerInfo, demand: Resources, now_ms: int) -> int:
-    """Estimate when one demand fits, from the expected ends of runs."""
-    free = worker.free
-    if demand.fits_in(free):
-        return now_ms
-    ends = sorted(
-        (_expected_end_ms(run, now_ms), index, run)
-        for index, run in enumerate(worker.runs.values())
-        if not run.step.spec.lasts
-    )
-    for end_ms, _, run in ends:
-        free = free.plus(run.demand)
-        if demand.fits_in(free):
-            return end_ms
-    return now_ms + UNKNOWN_FREE_DELAY_MS
+    def _score(self, worker: WorkerInfo, task: TaskInfo | None) -> Score:
+        is_wanted = worker.worker_id in self.wanted
+        return (is_wanted, *score_worker(self.step, worker, task))
 
 
-# Assumed delay when no expected end of a run frees enough capacity.
-UNKNOWN_FREE_DELAY_MS: Final = 60_000
 # Assumed remaining time of a run that has exceeded its expected time.
 OVERDUE_RUN_REMAINING_MS: Final = 200
 
 
-def _expected_end_ms(run: Run, now_ms: int) -> int:
+def expected_end_ms(run: Run, now_ms: int) -> int:
+    """Return when a run is expected to end; an overdue one ends soon."""
     end_ms = run.sent_ms + run.step.spec.expected_ms
     return max(end_ms, now_ms + OVERDUE_RUN_REMAINING_MS)
--- /dev/null
+++ b/src/lycheerelay/workflow/_gangs.py
@@ -0,0 +1,209 @@
+"""Start all tasks of a gang together.
+
+Load: gangs as wide as several workers can hold, beside a stream of short jobs.
+Their advice takes a good part of their slack, allows a third of the workers,
+and its tickets expire before all of the capacity is free.
+"""
+
+from collections.abc import Callable
+from itertools import chain
+from typing import Final
+
+from .._registry import Registry
+from ._advice import (
+    TICKET_EXPIRY_MARGIN_MS,
+    ask_about_new_workers,
+    call_advisor,
+    may_ask,
+    renew_tickets,
+)
+from ._fit import count_fitting, has_ticket, score_worker
+from ._openings import Opening, current_openings, earliest_openings
+from ._pool_cycle import PoolCycle, startable_tasks, step_candidates
+from ._spec import AdvicePolicy
+from ._starting import next_run_number, start_task
+from ._state import CellState, StepInfo, WorkerInfo
+
+# A plan is kept for this long, unless new advice arrives. Estimated ends are less
+# precise than that. Gangs without reserved capacity are planned less often, as
+# a backlog of them would take up the processor.
+REPLAN_INTERVAL_MS: Final = 100
+UNRESERVED_REPLAN_INTERVAL_MS: Final = 300
+
+# Validity that the tickets of a planned gang need beyond its expected start.
+TICKET_RESERVE_MS: Final = 300
+
+GangPolicy = Callable[[CellState, StepInfo, PoolCycle, int], int]
+
+# Functions that start a waiting gang if it fits, and prepare its start
+# otherwise. Each takes the cell, the step, the cycle of its pool and the current
+# time in ms, and returns the number of started tasks.
+GANG_POLICIES: Final[Registry[str, GangPolicy]] = Registry('gang policy')
+
+
+@GANG_POLICIES.register('planned')
+def start_planned(
+    cell: CellState, step: StepInfo, cycle: PoolCycle, now_ms: int
+) -> int:
+    """Choose the workers that can hold the gang soonest, and keep them free.
+
+    Tickets are requested for just these workers, shortly before the capacity
+    is free. While they are outstanding the capacity stays reserved.
+    """
+    may_reserve = cycle.reserving_steps < cell.policies.reserving_steps
+    if now_ms < step.replan_ms or not cycle.plans_left:
+        if may_reserve and step.openings:
+            _reserve(step, cycle, step.openings)
+        return 0
+    if len(startable_tasks(cell, step, now_ms)) < len(step.tasks):
+        return 0
+    if not may_reserve and not step.spec.demand.fits_in(cycle.max_free):
+        return 0
+    cycle.plans_left -= 1
+    interval_ms = REPLAN_INTERVAL_MS
+    if not may_reserve:
+        interval_ms = UNRESERVED_REPLAN_INTERVAL_MS
+    step.replan_ms = now_ms + interval_ms
+    openings = _plan(step, cycle, may_reserve, now_ms)
+    if len(openings) == len(step.tasks):
+        return _follow_plan(cell, step, cycle, openings, now_ms)
+    step.openings = ()
+    if may_reserve:
+        _ask_about_more(cell, step, cycle, now_ms)
+    return 0
+
+
+def _follow_plan(
+    cell: CellState,
+    step: StepInfo,
+    cycle: PoolCycle,
+    openings: list[Opening],
+    now_ms: int,
+) -> int:
+    if openings[-1].at_ms <= now_ms and all(
+        has_ticket(step, opening.worker, now_ms) for opening in openings
+    ):
+        step.openings = ()
+        plan = [opening.worker for opening in openings]
+        return _start_all(cell, step, plan, now_ms)
+    step.openings = tuple(openings)
+    _reserve(step, cycle, step.openings)
+    _prepare_tickets(cell, step, cycle, openings, now_ms)
+    return 0
+
+
+def _reserve(
+    step: StepInfo, cycle: PoolCycle, openings: tuple[Opening, ...]
+) -> None:
+    cycle.reserve(step, openings)
+    cycle.reserving_steps += 1
+
+
+@GANG_POLICIES.register('ticketed')
+def start_with_tickets(
+    cell: CellState, step: StepInfo, cycle: PoolCycle, now_ms: int
+) -> int:
+    """Start a gang once workers with valid tickets happen to hold it."""
+    if len(startable_tasks(cell, step, now_ms)) < len(step.tasks):
+        return 0
+    workers = step_candidates(step, cycle)
+    ranked = sorted(
+        (worker for worker in workers if has_ticket(step, worker, now_ms)),
+        key=lambda worker: score_worker(step, worker, step.tasks[0]),
+    )
+    plan: list[WorkerInfo] = []
+    for worker in ranked:
+        fitting = count_fitting(step, worker, cycle.reserved, now_ms)
+        missing = len(step.tasks) - len(plan)
+        plan.extend(worker for _ in range(min(fitting, missing)))
+    if len(plan) == len(step.tasks):
+        return _start_all(cell, step, plan, now_ms)
+    policy = step.job.spec.advice
+    if policy is not None:
+        expired = [
+            worker
+            for worker in workers
+            if not has_ticket(step, worker, now_ms)
+            and count_fitting(step, worker, cycle.reserved, now_ms)
+        ]
+        renew_tickets(cell, step, policy, expired, now_ms)
+        ask_about_new_workers(cell, step, policy, cycle.usable, now_ms)
+    return 0
+
+
+def _plan(
+    step: StepInfo,
+    cycle: PoolCycle,
+    with_later: bool,
+    now_ms: int,
+) -> list[Opening]:
+    """Return the first openings; without later ones, only those of now."""
+    workers = step_candidates(step, cycle)
+    preferred = frozenset(chain.from_iterable(step.pending_calls)) | {
+        worker.worker_id
+        for worker in workers
+        if has_ticket(step, worker, now_ms)
+    }
+    if step.spec.same_rack:
+        for rack in dict.fromkeys(worker.rack for worker in workers):
+            group = [worker for worker in workers if worker.rack == rack]
+            openings = current_openings(
+                step, group, preferred, cycle.reserved, now_ms
+            )
+            if len(openings) == len(step.tasks):
+                return openings
+    openings = current_openings(
+        step, workers, preferred, cycle.reserved, now_ms
+    )
+    if with_later and len(openings) < len(step.tasks):
+        return earliest_openings(
+            step, workers, preferred, cycle.reserved, now_ms
+        )
+    return openings
+
+
+def _prepare_tickets(
+    cell: CellState,
+    step: StepInfo,
+    cycle: PoolCycle,
+    openings: list[Opening],
+    now_ms: int,
+) -> None:
+    """Request tickets that are valid when the last opening is due."""
+    policy = step.job.spec.advice
+    if policy is None or not may_ask(step, now_ms):
+        return
+    planned = {opening.worker.worker_id: opening.worker for opening in openings}
+    call_ms = policy.call_ms(len(planned))
+    begin_ms = openings[-1].at_ms
+    if begin_ms > now_ms + call_ms + TICKET_EXPIRY_MARGIN_MS:
+        _ask_about_more(cell, step, cycle, now_ms)
+        return
+    # Tickets that would expire soon after are renewed by the same call.
+    needed_until_ms = int(max(begin_ms, now_ms + call_ms)) + TICKET_RESERVE_MS
+    missing = [
+        worker
+        for worker in planned.values()
+        if not has_ticket(step, worker, needed_until_ms)
+    ]
+    call_advisor(cell, step, policy, missing, now_ms)
+
+
+def _ask_about_more(
+    cell: CellState, step: StepInfo, cycle: PoolCycle, now_ms: int
+) -> None:
+    policy: AdvicePolicy | None = step.job.spec.advice
+    if policy is not None:
+        ask_about_new_workers(cell, step, policy, cycle.usable, now_ms)
+
+
+def _start_all(
+    cell: CellState,
+    step: StepInfo,
+    plan: list[WorkerInfo],
+    now_ms: int,
+) -> int:
+    number = next_run_number(step.tasks)
+    for task, worker in zip(step.tasks, plan, strict=True):
+        start_task(cell, step, task, worker, number, now_ms)
+    return len(plan)
--- a/src/lycheerelay/workflow/_periodic_checks.py
+++ b/src/lycheerelay/workflow/_periodic_checks.py
@@ -3,7 +3,6 @@
 from typing import Final
 
 from ._answers import repeat_stops
-from ._dispatch import next_run_number
 from ._fit import (
     count_fitting,
     has_ticket,
@@ -14,6 +13,7 @@
 from ._log_events import log_event
 from ._run_table import expire_worker, stop_incomplete_gangs
 from ._runs import start_run, stop_run
+from ._starting import next_run_number
 from ._state import (
     NEVER,
     CellState,
@@ -89,7 +89,8 @@
         return
     if _is_hung(worker, run, now_ms):
         worker.failures_in_row[f'hung:{step.job.spec.job_id}'] = None
-        run.task.avoided_worker = worker.worker_id
+        for member in step.tasks if step.spec.gang else (run.task,):
+            member.avoided_worker = worker.worker_id
         log_event(
             cell,
             'run_hung',
--- /dev/null
+++ b/src/lycheerelay/workflow/_policies.py
@@ -0,0 +1,19 @@
+"""Select the policies of the scheduler."""
+
+from typing import NamedTuple
+
+
+class Policies(NamedTuple):
+    """Name the policy of each decision, from the registry of that decision.
+
+    `spare_reserved` says whether tasks avoid workers that were reserved in the
+    previous cycle. `reserving_steps` is the number of steps of a pool for which capacity is
+    reserved in each scheduling cycle. More reservations would leave too much
+    of it idle.
+    """
+
+    order: str = 'slack'
+    gangs: str = 'planned'
+    call_sizes: str = 'usual'
+    spare_reserved: bool = True
+    reserving_steps: int = 5
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -5,15 +5,14 @@
 from typing import TYPE_CHECKING
 
 from .._resources import Resources
+from ._policies import Policies
 from ._spec import RunKey, StepKey, StepSpec, WorkflowSpec
 
 if TYPE_CHECKING:
     from ._commands import Command
+    from ._openings import Opening
 
 NEVER = -1
-# In each scheduling cycle, capacity is reserved for up to this many steps of a
-# pool that do not fit yet. More reservations would leave too much of it idle.
-DEFAULT_RESERVING_STEPS = 5
 
 
 @unique
@@ -102,16 +101,26 @@
     until_ms: int
 
 
+@dataclass(slots=True, eq=False)
+class AdviceCounts:
+    """Count workers that were asked about and those that were allowed."""
+
+    asked: float = 0
+    allowed: float = 0
+
+
 @dataclass(slots=True, eq=False)
 class StepInfo:
     """Track one step of one occurrence.
 
     `waiting` holds the indexes of the tasks without a run, `eligible_workers`
     the workers that the advisor has ever allowed, and `asked_workers` every
-    worker that it has answered about. `duration_by_worker_ms` holds the last
+    worker that it has answered about. `pending_calls` holds the workers that
+    calls in progress name, with the times at which they were sent. `duration_by_worker_ms` holds the last
     duration of a task, measured or projected from its progress. A start after
     `latest_start_ms` misses the objective of the job, and the job has no value
-    left after a start later than `infeasible_from_ms`.
+    left after a start later than `infeasible_from_ms`. `openings` is the plan of
+    a gang, which is made again from `replan_ms` on.
     """
 
     key: StepKey
@@ -124,13 +133,14 @@
     tickets: dict[str, Ticket] = field(default_factory=dict)
     eligible_workers: dict[str, None] = field(default_factory=dict)
     asked_workers: dict[str, None] = field(default_factory=dict)
-    advice_sent_ms: int = NEVER
-    pending_advice: tuple[str, ...] = ()
+    pending_calls: dict[tuple[str, ...], int] = field(default_factory=dict)
     advice_retry_ms: int = 0
     runs_per_worker: dict[str, int] = field(default_factory=dict)
     duration_by_worker_ms: dict[str, int] = field(default_factory=dict)
     latest_start_ms: int = 0
     infeasible_from_ms: int = 0
+    openings: 'tuple[Opening, ...]' = ()
+    replan_ms: int = 0
 
     @property
     def is_done(self) -> bool:
@@ -234,7 +244,9 @@
     `fence` is the fence number sent with every order.
     `previous_orders_expire_ms` is the time from which no order of an earlier
     owner can be in effect. `unsynced_workers` holds the workers whose run
-    table this owner has not received yet.
+    table this owner has not received yet. `wanted_workers` holds the workers
+    of each pool with capacity reserved in the last scheduling cycle, `advice_counts`
+    the replies of the advisor by queue.
     """
 
     fence: int
@@ -250,8 +262,9 @@
     gangs_checked: bool = False
     deposed: bool = False
     last_suspicion_ms: int = NEVER
-    order: str = 'slack'
-    reserving_steps: int = DEFAULT_RESERVING_STEPS
+    policies: Policies = Policies()
+    wanted_workers: dict[str, frozenset[str]] = field(default_factory=dict)
+    advice_counts: dict[str, AdviceCounts] = field(default_factory=dict)
 
     def find_run(self, worker_id: str, key: RunKey) -> Run | None:
         """Return a run that is allocated on a worker."""
