Report steps that wait although capacity is free

Change: once a second the owner checks the ten oldest waiting steps. One whose waiting tasks fit twice over for 3 s is logged once, with what it waits for, and counted in the gauge stalled_steps.

--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -18,6 +18,7 @@
     list_worker,
     open_occurrences,
     predict_waits,
+    report_stalled_steps,
     run_periodic_checks,
     stop_orphaned_runs,
     unlist_worker,
@@ -45,6 +46,8 @@
 ORPHAN_CHECK_TICKS: Final = 5
 # Ticks between two wait forecasts.
 FORECAST_TICKS: Final = 5
+# Ticks between two checks for steps that wait with capacity free.
+STALL_CHECK_TICKS: Final = 10
 # Ticks between two scans of the final jobs for expired ones.
 EXPIRY_CHECK_TICKS: Final = 100
 # Delay before a failed read is repeated.
@@ -292,12 +295,18 @@
                 )
                 self.recorder.drop_records(expired)
             _update_gauges(self.context)
-            if ticks % FORECAST_TICKS == 0:
-                self.waits = predict_waits(self.cell, now_ms)
+            self._observe_waits(ticks, now_ms)
             self.run_cycle()
             if self.cell.unrecorded_jobs:
                 self.context.notify_changed()
 
+    def _observe_waits(self, ticks: int, now_ms: int) -> None:
+        if ticks % FORECAST_TICKS == 0:
+            self.waits = predict_waits(self.cell, now_ms)
+        if ticks % STALL_CHECK_TICKS == 0:
+            stalled = report_stalled_steps(self.cell, now_ms)
+            self.context.metrics.gauge('stalled_steps', stalled)
+
     async def _run_cycles(self) -> None:
         while not self.cell.deposed:
             await self.context.cycle_needed.wait()
--- a/src/lycheerelay/workflow/__init__.py
+++ b/src/lycheerelay/workflow/__init__.py
@@ -19,7 +19,6 @@
 from ._dispatch import dispatch
 from ._ends import RunEnd, RunOutcome
 from ._intake import VALUE_EXPIRY_FACTOR, cancel, submit
-from ._order import ORDERS
 from ._pacing import pace_worker
 from ._periodic_checks import (
     expire_jobs,
@@ -51,6 +50,7 @@
     make_step_spec,
     objective_ms,
 )
+from ._stalls import report_stalled_steps
 from ._state import (
     FINAL_PHASES,
     NEVER,
@@ -78,7 +78,6 @@
     'QueuePolicy',
     'FINAL_PHASES',
     'NEVER',
-    'ORDERS',
     'Advice',
     'AdvicePolicy',
     'Answer',
@@ -121,6 +120,7 @@
     'pace_worker',
     'predict_waits',
     'predicted_wait_ms',
+    'report_stalled_steps',
     'restore_progress',
     'median_unresponsive_ms',
     'handle_start_answer',
--- /dev/null
+++ b/src/lycheerelay/workflow/_stalls.py
@@ -0,0 +1,68 @@
+"""Report steps that wait although there is capacity for them.
+
+Such a step waits for something else than capacity: advice, tickets, a worker
+that has not answered since a takeover, or a retry delay.
+"""
+
+from typing import Final
+
+from ._fit import count_fitting
+from ._log_events import log_event
+from ._pool_cycle import begin_cycle, startable_tasks, step_candidates
+from ._state import NEVER, CellState, StepInfo
+
+# A step counts as stalled after this time with free capacity.
+STALL_MS: Final = 3000
+# The waiting tasks must fit this many times over, as others use capacity too.
+FREE_FACTOR: Final = 2
+# Steps that are checked at a time, the oldest first.
+MAX_CHECKED_STEPS: Final = 10
+
+
+def report_stalled_steps(cell: CellState, now_ms: int) -> int:
+    """Log each newly stalled step; return how many are stalled."""
+    waiting = (step for step in cell.open_steps.values() if step.waiting)
+    oldest = sorted(waiting, key=lambda step: step.job.offset)
+    stalled = 0
+    for step in oldest[:MAX_CHECKED_STEPS]:
+        if not _has_free_capacity(cell, step, now_ms):
+            step.free_since_ms = NEVER
+            step.stall_reported = False
+            continue
+        if step.free_since_ms == NEVER:
+            step.free_since_ms = now_ms
+        if now_ms - step.free_since_ms < STALL_MS:
+            continue
+        stalled += 1
+        if not step.stall_reported:
+            step.stall_reported = True
+            _report(cell, step, now_ms)
+    return stalled
+
+
+def _has_free_capacity(cell: CellState, step: StepInfo, now_ms: int) -> bool:
+    cycle = begin_cycle(cell, step.job.spec.pool, now_ms)
+    workers = list(cycle.usable.values())
+    if step.eligible_workers:
+        workers = step_candidates(step, cycle)
+    fitting = sum(count_fitting(step, worker, {}, now_ms) for worker in workers)
+    return fitting >= FREE_FACTOR * len(step.waiting)
+
+
+def _report(cell: CellState, step: StepInfo, now_ms: int) -> None:
+    valid = sum(ticket.until_ms > now_ms for ticket in step.tickets.values())
+    log_event(
+        cell,
+        'step_stalled',
+        step=step.key,
+        waiting=len(step.waiting),
+        startable=len(startable_tasks(cell, step, now_ms)),
+        calls=len(step.pending_calls),
+        asked=len(step.asked_workers),
+        eligible=len(step.eligible_workers),
+        valid_tickets=valid,
+        planned_in_ms=step.openings[-1].at_ms - now_ms
+        if step.openings
+        else NEVER,
+        unsynced=len(cell.unsynced_workers),
+    )
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -120,7 +120,8 @@
     duration of a task, measured or projected from its progress. A start after
     `latest_start_ms` misses the objective of the job, and the job has no value
     left after a start later than `infeasible_from_ms`. `openings` is the plan of
-    a gang, which is made again from `replan_ms` on.
+    a gang, which is made again from `replan_ms` on. Capacity for the waiting tasks
+    has been free since `free_since_ms`.
     """
 
     key: StepKey
@@ -141,6 +142,8 @@
     infeasible_from_ms: int = 0
     openings: 'tuple[Opening, ...]' = ()
     replan_ms: int = 0
+    free_since_ms: int = NEVER
+    stall_reported: bool = False
 
     @property
     def is_done(self) -> bool:
--- a/tests/test_wide_gangs.py
+++ b/tests/test_wide_gangs.py
@@ -7,7 +7,7 @@
 import random
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import assume, given, settings
 from hypothesis import strategies as st
 
 from lycheerelay._resources import Resources
@@ -17,6 +17,7 @@
     AskAdvice,
     CellState,
     JobPhase,
+    LogEvent,
     Policies,
     RunKey,
     StepKey,
@@ -24,6 +25,7 @@
     WorkerListing,
     WorkflowSpec,
     advice_failed,
+    report_stalled_steps,
 )
 
 POOL = 'pool'
@@ -207,6 +209,12 @@
     LossyAdvice(simulation, loss)
     for number, width in enumerate(widths):
         demand = Resources(cores[number], 1000)
+        key = StepKey(f'j{number}', 0, 0)
+        allowed = sum(
+            simulation.model.may_run(key, name) for name in simulation.workers
+        )
+        # A gang that its allowed workers cannot hold when empty never runs.
+        assume(width <= allowed * demand.times_in(CAPACITY))
         step = StepSpec(width, demand, 1000, gang=gang)
         simulation.at(number * 700, submit, simulation, f'j{number}', step)
     waited: dict[str, int] = {}
@@ -248,3 +256,31 @@
     lossy.share = 0
     simulation.run(6000, lambda: False)
     assert simulation.cell.jobs['g'].phase is JobPhase.COMPLETED
+
+
+def test_a_step_that_waits_with_capacity_free_is_reported_once() -> None:
+    """Operators see it before callers do; a full cell is no stall."""
+    simulation = cell_of(8, Policies())
+    lossy = LossyAdvice(simulation, 1)
+    step = StepSpec(4, Resources(20_000, 1000), 1000, gang=True)
+    simulation.at(0, submit, simulation, 'g', step)
+    cell = simulation.cell
+    stalled: list[int] = []
+    events: list[LogEvent] = []
+
+    def check() -> None:
+        stalled.append(report_stalled_steps(cell, simulation.now_ms))
+        events.extend(
+            command
+            for command in cell.outbox
+            if isinstance(command, LogEvent) and command.event == 'step_stalled'
+        )
+
+    simulation.on_tick = check
+    simulation.run(6000, lambda: False)
+    assert stalled[:25] == [0] * 25
+    assert stalled[-1] == 1
+    assert [dict(event.fields)['valid_tickets'] for event in events] == [0]
+    lossy.share = 0
+    simulation.run(12_000, lambda: False)
+    assert stalled[-1] == 0
