Append through the owner while the store is slow or turns a VM away

A partition serves appends one after the other, in 50 ms each, and 42 VMs had one each in its queue. They timed out, and the probes of all VMs kept the queue full: some 370 of 546 requests were refused and none was in time until the store recovered. A VM that the store turns away refused its callers although the owner could append. While the store was silent, probes held callers for 1.2 s.

Change: append_route.py chooses the route of a record. Each VM judges the store by its regular call to the group (store_health.py) and lets the owner append while that is slow, or after a slow or failed append of its own. A record is passed on once at most; an unknown outcome is followed by the other route, as the first record of a key counts. With both routes failing the one that is free first is tried, and no caller is held for a probe once two regular calls have failed.

--- a/src/lycheerelay/platform/_entry.py
+++ b/src/lycheerelay/platform/_entry.py
@@ -76,7 +76,6 @@
         self.workers = PlatformWorkerClient(http, clock.now_ms)
         self.advisor = AdvisorClient(http, settings.advisor_address)
         self.peers = Peers(member, group, election, clock, http)
-        self.handler = RequestHandler(clock, self.log, self.peers, self.metrics)
         self.advice_dispatcher = AdviceDispatcher(
             clock, self.advisor, self.peers
         )
@@ -93,6 +92,13 @@
                 claim_delay_ms(settings.cores, settings.link_mbps),
             ),
         )
+        self.handler = RequestHandler(
+            clock,
+            self.log,
+            self.peers,
+            self.metrics,
+            self.elector.store_health,
+        )
         self.ingress = Ingress(self.handler, self.config, clock, self.is_ready)
         self.workflows = WorkflowApi(self.handler, self.config, clock)
         self.internal = InternalApi(
--- a/src/lycheerelay/serving/_append_gate.py
+++ b/src/lycheerelay/serving/_append_gate.py
@@ -3,6 +3,7 @@
 from typing import Final, final
 
 from .._clock import Clock
+from ._store_health import StoreHealth
 
 # After a failure one append per interval is sent as a probe. The others are
 # refused at once, so that callers retry instead of waiting for a timeout.
@@ -16,11 +17,15 @@
 
 @final
 class AppendGate:
-    """Circuit breaker: while appends fail, allow only probes."""
+    """Circuit breaker: while appends fail, allow only probes.
 
-    def __init__(self, clock: Clock) -> None:
+    Callers are not held by probes while other calls to the store fail too.
+    """
+
+    def __init__(self, clock: Clock, store_health: StoreHealth) -> None:
         """Start by allowing every append."""
         self.clock = clock
+        self.store_health = store_health
         self.failing_since_ms = 0
         self.probed_ms = 0
 
@@ -33,6 +38,8 @@
         """Return whether an append may be sent now."""
         if not self.is_failing:
             return True
+        if self.store_health.is_lost:
+            return False
         now_ms = self.clock.now_ms()
         if now_ms - self.probed_ms < PROBE_INTERVAL_MS:
             return False
--- a/src/lycheerelay/serving/_internal_api.py
+++ b/src/lycheerelay/serving/_internal_api.py
@@ -1,5 +1,6 @@
 """Serve the internal API between entry VMs."""
 
+import base64
 import logging
 from collections.abc import Awaitable, Callable
 from typing import Any, Final, final
@@ -10,7 +11,7 @@
 from .._registry import Registry
 from ..workflow import StepKey
 from ._http_calls import Reply
-from ._ports import Advisor
+from ._ports import Advisor, KeyedRecord
 from ._request_handler import RequestHandler
 
 logger = logging.getLogger('lycheerelay.internal')
@@ -82,6 +83,14 @@
     return {'tickets': advised.tickets, 'valid_ms': advised.valid_ms}
 
 
+@ROUTES.register('/append')
+async def append(internal: InternalApi, body: Body) -> Body | None:
+    """Append a record of a caller of another entry VM."""
+    payload = base64.b64decode(body['payload'], validate=True)
+    record = KeyedRecord(str(body['key']), payload)
+    return await internal.handler.append_for_peer(record)
+
+
 @ROUTES.register('/hello')
 async def hello(internal: InternalApi, body: Body) -> Body | None:
     """Register a member that regards this VM as the owner."""
--- a/src/lycheerelay/serving/_owner_elector.py
+++ b/src/lycheerelay/serving/_owner_elector.py
@@ -22,6 +22,7 @@
 from ._ownership_lease import JOIN_INTERVAL_MS, ElectionTimes, OwnershipLease
 from ._peers import Peers
 from ._ports import Group, OwnerElection
+from ._store_health import StoreHealth
 
 logger = logging.getLogger('lycheerelay.terms')
 
@@ -79,7 +80,7 @@
         self.task: asyncio.Task[None] | None = None
         self.joined_ms = 0
         self.leaving = False
-        self.failed_joins = 0
+        self.store_health = StoreHealth()
         self.check_vacancy_until_ms = 0
         self.vacancy_checked_ms = 0
         self.no_claim_until_ms = 0
@@ -158,16 +159,15 @@
     async def _join(self, sent_ms: int) -> None:
         outcome = await self.group.join(self.generation)
         if isinstance(outcome, Err):
-            self.failed_joins += 1
-            if self.failed_joins == 1:
+            self.store_health.failed()
+            if self.store_health.failed_calls == 1:
                 fault = outcome.err_value.value
                 logger.warning('store_lost', extra={'fault': fault})
             return
-        if self.failed_joins:
-            logger.info(
-                'store_regained', extra={'after_tries': self.failed_joins}
-            )
-            self.failed_joins = 0
+        failed_calls = self.store_health.failed_calls
+        if failed_calls:
+            logger.info('store_regained', extra={'after_tries': failed_calls})
+        self.store_health.succeeded(self.clock.now_ms() - sent_ms)
         self.joined_ms = sent_ms
         if self.generation != outcome.ok_value:
             self.check_vacancy_until_ms = sent_ms + VACANCY_CHECK_WINDOW_MS
@@ -190,7 +190,7 @@
             await self.peers.refresh_members()
 
     def _is_vacancy_check_due(self, now_ms: int) -> bool:
-        if self.failed_joins:
+        if self.store_health.failed_calls:
             return False
         if now_ms < self.check_vacancy_until_ms:
             return True
--- a/src/lycheerelay/serving/_peers.py
+++ b/src/lycheerelay/serving/_peers.py
@@ -2,10 +2,11 @@
 
 A member of the group is named `HOST:PORT#INCARNATION`; the first part is the
 address of its internal interface. Calls are JSON over HTTP: `POST /state`,
-`/waiting`, `/advice`, `/hello`, `/vacant` and `/dump`.
+`/append`, `/waiting`, `/advice`, `/hello`, `/vacant` and `/dump`.
 """
 
 import asyncio
+import base64
 import logging
 from typing import Any, Final, final
 
@@ -14,7 +15,13 @@
 from .._clock import Clock
 from ..workflow import AskAdvice
 from ._http_calls import NO_ANSWER, NOT_SENT, Caller, post_json
-from ._ports import AdviceReply, Group, LogFault, OwnerElection
+from ._ports import (
+    AdviceReply,
+    Group,
+    KeyedRecord,
+    LogFault,
+    OwnerElection,
+)
 
 logger = logging.getLogger('lycheerelay.peers')
 
@@ -163,6 +170,20 @@
             return Err(LogFault.REFUSED)
         return await self.call(address_of(self.owner), path, body, timeout_ms)
 
+    async def append_at_owner(
+        self, record: KeyedRecord, timeout_ms: int
+    ) -> Result[int, LogFault]:
+        """Let the owner append a record; return its offset."""
+        payload = base64.b64encode(record.payload or b'').decode()
+        body = {'key': record.key, 'payload': payload}
+        outcome = await self.call_owner('/append', body, timeout_ms)
+        if isinstance(outcome, Err):
+            return outcome
+        answer = outcome.ok_value
+        if 'offset' in answer:
+            return Ok(int(answer['offset']))
+        return Err(LogFault(answer['fault']))
+
     async def ask_advice(
         self,
         address: str,
@@ -191,7 +212,8 @@
     ) -> Result[dict[str, Any], LogFault]:
         """Post a JSON body to a peer.
 
-        UNKNOWN means no answer, REFUSED an error status.
+        UNKNOWN means no answer, REFUSED an error status or a call that could
+        not be sent.
         """
         reply = await post_json(
             self.http,
@@ -203,5 +225,6 @@
             return Ok(reply.fields())
         if reply.status in {NO_ANSWER, NOT_SENT}:
             logger.info('peer_unreached', extra={'peer': address, 'path': path})
-            return Err(LogFault.UNKNOWN)
+            is_sent = reply.status == NO_ANSWER
+            return Err(LogFault.UNKNOWN if is_sent else LogFault.REFUSED)
         return Err(LogFault.REFUSED)
--- a/src/lycheerelay/serving/_request_handler.py
+++ b/src/lycheerelay/serving/_request_handler.py
@@ -2,21 +2,25 @@
 
 import asyncio
 import logging
+from collections.abc import Awaitable, Callable
 from enum import Enum, unique
 from typing import Any, Final, NamedTuple, final
 
-from result import Err, Ok, Result
+from result import Err, Ok
 
 from .._clock import Clock
+from .._registry import Registry
 from ..workflow import JobPhase, WorkflowSpec
 from ._append_gate import RETRY_AFTER_S, AppendGate
-from ._job_appends import JobAppends
+from ._append_route import AppendRoute, AppendRouter
+from ._job_appends import AppendOutcome, JobAppends
 from ._job_stream import CANCEL_PREFIX, JOB_PREFIX
 from ._metrics_registry import MetricsRegistry
 from ._owner import Owner
 from ._peers import OWNER_SEARCH_INTERVAL_MS, Peers
 from ._ports import KeyedLog, KeyedRecord, LogFault
 from ._spec_codec import encode_spec
+from ._store_health import StoreHealth
 from ._wait_forecast import (
     WaitForecast,
     decode_waits,
@@ -26,7 +30,7 @@
 
 logger = logging.getLogger('lycheerelay.desk')
 
-# Attempts per append while the caller waits.
+# Attempts per append while the caller waits, without another route.
 MAX_APPEND_ATTEMPTS: Final = 2
 # Delay between two queries while the ownership changes.
 OWNER_QUERY_RETRY_S: Final = 0.1
@@ -36,6 +40,8 @@
 TIMEOUT_MARGIN_MS: Final = 150
 # Upper bound of a query, including the wait for a takeover.
 MAX_OWNER_QUERY_MS: Final = 1500
+# Upper bound of an append on behalf of another VM.
+RELAY_TIMEOUT_MS: Final = 1000
 
 
 @unique
@@ -68,6 +74,7 @@
         log: KeyedLog,
         peers: Peers,
         metrics: MetricsRegistry,
+        store_health: StoreHealth,
     ) -> None:
         """Start as a VM that is not the owner."""
         self.clock = clock
@@ -75,7 +82,8 @@
         self.metrics = metrics
         self.owner: Owner | None = None
         self.wait_forecast = WaitForecast({}, 0)
-        self.append_gate = AppendGate(clock)
+        self.append_gate = AppendGate(clock, store_health)
+        self.append_router = AppendRouter(clock, store_health)
         self.job_appends = JobAppends(clock, log, self.append_gate, metrics)
 
     async def submit(
@@ -169,6 +177,15 @@
         )
         return {'waiting': waiting, 'waits': encode_waits(owner.waits)}
 
+    async def append_for_peer(self, record: KeyedRecord) -> dict[str, Any]:
+        """Append a record of another VM; it is not passed on again."""
+        if not self.append_gate.allows_append():
+            return {'fault': LogFault.REFUSED.value}
+        outcome = await self.job_appends.append(record, RELAY_TIMEOUT_MS)
+        if isinstance(outcome, Err):
+            return {'fault': outcome.err_value.value}
+        return {'offset': outcome.ok_value}
+
     async def _append(
         self,
         record: KeyedRecord,
@@ -178,12 +195,15 @@
         deadline_ms = self.clock.now_ms() + timeout_ms - TIMEOUT_MARGIN_MS
         is_outcome_unknown = False
         fault = LogFault.REFUSED
-        for _ in range(MAX_APPEND_ATTEMPTS):
-            if not self.append_gate.allows_append():
-                break
-            outcome = await self._try_append(record, deadline_ms)
+        for route in self._append_routes():
+            begun_ms = self.clock.now_ms()
+            # The first record of a key counts, so that a second append of it
+            # changes nothing.
+            outcome = await APPENDERS[route](self, record, deadline_ms)
             if isinstance(outcome, Ok):
+                self._observe(route, begun_ms, has_failed=False)
                 return RequestResult(RequestStatus.OK, outcome.ok_value)
+            self._observe(route, begun_ms, has_failed=True)
             fault = outcome.err_value
             is_outcome_unknown = is_outcome_unknown or fault is LogFault.UNKNOWN
             if self.clock.now_ms() >= deadline_ms:
@@ -205,13 +225,18 @@
             retry_after_s=self.append_gate.retry_after_s(),
         )
 
-    async def _try_append(
-        self,
-        record: KeyedRecord,
-        deadline_ms: int,
-    ) -> Result[int, LogFault]:
-        remaining_ms = max(deadline_ms - self.clock.now_ms(), 1)
-        return await self.job_appends.append(record, remaining_ms)
+    def _append_routes(self) -> tuple[AppendRoute, ...]:
+        routes = self.append_router.routes(self.owner is not None)
+        # A VM without another route repeats a failed append.
+        return routes if len(routes) > 1 else routes * MAX_APPEND_ATTEMPTS
+
+    def _observe(
+        self, route: AppendRoute, begun_ms: int, *, has_failed: bool
+    ) -> None:
+        took_ms = self.clock.now_ms() - begun_ms
+        self.append_router.observe(route, took_ms, has_failed)
+        verdict = 'failed' if has_failed else 'ok'
+        self.metrics.count('appends', route=route.value, verdict=verdict)
 
     async def _query_owner(
         self,
@@ -291,3 +316,33 @@
             },
         )
         return outcome
+
+
+Appender = Callable[
+    [RequestHandler, KeyedRecord, int], Awaitable[AppendOutcome]
+]
+
+# Functions that append a record over a route by a deadline in ms.
+APPENDERS: Final[Registry[AppendRoute, Appender]] = Registry('append route')
+
+
+@APPENDERS.register(AppendRoute.DIRECT)
+async def append_directly(
+    handler: RequestHandler, record: KeyedRecord, deadline_ms: int
+) -> AppendOutcome:
+    """Append a record, unless the store is failing."""
+    if not handler.append_gate.allows_append():
+        return Err(LogFault.REFUSED)
+    remaining_ms = max(deadline_ms - handler.clock.now_ms(), 1)
+    return await handler.job_appends.append(record, remaining_ms)
+
+
+@APPENDERS.register(AppendRoute.OWNER)
+async def append_through_owner(
+    handler: RequestHandler, record: KeyedRecord, deadline_ms: int
+) -> AppendOutcome:
+    """Let the owner append a record."""
+    remaining_ms = max(deadline_ms - handler.clock.now_ms(), 1)
+    return await handler.peers.append_at_owner(
+        record, min(remaining_ms, RELAY_TIMEOUT_MS)
+    )
