--- a/src/lycheerelay/workflow/_advice.py
+++ b/src/lycheerelay/workflow/_advice.py
@@ -157,7 +157,7 @@
     workers: Sequence[WorkerInfo],
     now_ms: int,
 ) -> None:
-    """Request tickets for some workers, besides calls in progress."""
+    """Request tickets for some workers, in addition to calls in progress."""
     worker_ids = tuple(
         worker.worker_id for worker in workers[:MAX_WORKERS_PER_CALL]
     )
--- a/src/lycheerelay/workflow/_gangs.py
+++ b/src/lycheerelay/workflow/_gangs.py
@@ -25,8 +25,8 @@
 from ._state import CellState, StepInfo, WorkerInfo
 
 # A plan is kept for this long, unless new advice arrives. Estimated ends are less
-# precise than that. Gangs without reserved capacity are planned less often, as
-# a backlog of them would take up the processor.
+# precise than that. Gangs without reserved capacity are planned less often,
+# since a backlog of them would use up the processor.
 REPLAN_INTERVAL_MS: Final = 100
 UNRESERVED_REPLAN_INTERVAL_MS: Final = 300
 
@@ -137,7 +137,10 @@
     with_later: bool,
     now_ms: int,
 ) -> list[Opening]:
-    """Return the first openings; without later ones, only those of now."""
+    """Return the openings of a whole gang, or fewer if it does not fit.
+
+    Unless `with_later` is set, only capacity that is free now counts.
+    """
     workers = step_candidates(step, cycle)
     preferred = frozenset(chain.from_iterable(step.pending_calls)) | {
         worker.worker_id
--- a/src/lycheerelay/workflow/_openings.py
+++ b/src/lycheerelay/workflow/_openings.py
@@ -39,7 +39,7 @@
     reserved: Reserved,
     now_ms: int,
 ) -> list[Opening]:
-    """Return openings of now for the waiting tasks, fewer if they lack."""
+    """Return one opening of now for each waiting task, or none at all."""
     limit = len(step.waiting)
     counts = [
         count_fitting(step, worker, reserved, now_ms) for worker in workers
@@ -63,7 +63,7 @@
     reserved: Reserved,
     now_ms: int,
 ) -> list[Opening]:
-    """Return the first openings for the waiting tasks, one for each."""
+    """Return the earliest opening for each waiting task, fewer if some lack."""
     openings = [
         opening
         for position, worker in enumerate(workers)
--- a/src/lycheerelay/workflow/_pool_cycle.py
+++ b/src/lycheerelay/workflow/_pool_cycle.py
@@ -10,7 +10,7 @@
 from ._state import CellState, StepInfo, TaskInfo, WorkerInfo
 
 # Gangs that are planned in one cycle. The others follow in the next cycles, so
-# that a backlog of gangs doesn't delay short steps.
+# that a backlog of gangs does not delay short steps.
 MAX_PLANS_PER_CYCLE: Final = 3
 
 
