--- a/src/lycheerelay/serving/_request_handler.py
+++ b/src/lycheerelay/serving/_request_handler.py
@@ -179,9 +179,8 @@
 
     async def append_for_peer(self, record: KeyedRecord) -> dict[str, Any]:
         """Append a record of another VM; it is not passed on again."""
-        if not self.append_gate.allows_append():
-            return {'fault': LogFault.REFUSED.value}
-        outcome = await self.job_appends.append(record, RELAY_TIMEOUT_MS)
+        deadline_ms = self.clock.now_ms() + RELAY_TIMEOUT_MS
+        outcome = await append_directly(self, record, deadline_ms)
         if isinstance(outcome, Err):
             return {'fault': outcome.err_value.value}
         return {'offset': outcome.ok_value}
--- a/src/lycheerelay/workflow/_advice.py
+++ b/src/lycheerelay/workflow/_advice.py
@@ -98,9 +98,7 @@
     )
     first = 0
     for size in sizes[:MAX_PARALLEL_CALLS]:
-        call_advisor(
-            cell, step, policy, new_workers[first : first + size], now_ms
-        )
+        call_advisor(cell, step, policy, new_workers[first : first + size])
         first += size
 
 
@@ -114,7 +112,7 @@
     """Request new tickets for workers whose tickets expired or soon expire."""
     if may_ask(step, now_ms):
         first_workers = workers[:MAX_WORKERS_PER_RENEWAL]
-        call_advisor(cell, step, policy, first_workers, now_ms)
+        call_advisor(cell, step, policy, first_workers)
 
 
 def renew_expiring_tickets(
@@ -155,7 +153,6 @@
     step: StepInfo,
     policy: AdvicePolicy,
     workers: Sequence[WorkerInfo],
-    now_ms: int,
 ) -> None:
     """Request tickets for some workers, in addition to calls in progress."""
     worker_ids = tuple(
@@ -163,7 +160,7 @@
     )
     if not worker_ids:
         return
-    step.pending_calls[worker_ids] = now_ms
+    step.pending_calls[worker_ids] = None
     cell.outbox.append(
         AskAdvice(step.key, worker_ids, policy.call_ms(len(worker_ids))),
     )
--- a/src/lycheerelay/workflow/_gangs.py
+++ b/src/lycheerelay/workflow/_gangs.py
@@ -189,7 +189,7 @@
         for worker in planned.values()
         if not has_ticket(step, worker, needed_until_ms)
     ]
-    call_advisor(cell, step, policy, missing, now_ms)
+    call_advisor(cell, step, policy, missing)
 
 
 def _ask_about_more(
--- a/src/lycheerelay/workflow/_stalls.py
+++ b/src/lycheerelay/workflow/_stalls.py
@@ -8,7 +8,12 @@
 
 from ._fit import count_fitting
 from ._log_events import log_event
-from ._pool_cycle import begin_cycle, startable_tasks, step_candidates
+from ._pool_cycle import (
+    PoolCycle,
+    begin_cycle,
+    startable_tasks,
+    step_candidates,
+)
 from ._state import NEVER, CellState, StepInfo
 
 # A step counts as stalled after this time with free capacity.
@@ -23,15 +28,13 @@
     """Log each newly stalled step; return how many are stalled."""
     waiting = (step for step in cell.open_steps.values() if step.waiting)
     oldest = sorted(waiting, key=lambda step: step.job.offset)
+    cycles: dict[str, PoolCycle] = {}
     stalled = 0
     for step in oldest[:MAX_CHECKED_STEPS]:
-        if not _has_free_capacity(cell, step, now_ms):
-            step.free_since_ms = NEVER
-            step.stall_reported = False
-            continue
-        if step.free_since_ms == NEVER:
-            step.free_since_ms = now_ms
-        if now_ms - step.free_since_ms < STALL_MS:
+        pool = step.job.spec.pool
+        if pool not in cycles:
+            cycles[pool] = begin_cycle(cell, pool, now_ms)
+        if not _is_stalled(step, cycles[pool], now_ms):
             continue
         stalled += 1
         if not step.stall_reported:
@@ -40,8 +43,18 @@
     return stalled
 
 
-def _has_free_capacity(cell: CellState, step: StepInfo, now_ms: int) -> bool:
-    cycle = begin_cycle(cell, step.job.spec.pool, now_ms)
+def _is_stalled(step: StepInfo, cycle: PoolCycle, now_ms: int) -> bool:
+    """Update since when capacity is free; return whether it is too long."""
+    if not _has_free_capacity(step, cycle, now_ms):
+        step.free_since_ms = NEVER
+        step.stall_reported = False
+        return False
+    if step.free_since_ms == NEVER:
+        step.free_since_ms = now_ms
+    return now_ms - step.free_since_ms >= STALL_MS
+
+
+def _has_free_capacity(step: StepInfo, cycle: PoolCycle, now_ms: int) -> bool:
     workers = list(cycle.usable.values())
     if step.eligible_workers:
         workers = step_candidates(step, cycle)
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -116,7 +116,7 @@
     `waiting` holds the indexes of the tasks without a run, `eligible_workers`
     the workers that the advisor has ever allowed, and `asked_workers` every
     worker that it has answered about. `pending_calls` holds the workers that
-    calls in progress name, with the times at which they were sent. `duration_by_worker_ms` holds the last
+    each call in progress names. `duration_by_worker_ms` holds the last
     duration of a task, measured or projected from its progress. A start after
     `latest_start_ms` misses the objective of the job, and the job has no value
     left after a start later than `infeasible_from_ms`. `openings` is the plan of
@@ -134,7 +134,7 @@
     tickets: dict[str, Ticket] = field(default_factory=dict)
     eligible_workers: dict[str, None] = field(default_factory=dict)
     asked_workers: dict[str, None] = field(default_factory=dict)
-    pending_calls: dict[tuple[str, ...], int] = field(default_factory=dict)
+    pending_calls: dict[tuple[str, ...], None] = field(default_factory=dict)
     advice_retry_ms: int = 0
     runs_per_worker: dict[str, int] = field(default_factory=dict)
     duration_by_worker_ms: dict[str, int] = field(default_factory=dict)
