Keep runs that a claimant during a log outage does not know yet

Cause: an owner whose claim only standbys store may not have read the last intents of its predecessor. Change: while the claim is not in the log, unknown runs are kept and block their worker; once it is, the run tables are read again.

--- a/src/lycheerelay/_commands.py
+++ b/src/lycheerelay/_commands.py
@@ -50,6 +50,12 @@
     key: AttemptKey
 
 
+class ReadRunTable(NamedTuple):
+    """Ask a worker for its whole run table with the next lease renewal."""
+
+    worker: str
+
+
 class ReplyAccepted(NamedTuple):
     """Acknowledge a recorded submission or cancellation.
 
@@ -88,6 +94,7 @@
     | StopTask
     | ThrottleTask
     | ForgetTask
+    | ReadRunTable
     | ReplyAccepted
     | ReplyRefused
     | JobFinal
--- a/src/lycheerelay/_executors.py
+++ b/src/lycheerelay/_executors.py
@@ -7,6 +7,7 @@
     Append,
     ForgetTask,
     JobFinal,
+    ReadRunTable,
     ReplyAccepted,
     ReplyRefused,
     Restated,
@@ -39,6 +40,14 @@
     parts.sender.send(command)
 
 
+@EXECUTORS.register(ReadRunTable)
+def execute_read(parts: NodeParts, command: ReadRunTable) -> None:
+    """Request the whole run table of a worker."""
+    link = parts.links.get(command.worker)
+    if link is not None:
+        link.resync()
+
+
 @EXECUTORS.register(ReplyAccepted)
 @EXECUTORS.register(ReplyRefused)
 def execute_reply(
--- a/src/lycheerelay/_handle_records.py
+++ b/src/lycheerelay/_handle_records.py
@@ -1,6 +1,6 @@
 """Apply records, including those stored during a log outage."""
 
-from ._commands import ReplyAccepted, StartTask
+from ._commands import ReadRunTable, ReplyAccepted, StartTask
 from ._events import Recorded
 from ._handle_tasks import apply_intent_of_any_term
 from ._handlers import EVENT_HANDLERS, RECORD_HANDLERS, Commands
@@ -17,7 +17,7 @@
     """Apply one record in log order."""
     record = event.record
     if isinstance(record, TermTaken) and not event.held:
-        state.log_term = max(state.log_term, record.term)
+        yield from _apply_claim_on_log(state, record)
     if event.held:
         yield from _apply_held(state, record, now_ms)
     elif _precedes_held_claim(state, record):
@@ -26,6 +26,18 @@
         yield from RECORD_HANDLERS[type(record)](state, record, now_ms)
 
 
+def _apply_claim_on_log(state: ShardState, record: TermTaken) -> Commands:
+    was_held_only = state.log_term < state.term
+    state.log_term = max(state.log_term, record.term)
+    if not was_held_only or state.log_term < state.term or not state.is_owner:
+        return
+    # Every intent before the claim is known now, including those of runs that
+    # were unknown when the run tables were read.
+    for worker in state.workers.values():
+        if worker.ready:
+            yield ReadRunTable(worker.spec.name)
+
+
 def _apply_held(state: ShardState, record: Record, now_ms: int) -> Commands:
     # A record that a standby also stored took effect at that time, even if a
     # higher term was claimed since.
--- a/src/lycheerelay/_node.py
+++ b/src/lycheerelay/_node.py
@@ -226,7 +226,9 @@
         marks = build_marks(dependencies)
         journal = build_journal(dependencies, marks, self.post_record)
         sender = Sender(self.links.get, self.links.post_event, self.clock)
-        return NodeParts(journal, sender, PendingReplies(), Watchers(), marks)
+        return NodeParts(
+            journal, sender, PendingReplies(), Watchers(), marks, self.links
+        )
 
     def _process(self, entry: InboxEntry) -> None:
         if isinstance(entry, Posted):
--- a/src/lycheerelay/_node_parts.py
+++ b/src/lycheerelay/_node_parts.py
@@ -7,6 +7,7 @@
 from ._replies import PendingReplies
 from ._sender import Sender
 from ._watchers import Watchers
+from ._worker_links import WorkerLinks
 
 
 class NodeParts(NamedTuple):
@@ -17,3 +18,4 @@
     replies: PendingReplies
     watchers: Watchers
     marks: MarkStore
+    links: WorkerLinks
--- a/src/lycheerelay/_reports.py
+++ b/src/lycheerelay/_reports.py
@@ -66,8 +66,16 @@
     if worker is None:
         return
     key = report.key
-    if report.state in LIVE_TASK_STATES:
+    is_live = report.state in LIVE_TASK_STATES
+    if is_live:
         worker.strays[key] = None
+    else:
+        worker.strays.pop(key, None)
+    if state.log_term < state.term:
+        # The log may hold intents before the claim of this term that this
+        # node has not read yet. Run tables are read again after that.
+        return
+    if is_live:
         yield StopTask(
             sender.worker,
             state.term,
@@ -76,7 +84,6 @@
             boot=sender.boot,
         )
     else:
-        worker.strays.pop(key, None)
         yield ForgetTask(sender.worker, state.term, key)
 
 
--- a/tests/test_held_claim.py
+++ b/tests/test_held_claim.py
@@ -5,13 +5,22 @@
 first.
 """
 
-from lycheerelay._commands import StartTask
+from lycheerelay._commands import ReadRunTable, StartTask, StopTask
 from lycheerelay._core import step
-from lycheerelay._events import Recorded
-from lycheerelay._jobs import JobSpec, JobState, Kind, TaskState
+from lycheerelay._events import (
+    LeaseHeld,
+    Recorded,
+    TaskReport,
+    WorkerListed,
+    WorkerSpec,
+)
+from lycheerelay._jobs import AttemptKey, JobSpec, JobState, Kind, TaskState
 from lycheerelay._records import Accepted, Ended, Intended, Start, TermTaken
+from lycheerelay._resources import Resources
 from lycheerelay._state import ShardState
 
+RUNNING = TaskState.RUNNING
+WORKER = WorkerSpec('w1', 'desk', 'a', 'r', '127.0.0.1:1', Resources(16_000))
 SPEC = JobSpec('a.1', 't', 'desk', Kind.BATCH)
 INTENT = Intended('desk', 2, 'a.1', (Start(0, 1, 'w1', 'boot'),), 10)
 DONE = Ended('desk', 'a.1', 0, 1, TaskState.DONE, 0, 'ok', 20)
@@ -69,3 +78,34 @@
         assert (task.worker, task.attempt) == ('w2', 1)
     apply_records(witness, INTENT._replace(starts=(Start(0, 2, 'w1', 'boot'),)))
     assert witness.jobs['a.1'].tasks[0].worker == 'w2'
+
+
+def test_run_of_an_unread_intent_survives_a_claim_during_an_outage():
+    state = ShardState('a', 'desk', 'e2@1')
+    step(state, WorkerListed(WORKER), 0)
+    apply_records(state, TermTaken('desk', 2, 'e1@1', 0))
+    claim = TermTaken('desk', 3, 'e2@1', 8)
+    apply_records(state, claim, held=True)
+    done = TaskReport(AttemptKey('a.1', 0, 1), TaskState.DONE, 0, 'ok')
+    table = LeaseHeld('w1', 3, 'boot', False, (done,))
+    _, unread = step(state, table, 10)
+    assert not unread
+    apply_records(state, Accepted('desk', SPEC, 5), INTENT)
+    assert apply_records(state, claim) == [ReadRunTable('w1')]
+    _, reread = step(state, table, 20)
+    assert [command.record.answer for command in reread] == ['ok']
+
+
+def test_live_run_of_an_unread_intent_is_not_stopped_but_blocks_its_worker():
+    state = ShardState('a', 'desk', 'e2@1')
+    step(state, WorkerListed(WORKER), 0)
+    apply_records(state, TermTaken('desk', 2, 'e1@1', 0))
+    claim = TermTaken('desk', 3, 'e2@1', 8)
+    apply_records(state, claim, held=True)
+    key = AttemptKey('a.1', 0, 1)
+    live = LeaseHeld('w1', 3, 'boot', False, (TaskReport(key, RUNNING),))
+    assert not step(state, live, 10)[1]
+    assert not state.workers['w1'].is_schedulable
+    apply_records(state, claim)
+    _, orphaned = step(state, live, 20)
+    assert [type(command) for command in orphaned] == [StopTask]
