Let state queries wait for the end of a job that is about to end

Cause: callers ask in the moment in which the last task ends; the worker's report and the record of the end follow 10 to 20 ms later.

--- a/src/lycheerelay/serving/_internal_api.py
+++ b/src/lycheerelay/serving/_internal_api.py
@@ -63,7 +63,9 @@
 @ROUTES.register('/state')
 async def state(internal: InternalApi, body: Body) -> Body | None:
     """Return the phase of a job."""
-    return await internal.handler.answer_state(body['job'])
+    return await internal.handler.answer_state(
+        body['job'], waits=bool(body.get('waits'))
+    )
 
 
 @ROUTES.register('/waiting')
--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Collection
 from typing import Any, Final, final
 
 import orjson
@@ -30,6 +31,7 @@
 from ._orders import Orders
 from ._ports import LogFault, RecordPage, Stream
 from ._recorder import KNOWN_WORKERS_KEY, Recorder
+from ._result_watch import ResultWatch
 from ._worker_poller import WorkerPoller
 
 logger = logging.getLogger('lycheerelay.owner')
@@ -74,7 +76,8 @@
         """Create the parts of one term."""
         self.context = context
         self.orders = Orders(context, dispatcher)
-        self.recorder = Recorder(context, self.orders.send_recorded_starts)
+        self.recorder = Recorder(context, self._on_recorded)
+        self.results = ResultWatch(context.cell)
         self.listings = listings
         self.stream = JobStream(context)
         self.started_ms = context.now_ms
@@ -129,6 +132,10 @@
             dispatch(self.cell, self.context.now_ms)
         self.orders.execute_commands()
 
+    def _on_recorded(self, job_ids: Collection[str]) -> None:
+        self.orders.send_recorded_starts(job_ids)
+        self.results.notify(job_ids)
+
     async def _load(self) -> bool:
         if not await self.recorder.fence():
             return False
--- a/src/lycheerelay/serving/_recorder.py
+++ b/src/lycheerelay/serving/_recorder.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection
 from typing import Final, final
 
 import orjson
@@ -41,7 +41,7 @@
     def __init__(
         self,
         context: OwnerContext,
-        on_recorded: Callable[[Iterable[str]], None],
+        on_recorded: Callable[[Collection[str]], None],
     ) -> None:
         """Start with nothing recorded.
 
--- a/src/lycheerelay/serving/_request_handler.py
+++ b/src/lycheerelay/serving/_request_handler.py
@@ -131,7 +131,9 @@
         timeout_ms: int,
     ) -> RequestResult:
         """Return the phase of a job."""
-        answer = await self._query_owner('/state', {'job': job_id}, timeout_ms)
+        answer = await self._query_owner(
+            '/state', {'job': job_id, 'waits': True}, timeout_ms
+        )
         if answer is None:
             outcome = RequestResult(RequestStatus.UNAVAILABLE)
         elif answer['phase'] is None:
@@ -149,10 +151,13 @@
             return RequestResult(RequestStatus.UNAVAILABLE)
         return RequestResult(RequestStatus.OK, answer['waiting'])
 
-    async def answer_state(self, job_id: str) -> dict[str, Any] | None:
+    async def answer_state(
+        self, job_id: str, *, waits: bool = False
+    ) -> dict[str, Any] | None:
         """Return a job's phase; None if this VM is not serving.
 
-        The phase in the result is None if the job is not known.
+        The phase in the result is None if the job is not known. With `waits`,
+        the answer waits shortly for the end of a job that is about to end.
         """
         owner = self.owner
         if owner is None or not owner.is_serving:
@@ -162,6 +167,8 @@
             if not await owner.catch_up() or not owner.is_serving:
                 return None
             job = owner.cell.jobs.get(job_id)
+        if waits and job is not None:
+            await owner.results.wait(job)
         phase: JobPhase | None = None if job is None else job.visible_phase
         return {'phase': phase, 'waits': encode_waits(owner.waits)}
 
@@ -263,7 +270,9 @@
     ) -> dict[str, Any] | None:
         if self.owner is not None:
             if path == '/state':
-                return await self.answer_state(body['job'])
+                return await self.answer_state(
+                    body['job'], waits=body.get('waits', False)
+                )
             return self.answer_waiting(body['queue'])
         remaining_ms = max(deadline_ms - self.clock.now_ms(), 1)
         outcome = await self.peers.call_owner(
--- a/src/lycheerelay/workflow/_policies.py
+++ b/src/lycheerelay/workflow/_policies.py
@@ -17,3 +17,4 @@
     call_sizes: str = 'by_need'
     spare_reserved: bool = True
     reserving_steps: int = 5
+    result_waits: str = 'last_tasks'
