Send only the starts that the finished record contains

Cause: a start that was decided while a record of its job was on its way was sent when that record was acknowledged, although its own assignment was not in it. Change: the recorder tells the orders which jobs it has encoded; the starts held then are sent with that record, later ones with the next.

--- a/src/lycheerelay/serving/_orders.py
+++ b/src/lycheerelay/serving/_orders.py
@@ -47,6 +47,7 @@
         self.pollers: dict[str, WorkerPoller] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.unrecorded_starts: dict[str, list[StartRun]] = {}
+        self.recording_starts: list[StartRun] = []
 
     def execute_commands(self) -> None:
         """Execute and clear the commands in the core's outbox."""
@@ -55,11 +56,21 @@
         for command in commands:
             EXECUTORS[type(command)](self, command)
 
-    def send_recorded_starts(self, job_ids: Iterable[str]) -> None:
-        """Send the held starts of jobs whose progress has been recorded."""
+    def begin_recording(self, job_ids: Iterable[str]) -> None:
+        """Note the held starts of jobs whose progress was just encoded.
+
+        Starts that are decided later are not in that record.
+        """
         for job_id in job_ids:
-            for command in self.unrecorded_starts.pop(job_id, ()):
-                self.spawn(_start(self, command))
+            starts = self.unrecorded_starts.pop(job_id, ())
+            self.recording_starts.extend(starts)
+
+    def send_recorded_starts(self) -> None:
+        """Send the starts whose record has become durable."""
+        commands = self.recording_starts
+        self.recording_starts = []
+        for command in commands:
+            self.spawn(_start(self, command))
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Run one order in a task, which is referenced until it ends."""
--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -76,7 +76,9 @@
         """Create the parts of one term."""
         self.context = context
         self.orders = Orders(context, dispatcher)
-        self.recorder = Recorder(context, self._on_recorded)
+        self.recorder = Recorder(
+            context, self.orders.begin_recording, self._on_recorded
+        )
         self.results = ResultWatch(context.cell)
         self.listings = listings
         self.stream = JobStream(context)
@@ -133,7 +135,7 @@
         self.orders.execute_commands()
 
     def _on_recorded(self, job_ids: Collection[str]) -> None:
-        self.orders.send_recorded_starts(job_ids)
+        self.orders.send_recorded_starts()
         self.results.notify(job_ids)
 
     async def _load(self) -> bool:
--- a/src/lycheerelay/serving/_recorder.py
+++ b/src/lycheerelay/serving/_recorder.py
@@ -41,13 +41,16 @@
     def __init__(
         self,
         context: OwnerContext,
+        on_encoded: Callable[[Collection[str]], None],
         on_recorded: Callable[[Collection[str]], None],
     ) -> None:
         """Start with nothing recorded.
 
-        `on_recorded` is called with the ids of jobs that were recorded.
+        Both functions take ids of jobs: `on_encoded` when their progress is
+        about to be appended, `on_recorded` once that append has succeeded.
         """
         self.context = context
+        self.on_encoded = on_encoded
         self.on_recorded = on_recorded
         self.sequence = 0
         self.recorded_workers: frozenset[str] = frozenset()
@@ -129,6 +132,7 @@
             size += len(payload)
             phases[job_id] = job.phase
             records.append(KeyedRecord(job_id, payload))
+        self.on_encoded(phases)
         if not records or await self._append(records):
             self._mark_recorded(handled_ends, phases, workers)
 
