Let a virtual run end without tasks

Change: cancelled tasks are awaited only if there are any. Measured: the new test fails before and passes after. Conclusion: a stand-in fault, not one of the product.

--- a/src/lycheerelay_standins/platform/_virtual_time.py
+++ b/src/lycheerelay_standins/platform/_virtual_time.py
@@ -91,4 +91,5 @@
     pending = asyncio.all_tasks(loop)
     for task in pending:
         task.cancel()
-    loop.run_until_complete(asyncio.gather(*pending, return_exceptions=True))
+    if pending:
+        loop.run_until_complete(asyncio.wait(pending))
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -9,6 +9,7 @@
 from lycheerelay._http import HttpCaller
 from lycheerelay._resources import Resources
 from lycheerelay._web import Request, WebServer
+from lycheerelay_standins.platform import run_virtual
 from lycheerelay_standins.standins import (
     LogStandIn,
     StartLedger,
@@ -300,3 +301,10 @@
     assert vms.read(asked).body is None
     vms.fault_switches.set(unlist='w1')
     assert vms.read(asked).body['workers'] == []
+
+
+def test_a_virtual_run_may_end_without_tasks():
+    async def nothing():
+        return 'done'
+
+    assert run_virtual(nothing()) == 'done'
