Lose contact with a worker at the second unanswered call

Cause: one lost answer made a worker unresponsive: it got no runs for 250 ms or more, and copies of its runs were started at once. Change: a worker that was heard within 1.5 s is polled again at once, and is out of contact at the second unanswered call (policy contact). Copies wait for 1 s of silence. Polls after an unanswered order are repeated. Starts without an answer are logged as start_unanswered, unsent ones as start_withheld. Test: no copies while a fifth of the answers is lost; red with the former rules.

--- a/src/lycheerelay/serving/_owner_elector.py
+++ b/src/lycheerelay/serving/_owner_elector.py
@@ -17,7 +17,7 @@
 from result import Err, Ok
 
 from .._clock import MS_PER_SECOND, Clock
-from ..workflow import median_unresponsive_ms
+from ..workflow.workers import median_unresponsive_ms
 from ._owner import Owner
 from ._ownership_lease import JOIN_INTERVAL_MS, ElectionTimes, OwnershipLease
 from ._peers import Peers
--- a/src/lycheerelay/serving/_worker_poller.py
+++ b/src/lycheerelay/serving/_worker_poller.py
@@ -8,9 +8,9 @@
     Answer,
     WorkerInfo,
     apply_run_table,
-    pace_worker,
     remove_replaced_worker,
 )
+from ..workflow.workers import count_missed_call, pace_worker
 from ._context import OwnerContext
 from ._ports import PollReply, PollRequest
 from ._worker_clock import WorkerClock
@@ -22,6 +22,8 @@
 POLL_WAIT_MS: Final = 1000
 # Delay before the next poll after one that was not answered or not allowed.
 UNANSWERED_RETRY_S: Final = 0.25
+# Limit on the polls that follow an order without an answer.
+POLL_NOW_ATTEMPTS: Final = 3
 # How long the next poll is delayed until the ends of the last one are recorded.
 RECORD_TIMEOUT_S: Final = 0.15
 # Interval between polls while run ends cannot be recorded.
@@ -59,17 +61,21 @@
 
     async def poll_once(self) -> None:
         """Poll at once, in parallel to a poll that may be waiting."""
-        worker = self.context.cell.workers.get(self.worker_id)
-        if worker is None or not self.context.may_send_orders:
-            return
-        request = self._make_request(worker.recorded_end, 0, 0)
-        reply = await self.context.workers.poll(request)
-        if reply.answer is Answer.DONE and reply.table is not None:
-            self.clock.update(reply.clock_ms, self.context.now_ms)
-            apply_run_table(self.context.cell, reply.table, self.context.now_ms)
-            self.context.notify_changed()
-        elif reply.answer in {Answer.NONE, Answer.UNREACHED}:
-            self._mark_unresponsive(reply.answer)
+        for _ in range(POLL_NOW_ATTEMPTS):
+            worker = self.context.cell.workers.get(self.worker_id)
+            if worker is None or not self.context.may_send_orders:
+                return
+            request = self._make_request(worker.recorded_end, 0, 0)
+            reply = await self.context.workers.poll(request)
+            if reply.answer is Answer.DONE and reply.table is not None:
+                now_ms = self.context.now_ms
+                self.clock.update(reply.clock_ms, now_ms)
+                apply_run_table(self.context.cell, reply.table, now_ms)
+                self.context.notify_changed()
+                return
+            if reply.answer not in {Answer.NONE, Answer.UNREACHED}:
+                return
+            self._count_miss(reply.answer)
 
     def lease_deadline(self) -> int:
         """Grant a lease and return its end on the worker's clock, in ms.
@@ -91,12 +97,12 @@
         worker = self.context.cell.workers.get(self.worker_id)
         is_known = worker is not None and self.clock.is_known
         wait_ms = POLL_WAIT_MS if is_known else 0
-        if worker is None or worker.unresponsive:
+        if worker is None or worker.missed_calls:
             wait_ms = 0
         last_seen = worker.recorded_end if worker else 0
         # A worker that does not answer may still receive and execute requests,
         # so its leases expire only if no poll extends them.
-        is_lost = worker is None or worker.unresponsive
+        is_lost = worker is None or worker.missed_calls > 0
         deadline_ms = 0 if is_lost else self.lease_deadline()
         if worker and worker.recorded_end < worker.handled_end:
             wait_ms = 0
@@ -164,20 +170,23 @@
         return not is_deposed and worker.recorded_end < worker.handled_end
 
     async def _handle_no_answer(self, answer: Answer) -> None:
-        self._mark_unresponsive(answer)
-        await asyncio.sleep(UNANSWERED_RETRY_S)
+        if self._count_miss(answer):
+            await asyncio.sleep(UNANSWERED_RETRY_S)
 
-    def _mark_unresponsive(self, answer: Answer) -> None:
+    def _count_miss(self, answer: Answer) -> bool:
+        """Count an unanswered poll; return whether contact is lost."""
         worker = self.context.cell.workers.get(self.worker_id)
-        if worker is not None and not worker.unresponsive:
-            worker.unresponsive = True
+        if worker is None:
+            return True
+        now_ms = self.context.now_ms
+        if count_missed_call(self.context.cell, worker, now_ms):
             logger.warning(
                 'worker_lost',
                 extra={
                     'worker': self.worker_id,
                     'answer': answer.value,
-                    'heard_ms_ago': self.context.now_ms
-                    - worker.last_contact_ms,
+                    'heard_ms_ago': now_ms - worker.last_contact_ms,
                     'runs': len(worker.runs),
                 },
             )
+        return worker.unresponsive
--- a/src/lycheerelay/workflow/__init__.py
+++ b/src/lycheerelay/workflow/__init__.py
@@ -19,10 +19,8 @@
 from ._dispatch import dispatch
 from ._ends import RunEnd, RunOutcome
 from ._intake import VALUE_EXPIRY_FACTOR, cancel, submit
-from ._pacing import pace_worker
 from ._periodic_checks import (
     expire_jobs,
-    median_unresponsive_ms,
     open_occurrences,
     run_periodic_checks,
 )
@@ -117,12 +115,10 @@
     'list_worker',
     'objective_ms',
     'open_occurrences',
-    'pace_worker',
     'predict_waits',
     'predicted_wait_ms',
     'report_stalled_steps',
     'restore_progress',
-    'median_unresponsive_ms',
     'handle_start_answer',
     'handle_stop_answer',
     'stop_orphaned_runs',
--- a/src/lycheerelay/workflow/_answers.py
+++ b/src/lycheerelay/workflow/_answers.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from ._commands import PollNow, StopRun
+from ._contact import count_missed_call
 from ._log_events import log_event
 from ._run_table import drop_run, remove_replaced_worker
 from ._runs import stop_run
@@ -36,6 +37,15 @@
     UNSENT = 'unsent'
 
 
+UNANSWERED: Final = frozenset((Answer.NONE, Answer.UNREACHED))
+# Log events of starts that no worker refused.
+START_EVENTS: Final = {
+    Answer.NONE: 'start_unanswered',
+    Answer.UNREACHED: 'start_unanswered',
+    Answer.UNSENT: 'start_withheld',
+}
+
+
 def handle_start_answer(
     cell: CellState,
     worker_id: str,
@@ -58,14 +68,14 @@
         return
     log_event(
         cell,
-        'start_refused',
+        START_EVENTS.get(answer, 'start_refused'),
         run=key,
         worker=worker_id,
         answer=answer.value,
         after_ms=now_ms - run.sent_ms,
     )
-    if answer in {Answer.NONE, Answer.UNREACHED}:
-        _suspect_worker(cell, worker, now_ms)
+    if answer in UNANSWERED:
+        _suspect_worker(cell, worker, answer, now_ms)
     if answer is Answer.NONE:
         run.start_unknown_ms = now_ms
         return
@@ -93,8 +103,12 @@
 RECENT_CONTACT_MS: Final = 300
 
 
-def _suspect_worker(cell: CellState, worker: WorkerInfo, now_ms: int) -> None:
-    worker.unresponsive = True
+def _suspect_worker(
+    cell: CellState, worker: WorkerInfo, answer: Answer, now_ms: int
+) -> None:
+    count_missed_call(cell, worker, now_ms)
+    if answer is Answer.UNREACHED:
+        worker.unresponsive = True
     cell.outbox.append(PollNow(worker.worker_id))
     has_suspected = cell.last_suspicion_ms != NEVER
     if (
@@ -105,7 +119,8 @@
     cell.last_suspicion_ms = now_ms
     for other in cell.workers.values():
         is_out_of_contact = now_ms - other.last_contact_ms > RECENT_CONTACT_MS
-        if is_out_of_contact and not other.unresponsive:
+        is_polled = other is worker or other.unresponsive
+        if is_out_of_contact and not is_polled:
             cell.outbox.append(PollNow(other.worker_id))
 
 
--- a/src/lycheerelay/workflow/_periodic_checks.py
+++ b/src/lycheerelay/workflow/_periodic_checks.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from ._answers import repeat_stops
+from ._contact import may_copy_runs
 from ._fit import (
     count_fitting,
     has_ticket,
@@ -137,7 +138,7 @@
     step: StepInfo = run.step
     elapsed_ms = now_ms - run.sent_ms
     limit_ms = COPY_DELAY_FACTOR * step.spec.expected_ms + COPY_EXTRA_DELAY_MS
-    if elapsed_ms < limit_ms and not run.worker.unresponsive:
+    if elapsed_ms < limit_ms and not may_copy_runs(run.worker, now_ms):
         return
     task = run.task
     if task.done or step.job.is_final or step.spec.gang:
--- a/src/lycheerelay/workflow/_policies.py
+++ b/src/lycheerelay/workflow/_policies.py
@@ -18,3 +18,4 @@
     spare_reserved: bool = True
     reserving_steps: int = 5
     result_waits: str = 'last_tasks'
+    contact: str = 'second_miss'
--- a/src/lycheerelay/workflow/_run_table.py
+++ b/src/lycheerelay/workflow/_run_table.py
@@ -4,6 +4,7 @@
 
 from .._resources import Resources
 from ._commands import StopRun
+from ._contact import regain_contact
 from ._ends import (
     RunEnd,
     apply_end,
@@ -145,8 +146,7 @@
         # A newer table of this worker has already been applied.
         return False
     worker.table_clock_ms = table.clock_ms
-    worker.last_contact_ms = now_ms
-    worker.unresponsive = False
+    regain_contact(worker, now_ms)
     new_ends = [end for end in table.ends if end.number > worker.handled_end]
     for end in new_ends:
         apply_end(cell, worker, end, now_ms)
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -194,7 +194,8 @@
     `enrolled` says that the worker is in the durable list of known workers,
     and `synced` that its run table has been applied by this owner.
     `handled_end` and `recorded_end` are the numbers of the last run end that
-    was applied and of the last one that was recorded durably.
+    was applied and of the last one that was recorded durably. `missed_calls`
+    counts the unanswered calls since the last answer.
     """
 
     worker_id: str
@@ -213,6 +214,7 @@
     synced: bool = False
     last_contact_ms: int = 0
     unresponsive: bool = False
+    missed_calls: int = 0
     lease_until_ms: int = 0
     table_clock_ms: int = 0
     handled_end: int = 0
--- a/src/lycheerelay/workflow/policies.py
+++ b/src/lycheerelay/workflow/policies.py
@@ -1,6 +1,7 @@
 """Provide the policies of the scheduler and the registry of each decision."""
 
 from ._call_sizes import CALL_SIZES
+from ._contact import CONTACT_RULES
 from ._gangs import GANG_POLICIES
 from ._order import ORDERS
 from ._policies import Policies
@@ -8,6 +9,7 @@
 
 __all__ = (
     'CALL_SIZES',
+    'CONTACT_RULES',
     'GANG_POLICIES',
     'ORDERS',
     'RESULT_WAITS',
--- a/src/lycheerelay_standins/platform/_network.py
+++ b/src/lycheerelay_standins/platform/_network.py
@@ -42,7 +42,8 @@
 
     `cuts` holds pairs of VM and address (or `*`) without connectivity,
     `refusing` pairs of VM (or `*`) and address whose calls get status 503.
-    By address, `lost` is the share of responses that are dropped, `late` the
+    By address, `lost` is the share of responses that are dropped, `broken` the
+    share whose connection is closed instead, `late` the
     share of calls that get no response and are executed after a random delay
     (share, shortest and longest delay in s), and `slow` the delay in ms of
     each response. `bytes_per_s` limits the links of VMs by name. `frozen` VMs
@@ -58,6 +59,7 @@
         self.cuts: set[tuple[str, str]] = set()
         self.refusing: set[tuple[str, str]] = set()
         self.lost: dict[str, float] = {}
+        self.broken: dict[str, float] = {}
         self.late: dict[str, tuple[float, float, float]] = {}
         self.slow: dict[str, int] = {}
         self.bytes_per_s: dict[str, float] = {}
@@ -188,6 +190,9 @@
         await _sleep_ms(self.slow.get(address, 0))
         if is_lossy and self.rng.random() < self.lost.get(address, 0):
             return None
+        broken = self.broken.get(address, 0)
+        if broken and is_lossy and self.rng.random() < broken:
+            return Reply(NO_ANSWER)
         return reply
 
 
--- a/tests/workflow_session_files.py
+++ b/tests/workflow_session_files.py
@@ -42,11 +42,11 @@
     handle_stop_answer,
     list_worker,
     open_occurrences,
-    pace_worker,
     remove_replaced_worker,
     run_periodic_checks,
     submit,
 )
+from lycheerelay.workflow.workers import pace_worker
 
 FOLDER = Path(__file__).parent / 'workflow_sessions'
 INDENT = '  '
