Name other workers in the advice calls of each step

Cause: steps that ask at the same time all named the emptiest workers. Change: workers with enough room are named in another order for each step (policy advice_targets, workflow/_call_targets.py).

--- a/src/lycheerelay/workflow/_advice.py
+++ b/src/lycheerelay/workflow/_advice.py
@@ -5,6 +5,7 @@
 
 from ._advice_share import expected_share, observe_share
 from ._call_sizes import CALL_SIZES
+from ._call_targets import TARGET_ORDERS
 from ._commands import AskAdvice
 from ._fit import count_fitting, meets_requirements
 from ._spec import AdvicePolicy, StepKey
@@ -85,16 +86,13 @@
         worker.worker_id: count_fitting(step, worker, {}, now_ms)
         for worker in new_workers
     }
-    new_workers.sort(
-        key=lambda worker: (
-            -fitting[worker.worker_id],
-            -worker.free.accelerators,
-        )
-    )
+    share = expected_share(cell, step)
+    order = TARGET_ORDERS[cell.policies.advice_targets]
+    new_workers.sort(key=order(step, fitting, share))
     sizes = CALL_SIZES[cell.policies.call_sizes](
         len(step.waiting),
         [fitting[worker.worker_id] for worker in new_workers],
-        expected_share(cell, step),
+        share,
     )
     first = 0
     for size in sizes[:MAX_PARALLEL_CALLS]:
--- a/src/lycheerelay/workflow/_policies.py
+++ b/src/lycheerelay/workflow/_policies.py
@@ -15,6 +15,7 @@
     order: str = 'slack'
     gangs: str = 'planned'
     call_sizes: str = 'by_need'
+    advice_targets: str = 'spread'
     spare_reserved: bool = True
     reserving_steps: int = 5
     result_waits: str = 'last_tasks'
--- a/src/lycheerelay/workflow/policies.py
+++ b/src/lycheerelay/workflow/policies.py
@@ -1,6 +1,7 @@
 """Provide the policies of the scheduler and the registry of each decision."""
 
 from ._call_sizes import CALL_SIZES
+from ._call_targets import TARGET_ORDERS
 from ._contact import CONTACT_RULES
 from ._gangs import GANG_POLICIES
 from ._order import ORDERS
@@ -13,5 +14,6 @@
     'GANG_POLICIES',
     'ORDERS',
     'RESULT_WAITS',
+    'TARGET_ORDERS',
     'Policies',
 )
--- a/tests/test_wide_gangs.py
+++ b/tests/test_wide_gangs.py
@@ -240,6 +240,40 @@
     assert phases == {JobPhase.COMPLETED}
 
 
+def test_a_backlog_of_gangs_starts_while_half_of_the_cell_is_free() -> None:
+    """Gangs that ask at the same time are told about different workers.
+
+    Otherwise the first ones fill the workers that all of them were told
+    about, and the others ask again while most of the cell is idle.
+    """
+    simulation = cell_of(176, Policies())
+    step = StepSpec(17, Resources(15_000, 100_000), 4000, gang=True)
+    for number in range(60):
+        simulation.at(number * 20, submit, simulation, f'j{number}', step)
+    waited: dict[str, int] = {}
+    longest: list[int] = [0]
+
+    def watch() -> None:
+        cell = simulation.cell
+        free = sum(worker.free.cores_milli for worker in cell.workers.values())
+        is_half_free = 2 * free > 176 * CAPACITY.cores_milli
+        for key, waiting in cell.open_steps.items():
+            room = sum(
+                step.demand.times_in(worker.free)
+                for worker in cell.workers.values()
+                if simulation.model.may_run(key, worker.worker_id)
+            )
+            if waiting.waiting and is_half_free and room >= 2 * step.width:
+                since_ms = waited.setdefault(key.job_id, simulation.now_ms)
+                longest.append(simulation.now_ms - since_ms)
+            else:
+                waited.pop(key.job_id, None)
+
+    simulation.on_tick = watch
+    simulation.run(60_000, lambda: _all_final(simulation, 60))
+    assert max(longest) < FREE_MS
+
+
 def _all_final(simulation: Simulation, jobs: int) -> bool:
     known = simulation.cell.jobs.values()
     return len(known) == jobs and all(job.is_final for job in known)
