Show from log lines what jobs waited for: lycheerelay trace

Change: the command trace with a table by queue and second, one job as a timeline, and JSON; one line for the runs of a step that start together, and lines for the events between them; the limit is 1,600 lines a second. On the emulator no span of a job is unexplained (tests/test_traces.py).

--- a/src/lycheerelay/_cli.py
+++ b/src/lycheerelay/_cli.py
@@ -11,7 +11,14 @@
 
 from result import Err
 
-from . import __version__, _cli_check, _cli_config, _cli_jobs, _cli_workflow
+from . import (
+    __version__,
+    _cli_check,
+    _cli_config,
+    _cli_jobs,
+    _cli_trace,
+    _cli_workflow,
+)
 from ._api import Api
 from ._api_config import ConfigApi
 from ._cli_parts import COMMANDS, add_no_arguments, command, report_errors
@@ -32,7 +39,13 @@
 GC_THRESHOLDS: Final = (50_000, 20, 1000)
 
 # These modules register their sub-commands on import.
-COMMAND_MODULES: Final = (_cli_check, _cli_config, _cli_jobs, _cli_workflow)
+COMMAND_MODULES: Final = (
+    _cli_check,
+    _cli_config,
+    _cli_jobs,
+    _cli_trace,
+    _cli_workflow,
+)
 
 
 def main(argv: Sequence[str] | None = None) -> int:
--- a/src/lycheerelay/serving/_event_log.py
+++ b/src/lycheerelay/serving/_event_log.py
@@ -10,8 +10,8 @@
 from .._logging import FieldFormatter
 
 # Rate limit of log lines below the level WARNING, and its burst size.
-LINES_PER_SECOND: Final = 400
-BURST_LINES: Final = 800
+LINES_PER_SECOND: Final = 1600
+BURST_LINES: Final = 3200
 # Lines buffered for a slow reader; beyond this the oldest are dropped.
 MAX_PENDING_LINES: Final = 2000
 
--- a/src/lycheerelay/serving/_job_stream.py
+++ b/src/lycheerelay/serving/_job_stream.py
@@ -73,7 +73,21 @@
                 extra={'key': record.key, 'error': decoded.err_value},
             )
             return None
-        return submit(self.context.cell, decoded.ok_value, record.offset)
+        spec = decoded.ok_value
+        cell = self.context.cell
+        if spec.job_id not in cell.jobs:
+            logger.info(
+                'job_opened',
+                extra={
+                    'job': spec.job_id,
+                    'queue': spec.queue,
+                    'pool': spec.pool,
+                    'offset': record.offset,
+                    'widths': [step.width for step in spec.steps],
+                    'age_ms': self.context.now_ms - spec.accepted_ms,
+                },
+            )
+        return submit(cell, spec, record.offset)
 
     def _apply_cancel(self, record: KeyedRecord) -> None:
         job_id = record.key.removeprefix(CANCEL_PREFIX)
--- a/src/lycheerelay/serving/_orders.py
+++ b/src/lycheerelay/serving/_orders.py
@@ -1,6 +1,7 @@
 """Execute the commands of the workflow core."""
 
 import asyncio
+import collections
 import logging
 from collections.abc import Coroutine, Iterable
 from typing import Any, Final, final
@@ -69,6 +70,11 @@
         """Send the starts whose record has become durable."""
         commands = self.recording_starts
         self.recording_starts = []
+        counts = collections.Counter(
+            command.run.task.job_id for command in commands
+        )
+        for job_id, count in counts.items():
+            logger.info('starts_recorded', extra={'job': job_id, 'runs': count})
         for command in commands:
             self.spawn(_start(self, command))
 
@@ -244,6 +250,7 @@
 
 async def _ask_advice(orders: Orders, command: AskAdvice) -> None:
     context = orders.context
+    asked_ms = context.now_ms
     outcome = await orders.dispatcher.ask(command)
     now_ms = context.now_ms
     if isinstance(outcome, Ok):
@@ -256,6 +263,17 @@
             now_ms,
         )
         apply_advice(context.cell, advice)
+        logger.info(
+            'advice_received',
+            extra={
+                'job': command.step.job_id,
+                'occurrence': command.step.occurrence,
+                'step': command.step.step,
+                'asked': len(command.workers),
+                'allowed': len(advised.tickets),
+                'took_ms': now_ms - asked_ms,
+            },
+        )
     else:
         logger.info(
             'advice_failed',
--- a/src/lycheerelay/serving/_request_handler.py
+++ b/src/lycheerelay/serving/_request_handler.py
@@ -94,6 +94,7 @@
         A new job that is predicted to end after its value has expired is
         refused at once.
         """
+        begun_ms = self.clock.now_ms()
         retry_after_s = forecast_retry_after_s(
             spec, self._current_forecast(), self.clock.now_ms()
         )
@@ -102,10 +103,14 @@
                 RequestStatus.TOO_LATE, retry_after_s=retry_after_s
             )
             outcome = await self._accept_known_or(refusal, spec.job_id)
-            return self._report('submit', spec.job_id, spec.queue, outcome)
+            return self._report(
+                'submit', spec.job_id, spec.queue, outcome, begun_ms
+            )
         record = KeyedRecord(f'{JOB_PREFIX}{spec.job_id}', encode_spec(spec))
         outcome = await self._append(record, timeout_ms, 'submit')
-        return self._report('submit', spec.job_id, spec.queue, outcome)
+        return self._report(
+            'submit', spec.job_id, spec.queue, outcome, begun_ms
+        )
 
     async def cancel(
         self,
@@ -114,15 +119,16 @@
         timeout_ms: int,
     ) -> RequestResult:
         """Append the cancellation of a job."""
+        begun_ms = self.clock.now_ms()
         known = await self._query_owner(
             '/state', {'job': job_id}, timeout_ms // 2
         )
         if known is not None and known.get('phase') is None:
             outcome = RequestResult(RequestStatus.NO_SUCH_JOB)
-            return self._report('cancel', job_id, queue, outcome)
+            return self._report('cancel', job_id, queue, outcome, begun_ms)
         record = KeyedRecord(f'{CANCEL_PREFIX}{job_id}', b'{}')
         outcome = await self._append(record, timeout_ms, 'cancel')
-        return self._report('cancel', job_id, queue, outcome)
+        return self._report('cancel', job_id, queue, outcome, begun_ms)
 
     async def state(
         self,
@@ -131,6 +137,7 @@
         timeout_ms: int,
     ) -> RequestResult:
         """Return the phase of a job."""
+        begun_ms = self.clock.now_ms()
         answer = await self._query_owner(
             '/state', {'job': job_id, 'waits': True}, timeout_ms
         )
@@ -140,7 +147,7 @@
             outcome = RequestResult(RequestStatus.NO_SUCH_JOB)
         else:
             outcome = RequestResult(RequestStatus.OK, answer['phase'])
-        return self._report('state', job_id, queue, outcome)
+        return self._report('state', job_id, queue, outcome, begun_ms)
 
     async def waiting(self, queue: str, timeout_ms: int) -> RequestResult:
         """Return how many jobs of a queue have not started."""
@@ -310,6 +317,7 @@
         job_id: str,
         queue: str,
         outcome: RequestResult,
+        begun_ms: int,
     ) -> RequestResult:
         status = outcome.status.value
         self.metrics.count('requests', what=operation, verdict=status)
@@ -321,6 +329,7 @@
                 'queue': queue,
                 'verdict': status,
                 'answer': outcome.content,
+                'took_ms': self.clock.now_ms() - begun_ms,
             },
         )
         return outcome
--- a/src/lycheerelay/serving/_result_watch.py
+++ b/src/lycheerelay/serving/_result_watch.py
@@ -1,6 +1,7 @@
 """Let state queries wait for the record of a job's end."""
 
 import asyncio
+import logging
 from collections.abc import Iterable
 from typing import final
 
@@ -8,6 +9,8 @@
 from ..workflow import FINAL_PHASES, CellState, JobInfo
 from ..workflow.policies import RESULT_WAITS
 
+logger = logging.getLogger('lycheerelay.recorder')
+
 
 @final
 class ResultWatch:
@@ -37,6 +40,10 @@
         for job_id in job_ids:
             job = self.cell.jobs.get(job_id)
             if job is not None and job.visible_phase in FINAL_PHASES:
+                logger.info(
+                    'job_recorded',
+                    extra={'job': job_id, 'phase': job.phase.value},
+                )
                 ended = self.ended.pop(job_id, None)
                 if ended is not None:
                     ended.set()
--- /dev/null
+++ b/src/lycheerelay/traces/_causes.py
@@ -0,0 +1,98 @@
+"""Name what a job waits for, from what is known about its runs."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import StrEnum, unique
+from typing import Final
+
+
+@unique
+class Cause(StrEnum):
+    """Reason for which a job is not done at a moment."""
+
+    STORE = 'store'
+    OWNER = 'owner'
+    ADVICE = 'advice'
+    CAPACITY = 'capacity'
+    START_RECORD = 'start_record'
+    ANSWER = 'answer'
+    RUNNING = 'running'
+    RERUN = 'rerun'
+    END_RECORD = 'end_record'
+    UNKNOWN = 'unknown'
+
+
+@dataclass(slots=True)
+class JobProgress:
+    """Track what the log lines have told about one job so far.
+
+    `widths` are the numbers of tasks of its steps. `advised` holds the steps
+    that the advisor has allowed workers for, `done` and `lost` task names,
+    `unrecorded` and `running` the names of runs in that state.
+    """
+
+    accepted: bool = False
+    opened: bool = False
+    settled: bool = False
+    widths: tuple[int, ...] = ()
+    needs_advice: bool = False
+    advised: set[str] = field(default_factory=set)
+    done: set[str] = field(default_factory=set)
+    lost: set[str] = field(default_factory=set)
+    unrecorded: set[str] = field(default_factory=set)
+    running: set[str] = field(default_factory=set)
+
+    @property
+    def missing(self) -> int:
+        """Return the tasks of the first open step that have no run."""
+        for step, width in enumerate(self.widths):
+            done = sum(_step_of(task) == step for task in self.done)
+            if done < width:
+                runs = (*self.running, *self.unrecorded)
+                begun = {_task_of(run) for run in runs if _step_of(run) == step}
+                return max(width - done - len(begun - self.done), 0)
+        return 0
+
+    @property
+    def open_step(self) -> int:
+        """Return the index of the first step that is not done."""
+        for step, width in enumerate(self.widths):
+            if sum(_step_of(task) == step for task in self.done) < width:
+                return step
+        return len(self.widths)
+
+
+Rule = Callable[[JobProgress], bool]
+
+# Causes in the order in which they are tested; the first that holds counts.
+RULES: Final[dict[Cause, Rule]] = {
+    Cause.STORE: lambda job: not job.accepted,
+    Cause.END_RECORD: lambda job: job.settled,
+    Cause.OWNER: lambda job: not job.opened,
+    Cause.START_RECORD: lambda job: bool(job.unrecorded and not job.running),
+    Cause.RERUN: lambda job: bool(job.lost - job.done),
+    Cause.ADVICE: lambda job: bool(
+        job.missing
+        and job.needs_advice
+        and str(job.open_step) not in job.advised
+    ),
+    Cause.CAPACITY: lambda job: bool(job.missing),
+    Cause.RUNNING: lambda job: bool(job.running),
+}
+
+
+def cause_of(job: JobProgress) -> Cause:
+    """Return what the job waits for."""
+    for cause, holds in RULES.items():
+        if holds(job):
+            return cause
+    return Cause.UNKNOWN
+
+
+def _task_of(run: str) -> str:
+    return run.partition('#')[0]
+
+
+def _step_of(name: str) -> int:
+    # JOB.OCCURRENCE.STEP.MEMBER
+    return int(name.split('.')[2])
--- /dev/null
+++ b/src/lycheerelay/traces/_timeline.py
@@ -0,0 +1,177 @@
+"""Split the time of each job by cause."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Final, NamedTuple
+
+from .._registry import Registry
+from ._causes import Cause, JobProgress, cause_of
+from ._lines import LogLine
+
+# An end that a later run of the task has to make up for.
+FAILED_ENDS: Final = frozenset(('failed', 'stopped', 'lapsed', 'broken'))
+
+
+class Interval(NamedTuple):
+    """Span of a job's time with one cause; times in ms since 1970."""
+
+    from_ms: int
+    to_ms: int
+    cause: Cause
+
+
+@dataclass(slots=True)
+class JobTimeline:
+    """Track one job; `verdict` is the answer to its submission.
+
+    `lines` holds the time, VM and text of each line about the job.
+    """
+
+    job_id: str
+    queue: str = ''
+    verdict: str = ''
+    phase: str = ''
+    begun_ms: int = -1
+    ended_ms: int = -1
+    intervals: list[Interval] = field(default_factory=list)
+    lines: list[tuple[int, str, str]] = field(default_factory=list)
+    progress: JobProgress = field(default_factory=JobProgress)
+
+    def advance(self, at_ms: int) -> None:
+        """Add the time since the last line to what the job waited for."""
+        if self.begun_ms < 0:
+            self.begun_ms = at_ms
+        if 0 <= self.ended_ms < at_ms:
+            interval = Interval(self.ended_ms, at_ms, cause_of(self.progress))
+            self.intervals.append(interval)
+        self.ended_ms = max(self.ended_ms, at_ms)
+
+    def spent_ms(self) -> dict[Cause, int]:
+        """Return the time by cause."""
+        spent: dict[Cause, int] = {}
+        for interval in self.intervals:
+            took_ms = interval.to_ms - interval.from_ms
+            spent[interval.cause] = spent.get(interval.cause, 0) + took_ms
+        return spent
+
+
+Handler = Callable[[JobTimeline, LogLine], None]
+HANDLERS: Final[Registry[str, Handler]] = Registry('log message')
+
+
+def build_timelines(lines: Iterable[LogLine]) -> dict[str, JobTimeline]:
+    """Return the timeline of each job, by id; lines may come in any order."""
+    timelines: dict[str, JobTimeline] = {}
+    for line in sorted(lines, key=lambda line: line.at_ms):
+        job_id = _job_of(line)
+        if job_id is None:
+            continue
+        timeline = timelines.setdefault(job_id, JobTimeline(job_id))
+        text = line.message
+        if line.message in HANDLERS and not timeline.phase:
+            _begin_span(timeline, line)
+            timeline.advance(line.at_ms)
+            HANDLERS[line.message](timeline, line)
+        timeline.lines.append((line.at_ms, line.vm, text))
+    return timelines
+
+
+def _job_of(line: LogLine) -> str | None:
+    for name in ('job', 'run', 'step'):
+        text = line.fields.get(name)
+        if isinstance(text, str):
+            return text.partition('.')[0]
+    return None
+
+
+def _begin_span(timeline: JobTimeline, line: LogLine) -> None:
+    """Apply when that began which the line reports as finished."""
+    took_ms = line.fields.get('took_ms', 0)
+    if not isinstance(took_ms, int):
+        return
+    if line.message == 'advice_received':
+        timeline.advance(line.at_ms - took_ms)
+        timeline.progress.needs_advice = True
+    elif line.fields.get('what') == 'submit' and timeline.begun_ms < 0:
+        timeline.advance(line.at_ms - took_ms)
+
+
+@HANDLERS.register('request')
+def apply_request(timeline: JobTimeline, line: LogLine) -> None:
+    """Apply the answer to a submission."""
+    if line.fields.get('what') != 'submit':
+        return
+    timeline.queue = str(line.fields.get('queue', ''))
+    timeline.verdict = str(line.fields.get('verdict', ''))
+    timeline.progress.accepted |= timeline.verdict == 'ok'
+
+
+@HANDLERS.register('job_opened')
+def apply_opened(timeline: JobTimeline, line: LogLine) -> None:
+    """Apply that an owner knows the job; after a takeover, its runs too."""
+    progress = timeline.progress
+    timeline.queue = str(line.fields.get('queue', timeline.queue))
+    progress.accepted = True
+    progress.opened = True
+    progress.widths = tuple(line.fields.get('widths', ()))
+
+
+@HANDLERS.register('advice_received')
+def apply_advice(timeline: JobTimeline, line: LogLine) -> None:
+    """Apply a reply of the advisor about a step."""
+    if line.fields.get('allowed'):
+        timeline.progress.advised.add(str(line.fields.get('step')))
+
+
+@HANDLERS.register('runs_started')
+def apply_starts(timeline: JobTimeline, line: LogLine) -> None:
+    """Apply a decision to start runs."""
+    step = line.fields['step']
+    progress = timeline.progress
+    for member, number in zip(
+        line.fields['members'], line.fields['numbers'], strict=True
+    ):
+        progress.unrecorded.add(f'{step}.{member}#{number}')
+        progress.lost.discard(f'{step}.{member}')
+
+
+@HANDLERS.register('starts_recorded')
+def apply_recorded(timeline: JobTimeline, line: LogLine) -> None:
+    """Apply that the assignments are durable and the orders are sent."""
+    progress = timeline.progress
+    progress.running |= progress.unrecorded
+    progress.unrecorded.clear()
+
+
+@HANDLERS.register('run_ended')
+def apply_end(timeline: JobTimeline, line: LogLine) -> None:
+    """Apply the end of a run as its worker listed it."""
+    run = str(line.fields['run'])
+    task = run.partition('#')[0]
+    progress = timeline.progress
+    progress.running.discard(run)
+    progress.unrecorded.discard(run)
+    if line.fields.get('how') == 'done':
+        progress.done.add(task)
+    elif line.fields.get('how') in FAILED_ENDS:
+        progress.lost.add(task)
+
+
+@HANDLERS.register('run_over')
+def apply_loss(timeline: JobTimeline, line: LogLine) -> None:
+    """Apply that a run is lost with its worker or was never started."""
+    run = str(line.fields['run'])
+    timeline.progress.running.discard(run)
+    timeline.progress.lost.add(run.partition('#')[0])
+
+
+@HANDLERS.register('job_settled')
+def apply_settled(timeline: JobTimeline, line: LogLine) -> None:
+    """Apply that the job is over, though not yet durably."""
+    timeline.progress.settled = True
+
+
+@HANDLERS.register('job_recorded')
+def apply_durable(timeline: JobTimeline, line: LogLine) -> None:
+    """Apply the durable end, which callers are told from now on."""
+    timeline.phase = str(line.fields.get('phase', ''))
--- a/src/lycheerelay/workflow/_dispatch.py
+++ b/src/lycheerelay/workflow/_dispatch.py
@@ -17,7 +17,8 @@
     startable_tasks,
     step_candidates,
 )
-from ._starting import next_run_number, start_task
+from ._runs import start_run
+from ._starting import log_starts, next_run_number
 from ._state import CellState, StepInfo, TaskInfo, WorkerInfo
 
 
@@ -119,12 +120,13 @@
     for worker in workers:
         if has_ticket(step, worker, now_ms):
             ranking.update(worker)
-    started = 0
+    runs = []
     for task in tasks:
         best = ranking.best(task)
         if best is None:
             break
-        start_task(cell, step, task, best, next_run_number([task]), now_ms)
+        number = next_run_number([task])
+        runs.append(start_run(cell, step, task, best, number, now_ms))
         ranking.update(best)
-        started += 1
-    return started
+    log_starts(cell, step, runs, now_ms)
+    return len(runs)
--- a/src/lycheerelay/workflow/_ends.py
+++ b/src/lycheerelay/workflow/_ends.py
@@ -8,6 +8,7 @@
 from ._runs import release_run, stop_run
 from ._spec import RunKey
 from ._state import (
+    NEVER,
     CellState,
     JobPhase,
     Run,
@@ -71,6 +72,8 @@
         how=end.outcome,
         known=run is not None,
         stop=run.stop_reason if run else '',
+        answered_ms=_elapsed_ms(run, run.answered_ms) if run else NEVER,
+        took_ms=_elapsed_ms(run, now_ms) if run else NEVER,
     )
     if end.checkpoint:
         keep_checkpoint(step, task, end.checkpoint)
@@ -82,6 +85,11 @@
     requeue(cell, step, task, now_ms)
 
 
+def _elapsed_ms(run: Run, at_ms: int) -> int:
+    """Return the time from the decision to start a run, or NEVER."""
+    return NEVER if at_ms == NEVER else at_ms - run.sent_ms
+
+
 def find_step(cell: CellState, run: RunKey) -> StepInfo | None:
     """Return the step of a run, or None if it is not known."""
     job = cell.jobs.get(run.task.job_id)
--- a/src/lycheerelay/workflow/_gangs.py
+++ b/src/lycheerelay/workflow/_gangs.py
@@ -21,7 +21,7 @@
 from ._openings import Opening, current_openings, earliest_openings
 from ._pool_cycle import PoolCycle, startable_tasks, step_candidates
 from ._spec import AdvicePolicy
-from ._starting import next_run_number, start_task
+from ._starting import start_tasks
 from ._state import CellState, StepInfo, WorkerInfo
 
 # A plan is kept for this long, unless new advice arrives. Estimated ends are less
@@ -206,7 +206,6 @@
     plan: list[WorkerInfo],
     now_ms: int,
 ) -> int:
-    number = next_run_number(step.tasks)
-    for task, worker in zip(step.tasks, plan, strict=True):
-        start_task(cell, step, task, worker, number, now_ms)
+    starts = list(zip(step.tasks, plan, strict=True))
+    start_tasks(cell, step, starts, now_ms)
     return len(plan)
