Keep an unexpected error to the step, order or worker that it concerns

Cause: a decision that raised ended the term of each owner in turn; a poll that raised was never repeated, so that the leases of its worker expired; an advice call that raised left its step waiting for ever, and a malformed address of a peer raised out of the client. Change: the step is left out for the term and logged (step_crashed), polls are resumed, crashed orders are treated as unanswered, malformed addresses and answers too.

--- a/src/lycheerelay/serving/_http_calls.py
+++ b/src/lycheerelay/serving/_http_calls.py
@@ -20,6 +20,15 @@
 # Status of a call that was not sent.
 NOT_SENT: Final = 1
 
+# Errors after which the call may have been executed. ValueError stands for a
+# malformed answer or address.
+ANSWER_ERRORS: Final = (
+    aiohttp.ClientError,
+    TimeoutError,
+    OSError,
+    ValueError,
+)
+
 
 class Reply(NamedTuple):
     """HTTP status, NO_ANSWER or NOT_SENT, and the body."""
@@ -112,9 +121,13 @@
                 timeout=timeout,
             ) as reply:
                 return Reply(reply.status, await reply.read())
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+            aiohttp.InvalidURL,
+        ):
             return Reply(NOT_SENT)
-        except (aiohttp.ClientError, TimeoutError, OSError):
+        except ANSWER_ERRORS:
             return Reply(NO_ANSWER)
 
     async def close(self) -> None:
--- a/src/lycheerelay/serving/_orders.py
+++ b/src/lycheerelay/serving/_orders.py
@@ -3,7 +3,8 @@
 import asyncio
 import collections
 import logging
-from collections.abc import Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable
+from functools import partial
 from typing import Any, Final, final
 
 from result import Ok
@@ -76,23 +77,35 @@
         for job_id, count in counts.items():
             logger.info('starts_recorded', extra={'job': job_id, 'runs': count})
         for command in commands:
-            self.spawn(_start(self, command))
-
-    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        """Run one order in a task, which is referenced until it ends."""
+            self.spawn(
+                _start(self, command), partial(_start_crashed, self, command)
+            )
+
+    def spawn(
+        self,
+        work: Coroutine[Any, Any, None],
+        on_crash: Callable[[], None] | None = None,
+    ) -> None:
+        """Run one order in a task; `on_crash` is called if it raises."""
         task = asyncio.get_running_loop().create_task(work)
         self.tasks.add(task)
-        task.add_done_callback(self._on_task_done)
+        task.add_done_callback(partial(self._on_task_done, on_crash))
 
     def cancel(self) -> None:
         """Cancel every order in flight."""
         for task in self.tasks:
             task.cancel()
 
-    def _on_task_done(self, task: asyncio.Task[None]) -> None:
+    def _on_task_done(
+        self, on_crash: Callable[[], None] | None, task: asyncio.Task[None]
+    ) -> None:
         self.tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            logger.error('order_crashed', exc_info=task.exception())
+        if task.cancelled() or task.exception() is None:
+            return
+        logger.error('order_crashed', exc_info=task.exception())
+        if on_crash is not None:
+            on_crash()
+            self.context.notify_changed()
 
 
 @EXECUTORS.register(LogEvent)
@@ -133,7 +146,9 @@
 @EXECUTORS.register(AskAdvice)
 def execute_advice_request(orders: Orders, command: AskAdvice) -> None:
     """Ask the placement advisor about a step."""
-    orders.spawn(_ask_advice(orders, command))
+    orders.spawn(
+        _ask_advice(orders, command), partial(_advice_crashed, orders, command)
+    )
 
 
 async def _start(orders: Orders, command: StartRun) -> None:
@@ -174,6 +189,22 @@
         context.notify_changed()
 
 
+def _start_crashed(orders: Orders, command: StartRun) -> None:
+    # The order may have been sent, so it is treated as unanswered.
+    handle_start_answer(
+        orders.context.cell,
+        command.worker_id,
+        command.run,
+        Answer.NONE,
+        orders.context.now_ms,
+    )
+
+
+def _advice_crashed(orders: Orders, command: AskAdvice) -> None:
+    context = orders.context
+    advice_failed(context.cell, command.step, command.workers, context.now_ms)
+
+
 def _is_start_pending(context: OwnerContext, command: StartRun) -> bool:
     run = context.cell.find_run(command.worker_id, command.run)
     return run is not None and run.state is RunState.SENT
--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Collection
+from functools import partial
 from typing import Any, Final, final
 
 import orjson
@@ -280,8 +281,22 @@
             return
         poller = WorkerPoller(self.context, worker_id, worker.address)
         self.orders.pollers[worker_id] = poller
-        self.tasks.append(
-            asyncio.get_running_loop().create_task(poller.run()),
+        task = asyncio.get_running_loop().create_task(poller.run())
+        task.add_done_callback(partial(self._on_poller_done, worker_id))
+        self.tasks.append(task)
+
+    def _on_poller_done(self, worker_id: str, task: asyncio.Task[None]) -> None:
+        if task.cancelled() or task.exception() is None or self.has_ended:
+            return
+        logger.error(
+            'poller_crashed',
+            extra={'worker': worker_id},
+            exc_info=task.exception(),
+        )
+        # Without polls the leases of the worker would expire.
+        self.orders.pollers.pop(worker_id, None)
+        asyncio.get_running_loop().call_later(
+            RETRY_DELAY_S, self._start_poller, worker_id
         )
 
     async def _run_ticks(self) -> None:
--- a/src/lycheerelay/workflow/_dispatch.py
+++ b/src/lycheerelay/workflow/_dispatch.py
@@ -9,6 +9,7 @@
 )
 from ._fit import CandidateRanking, count_fitting, has_ticket
 from ._gangs import GANG_POLICIES
+from ._log_events import log_event
 from ._openings import earliest_openings
 from ._order import ORDERS
 from ._pool_cycle import (
@@ -37,7 +38,7 @@
         if cycle is None:
             cycle = begin_cycle(cell, pool, now_ms)
             cycles[pool] = cycle
-        started += _dispatch_step(cell, step, cycle, now_ms)
+        started += _try_step(cell, step, cycle, now_ms)
         cycle.position += 1
     cell.wanted_workers = {
         pool: frozenset(cycle.reserved) for pool, cycle in cycles.items()
@@ -45,6 +46,21 @@
     return started
 
 
+def _try_step(
+    cell: CellState, step: StepInfo, cycle: PoolCycle, now_ms: int
+) -> int:
+    if step.crashed:
+        return 0
+    try:
+        return _dispatch_step(cell, step, cycle, now_ms)
+    except Exception as error:
+        # Any job may reach any owner, so a fault in the decision on one step
+        # must not end the term of one owner after the other.
+        step.crashed = True
+        log_event(cell, 'step_crashed', step=step.key, error=repr(error))
+        return 0
+
+
 def _dispatch_step(
     cell: CellState,
     step: StepInfo,
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -121,7 +121,8 @@
     `latest_start_ms` misses the objective of the job, and the job has no value
     left after a start later than `infeasible_from_ms`. `openings` is the plan of
     a gang, which is made again from `replan_ms` on. Capacity for the waiting tasks
-    has been free since `free_since_ms`.
+    has been free since `free_since_ms`. `crashed` is set if a decision on the step
+    has raised an error in this term.
     """
 
     key: StepKey
@@ -144,6 +145,7 @@
     replan_ms: int = 0
     free_since_ms: int = NEVER
     stall_reported: bool = False
+    crashed: bool = False
 
     @property
     def is_done(self) -> bool:
