--- a/src/lycheerelay_standins/platform/_fuzz.py
+++ b/src/lycheerelay_standins/platform/_fuzz.py
@@ -27,6 +27,9 @@
 Inject = Callable[['FuzzRun'], Coroutine[Any, Any, None]]
 FAULTS: Final[Registry[str, Inject]] = Registry('fault')
 FAULT_DURATION_S: Final = (0.5, 6)
+# Faults that are drawn only if they are asked for, so that the days of earlier
+# seeds stay as they were.
+STORM_FAULTS: Final = ('answers_broken', 'config_storm')
 
 
 class FuzzResult(NamedTuple):
@@ -47,7 +50,9 @@
         """Draw the shape of the cell; `only` restricts the faults."""
         self.seed = seed
         self.rng = random.Random(number_of(f'fuzz:{seed}'))
-        self.only = only or tuple(FAULTS)
+        self.only = only or tuple(
+            name for name in FAULTS if name not in STORM_FAULTS
+        )
         self.jobs: list[str] = []
         self.injected: list[str] = []
         advice: dict[str, float] = {
@@ -159,6 +164,7 @@
             net.cuts,
             net.refusing,
             net.lost,
+            net.broken,
             net.late,
             net.slow,
         ):
@@ -300,6 +306,23 @@
     worker.fails = False
 
 
+@FAULTS.register('answers_broken')
+async def answers_broken(run: FuzzRun) -> None:
+    """Close the connection in place of some answers of the workers."""
+    for address in run.cell.addresses.values():
+        run.cell.net.broken[address] = 0.3
+    await run.pause()
+    run.cell.net.broken.clear()
+
+
+@FAULTS.register('config_storm')
+async def config_storm(run: FuzzRun) -> None:
+    """Publish configurations in quick succession."""
+    for _ in range(run.rng.randint(5, 15)):
+        run.cell.configure()
+        await asyncio.sleep(run.rng.uniform(0.1, 0.5))
+
+
 def fuzz(seed: int, only: tuple[str, ...] = ()) -> FuzzResult:
     """Run the fuzzer with a seed in virtual time."""
 
--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -15,6 +15,27 @@
 pytestmark = pytest.mark.usefixtures('disable_logging')
 
 
+STORM = (
+    'answers_broken',
+    'config_storm',
+    'applied_late',
+    'kill',
+    'revoke',
+    'worker_cut',
+)
+
+
+@pytest.mark.parametrize('seed', range(1, 5))
+def test_a_day_with_storms_of_configurations_keeps_every_promise(
+    seed: int,
+) -> None:
+    """Answers are lost and owners change while configurations pour in."""
+    result = fuzz(seed, STORM)
+    assert result.jobs > 20
+    assert result.broken == ()
+    assert result.unfinished == ()
+
+
 @pytest.mark.parametrize('seed', sorted({*range(1, 9), *REGRESSIONS}))
 def test_a_random_day_keeps_every_promise(seed: int) -> None:
     """No guarantee is violated, and every accepted job becomes final."""
