Leave jobs with missing lines out of the times of a trace

Cause: on a log with 13,885 dropped lines, jobs whose last lines were missing counted as waiting for the record of their end to the end of the log. Change: open jobs and finished ones with gaps are counted apart; the causes and seconds are those of the others. Conclusion: the table tells what it knows.

--- a/src/lycheerelay/_cli_trace.py
+++ b/src/lycheerelay/_cli_trace.py
@@ -155,6 +155,7 @@
     for name, counts in (
         ('submitted', summary.verdicts),
         ('ended', {**summary.phases, 'open': summary.open_jobs}),
+        ('left out', {'lines missing': summary.gap_jobs}),
     ):
         for kind, count in sorted(counts.items()):
             yield summary.queue, f'{name}: {kind}', count, '', '', ''
--- a/src/lycheerelay/traces/_causes.py
+++ b/src/lycheerelay/traces/_causes.py
@@ -42,6 +42,12 @@
     unrecorded: set[str] = field(default_factory=set)
     running: set[str] = field(default_factory=set)
 
+    @property
+    def has_gaps(self) -> bool:
+        """Return whether lines about a finished job must be missing."""
+        ended = {_step_of(task) for task in self.done | self.lost}
+        return not self.opened or not ended.issuperset(range(len(self.widths)))
+
     @property
     def missing(self) -> int:
         """Return the tasks of the first open step that have no run."""
--- a/src/lycheerelay/traces/_summary.py
+++ b/src/lycheerelay/traces/_summary.py
@@ -22,22 +22,31 @@
 
 
 class QueueSummary(NamedTuple):
-    """Jobs of one queue: how they were answered and what they waited for."""
+    """Jobs of one queue: how they were answered and what they waited for.
+
+    `open_jobs` and `gap_jobs` are accepted jobs without a final phase, and those
+    with missing lines; the causes leave both out.
+    """
 
     queue: str
     verdicts: dict[str, int]
     phases: dict[str, int]
     open_jobs: int
+    gap_jobs: int
     causes: tuple[CauseTime, ...]
 
 
 class SecondSummary(NamedTuple):
-    """Jobs of one queue that began in one second of the log."""
+    """Jobs of one queue that began in one second of the log.
+
+    The times are those of the `traced` jobs, whose lines are complete.
+    """
 
     second: int
     queue: str
     jobs: int
     refused: int
+    traced: int
     p50_ms: int
     p99_ms: int
     longest_cause: str
@@ -73,13 +82,18 @@
         dict(Counter(each.verdict or 'unknown' for each in group)),
         dict(Counter(each.phase for each in accepted if each.phase)),
         sum(not each.phase for each in accepted),
+        sum(bool(each.phase) and not each.is_complete for each in accepted),
         tuple(_cause_rows(accepted)),
     )
 
 
+def _is_complete(timeline: JobTimeline) -> bool:
+    return timeline.is_complete
+
+
 def _cause_rows(group: list[JobTimeline]) -> list[CauseTime]:
     times: dict[Cause, list[int]] = {}
-    for timeline in group:
+    for timeline in filter(_is_complete, group):
         for cause, spent_ms in timeline.spent_ms().items():
             times.setdefault(cause, []).append(spent_ms)
     rows = [
@@ -112,13 +126,16 @@
     second: int, queue: str, group: list[JobTimeline]
 ) -> SecondSummary:
     accepted = [each for each in group if each.progress.accepted]
-    took_ms = [each.ended_ms - each.begun_ms for each in accepted]
+    took_ms = [
+        each.ended_ms - each.begun_ms for each in accepted if each.is_complete
+    ]
     causes = _cause_rows(accepted)
     return SecondSummary(
         second,
         queue,
         len(group),
         len(group) - len(accepted),
+        len(took_ms),
         percentile(took_ms, 0.5),
         percentile(took_ms, 0.99),
         causes[0].cause.value if causes else '',
--- a/src/lycheerelay/traces/_timeline.py
+++ b/src/lycheerelay/traces/_timeline.py
@@ -9,6 +9,7 @@
 from ._lines import LogLine
 
 # An end that a later run of the task has to make up for.
+COMPLETED: Final = 'completed'
 FAILED_ENDS: Final = frozenset(('failed', 'stopped', 'lapsed', 'broken'))
 
 
@@ -46,6 +47,13 @@
             self.intervals.append(interval)
         self.ended_ms = max(self.ended_ms, at_ms)
 
+    @property
+    def is_complete(self) -> bool:
+        """Return whether the job's lines tell all of its time."""
+        if self.phase == COMPLETED:
+            return not self.progress.has_gaps
+        return bool(self.phase) and self.progress.opened
+
     def spent_ms(self) -> dict[Cause, int]:
         """Return the time by cause."""
         spent: dict[Cause, int] = {}
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -66,6 +66,16 @@
     assert timeline.phase == 'completed'
 
 
+def test_jobs_with_missing_lines_are_left_out(tmp_path, capsys) -> None:
+    path = tmp_path / 'vm.log'
+    path.write_text(
+        '\n'.join(line for line in LINES if 'run_ended' not in line)
+    )
+    assert main(['trace', str(path), '--json']) == 0
+    queue = json.loads(capsys.readouterr().out)['queues'][0]
+    assert (queue['gap_jobs'], queue['causes']) == (1, [])
+
+
 def test_order_and_foreign_text_do_not_matter() -> None:
     counts = LineCounts()
     texts = [f'  12.5 vm-1 {line}' for line in reversed(LINES)]
@@ -117,7 +127,8 @@
     assert '00:00:00.150  500  running' in rows
     assert main(['trace', str(path), '--seconds']) == 0
     assert (
-        '0       q      1     0        1227    1227' in capsys.readouterr().out
+        '0       q      1     0        1       1227    1227'
+        in capsys.readouterr().out
     )
 
 
