Keep the plans of gangs that wait for tickets, and out of one another

Cause: only the first five gangs of a pool kept their plan reserved between cycles. Change: a plan with calls in progress stays reserved; workers that another gang has planned with come last.

--- a/src/lycheerelay/workflow/_gangs.py
+++ b/src/lycheerelay/workflow/_gangs.py
@@ -52,7 +52,8 @@
     """
     may_reserve = cycle.reserving_steps < cell.policies.reserving_steps
     if now_ms < step.replan_ms or not cycle.plans_left:
-        if may_reserve and step.openings:
+        # A plan that waits for tickets is kept, or others take its capacity.
+        if step.openings and (may_reserve or step.pending_calls):
             _reserve(step, cycle, step.openings)
         return 0
     if len(startable_tasks(cell, step, now_ms)) < len(step.tasks):
@@ -147,6 +148,9 @@
         for worker in workers
         if has_ticket(step, worker, now_ms)
     }
+    # Workers that another gang has planned with come last.
+    own = {opening.worker.worker_id for opening in step.openings}
+    preferred -= cycle.wanted - own
     if step.spec.same_rack:
         for rack in dict.fromkeys(worker.rack for worker in workers):
             group = [worker for worker in workers if worker.rack == rack]
--- a/tests/test_wide_gangs.py
+++ b/tests/test_wide_gangs.py
@@ -274,6 +274,42 @@
     assert max(longest) < FREE_MS
 
 
+@pytest.mark.parametrize(
+    ('gangs', 'width', 'workers'), [(12, 10, 150), (16, 8, 160), (20, 6, 176)]
+)
+def test_gangs_start_one_call_after_their_room_is_free(
+    gangs: int, width: int, workers: int
+) -> None:
+    """Gangs that wait for tickets keep out of one another's plans.
+
+    Otherwise the later ones lose planned workers to the first five, and have to
+    ask again.
+    """
+    free_ms = 4000
+    simulation = cell_of(workers, Policies())
+    names = list(simulation.workers)
+    for number, name in enumerate(names):
+        job = f'b{number}'
+        key = StepKey(job, 0, 0)
+        simulation.model.allowed.update(  # type: ignore[attr-defined]
+            {(key, other): other == name for other in names}
+        )
+        step = StepSpec(1, Resources(64_000, 1000), free_ms)
+        simulation.at(0, submit, simulation, job, step, SHORT_ADVICE, 100.0)
+    gang = StepSpec(width, Resources(30_000, 120_000), 6000, gang=True)
+    for number in range(gangs):
+        at_ms = 1000 + 30 * number
+        simulation.at(at_ms, submit, simulation, f'g{number}', gang)
+    simulation.run(12_000, lambda: False)
+    waits_ms = [
+        simulation.first_start_ms.get(f'g{number}', 12_000) - free_ms
+        for number in range(gangs)
+    ]
+    # The blocking runs themselves wait for a short call.
+    blocked_ms = int(SHORT_ADVICE.call_ms(30))
+    assert max(waits_ms) < blocked_ms + ADVICE.call_ms(45) + 100
+
+
 def _all_final(simulation: Simulation, jobs: int) -> bool:
     known = simulation.cell.jobs.values()
     return len(known) == jobs and all(job.is_final for job in known)
