--- a/tests/test_held_claim.py
+++ b/tests/test_held_claim.py
@@ -23,6 +23,7 @@
 WORKER = WorkerSpec('w1', 'desk', 'a', 'r', '127.0.0.1:1', Resources(16_000))
 SPEC = JobSpec('a.1', 't', 'desk', Kind.BATCH)
 INTENT = Intended('desk', 2, 'a.1', (Start(0, 1, 'w1', 'boot'),), 10)
+CLAIM = TermTaken('desk', 3, 'e2@1', 8)
 DONE = Ended('desk', 'a.1', 0, 1, TaskState.DONE, 0, 'ok', 20)
 
 
@@ -80,32 +81,33 @@
     assert witness.jobs['a.1'].tasks[0].worker == 'w2'
 
 
-def test_run_of_an_unread_intent_survives_a_claim_during_an_outage():
+def claimant_that_lags():
+    """Return a claimant that has not read the last records of the log."""
     state = ShardState('a', 'desk', 'e2@1')
     step(state, WorkerListed(WORKER), 0)
     apply_records(state, TermTaken('desk', 2, 'e1@1', 0))
-    claim = TermTaken('desk', 3, 'e2@1', 8)
-    apply_records(state, claim, held=True)
+    apply_records(state, CLAIM, held=True)
+    return state
+
+
+def test_run_of_an_unread_intent_survives_a_claim_during_an_outage():
+    state = claimant_that_lags()
     done = TaskReport(AttemptKey('a.1', 0, 1), TaskState.DONE, 0, 'ok')
     table = LeaseHeld('w1', 3, 'boot', False, (done,))
     _, unread = step(state, table, 10)
     assert not unread
     apply_records(state, Accepted('desk', SPEC, 5), INTENT)
-    assert apply_records(state, claim) == [ReadRunTable('w1')]
+    assert apply_records(state, CLAIM) == [ReadRunTable('w1')]
     _, reread = step(state, table, 20)
     assert [command.record.answer for command in reread] == ['ok']
 
 
 def test_live_run_of_an_unread_intent_is_not_stopped_but_blocks_its_worker():
-    state = ShardState('a', 'desk', 'e2@1')
-    step(state, WorkerListed(WORKER), 0)
-    apply_records(state, TermTaken('desk', 2, 'e1@1', 0))
-    claim = TermTaken('desk', 3, 'e2@1', 8)
-    apply_records(state, claim, held=True)
+    state = claimant_that_lags()
     key = AttemptKey('a.1', 0, 1)
     live = LeaseHeld('w1', 3, 'boot', False, (TaskReport(key, RUNNING),))
     assert not step(state, live, 10)[1]
     assert not state.workers['w1'].is_schedulable
-    apply_records(state, claim)
+    apply_records(state, CLAIM)
     _, orphaned = step(state, live, 20)
     assert [type(command) for command in orphaned] == [StopTask]
