Take the whole time of test log lines from the virtual clock

Cause: the test set the seconds of a log record to virtual time, while its milliseconds stayed those of the real clock; under load two lines of one moment were 1 ms apart and left a span unexplained. Change: both parts come from the virtual clock; the assertion is unchanged. Conclusion: a fault of the test's clock, not of the trace.

--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -141,7 +141,9 @@
         self.texts: list[str] = []
 
     def emit(self, record: logging.LogRecord) -> None:
+        # Both the time and its part below a second are those of the cell.
         record.created = asyncio.get_running_loop().time()
+        record.msecs = record.created % 1 * 1000
         self.texts.append(self.format(record))
 
 
