Remove what the trace wrote twice or never used

Cause: reading the change once more: a cause and a constant without use, the search for the open step written twice, a function that only wrapped a property, and a comment above the wrong constant. Change: one search serves both; the rest is gone. No behaviour changes. Conclusion: a clean-up only.

--- a/src/lycheerelay/traces/_causes.py
+++ b/src/lycheerelay/traces/_causes.py
@@ -15,7 +15,6 @@
     ADVICE = 'advice'
     CAPACITY = 'capacity'
     START_RECORD = 'start_record'
-    ANSWER = 'answer'
     RUNNING = 'running'
     RERUN = 'rerun'
     END_RECORD = 'end_record'
@@ -51,13 +50,12 @@
     @property
     def missing(self) -> int:
         """Return the tasks of the first open step that have no run."""
-        for step, width in enumerate(self.widths):
-            done = sum(_step_of(task) == step for task in self.done)
-            if done < width:
-                runs = (*self.running, *self.unrecorded)
-                begun = {_task_of(run) for run in runs if _step_of(run) == step}
-                return max(width - done - len(begun - self.done), 0)
-        return 0
+        step = self.open_step
+        if step == len(self.widths):
+            return 0
+        tasks = self.done.union(map(_task_of, self.running | self.unrecorded))
+        begun = sum(_step_of(task) == step for task in tasks)
+        return max(self.widths[step] - begun, 0)
 
     @property
     def open_step(self) -> int:
--- a/src/lycheerelay/traces/_summary.py
+++ b/src/lycheerelay/traces/_summary.py
@@ -8,8 +8,6 @@
 from ._causes import Cause
 from ._timeline import JobTimeline
 
-ACCEPTED = 'ok'
-
 
 class CauseTime(NamedTuple):
     """Time that the jobs of a group spent on one cause, in ms."""
@@ -87,14 +85,11 @@
     )
 
 
-def _is_complete(timeline: JobTimeline) -> bool:
-    return timeline.is_complete
-
-
 def _cause_rows(group: list[JobTimeline]) -> list[CauseTime]:
     times: dict[Cause, list[int]] = {}
-    for timeline in filter(_is_complete, group):
-        for cause, spent_ms in timeline.spent_ms().items():
+    spans = (each.spent_ms() for each in group if each.is_complete)
+    for spent_by_cause in spans:
+        for cause, spent_ms in spent_by_cause.items():
             times.setdefault(cause, []).append(spent_ms)
     rows = [
         CauseTime(
--- a/src/lycheerelay/traces/_timeline.py
+++ b/src/lycheerelay/traces/_timeline.py
@@ -8,8 +8,8 @@
 from ._causes import Cause, JobProgress, cause_of
 from ._lines import LogLine
 
-# An end that a later run of the task has to make up for.
 COMPLETED: Final = 'completed'
+# Ends that a later run of the task has to make up for.
 FAILED_ENDS: Final = frozenset(('failed', 'stopped', 'lapsed', 'broken'))
 
 
@@ -75,12 +75,11 @@
         if job_id is None:
             continue
         timeline = timelines.setdefault(job_id, JobTimeline(job_id))
-        text = line.message
         if line.message in HANDLERS and not timeline.phase:
             _begin_span(timeline, line)
             timeline.advance(line.at_ms)
             HANDLERS[line.message](timeline, line)
-        timeline.lines.append((line.at_ms, line.vm, text))
+        timeline.lines.append((line.at_ms, line.vm, line.message))
     return timelines
 
 
