Log when a worker tells another time of start

Change: the run table carries the worker's time of start (born); worker_born logs it with the numbers of the handled and the listed ends and both clocks, run_over names the worker, its start and its last handled end. No decision changes.

--- a/src/lycheerelay/platform/_workers.py
+++ b/src/lycheerelay/platform/_workers.py
@@ -172,6 +172,7 @@
             int(fields['clockMs']),
             tuple(_decode_rows(fields['running'])),
             tuple(_decode_ends(fields['ended'])),
+            int(fields.get('born') or 0),
         )
         return PollReply(Answer.DONE, table.clock_ms, table)
     except DECODE_ERRORS as error:
--- a/src/lycheerelay/workflow/_ends.py
+++ b/src/lycheerelay/workflow/_ends.py
@@ -233,7 +233,14 @@
     """Discard a run that its worker can no longer hold."""
     release_run(run)
     log_event(
-        cell, 'run_over', run=run.key, reason=reason, state=run.state.value
+        cell,
+        'run_over',
+        run=run.key,
+        worker=run.worker.worker_id,
+        reason=reason,
+        state=run.state.value,
+        born=run.worker.born_ms,
+        handled_end=run.worker.handled_end,
     )
     if run.state is not RunState.STOPPING and run.step.spec.checkpoints:
         cell.unrecorded_jobs[run.key.task.job_id] = None
--- a/src/lycheerelay/workflow/_run_table.py
+++ b/src/lycheerelay/workflow/_run_table.py
@@ -38,7 +38,8 @@
     """The runs of a worker and the run ends that it still lists.
 
     `poll_sent_ms` is the local time at which the poll was sent, `clock_ms` the
-    worker's clock when it replied.
+    worker's clock when it replied. `born_ms` is the Unix time at which the
+    worker started, or 0 if it does not tell.
     """
 
     worker_id: str
@@ -46,6 +47,7 @@
     clock_ms: int
     rows: tuple[RunTableRow, ...]
     ends: tuple[RunEnd, ...]
+    born_ms: int = 0
 
 
 class WorkerListing(NamedTuple):
@@ -142,6 +144,8 @@
 def apply_run_table(cell: CellState, table: RunTable, now_ms: int) -> bool:
     """Apply a run table and return whether it contained new ends."""
     worker = cell.workers.get(table.worker_id)
+    if worker is not None and table.born_ms != worker.born_ms:
+        _log_start_of_worker(cell, worker, table)
     if worker is None or table.clock_ms < worker.table_clock_ms:
         # A newer table of this worker has already been applied.
         return False
@@ -180,6 +184,24 @@
     return bool(new_ends)
 
 
+def _log_start_of_worker(
+    cell: CellState, worker: WorkerInfo, table: RunTable
+) -> None:
+    log_event(
+        cell,
+        'worker_born',
+        worker=worker.worker_id,
+        born=table.born_ms,
+        before=worker.born_ms,
+        handled_end=worker.handled_end,
+        listed_ends=tuple(end.number for end in table.ends),
+        clock_ms=table.clock_ms,
+        before_clock_ms=worker.table_clock_ms,
+        runs=len(worker.runs),
+    )
+    worker.born_ms = table.born_ms
+
+
 def _apply_row(
     cell: CellState,
     worker: WorkerInfo,
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -197,7 +197,8 @@
     and `synced` that its run table has been applied by this owner.
     `handled_end` and `recorded_end` are the numbers of the last run end that
     was applied and of the last one that was recorded durably. `missed_calls`
-    counts the unanswered calls since the last answer.
+    counts the unanswered calls since the last answer. `born_ms` is the Unix time
+    at which the worker started, as its last run table told.
     """
 
     worker_id: str
@@ -224,6 +225,7 @@
     failures_in_row: dict[str, None] = field(default_factory=dict)
     barred_until_ms: int = 0
     bar_count: int = 0
+    born_ms: int = 0
 
     def allocate(self, run: Run) -> None:
         """Allocate the demand of a run."""
