Show on the emulator that tasks run again after a worker restarted

Change: the worker stand-in tells born, a crashed one answers no call any more, and it can be started again under its id with a clock behind or ahead of the one before.

--- a/src/lycheerelay_standins/platform/_environment.py
+++ b/src/lycheerelay_standins/platform/_environment.py
@@ -101,7 +101,24 @@
     def add_worker(self, shape: Shape, address: str = '') -> WorkerStandIn:
         """Start a worker at a new address, or at the given one."""
         self.created_count += 1
-        worker_id = f'w-{self.created_count}'
+        return self._start_worker(f'w-{self.created_count}', shape, address)
+
+    def restart_worker(
+        self, worker: WorkerStandIn, clock_ms: int = 1
+    ) -> WorkerStandIn:
+        """Start a crashed worker again under its id, at the same address.
+
+        It knows nothing of before, and its clock starts at `clock_ms`.
+        """
+        worker_id = worker.worker_id
+        address = self.addresses[worker_id]
+        started = self._start_worker(worker_id, worker.shape, address)
+        started.clock_offset_ms = clock_ms - started.clock_ms()
+        return started
+
+    def _start_worker(
+        self, worker_id: str, shape: Shape, address: str
+    ) -> WorkerStandIn:
         worker = WorkerStandIn(
             worker_id,
             shape,
@@ -121,7 +138,7 @@
         return worker
 
     def crash_worker(self, worker: WorkerStandIn) -> None:
-        """Crash a worker permanently."""
+        """Crash a worker, for good unless it is started again."""
         worker.crash()
         self.workers.pop(worker.worker_id, None)
 
@@ -150,6 +167,8 @@
                 sequence += 1
                 self._register(worker, address, sequence)
             else:
+                if self._is_restarted(worker):
+                    return
                 missed += 1
                 if missed == MISSED_HEARTBEATS_LIMIT:
                     self.store.drop('keyed.servers', worker.worker_id)
@@ -157,6 +176,10 @@
                     return
             await asyncio.sleep(HEARTBEAT_INTERVAL_MS / MS_PER_SECOND)
 
+    def _is_restarted(self, worker: WorkerStandIn) -> bool:
+        current = self.workers.get(worker.worker_id, worker)
+        return current is not worker
+
     def _register(
         self,
         worker: WorkerStandIn,
@@ -178,6 +201,7 @@
                     'gpus': shape.accelerators,
                 },
                 'labels': ['a', shape.rack],
+                'born': worker.born_ms,
                 'clockMs': worker.clock_ms(),
                 'sequence': sequence,
             },
--- a/src/lycheerelay_standins/platform/_worker.py
+++ b/src/lycheerelay_standins/platform/_worker.py
@@ -7,7 +7,7 @@
 from typing import Any, Final, final
 
 from lycheerelay._clock import MS_PER_SECOND
-from lycheerelay.serving import Reply
+from lycheerelay.serving import NO_ANSWER, Reply
 
 from ._audit import Audit, ObservedRun
 from ._network import Request
@@ -59,7 +59,8 @@
 
     `hangs` stops the progress of runs, `fails` ends them as failed,
     `slowdown` multiplies their run time and `clock_rate` the speed of the
-    worker's clock.
+    worker's clock, which is `clock_offset_ms` ahead. `born_ms` is the Unix time
+    of its start.
     """
 
     def __init__(
@@ -77,6 +78,7 @@
         self.audit = audit
         self.now_ms = now_ms
         self.max_lease_ms = max_lease_ms
+        self.born_ms = now_ms()
         self.runs: dict[tuple[str, int], ActiveRun] = {}
         self.ended: list[tuple[int, ObservedRun, str]] = []
         self.void_runs: dict[str, int] = {}
@@ -90,12 +92,14 @@
         self.fails = False
         self.slowdown = 1
         self.clock_rate = float(1)
+        self.clock_offset_ms = 0
         self.is_up = True
         self.starts = 0
 
     def clock_ms(self) -> int:
         """Return the time of the worker's own clock in ms."""
-        return int(self.now_ms() % 10_000_000 * self.clock_rate) + 1
+        reading_ms = int(self.now_ms() % 10_000_000 * self.clock_rate) + 1
+        return reading_ms + self.clock_offset_ms
 
     async def handle(self, request: Request) -> Reply:
         """Handle one call; the last segment of its path selects the method."""
@@ -113,7 +117,7 @@
         name = request.path.rsplit('/', 1)[1].replace('-', '_')
         method = getattr(self, f'_{name}')
         answer: Reply = await method(body)
-        return answer
+        return answer if self.is_up else Reply(NO_ANSWER)
 
     async def _run_start(self, body: dict[str, Any]) -> Reply:
         self._extend_lease(body['deadlineMs'])
@@ -177,7 +181,9 @@
             [number, observed.name, observed.number, observed.outcome, saved]
             for number, observed, saved in self.ended[:MAX_LISTED_ENDS]
         ]
-        return self._answer(OK, {'running': running, 'ended': ended})
+        return self._answer(
+            OK, {'born': self.born_ms, 'running': running, 'ended': ended}
+        )
 
     async def _pace(self, body: dict[str, Any]) -> Reply:
         return self._answer(OK, {})
@@ -271,6 +277,7 @@
             if run.timer is not None:
                 run.timer.cancel()
         self.runs = {}
+        self.ended_event.set()
         if self.lease_timer is not None:
             self.lease_timer.cancel()
 
--- /dev/null
+++ b/tests/test_restarted_workers.py
@@ -0,0 +1,97 @@
+"""Test workers that start again under the ids that they had.
+
+Guards against tasks that run again because an end, an order or a clock of the
+process before was taken for one of the process after.
+"""
+
+import asyncio
+
+import pytest
+
+from lycheerelay_standins.platform import (
+    CellShape,
+    PlatformCell,
+    Shape,
+    WorkerStandIn,
+)
+from platform_days import job, play, step
+
+CELL = CellShape(workers=(Shape('cpu', 8000),) * 2, seed=3)
+# The clock of a restarted worker may be behind or ahead of the one before.
+CLOCKS_MS = pytest.mark.parametrize('clock_ms', [1, 40_000_000])
+
+
+async def _run_for_long(cell: PlatformCell) -> None:
+    for worker in cell.workers.values():
+        worker.clock_offset_ms = 20_000_000
+    await _complete_jobs(cell, 5)
+
+
+async def _complete_jobs(cell: PlatformCell, count: int) -> None:
+    names = []
+    for _ in range(count):
+        name, _ = await cell.submit('vm-0', job(step(6)), work_ms=300)
+        names.append(name)
+        await asyncio.sleep(0.2)
+    assert set((await cell.settle(names, 20)).values()) == {'completed'}
+
+
+async def _restart(
+    cell: PlatformCell, worker: WorkerStandIn, clock_ms: int, pause_s: float
+) -> WorkerStandIn:
+    cell.crash_worker(worker)
+    await asyncio.sleep(pause_s)
+    return cell.restart_worker(worker, clock_ms)
+
+
+@CLOCKS_MS
+@pytest.mark.parametrize('pause_s', [0.05, 0.5, 3])
+def test_no_task_runs_again_after_its_worker_restarted(
+    clock_ms: int, pause_s: float
+) -> None:
+    """Ends are numbered from 1 again and must not look handled."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        await _run_for_long(cell)
+        for worker in list(cell.workers.values()):
+            await _restart(cell, worker, clock_ms, pause_s)
+        await _complete_jobs(cell, 5)
+        assert cell.audit.broken == []
+        assert {len(runs) for runs in cell.audit.runs.values()} == {1}
+
+    play(scenario, CELL)
+
+
+@CLOCKS_MS
+def test_a_restarted_worker_is_used_again(clock_ms: int) -> None:
+    """The owner listens to its clock, and fills it like the others."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        await _run_for_long(cell)
+        worker = await _restart(cell, cell.workers['w-1'], clock_ms, 0.5)
+        await asyncio.sleep(2)
+        width = 8 * len(cell.workers)
+        name, _ = await cell.submit('vm-0', job(step(width)), work_ms=2000)
+        await asyncio.sleep(1)
+        assert len(worker.runs) == 8
+        assert await cell.settle([name], 4) == {name: 'completed'}
+
+    play(scenario, CELL._replace(workers=CELL.workers * 2))
+
+
+@CLOCKS_MS
+def test_runs_of_a_restarted_worker_start_elsewhere_once(
+    clock_ms: int,
+) -> None:
+    """What ran there before is gone and runs again without a lease to wait."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        await _run_for_long(cell)
+        name, _ = await cell.submit('vm-0', job(step(8)), work_ms=2000)
+        await asyncio.sleep(1)
+        worker = cell.workers['w-1']
+        assert worker.runs
+        await _restart(cell, worker, clock_ms, 0.3)
+        assert await cell.settle([name], 6) == {name: 'completed'}
+
+    play(scenario, CELL)
