--- a/benchmarks/replay_load.py
+++ b/benchmarks/replay_load.py
@@ -20,6 +20,7 @@
     RunOutcome,
     StepKey,
     StepSpec,
+    WorkerKey,
     WorkerListing,
     WorkflowSpec,
 )
@@ -144,7 +145,7 @@
             return False
         cell = self.simulation.cell
         step = cell.jobs[run.task.job_id].spec.steps[run.task.step]
-        return step.rack not in {'', cell.workers[worker_id].rack}
+        return step.rack not in {'', cell.workers[WorkerKey(worker_id)].rack}
 
     def _impaired_plan(self, worker_id: str, total_ms: int) -> RunPlan:
         now_s = self.simulation.now_ms / MS_PER_S if self.simulation else 0
@@ -171,7 +172,7 @@
             rack = f'r{number // pool.get("rack", 5)}'
             name = f'{pool["name"]}-{number}'
             yield WorkerListing(
-                worker_id=name,
+                worker=WorkerKey(name),
                 address=name,
                 pool=pool['name'],
                 domain='',
--- a/src/lycheerelay/platform/_decode.py
+++ b/src/lycheerelay/platform/_decode.py
@@ -14,6 +14,7 @@
     AdvicePolicy,
     QueuePolicy,
     StepSpec,
+    WorkerKey,
     WorkerListing,
     WorkflowSpec,
     find_forward_dependency,
@@ -92,6 +93,14 @@
         return None
 
 
+def decode_worker_key(asked: WorkerKey, fields: Mapping[str, Any]) -> WorkerKey:
+    """Return the instance that sent these fields.
+
+    Without a start time it is taken for the one that was asked.
+    """
+    return asked._replace(born_ms=_int_field(fields, 'born') or asked.born_ms)
+
+
 def _decode_listing(worker_id: str, fields: Mapping[str, Any]) -> WorkerListing:
     state = fields['state']
     if state not in REGISTRATION_STATES:
@@ -101,7 +110,7 @@
     _, port = address.rsplit(':', 1)
     int(port)
     return WorkerListing(
-        worker_id=worker_id,
+        worker=decode_worker_key(WorkerKey(worker_id), fields),
         address=address,
         pool=_check_text(fields['service']),
         domain=_check_text(fields.get('zone', '')),
--- a/src/lycheerelay/platform/_workers.py
+++ b/src/lycheerelay/platform/_workers.py
@@ -24,8 +24,9 @@
     RunTable,
     RunTableRow,
     TaskKey,
+    WorkerKey,
 )
-from ._decode import DECODE_ERRORS
+from ._decode import DECODE_ERRORS, decode_worker_key
 
 logger = logging.getLogger('lycheerelay.workers')
 
@@ -83,14 +84,12 @@
             f'http://{request.address}/v1/hold',
             POLL_TIMEOUT_MS + request.wait_ms,
             body,
-            {EXPECTED_INSTANCE_HEADER: request.worker_id},
+            {EXPECTED_INSTANCE_HEADER: request.worker.worker_id},
         )
         answer = _to_answer(reply)
         if answer is not Answer.DONE:
             return PollReply(answer)
-        return _decode_poll_reply(
-            request.worker_id, poll_sent_ms, reply.fields()
-        )
+        return _decode_poll_reply(request.worker, poll_sent_ms, reply.fields())
 
     async def start(self, order: StartOrder) -> Answer:
         """Start a run."""
@@ -127,7 +126,7 @@
             f'http://{order.address}{path}',
             ORDER_TIMEOUT_MS,
             body,
-            {EXPECTED_INSTANCE_HEADER: order.worker_id},
+            {EXPECTED_INSTANCE_HEADER: order.worker.worker_id},
         )
         return _to_answer(reply)
 
@@ -163,22 +162,21 @@
 
 
 def _decode_poll_reply(
-    worker_id: str, poll_sent_ms: int, fields: Mapping[str, Any]
+    asked: WorkerKey, poll_sent_ms: int, fields: Mapping[str, Any]
 ) -> PollReply:
     try:
         table = RunTable(
-            worker_id,
+            decode_worker_key(asked, fields),
             poll_sent_ms,
             int(fields['clockMs']),
             tuple(_decode_rows(fields['running'])),
             tuple(_decode_ends(fields['ended'])),
-            int(fields.get('born') or 0),
         )
         return PollReply(Answer.DONE, table.clock_ms, table)
     except DECODE_ERRORS as error:
         logger.warning(
             'look_unreadable',
-            extra={'worker': worker_id, 'error': str(error)},
+            extra={'worker': asked.worker_id, 'error': str(error)},
         )
         return PollReply(Answer.NONE)
 
--- a/src/lycheerelay/rehearsal/_rehearse.py
+++ b/src/lycheerelay/rehearsal/_rehearse.py
@@ -16,6 +16,7 @@
     RunOutcome,
     StepInfo,
     StepKey,
+    WorkerKey,
     WorkerListing,
 )
 from ._simulation import RunPlan, RunRecord, Simulation
@@ -120,7 +121,7 @@
     for group in groups:
         for number in range(group.workers):
             yield WorkerListing(
-                worker_id=f'{group.name}-{number}',
+                worker=WorkerKey(f'{group.name}-{number}'),
                 address='',
                 pool=group.pool,
                 domain='',
--- a/src/lycheerelay/rehearsal/_simulation.py
+++ b/src/lycheerelay/rehearsal/_simulation.py
@@ -19,6 +19,7 @@
     StartRun,
     StepKey,
     StopRun,
+    WorkerKey,
     WorkerListing,
     WorkflowSpec,
     apply_advice,
@@ -154,10 +155,10 @@
     def add_worker(self, listing: WorkerListing) -> None:
         """Add a worker that is ready for runs."""
         list_worker(self.cell, listing, self.now_ms)
-        worker = self.cell.workers[listing.worker_id]
+        worker = self.cell.workers[listing.worker]
         worker.enrolled = True
         worker.synced = True
-        self.workers[listing.worker_id] = SimulatedWorker()
+        self.workers[listing.worker.worker_id] = SimulatedWorker()
 
     def submit(self, spec: WorkflowSpec) -> None:
         """Submit a job."""
@@ -206,12 +207,12 @@
         job_id = command.run.task.job_id
         self.first_start_ms.setdefault(job_id, self.now_ms)
         saved_ms = int(command.checkpoint or 0)
-        plan = self.model.plan(command.run, command.worker_id, saved_ms)
+        plan = self.model.plan(command.run, command.worker.worker_id, saved_ms)
         run = SimulatedRun(command.run, self.now_ms, plan, saved_ms)
-        self.workers[command.worker_id].runs[command.run] = run
+        self.workers[command.worker.worker_id].runs[command.run] = run
         handle_start_answer(
             self.cell,
-            command.worker_id,
+            command.worker,
             command.run,
             Answer.DONE,
             self.now_ms,
@@ -220,7 +221,7 @@
             self.at(
                 self.now_ms + plan.total_ms,
                 self._end_run,
-                command.worker_id,
+                command.worker.worker_id,
                 command.run,
                 plan.outcome,
             )
@@ -228,12 +229,12 @@
     def _stop_run(self, command: StopRun) -> None:
         handle_stop_answer(
             self.cell,
-            command.worker_id,
+            command.worker,
             command.run,
             Answer.DONE,
             self.now_ms,
         )
-        self._end_run(command.worker_id, command.run, RunOutcome.STOPPED)
+        self._end_run(command.worker.worker_id, command.run, RunOutcome.STOPPED)
 
     def _end_run(
         self, worker_id: str, key: RunKey, outcome: RunOutcome
@@ -265,7 +266,9 @@
         ends = tuple(worker.ends)
         worker.ends = []
         poll_sent_ms = self.now_ms
-        table = RunTable(worker_id, poll_sent_ms, poll_sent_ms + 1, rows, ends)
+        table = RunTable(
+            WorkerKey(worker_id), poll_sent_ms, poll_sent_ms + 1, rows, ends
+        )
         apply_run_table(self.cell, table, poll_sent_ms)
 
     def _ask_advice(self, command: AskAdvice) -> None:
@@ -288,9 +291,9 @@
         if policy is None:
             return
         tickets = tuple(
-            (worker_id, 'ticket')
-            for worker_id in command.workers
-            if self.model.may_run(command.step, worker_id)
+            (key, 'ticket')
+            for key in command.workers
+            if self.model.may_run(command.step, key.worker_id)
         )
         advice = Advice(
             command.step,
--- a/src/lycheerelay/serving/_advice_dispatcher.py
+++ b/src/lycheerelay/serving/_advice_dispatcher.py
@@ -40,7 +40,7 @@
         begin_ms = max(self.clock.now_ms(), self.busy_until_ms.get(queue, 0))
         self.busy_until_ms[queue] = begin_ms + command.expected_ms
         if queue == LOCAL_QUEUE:
-            return await self.advisor.ask(command.step, command.workers)
+            return await self.advisor.ask(command.step, command.worker_ids)
         outcome = await self.peers.ask_advice(
             queue,
             command,
--- a/src/lycheerelay/serving/_orders.py
+++ b/src/lycheerelay/serving/_orders.py
@@ -20,6 +20,7 @@
     RunState,
     StartRun,
     StopRun,
+    WorkerKey,
     advice_failed,
     apply_advice,
     handle_start_answer,
@@ -46,7 +47,7 @@
         """Start without orders in flight."""
         self.context = context
         self.dispatcher = dispatcher
-        self.pollers: dict[str, WorkerPoller] = {}
+        self.pollers: dict[WorkerKey, WorkerPoller] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.unrecorded_starts: dict[str, list[StartRun]] = {}
         self.recording_starts: list[StartRun] = []
@@ -138,7 +139,7 @@
 @EXECUTORS.register(PollNow)
 def execute_poll(orders: Orders, command: PollNow) -> None:
     """Poll a worker at once."""
-    poller = orders.pollers.get(command.worker_id)
+    poller = orders.pollers.get(command.worker)
     if poller is not None:
         orders.spawn(poller.poll_once())
 
@@ -153,7 +154,7 @@
 
 async def _start(orders: Orders, command: StartRun) -> None:
     context = orders.context
-    poller = orders.pollers.get(command.worker_id)
+    poller = orders.pollers.get(command.worker)
     answer = Answer.UNSENT
     if not _is_start_pending(context, command):
         return
@@ -161,12 +162,10 @@
     is_due = context.may_send_orders and _has_valid_ticket(context, command)
     if poller is not None and poller.clock.is_known and is_due:
         deadline_ms = poller.lease_deadline()
-        _set_start_expiry(
-            context, command, poller.clock.local_time(deadline_ms)
-        )
+        _note_order_sent(context, command, poller.clock.local_time(deadline_ms))
         answer = await context.workers.start(
             StartOrder(
-                command.worker_id,
+                command.worker,
                 poller.address,
                 context.fence,
                 command.run,
@@ -180,7 +179,7 @@
     context.metrics.count('starts', answer=answer.value)
     handle_start_answer(
         context.cell,
-        command.worker_id,
+        command.worker,
         command.run,
         answer,
         context.now_ms,
@@ -193,7 +192,7 @@
     # The order may have been sent, so it is treated as unanswered.
     handle_start_answer(
         orders.context.cell,
-        command.worker_id,
+        command.worker,
         command.run,
         Answer.NONE,
         orders.context.now_ms,
@@ -206,43 +205,47 @@
 
 
 def _is_start_pending(context: OwnerContext, command: StartRun) -> bool:
-    run = context.cell.find_run(command.worker_id, command.run)
-    return run is not None and run.state is RunState.SENT
+    run = context.cell.find_run(command.worker.worker_id, command.run)
+    if run is None or run.worker.key != command.worker:
+        return False
+    return run.state is RunState.SENT
 
 
 def _has_valid_ticket(context: OwnerContext, command: StartRun) -> bool:
     if not command.ticket:
         return True
-    run = context.cell.find_run(command.worker_id, command.run)
-    ticket = run.step.tickets.get(command.worker_id) if run else None
+    run = context.cell.find_run(command.worker.worker_id, command.run)
+    ticket = run.step.tickets.get(command.worker) if run else None
     return ticket is not None and ticket.until_ms > context.now_ms
 
 
-def _set_start_expiry(
-    context: OwnerContext,
-    command: StartRun,
-    expires_ms: int,
+def _note_order_sent(
+    context: OwnerContext, command: StartRun, expires_ms: int
 ) -> None:
-    run = context.cell.find_run(command.worker_id, command.run)
+    run = context.cell.find_run(command.worker.worker_id, command.run)
     if run is not None:
+        run.order_sent = True
         run.start_expires_ms = expires_ms
 
 
-def _find_poller(orders: Orders, worker_id: str) -> WorkerPoller | None:
+def _find_poller(orders: Orders, key: WorkerKey) -> WorkerPoller | None:
     """Return the worker's poller; None while no order may be sent."""
-    if not orders.context.may_send_orders:
+    if (
+        not orders.context.may_send_orders
+        or key not in orders.context.cell.workers
+    ):
         return None
-    return orders.pollers.get(worker_id)
+    return orders.pollers.get(key)
 
 
 async def _stop(orders: Orders, command: StopRun) -> None:
     context = orders.context
-    poller = _find_poller(orders, command.worker_id)
+    poller = _find_poller(orders, command.worker)
     if poller is None:
         return
     answer = await context.workers.stop(
         StopOrder(
-            command.worker_id,
+            command.worker,
             poller.address,
             context.fence,
             command.run,
@@ -251,7 +254,7 @@
     context.metrics.count('stops', answer=answer.value)
     handle_stop_answer(
         context.cell,
-        command.worker_id,
+        command.worker,
         command.run,
         answer,
         context.now_ms,
@@ -260,12 +263,12 @@
 
 async def _pace(orders: Orders, command: PaceRun) -> None:
     context = orders.context
-    poller = _find_poller(orders, command.worker_id)
+    poller = _find_poller(orders, command.worker)
     if poller is None:
         return
     answer = await context.workers.pace(
         PaceOrder(
-            command.worker_id,
+            command.worker,
             poller.address,
             context.fence,
             command.run,
@@ -273,7 +276,7 @@
         ),
     )
     context.metrics.count('paces', answer=answer.value)
-    run = context.cell.find_run(command.worker_id, command.run)
+    run = context.cell.find_run(command.worker.worker_id, command.run)
     if answer is not Answer.DONE and run is not None:
         # -1 marks the pace as unknown; the next poll sets it again.
         run.pace = -1
@@ -286,10 +289,15 @@
     now_ms = context.now_ms
     if isinstance(outcome, Ok):
         advised = outcome.ok_value
+        keys = dict(zip(command.worker_ids, command.workers, strict=True))
         advice = Advice(
             command.step,
             command.workers,
-            advised.tickets,
+            tuple(
+                (keys[worker_id], text)
+                for worker_id, text in advised.tickets
+                if worker_id in keys
+            ),
             advised.valid_ms,
             now_ms,
         )
--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -14,6 +14,7 @@
 from ..workflow import (
     CellState,
     PoolWaits,
+    WorkerKey,
     WorkerListing,
     dispatch,
     expire_jobs,
@@ -190,14 +191,13 @@
             if isinstance(listing, WorkerListing):
                 list_worker(cell, listing, now_ms)
         for worker_id, address in _decode_known_workers(progress).items():
-            if worker_id not in cell.workers:
+            if worker_id not in cell.instances:
                 list_worker(
                     cell, _placeholder_listing(worker_id, address), now_ms
                 )
                 unlist_worker(cell, worker_id)
-        cell.unsynced_workers.update(dict.fromkeys(cell.workers))
-        for worker_id in cell.workers:
-            self._start_poller(worker_id)
+        cell.unsynced_workers.update(dict.fromkeys(cell.instances))
+        self._start_pollers()
 
     def _apply_page(self, page: RecordPage) -> None:
         self.stream.apply_page(page)
@@ -270,33 +270,41 @@
             for listing in await self.listings.read_changes(self.context.log):
                 if isinstance(listing, WorkerListing):
                     list_worker(self.cell, listing, self.context.now_ms)
-                    self._start_poller(listing.worker_id)
                 else:
                     unlist_worker(self.cell, listing)
+            self._start_pollers()
             self.context.notify_changed()
 
-    def _start_poller(self, worker_id: str) -> None:
-        worker = self.cell.workers.get(worker_id)
-        if worker is None or worker_id in self.orders.pollers:
+    def _start_pollers(self) -> None:
+        for key in self.cell.workers.keys() - self.orders.pollers.keys():
+            self._start_poller(key)
+
+    def _start_poller(self, key: WorkerKey) -> None:
+        worker = self.cell.workers.get(key)
+        if worker is None or key in self.orders.pollers:
             return
-        poller = WorkerPoller(self.context, worker_id, worker.address)
-        self.orders.pollers[worker_id] = poller
+        poller = WorkerPoller(
+            self.context, key, worker.address, self._start_pollers
+        )
+        self.orders.pollers[key] = poller
         task = asyncio.get_running_loop().create_task(poller.run())
-        task.add_done_callback(partial(self._on_poller_done, worker_id))
+        task.add_done_callback(partial(self._on_poller_done, key))
         self.tasks.append(task)
 
-    def _on_poller_done(self, worker_id: str, task: asyncio.Task[None]) -> None:
-        if task.cancelled() or task.exception() is None or self.has_ended:
+    def _on_poller_done(self, key: WorkerKey, task: asyncio.Task[None]) -> None:
+        if task.cancelled() or self.has_ended:
+            return
+        self.orders.pollers.pop(key, None)
+        if task.exception() is None:
             return
         logger.error(
             'poller_crashed',
-            extra={'worker': worker_id},
+            extra={'worker': key.worker_id, 'born': key.born_ms},
             exc_info=task.exception(),
         )
         # Without polls the leases of the worker would expire.
-        self.orders.pollers.pop(worker_id, None)
         asyncio.get_running_loop().call_later(
-            RETRY_DELAY_S, self._start_poller, worker_id
+            RETRY_DELAY_S, self._start_poller, key
         )
 
     async def _run_ticks(self) -> None:
@@ -372,7 +380,7 @@
 
 def _placeholder_listing(worker_id: str, address: str) -> WorkerListing:
     return WorkerListing(
-        worker_id=worker_id,
+        worker=WorkerKey(worker_id),
         address=address,
         pool='',
         domain='',
--- a/src/lycheerelay/serving/_peers.py
+++ b/src/lycheerelay/serving/_peers.py
@@ -194,7 +194,7 @@
         outcome = await self.call(
             address,
             '/advice',
-            {'step': list(command.step), 'workers': list(command.workers)},
+            {'step': list(command.step), 'workers': list(command.worker_ids)},
             expected_ms + CALL_TIMEOUT_MS,
         )
         if isinstance(outcome, Err):
--- a/src/lycheerelay/serving/_ports.py
+++ b/src/lycheerelay/serving/_ports.py
@@ -6,7 +6,7 @@
 
 from result import Result
 
-from ..workflow import Answer, RunKey, RunTable, StepKey
+from ..workflow import Answer, RunKey, RunTable, StepKey, WorkerKey
 
 
 @unique
@@ -143,7 +143,7 @@
     the new end of its leases on the worker's clock; 0 extends none.
     """
 
-    worker_id: str
+    worker: WorkerKey
     address: str
     fence: int
     last_seen: int
@@ -154,7 +154,7 @@
 class StartOrder(NamedTuple):
     """Order to start a run; `deadline_ms` is on the worker's clock."""
 
-    worker_id: str
+    worker: WorkerKey
     address: str
     fence: int
     run: RunKey
@@ -167,7 +167,7 @@
 class StopOrder(NamedTuple):
     """Order to stop a run."""
 
-    worker_id: str
+    worker: WorkerKey
     address: str
     fence: int
     run: RunKey
@@ -176,7 +176,7 @@
 class PaceOrder(NamedTuple):
     """Order to set the pace of a run, in percent."""
 
-    worker_id: str
+    worker: WorkerKey
     address: str
     fence: int
     run: RunKey
--- a/src/lycheerelay/serving/_recorder.py
+++ b/src/lycheerelay/serving/_recorder.py
@@ -9,7 +9,7 @@
 import orjson
 from result import Err, Ok
 
-from ..workflow import JobPhase, encode_progress
+from ..workflow import JobPhase, WorkerKey, encode_progress
 from ._context import OwnerContext
 from ._ports import KeyedRecord, LogFault, Stream, Writer
 
@@ -53,7 +53,7 @@
         self.on_encoded = on_encoded
         self.on_recorded = on_recorded
         self.sequence = 0
-        self.recorded_workers: frozenset[str] = frozenset()
+        self.recorded_workers: frozenset[WorkerKey] = frozenset()
         self.expired_jobs: list[str] = []
 
     async def fence(self) -> bool:
@@ -101,15 +101,14 @@
             ),
         )
 
-    def _known_workers(self) -> frozenset[str]:
+    def _known_workers(self) -> frozenset[WorkerKey]:
         return frozenset(self.context.cell.workers)
 
     async def _write(self) -> None:
         cell = self.context.cell
         workers = self._known_workers()
         handled_ends = {
-            worker.worker_id: worker.handled_end
-            for worker in cell.workers.values()
+            worker.key: worker.handled_end for worker in cell.workers.values()
         }
         phases: dict[str, JobPhase] = {}
         records = []
@@ -138,18 +137,18 @@
 
     def _mark_recorded(
         self,
-        handled_ends: dict[str, int],
+        handled_ends: dict[WorkerKey, int],
         phases: dict[str, JobPhase],
-        workers: frozenset[str],
+        workers: frozenset[WorkerKey],
     ) -> None:
         cell = self.context.cell
         self.recorded_workers = workers
-        for worker_id, number in handled_ends.items():
-            worker = cell.workers.get(worker_id)
+        for key, number in handled_ends.items():
+            worker = cell.workers.get(key)
             if worker is not None:
                 worker.recorded_end = max(worker.recorded_end, number)
-        for worker_id in workers:
-            worker = cell.workers.get(worker_id)
+        for key in workers:
+            worker = cell.workers.get(key)
             if worker is not None:
                 worker.enrolled = True
         for job_id, phase in phases.items():
@@ -198,6 +197,7 @@
             self.context.cell.deposed = True
 
     def _encode_known_workers(self) -> bytes:
+        # The instance that answers at the address tells its start time.
         cell = self.context.cell
         return orjson.dumps(
             {
--- a/src/lycheerelay/serving/_worker_poller.py
+++ b/src/lycheerelay/serving/_worker_poller.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from typing import Final, final
 
 from ..workflow import (
     Answer,
+    RunTable,
     WorkerInfo,
+    WorkerKey,
     apply_run_table,
     remove_replaced_worker,
 )
@@ -28,6 +31,9 @@
 RECORD_TIMEOUT_S: Final = 0.15
 # Interval between polls while run ends cannot be recorded.
 UNRECORDED_POLL_INTERVAL_S: Final = 0.2
+# Ends are acknowledged only within this time of the last answer. A worker takes
+# longer to start again.
+MAX_SILENCE_MS: Final = 400
 # Requested leases end this long before the maximum lease.
 LEASE_MARGIN_MS: Final = 50
 
@@ -39,19 +45,24 @@
     def __init__(
         self,
         context: OwnerContext,
-        worker_id: str,
+        key: WorkerKey,
         address: str,
+        on_other_instance: Callable[[], None],
     ) -> None:
-        """Start without knowing the worker's clock."""
+        """Start without knowing the worker's clock.
+
+        `on_other_instance` is called when another instance has answered.
+        """
         self.context = context
-        self.worker_id = worker_id
+        self.key = key
         self.address = address
+        self.on_other_instance = on_other_instance
         self.clock = WorkerClock()
 
     async def run(self) -> None:
         """Poll until the worker is removed or the ownership ends."""
         while not self.context.cell.deposed:
-            if self.worker_id in self.context.cell.removed_workers:
+            if self.key in self.context.cell.removed_workers:
                 return
             if not self.context.may_send_orders:
                 await asyncio.sleep(UNANSWERED_RETRY_S)
@@ -62,16 +73,13 @@
     async def poll_once(self) -> None:
         """Poll at once, in parallel to a poll that may be waiting."""
         for _ in range(POLL_NOW_ATTEMPTS):
-            worker = self.context.cell.workers.get(self.worker_id)
+            worker = self.context.cell.workers.get(self.key)
             if worker is None or not self.context.may_send_orders:
                 return
-            request = self._make_request(worker.recorded_end, 0, 0)
+            request = self._make_request(self._last_seen(worker), 0, 0)
             reply = await self.context.workers.poll(request)
             if reply.answer is Answer.DONE and reply.table is not None:
-                now_ms = self.context.now_ms
-                self.clock.update(reply.clock_ms, now_ms)
-                apply_run_table(self.context.cell, reply.table, now_ms)
-                self.context.notify_changed()
+                self._apply_table(reply.table)
                 return
             if reply.answer not in {Answer.NONE, Answer.UNREACHED}:
                 return
@@ -87,19 +95,19 @@
         now_ms = self.context.now_ms
         span_ms = self.context.limits.lease_ms - LEASE_MARGIN_MS
         deadline_ms = self.clock.deadline(span_ms, now_ms)
-        worker = self.context.cell.workers.get(self.worker_id)
+        worker = self.context.cell.workers.get(self.key)
         if worker is not None:
             until_ms = self.clock.local_time(deadline_ms)
             worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
         return deadline_ms
 
     async def _poll(self) -> PollReply:
-        worker = self.context.cell.workers.get(self.worker_id)
+        worker = self.context.cell.workers.get(self.key)
         is_known = worker is not None and self.clock.is_known
         wait_ms = POLL_WAIT_MS if is_known else 0
         if worker is None or worker.missed_calls:
             wait_ms = 0
-        last_seen = worker.recorded_end if worker else 0
+        last_seen = self._last_seen(worker) if worker else 0
         # A worker that does not answer may still receive and execute requests,
         # so its leases expire only if no poll extends them.
         is_lost = worker is None or worker.missed_calls > 0
@@ -109,6 +117,16 @@
         request = self._make_request(last_seen, deadline_ms, wait_ms)
         return await self.context.workers.poll(request)
 
+    def _last_seen(self, worker: WorkerInfo) -> int:
+        """Return up to which end to acknowledge; 0 acknowledges none.
+
+        After a call without an answer, or a pause, another instance may receive
+        the poll, whose ends have the same numbers.
+        """
+        silent_ms = self.context.now_ms - worker.last_contact_ms
+        is_in_touch = not worker.missed_calls and silent_ms < MAX_SILENCE_MS
+        return worker.recorded_end if is_in_touch else 0
+
     def _make_request(
         self,
         last_seen: int,
@@ -116,7 +134,7 @@
         wait_ms: int,
     ) -> PollRequest:
         return PollRequest(
-            self.worker_id,
+            self.key,
             self.address,
             self.context.fence,
             last_seen,
@@ -128,30 +146,41 @@
         context = self.context
         now_ms = context.now_ms
         if reply.answer is Answer.DONE and reply.table is not None:
-            self.clock.update(reply.clock_ms, now_ms)
             await context.loaded.wait()
-            await self._apply_reply(reply)
+            await self._apply_reply(reply.table)
         elif reply.answer is Answer.OTHER_INSTANCE:
-            remove_replaced_worker(context.cell, self.worker_id, now_ms)
+            remove_replaced_worker(context.cell, self.key, now_ms)
             context.notify_changed()
         elif reply.answer is Answer.FENCED:
-            logger.warning('fenced_by_worker', extra={'worker': self.worker_id})
+            logger.warning(
+                'fenced_by_worker', extra={'worker': self.key.worker_id}
+            )
             context.cell.deposed = True
             context.notify_changed()
         else:
             await self._handle_no_answer(reply.answer)
 
-    async def _apply_reply(self, reply: PollReply) -> None:
+    async def _apply_reply(self, table: RunTable) -> None:
         context = self.context
-        worker = context.cell.workers.get(self.worker_id)
-        if reply.table is None or worker is None:
-            return
-        if worker.unresponsive:
-            logger.info('worker_regained', extra={'worker': self.worker_id})
-        apply_run_table(context.cell, reply.table, context.now_ms)
-        pace_worker(context.cell, worker)
-        context.notify_changed()
-        await self._wait_for_record(worker)
+        worker = context.cell.workers.get(self.key)
+        if worker is not None and worker.unresponsive:
+            logger.info(
+                'worker_regained',
+                extra={'worker': self.key.worker_id, 'born': self.key.born_ms},
+            )
+        self._apply_table(table)
+        if worker is not None and table.worker == self.key:
+            pace_worker(context.cell, worker)
+            await self._wait_for_record(worker)
+
+    def _apply_table(self, table: RunTable) -> None:
+        now_ms = self.context.now_ms
+        if table.worker == self.key:
+            self.clock.update(table.clock_ms, now_ms)
+        apply_run_table(self.context.cell, table, now_ms)
+        if table.worker != self.key:
+            self.on_other_instance()
+        self.context.notify_changed()
 
     async def _wait_for_record(self, worker: WorkerInfo) -> None:
         if worker.recorded_end >= worker.handled_end:
@@ -175,7 +204,7 @@
 
     def _count_miss(self, answer: Answer) -> bool:
         """Count an unanswered poll; return whether contact is lost."""
-        worker = self.context.cell.workers.get(self.worker_id)
+        worker = self.context.cell.workers.get(self.key)
         if worker is None:
             return True
         now_ms = self.context.now_ms
@@ -183,7 +212,8 @@
             logger.warning(
                 'worker_lost',
                 extra={
-                    'worker': self.worker_id,
+                    'worker': self.key.worker_id,
+                    'born': self.key.born_ms,
                     'answer': answer.value,
                     'heard_ms_ago': now_ms - worker.last_contact_ms,
                     'runs': len(worker.runs),
--- a/src/lycheerelay/workflow/__init__.py
+++ b/src/lycheerelay/workflow/__init__.py
@@ -18,6 +18,12 @@
 )
 from ._dispatch import dispatch
 from ._ends import RunEnd, RunOutcome
+from ._instances import (
+    WorkerListing,
+    list_worker,
+    remove_replaced_worker,
+    unlist_worker,
+)
 from ._intake import VALUE_EXPIRY_FACTOR, cancel, submit
 from ._periodic_checks import (
     expire_jobs,
@@ -26,15 +32,7 @@
 )
 from ._policies import Policies
 from ._progress import encode_progress, restore_progress
-from ._run_table import (
-    RunTable,
-    RunTableRow,
-    WorkerListing,
-    apply_run_table,
-    list_worker,
-    remove_replaced_worker,
-    unlist_worker,
-)
+from ._run_table import RunTable, RunTableRow, apply_run_table
 from ._spec import (
     MAX_TASKS_PER_STEP,
     AdvicePolicy,
@@ -43,6 +41,7 @@
     StepKey,
     StepSpec,
     TaskKey,
+    WorkerKey,
     WorkflowSpec,
     find_forward_dependency,
     make_step_spec,
@@ -102,6 +101,7 @@
     'WaitPoint',
     'PoolWaits',
     'WorkerInfo',
+    'WorkerKey',
     'WorkerListing',
     'WorkflowSpec',
     'advice_failed',
--- a/src/lycheerelay/workflow/_advice.py
+++ b/src/lycheerelay/workflow/_advice.py
@@ -8,7 +8,7 @@
 from ._call_targets import TARGET_ORDERS
 from ._commands import AskAdvice
 from ._fit import count_fitting, meets_requirements
-from ._spec import AdvicePolicy, StepKey
+from ._spec import AdvicePolicy, StepKey, WorkerKey
 from ._state import NEVER, CellState, StepInfo, Ticket, WorkerInfo
 
 # Limit of the advisor on the workers of a call.
@@ -32,8 +32,8 @@
     """Reply of the advisor: the workers asked about and their tickets."""
 
     step: StepKey
-    asked: tuple[str, ...]
-    tickets: tuple[tuple[str, str], ...]
+    asked: tuple[WorkerKey, ...]
+    tickets: tuple[tuple[WorkerKey, str], ...]
     valid_ms: int
     received_ms: int
 
@@ -48,13 +48,13 @@
     observe_share(cell, step, advice.asked, len(advice.tickets))
     step.asked_workers.update(dict.fromkeys(advice.asked))
     until_ms = advice.received_ms + advice.valid_ms - TICKET_EXPIRY_MARGIN_MS
-    for worker_id, text in advice.tickets:
-        step.eligible_workers[worker_id] = None
-        step.tickets[worker_id] = Ticket(text, until_ms)
+    for key, text in advice.tickets:
+        step.eligible_workers[key] = None
+        step.tickets[key] = Ticket(text, until_ms)
 
 
 def advice_failed(
-    cell: CellState, key: StepKey, asked: tuple[str, ...], now_ms: int
+    cell: CellState, key: StepKey, asked: tuple[WorkerKey, ...], now_ms: int
 ) -> None:
     """Schedule a retry after a failed call."""
     step = cell.open_steps.get(key)
@@ -68,7 +68,7 @@
     cell: CellState,
     step: StepInfo,
     policy: AdvicePolicy,
-    usable: dict[str, WorkerInfo],
+    usable: dict[WorkerKey, WorkerInfo],
     now_ms: int,
 ) -> None:
     """Request advice on usable workers without advice for the step."""
@@ -76,14 +76,13 @@
         return
     new_workers = [
         worker
-        for worker_id, worker in usable.items()
-        if worker_id not in step.asked_workers
-        and meets_requirements(step, worker)
+        for key, worker in usable.items()
+        if key not in step.asked_workers and meets_requirements(step, worker)
     ]
     if not new_workers:
         return
     fitting = {
-        worker.worker_id: count_fitting(step, worker, {}, now_ms)
+        worker.key: count_fitting(step, worker, {}, now_ms)
         for worker in new_workers
     }
     share = expected_share(cell, step)
@@ -91,7 +90,7 @@
     new_workers.sort(key=order(step, fitting, share))
     sizes = CALL_SIZES[cell.policies.call_sizes](
         len(step.waiting),
-        [fitting[worker.worker_id] for worker in new_workers],
+        [fitting[worker.key] for worker in new_workers],
         share,
     )
     first = 0
@@ -121,9 +120,9 @@
 ) -> None:
     """Renew tickets before they expire, to use capacity once it is free."""
     workers = [
-        cell.workers[worker_id]
-        for worker_id in step.eligible_workers
-        if worker_id in cell.workers
+        cell.workers[key]
+        for key in step.eligible_workers
+        if key in cell.workers
     ]
     if not workers:
         return
@@ -131,9 +130,9 @@
     # The ticket of an eligible worker is gone after a `bad_ticket` answer.
     latest_end_ms = max(
         (
-            step.tickets[worker.worker_id].until_ms
+            step.tickets[worker.key].until_ms
             for worker in workers
-            if worker.worker_id in step.tickets
+            if worker.key in step.tickets
         ),
         default=NEVER,
     )
@@ -153,12 +152,8 @@
     workers: Sequence[WorkerInfo],
 ) -> None:
     """Request tickets for some workers, in addition to calls in progress."""
-    worker_ids = tuple(
-        worker.worker_id for worker in workers[:MAX_WORKERS_PER_CALL]
-    )
-    if not worker_ids:
+    keys = tuple(worker.key for worker in workers[:MAX_WORKERS_PER_CALL])
+    if not keys:
         return
-    step.pending_calls[worker_ids] = None
-    cell.outbox.append(
-        AskAdvice(step.key, worker_ids, policy.call_ms(len(worker_ids))),
-    )
+    step.pending_calls[keys] = None
+    cell.outbox.append(AskAdvice(step.key, keys, policy.call_ms(len(keys))))
--- a/src/lycheerelay/workflow/_advice_share.py
+++ b/src/lycheerelay/workflow/_advice_share.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from typing import Final
 
+from ._spec import WorkerKey
 from ._state import AdviceCounts, CellState, StepInfo
 
 # The share assumed before the first reply, and its weight in workers.
@@ -25,15 +26,13 @@
 
 
 def observe_share(
-    cell: CellState, step: StepInfo, asked: Iterable[str], allowed: int
+    cell: CellState, step: StepInfo, asked: Iterable[WorkerKey], allowed: int
 ) -> None:
     """Count a reply about workers that the step had no advice on.
 
     Renewals are left out, as they name workers that were allowed before.
     """
-    new_workers = [
-        worker_id for worker_id in asked if worker_id not in step.asked_workers
-    ]
+    new_workers = [key for key in asked if key not in step.asked_workers]
     if not new_workers:
         return
     counts = cell.advice_counts.setdefault(step.job.spec.queue, AdviceCounts())
--- a/src/lycheerelay/workflow/_answers.py
+++ b/src/lycheerelay/workflow/_answers.py
@@ -5,10 +5,11 @@
 
 from ._commands import PollNow, StopRun
 from ._contact import count_missed_call
+from ._instances import remove_replaced_worker
 from ._log_events import log_event
-from ._run_table import drop_run, remove_replaced_worker
+from ._run_table import drop_run
 from ._runs import stop_run
-from ._spec import RunKey
+from ._spec import RunKey, WorkerKey
 from ._state import NEVER, CellState, Run, RunState, WorkerInfo
 
 # Time without new starts after a worker reports that a run does not fit or that
@@ -48,16 +49,19 @@
 
 def handle_start_answer(
     cell: CellState,
-    worker_id: str,
+    worker_key: WorkerKey,
     key: RunKey,
     answer: Answer,
     now_ms: int,
 ) -> None:
-    """Process the answer to a start order."""
+    """Process the answer to a start order.
+
+    The run may have been carried to a later instance of the worker.
+    """
     if answer is Answer.OTHER_INSTANCE:
-        remove_replaced_worker(cell, worker_id, now_ms)
+        remove_replaced_worker(cell, worker_key, now_ms)
         return
-    run = cell.find_run(worker_id, key)
+    run = cell.find_run(worker_key.worker_id, key)
     if run is None:
         return
     worker = run.worker
@@ -70,7 +74,7 @@
         cell,
         START_EVENTS.get(answer, 'start_refused'),
         run=key,
-        worker=worker_id,
+        worker=worker.worker_id,
         answer=answer.value,
         after_ms=now_ms - run.sent_ms,
     )
@@ -85,7 +89,7 @@
     if answer is Answer.OUTDATED_RUN:
         run.task.last_run += RUN_NUMBER_SKIP
     if answer is Answer.BAD_TICKET:
-        run.step.tickets.pop(worker_id, None)
+        run.step.tickets.pop(worker_key, None)
     if answer in {Answer.DOES_NOT_FIT, Answer.UNHEALTHY}:
         worker.barred_until_ms = max(
             worker.barred_until_ms,
@@ -109,7 +113,7 @@
     count_missed_call(cell, worker, now_ms)
     if answer is Answer.UNREACHED:
         worker.unresponsive = True
-    cell.outbox.append(PollNow(worker.worker_id))
+    cell.outbox.append(PollNow(worker.key))
     has_suspected = cell.last_suspicion_ms != NEVER
     if (
         has_suspected
@@ -121,28 +125,32 @@
         is_out_of_contact = now_ms - other.last_contact_ms > RECENT_CONTACT_MS
         is_polled = other is worker or other.unresponsive
         if is_out_of_contact and not is_polled:
-            cell.outbox.append(PollNow(other.worker_id))
+            cell.outbox.append(PollNow(other.key))
 
 
 def handle_stop_answer(
     cell: CellState,
-    worker_id: str,
+    worker_key: WorkerKey,
     key: RunKey,
     answer: Answer,
     now_ms: int,
 ) -> None:
     """Process the answer to a stop order."""
     if answer is Answer.OTHER_INSTANCE:
-        remove_replaced_worker(cell, worker_id, now_ms)
+        remove_replaced_worker(cell, worker_key, now_ms)
         return
     if answer is Answer.FENCED:
         cell.deposed = True
         return
-    run = cell.find_run(worker_id, key)
-    if run is not None and answer is Answer.DONE:
+    worker = cell.workers.get(worker_key)
+    if worker is None or answer is not Answer.DONE:
+        return
+    worker.unconfirmed_voids.pop(key, None)
+    run = worker.runs.get(key)
+    if run is not None:
         run.stop_answered_ms = now_ms
         if run.start_unknown_ms != NEVER:
-            cell.outbox.append(PollNow(worker_id))
+            cell.outbox.append(PollNow(worker_key))
 
 
 def repeat_stops(cell: CellState, now_ms: int) -> None:
@@ -172,7 +180,7 @@
 
 
 def stop_orphaned_runs(cell: CellState) -> None:
-    """Resend stop orders for runs that belong to no open job."""
+    """Resend stop orders for runs that belong to no open job, and for voids."""
     for worker in cell.workers.values():
-        for run_key in worker.orphaned_runs:
-            cell.outbox.append(StopRun(worker.worker_id, run_key))
+        for run_key in (*worker.orphaned_runs, *worker.unconfirmed_voids):
+            cell.outbox.append(StopRun(worker.key, run_key))
--- a/src/lycheerelay/workflow/_call_targets.py
+++ b/src/lycheerelay/workflow/_call_targets.py
@@ -12,11 +12,13 @@
 
 from .._registry import Registry
 from ._call_sizes import SPARE_FACTOR, USUAL_CALL_SIZE
+from ._spec import WorkerKey
 from ._state import StepInfo, WorkerInfo
 
 TargetKey = tuple[int, int, int]
 TargetOrder = Callable[
-    [StepInfo, Mapping[str, int], float], Callable[[WorkerInfo], TargetKey]
+    [StepInfo, Mapping[WorkerKey, int], float],
+    Callable[[WorkerInfo], TargetKey],
 ]
 
 # Functions that return the sort key of the workers to name. Each takes the step,
@@ -27,7 +29,7 @@
 
 @TARGET_ORDERS.register('spread')
 def by_step(
-    step: StepInfo, fitting: Mapping[str, int], share: float
+    step: StepInfo, fitting: Mapping[WorkerKey, int], share: float
 ) -> Callable[[WorkerInfo], TargetKey]:
     """Name workers with enough room, in another order for each gang."""
     if not step.spec.gang:
@@ -37,7 +39,7 @@
     salt = zlib.crc32(step.key.job_id.encode(), step.key.step)
 
     def key(worker: WorkerInfo) -> TargetKey:
-        room = min(fitting[worker.worker_id], enough)
+        room = min(fitting[worker.key], enough)
         position = zlib.crc32(worker.worker_id.encode(), salt)
         return -room, -worker.free.accelerators, position
 
@@ -46,11 +48,11 @@
 
 @TARGET_ORDERS.register('emptiest')
 def by_room(
-    step: StepInfo, fitting: Mapping[str, int], share: float
+    step: StepInfo, fitting: Mapping[WorkerKey, int], share: float
 ) -> Callable[[WorkerInfo], TargetKey]:
     """Name the workers first that hold the most tasks of the step."""
     return lambda worker: (
-        -fitting[worker.worker_id],
+        -fitting[worker.key],
         -worker.free.accelerators,
         0,
     )
--- a/src/lycheerelay/workflow/_commands.py
+++ b/src/lycheerelay/workflow/_commands.py
@@ -2,13 +2,13 @@
 
 from typing import NamedTuple
 
-from ._spec import RunKey, StepKey
+from ._spec import RunKey, StepKey, WorkerKey
 
 
 class StartRun(NamedTuple):
     """Start a run on a worker."""
 
-    worker_id: str
+    worker: WorkerKey
     run: RunKey
     payload: str
     checkpoint: str
@@ -18,14 +18,14 @@
 class StopRun(NamedTuple):
     """Stop a run, or void its start if it has not started."""
 
-    worker_id: str
+    worker: WorkerKey
     run: RunKey
 
 
 class PaceRun(NamedTuple):
     """Limit a run to a share of its full speed, in percent."""
 
-    worker_id: str
+    worker: WorkerKey
     run: RunKey
     percent: int
 
@@ -34,14 +34,19 @@
     """Ask which of these workers may run a step."""
 
     step: StepKey
-    workers: tuple[str, ...]
+    workers: tuple[WorkerKey, ...]
     expected_ms: float
 
+    @property
+    def worker_ids(self) -> tuple[str, ...]:
+        """Return the ids that the advisor knows the workers by."""
+        return tuple(worker.worker_id for worker in self.workers)
+
 
 class PollNow(NamedTuple):
     """Poll a worker at once, in addition to the poll in progress."""
 
-    worker_id: str
+    worker: WorkerKey
 
 
 class LogEvent(NamedTuple):
--- a/src/lycheerelay/workflow/_dispatch.py
+++ b/src/lycheerelay/workflow/_dispatch.py
@@ -41,7 +41,8 @@
         started += _try_step(cell, step, cycle, now_ms)
         cycle.position += 1
     cell.wanted_workers = {
-        pool: frozenset(cycle.reserved) for pool, cycle in cycles.items()
+        pool: frozenset(worker.key for worker in cycle.reserved)
+        for pool, cycle in cycles.items()
     }
     return started
 
--- a/src/lycheerelay/workflow/_ends.py
+++ b/src/lycheerelay/workflow/_ends.py
@@ -5,7 +5,7 @@
 
 from ._intake import finalize_job, finish_step, reopen_task
 from ._log_events import log_event
-from ._runs import release_run, stop_run
+from ._runs import note_unconfirmed_start, release_run, stop_run
 from ._spec import RunKey
 from ._state import (
     NEVER,
@@ -57,9 +57,7 @@
     if run is not None:
         release_run(run)
         if end.outcome is RunOutcome.DONE:
-            run.step.duration_by_worker_ms[worker.worker_id] = (
-                now_ms - run.sent_ms
-            )
+            run.step.duration_by_worker_ms[worker.key] = now_ms - run.sent_ms
     step = find_step(cell, end.run)
     if step is None or step.job.is_final:
         return
@@ -177,7 +175,7 @@
     cell.unrecorded_jobs[job.spec.job_id] = None
     for member in members:
         member.failed_runs[run.number] = None
-        member.avoided_worker = worker.worker_id
+        member.avoided_worker = worker.key
     failures = len(members[0].failed_runs)
     if step.spec.lasts:
         wait_ms = min(SERVICE_RETRY_MS * failures, MAX_SERVICE_RETRY_MS)
@@ -231,6 +229,7 @@
     reason: str,
 ) -> None:
     """Discard a run that its worker can no longer hold."""
+    note_unconfirmed_start(run, now_ms)
     release_run(run)
     log_event(
         cell,
@@ -239,7 +238,7 @@
         worker=run.worker.worker_id,
         reason=reason,
         state=run.state.value,
-        born=run.worker.born_ms,
+        born=run.worker.key.born_ms,
         handled_end=run.worker.handled_end,
     )
     if run.state is not RunState.STOPPING and run.step.spec.checkpoints:
--- a/src/lycheerelay/workflow/_fit.py
+++ b/src/lycheerelay/workflow/_fit.py
@@ -4,7 +4,7 @@
 from typing import Final, NamedTuple, final
 
 from .._resources import Resources
-from ._spec import StepKey
+from ._spec import StepKey, WorkerKey
 from ._state import CellState, Run, StepInfo, TaskInfo, WorkerInfo
 
 # No runs are started on a worker whose last contact is older than this. It
@@ -27,7 +27,7 @@
 
 
 # Reservations by worker.
-Reserved = Mapping[str, Sequence[ReservedCapacity]]
+Reserved = Mapping[WorkerInfo, Sequence[ReservedCapacity]]
 
 
 def is_usable(worker: WorkerInfo, now_ms: int) -> bool:
@@ -39,6 +39,7 @@
         and not worker.draining
         and not worker.unresponsive
         and not worker.orphaned_runs
+        and not worker.unconfirmed_voids
         and worker.barred_until_ms <= now_ms
         and now_ms - worker.last_contact_ms < MAX_CONTACT_AGE_MS
     )
@@ -58,7 +59,7 @@
     """Return whether a valid ticket exists or none is needed."""
     if step.job.spec.advice is None:
         return True
-    ticket = step.tickets.get(worker.worker_id)
+    ticket = step.tickets.get(worker.key)
     return (
         ticket is not None and ticket.until_ms > now_ms + MIN_TICKET_VALIDITY_MS
     )
@@ -73,7 +74,7 @@
     """Return how many tasks of a step fit on a worker now."""
     spec = step.spec
     free = worker.free
-    for reservation in reserved.get(worker.worker_id, ()):
+    for reservation in reserved.get(worker, ()):
         is_backfill = now_ms + spec.expected_ms <= reservation.from_ms
         if reservation.step != step.key and not is_backfill:
             free = free.minus(reservation.demand)
@@ -81,7 +82,7 @@
     if any(spec.demand):
         count = spec.demand.times_in(free)
     if spec.spread_limit:
-        used = step.runs_per_worker.get(worker.worker_id, 0)
+        used = step.runs_per_worker.get(worker.key, 0)
         count = min(count, spec.spread_limit - used)
     if spec.fills and count > 0:
         wanted_milli = max(spec.filler_cores_milli, 1)
@@ -114,7 +115,7 @@
 ) -> Score:
     """Return the score of a worker for a task; lower is better."""
     spec = step.spec
-    avoided = task is not None and task.avoided_worker == worker.worker_id
+    avoided = task is not None and task.avoided_worker == worker.key
     penalty = len(worker.failures_in_row) + AVOIDED_WORKER_PENALTY * avoided
     is_other_rack = bool(spec.rack) and spec.rack != worker.rack
     if spec.fills:
@@ -172,7 +173,7 @@
         self,
         step: StepInfo,
         reserved: Reserved,
-        wanted: frozenset[str],
+        wanted: frozenset[WorkerKey],
         now_ms: int,
     ) -> None:
         """Create an empty ranking; `wanted` workers rank last."""
@@ -180,17 +181,17 @@
         self.reserved = reserved
         self.wanted = wanted
         self.now_ms = now_ms
-        self.scores: dict[str, Score] = {}
-        self.workers: dict[str, WorkerInfo] = {}
+        self.scores: dict[WorkerKey, Score] = {}
+        self.workers: dict[WorkerKey, WorkerInfo] = {}
 
     def update(self, worker: WorkerInfo) -> None:
         """Update the rank of a worker, or remove it if no task fits."""
-        worker_id = worker.worker_id
+        key = worker.key
         if count_fitting(self.step, worker, self.reserved, self.now_ms) > 0:
-            self.workers[worker_id] = worker
-            self.scores[worker_id] = self._score(worker, None)
+            self.workers[key] = worker
+            self.scores[key] = self._score(worker, None)
         else:
-            self.workers.pop(worker_id, None)
+            self.workers.pop(key, None)
 
     def best(self, task: TaskInfo) -> WorkerInfo | None:
         """Return the best worker for a task, or None if there is none."""
@@ -204,7 +205,7 @@
         return self.workers[min(self.workers, key=self.scores.__getitem__)]
 
     def _score(self, worker: WorkerInfo, task: TaskInfo | None) -> Score:
-        is_wanted = worker.worker_id in self.wanted
+        is_wanted = worker.key in self.wanted
         return (is_wanted, *score_worker(self.step, worker, task))
 
 
--- a/src/lycheerelay/workflow/_gangs.py
+++ b/src/lycheerelay/workflow/_gangs.py
@@ -144,12 +144,10 @@
     """
     workers = step_candidates(step, cycle)
     preferred = frozenset(chain.from_iterable(step.pending_calls)) | {
-        worker.worker_id
-        for worker in workers
-        if has_ticket(step, worker, now_ms)
+        worker.key for worker in workers if has_ticket(step, worker, now_ms)
     }
     # Workers that another gang has planned with come last.
-    own = {opening.worker.worker_id for opening in step.openings}
+    own = {opening.worker.key for opening in step.openings}
     preferred -= cycle.wanted - own
     if step.spec.same_rack:
         for rack in dict.fromkeys(worker.rack for worker in workers):
@@ -180,7 +178,7 @@
     policy = step.job.spec.advice
     if policy is None or not may_ask(step, now_ms):
         return
-    planned = {opening.worker.worker_id: opening.worker for opening in openings}
+    planned = {opening.worker.key: opening.worker for opening in openings}
     call_ms = policy.call_ms(len(planned))
     begin_ms = openings[-1].at_ms
     if begin_ms > now_ms + call_ms + TICKET_EXPIRY_MARGIN_MS:
--- a/src/lycheerelay/workflow/_openings.py
+++ b/src/lycheerelay/workflow/_openings.py
@@ -15,6 +15,7 @@
     expected_end_ms,
     score_worker,
 )
+from ._spec import WorkerKey
 from ._state import StepInfo, WorkerInfo
 
 
@@ -35,7 +36,7 @@
 def current_openings(
     step: StepInfo,
     workers: Sequence[WorkerInfo],
-    preferred: frozenset[str],
+    preferred: frozenset[WorkerKey],
     reserved: Reserved,
     now_ms: int,
 ) -> list[Opening]:
@@ -59,7 +60,7 @@
 def earliest_openings(
     step: StepInfo,
     workers: Sequence[WorkerInfo],
-    preferred: frozenset[str],
+    preferred: frozenset[WorkerKey],
     reserved: Reserved,
     now_ms: int,
 ) -> list[Opening]:
@@ -80,12 +81,12 @@
     step: StepInfo,
     worker: WorkerInfo,
     position: int,
-    preferred: frozenset[str],
+    preferred: frozenset[WorkerKey],
     at_ms: int,
 ) -> Opening:
     return Opening(
         at_ms,
-        worker.worker_id not in preferred,
+        worker.key not in preferred,
         score_worker(step, worker, step.tasks[0]),
         position,
         worker,
@@ -94,19 +95,18 @@
 
 def reservations_for(
     step: StepInfo, openings: Iterable[Opening]
-) -> Iterator[tuple[str, ReservedCapacity]]:
+) -> Iterator[tuple[WorkerInfo, ReservedCapacity]]:
     """Yield one reservation for each worker with openings."""
-    counts: Counter[str] = Counter()
-    from_ms: dict[str, int] = {}
+    counts: Counter[WorkerInfo] = Counter()
+    from_ms: dict[WorkerInfo, int] = {}
     for opening in openings:
-        worker_id = opening.worker.worker_id
-        counts[worker_id] += 1
-        from_ms.setdefault(worker_id, opening.at_ms)
-    for worker_id, count in counts.items():
+        counts[opening.worker] += 1
+        from_ms.setdefault(opening.worker, opening.at_ms)
+    for worker, count in counts.items():
         yield (
-            worker_id,
+            worker,
             ReservedCapacity(
-                step.key, step.spec.demand.times(count), from_ms[worker_id]
+                step.key, step.spec.demand.times(count), from_ms[worker]
             ),
         )
 
@@ -115,7 +115,7 @@
     step: StepInfo,
     worker: WorkerInfo,
     position: int,
-    preferred: frozenset[str],
+    preferred: frozenset[WorkerKey],
     reserved: Reserved,
     now_ms: int,
 ) -> list[Opening]:
@@ -143,7 +143,7 @@
 ) -> Iterator[tuple[int, Resources]]:
     """Yield the free capacity after each expected end of a run."""
     free = worker.free
-    for reservation in reserved.get(worker.worker_id, ()):
+    for reservation in reserved.get(worker, ()):
         if reservation.step != step.key:
             free = free.minus(reservation.demand)
     ends = sorted(
--- a/src/lycheerelay/workflow/_pacing.py
+++ b/src/lycheerelay/workflow/_pacing.py
@@ -67,4 +67,4 @@
         strain=round(tail_ratio, 2),
     )
     run.pace = percent
-    cell.outbox.append(PaceRun(run.worker.worker_id, run.key, percent))
+    cell.outbox.append(PaceRun(run.worker.key, run.key, percent))
--- a/src/lycheerelay/workflow/_periodic_checks.py
+++ b/src/lycheerelay/workflow/_periodic_checks.py
@@ -91,7 +91,7 @@
     if _is_hung(worker, run, now_ms):
         worker.failures_in_row[f'hung:{step.job.spec.job_id}'] = None
         for member in step.tasks if step.spec.gang else (run.task,):
-            member.avoided_worker = worker.worker_id
+            member.avoided_worker = worker.key
         log_event(
             cell,
             'run_hung',
--- a/src/lycheerelay/workflow/_pool_cycle.py
+++ b/src/lycheerelay/workflow/_pool_cycle.py
@@ -7,6 +7,7 @@
 from .._resources import Resources
 from ._fit import ReservedCapacity, candidates, is_usable
 from ._openings import Opening, reservations_for
+from ._spec import WorkerKey
 from ._state import CellState, StepInfo, TaskInfo, WorkerInfo
 
 # Gangs that are planned in one cycle. The others follow in the next cycles, so
@@ -26,30 +27,32 @@
     as every cycle reserves again in order.
     """
 
-    usable: dict[str, WorkerInfo]
+    usable: dict[WorkerKey, WorkerInfo]
     max_free: Resources
-    wanted: frozenset[str] = frozenset()
+    wanted: frozenset[WorkerKey] = frozenset()
     position: int = 0
     reserving_steps: int = 0
     plans_left: int = MAX_PLANS_PER_CYCLE
-    reserved: dict[str, list[ReservedCapacity]] = field(default_factory=dict)
+    reserved: dict[WorkerInfo, list[ReservedCapacity]] = field(
+        default_factory=dict
+    )
 
     def reserve(self, step: StepInfo, openings: Iterable[Opening]) -> None:
         """Reserve the openings for a step until the cycle ends."""
-        for worker_id, reservation in reservations_for(step, openings):
-            self.reserved.setdefault(worker_id, []).append(reservation)
+        for worker, reservation in reservations_for(step, openings):
+            self.reserved.setdefault(worker, []).append(reservation)
 
 
 def begin_cycle(cell: CellState, pool: str, now_ms: int) -> PoolCycle:
     """Start a cycle with the workers of a pool that accept new runs."""
     usable = {
-        worker.worker_id: worker
+        worker.key: worker
         for worker in cell.workers.values()
         if worker.pool == pool and is_usable(worker, now_ms)
     }
     free = [worker.free for worker in usable.values()]
     max_free = Resources(*(max(amounts) for amounts in zip(*free, strict=True)))
-    wanted: frozenset[str] = frozenset()
+    wanted: frozenset[WorkerKey] = frozenset()
     if cell.policies.spare_reserved:
         wanted = cell.wanted_workers.get(pool, wanted)
     return PoolCycle(usable, max_free, wanted)
@@ -73,11 +76,7 @@
         return candidates(cycle.usable.values(), step)
     # The advisor is asked only about workers that meet the requirements.
     usable = cycle.usable
-    return [
-        usable[worker_id]
-        for worker_id in step.eligible_workers
-        if worker_id in usable
-    ]
+    return [usable[key] for key in step.eligible_workers if key in usable]
 
 
 def _may_still_run(cell: CellState, task: TaskInfo, now_ms: int) -> bool:
--- a/src/lycheerelay/workflow/_run_table.py
+++ b/src/lycheerelay/workflow/_run_table.py
@@ -2,7 +2,6 @@
 
 from typing import Final, NamedTuple
 
-from .._resources import Resources
 from ._commands import StopRun
 from ._contact import regain_contact
 from ._ends import (
@@ -13,11 +12,18 @@
     keep_checkpoint,
     requeue,
 )
+from ._instances import find_answering_instance
 from ._intake import steps_of
 from ._log_events import log_event
-from ._runs import attach_run, release_run, release_worker_runs, stop_run
+from ._runs import (
+    attach_run,
+    note_unconfirmed_start,
+    release_run,
+    release_worker_runs,
+    stop_run,
+)
 from ._slow_workers import bar_worker_if_slow
-from ._spec import RunKey
+from ._spec import RunKey, WorkerKey
 from ._state import NEVER, CellState, Run, RunState, TaskInfo, WorkerInfo
 
 
@@ -38,102 +44,20 @@
     """The runs of a worker and the run ends that it still lists.
 
     `poll_sent_ms` is the local time at which the poll was sent, `clock_ms` the
-    worker's clock when it replied. `born_ms` is the Unix time at which the
-    worker started, or 0 if it does not tell.
+    worker's clock when it replied.
     """
 
-    worker_id: str
+    worker: WorkerKey
     poll_sent_ms: int
     clock_ms: int
     rows: tuple[RunTableRow, ...]
     ends: tuple[RunEnd, ...]
-    born_ms: int = 0
-
-
-class WorkerListing(NamedTuple):
-    """Registration of one worker instance."""
-
-    worker_id: str
-    address: str
-    pool: str
-    domain: str
-    rack: str
-    labels: frozenset[str]
-    capacity: Resources
-    draining: bool
-
-
-def list_worker(cell: CellState, listing: WorkerListing, now_ms: int) -> None:
-    """Apply a new or changed registration."""
-    if listing.worker_id in cell.removed_workers:
-        return
-    worker = cell.workers.get(listing.worker_id)
-    if worker is None:
-        worker = WorkerInfo(
-            listing.worker_id,
-            listing.address,
-            listing.pool,
-            listing.rack,
-            listing.labels,
-            listing.capacity,
-            listing.domain,
-            free=listing.capacity,
-            last_contact_ms=now_ms,
-        )
-        cell.workers[listing.worker_id] = worker
-        log_event(
-            cell, 'worker_listed', worker=listing.worker_id, pool=listing.pool
-        )
-    elif listing.capacity != worker.capacity:
-        used = worker.capacity.minus(worker.free)
-        worker.capacity = listing.capacity
-        worker.free = listing.capacity.minus(used)
-    worker.pool = listing.pool
-    worker.rack = listing.rack
-    worker.labels = listing.labels
-    worker.domain = listing.domain
-    worker.listed = True
-    if listing.draining and not worker.draining:
-        worker.draining = True
-        log_event(cell, 'worker_draining', worker=listing.worker_id)
-
-
-def unlist_worker(cell: CellState, worker_id: str) -> None:
-    """Stop starting runs on a worker whose registration is gone."""
-    worker = cell.workers.get(worker_id)
-    if worker is not None and worker.listed:
-        worker.listed = False
-        log_event(cell, 'worker_unlisted', worker=worker_id)
-
-
-def remove_worker(
-    cell: CellState,
-    worker_id: str,
-    now_ms: int,
-    reason: str,
-) -> None:
-    """Remove a worker instance that is known to have ended."""
-    cell.unsynced_workers.pop(worker_id, None)
-    cell.removed_workers[worker_id] = None
-    worker = cell.workers.pop(worker_id, None)
-    if worker is None:
-        return
-    for run in release_worker_runs(cell, worker, reason):
-        if not run.step.job.is_final:
-            requeue(cell, run.step, run.task, now_ms)
-
-
-def remove_replaced_worker(
-    cell: CellState, worker_id: str, now_ms: int
-) -> None:
-    """Remove a worker whose address is served by another instance."""
-    remove_worker(
-        cell, worker_id, now_ms, 'replaced by another instance at its address'
-    )
 
 
 def expire_worker(cell: CellState, worker: WorkerInfo, now_ms: int) -> None:
     """Discard the runs of a worker whose leases have all expired."""
+    for run in worker.runs.values():
+        note_unconfirmed_start(run, now_ms)
     worker.synced = False
     worker.unresponsive = True
     for run in release_worker_runs(cell, worker, 'its leases expired'):
@@ -143,9 +67,9 @@
 
 def apply_run_table(cell: CellState, table: RunTable, now_ms: int) -> bool:
     """Apply a run table and return whether it contained new ends."""
-    worker = cell.workers.get(table.worker_id)
-    if worker is not None and table.born_ms != worker.born_ms:
-        _log_start_of_worker(cell, worker, table)
+    worker = find_answering_instance(
+        cell, table.worker, table.poll_sent_ms, now_ms
+    )
     if worker is None or table.clock_ms < worker.table_clock_ms:
         # A newer table of this worker has already been applied.
         return False
@@ -178,30 +102,13 @@
             cell,
             'worker_synced',
             worker=worker.worker_id,
+            born=worker.key.born_ms,
             runs=len(table.rows),
             ends=len(new_ends),
         )
     return bool(new_ends)
 
 
-def _log_start_of_worker(
-    cell: CellState, worker: WorkerInfo, table: RunTable
-) -> None:
-    log_event(
-        cell,
-        'worker_born',
-        worker=worker.worker_id,
-        born=table.born_ms,
-        before=worker.born_ms,
-        handled_end=worker.handled_end,
-        listed_ends=tuple(end.number for end in table.ends),
-        clock_ms=table.clock_ms,
-        before_clock_ms=worker.table_clock_ms,
-        runs=len(worker.runs),
-    )
-    worker.born_ms = table.born_ms
-
-
 def _apply_row(
     cell: CellState,
     worker: WorkerInfo,
@@ -213,8 +120,9 @@
         run = _adopt_run(cell, worker, row.run, now_ms)
         if run is None:
             worker.orphaned_runs[row.run] = None
-            cell.outbox.append(StopRun(worker.worker_id, row.run))
+            cell.outbox.append(StopRun(worker.key, row.run))
             return
+    run.listed = True
     if run.state is RunState.SENT:
         run.state = RunState.RUNNING
         run.answered_ms = now_ms
--- a/src/lycheerelay/workflow/_runs.py
+++ b/src/lycheerelay/workflow/_runs.py
@@ -1,5 +1,7 @@
 """Start, stop and release runs."""
 
+from typing import Final
+
 from ._commands import StartRun, StopRun
 from ._log_events import log_event
 from ._spec import RunKey, TaskKey
@@ -15,6 +17,8 @@
 
 # Interval for resending an unanswered stop order: a few round trips.
 STOP_RETRY_MS = 500
+# An order without an answer may be carried out for this time.
+LATE_ORDER_MS: Final = 15_000
 
 
 def start_run(
@@ -34,10 +38,10 @@
     task.assigned_worker = worker.worker_id
     # The start order is sent once the progress record is durable.
     cell.unrecorded_jobs[step.job.spec.job_id] = None
-    ticket = step.tickets.get(worker.worker_id)
+    ticket = step.tickets.get(worker.key)
     cell.outbox.append(
         StartRun(
-            worker.worker_id,
+            worker.key,
             key,
             step.job.spec.payload,
             task.checkpoint,
@@ -66,7 +70,7 @@
     if run.stop_sent_ms != NEVER and now_ms - run.stop_sent_ms < STOP_RETRY_MS:
         return
     run.stop_sent_ms = now_ms
-    cell.outbox.append(StopRun(run.worker.worker_id, run.key))
+    cell.outbox.append(StopRun(run.worker.key, run.key))
 
 
 def release_run(run: Run) -> None:
@@ -75,6 +79,24 @@
     run.task.runs.pop(run.key.number, None)
 
 
+def is_start_unconfirmed(run: Run) -> bool:
+    """Return whether no run table has shown that an order sent was carried out."""
+    return run.order_sent and not run.listed
+
+
+def note_unconfirmed_start(run: Run, now_ms: int) -> None:
+    """Remember a run that is given up without an answer to its start order."""
+    if not is_start_unconfirmed(run) or run.answered_ms != NEVER:
+        return
+    worker = run.worker
+    worker.unconfirmed_starts = {
+        key: given_up_ms
+        for key, given_up_ms in worker.unconfirmed_starts.items()
+        if now_ms - given_up_ms < LATE_ORDER_MS
+    }
+    worker.unconfirmed_starts[run.key] = now_ms
+
+
 def release_worker_runs(
     cell: CellState, worker: WorkerInfo, reason: str
 ) -> list[Run]:
@@ -87,6 +109,7 @@
         cell,
         'worker_over',
         worker=worker.worker_id,
+        born=worker.key.born_ms,
         reason=reason,
         runs=len(runs),
     )
--- a/src/lycheerelay/workflow/_slow_workers.py
+++ b/src/lycheerelay/workflow/_slow_workers.py
@@ -36,13 +36,13 @@
         return
     projected_ms = elapsed_ms * FULL_PERCENT // run.percent
     step = run.step
-    step.duration_by_worker_ms[worker.worker_id] = projected_ms
+    step.duration_by_worker_ms[worker.key] = projected_ms
     if worker.barred_until_ms > now_ms:
         return
     others_ms = [
         duration_ms
-        for worker_id, duration_ms in step.duration_by_worker_ms.items()
-        if worker_id != worker.worker_id
+        for key, duration_ms in step.duration_by_worker_ms.items()
+        if key != worker.key
     ]
     if not others_ms:
         return
--- a/src/lycheerelay/workflow/_spec.py
+++ b/src/lycheerelay/workflow/_spec.py
@@ -84,6 +84,17 @@
     member: int
 
 
+class WorkerKey(NamedTuple):
+    """Identify one instance of a worker.
+
+    A worker may start again under its id. `born_ms` is the Unix time of the
+    start, or 0 where it is not known.
+    """
+
+    worker_id: str
+    born_ms: int = 0
+
+
 class StepKey(NamedTuple):
     """Identify one step of one occurrence of a job."""
 
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -6,7 +6,7 @@
 
 from .._resources import Resources
 from ._policies import Policies
-from ._spec import RunKey, StepKey, StepSpec, WorkflowSpec
+from ._spec import RunKey, StepKey, StepSpec, WorkerKey, WorkflowSpec
 
 if TYPE_CHECKING:
     from ._commands import Command
@@ -48,6 +48,8 @@
     `start_expires_ms` the time by which the deadline of that order has passed
     on the worker. `percent` is the reported progress and `percent_ms` the time
     of its last change. `pace` is the allowed share of full speed, in percent.
+    `order_sent` says that its start order was sent, and `listed` that its worker
+    has reported it as running.
     """
 
     key: RunKey
@@ -66,6 +68,8 @@
     percent_ms: int = 0
     pace: int = 100
     load: int = 0
+    order_sent: bool = False
+    listed: bool = False
 
     @property
     def task(self) -> 'TaskInfo':
@@ -78,8 +82,8 @@
     """Track one task of a step.
 
     `failed_runs` holds the numbers of its failed runs, `avoided_worker` the
-    worker of the last failure and `assigned_worker` the worker of the last
-    start.
+    worker of the last failure and `assigned_worker` the id of the worker of the
+    last start.
     """
 
     index: int
@@ -89,7 +93,7 @@
     checkpoint: str = ''
     not_before_ms: int = 0
     runs: dict[int, Run] = field(default_factory=dict)
-    avoided_worker: str = ''
+    avoided_worker: WorkerKey | None = None
     assigned_worker: str = ''
 
 
@@ -132,13 +136,15 @@
     waiting: dict[int, None] = field(default_factory=dict)
     done_count: int = 0
     ready: bool = False
-    tickets: dict[str, Ticket] = field(default_factory=dict)
-    eligible_workers: dict[str, None] = field(default_factory=dict)
-    asked_workers: dict[str, None] = field(default_factory=dict)
-    pending_calls: dict[tuple[str, ...], None] = field(default_factory=dict)
+    tickets: dict[WorkerKey, Ticket] = field(default_factory=dict)
+    eligible_workers: dict[WorkerKey, None] = field(default_factory=dict)
+    asked_workers: dict[WorkerKey, None] = field(default_factory=dict)
+    pending_calls: dict[tuple[WorkerKey, ...], None] = field(
+        default_factory=dict
+    )
     advice_retry_ms: int = 0
-    runs_per_worker: dict[str, int] = field(default_factory=dict)
-    duration_by_worker_ms: dict[str, int] = field(default_factory=dict)
+    runs_per_worker: dict[WorkerKey, int] = field(default_factory=dict)
+    duration_by_worker_ms: dict[WorkerKey, int] = field(default_factory=dict)
     latest_start_ms: int = 0
     infeasible_from_ms: int = 0
     openings: 'tuple[Opening, ...]' = ()
@@ -197,11 +203,14 @@
     and `synced` that its run table has been applied by this owner.
     `handled_end` and `recorded_end` are the numbers of the last run end that
     was applied and of the last one that was recorded durably. `missed_calls`
-    counts the unanswered calls since the last answer. `born_ms` is the Unix time
-    at which the worker started, as its last run table told.
+    counts the unanswered calls since the last answer. `known_since_ms` is the
+    time at which this owner learned of the instance. `unconfirmed_starts` holds
+    the runs that were given up without an answer to their start order, with
+    the time, and `unconfirmed_voids` those whose start this instance has still to
+    void.
     """
 
-    worker_id: str
+    key: WorkerKey
     address: str
     pool: str
     rack: str
@@ -225,13 +234,20 @@
     failures_in_row: dict[str, None] = field(default_factory=dict)
     barred_until_ms: int = 0
     bar_count: int = 0
-    born_ms: int = 0
+    known_since_ms: int = 0
+    unconfirmed_starts: dict[RunKey, int] = field(default_factory=dict)
+    unconfirmed_voids: dict[RunKey, None] = field(default_factory=dict)
+
+    @property
+    def worker_id(self) -> str:
+        """Return the id, which other instances may have had."""
+        return self.key.worker_id
 
     def allocate(self, run: Run) -> None:
         """Allocate the demand of a run."""
         self.runs[run.key] = run
         self.free = self.free.minus(run.demand)
-        key = self.worker_id
+        key = self.key
         run.step.runs_per_worker[key] = run.step.runs_per_worker.get(key, 0) + 1
 
     def release(self, run: Run) -> None:
@@ -239,11 +255,11 @@
         if self.runs.pop(run.key, None) is None:
             return
         self.free = self.free.plus(run.demand)
-        remaining = run.step.runs_per_worker.get(self.worker_id, 0) - 1
+        remaining = run.step.runs_per_worker.get(self.key, 0) - 1
         if remaining > 0:
-            run.step.runs_per_worker[self.worker_id] = remaining
+            run.step.runs_per_worker[self.key] = remaining
         else:
-            run.step.runs_per_worker.pop(self.worker_id, None)
+            run.step.runs_per_worker.pop(self.key, None)
 
 
 @dataclass(slots=True, eq=False)
@@ -252,17 +268,20 @@
 
     `fence` is the fence number sent with every order.
     `previous_orders_expire_ms` is the time from which no order of an earlier
-    owner can be in effect. `unsynced_workers` holds the workers whose run
-    table this owner has not received yet. `wanted_workers` holds the workers
-    of each pool with capacity reserved in the last scheduling cycle, `advice_counts`
-    the replies of the advisor by queue.
+    owner can be in effect. `instances` holds the known instances by worker id;
+    there is more than one until the current one has answered.
+    `unsynced_workers` holds the ids of the workers whose run table this owner has
+    not received yet, whichever instance returns it. `wanted_workers` holds the
+    workers of each pool with capacity reserved in the last scheduling cycle,
+    `advice_counts` the replies of the advisor by queue.
     """
 
     fence: int
     previous_orders_expire_ms: int
     jobs: dict[str, JobInfo] = field(default_factory=dict)
-    workers: dict[str, WorkerInfo] = field(default_factory=dict)
-    removed_workers: dict[str, None] = field(default_factory=dict)
+    workers: dict[WorkerKey, WorkerInfo] = field(default_factory=dict)
+    instances: dict[str, dict[WorkerKey, None]] = field(default_factory=dict)
+    removed_workers: dict[WorkerKey, None] = field(default_factory=dict)
     open_steps: dict[StepKey, StepInfo] = field(default_factory=dict)
     unrecorded_jobs: dict[str, None] = field(default_factory=dict)
     unsynced_workers: dict[str, None] = field(default_factory=dict)
@@ -272,13 +291,34 @@
     deposed: bool = False
     last_suspicion_ms: int = NEVER
     policies: Policies = Policies()
-    wanted_workers: dict[str, frozenset[str]] = field(default_factory=dict)
+    wanted_workers: dict[str, frozenset[WorkerKey]] = field(
+        default_factory=dict
+    )
     advice_counts: dict[str, AdviceCounts] = field(default_factory=dict)
 
+    def add_worker(self, worker: WorkerInfo) -> None:
+        """Add an instance of a worker."""
+        self.workers[worker.key] = worker
+        self.instances.setdefault(worker.worker_id, {})[worker.key] = None
+
+    def pop_worker(self, key: WorkerKey) -> WorkerInfo | None:
+        """Remove an instance of a worker and return it, if it is known."""
+        others = self.instances.get(key.worker_id, {})
+        others.pop(key, None)
+        if not others:
+            self.instances.pop(key.worker_id, None)
+        return self.workers.pop(key, None)
+
+    def find_instances(self, worker_id: str) -> list[WorkerInfo]:
+        """Return the known instances of a worker, the first known one first."""
+        return [self.workers[key] for key in self.instances.get(worker_id, ())]
+
     def find_run(self, worker_id: str, key: RunKey) -> Run | None:
-        """Return a run that is allocated on a worker."""
-        worker = self.workers.get(worker_id)
-        return worker.runs.get(key) if worker else None
+        """Return a run that is allocated on any instance of a worker."""
+        for worker in self.find_instances(worker_id):
+            if key in worker.runs:
+                return worker.runs[key]
+        return None
 
     @property
     def is_synced(self) -> bool:
--- a/src/lycheerelay_standins/platform/_environment.py
+++ b/src/lycheerelay_standins/platform/_environment.py
@@ -161,19 +161,17 @@
     ) -> None:
         sequence = 0
         missed = 0
-        while True:
+        while not self._is_restarted(worker):
             if worker.is_up and self.can_reach_store(worker.worker_id):
                 missed = 0
                 sequence += 1
                 self._register(worker, address, sequence)
             else:
-                if self._is_restarted(worker):
-                    return
                 missed += 1
-                if missed == MISSED_HEARTBEATS_LIMIT:
-                    self.store.drop('keyed.servers', worker.worker_id)
-                if missed > MISSED_HEARTBEATS_LIMIT and not worker.is_up:
-                    return
+            if missed == MISSED_HEARTBEATS_LIMIT:
+                self.store.drop('keyed.servers', worker.worker_id)
+            if missed > MISSED_HEARTBEATS_LIMIT and not worker.is_up:
+                return
             await asyncio.sleep(HEARTBEAT_INTERVAL_MS / MS_PER_SECOND)
 
     def _is_restarted(self, worker: WorkerStandIn) -> bool:
--- a/src/lycheerelay_standins/platform/_fuzz.py
+++ b/src/lycheerelay_standins/platform/_fuzz.py
@@ -29,7 +29,9 @@
 FAULT_DURATION_S: Final = (0.5, 6)
 # Faults that are drawn only if they are asked for, so that the days of earlier
 # seeds stay as they were.
-STORM_FAULTS: Final = ('answers_broken', 'config_storm')
+OPTIONAL_FAULTS: Final = ('answers_broken', 'config_storm', 'restart')
+# Clock readings at which a restarted worker may begin, in ms.
+RESTART_CLOCKS_MS: Final = (1, 50_000_000)
 
 
 class FuzzResult(NamedTuple):
@@ -51,7 +53,7 @@
         self.seed = seed
         self.rng = random.Random(number_of(f'fuzz:{seed}'))
         self.only = only or tuple(
-            name for name in FAULTS if name not in STORM_FAULTS
+            name for name in FAULTS if name not in OPTIONAL_FAULTS
         )
         self.jobs: list[str] = []
         self.injected: list[str] = []
@@ -274,6 +276,19 @@
         run.cell.add_worker(Shape('cpu'), address)
 
 
+@FAULTS.register('restart')
+async def restart(run: FuzzRun) -> None:
+    """Crash workers; each starts again under its id within two seconds."""
+    for _ in range(run.rng.randint(1, 4)):
+        if not run.cell.workers:
+            return
+        worker = run.cell.workers[run.pick_worker()]
+        run.cell.crash_worker(worker)
+        await asyncio.sleep(run.rng.uniform(0, 2))
+        run.cell.restart_worker(worker, run.rng.choice(RESTART_CLOCKS_MS))
+        await asyncio.sleep(run.rng.uniform(0, 1))
+
+
 @FAULTS.register('deal_anew')
 async def reassign_partitions(run: FuzzRun) -> None:
     """Reassign the partitions of every group several times."""
--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -43,3 +43,15 @@
     assert result.jobs > 20
     assert result.broken == ()
     assert result.unfinished == ()
+
+
+RESTARTS = ('restart', 'answers_broken', 'kill', 'revoke', 'store_down')
+
+
+@pytest.mark.parametrize('seed', range(1, 7))
+def test_a_day_with_restarted_workers_keeps_every_promise(seed: int) -> None:
+    """Workers start again under their ids while owners change."""
+    result = fuzz(seed, RESTARTS)
+    assert result.jobs > 20
+    assert result.broken == ()
+    assert result.unfinished == ()
--- a/tests/test_wide_gangs.py
+++ b/tests/test_wide_gangs.py
@@ -22,6 +22,7 @@
     RunKey,
     StepKey,
     StepSpec,
+    WorkerKey,
     WorkerListing,
     WorkflowSpec,
     advice_failed,
@@ -69,7 +70,9 @@
         rack = f'r{number // 8}'
         labels = frozenset((rack,))
         simulation.add_worker(
-            WorkerListing(name, name, POOL, '', rack, labels, CAPACITY, False)
+            WorkerListing(
+                WorkerKey(name), name, POOL, '', rack, labels, CAPACITY, False
+            )
         )
     return simulation
 
--- a/tests/test_workflow_core.py
+++ b/tests/test_workflow_core.py
@@ -13,6 +13,7 @@
     StepSpec,
     TaskKey,
     WorkerInfo,
+    WorkerKey,
     WorkerListing,
     WorkflowSpec,
     _fit,
@@ -35,7 +36,7 @@
     )
     cell.loaded = True
     listing = WorkerListing(
-        'w-1',
+        WorkerKey('w-1'),
         '10.0.0.1:80',
         'pool',
         'a',
@@ -50,7 +51,7 @@
     spec = WorkflowSpec('a' * 16, 'q', 'pool', 'x', (step,), 3, 2.0, 1000, 0)
     submit(cell, spec, 0)
     row = RunTableRow(RunKey(TASK, 1), '', 10, 0)
-    apply_run_table(cell, RunTable('w-1', 1, 1, (row,), ()), 5)
+    apply_run_table(cell, RunTable(WorkerKey('w-1'), 1, 1, (row,), ()), 5)
     return cell
 
 
@@ -84,7 +85,7 @@
     cell.loaded = True
     for number in range(100):
         entry = WorkerListing(
-            f'w-{number}',
+            WorkerKey(f'w-{number}'),
             f'w-{number}:80',
             'pool',
             'a',
@@ -94,7 +95,7 @@
             draining=False,
         )
         list_worker(cell, entry, 0)
-        worker = cell.workers[entry.worker_id]
+        worker = cell.workers[entry.worker]
         worker.enrolled = True
         worker.synced = True
     step = StepSpec(1, Resources(1000, 100), 500)
--- a/tests/test_workflow_outlook.py
+++ b/tests/test_workflow_outlook.py
@@ -6,6 +6,7 @@
 from lycheerelay.workflow import (
     CellState,
     StepSpec,
+    WorkerKey,
     WorkerListing,
     WorkflowSpec,
     dispatch,
@@ -33,7 +34,7 @@
     cell = CellState(fence=1, previous_orders_expire_ms=0)
     cell.loaded = True
     entry = WorkerListing(
-        'w',
+        WorkerKey('w'),
         'w:80',
         'pool',
         'a',
@@ -43,8 +44,8 @@
         draining=False,
     )
     list_worker(cell, entry, 0)
-    cell.workers['w'].enrolled = True
-    cell.workers['w'].synced = True
+    cell.workers[entry.worker].enrolled = True
+    cell.workers[entry.worker].synced = True
     for number in range(jobs):
         submit(cell, spec_of(number), number)
     dispatch(cell, 0)
--- a/tests/workflow_session_files.py
+++ b/tests/workflow_session_files.py
@@ -33,6 +33,7 @@
     RunTableRow,
     StepKey,
     TaskKey,
+    WorkerKey,
     WorkerListing,
     apply_advice,
     apply_run_table,
@@ -73,9 +74,16 @@
         return [show(command) for command in commands]
 
 
+def parse_worker(text: str) -> WorkerKey:
+    """Return the instance of `id`, or of `id@born`."""
+    worker_id, _, born = text.partition('@')
+    return WorkerKey(worker_id, int(born or 0))
+
+
 def add_worker(stage: Stage, now_ms: int, text: str) -> None:
     """List a worker that has already answered its first poll."""
-    worker_id, _, raw = text.partition(' ')
+    name, _, raw = text.partition(' ')
+    key = parse_worker(name)
     fields = json.loads(raw or '{}')
     capacity = Resources(
         fields.get('cores_milli', 4000),
@@ -84,8 +92,8 @@
     )
     rack = fields.get('rack', 'r1')
     entry = WorkerListing(
-        worker_id,
-        f'{worker_id}:80',
+        key,
+        f'{key.worker_id}:80',
         'pool',
         'a',
         rack,
@@ -94,7 +102,9 @@
         fields.get('draining', False),
     )
     list_worker(stage.cell, entry, now_ms)
-    worker = stage.cell.workers[worker_id]
+    worker = stage.cell.workers.get(key)
+    if worker is None:
+        return
     worker.enrolled = True
     worker.synced = True
     worker.lease_until_ms = max(worker.lease_until_ms, now_ms + 6000)
@@ -118,7 +128,8 @@
 
 def poll(stage: Stage, now_ms: int, text: str) -> None:
     """Apply the run table of a worker."""
-    worker_id, _, raw = text.partition(' ')
+    name, _, raw = text.partition(' ')
+    key = parse_worker(name)
     fields = json.loads(raw)
     rows = [
         RunTableRow(parse_run(run), checkpoint, percent, load)
@@ -129,9 +140,9 @@
         for number, run, how, checkpoint in fields.get('ends', ())
     ]
     asked_ms = fields.get('asked_ms', now_ms)
-    table = RunTable(worker_id, asked_ms, now_ms, tuple(rows), tuple(ends))
+    table = RunTable(key, asked_ms, now_ms, tuple(rows), tuple(ends))
     apply_run_table(stage.cell, table, now_ms)
-    worker = stage.cell.workers[worker_id]
+    worker = stage.cell.workers[key]
     worker.lease_until_ms = now_ms + 6000
     pace_worker(stage.cell, worker)
 
@@ -141,24 +152,39 @@
     step, _, raw = text.partition(' ')
     job_id, occurrence, number = step.rsplit('.', 2)
     fields = json.loads(raw)
-    tickets = tuple((name, f'ticket-{name}') for name in fields['good'])
+    asked = tuple(parse_worker(name) for name in fields['asked'])
+    tickets = tuple(
+        (parse_worker(name), f'ticket-{name}') for name in fields['good']
+    )
     key = StepKey(job_id, int(occurrence), int(number))
-    advice = Advice(key, tuple(fields['asked']), tickets, 2000, now_ms)
+    advice = Advice(key, asked, tickets, 2000, now_ms)
     apply_advice(stage.cell, advice)
 
 
+def send_starts(stage: Stage, now_ms: int, text: str) -> None:
+    """Note that start orders have been sent; their deadline is in 6 s."""
+    for name in text.split(' '):
+        for worker in stage.cell.workers.values():
+            run = worker.runs.get(parse_run(name))
+            if run is not None:
+                run.order_sent = True
+                run.start_expires_ms = now_ms + 6000
+
+
 def answer_start(stage: Stage, now_ms: int, text: str) -> None:
     """Process an answer to a start order."""
-    worker_id, run, answer = text.split(' ')
+    name, run, answer = text.split(' ')
     key = parse_run(run)
-    handle_start_answer(stage.cell, worker_id, key, Answer(answer), now_ms)
+    worker = parse_worker(name)
+    handle_start_answer(stage.cell, worker, key, Answer(answer), now_ms)
 
 
 def answer_stop(stage: Stage, now_ms: int, text: str) -> None:
     """Process an answer to a stop order."""
-    worker_id, run, answer = text.split(' ')
+    name, run, answer = text.split(' ')
     key = parse_run(run)
-    handle_stop_answer(stage.cell, worker_id, key, Answer(answer), now_ms)
+    worker = parse_worker(name)
+    handle_stop_answer(stage.cell, worker, key, Answer(answer), now_ms)
 
 
 EVENTS: dict[str, Callable[[Stage, int, str], Any]] = {
@@ -172,8 +198,9 @@
     ),
     'open': lambda stage, now_ms, text: open_occurrences(stage.cell, now_ms),
     'gone': lambda stage, now_ms, text: remove_replaced_worker(
-        stage.cell, text, now_ms
+        stage.cell, parse_worker(text), now_ms
     ),
+    'sent': send_starts,
     'answer': answer_start,
     'stopped': answer_stop,
     'poll': poll,
@@ -207,6 +234,9 @@
 def _text(content: object) -> str:
     if isinstance(content, RunKey):
         return f'{_text(content.task)}#{content.number}'
+    if isinstance(content, WorkerKey):
+        born = f'@{content.born_ms}' if content.born_ms else ''
+        return json.dumps(content.worker_id + born)
     if isinstance(content, TaskKey | StepKey):
         return '.'.join(str(part) for part in content)
     if isinstance(content, tuple):
