Restart workers in the soak, and check what is acknowledged to them

Cause: only the emulator's fuzzer restarted workers under their ids; the soak of real processes did not, and no check saw an end that is acknowledged before a list told it. The check of the instance before a start is removed: a run that was carried on has been sent, one that was not is gone.

--- a/src/lycheerelay/serving/_orders.py
+++ b/src/lycheerelay/serving/_orders.py
@@ -206,9 +206,7 @@
 
 def _is_start_pending(context: OwnerContext, command: StartRun) -> bool:
     run = context.cell.find_run(command.worker.worker_id, command.run)
-    if run is None or run.worker.key != command.worker:
-        return False
-    return run.state is RunState.SENT
+    return run is not None and run.state is RunState.SENT
 
 
 def _has_valid_ticket(context: OwnerContext, command: StartRun) -> bool:
--- a/src/lycheerelay_standins/platform/_environment.py
+++ b/src/lycheerelay_standins/platform/_environment.py
@@ -20,6 +20,9 @@
 GANG_START_TIMEOUT_MS: Final = 3000
 ADVICE_LATENCY_S: Final = 0.02
 TICKET_VALIDITY_MS: Final = 2000
+# Clock readings at which a restarted worker may begin: behind or ahead of the one
+# before.
+RESTART_CLOCKS_MS: Final = (1, 50_000_000)
 
 
 class QueueShape(NamedTuple):
--- a/src/lycheerelay_standins/platform/_fuzz.py
+++ b/src/lycheerelay_standins/platform/_fuzz.py
@@ -10,7 +10,7 @@
 from lycheerelay.workflow import FINAL_PHASES
 
 from ._cell import STORE_ADDRESS, PlatformCell
-from ._environment import CellShape, QueueShape
+from ._environment import RESTART_CLOCKS_MS, CellShape, QueueShape
 from ._virtual_time import run_virtual
 from ._worker import Shape
 
@@ -30,8 +30,6 @@
 # Faults that are drawn only if they are asked for, so that the days of earlier
 # seeds stay as they were.
 OPTIONAL_FAULTS: Final = ('answers_broken', 'config_storm', 'restart')
-# Clock readings at which a restarted worker may begin, in ms.
-RESTART_CLOCKS_MS: Final = (1, 50_000_000)
 
 
 class FuzzResult(NamedTuple):
--- a/src/lycheerelay_standins/platform/_proxy.py
+++ b/src/lycheerelay_standins/platform/_proxy.py
@@ -6,6 +6,8 @@
 
 from aiohttp import web
 
+from lycheerelay.serving import NO_ANSWER
+
 from ._network import Handler, Request
 
 READ_CHUNK_BYTES: Final = 65536
@@ -24,6 +26,8 @@
             await request.read(),
         )
         reply = await handler(received)
+        if reply.status == NO_ANSWER and request.transport is not None:
+            request.transport.abort()
         return web.Response(status=reply.status, body=reply.raw)
 
     runner = web.ServerRunner(
--- a/src/lycheerelay_standins/platform/_soak_cell.py
+++ b/src/lycheerelay_standins/platform/_soak_cell.py
@@ -176,7 +176,11 @@
     async def _serve_worker(self, worker_id: str) -> None:
         address = self.addresses[worker_id]
         backend = address.replace(':8080', ':8081')
-        self.runners.append(await serve(self.handlers[worker_id], backend))
+
+        async def handle(request: Request) -> Reply:
+            return await self.handlers[worker_id](request)
+
+        self.runners.append(await serve(handle, backend))
         proxy = Proxy(address, backend)
         await proxy.start()
         self.worker_proxies[worker_id] = proxy
--- a/src/lycheerelay_standins/platform/_soak_faults.py
+++ b/src/lycheerelay_standins/platform/_soak_faults.py
@@ -7,6 +7,7 @@
 
 from lycheerelay._registry import Registry
 
+from ._environment import RESTART_CLOCKS_MS
 from ._soak_cell import STORE_NAME
 
 if TYPE_CHECKING:
@@ -151,3 +152,20 @@
     cell = soak.cell
     if len(cell.workers) > 2:
         cell.crash_worker(cell.workers[soak.rng.choice(sorted(cell.workers))])
+
+
+@SOAK_FAULTS.register('worker_restart')
+async def worker_restart(soak: 'Soak') -> None:
+    """Crash workers; each starts again under its id within two seconds."""
+    cell = soak.cell
+    for _ in range(soak.rng.randint(1, 3)):
+        if not cell.workers:
+            return
+        worker = cell.workers[soak.rng.choice(sorted(cell.workers))]
+        proxy = cell.worker_proxies[worker.worker_id]
+        cell.crash_worker(worker)
+        proxy.refusing = True
+        proxy.reset()
+        await asyncio.sleep(soak.rng.uniform(0.05, 2))
+        cell.restart_worker(worker, soak.rng.choice(RESTART_CLOCKS_MS))
+        proxy.refusing = False
