Test that no end is acknowledged unseen after a restart

Cause: no test failed without the guard 'no end is acknowledged to an instance that has not answered'; the stand-in registered a restarted worker at once, so the owner always knew of it first. Change: a test in which the registration is late, and the fuzzer delays it in half of its restarts.

--- a/src/lycheerelay_standins/platform/_fuzz.py
+++ b/src/lycheerelay_standins/platform/_fuzz.py
@@ -283,8 +283,12 @@
         worker = run.cell.workers[run.pick_worker()]
         run.cell.crash_worker(worker)
         await asyncio.sleep(run.rng.uniform(0, 2))
+        # Its first registration may be late.
+        cut = {(worker.worker_id, STORE_ADDRESS)}
+        run.cell.net.cuts.update(run.rng.choice((cut, set())))
         run.cell.restart_worker(worker, run.rng.choice(RESTART_CLOCKS_MS))
         await asyncio.sleep(run.rng.uniform(0, 1))
+        run.cell.net.cuts.difference_update(cut)
 
 
 @FAULTS.register('deal_anew')
--- a/tests/test_restarted_workers.py
+++ b/tests/test_restarted_workers.py
@@ -15,7 +15,7 @@
     Shape,
     WorkerStandIn,
 )
-from platform_days import job, play, step
+from platform_days import STORE, job, play, step
 
 CELL = CellShape(workers=(Shape('cpu', 8000),) * 2, seed=3)
 # The clock of a restarted worker may be behind or ahead of the one before.
@@ -99,10 +99,12 @@
 
 
 def test_no_end_is_acknowledged_unseen_after_a_restart() -> None:
-    """A poll to the process before names ends that the new one has not told."""
+    """A poll for the process before may be the first that the new one gets."""
 
     async def scenario(cell: PlatformCell) -> None:
         await _run_for_long(cell)
+        # Its answers tell of the restart before its registration does.
+        cell.net.cuts.add(('w-1', STORE))
         worker = await _restart(cell, cell.workers['w-1'], 1, 0.05)
         width = 8 * len(cell.workers)
         name, _ = await cell.submit('vm-0', job(step(width)), work_ms=150)
