Read a worker's clock when its answer arrives, also during a takeover

Cause: seen by reading the change: since run tables are applied by instance, the clock of a worker was read only after the successor had loaded the cell, so the reading looked up to that much younger than it was and the first leases ended earlier. Change: the clock is read before the wait again, for the instance that is polled. No figure was measured for the shorter leases.

--- a/src/lycheerelay/serving/_worker_poller.py
+++ b/src/lycheerelay/serving/_worker_poller.py
@@ -79,6 +79,7 @@
             request = self._make_request(self._last_seen(worker), 0, 0)
             reply = await self.context.workers.poll(request)
             if reply.answer is Answer.DONE and reply.table is not None:
+                self._read_clock(reply.table)
                 self._apply_table(reply.table)
                 return
             if reply.answer not in {Answer.NONE, Answer.UNREACHED}:
@@ -146,6 +147,7 @@
         context = self.context
         now_ms = context.now_ms
         if reply.answer is Answer.DONE and reply.table is not None:
+            self._read_clock(reply.table)
             await context.loaded.wait()
             await self._apply_reply(reply.table)
         elif reply.answer is Answer.OTHER_INSTANCE:
@@ -173,11 +175,12 @@
             pace_worker(context.cell, worker)
             await self._wait_for_record(worker)
 
-    def _apply_table(self, table: RunTable) -> None:
-        now_ms = self.context.now_ms
+    def _read_clock(self, table: RunTable) -> None:
         if table.worker == self.key:
-            self.clock.update(table.clock_ms, now_ms)
-        apply_run_table(self.context.cell, table, now_ms)
+            self.clock.update(table.clock_ms, self.context.now_ms)
+
+    def _apply_table(self, table: RunTable) -> None:
+        apply_run_table(self.context.cell, table, self.context.now_ms)
         if table.worker != self.key:
             self.on_other_instance()
         self.context.notify_changed()
