--- a/src/lycheerelay/workflow/_answers.py
+++ b/src/lycheerelay/workflow/_answers.py
@@ -50,7 +50,7 @@
 def handle_start_answer(
     cell: CellState,
     worker_key: WorkerKey,
-    key: RunKey,
+    run_key: RunKey,
     answer: Answer,
     now_ms: int,
 ) -> None:
@@ -61,7 +61,7 @@
     if answer is Answer.OTHER_INSTANCE:
         remove_replaced_worker(cell, worker_key, now_ms)
         return
-    run = cell.find_run(worker_key.worker_id, key)
+    run = cell.find_run(worker_key.worker_id, run_key)
     if run is None:
         return
     worker = run.worker
@@ -73,7 +73,7 @@
     log_event(
         cell,
         START_EVENTS.get(answer, 'start_refused'),
-        run=key,
+        run=run_key,
         worker=worker.worker_id,
         answer=answer.value,
         after_ms=now_ms - run.sent_ms,
@@ -131,7 +131,7 @@
 def handle_stop_answer(
     cell: CellState,
     worker_key: WorkerKey,
-    key: RunKey,
+    run_key: RunKey,
     answer: Answer,
     now_ms: int,
 ) -> None:
@@ -145,8 +145,8 @@
     worker = cell.workers.get(worker_key)
     if worker is None or answer is not Answer.DONE:
         return
-    worker.unconfirmed_voids.pop(key, None)
-    run = worker.runs.get(key)
+    worker.unconfirmed_voids.pop(run_key, None)
+    run = worker.runs.get(run_key)
     if run is not None:
         run.stop_answered_ms = now_ms
         if run.start_unknown_ms != NEVER:
