Call the time of a worker's start started_ms outside the platform folder

Cause: born is the word of the platform's pages; the code translates those at platform/, and carried said less than moved. Result: 58 tests of sessions, restarts, docs, traces and the interface passed; without the guards 'an answer tells which instance of a worker sent it' and 'no end is acknowledged to an instance that has not answered' tests of test_restarted_workers.py and test_platform_fuzz.py turn red. No decision changes.

--- a/src/lycheerelay/platform/_decode.py
+++ b/src/lycheerelay/platform/_decode.py
@@ -98,7 +98,9 @@
 
     Without a start time it is taken for the one that was asked.
     """
-    return asked._replace(born_ms=_int_field(fields, 'born') or asked.born_ms)
+    return asked._replace(
+        started_ms=_int_field(fields, 'born') or asked.started_ms
+    )
 
 
 def _decode_listing(worker_id: str, fields: Mapping[str, Any]) -> WorkerListing:
--- a/src/lycheerelay/serving/_dump.py
+++ b/src/lycheerelay/serving/_dump.py
@@ -62,7 +62,7 @@
 def _dump_worker(worker: WorkerInfo) -> Fields:
     return {
         'worker': worker.worker_id,
-        'born_ms': worker.key.born_ms,
+        'started_ms': worker.key.started_ms,
         'pool': worker.pool,
         'rack': worker.rack,
         'listed': worker.listed,
--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -299,7 +299,7 @@
             return
         logger.error(
             'poller_crashed',
-            extra={'worker': key.worker_id, 'born': key.born_ms},
+            extra={'worker': key.worker_id, 'started_ms': key.started_ms},
             exc_info=task.exception(),
         )
         # Without polls the leases of the worker would expire.
--- a/src/lycheerelay/serving/_worker_poller.py
+++ b/src/lycheerelay/serving/_worker_poller.py
@@ -168,7 +168,10 @@
         if worker is not None and worker.unresponsive:
             logger.info(
                 'worker_regained',
-                extra={'worker': self.key.worker_id, 'born': self.key.born_ms},
+                extra={
+                    'worker': self.key.worker_id,
+                    'started_ms': self.key.started_ms,
+                },
             )
         self._apply_table(table)
         if worker is not None and table.worker == self.key:
@@ -216,7 +219,7 @@
                 'worker_lost',
                 extra={
                     'worker': self.key.worker_id,
-                    'born': self.key.born_ms,
+                    'started_ms': self.key.started_ms,
                     'answer': answer.value,
                     'heard_ms_ago': now_ms - worker.last_contact_ms,
                     'runs': len(worker.runs),
--- a/src/lycheerelay/workflow/_answers.py
+++ b/src/lycheerelay/workflow/_answers.py
@@ -56,7 +56,7 @@
 ) -> None:
     """Process the answer to a start order.
 
-    The run may have been carried to a later instance of the worker.
+    The run may have been moved to a later instance of the worker.
     """
     if answer is Answer.OTHER_INSTANCE:
         remove_replaced_worker(cell, worker_key, now_ms)
--- a/src/lycheerelay/workflow/_ends.py
+++ b/src/lycheerelay/workflow/_ends.py
@@ -238,7 +238,7 @@
         worker=run.worker.worker_id,
         reason=reason,
         state=run.state.value,
-        born=run.worker.key.born_ms,
+        worker_started_ms=run.worker.key.started_ms,
         handled_end=run.worker.handled_end,
     )
     if run.state is not RunState.STOPPING and run.step.spec.checkpoints:
--- a/src/lycheerelay/workflow/_instances.py
+++ b/src/lycheerelay/workflow/_instances.py
@@ -59,7 +59,7 @@
             cell,
             'worker_listed',
             worker=key.worker_id,
-            born=key.born_ms,
+            started_ms=key.started_ms,
             pool=listing.pool,
         )
     elif listing.capacity != worker.capacity:
@@ -79,12 +79,12 @@
 def _find_listed_key(cell: CellState, key: WorkerKey) -> WorkerKey:
     """Return the current instance for a registration without a start time."""
     known = cell.instances.get(key.worker_id)
-    return key if key.born_ms or not known else next(reversed(known))
+    return key if key.started_ms or not known else next(reversed(known))
 
 
 def _unlist_earlier_instances(cell: CellState, key: WorkerKey) -> None:
     for other in cell.find_instances(key.worker_id):
-        if other.key.born_ms < key.born_ms:
+        if other.key.started_ms < key.started_ms:
             _unlist(cell, other)
 
 
@@ -101,7 +101,7 @@
             cell,
             'worker_unlisted',
             worker=worker.worker_id,
-            born=worker.key.born_ms,
+            started_ms=worker.key.started_ms,
         )
 
 
@@ -143,7 +143,7 @@
         last_contact_ms=now_ms,
         known_since_ms=now_ms,
     )
-    if not before.key.born_ms:
+    if not before.key.started_ms:
         # A registration without a start time holds for any instance.
         worker.pool = before.pool
         worker.rack = before.rack
@@ -161,7 +161,7 @@
 ) -> None:
     unconfirmed = list(filter(is_start_unconfirmed, before.runs.values()))
     for run in unconfirmed:
-        _carry_run(run, worker)
+        _move_run(run, worker)
     given_up = {
         run_key: given_up_ms
         for run_key, given_up_ms in before.unconfirmed_starts.items()
@@ -175,16 +175,16 @@
         cell,
         'worker_restarted',
         worker=worker.worker_id,
-        born=worker.key.born_ms,
-        before=before.key.born_ms,
-        carried=len(unconfirmed),
+        started_ms=worker.key.started_ms,
+        previous_started_ms=before.key.started_ms,
+        moved=len(unconfirmed),
         voided=len(given_up),
         handled_end=before.handled_end,
     )
     remove_worker(cell, before.key, now_ms, 'replaced by a later instance')
 
 
-def _carry_run(run: Run, worker: WorkerInfo) -> None:
+def _move_run(run: Run, worker: WorkerInfo) -> None:
     """Expect a run on another instance, which has not confirmed it."""
     run.worker.release(run)
     run.worker = worker
--- a/src/lycheerelay/workflow/_run_table.py
+++ b/src/lycheerelay/workflow/_run_table.py
@@ -102,7 +102,7 @@
             cell,
             'worker_synced',
             worker=worker.worker_id,
-            born=worker.key.born_ms,
+            started_ms=worker.key.started_ms,
             runs=len(table.rows),
             ends=len(new_ends),
         )
--- a/src/lycheerelay/workflow/_runs.py
+++ b/src/lycheerelay/workflow/_runs.py
@@ -109,7 +109,7 @@
         cell,
         'worker_over',
         worker=worker.worker_id,
-        born=worker.key.born_ms,
+        started_ms=worker.key.started_ms,
         reason=reason,
         runs=len(runs),
     )
--- a/src/lycheerelay/workflow/_spec.py
+++ b/src/lycheerelay/workflow/_spec.py
@@ -87,12 +87,12 @@
 class WorkerKey(NamedTuple):
     """Identify one instance of a worker.
 
-    A worker may start again under its id. `born_ms` is the Unix time of the
+    A worker may start again under its id. `started_ms` is the Unix time of the
     start, or 0 where it is not known.
     """
 
     worker_id: str
-    born_ms: int = 0
+    started_ms: int = 0
 
 
 class StepKey(NamedTuple):
--- a/tests/workflow_session_files.py
+++ b/tests/workflow_session_files.py
@@ -75,9 +75,9 @@
 
 
 def parse_worker(text: str) -> WorkerKey:
-    """Return the instance of `id`, or of `id@born`."""
-    worker_id, _, born = text.partition('@')
-    return WorkerKey(worker_id, int(born or 0))
+    """Return the instance of `id`, or of `id@started_ms`."""
+    worker_id, _, started_ms = text.partition('@')
+    return WorkerKey(worker_id, int(started_ms or 0))
 
 
 def add_worker(stage: Stage, now_ms: int, text: str) -> None:
@@ -235,8 +235,8 @@
     if isinstance(content, RunKey):
         return f'{_text(content.task)}#{content.number}'
     if isinstance(content, WorkerKey):
-        born = f'@{content.born_ms}' if content.born_ms else ''
-        return json.dumps(content.worker_id + born)
+        started_ms = f'@{content.started_ms}' if content.started_ms else ''
+        return json.dumps(content.worker_id + started_ms)
     if isinstance(content, TaskKey | StepKey):
         return '.'.join(str(part) for part in content)
     if isinstance(content, tuple):
