Poll a worker slowly whose answers come from another instance

With unacknowledged ends the worker answers at once. Change: such an answer is followed by the pause of an unanswered poll. A poller whose instance has just been replaced ends after it.

--- a/src/lycheerelay/serving/_worker_poller.py
+++ b/src/lycheerelay/serving/_worker_poller.py
@@ -23,7 +23,8 @@
 # How long a poll waits at the worker for a run to end. Longer polls cost less,
 # but detect an unresponsive worker or a hung run later.
 POLL_WAIT_MS: Final = 1000
-# Delay before the next poll after one that was not answered or not allowed.
+# Delay before the next poll after one that was not answered, not allowed, or
+# answered by another instance.
 UNANSWERED_RETRY_S: Final = 0.25
 # Limit on the polls that follow an order without an answer.
 POLL_NOW_ATTEMPTS: Final = 3
@@ -174,7 +175,10 @@
                 },
             )
         self._apply_table(table)
-        if worker is not None and table.worker == self.key:
+        if table.worker != self.key:
+            # This poller ends if that instance has replaced its own.
+            await asyncio.sleep(UNANSWERED_RETRY_S)
+        elif worker is not None:
             pace_worker(context.cell, worker)
             await self._wait_for_record(worker)
 
--- a/tests/test_restarted_workers.py
+++ b/tests/test_restarted_workers.py
@@ -9,9 +9,11 @@
 
 import pytest
 
+from lycheerelay.serving import Reply
 from lycheerelay_standins.platform import (
     CellShape,
     PlatformCell,
+    Request,
     Shape,
     WorkerStandIn,
 )
@@ -176,3 +178,35 @@
             assert states == {'completed'}
 
     play(scenario, CELL)
+
+
+def test_a_worker_that_tells_an_ended_instance_is_polled_slowly() -> None:
+    """Its answers are of no use, and polls must not follow at once."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        await _run_for_long(cell)
+        worker = await _restart(cell, cell.workers['w-1'], 1, 0.5)
+        await _complete_jobs(cell, 2)
+        worker.born_ms -= 60_000
+        await _complete_jobs(cell, 2)
+        name, _ = await cell.submit('vm-0', job(step(16)), work_ms=500)
+        await asyncio.sleep(0.3)
+        assert worker.runs
+        worker.born_ms += 60_000
+        await asyncio.sleep(1)
+        assert worker.ended
+        polls = 0
+        handle = worker.handle
+
+        async def count(request: Request) -> Reply:
+            nonlocal polls
+            polls += request.path.endswith('/hold')
+            return await handle(request)
+
+        cell.net.listen(cell.addresses['w-1'], 'w-1', count)
+        await asyncio.sleep(2)
+        assert polls <= 10
+        cell.crash_worker(worker)
+        assert await cell.settle([name], 20) == {name: 'completed'}
+
+    play(scenario, CELL)
