Log the runs that a worker takes with it

Cause: worker_over has only the number of runs, so the log cannot tell which task was on every crashed worker, nor whether it had just started. Change: runs_lost names them, with the time each had run at the last answer and whether a poll ever listed it.

--- a/src/lycheerelay/workflow/_runs.py
+++ b/src/lycheerelay/workflow/_runs.py
@@ -105,6 +105,8 @@
     for run in runs:
         release_run(run)
     worker.orphaned_runs.clear()
+    if runs:
+        _log_lost_runs(cell, worker, runs)
     log_event(
         cell,
         'worker_over',
@@ -114,3 +116,19 @@
         runs=len(runs),
     )
     return runs
+
+
+def _log_lost_runs(
+    cell: CellState, worker: WorkerInfo, runs: list[Run]
+) -> None:
+    """Log the runs that a worker takes with it, and how long each had run."""
+    log_event(
+        cell,
+        'runs_lost',
+        worker=worker.worker_id,
+        started_ms=worker.key.started_ms,
+        draining=worker.draining,
+        runs=tuple(run.key for run in runs),
+        ran_ms=tuple(worker.last_contact_ms - run.sent_ms for run in runs),
+        listed=tuple(run.listed for run in runs),
+    )
