--- a/src/lycheerelay_standins/platform/_audit.py
+++ b/src/lycheerelay_standins/platform/_audit.py
@@ -4,11 +4,19 @@
 from typing import Any, Final, final
 
 MAX_START_AFTER_CANCEL_MS: Final = 3000
+# A task that crashes its workers may be given up after this many crashes, and may
+# be started less than this many times after the last of them.
+CRASHES_TO_GIVE_UP: Final = 2
+CRASHES_TO_LIMIT: Final = 3
+MAX_STARTS_AFTER_LIMIT: Final = 3
 
 
 @dataclass
 class SubmittedJob:
-    """A job as submitted, and what its caller learned about it."""
+    """A job as submitted, and what its caller learned about it.
+
+    `deadly` holds the tasks, as `STEP.MEMBER`, that crash their workers.
+    """
 
     body: dict[str, Any]
     pool: str
@@ -18,6 +26,7 @@
     cancelled_ms: int = -1
     cancel_asked: bool = False
     work_ms: int = 500
+    deadly: frozenset[str] = frozenset()
 
 
 @dataclass
@@ -76,6 +85,7 @@
             step = job.body['steps'][int(step_text)]
             self._check_request(worker, request, job, step, now_ms)
             self._check_single_execution(run, earlier, step)
+            self._check_crashes(run, earlier, job)
         earlier.append(run)
         return run
 
@@ -125,6 +135,29 @@
                 'BUDGET', f'{name} started after {len(failures)} failures'
             )
 
+    def is_deadly(self, name: str) -> bool:
+        """Return whether a task crashes the workers that start it."""
+        job_id, _, step, member = name.rsplit('.', 3)
+        job = self.jobs.get(job_id)
+        return job is not None and f'{step}.{member}' in job.deadly
+
+    def _check_crashes(
+        self, run: ObservedRun, earlier: list[ObservedRun], job: SubmittedJob
+    ) -> None:
+        if not self.is_deadly(run.name):
+            return
+        crashed_ms = sorted(
+            other.ended_ms for other in earlier if other.outcome == 'crashed'
+        )
+        if len(crashed_ms) < CRASHES_TO_LIMIT:
+            return
+        limit_ms = crashed_ms[CRASHES_TO_LIMIT - 1]
+        later = sum(other.started_ms > limit_ms for other in earlier)
+        if later + 1 >= MAX_STARTS_AFTER_LIMIT:
+            self.report_violation(
+                'BUDGET', f'{run.name} started {later + 1} times more'
+            )
+
     def _check_single_execution(
         self,
         run: ObservedRun,
@@ -209,10 +242,15 @@
             self.report_violation('LOST', f'{job_id} failed with attempts left')
 
     def _has_exhausted_attempts(self, job_id: str, job: SubmittedJob) -> bool:
-        return any(
+        has_failed = any(
             self._count_failures(job_id, number, step) >= job.max_attempts
             for number, step in enumerate(job.body['steps'])
         )
+        return has_failed or any(
+            self.is_deadly(name) and _count_crashes(runs) >= CRASHES_TO_GIVE_UP
+            for name, runs in self.runs.items()
+            if name.startswith(f'{job_id}.')
+        )
 
     def _count_failures(
         self, job_id: str, number: int, step: dict[str, Any]
@@ -227,3 +265,7 @@
         if step.get('gang'):
             return len(set().union(*failed))
         return max((len(numbers) for numbers in failed), default=0)
+
+
+def _count_crashes(runs: list[ObservedRun]) -> int:
+    return sum(run.outcome == 'crashed' for run in runs)
--- a/src/lycheerelay_standins/platform/_cell.py
+++ b/src/lycheerelay_standins/platform/_cell.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+from collections.abc import Collection
 from typing import Any, Final, final
 from urllib.parse import urlencode
 
@@ -121,8 +122,12 @@
         queue: str = 'batch',
         work_ms: int = 500,
         job_id: str = '',
+        deadly: Collection[str] = (),
     ) -> tuple[str, RequestResult]:
-        """Submit a job at a VM and register it with the auditor."""
+        """Submit a job at a VM and register it with the auditor.
+
+        `deadly` names the tasks that crash their workers, as `STEP.MEMBER`.
+        """
         entry = self.entries[vm]
         name = job_id or f'{self.rng.getrandbits(64):016x}'
         table = entry.config.table
@@ -135,7 +140,11 @@
         submitted = self.audit.jobs.setdefault(
             name,
             SubmittedJob(
-                body, policy.pool, policy.max_attempts, work_ms=work_ms
+                body,
+                policy.pool,
+                policy.max_attempts,
+                work_ms=work_ms,
+                deadly=frozenset(deadly),
             ),
         )
         outcome = await entry.handler.submit(spec, 3000)
--- a/src/lycheerelay_standins/platform/_environment.py
+++ b/src/lycheerelay_standins/platform/_environment.py
@@ -25,6 +25,10 @@
 RESTART_CLOCKS_MS: Final = (1, 50_000_000)
 
 
+# Time from the crash of a worker by a task to the start of the next process.
+CRASH_PAUSE_S: Final = 3
+
+
 class QueueShape(NamedTuple):
     """Settings of one queue of a cell."""
 
@@ -35,13 +39,18 @@
 
 
 class CellShape(NamedTuple):
-    """Size and settings of a cell."""
+    """Size and settings of a cell.
+
+    `keeps_ids` says whether a worker that a task has crashed starts again under
+    its id.
+    """
 
     vms: int = 3
     workers: tuple[Shape, ...] = ()
     queues: tuple[QueueShape, ...] = (QueueShape('batch', 'cpu'),)
     lease_ms: int = 6000
     seed: int = 1
+    keeps_ids: bool = False
 
 
 class Environment(ABC):
@@ -131,6 +140,7 @@
         )
         worker.on_gang_run_started = self._on_gang_run_started
         worker.on_run_ended = self._on_run_ended
+        worker.on_deadly_run = self._on_deadly_run
         assigned = self.assign_address(worker_id, worker.handle, address)
         self.workers[worker_id] = worker
         self.addresses[worker_id] = assigned
@@ -145,6 +155,20 @@
         worker.crash()
         self.workers.pop(worker.worker_id, None)
 
+    def _on_deadly_run(self, worker: WorkerStandIn) -> None:
+        if self.workers.get(worker.worker_id) is not worker:
+            return
+        self.crash_worker(worker)
+        asyncio.get_running_loop().call_later(
+            CRASH_PAUSE_S, self._replace_crashed, worker
+        )
+
+    def _replace_crashed(self, worker: WorkerStandIn) -> None:
+        if self.shape.keeps_ids:
+            self.restart_worker(worker)
+        else:
+            self.add_worker(worker.shape, self.addresses[worker.worker_id])
+
     async def advise(self, request: Request) -> Reply:
         """Return a ticket for each known worker of an advisor call."""
         body = json.loads(request.body)
@@ -195,7 +219,7 @@
                 'service': shape.pool,
                 'address': address,
                 'zone': 'a',
-                'state': 'ready',
+                'state': 'draining' if worker.draining else 'ready',
                 'capacity': {
                     'cpu': shape.cores_milli,
                     'memMb': shape.memory_mb,
--- a/src/lycheerelay_standins/platform/_worker.py
+++ b/src/lycheerelay_standins/platform/_worker.py
@@ -19,6 +19,8 @@
 FULL_PERCENT: Final = 100
 MAX_LISTED_ENDS: Final = 500
 DEFAULT_WORK_MS: Final = 500
+# A deadly task crashes its worker this long after its start.
+CRASH_DELAY_S: Final = 0.01
 
 
 @dataclass
@@ -95,6 +97,7 @@
         self.clock_rate = float(1)
         self.clock_offset_ms = 0
         self.is_up = True
+        self.draining = False
         self.starts = 0
 
     def clock_ms(self) -> int:
@@ -136,6 +139,10 @@
         self.runs[key] = run
         self._check_capacity()
         run.awaits_gang = bool(step.get('gang'))
+        if self.audit.is_deadly(body['task']):
+            asyncio.get_running_loop().call_later(
+                CRASH_DELAY_S, self.on_deadly_run, self
+            )
         if not run.awaits_gang:
             self._start_work(run)
         else:
@@ -147,6 +154,11 @@
         ['WorkerStandIn', ActiveRun, dict[str, Any]], None
     ] = staticmethod(lambda worker, run, step: None)
 
+    # Set by the cell, which crashes the worker and starts another one.
+    on_deadly_run: Callable[['WorkerStandIn'], None] = staticmethod(
+        lambda worker: None
+    )
+
     async def _run_stop(self, body: dict[str, Any]) -> Reply:
         task = body['task']
         self.void_runs[task] = max(self.void_runs.get(task, 0), body['run'])
