Start pollers in the order in which workers became known

No copy: a start without an answer was voided after three polls were lost too, and its task started again, which is what the design does. Change: pollers start in the order of the workers.

--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -276,7 +276,7 @@
             self.context.notify_changed()
 
     def _start_pollers(self) -> None:
-        for key in self.cell.workers.keys() - self.orders.pollers.keys():
+        for key in list(self.cell.workers):
             self._start_poller(key)
 
     def _start_poller(self, key: WorkerKey) -> None:
