Give up tasks that crash their workers, and finish what shared these

Cause: a run that was lost with its worker counted for nothing; its task waited again at once, and a silent worker had its runs copied, the one at fault among them. Class: an attempt that ends without a report is not an attempt. Change: crashes are counted by run, with the evidence, in the progress record of the job. A crash is put down to what had just begun on the worker; such tasks start on trial, on a worker held until nothing else has just begun there, and are not copied. A task is given up after three crashes with clear evidence, or four. The record of known workers tells their instances, so a successor counts crashes it did not see. Cuts, drains, stops and expired leases are no crash.

--- a/src/lycheerelay/serving/_cell_log.py
+++ b/src/lycheerelay/serving/_cell_log.py
@@ -19,6 +19,6 @@
         return f'{job_id}.{occurrence}.{step}.{member}#{content.number}'
     if isinstance(content, StepKey):
         return f'{content.job_id}.{content.occurrence}.{content.step}'
-    if type(content) is tuple:
+    if isinstance(content, tuple):
         return [_text(part) for part in content]
     return content
--- /dev/null
+++ b/src/lycheerelay/serving/_known_workers.py
@@ -0,0 +1,92 @@
+"""Keep the workers that may hold runs in the record, for the next owner.
+
+The record `workers` maps ids to addresses. The record `instances` maps them to
+the time of their start and to whether they are draining; earlier versions write
+and read the first one only.
+"""
+
+import logging
+from collections.abc import Iterable, Iterator
+from typing import Any, Final, NamedTuple
+
+import orjson
+
+from .._resources import Resources
+from ..workflow import CellState, WorkerKey, WorkerListing
+from ._ports import KeyedRecord, RecordPage
+
+logger = logging.getLogger('lycheerelay.owner')
+
+KNOWN_WORKERS_KEY: Final = 'workers'
+INSTANCES_KEY: Final = 'instances'
+
+
+class KnownWorker(NamedTuple):
+    """Worker instance as it stands in the record."""
+
+    key: WorkerKey
+    draining: bool
+
+
+def known_workers(cell: CellState) -> frozenset[KnownWorker]:
+    """Return the workers that the next owner has to know."""
+    return frozenset(
+        KnownWorker(worker.key, worker.draining)
+        for worker in cell.workers.values()
+    )
+
+
+def encode_known_workers(cell: CellState) -> Iterator[KeyedRecord]:
+    """Yield the records of the known workers."""
+    workers = cell.workers.values()
+    addresses = {worker.worker_id: worker.address for worker in workers}
+    instances = {
+        worker.worker_id: (worker.key.started_ms, worker.draining)
+        for worker in workers
+    }
+    yield KeyedRecord(KNOWN_WORKERS_KEY, orjson.dumps(addresses))
+    yield KeyedRecord(INSTANCES_KEY, orjson.dumps(instances))
+
+
+def decode_addresses(progress: RecordPage) -> dict[str, str]:
+    """Return the address of each recorded worker."""
+    addresses: dict[str, str] = _decode(progress, KNOWN_WORKERS_KEY)
+    return addresses
+
+
+def decode_instances(progress: RecordPage) -> Iterable[KnownWorker]:
+    """Return the recorded worker instances."""
+    rows = _decode(progress, INSTANCES_KEY)
+    return [
+        KnownWorker(WorkerKey(worker_id, started_ms), draining)
+        for worker_id, (started_ms, draining) in rows.items()
+    ]
+
+
+def _decode(progress: RecordPage, key: str) -> dict[str, Any]:
+    for record in progress.records:
+        if record.key == key and record.payload is not None:
+            try:
+                fields: dict[str, Any] = orjson.loads(record.payload)
+            except ValueError as error:
+                logger.warning(
+                    'roster_unreadable',
+                    extra={'key': key, 'error': str(error)},
+                )
+                return {}
+            return fields
+    return {}
+
+
+def placeholder_listing(worker_id: str, address: str) -> WorkerListing:
+    """Return a registration of which only id and address are known."""
+    return WorkerListing(
+        worker=WorkerKey(worker_id),
+        address=address,
+        pool='',
+        domain='',
+        rack='',
+        labels=frozenset(),
+        capacity=Resources(),
+        draining=False,
+    )
--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -6,11 +6,9 @@
 from functools import partial
 from typing import Any, Final, final
 
-import orjson
 from result import Err, Ok
 
 from .._clock import MS_PER_SECOND
-from .._resources import Resources
 from ..workflow import (
     CellState,
     PoolWaits,
@@ -29,10 +27,15 @@
 from ._advice_dispatcher import AdviceDispatcher
 from ._context import CYCLE_DELAY_S, Limits, OwnerContext
 from ._job_stream import JobStream
+from ._known_workers import (
+    decode_addresses,
+    decode_instances,
+    placeholder_listing,
+)
 from ._listings import ListingReader
 from ._orders import Orders
 from ._ports import LogFault, RecordPage, Stream
-from ._recorder import KNOWN_WORKERS_KEY, Recorder
+from ._recorder import Recorder
 from ._result_watch import ResultWatch
 from ._worker_poller import WorkerPoller
 
@@ -190,12 +193,17 @@
         for listing in self.listings.decode(listed.records):
             if isinstance(listing, WorkerListing):
                 list_worker(cell, listing, now_ms)
-        for worker_id, address in _decode_known_workers(progress).items():
+        for worker_id, address in decode_addresses(progress).items():
             if worker_id not in cell.instances:
                 list_worker(
-                    cell, _placeholder_listing(worker_id, address), now_ms
+                    cell, placeholder_listing(worker_id, address), now_ms
                 )
                 unlist_worker(cell, worker_id)
+        cell.earlier_instances.update(
+            (key.worker_id, key)
+            for key, draining in decode_instances(progress)
+            if not draining
+        )
         cell.unsynced_workers.update(dict.fromkeys(cell.instances))
         self._start_pollers()
 
@@ -364,28 +372,3 @@
     """Return the time from which no order of an earlier owner is in effect."""
     lease_ms = int(limits.lease_ms * CLOCK_DRIFT_FACTOR)
     return now_ms + limits.group_ttl_ms + lease_ms + IN_FLIGHT_MARGIN_MS
-
-
-def _decode_known_workers(progress: RecordPage) -> dict[str, str]:
-    for record in progress.records:
-        if record.key == KNOWN_WORKERS_KEY and record.payload is not None:
-            try:
-                addresses: dict[str, str] = orjson.loads(record.payload)
-            except ValueError as error:
-                logger.warning('roster_unreadable', extra={'error': str(error)})
-                return {}
-            return addresses
-    return {}
-
-
-def _placeholder_listing(worker_id: str, address: str) -> WorkerListing:
-    return WorkerListing(
-        worker=WorkerKey(worker_id),
-        address=address,
-        pool='',
-        domain='',
-        rack='',
-        labels=frozenset(),
-        capacity=Resources(),
-        draining=False,
-    )
--- a/src/lycheerelay/serving/_recorder.py
+++ b/src/lycheerelay/serving/_recorder.py
@@ -6,16 +6,15 @@
 from collections.abc import Callable, Collection
 from typing import Final, final
 
-import orjson
 from result import Err, Ok
 
 from ..workflow import JobPhase, WorkerKey, encode_progress
 from ._context import OwnerContext
+from ._known_workers import KnownWorker, encode_known_workers, known_workers
 from ._ports import KeyedRecord, LogFault, Stream, Writer
 
 logger = logging.getLogger('lycheerelay.recorder')
 
-KNOWN_WORKERS_KEY: Final = 'workers'
 FENCE_KEY: Final = 'fence'
 WRITER: Final = 'owner'
 # Faults that end the term. Only a new term, whose epoch restarts the sequence
@@ -53,7 +52,7 @@
         self.on_encoded = on_encoded
         self.on_recorded = on_recorded
         self.sequence = 0
-        self.recorded_workers: frozenset[WorkerKey] = frozenset()
+        self.recorded_workers: frozenset[KnownWorker] = frozenset()
         self.expired_jobs: list[str] = []
 
     async def fence(self) -> bool:
@@ -94,27 +93,23 @@
         return bool(
             cell.unrecorded_jobs
             or self.expired_jobs
-            or self._known_workers() - self.recorded_workers
+            or known_workers(cell) - self.recorded_workers
             or any(
                 worker.recorded_end < worker.handled_end
                 for worker in cell.workers.values()
             ),
         )
 
-    def _known_workers(self) -> frozenset[WorkerKey]:
-        return frozenset(self.context.cell.workers)
-
     async def _write(self) -> None:
         cell = self.context.cell
-        workers = self._known_workers()
+        workers = known_workers(cell)
         handled_ends = {
             worker.key: worker.handled_end for worker in cell.workers.values()
         }
         phases: dict[str, JobPhase] = {}
-        records = []
+        records: list[KeyedRecord] = []
         if workers - self.recorded_workers:
-            payload = self._encode_known_workers()
-            records.append(KeyedRecord(KNOWN_WORKERS_KEY, payload))
+            records.extend(encode_known_workers(cell))
         for job_id in self.expired_jobs:
             records.append(KeyedRecord(job_id, None))
         self.expired_jobs = []
@@ -139,7 +134,7 @@
         self,
         handled_ends: dict[WorkerKey, int],
         phases: dict[str, JobPhase],
-        workers: frozenset[WorkerKey],
+        workers: frozenset[KnownWorker],
     ) -> None:
         cell = self.context.cell
         self.recorded_workers = workers
@@ -147,7 +142,7 @@
             worker = cell.workers.get(key)
             if worker is not None:
                 worker.recorded_end = max(worker.recorded_end, number)
-        for key in workers:
+        for key, _ in workers:
             worker = cell.workers.get(key)
             if worker is not None:
                 worker.enrolled = True
@@ -195,13 +190,3 @@
         )
         if fault in TERM_ENDING_FAULTS:
             self.context.cell.deposed = True
-
-    def _encode_known_workers(self) -> bytes:
-        # The instance that answers at the address tells its start time.
-        cell = self.context.cell
-        return orjson.dumps(
-            {
-                worker.worker_id: worker.address
-                for worker in cell.workers.values()
-            },
-        )
--- a/src/lycheerelay/serving/_worker_poller.py
+++ b/src/lycheerelay/serving/_worker_poller.py
@@ -23,6 +23,8 @@
 # How long a poll waits at the worker for a run to end. Longer polls cost less,
 # but detect an unresponsive worker or a hung run later.
 POLL_WAIT_MS: Final = 1000
+# The same while the worker is held for a task that may crash it.
+HELD_POLL_WAIT_MS: Final = 100
 # Delay before the next poll after one that was not answered, not allowed, or
 # answered by another instance.
 UNANSWERED_RETRY_S: Final = 0.25
@@ -109,6 +111,8 @@
         wait_ms = POLL_WAIT_MS if is_known else 0
         if worker is None or worker.missed_calls:
             wait_ms = 0
+        elif worker.held_until_ms > self.context.now_ms:
+            wait_ms = min(wait_ms, HELD_POLL_WAIT_MS)
         last_seen = self._last_seen(worker) if worker else 0
         # A worker that does not answer may still receive and execute requests,
         # so its leases expire only if no poll extends them.
@@ -152,6 +156,8 @@
             await context.loaded.wait()
             await self._apply_reply(reply.table)
         elif reply.answer is Answer.OTHER_INSTANCE:
+            # The jobs tell what the worker took with it.
+            await context.loaded.wait()
             remove_replaced_worker(context.cell, self.key, now_ms)
             context.notify_changed()
         elif reply.answer is Answer.FENCED:
--- /dev/null
+++ b/src/lycheerelay/workflow/_crashes.py
@@ -0,0 +1,116 @@
+"""Count the crashes of workers under each task, and give up the tasks at fault.
+
+Load: a task crashes each worker that starts it, while other workers crash by
+themselves, are cut off, drain or leave. Only a crash counts. A task is given up
+after a crash that no other job explains, so what shared a worker with it is not.
+"""
+
+import itertools
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+from ._intake import finalize_job, find_step, steps_of
+from ._log_events import log_event
+from ._spec import RunKey, TaskKey
+from ._state import CellState, CrashEvidence, JobPhase, StepInfo, TaskInfo
+from ._suspects import SUSPECT_RULES, Suspect
+
+# A task is given up after this many crashes if the evidence is clear: two of its
+# own, or one of its own and as many in which it had just begun.
+CRASHES_TO_GIVE_UP: Final = 3
+# Otherwise it is given up after this many, if it may be the cause of as many as
+# above.
+MAX_CRASHES: Final = 4
+
+
+def count_crash(
+    cell: CellState, suspects: Iterable[Suspect], now_ms: int
+) -> None:
+    """Count the crash of a worker, and give up the tasks that caused enough."""
+    for suspect in suspects:
+        step = find_step(cell, suspect.run)
+        if step is None or step.job.is_final:
+            continue
+        task = step.tasks[suspect.run.task.member]
+        if task.done:
+            continue
+        task.crashes.setdefault(suspect.run.number, suspect.evidence)
+        mark_suspect(cell, step, task)
+        cell.unrecorded_jobs[step.job.spec.job_id] = None
+        log_event(
+            cell,
+            'crash_counted',
+            run=suspect.run,
+            evidence=suspect.evidence,
+            crashes=len(task.crashes),
+        )
+        if _is_at_fault(task):
+            finalize_job(
+                cell,
+                step.job,
+                JobPhase.FAILED,
+                f'{len(task.crashes)} workers crashed under a task',
+                now_ms,
+            )
+
+
+def _is_at_fault(task: TaskInfo) -> bool:
+    counts = Counter(task.crashes.values())
+    own = counts[CrashEvidence.OWN]
+    crashes = len(task.crashes)
+    had_just_begun = own + counts[CrashEvidence.SHARED]
+    if own > 1 or (own and had_just_begun >= CRASHES_TO_GIVE_UP):
+        return crashes >= CRASHES_TO_GIVE_UP
+    possible = crashes - counts[CrashEvidence.WEAK]
+    return possible >= CRASHES_TO_GIVE_UP and crashes >= MAX_CRASHES
+
+
+def mark_suspect(cell: CellState, step: StepInfo, task: TaskInfo) -> None:
+    """Note a task that is started on trial only from now on."""
+    if SUSPECT_RULES[cell.policies.suspects](task):
+        step.suspects[task.index] = None
+
+
+def count_crash_before_takeover(
+    cell: CellState,
+    worker_id: str,
+    running: Mapping[RunKey, object],
+    now_ms: int,
+) -> None:
+    """Count a crash for the runs that an earlier owner had sent to a worker.
+
+    `running` holds the runs that the worker still has. The record does not tell
+    how long the others had run, but which of them had been on trial or in a crash
+    before.
+    """
+    suspects = [
+        Suspect(run, _recorded_evidence(run, task))
+        for run, task in _assigned_runs(cell, worker_id)
+        if run not in running
+    ]
+    count_crash(cell, suspects, now_ms)
+
+
+def _recorded_evidence(run: RunKey, task: TaskInfo) -> CrashEvidence:
+    is_possible = task.crashes or run.number == task.trial_run
+    return CrashEvidence.UNCLEAR if is_possible else CrashEvidence.WEAK
+
+
+def _assigned_runs(
+    cell: CellState, worker_id: str
+) -> list[tuple[RunKey, TaskInfo]]:
+    steps = itertools.chain.from_iterable(
+        steps_of(job) for job in cell.jobs.values() if not job.is_final
+    )
+    return [
+        (RunKey(TaskKey(*step.key, task.index), task.last_run), task)
+        for step in steps
+        for task in step.tasks
+        if task.assigned_worker == worker_id and _may_have_run(task)
+    ]
+
+
+def _may_have_run(task: TaskInfo) -> bool:
+    is_over = task.last_run in task.failed_runs or task.last_run in task.crashes
+    return not (task.done or task.runs or is_over)
--- a/src/lycheerelay/workflow/_dispatch.py
+++ b/src/lycheerelay/workflow/_dispatch.py
@@ -21,6 +21,7 @@
 from ._runs import start_run
 from ._starting import log_starts, next_run_number
 from ._state import CellState, StepInfo, TaskInfo, WorkerInfo
+from ._trials import start_trials
 
 
 def dispatch(cell: CellState, now_ms: int) -> int:
@@ -72,19 +73,26 @@
     if policy is not None and not step.asked_workers:
         ask_about_new_workers(cell, step, policy, cycle.usable, now_ms)
         return 0
-    if step.spec.gang:
+    if step.spec.gang and not step.suspects:
         return GANG_POLICIES[cell.policies.gangs](cell, step, cycle, now_ms)
-    started = 0
+    started = start_trials(cell, step, cycle, now_ms) if step.suspects else 0
+    if step.spec.gang or step.suspects.keys() >= step.waiting.keys():
+        return started
     may_fit = step.spec.demand.fits_in(cycle.max_free)
     if not may_fit and policy is None and not _needs_reserved_capacity(step):
-        return 0
+        return started
     workers = step_candidates(step, cycle)
     if may_fit:
-        tasks = startable_tasks(cell, step, now_ms)
+        tasks = [
+            task
+            for task in startable_tasks(cell, step, now_ms)
+            if task.index not in step.suspects
+        ]
         if not tasks:
-            return 0
-        started = _start_tasks(cell, step, cycle, tasks, workers, now_ms)
-        if started == len(tasks):
+            return started
+        beside = _start_tasks(cell, step, cycle, tasks, workers, now_ms)
+        started += beside
+        if beside == len(tasks):
             return started
     _prepare_next_start(cell, step, cycle, workers, now_ms)
     return started
--- a/src/lycheerelay/workflow/_ends.py
+++ b/src/lycheerelay/workflow/_ends.py
@@ -3,7 +3,8 @@
 from enum import StrEnum, unique
 from typing import Final, NamedTuple
 
-from ._intake import finalize_job, finish_step, reopen_task
+from ._crashes import count_crash
+from ._intake import finalize_job, find_step, finish_step, reopen_task
 from ._log_events import log_event
 from ._runs import note_unconfirmed_start, release_run, stop_run
 from ._spec import RunKey
@@ -17,6 +18,7 @@
     TaskInfo,
     WorkerInfo,
 )
+from ._suspects import Suspect
 
 # Delay before a failed service task is restarted, multiplied by its number of
 # failed runs. It is short because callers of the service are waiting.
@@ -88,20 +90,6 @@
     return NEVER if at_ms == NEVER else at_ms - run.sent_ms
 
 
-def find_step(cell: CellState, run: RunKey) -> StepInfo | None:
-    """Return the step of a run, or None if it is not known."""
-    job = cell.jobs.get(run.task.job_id)
-    if job is None:
-        return None
-    steps = job.occurrences.get(run.task.occurrence)
-    if steps is None or not 0 <= run.task.step < len(steps):
-        return None
-    step = steps[run.task.step]
-    if not 0 <= run.task.member < len(step.tasks):
-        return None
-    return step
-
-
 def keep_checkpoint(step: StepInfo, task: TaskInfo, checkpoint: str) -> None:
     """Store a checkpoint; all members of a gang share it."""
     if step.spec.gang:
@@ -243,5 +231,7 @@
     )
     if run.state is not RunState.STOPPING and run.step.spec.checkpoints:
         cell.unrecorded_jobs[run.key.task.job_id] = None
+    if run.earlier_crash is not None:
+        count_crash(cell, [Suspect(run.key, run.earlier_crash)], now_ms)
     if not run.step.job.is_final:
         requeue(cell, run.step, run.task, now_ms)
--- a/src/lycheerelay/workflow/_fit.py
+++ b/src/lycheerelay/workflow/_fit.py
@@ -31,7 +31,12 @@
 
 
 def is_usable(worker: WorkerInfo, now_ms: int) -> bool:
-    """Return whether new runs may be started on a worker."""
+    """Return whether any step may start new runs on a worker."""
+    return worker.held_until_ms <= now_ms and is_in_service(worker, now_ms)
+
+
+def is_in_service(worker: WorkerInfo, now_ms: int) -> bool:
+    """Return whether a worker takes new runs, if only of one step."""
     return (
         worker.listed
         and worker.enrolled
--- a/src/lycheerelay/workflow/_instances.py
+++ b/src/lycheerelay/workflow/_instances.py
@@ -6,10 +6,13 @@
 the instance before may still reach it, as orders name only the id.
 """
 
+import itertools
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from .._resources import Resources
 from ._commands import StopRun
+from ._crashes import count_crash, count_crash_before_takeover
 from ._ends import requeue
 from ._log_events import log_event
 from ._runs import (
@@ -19,6 +22,7 @@
 )
 from ._spec import WorkerKey
 from ._state import NEVER, CellState, Run, WorkerInfo
+from ._suspects import Suspect, find_suspects
 
 
 class WorkerListing(NamedTuple):
@@ -160,8 +164,11 @@
     cell: CellState, before: WorkerInfo, worker: WorkerInfo, now_ms: int
 ) -> None:
     unconfirmed = list(filter(is_start_unconfirmed, before.runs.values()))
+    suspects = () if before.draining else find_suspects(before)
+    evidence = dict(suspects)
     for run in unconfirmed:
         _move_run(run, worker)
+        run.earlier_crash = evidence.pop(run.key, None)
     given_up = {
         run_key: given_up_ms
         for run_key, given_up_ms in before.unconfirmed_starts.items()
@@ -181,7 +188,14 @@
         voided=len(given_up),
         handled_end=before.handled_end,
     )
-    remove_worker(cell, before.key, now_ms, 'replaced by a later instance')
+    remaining = itertools.starmap(Suspect, evidence.items())
+    _remove(
+        cell,
+        before.key,
+        (*before.lapsed_suspects, *remaining),
+        now_ms,
+        'replaced by a later instance',
+    )
 
 
 def _move_run(run: Run, worker: WorkerInfo) -> None:
@@ -200,13 +214,32 @@
     cell: CellState, key: WorkerKey, now_ms: int, reason: str
 ) -> None:
     """Remove a worker instance that is known to have ended."""
+    worker = cell.workers.get(key)
+    suspects: tuple[Suspect, ...] = ()
+    if worker is not None and not worker.draining:
+        suspects = worker.lapsed_suspects + find_suspects(worker)
+    _remove(cell, key, suspects, now_ms, reason)
+
+
+def _remove(
+    cell: CellState,
+    key: WorkerKey,
+    suspects: Iterable[Suspect],
+    now_ms: int,
+    reason: str,
+) -> None:
     cell.removed_workers[key] = None
     worker = cell.pop_worker(key)
     if key.worker_id not in cell.instances:
         cell.unsynced_workers.pop(key.worker_id, None)
     if worker is None:
         return
-    for run in release_worker_runs(cell, worker, reason):
+    runs = release_worker_runs(cell, worker, reason)
+    count_crash(cell, suspects, now_ms)
+    earlier = cell.earlier_instances.pop(key.worker_id, None)
+    if earlier is not None and not worker.synced and not worker.draining:
+        count_crash_before_takeover(cell, key.worker_id, {}, now_ms)
+    for run in runs:
         if not run.step.job.is_final:
             requeue(cell, run.step, run.task, now_ms)
 
--- a/src/lycheerelay/workflow/_intake.py
+++ b/src/lycheerelay/workflow/_intake.py
@@ -4,7 +4,7 @@
 
 from ._log_events import log_event
 from ._runs import stop_run
-from ._spec import StepKey, WorkflowSpec, critical_path_ms, objective_ms
+from ._spec import RunKey, StepKey, WorkflowSpec, critical_path_ms, objective_ms
 from ._state import (
     NEVER,
     CellState,
@@ -60,6 +60,20 @@
                 stop_run(cell, run, now_ms, phase)
 
 
+def find_step(cell: CellState, run: RunKey) -> StepInfo | None:
+    """Return the step of a run, or None if it is not known."""
+    job = cell.jobs.get(run.task.job_id)
+    if job is None:
+        return None
+    steps = job.occurrences.get(run.task.occurrence)
+    if steps is None or not 0 <= run.task.step < len(steps):
+        return None
+    step = steps[run.task.step]
+    if not 0 <= run.task.member < len(step.tasks):
+        return None
+    return step
+
+
 def steps_of(job: JobInfo) -> Iterator[StepInfo]:
     """Iterate over the steps of every open occurrence."""
     for steps in job.occurrences.values():
--- a/src/lycheerelay/workflow/_policies.py
+++ b/src/lycheerelay/workflow/_policies.py
@@ -20,3 +20,4 @@
     reserving_steps: int = 5
     result_waits: str = 'last_tasks'
     contact: str = 'second_miss'
+    suspects: str = 'first_start'
--- a/src/lycheerelay/workflow/_pool_cycle.py
+++ b/src/lycheerelay/workflow/_pool_cycle.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from .._resources import Resources
-from ._fit import ReservedCapacity, candidates, is_usable
+from ._fit import ReservedCapacity, candidates, is_in_service, is_usable
 from ._openings import Opening, reservations_for
 from ._spec import WorkerKey
 from ._state import CellState, StepInfo, TaskInfo, WorkerInfo
@@ -24,7 +24,8 @@
     different workers. `position` counts the steps handled before the
     current one. `wanted` holds the workers with reservations in the previous
     cycle. Steps that come first in the order use them only as a last resort,
-    as every cycle reserves again in order.
+    as every cycle reserves again in order. `held` counts the workers that are
+    held for a trial.
     """
 
     usable: dict[WorkerKey, WorkerInfo]
@@ -32,6 +33,7 @@
     wanted: frozenset[WorkerKey] = frozenset()
     position: int = 0
     reserving_steps: int = 0
+    held: int = 0
     plans_left: int = MAX_PLANS_PER_CYCLE
     reserved: dict[WorkerInfo, list[ReservedCapacity]] = field(
         default_factory=dict
@@ -55,7 +57,13 @@
     wanted: frozenset[WorkerKey] = frozenset()
     if cell.policies.spare_reserved:
         wanted = cell.wanted_workers.get(pool, wanted)
-    return PoolCycle(usable, max_free, wanted)
+    held = sum(
+        worker.pool == pool
+        and worker.held_until_ms > now_ms
+        and is_in_service(worker, now_ms)
+        for worker in cell.workers.values()
+    )
+    return PoolCycle(usable, max_free, wanted, held=held)
 
 
 def startable_tasks(
--- a/src/lycheerelay/workflow/_progress.py
+++ b/src/lycheerelay/workflow/_progress.py
@@ -4,19 +4,25 @@
 for a final one. `finished` lists the numbers of finished occurrences. `steps`
 has a row for each step with progress: occurrence, step, done tasks as a
 hexadecimal bit mask, and a row for each open task that was started: index,
-failed runs, last run, checkpoint, worker.
+failed runs, last run, checkpoint, worker. `crashes` has a row for each open task
+that a crash of its worker counted for: occurrence, step, index, a row for each
+crash (run, evidence) and its last run on trial. Earlier
+versions ignore it.
 """
 
+from collections.abc import Iterator
 from typing import Final, TypedDict
 
 import orjson
 
+from ._crashes import mark_suspect
 from ._ends import mark_done
-from ._intake import open_if_ready, open_occurrence
+from ._intake import open_if_ready, open_occurrence, steps_of
 from ._log_events import log_event
 from ._state import (
     FINAL_PHASES,
     CellState,
+    CrashEvidence,
     JobInfo,
     JobPhase,
     StepInfo,
@@ -27,6 +33,10 @@
 DECODE_ERRORS: Final = (ValueError, KeyError, IndexError, TypeError)
 
 
+# Occurrence, step, index, crashes and last run on trial of a task.
+CrashRow = tuple[int, int, int, list[tuple[int, str]], int]
+
+
 class ProgressRecord(TypedDict, total=False):
     """Fields of the progress record."""
 
@@ -34,6 +44,7 @@
     why: str
     finished: list[int]
     steps: list[list[object]]
+    crashes: list[CrashRow]
 
 
 def encode_progress(job: JobInfo) -> bytes:
@@ -51,9 +62,24 @@
         if number not in job.finished
     ]
     record['steps'] = [row for row in rows if row[2] != '0' or row[3]]
+    crashes = list(_crash_rows(job))
+    if crashes:
+        record['crashes'] = crashes
     return orjson.dumps(record)
 
 
+def _crash_rows(job: JobInfo) -> Iterator[CrashRow]:
+    for step in steps_of(job):
+        _, occurrence, index = step.key
+        for task in step.tasks:
+            if task.crashes and not task.done:
+                crashes = [
+                    (run, evidence.value)
+                    for run, evidence in task.crashes.items()
+                ]
+                yield occurrence, index, task.index, crashes, task.trial_run
+
+
 def _step_row(step: StepInfo) -> list[object]:
     mask = sum(1 << task.index for task in step.tasks if task.done)
     tasks = [
@@ -97,6 +123,8 @@
         job.started = True
     for row in record.get('steps', ()):
         _restore_step(cell, job, row)
+    for crash_row in record.get('crashes', ()):
+        _restore_crashes(cell, job, crash_row)
 
 
 def _restore_step(cell: CellState, job: JobInfo, row: list[object]) -> None:
@@ -120,6 +148,16 @@
         open_if_ready(cell, job, other)
 
 
+def _restore_crashes(cell: CellState, job: JobInfo, row: CrashRow) -> None:
+    occurrence, index, number, crashes, trial_run = row
+    step = job.occurrences[occurrence][index]
+    task = step.tasks[number]
+    for run, evidence in crashes:
+        task.crashes[run] = CrashEvidence(evidence)
+    task.trial_run = trial_run
+    mark_suspect(cell, step, task)
+
+
 def _restore_task(
     task: TaskInfo,
     failed: list[int],
--- a/src/lycheerelay/workflow/_run_table.py
+++ b/src/lycheerelay/workflow/_run_table.py
@@ -4,16 +4,16 @@
 
 from ._commands import StopRun
 from ._contact import regain_contact
+from ._crashes import count_crash_before_takeover
 from ._ends import (
     RunEnd,
     apply_end,
     discard_lost_run,
-    find_step,
     keep_checkpoint,
     requeue,
 )
 from ._instances import find_answering_instance
-from ._intake import steps_of
+from ._intake import find_step, steps_of
 from ._log_events import log_event
 from ._runs import (
     attach_run,
@@ -25,6 +25,7 @@
 from ._slow_workers import bar_worker_if_slow
 from ._spec import RunKey, WorkerKey
 from ._state import NEVER, CellState, Run, RunState, TaskInfo, WorkerInfo
+from ._suspects import find_suspects
 
 
 class RunTableRow(NamedTuple):
@@ -58,6 +59,7 @@
     """Discard the runs of a worker whose leases have all expired."""
     for run in worker.runs.values():
         note_unconfirmed_start(run, now_ms)
+    worker.lapsed_suspects += find_suspects(worker)
     worker.synced = False
     worker.unresponsive = True
     for run in release_worker_runs(cell, worker, 'its leases expired'):
@@ -74,6 +76,7 @@
         # A newer table of this worker has already been applied.
         return False
     worker.table_clock_ms = table.clock_ms
+    worker.lapsed_suspects = ()
     regain_contact(worker, now_ms)
     new_ends = [end for end in table.ends if end.number > worker.handled_end]
     for end in new_ends:
@@ -91,6 +94,7 @@
             worker.orphaned_runs.pop(run_key)
     if not worker.synced:
         worker.synced = True
+        _count_earlier_crash(cell, worker, now_ms)
         # Leases of an earlier owner may last until this time. Without it, the
         # runs of a worker that crashes before its first lease from this owner
         # would never expire.
@@ -109,6 +113,15 @@
     return bool(new_ends)
 
 
+def _count_earlier_crash(
+    cell: CellState, worker: WorkerInfo, now_ms: int
+) -> None:
+    """Count a crash after which a worker has started again under its id."""
+    earlier = cell.earlier_instances.pop(worker.worker_id, worker.key)
+    if earlier.started_ms < worker.key.started_ms and earlier.started_ms:
+        count_crash_before_takeover(cell, worker.worker_id, worker.runs, now_ms)
+
+
 def _apply_row(
     cell: CellState,
     worker: WorkerInfo,
@@ -123,6 +136,7 @@
             cell.outbox.append(StopRun(worker.key, row.run))
             return
     run.listed = True
+    run.earlier_crash = None
     if run.state is RunState.SENT:
         run.state = RunState.RUNNING
         run.answered_ms = now_ms
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from ._commands import Command
     from ._openings import Opening
+    from ._suspects import Suspect
 
 NEVER = -1
 
@@ -40,6 +41,21 @@
     STOPPING = 'stopping'
 
 
+@unique
+class CrashEvidence(StrEnum):
+    """How much a crash of its worker says about a run.
+
+    OWN: it had just begun, and no run of another job had. SHARED: others had as
+    well. UNCLEAR: it had been on trial for some time, or an earlier owner had sent
+    it. WEAK: it had worked for some time, or its start had no answer.
+    """
+
+    OWN = 'own'
+    SHARED = 'shared'
+    UNCLEAR = 'unclear'
+    WEAK = 'weak'
+
+
 @dataclass(slots=True, eq=False)
 class Run:
     """Track one start of a task until its worker no longer holds it.
@@ -49,7 +65,9 @@
     on the worker. `percent` is the reported progress and `percent_ms` the time
     of its last change. `pace` is the allowed share of full speed, in percent.
     `order_sent` says that its start order was sent, and `listed` that its worker
-    has reported it as running.
+    has reported it as running. A run on trial has its worker to itself until
+    `trial_until_ms`. `earlier_crash` is set if the worker has crashed and the run
+    may be on the process that followed.
     """
 
     key: RunKey
@@ -70,6 +88,8 @@
     load: int = 0
     order_sent: bool = False
     listed: bool = False
+    trial_until_ms: int = 0
+    earlier_crash: CrashEvidence | None = None
 
     @property
     def task(self) -> 'TaskInfo':
@@ -83,7 +103,9 @@
 
     `failed_runs` holds the numbers of its failed runs, `avoided_worker` the
     worker of the last failure and `assigned_worker` the id of the worker of the
-    last start.
+    last start. `crashes` holds the numbers of its runs that may have crashed their
+    workers, with the evidence. `trial_run` is the
+    number of its last run on trial.
     """
 
     index: int
@@ -95,6 +117,8 @@
     runs: dict[int, Run] = field(default_factory=dict)
     avoided_worker: WorkerKey | None = None
     assigned_worker: str = ''
+    crashes: dict[int, CrashEvidence] = field(default_factory=dict)
+    trial_run: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -126,7 +150,8 @@
     left after a start later than `infeasible_from_ms`. `openings` is the plan of
     a gang, which is made again from `replan_ms` on. Capacity for the waiting tasks
     has been free since `free_since_ms`. `crashed` is set if a decision on the step
-    has raised an error in this term.
+    has raised an error in this term. `suspects` holds the indexes of the tasks that
+    are started on trial only.
     """
 
     key: StepKey
@@ -152,6 +177,7 @@
     free_since_ms: int = NEVER
     stall_reported: bool = False
     crashed: bool = False
+    suspects: dict[int, None] = field(default_factory=dict)
 
     @property
     def is_done(self) -> bool:
@@ -207,7 +233,10 @@
     time at which this owner learned of the instance. `unconfirmed_starts` holds
     the runs that were given up without an answer to their start order, with
     the time, and `unconfirmed_voids` those whose start this instance has still to
-    void.
+    void. From `held_since_ms` to `held_until_ms` only the step `held_for` may start
+    runs there.
+    `lapsed_suspects` holds the runs that may be the cause if the instance proves to
+    have crashed before its leases expired.
     """
 
     key: WorkerKey
@@ -237,6 +266,10 @@
     known_since_ms: int = 0
     unconfirmed_starts: dict[RunKey, int] = field(default_factory=dict)
     unconfirmed_voids: dict[RunKey, None] = field(default_factory=dict)
+    held_for: StepKey | None = None
+    held_since_ms: int = 0
+    held_until_ms: int = 0
+    lapsed_suspects: 'tuple[Suspect, ...]' = ()
 
     @property
     def worker_id(self) -> str:
@@ -255,6 +288,10 @@
         if self.runs.pop(run.key, None) is None:
             return
         self.free = self.free.plus(run.demand)
+        if run.trial_until_ms and not any(
+            other.trial_until_ms for other in self.runs.values()
+        ):
+            self.held_until_ms = 0
         remaining = run.step.runs_per_worker.get(self.key, 0) - 1
         if remaining > 0:
             run.step.runs_per_worker[self.key] = remaining
@@ -271,7 +308,8 @@
     owner can be in effect. `instances` holds the known instances by worker id;
     there is more than one until the current one has answered.
     `unsynced_workers` holds the ids of the workers whose run table this owner has
-    not received yet, whichever instance returns it. `wanted_workers` holds the
+    not received yet, whichever instance returns it, and `earlier_instances` the
+    instances that an earlier owner has recorded, by worker id. `wanted_workers` holds the
     workers of each pool with capacity reserved in the last scheduling cycle,
     `advice_counts` the replies of the advisor by queue.
     """
@@ -285,6 +323,7 @@
     open_steps: dict[StepKey, StepInfo] = field(default_factory=dict)
     unrecorded_jobs: dict[str, None] = field(default_factory=dict)
     unsynced_workers: dict[str, None] = field(default_factory=dict)
+    earlier_instances: dict[str, WorkerKey] = field(default_factory=dict)
     outbox: 'list[Command]' = field(default_factory=list)
     loaded: bool = False
     gangs_checked: bool = False
--- /dev/null
+++ b/src/lycheerelay/workflow/_trials.py
@@ -0,0 +1,210 @@
+"""Start suspected tasks where nothing else has just begun.
+
+Load: tasks that crash their workers, in a cell so full that no worker is ever
+empty. A worker is held until all of its runs are settled, then the suspected tasks
+of one step start there, and nothing else does until they have ended or settled. So
+a crash has one explanation, and takes little other work with it. A gang holds as
+many workers as it needs.
+"""
+
+from collections.abc import Iterable, Sequence
+from itertools import repeat
+from typing import Final
+
+from ._advice import ask_about_new_workers, call_advisor, may_ask
+from ._fit import count_fitting, has_ticket, is_in_service, score_worker
+from ._log_events import log_event
+from ._pool_cycle import PoolCycle, startable_tasks, step_candidates
+from ._runs import start_run
+from ._starting import log_starts, next_run_number
+from ._state import CellState, Run, StepInfo, TaskInfo, WorkerInfo
+from ._suspects import is_settled
+
+# A worker is held for this time at most while its step is not decided on again.
+HOLD_MS: Final = 500
+# How long a run on trial has its worker to itself, unless it ends before.
+TRIAL_MS: Final = 3000
+# Workers of a pool that are held at the same time. One step may always hold some.
+MAX_HELD_SHARE: Final = 0.2
+
+
+def start_trials(
+    cell: CellState, step: StepInfo, cycle: PoolCycle, now_ms: int
+) -> int:
+    """Start the suspected tasks of a step on workers held for them."""
+    tasks = _startable_suspects(cell, step, now_ms)
+    if not tasks or _has_run_on_trial(step, now_ms):
+        return 0
+    workers = _find_held(cell, step, now_ms)
+    needed = len(tasks) if step.spec.gang else 1
+    if _count_slots(step, workers) < needed:
+        workers += _choose(step, cycle, needed, workers, now_ms)
+    policy = step.job.spec.advice
+    if _count_slots(step, workers) < needed:
+        if policy is not None:
+            ask_about_new_workers(cell, step, policy, cycle.usable, now_ms)
+        return 0
+    for worker in workers:
+        _hold(cell, worker, step, now_ms)
+        cycle.usable.pop(worker.key, None)
+    if not all(map(_is_ready, workers)):
+        return 0
+    expired = [
+        worker for worker in workers if not has_ticket(step, worker, now_ms)
+    ]
+    if expired:
+        if policy is not None and may_ask(step, now_ms):
+            call_advisor(cell, step, policy, expired)
+        return 0
+    return _start(cell, step, tasks, workers, now_ms)
+
+
+def _startable_suspects(
+    cell: CellState, step: StepInfo, now_ms: int
+) -> list[TaskInfo]:
+    tasks = startable_tasks(cell, step, now_ms)
+    if step.spec.gang:
+        return tasks if len(tasks) == len(step.tasks) else []
+    return [task for task in tasks if task.index in step.suspects]
+
+
+def _has_run_on_trial(step: StepInfo, now_ms: int) -> bool:
+    return any(
+        run.trial_until_ms > now_ms
+        for index in step.suspects
+        for run in step.tasks[index].runs.values()
+    )
+
+
+def _find_held(
+    cell: CellState, step: StepInfo, now_ms: int
+) -> list[WorkerInfo]:
+    return [
+        worker
+        for worker in cell.workers.values()
+        if worker.held_for == step.key
+        and worker.held_until_ms > now_ms
+        and is_in_service(worker, now_ms)
+    ]
+
+
+def _choose(
+    step: StepInfo,
+    cycle: PoolCycle,
+    needed: int,
+    held: Sequence[WorkerInfo],
+    now_ms: int,
+) -> list[WorkerInfo]:
+    """Return the workers to hold in addition, those that are ready soonest."""
+    others = cycle.held - len(held)
+    limit = int(MAX_HELD_SHARE * (len(cycle.usable) + cycle.held))
+    if others and (step.spec.gang or cycle.held >= limit):
+        return []
+    candidates = [
+        worker
+        for worker in step_candidates(step, cycle)
+        if _count_slots(step, [worker])
+    ]
+    candidates.sort(
+        key=lambda worker: (
+            worker in cycle.reserved,
+            not _has_room_soon(step, worker),
+            not has_ticket(step, worker, now_ms),
+            _count_unsettled(worker),
+            score_worker(step, worker, None),
+        )
+    )
+    chosen: list[WorkerInfo] = []
+    for worker in candidates:
+        if _count_slots(step, [*held, *chosen]) >= needed:
+            break
+        chosen.append(worker)
+    if _count_slots(step, [*held, *chosen]) < needed:
+        return []
+    cycle.held += len(chosen)
+    return chosen
+
+
+def _count_slots(step: StepInfo, workers: Iterable[WorkerInfo]) -> int:
+    """Return how many tasks fit once all runs but those that last are over."""
+    return sum(
+        _count_on(
+            step,
+            worker,
+            (run for run in worker.runs.values() if not run.step.spec.lasts),
+        )
+        for worker in workers
+    )
+
+
+def _has_room_soon(step: StepInfo, worker: WorkerInfo) -> bool:
+    """Return whether a task fits once the runs that have just begun are over."""
+    unsettled = (run for run in worker.runs.values() if not is_settled(run))
+    return _count_on(step, worker, unsettled) > 0
+
+
+def _count_on(step: StepInfo, worker: WorkerInfo, ending: Iterable[Run]) -> int:
+    free = worker.free
+    for run in ending:
+        free = free.plus(run.demand)
+    spec = step.spec
+    count = spec.demand.times_in(free) if any(spec.demand) else spec.width
+    if spec.spread_limit:
+        used = step.runs_per_worker.get(worker.key, 0)
+        count = min(count, spec.spread_limit - used)
+    return max(count, 0)
+
+
+def _count_unsettled(worker: WorkerInfo) -> int:
+    return sum(not is_settled(run) for run in worker.runs.values())
+
+
+def _is_ready(worker: WorkerInfo) -> bool:
+    # Polls are short from the first answer after the hold on, so that a later
+    # crash is not taken for one at the start.
+    is_polled_often = worker.last_contact_ms > worker.held_since_ms
+    return is_polled_often and not _count_unsettled(worker)
+
+
+def _hold(
+    cell: CellState, worker: WorkerInfo, step: StepInfo, now_ms: int
+) -> None:
+    if worker.held_for != step.key or worker.held_until_ms <= now_ms:
+        log_event(
+            cell,
+            'worker_held',
+            worker=worker.worker_id,
+            step=step.key,
+            unsettled=_count_unsettled(worker),
+        )
+        worker.held_since_ms = now_ms
+    worker.held_for = step.key
+    worker.held_until_ms = now_ms + HOLD_MS
+
+
+def _start(
+    cell: CellState,
+    step: StepInfo,
+    tasks: Sequence[TaskInfo],
+    workers: Iterable[WorkerInfo],
+    now_ms: int,
+) -> int:
+    slots = [
+        slot
+        for worker in workers
+        for slot in repeat(worker, count_fitting(step, worker, {}, now_ms))
+    ]
+    if step.spec.gang and len(slots) < len(tasks):
+        return 0
+    # The members of a gang share their number.
+    number = next_run_number(list(tasks))
+    runs = [
+        start_run(cell, step, task, worker, number, now_ms)
+        for task, worker in zip(tasks, slots, strict=False)
+    ]
+    for run in runs:
+        run.trial_until_ms = now_ms + TRIAL_MS
+        run.task.trial_run = number
+        run.worker.held_until_ms = now_ms + TRIAL_MS
+    log_starts(cell, step, runs, now_ms)
+    return len(runs)
--- a/src/lycheerelay/workflow/_wait_forecast.py
+++ b/src/lycheerelay/workflow/_wait_forecast.py
@@ -4,7 +4,7 @@
 from typing import Final, NamedTuple
 
 from .._resources import Resources
-from ._fit import is_usable
+from ._fit import is_in_service
 from ._intake import VALUE_EXPIRY_FACTOR
 from ._order import IN_TIME, by_slack
 from ._spec import WorkflowSpec, critical_path_ms, objective_ms
@@ -104,7 +104,7 @@
 def _pool_capacities(cell: CellState, now_ms: int) -> dict[str, PoolCapacity]:
     capacities: dict[str, PoolCapacity] = {}
     for worker in cell.workers.values():
-        if is_usable(worker, now_ms):
+        if is_in_service(worker, now_ms):
             capacity = capacities.get(
                 worker.pool, PoolCapacity(Resources(), Resources())
             )
@@ -123,7 +123,7 @@
             max(run.sent_ms + run.step.spec.expected_ms, now_ms), run.demand
         )
         for worker in cell.workers.values()
-        if worker.pool == pool and is_usable(worker, now_ms)
+        if worker.pool == pool and is_in_service(worker, now_ms)
         for run in worker.runs.values()
         if _is_finite(run)
     ]
--- a/src/lycheerelay_standins/platform/_environment.py
+++ b/src/lycheerelay_standins/platform/_environment.py
@@ -152,8 +152,11 @@
 
     def crash_worker(self, worker: WorkerStandIn) -> None:
         """Crash a worker, for good unless it is started again."""
+        lost = list(worker.runs.values())
         worker.crash()
         self.workers.pop(worker.worker_id, None)
+        for run in lost:
+            self._on_run_ended(worker, run, 'crashed')
 
     def _on_deadly_run(self, worker: WorkerStandIn) -> None:
         if self.workers.get(worker.worker_id) is not worker:
--- a/src/lycheerelay_standins/platform/_fuzz.py
+++ b/src/lycheerelay_standins/platform/_fuzz.py
@@ -29,7 +29,12 @@
 FAULT_DURATION_S: Final = (0.5, 6)
 # Faults that are drawn only if they are asked for, so that the days of earlier
 # seeds stay as they were.
-OPTIONAL_FAULTS: Final = ('answers_broken', 'config_storm', 'restart')
+OPTIONAL_FAULTS: Final = (
+    'answers_broken',
+    'config_storm',
+    'deadly',
+    'restart',
+)
 
 
 class FuzzResult(NamedTuple):
@@ -117,17 +122,22 @@
     async def _generate_load(self) -> None:
         while True:
             await asyncio.sleep(self.rng.expovariate(3))
-            asyncio.create_task(self._submit_job())
+            asyncio.create_task(self.submit_job())
 
-    async def _submit_job(self) -> None:
-        body = {'spec': 'x', 'steps': self._steps()}
+    async def submit_job(self, is_deadly: bool = False) -> None:
+        """Submit a random job; a deadly one has a task that crashes workers."""
+        steps = self._steps()
+        body = {'spec': 'x', 'steps': steps}
         vm = self.rng.choice(sorted(self.cell.entries))
         work_ms = self.rng.choice((200, 800, 3000))
-        name, outcome = await self.cell.submit(vm, body, work_ms=work_ms)
+        deadly = self._pick_deadly(steps) if is_deadly else ()
+        name, outcome = await self.cell.submit(
+            vm, body, work_ms=work_ms, deadly=deadly
+        )
         self.jobs.append(name)
         if outcome.status.value == 'unknown_outcome':
             again = self.rng.choice(sorted(self.cell.entries))
-            await self.cell.submit(again, body, job_id=name)
+            await self.cell.submit(again, body, job_id=name, deadly=deadly)
         if self.rng.random() < CANCEL_SHARE:
             await asyncio.sleep(self.rng.uniform(0, 3))
             chosen = self.rng.choice(sorted(self.cell.entries))
@@ -149,6 +159,11 @@
             steps.append(step)
         return steps
 
+    def _pick_deadly(self, steps: list[dict[str, Any]]) -> tuple[str, ...]:
+        number = self.rng.randrange(len(steps))
+        member = self.rng.randrange(steps[number]['count'])
+        return (f'{number}.{member}',)
+
     async def _inject_faults(self) -> None:
         running_faults = []
         for _ in range(self.rng.randint(2, 7)):
@@ -291,6 +306,12 @@
         run.cell.net.cuts.difference_update(cut)
 
 
+@FAULTS.register('deadly')
+async def deadly(run: FuzzRun) -> None:
+    """Submit a job with a task that crashes the workers that start it."""
+    await run.submit_job(is_deadly=True)
+
+
 @FAULTS.register('deal_anew')
 async def reassign_partitions(run: FuzzRun) -> None:
     """Reassign the partitions of every group several times."""
--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -55,3 +55,17 @@
     assert result.jobs > 20
     assert result.broken == ()
     assert result.unfinished == ()
+
+
+DEADLY = ('deadly', 'kill', 'revoke', 'restart', 'crash')
+
+
+@pytest.mark.parametrize('seed', range(1, 7))
+def test_a_day_with_tasks_that_crash_workers_keeps_every_promise(
+    seed: int,
+) -> None:
+    """They are given up, and no other task is, while owners change."""
+    result = fuzz(seed, DEADLY)
+    assert result.jobs > 20
+    assert result.broken == ()
+    assert result.unfinished == ()
