Do not hand the cell over because workers have crashed

Cause: an owner hands over when half of the workers leave its polls unanswered, which tells nothing about this process if they have crashed. Its successor finds the same. Change: only workers count that have registered well after their last answer, and so are up. Result: test_an_owner_stays_while_most_workers_have_crashed fails before; that an owner without workers hands over within 5 s is tested too.

--- a/src/lycheerelay/workflow/_periodic_checks.py
+++ b/src/lycheerelay/workflow/_periodic_checks.py
@@ -36,6 +36,9 @@
 # Final jobs are kept this much longer than callers may query them.
 RETENTION_MARGIN_MS: Final = 60_000
 FULL_PERCENT: Final = 100
+# A worker that is up may have answered last this long ago, as a poll waits there
+# for a second and registrations are read three times a second.
+MAX_ANSWER_AGE_MS: Final = 1400
 
 
 def run_periodic_checks(cell: CellState, now_ms: int) -> None:
@@ -59,19 +62,25 @@
 
 
 def median_unresponsive_ms(cell: CellState, now_ms: int) -> int:
-    """Return the median time for which listed workers are unresponsive.
+    """Return the median time for which listed workers cannot be reached.
 
-    A worker is unresponsive once it leaves a poll or an order unanswered; the
-    others count as 0 ms. The upper median is used.
+    A worker that leaves polls or orders unanswered, but has registered well after
+    its last answer, is up and cannot be reached from here; the others count as 0 ms.
+    The upper median is used.
     """
     unresponsive = sorted(
-        now_ms - worker.last_contact_ms if worker.unresponsive else 0
+        now_ms - worker.last_contact_ms if _is_up_elsewhere(worker) else 0
         for worker in cell.workers.values()
         if worker.listed
     )
     return unresponsive[len(unresponsive) // 2] if unresponsive else 0
 
 
+def _is_up_elsewhere(worker: WorkerInfo) -> bool:
+    since_answer_ms = worker.registered_ms - worker.last_contact_ms
+    return worker.unresponsive and since_answer_ms > MAX_ANSWER_AGE_MS
+
+
 def _expire_leases(cell: CellState, worker: WorkerInfo, now_ms: int) -> None:
     worker.lease_until_ms = 0
     if worker.runs or worker.synced:
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -225,6 +225,7 @@
 class WorkerInfo:
     """Track one instance of a worker process.
 
+    `registered_ms` is the time at which its last registration was read.
     `enrolled` says that the worker is in the durable list of known workers,
     and `synced` that its run table has been applied by this owner.
     `handled_end` and `recorded_end` are the numbers of the last run end that
@@ -254,6 +255,7 @@
     enrolled: bool = False
     synced: bool = False
     last_contact_ms: int = 0
+    registered_ms: int = 0
     unresponsive: bool = False
     missed_calls: int = 0
     lease_until_ms: int = 0
--- a/tests/test_platform_ownership.py
+++ b/tests/test_platform_ownership.py
@@ -292,3 +292,33 @@
         assert len(cell.entries[before].peers.live_peers()) == 3
 
     play(scenario)
+
+
+def test_an_owner_stays_while_most_workers_have_crashed() -> None:
+    """A successor could not reach them either."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        await asyncio.sleep(2)
+        owner = cell.owner()
+        for worker in list(cell.workers.values())[1:]:
+            cell.crash_worker(worker)
+        name, _ = await cell.submit('vm-0', job(step(8)), work_ms=300)
+        for _ in range(16):
+            await asyncio.sleep(0.5)
+            assert cell.owner() == owner
+        assert await cell.settle([name], 10) == {name: 'completed'}
+
+    play(scenario)
+
+
+def test_an_owner_that_is_cut_off_from_most_workers_hands_over() -> None:
+    """They go on registering, so they are up."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        await asyncio.sleep(2)
+        owner = cell.owner()
+        cell.net.cuts.update((owner, name) for name in cell.workers)
+        await asyncio.sleep(5)
+        assert cell.owner() not in {'', owner}
+
+    play(scenario)
