Send no start to a worker that has shrunk since the decision

Cause: a start waits for its record, for as long as the store refuses appends; it was then sent although the capacity that it was decided on was gone. Filler tasks, which need no cores, were started on a worker over its capacity as well. Class: a decision carried out on outdated inputs. Change: a worker over its capacity takes no start, and a start that waits is withheld if its worker is over capacity when the record is durable.

--- a/src/lycheerelay/serving/_orders.py
+++ b/src/lycheerelay/serving/_orders.py
@@ -159,7 +159,7 @@
     if not _is_start_pending(context, command):
         return
     sent_ms = context.now_ms
-    is_due = context.may_send_orders and _has_valid_ticket(context, command)
+    is_due = context.may_send_orders and _is_start_allowed(context, command)
     if poller is not None and poller.clock.is_known and is_due:
         deadline_ms = poller.lease_deadline()
         _note_order_sent(context, command, poller.clock.local_time(deadline_ms))
@@ -209,12 +209,14 @@
     return run is not None and run.state is RunState.SENT
 
 
-def _has_valid_ticket(context: OwnerContext, command: StartRun) -> bool:
-    if not command.ticket:
-        return True
+def _is_start_allowed(context: OwnerContext, command: StartRun) -> bool:
+    """Return whether the ticket is valid and the worker has not shrunk."""
     run = context.cell.find_run(command.worker.worker_id, command.run)
-    ticket = run.step.tickets.get(command.worker) if run else None
-    return ticket is not None and ticket.until_ms > context.now_ms
+    if run is None or run.worker.is_over_capacity:
+        return False
+    ticket = run.step.tickets.get(command.worker)
+    is_valid = ticket is not None and ticket.until_ms > context.now_ms
+    return is_valid or not command.ticket
 
 
 def _note_order_sent(
--- a/src/lycheerelay/workflow/_fit.py
+++ b/src/lycheerelay/workflow/_fit.py
@@ -78,6 +78,8 @@
 ) -> int:
     """Return how many tasks of a step fit on a worker now."""
     spec = step.spec
+    if worker.is_over_capacity:
+        return 0
     free = worker.free
     for reservation in reserved.get(worker, ()):
         is_backfill = now_ms + spec.expected_ms <= reservation.from_ms
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -278,6 +278,11 @@
         """Return the id, which other instances may have had."""
         return self.key.worker_id
 
+    @property
+    def is_over_capacity(self) -> bool:
+        """Return whether the runs need more than the worker has now."""
+        return min(self.free) < 0
+
     def allocate(self, run: Run) -> None:
         """Allocate the demand of a run."""
         self.runs[run.key] = run
--- a/src/lycheerelay_standins/platform/_fuzz.py
+++ b/src/lycheerelay_standins/platform/_fuzz.py
@@ -34,6 +34,7 @@
     'config_storm',
     'deadly',
     'restart',
+    'shrink',
 )
 
 
@@ -312,6 +313,17 @@
     await run.submit_job(is_deadly=True)
 
 
+@FAULTS.register('shrink')
+async def shrink(run: FuzzRun) -> None:
+    """Shrink the capacity of a worker for a while, several times."""
+    for _ in range(run.rng.randint(1, 3)):
+        worker = run.cell.workers[run.pick_worker()]
+        worker.stop_duration_s = run.rng.choice((0.1, 0.9))
+        worker.resize(Shape('cpu', run.rng.choice((1000, 4000, 8000))))
+        await run.pause()
+        worker.resize(Shape('cpu'))
+
+
 @FAULTS.register('deal_anew')
 async def reassign_partitions(run: FuzzRun) -> None:
     """Reassign the partitions of every group several times."""
