Let trials of one step overlap, and believe a trial that was survived

Cause: a step had one run on trial at a time until that ended, so a wide step that had just begun on workers that crashed by themselves ran one worker after the other. Change: the next trial begins once the last one has outlasted its start; a crash on trial after that, or before a takeover, needs four crashes for giving up. The cycle of a pool knows the workers that are held. Only tasks that are tried are not copied.

--- a/src/lycheerelay/workflow/_crashes.py
+++ b/src/lycheerelay/workflow/_crashes.py
@@ -16,8 +16,8 @@
 from ._state import CellState, CrashEvidence, JobPhase, StepInfo, TaskInfo
 from ._suspects import SUSPECT_RULES, Suspect
 
-# A task is given up after this many crashes if the evidence is clear: two of its
-# own, or one of its own and as many in which it had just begun.
+# A task is given up after this many crashes if the evidence is clear: all were at
+# its start, and either two were its own, or one was and it had part in as many.
 CRASHES_TO_GIVE_UP: Final = 3
 # Otherwise it is given up after this many, if it may be the cause of as many as
 # above.
@@ -57,10 +57,11 @@
 
 def _is_at_fault(task: TaskInfo) -> bool:
     counts = Counter(task.crashes.values())
-    own = counts[CrashEvidence.OWN]
     crashes = len(task.crashes)
-    had_just_begun = own + counts[CrashEvidence.SHARED]
-    if own > 1 or (own and had_just_begun >= CRASHES_TO_GIVE_UP):
+    own = counts[CrashEvidence.OWN]
+    at_start = own + counts[CrashEvidence.SHARED]
+    is_certain = own > 1 or (own and at_start >= CRASHES_TO_GIVE_UP)
+    if is_certain and not counts[CrashEvidence.UNCLEAR]:
         return crashes >= CRASHES_TO_GIVE_UP
     possible = crashes - counts[CrashEvidence.WEAK]
     return possible >= CRASHES_TO_GIVE_UP and crashes >= MAX_CRASHES
--- a/src/lycheerelay/workflow/_periodic_checks.py
+++ b/src/lycheerelay/workflow/_periodic_checks.py
@@ -150,7 +150,9 @@
     if elapsed_ms < limit_ms and not may_copy_runs(run.worker, now_ms):
         return
     task = run.task
-    if task.done or task.crashes or step.job.is_final or step.spec.gang:
+    if task.index in step.suspects:
+        return
+    if task.done or step.job.is_final or step.spec.gang:
         return
     others = [
         other
--- a/src/lycheerelay/workflow/_pool_cycle.py
+++ b/src/lycheerelay/workflow/_pool_cycle.py
@@ -7,9 +7,11 @@
 from .._resources import Resources
 from ._fit import ReservedCapacity, candidates, is_in_service, is_usable
 from ._openings import Opening, reservations_for
-from ._spec import WorkerKey
+from ._spec import StepKey, WorkerKey
 from ._state import CellState, StepInfo, TaskInfo, WorkerInfo
 
+# Part of a pool that is held at the same time.
+MAX_HELD_SHARE: Final = 0.2
 # Gangs that are planned in one cycle. The others follow in the next cycles, so
 # that a backlog of gangs does not delay short steps.
 MAX_PLANS_PER_CYCLE: Final = 3
@@ -24,8 +26,8 @@
     different workers. `position` counts the steps handled before the
     current one. `wanted` holds the workers with reservations in the previous
     cycle. Steps that come first in the order use them only as a last resort,
-    as every cycle reserves again in order. `held` counts the workers that are
-    held for a trial.
+    as every cycle reserves again in order. `held` has the workers that only one
+    step may use.
     """
 
     usable: dict[WorkerKey, WorkerInfo]
@@ -33,17 +35,39 @@
     wanted: frozenset[WorkerKey] = frozenset()
     position: int = 0
     reserving_steps: int = 0
-    held: int = 0
     plans_left: int = MAX_PLANS_PER_CYCLE
     reserved: dict[WorkerInfo, list[ReservedCapacity]] = field(
         default_factory=dict
     )
+    held: dict[StepKey, list[WorkerInfo]] = field(default_factory=dict)
 
     def reserve(self, step: StepInfo, openings: Iterable[Opening]) -> None:
         """Reserve the openings for a step until the cycle ends."""
         for worker, reservation in reservations_for(step, openings):
             self.reserved.setdefault(worker, []).append(reservation)
 
+    def hold(
+        self, step: StepInfo, workers: Iterable[WorkerInfo], until_ms: int
+    ) -> None:
+        """Let only this step use some workers."""
+        held = self.held.setdefault(step.key, [])
+        for worker in workers:
+            worker.held_for = step.key
+            worker.held_until_ms = until_ms
+            self.usable.pop(worker.key, None)
+            if worker not in held:
+                held.append(worker)
+
+    def may_hold(self, step: StepInfo, added: int) -> bool:
+        """Return whether a step may hold that many workers more.
+
+        The steps that hold workers share a part of the pool; one of them may
+        always hold what it needs.
+        """
+        held = sum(map(len, self.held.values()))
+        limit = MAX_HELD_SHARE * (len(self.usable) + held)
+        return not self.held.keys() - {step.key} or held + added <= limit
+
 
 def begin_cycle(cell: CellState, pool: str, now_ms: int) -> PoolCycle:
     """Start a cycle with the workers of a pool that accept new runs."""
@@ -57,13 +81,21 @@
     wanted: frozenset[WorkerKey] = frozenset()
     if cell.policies.spare_reserved:
         wanted = cell.wanted_workers.get(pool, wanted)
-    held = sum(
-        worker.pool == pool
-        and worker.held_until_ms > now_ms
-        and is_in_service(worker, now_ms)
-        for worker in cell.workers.values()
+    return PoolCycle(
+        usable, max_free, wanted, held=_held_workers(cell, pool, now_ms)
     )
-    return PoolCycle(usable, max_free, wanted, held=held)
+
+
+def _held_workers(
+    cell: CellState, pool: str, now_ms: int
+) -> dict[StepKey, list[WorkerInfo]]:
+    held: dict[StepKey, list[WorkerInfo]] = {}
+    for worker in cell.workers.values():
+        step_key = worker.held_for
+        is_held = worker.pool == pool and worker.held_until_ms > now_ms
+        if step_key and is_held and is_in_service(worker, now_ms):
+            held.setdefault(step_key, []).append(worker)
+    return held
 
 
 def startable_tasks(
@@ -79,11 +111,14 @@
 
 
 def step_candidates(step: StepInfo, cycle: PoolCycle) -> list[WorkerInfo]:
-    """Return the usable workers that may run the step."""
+    """Return the workers that the step may use and that may run it."""
+    usable = cycle.usable
+    if step.key in cycle.held:
+        own = {worker.key: worker for worker in cycle.held[step.key]}
+        usable = {**usable, **own}
     if step.job.spec.advice is None:
-        return candidates(cycle.usable.values(), step)
+        return candidates(usable.values(), step)
     # The advisor is asked only about workers that meet the requirements.
-    usable = cycle.usable
     return [usable[key] for key in step.eligible_workers if key in usable]
 
 
--- a/src/lycheerelay/workflow/_suspects.py
+++ b/src/lycheerelay/workflow/_suspects.py
@@ -57,17 +57,17 @@
     started = [run for run in worker.runs.values() if _may_have_begun(run)]
     unsettled = [run for run in started if not is_settled(run)]
     begun = [run for run in unsettled if _has_begun(run)]
-    suspects = {run.key: CrashEvidence.WEAK for run in unsettled or started}
-    likely = begun or [run for run in unsettled if run.trial_until_ms]
-    suspects.update((run.key, _evidence(run, begun)) for run in likely)
-    return tuple(Suspect(key, found) for key, found in suspects.items())
+    return tuple(
+        Suspect(run.key, _evidence(run, begun)) for run in unsettled or started
+    )
 
 
 def _evidence(run: Run, begun: list[Run]) -> CrashEvidence:
-    if run not in begun or _has_worked(run):
-        return CrashEvidence.UNCLEAR
-    jobs = {other.key.task.job_id for other in begun}
-    return CrashEvidence.SHARED if len(jobs) > 1 else CrashEvidence.OWN
+    if run in begun and not has_worked(run):
+        jobs = {other.key.task.job_id for other in begun}
+        return CrashEvidence.SHARED if len(jobs) > 1 else CrashEvidence.OWN
+    is_on_trial = run.trial_until_ms > 0
+    return CrashEvidence.UNCLEAR if is_on_trial else CrashEvidence.WEAK
 
 
 def _may_have_begun(run: Run) -> bool:
@@ -81,8 +81,9 @@
 def is_settled(run: Run) -> bool:
     """Return whether a run has worked for some time and is not on trial."""
     is_on_trial = run.worker.last_contact_ms < run.trial_until_ms
-    return _has_worked(run) and not is_on_trial
+    return has_worked(run) and not is_on_trial
 
 
-def _has_worked(run: Run) -> bool:
+def has_worked(run: Run) -> bool:
+    """Return whether a poll has shown that a run outlasted its start."""
     return run.listed and run.worker.last_contact_ms >= run.sent_ms + SETTLED_MS
--- a/src/lycheerelay/workflow/_trials.py
+++ b/src/lycheerelay/workflow/_trials.py
@@ -12,20 +12,18 @@
 from typing import Final
 
 from ._advice import ask_about_new_workers, call_advisor, may_ask
-from ._fit import count_fitting, has_ticket, is_in_service, score_worker
+from ._fit import count_fitting, has_ticket, score_worker
 from ._log_events import log_event
 from ._pool_cycle import PoolCycle, startable_tasks, step_candidates
 from ._runs import start_run
 from ._starting import log_starts, next_run_number
 from ._state import CellState, Run, StepInfo, TaskInfo, WorkerInfo
-from ._suspects import is_settled
+from ._suspects import has_worked, is_settled
 
 # A worker is held for this time at most while its step is not decided on again.
 HOLD_MS: Final = 500
 # How long a run on trial has its worker to itself, unless it ends before.
 TRIAL_MS: Final = 3000
-# Workers of a pool that are held at the same time. One step may always hold some.
-MAX_HELD_SHARE: Final = 0.2
 
 
 def start_trials(
@@ -33,9 +31,13 @@
 ) -> int:
     """Start the suspected tasks of a step on workers held for them."""
     tasks = _startable_suspects(cell, step, now_ms)
-    if not tasks or _has_run_on_trial(step, now_ms):
+    if not tasks or _is_trial_open(step, now_ms):
         return 0
-    workers = _find_held(cell, step, now_ms)
+    workers = [
+        worker
+        for worker in cycle.held.get(step.key, ())
+        if not _has_trial(worker, now_ms)
+    ]
     needed = len(tasks) if step.spec.gang else 1
     if _count_slots(step, workers) < needed:
         workers += _choose(step, cycle, needed, workers, now_ms)
@@ -45,8 +47,8 @@
             ask_about_new_workers(cell, step, policy, cycle.usable, now_ms)
         return 0
     for worker in workers:
-        _hold(cell, worker, step, now_ms)
-        cycle.usable.pop(worker.key, None)
+        _note_hold(cell, worker, step, now_ms)
+    cycle.hold(step, workers, now_ms + HOLD_MS)
     if not all(map(_is_ready, workers)):
         return 0
     expired = [
@@ -68,24 +70,16 @@
     return [task for task in tasks if task.index in step.suspects]
 
 
-def _has_run_on_trial(step: StepInfo, now_ms: int) -> bool:
+def _is_trial_open(step: StepInfo, now_ms: int) -> bool:
     return any(
-        run.trial_until_ms > now_ms
+        run.trial_until_ms > now_ms and not has_worked(run)
         for index in step.suspects
         for run in step.tasks[index].runs.values()
     )
 
 
-def _find_held(
-    cell: CellState, step: StepInfo, now_ms: int
-) -> list[WorkerInfo]:
-    return [
-        worker
-        for worker in cell.workers.values()
-        if worker.held_for == step.key
-        and worker.held_until_ms > now_ms
-        and is_in_service(worker, now_ms)
-    ]
+def _has_trial(worker: WorkerInfo, now_ms: int) -> bool:
+    return any(run.trial_until_ms > now_ms for run in worker.runs.values())
 
 
 def _choose(
@@ -96,14 +90,11 @@
     now_ms: int,
 ) -> list[WorkerInfo]:
     """Return the workers to hold in addition, those that are ready soonest."""
-    others = cycle.held - len(held)
-    limit = int(MAX_HELD_SHARE * (len(cycle.usable) + cycle.held))
-    if others and (step.spec.gang or cycle.held >= limit):
-        return []
     candidates = [
         worker
         for worker in step_candidates(step, cycle)
-        if _count_slots(step, [worker])
+        if worker not in cycle.held.get(step.key, ())
+        and _count_slots(step, [worker])
     ]
     candidates.sort(
         key=lambda worker: (
@@ -119,10 +110,8 @@
         if _count_slots(step, [*held, *chosen]) >= needed:
             break
         chosen.append(worker)
-    if _count_slots(step, [*held, *chosen]) < needed:
-        return []
-    cycle.held += len(chosen)
-    return chosen
+    is_enough = _count_slots(step, [*held, *chosen]) >= needed
+    return chosen if is_enough and cycle.may_hold(step, len(chosen)) else []
 
 
 def _count_slots(step: StepInfo, workers: Iterable[WorkerInfo]) -> int:
@@ -166,20 +155,19 @@
     return is_polled_often and not _count_unsettled(worker)
 
 
-def _hold(
+def _note_hold(
     cell: CellState, worker: WorkerInfo, step: StepInfo, now_ms: int
 ) -> None:
-    if worker.held_for != step.key or worker.held_until_ms <= now_ms:
-        log_event(
-            cell,
-            'worker_held',
-            worker=worker.worker_id,
-            step=step.key,
-            unsettled=_count_unsettled(worker),
-        )
-        worker.held_since_ms = now_ms
-    worker.held_for = step.key
-    worker.held_until_ms = now_ms + HOLD_MS
+    if worker.held_for == step.key and worker.held_until_ms > now_ms:
+        return
+    worker.held_since_ms = now_ms
+    log_event(
+        cell,
+        'worker_held',
+        worker=worker.worker_id,
+        step=step.key,
+        unsettled=_count_unsettled(worker),
+    )
 
 
 def _start(
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -207,7 +207,7 @@
             cell.net.cuts.update(cuts)
             await asyncio.sleep(7.5)
             cell.net.cuts.difference_update(cuts)
-        assert await cell.settle([name], 20) == {name: 'completed'}
+        assert await cell.settle([name], 10) == {name: 'completed'}
 
     play(scenario, CELL)
 
@@ -229,3 +229,17 @@
         assert await cell.settle([name], 30) == {name: 'completed'}
 
     play(scenario, CELL)
+
+
+def test_trials_of_a_wide_step_overlap() -> None:
+    """Tasks that outlast their start on trial make way for the next ones."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        name = await _submit(cell, step(60), work_ms=2500)
+        await asyncio.sleep(0.05)
+        for worker in list(cell.workers.values())[:6]:
+            cell.crash_worker(worker)
+            cell.add_worker(worker.shape, cell.addresses[worker.worker_id])
+        assert await cell.settle([name], 10) == {name: 'completed'}
+
+    play(scenario, CELL._replace(workers=CELL.workers * 2))
