Tell in traces what waits for a trial

Cause: runs that a worker took with it were named in no line that trace reads, so their tasks counted as running until the next start. Change: runs_lost is read for each run; waiting of a suspected task for a held worker is a cause of its own, trial. Conclusion: no decision changed.

--- a/src/lycheerelay/traces/_causes.py
+++ b/src/lycheerelay/traces/_causes.py
@@ -16,6 +16,7 @@
     CAPACITY = 'capacity'
     START_RECORD = 'start_record'
     RUNNING = 'running'
+    TRIAL = 'trial'
     RERUN = 'rerun'
     END_RECORD = 'end_record'
     UNKNOWN = 'unknown'
@@ -26,7 +27,7 @@
     """Track what the log lines have told about one job so far.
 
     `widths` are the numbers of tasks of its steps. `advised` holds the steps
-    that the advisor has allowed workers for, `done` and `lost` task names,
+    that the advisor has allowed workers for, `done`, `lost` and `suspected` task names,
     `unrecorded` and `running` the names of runs in that state.
     """
 
@@ -38,6 +39,7 @@
     advised: set[str] = field(default_factory=set)
     done: set[str] = field(default_factory=set)
     lost: set[str] = field(default_factory=set)
+    suspected: set[str] = field(default_factory=set)
     unrecorded: set[str] = field(default_factory=set)
     running: set[str] = field(default_factory=set)
 
@@ -74,6 +76,7 @@
     Cause.END_RECORD: lambda job: job.settled,
     Cause.OWNER: lambda job: not job.opened,
     Cause.START_RECORD: lambda job: bool(job.unrecorded and not job.running),
+    Cause.TRIAL: lambda job: bool((job.lost & job.suspected) - job.done),
     Cause.RERUN: lambda job: bool(job.lost - job.done),
     Cause.ADVICE: lambda job: bool(
         job.missing
--- a/src/lycheerelay/traces/_timeline.py
+++ b/src/lycheerelay/traces/_timeline.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from itertools import chain
 from typing import Final, NamedTuple
 
 from .._registry import Registry
@@ -70,7 +71,8 @@
 def build_timelines(lines: Iterable[LogLine]) -> dict[str, JobTimeline]:
     """Return the timeline of each job, by id; lines may come in any order."""
     timelines: dict[str, JobTimeline] = {}
-    for line in sorted(lines, key=lambda line: line.at_ms):
+    ordered = sorted(lines, key=lambda line: line.at_ms)
+    for line in chain.from_iterable(map(_split_by_run, ordered)):
         job_id = _job_of(line)
         if job_id is None:
             continue
@@ -83,6 +85,14 @@
     return timelines
 
 
+def _split_by_run(line: LogLine) -> Iterable[LogLine]:
+    """Return a line for each run of a line that names several."""
+    runs = line.fields.get('runs')
+    if not isinstance(runs, list):
+        return (line,)
+    return [line._replace(fields={**line.fields, 'run': run}) for run in runs]
+
+
 def _job_of(line: LogLine) -> str | None:
     for name in ('job', 'run', 'step'):
         text = line.fields.get(name)
@@ -164,6 +174,7 @@
         progress.lost.add(task)
 
 
+@HANDLERS.register('runs_lost')
 @HANDLERS.register('run_over')
 def apply_loss(timeline: JobTimeline, line: LogLine) -> None:
     """Apply that a run is lost with its worker or was never started."""
@@ -172,6 +183,13 @@
     timeline.progress.lost.add(run.partition('#')[0])
 
 
+@HANDLERS.register('crash_counted')
+def apply_crash(timeline: JobTimeline, line: LogLine) -> None:
+    """Apply that a task may have crashed its worker, and has a trial."""
+    task = str(line.fields['run']).partition('#')[0]
+    timeline.progress.suspected.add(task)
+
+
 @HANDLERS.register('job_settled')
 def apply_settled(timeline: JobTimeline, line: LogLine) -> None:
     """Apply that the job is over, though not yet durably."""
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -66,6 +66,28 @@
     assert timeline.phase == 'completed'
 
 
+def test_time_until_a_trial_is_told_apart() -> None:
+    lost = (
+        _line(
+            400,
+            'runs_lost',
+            worker='w',
+            runs=[f'{ID}.0.0.0#1', 'other.0.0.0#1'],
+        ),
+        _line(400, 'crash_counted', run=f'{ID}.0.0.0#1', evidence='own'),
+        _line(900, 'runs_started', step=f'{ID}.0.0', members=[0], numbers=[2]),
+        _line(910, 'starts_recorded', job=ID, runs=1),
+    )
+    texts = (*LINES[:5], *lost)
+    lines = [each.unwrap() for each in read_lines(texts, LineCounts())]
+    timelines = build_timelines(lines)
+    assert set(timelines) == {ID, 'other'}
+    spent = timelines[ID].spent_ms()
+    # The other task of the step runs on.
+    assert spent[Cause.RUNNING] == 260
+    assert spent[Cause.TRIAL] == 500
+
+
 def test_jobs_with_missing_lines_are_left_out(tmp_path, capsys) -> None:
     path = tmp_path / 'vm.log'
     path.write_text(
