--- a/src/lycheerelay_standins/platform/_soak.py
+++ b/src/lycheerelay_standins/platform/_soak.py
@@ -44,18 +44,30 @@
 class Soak:
     """One soak: a cell, the load of its callers, and faults."""
 
-    def __init__(self, seed: int, length_s: float, folder: Path) -> None:
-        """Draw the shape of the cell from the seed."""
+    def __init__(
+        self,
+        seed: int,
+        length_s: float,
+        folder: Path,
+        deadly_share: float = 0,
+    ) -> None:
+        """Draw the shape of the cell from the seed.
+
+        `deadly_share` is the share of jobs with a task that crashes its workers.
+        """
         self.seed = seed
         self.length_s = length_s
         # Faults have their own generator so that they repeat with the seed:
         # the draws of the load depend on real time.
         self.rng = random.Random(number_of(f'soak:{seed}'))
         self.load_rng = random.Random(number_of(f'load:{seed}'))
+        self.deadly_rng = random.Random(number_of(f'deadly:{seed}'))
+        self.deadly_share = deadly_share
         shape = CellShape(
             vms=self.rng.randint(2, 4),
             workers=(Shape('cpu'),) * self.rng.randint(3, 6),
             seed=seed,
+            keeps_ids=True,
         )
         self.net = EmulatedNetwork(random.Random(seed))
         self.cell = SoakCell(shape, folder, self.net)
@@ -126,7 +138,14 @@
         ]
         name = f'{self.load_rng.getrandbits(64):016x}'
         work_ms = self.load_rng.choice((100, 600, 2000))
-        submitted = SubmittedJob(job_body(steps), 'cpu', 3, work_ms=work_ms)
+        is_deadly = self.deadly_rng.random() < self.deadly_share
+        submitted = SubmittedJob(
+            job_body(steps),
+            'cpu',
+            3,
+            work_ms=work_ms,
+            deadly=frozenset(('0.0',) if is_deadly else ()),
+        )
         self.cell.audit.jobs[name] = submitted
         vm = self.load_rng.choice(sorted(self.cell.vms))
         url = f'{self.cell.callers_url(vm)}/batch/{name}'
@@ -216,15 +235,23 @@
         return 0, {}
 
 
-async def run_soak(seed: int, length_s: float, folder: Path) -> SoakResult:
+async def run_soak(
+    seed: int, length_s: float, folder: Path, deadly_share: float = 0
+) -> SoakResult:
     """Run the soak of a seed; its processes log to a folder."""
     folder.mkdir(parents=True, exist_ok=True)
-    return await Soak(seed, length_s, folder).run()
+    return await Soak(seed, length_s, folder, deadly_share).run()
 
 
-def soak(seed: int, length_s: float, folder: Path | None = None) -> SoakResult:
+def soak(
+    seed: int,
+    length_s: float,
+    folder: Path | None = None,
+    deadly_share: float = 0,
+) -> SoakResult:
     """Run the soak of a seed; without a folder, the logs are dropped."""
     if folder is not None:
-        return asyncio.run(run_soak(seed, length_s, folder))
+        return asyncio.run(run_soak(seed, length_s, folder, deadly_share))
     with tempfile.TemporaryDirectory() as temporary_folder:
-        return asyncio.run(run_soak(seed, length_s, Path(temporary_folder)))
+        logs = Path(temporary_folder)
+        return asyncio.run(run_soak(seed, length_s, logs, deadly_share))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -27,6 +27,18 @@
     assert any('"started"' in line for line in lines)
 
 
+def test_a_soak_with_tasks_that_crash_workers_keeps_every_promise(
+    tmp_path: Path,
+) -> None:
+    """Real processes give them up, and finish everything else."""
+    result = soak(6, LENGTH_S, tmp_path, deadly_share=0.1)
+    assert result.accepted > 5
+    assert result.broken == ()
+    assert result.unfinished == ()
+    logs = ''.join(path.read_text() for path in tmp_path.glob('*.log'))
+    assert 'workers crashed under a task' in logs
+
+
 def test_concurrent_soaks_use_separate_networks(tmp_path: Path) -> None:
     """Concurrent soaks claim separate parts of the loopback network."""
     shape = CellShape(vms=0)
