Blame nothing on a worker that drained, whoever owns the cell

Cause, by reading: the runs that lapsed on a draining worker counted if it started again under its id, and a successor that knew a draining worker from the record only took its end for a crash. Change: one function names the suspects of a worker, none if it was draining; the record of known workers tells a successor which are. Conclusion: a drain is no crash on any path.

--- a/src/lycheerelay/serving/_known_workers.py
+++ b/src/lycheerelay/serving/_known_workers.py
@@ -6,7 +6,7 @@
 """
 
 import logging
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from typing import Any, Final, NamedTuple
 
 import orjson
@@ -54,13 +54,13 @@
     return addresses
 
 
-def decode_instances(progress: RecordPage) -> Iterable[KnownWorker]:
-    """Return the recorded worker instances."""
+def decode_instances(progress: RecordPage) -> dict[str, KnownWorker]:
+    """Return the recorded worker instances by worker id."""
     rows = _decode(progress, INSTANCES_KEY)
-    return [
-        KnownWorker(WorkerKey(worker_id, started_ms), draining)
+    return {
+        worker_id: KnownWorker(WorkerKey(worker_id, started_ms), draining)
         for worker_id, (started_ms, draining) in rows.items()
-    ]
+    }
 
 
 def _decode(progress: RecordPage, key: str) -> dict[str, Any]:
@@ -78,8 +78,10 @@
     return {}
 
 
-def placeholder_listing(worker_id: str, address: str) -> WorkerListing:
-    """Return a registration of which only id and address are known."""
+def placeholder_listing(
+    worker_id: str, address: str, draining: bool
+) -> WorkerListing:
+    """Return a registration of a worker that has none any more."""
     return WorkerListing(
         worker=WorkerKey(worker_id),
         address=address,
@@ -88,5 +90,5 @@
         rack='',
         labels=frozenset(),
         capacity=Resources(),
-        draining=False,
+        draining=draining,
     )
--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -193,17 +193,16 @@
         for listing in self.listings.decode(listed.records):
             if isinstance(listing, WorkerListing):
                 list_worker(cell, listing, now_ms)
+        earlier = decode_instances(progress)
+        leaving = {name for name, known in earlier.items() if known.draining}
         for worker_id, address in decode_addresses(progress).items():
             if worker_id not in cell.instances:
-                list_worker(
-                    cell, placeholder_listing(worker_id, address), now_ms
-                )
+                is_leaving = worker_id in leaving
+                listing = placeholder_listing(worker_id, address, is_leaving)
+                list_worker(cell, listing, now_ms)
                 unlist_worker(cell, worker_id)
-        cell.earlier_instances.update(
-            (key.worker_id, key)
-            for key, draining in decode_instances(progress)
-            if not draining
-        )
+        for worker_id in earlier.keys() - leaving:
+            cell.earlier_instances[worker_id] = earlier[worker_id].key
         cell.unsynced_workers.update(dict.fromkeys(cell.instances))
         self._start_pollers()
 
--- a/src/lycheerelay/workflow/_instances.py
+++ b/src/lycheerelay/workflow/_instances.py
@@ -165,8 +165,7 @@
     cell: CellState, before: WorkerInfo, worker: WorkerInfo, now_ms: int
 ) -> None:
     unconfirmed = list(filter(is_start_unconfirmed, before.runs.values()))
-    suspects = () if before.draining else find_suspects(before)
-    evidence = dict(suspects)
+    evidence = dict(_crash_suspects(before))
     for run in unconfirmed:
         _move_run(run, worker)
         run.earlier_crash = evidence.pop(run.key, None)
@@ -189,11 +188,10 @@
         voided=len(given_up),
         handled_end=before.handled_end,
     )
-    remaining = itertools.starmap(Suspect, evidence.items())
     _remove(
         cell,
         before.key,
-        (*before.lapsed_suspects, *remaining),
+        itertools.starmap(Suspect, evidence.items()),
         now_ms,
         'replaced by a later instance',
     )
@@ -216,12 +214,17 @@
 ) -> None:
     """Remove a worker instance that is known to have ended."""
     worker = cell.workers.get(key)
-    suspects: tuple[Suspect, ...] = ()
-    if worker is not None and not worker.draining:
-        suspects = worker.lapsed_suspects + find_suspects(worker)
+    suspects = _crash_suspects(worker) if worker else ()
     _remove(cell, key, suspects, now_ms, reason)
 
 
+def _crash_suspects(worker: WorkerInfo) -> tuple[Suspect, ...]:
+    """Return the suspects if the worker has crashed; a draining one left."""
+    if worker.draining:
+        return ()
+    return worker.lapsed_suspects + find_suspects(worker)
+
+
 def _remove(
     cell: CellState,
     key: WorkerKey,
--- a/src/lycheerelay/workflow/_periodic_checks.py
+++ b/src/lycheerelay/workflow/_periodic_checks.py
@@ -69,14 +69,14 @@
     The upper median is used.
     """
     unresponsive = sorted(
-        now_ms - worker.last_contact_ms if _is_up_elsewhere(worker) else 0
+        now_ms - worker.last_contact_ms if _is_up_but_unreachable(worker) else 0
         for worker in cell.workers.values()
         if worker.listed
     )
     return unresponsive[len(unresponsive) // 2] if unresponsive else 0
 
 
-def _is_up_elsewhere(worker: WorkerInfo) -> bool:
+def _is_up_but_unreachable(worker: WorkerInfo) -> bool:
     since_answer_ms = worker.registered_ms - worker.last_contact_ms
     return worker.unresponsive and since_answer_ms > MAX_ANSWER_AGE_MS
 
--- a/src/lycheerelay/workflow/_progress.py
+++ b/src/lycheerelay/workflow/_progress.py
@@ -6,8 +6,7 @@
 hexadecimal bit mask, and a row for each open task that was started: index,
 failed runs, last run, checkpoint, worker. `crashes` has a row for each open task
 that a crash of its worker counted for: occurrence, step, index, a row for each
-crash (run, evidence) and its last run on trial. Earlier
-versions ignore it.
+crash (run, evidence) and its last run on trial. Earlier versions ignore it.
 """
 
 from collections.abc import Iterator
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -104,8 +104,7 @@
     `failed_runs` holds the numbers of its failed runs, `avoided_worker` the
     worker of the last failure and `assigned_worker` the id of the worker of the
     last start. `crashes` holds the numbers of its runs that may have crashed their
-    workers, with the evidence. `trial_run` is the
-    number of its last run on trial.
+    workers, with the evidence. `trial_run` is the number of its last run on trial.
     """
 
     index: int
@@ -235,9 +234,8 @@
     the runs that were given up without an answer to their start order, with
     the time, and `unconfirmed_voids` those whose start this instance has still to
     void. From `held_since_ms` to `held_until_ms` only the step `held_for` may start
-    runs there.
-    `lapsed_suspects` holds the runs that may be the cause if the instance proves to
-    have crashed before its leases expired.
+    runs there. `lapsed_suspects` holds the runs that may be the cause if the
+    instance proves to have crashed before its leases expired.
     """
 
     key: WorkerKey
@@ -316,9 +314,9 @@
     there is more than one until the current one has answered.
     `unsynced_workers` holds the ids of the workers whose run table this owner has
     not received yet, whichever instance returns it, and `earlier_instances` the
-    instances that an earlier owner has recorded, by worker id. `wanted_workers` holds the
-    workers of each pool with capacity reserved in the last scheduling cycle,
-    `advice_counts` the replies of the advisor by queue.
+    instances that an earlier owner has recorded, by worker id. `wanted_workers`
+    holds the workers of each pool with capacity reserved in the last scheduling
+    cycle, `advice_counts` the replies of the advisor by queue.
     """
 
     fence: int
