--- a/src/lycheerelay_standins/platform/__init__.py
+++ b/src/lycheerelay_standins/platform/__init__.py
@@ -3,7 +3,8 @@
 from ._audit import Audit
 from ._cell import PlatformCell
 from ._environment import CellShape, QueueShape
-from ._fuzz import FAULTS, FuzzResult, fuzz
+from ._fuzz import FuzzResult, fuzz
+from ._fuzz_faults import FAULTS
 from ._network import EmulatedNetwork, NetCaller, Request
 from ._soak import SoakResult, soak
 from ._store import StoreStandIn
