--- a/src/lycheerelay/workflow/_crashes.py
+++ b/src/lycheerelay/workflow/_crashes.py
@@ -16,8 +16,8 @@
 from ._state import CellState, CrashEvidence, JobPhase, StepInfo, TaskInfo
 from ._suspects import SUSPECT_RULES, Suspect
 
-# A task is given up after this many crashes if the evidence is clear: all were at
-# its start, and either two were its own, or one was and it had part in as many.
+# A task is given up after this many crashes if the evidence is clear: none is
+# unclear, and either two are its own, or one is and it had just begun in as many.
 CRASHES_TO_GIVE_UP: Final = 3
 # Otherwise it is given up after this many, if it may be the cause of as many as
 # above.
