Decode tenants, and charge what they run to accounts

Cause: a configuration may hold tenants with keys, weights and quotas, which the workflow path ignored; any caller may use any queue, and no quota holds. Nothing uses the accounts yet.

--- a/src/lycheerelay/platform/_decode.py
+++ b/src/lycheerelay/platform/_decode.py
@@ -1,5 +1,6 @@
 """Decode the configuration, worker registrations and submitted jobs."""
 
+import hashlib
 import logging
 from collections.abc import Mapping
 from typing import Any, Final
@@ -20,6 +21,7 @@
     find_forward_dependency,
     make_step_spec,
 )
+from ..workflow.tenants import TenantPolicy
 
 logger = logging.getLogger('lycheerelay.decode')
 
@@ -51,15 +53,36 @@
 
 
 def _decode_queue_table(fields: Mapping[str, Any]) -> QueueTable:
+    # An empty list of tenants leaves no valid key.
+    requires_keys = 'tenants' in fields
     return QueueTable(
         version=int(fields['version']),
-        queues=tuple(_decode_queue(route) for route in fields['routes']),
+        queues=tuple(
+            _decode_queue(route, requires_keys) for route in fields['routes']
+        ),
         pools=frozenset(pool['name'] for pool in fields['services']),
         max_body_bytes=int(fields['limits']['maxBodyBytes']),
+        tenants=tuple(map(_decode_tenant, fields.get('tenants') or ())),
+        requires_keys=requires_keys,
     )
 
 
-def _decode_queue(route: Mapping[str, Any]) -> Queue:
+def _decode_tenant(fields: Mapping[str, Any]) -> TenantPolicy:
+    weight = float(fields.get('weight') or 0)
+    if not 0 <= weight <= MAX_NUMBER:
+        raise ValueError(f'tenant {fields["name"]}: weight {weight}')
+    return TenantPolicy(
+        name=_check_text(fields['name']),
+        weight=weight,
+        quota=_decode_resources(fields.get('maxCount') or {}),
+        keys=frozenset(
+            hashlib.sha256(_check_text(key).encode()).digest()
+            for key in fields.get('apiKeys') or ()
+        ),
+    )
+
+
+def _decode_queue(route: Mapping[str, Any], requires_keys: bool) -> Queue:
     advice = route.get('placementAdvisor')
     policy = QueuePolicy(
         name=route['name'],
@@ -70,7 +93,8 @@
         priority=int(route.get('priority', 0)),
         advice=_decode_advice_policy(advice) if advice else None,
     )
-    return Queue(route['host'], route['pathPrefix'], policy)
+    is_public = bool(route.get('public', False)) or not requires_keys
+    return Queue(route['host'], route['pathPrefix'], policy, is_public)
 
 
 def _decode_advice_policy(fields: Mapping[str, Any]) -> AdvicePolicy:
--- a/src/lycheerelay/platform/_settings.py
+++ b/src/lycheerelay/platform/_settings.py
@@ -30,6 +30,9 @@
     group_ttl_ms: int
     cores: float = 1
     link_mbps: float = 1000
+    strict_revocation: bool = False
+    revocation_ms: int = 0
+    quota_window_ms: int = 0
 
 
 def read_settings() -> Result[PlatformSettings, str]:
@@ -71,4 +74,7 @@
         # The process uses a single core and gets this share of it.
         cores=float(limits.get('cpuShare', 1)),
         link_mbps=float(limits.get('linkMbps', 1000)),
+        strict_revocation=bool(bounds.get('strictRevocation', False)),
+        revocation_ms=int(bounds.get('revocationMs') or 0),
+        quota_window_ms=int((bounds.get('quotaWindowS') or 0) * MS_PER_SECOND),
     )
--- a/src/lycheerelay/serving/_queues.py
+++ b/src/lycheerelay/serving/_queues.py
@@ -3,23 +3,34 @@
 from typing import NamedTuple
 
 from ..workflow import QueuePolicy
+from ..workflow.tenants import TenantPolicy
 
 
 class Queue(NamedTuple):
-    """Host and path prefix at which callers reach a queue, and its policy."""
+    """Host and path prefix at which callers reach a queue, and its policy.
+
+    Callers of a public queue need no key.
+    """
 
     host: str
     prefix: str
     policy: QueuePolicy
+    is_public: bool = True
 
 
 class QueueTable(NamedTuple):
-    """One version of the configuration."""
+    """One version of the configuration.
+
+    With `requires_keys`, calls to queues that are not public need the key of a
+    tenant.
+    """
 
     version: int
     queues: tuple[Queue, ...]
     pools: frozenset[str]
     max_body_bytes: int
+    tenants: tuple[TenantPolicy, ...] = ()
+    requires_keys: bool = False
 
     def find(self, host: str, path: str) -> Queue | None:
         """Return the queue of the host with the longest matching prefix."""
--- a/src/lycheerelay/serving/_spec_codec.py
+++ b/src/lycheerelay/serving/_spec_codec.py
@@ -23,6 +23,9 @@
     fields['steps'] = [_encode_step(step) for step in spec.steps]
     if spec.advice is not None:
         fields['advice'] = list(spec.advice)
+    if not spec.tenant:
+        # Earlier versions cannot read a record with this field.
+        fields.pop('tenant')
     return orjson.dumps(fields)
 
 
--- a/src/lycheerelay/workflow/_intake.py
+++ b/src/lycheerelay/workflow/_intake.py
@@ -24,6 +24,8 @@
     if known is not None:
         return known
     job = JobInfo(spec, offset)
+    if spec.tenant:
+        job.account = cell.tenants.find(spec.tenant)
     cell.jobs[spec.job_id] = job
     if not spec.occurrences:
         open_occurrence(cell, job, 0)
--- a/src/lycheerelay/workflow/_spec.py
+++ b/src/lycheerelay/workflow/_spec.py
@@ -57,7 +57,10 @@
 
 
 class WorkflowSpec(NamedTuple):
-    """Specification of one accepted job; wall times are Unix time in ms."""
+    """Specification of one accepted job; wall times are Unix time in ms.
+
+    `tenant` is empty for jobs of a public queue, and where there are no tenants.
+    """
 
     job_id: str
     queue: str
@@ -73,6 +76,7 @@
     occurrences: int = 0
     first_due_ms: int = 0
     every_ms: int = 0
+    tenant: str = ''
 
 
 class TaskKey(NamedTuple):
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -7,6 +7,7 @@
 from .._resources import Resources
 from ._policies import Policies
 from ._spec import RunKey, StepKey, StepSpec, WorkerKey, WorkflowSpec
+from ._tenants import TenantAccount, TenantLedger
 
 if TYPE_CHECKING:
     from ._commands import Command
@@ -193,7 +194,8 @@
 class JobInfo:
     """Track one accepted job.
 
-    `durable_phase` is the phase in the last durable progress record.
+    `durable_phase` is the phase in the last durable progress record, `account` that
+    of its tenant, if it has one.
     """
 
     spec: WorkflowSpec
@@ -206,6 +208,7 @@
     cancelled: bool = False
     finalized_ms: int = NEVER
     reason: str = ''
+    account: TenantAccount | None = None
 
     @property
     def is_final(self) -> bool:
@@ -285,6 +288,8 @@
         """Allocate the demand of a run."""
         self.runs[run.key] = run
         self.free = self.free.minus(run.demand)
+        if run.step.job.account is not None:
+            run.step.job.account.charge(run.demand)
         key = self.key
         run.step.runs_per_worker[key] = run.step.runs_per_worker.get(key, 0) + 1
 
@@ -293,6 +298,8 @@
         if self.runs.pop(run.key, None) is None:
             return
         self.free = self.free.plus(run.demand)
+        if run.step.job.account is not None:
+            run.step.job.account.refund(run.demand)
         if run.trial_until_ms and not any(
             other.trial_until_ms for other in self.runs.values()
         ):
@@ -335,6 +342,7 @@
     deposed: bool = False
     last_suspicion_ms: int = NEVER
     policies: Policies = Policies()
+    tenants: TenantLedger = field(default_factory=TenantLedger)
     wanted_workers: dict[str, frozenset[WorkerKey]] = field(
         default_factory=dict
     )
