--- a/src/lycheerelay/serving/_config_watch.py
+++ b/src/lycheerelay/serving/_config_watch.py
@@ -191,6 +191,7 @@
         answer: dict[str, Any] = {
             'version': table.version,
             'age_ms': self.age_ms,
+            'owner': self.peers.owner,
         }
         if table.version > version:
             payload = base64.b64encode(self.record.payload or b'').decode()
--- a/src/lycheerelay/serving/_internal_api.py
+++ b/src/lycheerelay/serving/_internal_api.py
@@ -104,8 +104,11 @@
 @ROUTES.register('/hello')
 async def hello(internal: InternalApi, body: Body) -> Body | None:
     """Register a member that regards this VM as the owner."""
+    peers = internal.handler.peers
+    member = str(body['member'])
     return {
-        'again_ms': internal.handler.peers.receive_hello(str(body['member']))
+        'again_ms': peers.receive_hello(member),
+        'members': peers.name_members(member),
     }
 
 
--- a/src/lycheerelay/serving/_peers.py
+++ b/src/lycheerelay/serving/_peers.py
@@ -46,6 +46,9 @@
 HELLO_RETRY_MS: Final = 1000
 # A member expires after this many of its hello intervals.
 HELLO_EXPIRY_INTERVALS: Final = 3
+# Members that the answer to a hello names, as others to ask if both the owner and
+# the store fail.
+MAX_NAMED_MEMBERS: Final = 3
 
 
 def address_of(member: str) -> str:
@@ -77,7 +80,10 @@
         self.suspected_until_ms: dict[str, int] = {}
         self.hello_expiry_ms: dict[str, int] = {}
         self.hello_due_ms = 0
-        self.config_source = 0
+        # Members that the owner has named, and the number of failed questions
+        # for the configuration.
+        self.named_members: tuple[str, ...] = ()
+        self.failed_questions = 0
         self.refresh_lock = asyncio.Lock()
 
     def live_peers(self) -> list[str]:
@@ -110,6 +116,11 @@
         self.hello_expiry_ms[member] = now_ms + HELLO_EXPIRY_INTERVALS * wait_ms
         return wait_ms
 
+    def name_members(self, asker: str) -> list[str]:
+        """Return some members that have said hello, other than the asker."""
+        others = [name for name in self.hello_expiry_ms if name != asker]
+        return others[-MAX_NAMED_MEMBERS:]
+
     async def send_hello(self) -> None:
         """Announce this member to the owner if its next hello is due."""
         now_ms = self.clock.now_ms()
@@ -119,7 +130,9 @@
         body = {'member': self.own_name}
         outcome = await self.call_owner('/hello', body, CALL_TIMEOUT_MS)
         if isinstance(outcome, Ok):
-            self.hello_due_ms = now_ms + int(outcome.ok_value['again_ms'])
+            answer = outcome.ok_value
+            self.hello_due_ms = now_ms + int(answer['again_ms'])
+            self.named_members = tuple(map(str, answer.get('members') or ()))
 
     def suspect(self, address: str) -> None:
         """Leave a peer out of `live_peers` for SUSPICION_MS."""
@@ -195,18 +208,24 @@
     ) -> Result[dict[str, Any], LogFault]:
         """Ask for the configuration if it is newer than a version.
 
-        The owner is asked first; after each failure it is the next peer's turn.
+        The owner is asked first; after each failure it is the next member's
+        turn.
         """
-        candidates = self.live_peers()
-        if self.owner not in {'', self.own_name}:
-            candidates.insert(0, address_of(self.owner))
-        addresses = list(dict.fromkeys(candidates))
-        if not addresses:
+        names = dict.fromkeys((self.owner, *self.named_members, *self.members))
+        members = [name for name in names if name not in {'', self.own_name}]
+        if not members:
             return Err(LogFault.REFUSED)
-        address = addresses[self.config_source % len(addresses)]
-        body = {'version': version}
-        outcome = await self.call(address, '/config', body, CALL_TIMEOUT_MS)
-        self.config_source += isinstance(outcome, Err)
+        member = members[self.failed_questions % len(members)]
+        outcome = await self.call(
+            address_of(member), '/config', {'version': version}, CALL_TIMEOUT_MS
+        )
+        if isinstance(outcome, Err):
+            self.failed_questions += 1
+            return outcome
+        owner = str(outcome.ok_value.get('owner') or '')
+        if owner and self.owner != self.own_name:
+            # The store does not tell this VM who the owner is.
+            self.set_known_owner(owner)
         return outcome
 
     async def ask_advice(
