Keep malformed keys out of logs, read large configurations on slow links

Cause: a key that is not a string was part of a logged error, a text in place of the list was read as keys of one character, and a read of the configuration with a short wait times out during a transfer of two seconds.

--- a/src/lycheerelay/platform/_decode.py
+++ b/src/lycheerelay/platform/_decode.py
@@ -69,13 +69,20 @@
     weight = float(fields.get('weight') or 0)
     if not 0 <= weight <= MAX_NUMBER:
         raise ValueError(f'tenant {fields["name"]}: weight {weight}')
+    name = _check_text(fields['name'])
+    keys = fields.get('apiKeys') or []
+    is_list = isinstance(keys, list)
+    if not is_list or not all(isinstance(key, str) for key in keys):
+        # The message leaves out the keys, since it is logged.
+        raise TypeError(f'tenant {name}: apiKeys is not a list of strings')
+    if not name:
+        # Jobs without a tenant have this name.
+        raise ValueError('a tenant has an empty name')
     return TenantPolicy(
-        name=_check_text(fields['name']),
+        name=name,
         weight=weight,
         quota=_decode_resources(fields.get('maxCount') or {}),
-        keys=frozenset(
-            digest_of(_check_text(key)) for key in fields.get('apiKeys') or ()
-        ),
+        keys=frozenset(map(digest_of, filter(None, keys))),
     )
 
 
--- a/src/lycheerelay/platform/_store.py
+++ b/src/lycheerelay/platform/_store.py
@@ -40,6 +40,9 @@
 # Limit on the transfer of a page while data keeps arriving. A page holds up to
 # 1 MB, which takes some seconds on the slowest links.
 MAX_PAGE_TIME_MS: Final = 5000
+# A version of the configuration with 2,000 queues is several hundred kilobytes,
+# and reads of it wait for a short time only while calls need keys.
+LONGEST_READ_MS: Final = {Stream.OPERATOR: MAX_PAGE_TIME_MS}
 # Number of requests for a page before the read fails.
 PAGE_ATTEMPTS: Final = 3
 OK: Final = 200
@@ -125,6 +128,7 @@
             'GET',
             f'{self.base}/log-read?{urlencode(query)}',
             TIMEOUT_MS + wait_ms,
+            longest_ms=LONGEST_READ_MS.get(stream, 0),
         )
         if reply.status != OK or len(reply.raw) < BOUNDS.size:
             return Err(to_log_fault(reply))
--- a/src/lycheerelay/serving/_credentials.py
+++ b/src/lycheerelay/serving/_credentials.py
@@ -75,8 +75,9 @@
     if not key:
         missing = Refusal(RefusalCause.MISSING_KEY)
         return Ok(KEYLESS) if queue is None else Err(missing)
-    digest = digest_of(key).hex()
-    tenant = table.find_tenant(key)
+    raw_digest = digest_of(key)
+    digest = raw_digest.hex()
+    tenant = table.tenants_by_key.get(raw_digest)
     name = '' if tenant is None else tenant.name
     refusal = Refusal(RefusalCause.UNKNOWN_KEY, shorten(digest), name)
     if not is_current:
--- a/src/lycheerelay/serving/_dump.py
+++ b/src/lycheerelay/serving/_dump.py
@@ -28,6 +28,7 @@
         'leaving': elector.leaving,
         'store_failing_since_ms': handler.append_gate.failing_since_ms,
         'config_version': table.version if table else 0,
+        'config_age_ms': config.age_ms,
         'cell': _dump_cell(owner.cell) if owner else None,
         'waits': encode_waits(owner.waits) if owner else {},
     }
--- a/tests/test_cli_workflow.py
+++ b/tests/test_cli_workflow.py
@@ -21,11 +21,13 @@
 
     requests: list[tuple[str, str, Any]] = []
     answers: list[dict[str, Any]] = []
+    keys: list[str | None] = []
 
     def answer(self) -> None:
         """Record the request and send the next scripted answer."""
         size = int(self.headers.get('Content-Length', 0))
         raw = self.rfile.read(size)
+        self.keys.append(self.headers.get('X-Api-Key'))
         self.requests.append(
             (self.command, self.path, json.loads(raw) if raw else None),
         )
@@ -133,3 +135,22 @@
     twice = ['--entry', entry, '--entry', entry]
     assert main(['workflow', 'submit', JOB, *twice]) == 0
     assert capsys.readouterr().out.startswith('nightly: ')
+
+
+def test_the_key_is_sent_and_not_printed(
+    entry: str,
+    capsys: pytest.CaptureFixture[str],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against keys in error messages, and against calls without one."""
+    Entry.answers = [{'code': 204}]
+    Entry.keys = []
+    shown = ['workflow', 'show', 'nightly', '--entry', entry]
+    monkeypatch.setenv('LYCHEERELAY_API_KEY', 'secret-key')
+    assert main(shown) == 2
+    monkeypatch.setenv('LYCHEERELAY_API_KEY', 'secret-key\n')
+    assert main(shown) == 2
+    assert Entry.keys == ['secret-key']
+    printed = capsys.readouterr()
+    assert 'secret-key' not in printed.out + printed.err
+    assert 'LYCHEERELAY_API_KEY: expected printable' in printed.err
--- a/tests/test_tenant_keys.py
+++ b/tests/test_tenant_keys.py
@@ -8,8 +8,14 @@
 import pytest
 
 from lycheerelay._codes import Code
-from lycheerelay.platform import decode_job
-from lycheerelay.serving import Identity, Queue, QueueTable, digest_of
+from lycheerelay.platform import decode_config, decode_job
+from lycheerelay.serving import (
+    Identity,
+    KeyedRecord,
+    Queue,
+    QueueTable,
+    digest_of,
+)
 from lycheerelay.workflow import QueuePolicy
 from lycheerelay.workflow.tenants import TenantPolicy
 from lycheerelay_standins.platform import CellShape, PlatformCell
@@ -264,3 +270,37 @@
     assert index.queues.lookups <= 3 * 1901
     assert table.find_tenant(ADA) is tenant
     assert table.find_tenant(BOB) is None
+
+
+@pytest.mark.parametrize('keys', ['secret-key', [71829], [['secret-key']]])
+def test_malformed_keys_are_neither_used_nor_logged(
+    keys: Any, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against a text read as keys of one character, and error texts."""
+    config = {
+        'version': 1,
+        'routes': [],
+        'services': [],
+        'limits': {'maxBodyBytes': 1},
+        'tenants': [{'name': 'ada', 'apiKeys': keys}],
+    }
+    record = KeyedRecord('config', orjson.dumps(config), 1)
+    assert decode_config(record) is None
+    text = str([line.__dict__ for line in caplog.records])
+    assert 'ada: apiKeys' in text
+    assert '71829' not in text
+    assert 'secret-key' not in text
+
+
+def test_a_large_configuration_reaches_a_vm_on_a_slow_link() -> None:
+    """Guards against reads that time out during a transfer of two seconds."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        await begin(cell)
+        cell.net.bytes_per_s['vm-0'] = 50_000
+        keys = tuple(f'{number:020}' for number in range(4000))
+        publish(cell, ada=keys)
+        await asyncio.sleep(6)
+        assert await status(cell, 'vm-0', request('GET', JOB, keys[-1])) == 410
+
+    play(scenario, IDLE)
