--- a/src/lycheerelay/platform/_decode.py
+++ b/src/lycheerelay/platform/_decode.py
@@ -1,6 +1,5 @@
 """Decode the configuration, worker registrations and submitted jobs."""
 
-import hashlib
 import logging
 from collections.abc import Mapping
 from typing import Any, Final
@@ -9,7 +8,7 @@
 from result import Err, Ok, Result
 
 from .._resources import Resources
-from ..serving import KeyedRecord, Queue, QueueTable
+from ..serving import CONFIG_KEY, KeyedRecord, Queue, QueueTable, digest_of
 from ..workflow import (
     MAX_TASKS_PER_STEP,
     AdvicePolicy,
@@ -25,7 +24,6 @@
 
 logger = logging.getLogger('lycheerelay.decode')
 
-CONFIG_KEY: Final = 'config'
 # Larger numbers cannot be valid times or amounts.
 MAX_NUMBER: Final = 1 << 45
 REGISTRATION_STATES: Final = frozenset(('ready', 'draining'))
@@ -71,14 +69,20 @@
     weight = float(fields.get('weight') or 0)
     if not 0 <= weight <= MAX_NUMBER:
         raise ValueError(f'tenant {fields["name"]}: weight {weight}')
+    name = _check_text(fields['name'])
+    keys = fields.get('apiKeys') or []
+    is_list = isinstance(keys, list)
+    if not is_list or not all(isinstance(key, str) for key in keys):
+        # The message leaves out the keys, since it is logged.
+        raise TypeError(f'tenant {name}: apiKeys is not a list of strings')
+    if not name:
+        # Jobs without a tenant have this name.
+        raise ValueError('a tenant has an empty name')
     return TenantPolicy(
-        name=_check_text(fields['name']),
+        name=name,
         weight=weight,
         quota=_decode_resources(fields.get('maxCount') or {}),
-        keys=frozenset(
-            hashlib.sha256(_check_text(key).encode()).digest()
-            for key in fields.get('apiKeys') or ()
-        ),
+        keys=frozenset(map(digest_of, filter(None, keys))),
     )
 
 
@@ -170,8 +174,9 @@
     job_id: str,
     policy: QueuePolicy,
     accepted_ms: int,
+    tenant: str = '',
 ) -> Result[WorkflowSpec, str]:
-    """Return the job in a request body, or a description of the error."""
+    """Return a tenant's job in a request body, or what is wrong with it."""
     try:
         fields = orjson.loads(raw)
         steps = tuple(
@@ -180,9 +185,10 @@
         )
         if not steps:
             return Err('steps: at least one step is required')
-        return Ok(_build_job_spec(fields, steps, job_id, policy, accepted_ms))
+        spec = _build_job_spec(fields, steps, job_id, policy, accepted_ms)
     except DECODE_ERRORS as error:
         return Err(f'{type(error).__name__}: {error}')
+    return Ok(spec._replace(tenant=tenant))
 
 
 def _build_job_spec(
