Hold back the steps of tenants at their quota

Cause: accounts were charged, but every step of a tenant still started as soon as it fit on a worker. Change: tasks, gangs, trials and copies start only within the quota of their tenant. A held step reserves and plans nothing, renews no tickets and is left out of the report on stalled steps; it is marked with the time and the cause. A gang that waits for its quota keeps later steps of its tenant from delaying it. Starts of earlier owners can be presumed until their workers answer.

--- a/src/lycheerelay/workflow/_dispatch.py
+++ b/src/lycheerelay/workflow/_dispatch.py
@@ -18,6 +18,7 @@
     startable_tasks,
     step_candidates,
 )
+from ._quota import QuotaCycle, is_held_by_quota
 from ._runs import start_run
 from ._starting import log_starts, next_run_number
 from ._state import CellState, StepInfo, TaskInfo, WorkerInfo
@@ -32,15 +33,18 @@
     order = ORDERS[cell.policies.order]
     waiting.sort(key=lambda step: order(step, now_ms))
     cycles: dict[str, PoolCycle] = {}
+    quotas = QuotaCycle(cell, now_ms)
     started = 0
     for step in waiting:
         pool = step.job.spec.pool
         cycle = cycles.get(pool)
         if cycle is None:
-            cycle = begin_cycle(cell, pool, now_ms)
+            cycle = begin_cycle(cell, pool, quotas, now_ms)
             cycles[pool] = cycle
         started += _try_step(cell, step, cycle, now_ms)
-        cycle.position += 1
+        quotas.finish_step(step, cycle.last_reserved == step.key)
+        cycle.position += not is_held_by_quota(step)
+    quotas.finish()
     cell.wanted_workers = {
         pool: frozenset(worker.key for worker in cycle.reserved)
         for pool, cycle in cycles.items()
@@ -70,11 +74,25 @@
     now_ms: int,
 ) -> int:
     policy = step.job.spec.advice
+    startable = cycle.quotas.count_startable(step)
     if policy is not None and not step.asked_workers:
-        ask_about_new_workers(cell, step, policy, cycle.usable, now_ms)
+        if _may_call_first(step, cycle, startable):
+            ask_about_new_workers(cell, step, policy, cycle.usable, now_ms)
+        return 0
+    if not startable:
         return 0
     if step.spec.gang and not step.suspects:
         return GANG_POLICIES[cell.policies.gangs](cell, step, cycle, now_ms)
+    return _dispatch_tasks(cell, step, cycle, now_ms)
+
+
+def _dispatch_tasks(
+    cell: CellState,
+    step: StepInfo,
+    cycle: PoolCycle,
+    now_ms: int,
+) -> int:
+    policy = step.job.spec.advice
     started = start_trials(cell, step, cycle, now_ms) if step.suspects else 0
     if step.spec.gang or step.suspects.keys() >= step.waiting.keys():
         return started
@@ -88,8 +106,8 @@
             for task in startable_tasks(cell, step, now_ms)
             if task.index not in step.suspects
         ]
-        if not tasks:
-            return started
+        # The tasks beyond the quota wait for the next wave.
+        tasks = tasks[: cycle.quotas.count_startable(step)]
         beside = _start_tasks(cell, step, cycle, tasks, workers, now_ms)
         started += beside
         if beside == len(tasks):
@@ -98,6 +116,12 @@
     return started
 
 
+def _may_call_first(step: StepInfo, cycle: PoolCycle, startable: int) -> bool:
+    if startable and cycle.quotas.may_ask(step):
+        return True
+    return cycle.quotas.may_call_ahead(step)
+
+
 def _prepare_next_start(
     cell: CellState,
     step: StepInfo,
@@ -106,7 +130,8 @@
     now_ms: int,
 ) -> None:
     policy = step.job.spec.advice
-    if policy is not None and may_ask(step, now_ms):
+    is_within_quota = cycle.quotas.may_ask(step)
+    if policy is not None and is_within_quota and may_ask(step, now_ms):
         expired = [
             worker
             for worker in workers
@@ -119,14 +144,15 @@
             renew_expiring_tickets(cell, step, policy, now_ms)
         if may_ask(step, now_ms):
             ask_about_new_workers(cell, step, policy, cycle.usable, now_ms)
-    if not _needs_reserved_capacity(step):
+    if not _needs_reserved_capacity(step) or not cycle.quotas.may_reserve(step):
         return
     if cycle.reserving_steps < cell.policies.reserving_steps:
         cycle.reserving_steps += 1
         openings = earliest_openings(
             step, workers, frozenset(), cycle.reserved, now_ms
         )
-        cycle.reserve(step, openings)
+        # Only as many tasks as the quota lets start next.
+        cycle.reserve(step, openings[: cycle.quotas.count_startable(step)])
 
 
 def _needs_reserved_capacity(step: StepInfo) -> bool:
--- a/src/lycheerelay/workflow/_gangs.py
+++ b/src/lycheerelay/workflow/_gangs.py
@@ -50,7 +50,7 @@
     Tickets are requested for just these workers, shortly before the capacity
     is free. While they are outstanding the capacity stays reserved.
     """
-    may_reserve = cycle.reserving_steps < cell.policies.reserving_steps
+    may_reserve = _may_reserve(cell, step, cycle)
     if now_ms < step.replan_ms or not cycle.plans_left:
         # A plan that waits for tickets is kept, or others take its capacity.
         if step.openings and (may_reserve or step.pending_calls):
@@ -74,6 +74,11 @@
     return 0
 
 
+def _may_reserve(cell: CellState, step: StepInfo, cycle: PoolCycle) -> bool:
+    has_reservations = cycle.reserving_steps < cell.policies.reserving_steps
+    return has_reservations and cycle.quotas.may_reserve(step)
+
+
 def _follow_plan(
     cell: CellState,
     step: StepInfo,
@@ -120,7 +125,7 @@
     if len(plan) == len(step.tasks):
         return _start_all(cell, step, plan, now_ms)
     policy = step.job.spec.advice
-    if policy is not None:
+    if policy is not None and cycle.quotas.may_ask(step):
         expired = [
             worker
             for worker in workers
@@ -178,6 +183,8 @@
     policy = step.job.spec.advice
     if policy is None or not may_ask(step, now_ms):
         return
+    if not cycle.quotas.may_ask(step):
+        return
     planned = {opening.worker.key: opening.worker for opening in openings}
     call_ms = policy.call_ms(len(planned))
     begin_ms = openings[-1].at_ms
--- a/src/lycheerelay/workflow/_instances.py
+++ b/src/lycheerelay/workflow/_instances.py
@@ -235,7 +235,7 @@
     cell.removed_workers[key] = None
     worker = cell.pop_worker(key)
     if key.worker_id not in cell.instances:
-        cell.unsynced_workers.pop(key.worker_id, None)
+        cell.mark_synced(key.worker_id)
     if worker is None:
         return
     runs = release_worker_runs(cell, worker, reason)
--- a/src/lycheerelay/workflow/_periodic_checks.py
+++ b/src/lycheerelay/workflow/_periodic_checks.py
@@ -12,6 +12,7 @@
 )
 from ._intake import open_due_occurrences
 from ._log_events import log_event
+from ._quota import may_copy
 from ._run_table import expire_worker, stop_incomplete_gangs
 from ._runs import start_run, stop_run
 from ._starting import next_run_number
@@ -50,7 +51,7 @@
         return
     if cell.unsynced_workers and now_ms >= cell.previous_orders_expire_ms:
         log_event(cell, 'takeover_clear', missing=len(cell.unsynced_workers))
-        cell.unsynced_workers.clear()
+        cell.mark_all_synced()
     if cell.is_synced and not cell.gangs_checked:
         cell.gangs_checked = True
         stop_incomplete_gangs(cell, now_ms)
@@ -152,7 +153,7 @@
     task = run.task
     if task.index in step.suspects:
         return
-    if task.done or step.job.is_final or step.spec.gang:
+    if task.done or step.job.is_final or step.spec.gang or not may_copy(step):
         return
     others = [
         other
--- a/src/lycheerelay/workflow/_pool_cycle.py
+++ b/src/lycheerelay/workflow/_pool_cycle.py
@@ -7,6 +7,7 @@
 from .._resources import Resources
 from ._fit import ReservedCapacity, candidates, is_in_service, is_usable
 from ._openings import Opening, reservations_for
+from ._quota import QuotaCycle
 from ._spec import StepKey, WorkerKey
 from ._state import CellState, StepInfo, TaskInfo, WorkerInfo
 
@@ -24,14 +25,15 @@
     `usable` holds the workers that accept new runs. `max_free` holds the
     largest free amount of each resource among them; the amounts may belong to
     different workers. `position` counts the steps handled before the
-    current one. `wanted` holds the workers with reservations in the previous
+    current one, without those that their quotas hold back. `wanted` holds the workers with reservations in the previous
     cycle. Steps that come first in the order use them only as a last resort,
     as every cycle reserves again in order. `held` has the workers that only one
-    step may use.
+    step may use, `quotas` the state of the tenants in this cycle.
     """
 
     usable: dict[WorkerKey, WorkerInfo]
     max_free: Resources
+    quotas: QuotaCycle
     wanted: frozenset[WorkerKey] = frozenset()
     position: int = 0
     reserving_steps: int = 0
@@ -40,9 +42,11 @@
         default_factory=dict
     )
     held: dict[StepKey, list[WorkerInfo]] = field(default_factory=dict)
+    last_reserved: StepKey | None = None
 
     def reserve(self, step: StepInfo, openings: Iterable[Opening]) -> None:
         """Reserve the openings for a step until the cycle ends."""
+        self.last_reserved = step.key
         for worker, reservation in reservations_for(step, openings):
             self.reserved.setdefault(worker, []).append(reservation)
 
@@ -69,7 +73,9 @@
         return not self.held.keys() - {step.key} or held + added <= limit
 
 
-def begin_cycle(cell: CellState, pool: str, now_ms: int) -> PoolCycle:
+def begin_cycle(
+    cell: CellState, pool: str, quotas: QuotaCycle, now_ms: int
+) -> PoolCycle:
     """Start a cycle with the workers of a pool that accept new runs."""
     usable = {
         worker.key: worker
@@ -82,7 +88,11 @@
     if cell.policies.spare_reserved:
         wanted = cell.wanted_workers.get(pool, wanted)
     return PoolCycle(
-        usable, max_free, wanted, held=_held_workers(cell, pool, now_ms)
+        usable,
+        max_free,
+        quotas,
+        wanted,
+        held=_held_workers(cell, pool, now_ms),
     )
 
 
--- a/src/lycheerelay/workflow/_run_table.py
+++ b/src/lycheerelay/workflow/_run_table.py
@@ -101,7 +101,7 @@
         worker.lease_until_ms = max(
             worker.lease_until_ms, cell.previous_orders_expire_ms
         )
-        cell.unsynced_workers.pop(worker.worker_id, None)
+        cell.mark_synced(worker.worker_id)
         log_event(
             cell,
             'worker_synced',
--- a/src/lycheerelay/workflow/_spec.py
+++ b/src/lycheerelay/workflow/_spec.py
@@ -31,6 +31,17 @@
     fills: bool = False
     filler_cores_milli: int = 0
 
+    @property
+    def charged_demand(self) -> Resources:
+        """Return what one task counts against a quota.
+
+        A filler task allocates no cores, but those that it wants count.
+        """
+        if not self.fills:
+            return self.demand
+        cores_milli = self.demand.cores_milli + self.filler_cores_milli
+        return self.demand._replace(cores_milli=cores_milli)
+
 
 class AdvicePolicy(NamedTuple):
     """Duration of a placement advice call and validity of its tickets."""
--- a/src/lycheerelay/workflow/_stalls.py
+++ b/src/lycheerelay/workflow/_stalls.py
@@ -1,7 +1,8 @@
 """Report steps that wait although there is capacity for them.
 
 Such a step waits for something else than capacity: advice, tickets, a worker
-that has not answered since a takeover, or a retry delay.
+that has not answered since a takeover, or a retry delay. Steps that the quota
+of their tenant holds back are left out.
 """
 
 from typing import Final
@@ -14,6 +15,7 @@
     startable_tasks,
     step_candidates,
 )
+from ._quota import QuotaCycle, is_held_by_quota
 from ._state import NEVER, CellState, StepInfo
 
 # A step counts as stalled after this time with free capacity.
@@ -26,14 +28,14 @@
 
 def report_stalled_steps(cell: CellState, now_ms: int) -> int:
     """Log each newly stalled step; return how many are stalled."""
-    waiting = (step for step in cell.open_steps.values() if step.waiting)
-    oldest = sorted(waiting, key=lambda step: step.job.offset)
+    quotas = QuotaCycle(cell, now_ms)
+    oldest = sorted(_waiting_steps(cell), key=lambda step: step.job.offset)
     cycles: dict[str, PoolCycle] = {}
     stalled = 0
     for step in oldest[:MAX_CHECKED_STEPS]:
         pool = step.job.spec.pool
         if pool not in cycles:
-            cycles[pool] = begin_cycle(cell, pool, now_ms)
+            cycles[pool] = begin_cycle(cell, pool, quotas, now_ms)
         if not _is_stalled(step, cycles[pool], now_ms):
             continue
         stalled += 1
@@ -43,6 +45,17 @@
     return stalled
 
 
+def _waiting_steps(cell: CellState) -> list[StepInfo]:
+    waiting = []
+    for step in cell.open_steps.values():
+        if is_held_by_quota(step):
+            step.free_since_ms = NEVER
+            step.stall_reported = False
+        elif step.waiting:
+            waiting.append(step)
+    return waiting
+
+
 def _is_stalled(step: StepInfo, cycle: PoolCycle, now_ms: int) -> bool:
     """Update since when capacity is free; return whether it is too long."""
     if not _has_free_capacity(step, cycle, now_ms):
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum, StrEnum, unique
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from .._resources import Resources
 from ._policies import Policies
@@ -16,6 +16,11 @@
 
 NEVER = -1
 
+# Causes that hold a step back besides the resources of its quota: the version in
+# force does not have its tenant, or an earlier gang of its tenant is to start.
+INACTIVE_TENANT: Final = 'tenant'
+WAITING_GANG: Final = 'gang'
+
 
 @unique
 class JobPhase(StrEnum):
@@ -151,7 +156,9 @@
     a gang, which is made again from `replan_ms` on. Capacity for the waiting tasks
     has been free since `free_since_ms`. `crashed` is set if a decision on the step
     has raised an error in this term. `suspects` holds the indexes of the tasks that
-    are started on trial only.
+    are started on trial only. Waiting tasks have been held back since
+    `held_by_quota_ms` by `held_by_quota`: a resource of the quota, INACTIVE_TENANT
+    or WAITING_GANG.
     """
 
     key: StepKey
@@ -178,6 +185,8 @@
     stall_reported: bool = False
     crashed: bool = False
     suspects: dict[int, None] = field(default_factory=dict)
+    held_by_quota_ms: int = NEVER
+    held_by_quota: str = ''
 
     @property
     def is_done(self) -> bool:
@@ -289,7 +298,7 @@
         self.runs[run.key] = run
         self.free = self.free.minus(run.demand)
         if run.step.job.account is not None:
-            run.step.job.account.charge(run.demand)
+            run.step.job.account.add_run(run)
         key = self.key
         run.step.runs_per_worker[key] = run.step.runs_per_worker.get(key, 0) + 1
 
@@ -299,7 +308,7 @@
             return
         self.free = self.free.plus(run.demand)
         if run.step.job.account is not None:
-            run.step.job.account.refund(run.demand)
+            run.step.job.account.remove_run(run)
         if run.trial_until_ms and not any(
             other.trial_until_ms for other in self.runs.values()
         ):
@@ -372,6 +381,16 @@
                 return worker.runs[key]
         return None
 
+    def mark_synced(self, worker_id: str) -> None:
+        """Record that no run on a worker is unknown to this owner any more."""
+        self.unsynced_workers.pop(worker_id, None)
+        self.tenants.settle(worker_id)
+
+    def mark_all_synced(self) -> None:
+        """Record that no order of an earlier owner is in effect any more."""
+        self.unsynced_workers.clear()
+        self.tenants.settle_all()
+
     @property
     def is_synced(self) -> bool:
         """Return whether no worker may hold runs unknown to this owner."""
--- a/src/lycheerelay/workflow/_tenants.py
+++ b/src/lycheerelay/workflow/_tenants.py
@@ -6,10 +6,17 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import TYPE_CHECKING, Final, NamedTuple
 
 from .._resources import Resources
 
+if TYPE_CHECKING:
+    from ._spec import WorkflowSpec
+    from ._state import Run
+
+# Free amount of a resource without a limit.
+UNLIMITED: Final = 1 << 60
+
 
 class TenantPolicy(NamedTuple):
     """Settings of an operator for one tenant.
@@ -25,16 +32,94 @@
     keys: frozenset[bytes] = frozenset()
 
 
+class Shortage(NamedTuple):
+    """Resource of which a demand needs more than its tenant has left."""
+
+    resource: str
+    used: int
+    limit: int
+
+
+class QuotaExcess(NamedTuple):
+    """First step of a job that can never fit in a quota."""
+
+    step: int
+    tasks: int
+    resource: str
+    amount: int
+    limit: int
+
+    @property
+    def text(self) -> str:
+        """Return a description for the caller."""
+        return (
+            f'step {self.step}: {self.tasks} tasks at a time need '
+            f'{self.resource} {self.amount}, above the quota of {self.limit}'
+        )
+
+
+def count_fitting_tasks(demand: Resources, free: Resources) -> int:
+    """Return how many tasks fit in the free amounts; some may be negative."""
+    if not any(demand):
+        return UNLIMITED
+    return max(demand.times_in(free), 0)
+
+
+def find_quota_excess(
+    spec: 'WorkflowSpec', quota: Resources
+) -> QuotaExcess | None:
+    """Return the first gang or single task that is larger than the quota."""
+    for number, step in enumerate(spec.steps):
+        tasks = step.width if step.gang else 1
+        needed = step.charged_demand.times(tasks)
+        for resource, amount, limit in zip(
+            needed._fields, needed, quota, strict=True
+        ):
+            if limit and amount > limit:
+                return QuotaExcess(number, tasks, resource, amount, limit)
+    return None
+
+
 @dataclass(slots=True, eq=False)
 class TenantAccount:
     """Hold what one tenant has running on all workers.
 
-    `is_active` says whether the configuration in force has the tenant.
+    `is_active` says whether the configuration in force has the tenant. `used`
+    contains `presumed`, the demand of starts by earlier owners whose workers have
+    not answered yet. `runs` holds the allocated runs. `has_waiting_gang` says
+    that the last scheduling cycle left quota to a gang.
     """
 
     policy: TenantPolicy
     used: Resources = Resources()
     is_active: bool = True
+    presumed: Resources = Resources()
+    runs: 'dict[Run, None]' = field(default_factory=dict)
+    has_waiting_gang: bool = False
+
+    @property
+    def free(self) -> Resources:
+        """Return what the quota leaves, negative above the quota."""
+        return Resources(
+            *(
+                limit - amount if limit else UNLIMITED
+                for limit, amount in zip(
+                    self.policy.quota, self.used, strict=True
+                )
+            )
+        )
+
+    @property
+    def free_below_half(self) -> Resources:
+        """Return what is free below half of the quota."""
+        return Resources(
+            *(
+                limit // 2 - amount if limit else UNLIMITED
+                for limit, amount in zip(
+                    self.policy.quota, self.used, strict=True
+                )
+            )
+        )
 
     def charge(self, demand: Resources) -> None:
         """Add the demand of a run."""
@@ -44,18 +129,63 @@
         """Subtract the demand of a run that its worker no longer holds."""
         self.used = self.used.minus(demand)
 
+    def add_run(self, run: 'Run') -> None:
+        """Charge an allocated run."""
+        self.runs[run] = None
+        self.charge(run.step.spec.charged_demand)
+
+    def remove_run(self, run: 'Run') -> None:
+        """Refund a run that its worker no longer holds."""
+        self.runs.pop(run, None)
+        self.refund(run.step.spec.charged_demand)
+
+    def count_startable(self, demand: Resources) -> int:
+        """Return how many tasks the quota lets start now."""
+        return count_fitting_tasks(demand, self.free) if self.is_active else 0
+
+    def can_ever_fit(self, demand: Resources) -> bool:
+        """Return whether a demand fits in the quota if nothing else runs."""
+        return self.is_active and all(
+            amount <= limit or not limit
+            for amount, limit in zip(demand, self.policy.quota, strict=True)
+        )
+
+    def find_shortage(self, demand: Resources) -> Shortage | None:
+        """Return the first resource that a demand needs more of."""
+        for resource, amount, used, limit in zip(
+            demand._fields, demand, self.used, self.policy.quota, strict=True
+        ):
+            if limit and amount and used + amount > limit:
+                return Shortage(resource, used, limit)
+        return None
+
 
 @dataclass(slots=True, eq=False)
 class TenantLedger:
     """Hold the accounts of all tenants by name.
 
     `version` is that of the configuration in force, or -1 before the first one.
+    `is_enforced` is false if that version defines no tenants at all; then no
+    quota applies. `presumed` holds the starts of earlier owners that may run on a
+    worker that has not answered, by worker id. `held` holds the tenants with
+    steps that their quota holds back, with the time in ms at which it last did.
     """
 
     version: int = -1
+    is_enforced: bool = True
     accounts: dict[str, TenantAccount] = field(default_factory=dict)
-
-    def configure(self, version: int, policies: Iterable[TenantPolicy]) -> None:
+    presumed: dict[str, list[tuple[TenantAccount, Resources]]] = field(
+        default_factory=dict
+    )
+    held: dict[str, int] = field(default_factory=dict)
+
+    def configure(
+        self,
+        version: int,
+        policies: Iterable[TenantPolicy],
+        *,
+        is_enforced: bool = True,
+    ) -> None:
         """Apply the tenants of a newer version of the configuration.
 
         A tenant that is missing keeps its account with what it runs.
@@ -63,8 +193,11 @@
         if version <= self.version:
             return
         self.version = version
-        for account in self.accounts.values():
-            account.is_active = False
+        self.is_enforced = is_enforced
+        for name, account in self.accounts.items():
+            account.is_active = not is_enforced
+            if not is_enforced:
+                account.policy = TenantPolicy(name)
         for policy in policies:
             account = self.find(policy.name)
             account.policy = policy
@@ -74,6 +207,27 @@
         """Return the account of a tenant; an unknown one may run nothing."""
         account = self.accounts.get(name)
         if account is None:
-            account = TenantAccount(TenantPolicy(name), is_active=False)
+            account = TenantAccount(
+                TenantPolicy(name), is_active=not self.is_enforced
+            )
             self.accounts[name] = account
         return account
+
+    def presume(
+        self, worker_id: str, account: TenantAccount, demand: Resources
+    ) -> None:
+        """Charge a start that may run on a worker that has not answered."""
+        account.charge(demand)
+        account.presumed = account.presumed.plus(demand)
+        self.presumed.setdefault(worker_id, []).append((account, demand))
+
+    def settle(self, worker_id: str) -> None:
+        """Refund the presumed starts of a worker; its run table replaces them."""
+        for account, demand in self.presumed.pop(worker_id, ()):
+            account.refund(demand)
+            account.presumed = account.presumed.minus(demand)
+
+    def settle_all(self) -> None:
+        """Refund all presumed starts, as their orders have expired."""
+        for worker_id in list(self.presumed):
+            self.settle(worker_id)
--- a/src/lycheerelay/workflow/_trials.py
+++ b/src/lycheerelay/workflow/_trials.py
@@ -31,6 +31,7 @@
 ) -> int:
     """Start the suspected tasks of a step on workers held for them."""
     tasks = _startable_suspects(cell, step, now_ms)
+    tasks = tasks[: cycle.quotas.count_startable(step)]
     if not tasks or _is_trial_open(step, now_ms):
         return 0
     workers = [
