Refuse jobs above their quota, and count earlier starts

Cause: a gang above its quota would wait for ever, the owner knew no quotas, and after a takeover it did not count what unanswered workers may run. Change: a job with a gang or task above the quota in force is refused with 429 (code 308 in the workflow API) and a text that names step, resource, amount and quota, unless it was accepted before. The owner applies the tenants of the version in force before it restores jobs and in each cycle. Starts on workers that have not answered count until they do or earlier orders have expired; the final record of a tenant's job lists its runs that had not ended. The wait forecast starts work beyond a quota as earlier work of its tenant ends.

--- a/src/lycheerelay/_codes.py
+++ b/src/lycheerelay/_codes.py
@@ -29,6 +29,7 @@
     DEADLINE_PASSED = 305
     QUOTA_EXCEEDED = 306
     NOT_READY = 307
+    NEVER_IN_QUOTA = 308
     TASK_FAILED = 400
     OUTCOME_UNKNOWN = 401
     LEASE_LAPSED = 402
@@ -133,6 +134,12 @@
         6,
         'No configuration version is known yet.',
     ),
+    (
+        Code.NEVER_IN_QUOTA,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        5,
+        'A gang or task is larger than the quota of its tenant.',
+    ),
     (Code.TASK_FAILED, HTTPStatus.OK, 8, 'A task failed for good.'),
     (
         Code.OUTCOME_UNKNOWN,
--- a/src/lycheerelay/platform/_entry.py
+++ b/src/lycheerelay/platform/_entry.py
@@ -19,6 +19,7 @@
     OwnerElector,
     OwnershipLease,
     Peers,
+    QueueTable,
     RequestHandler,
     WorkflowApi,
     claim_delay_ms,
@@ -99,6 +100,7 @@
             self.metrics,
             self.elector.store_health,
         )
+        self.handler.find_table = self.find_table
         self.ingress = Ingress(self.handler, self.config, clock, self.is_ready)
         self.workflows = WorkflowApi(self.handler, self.config, clock)
         self.internal = InternalApi(
@@ -122,6 +124,10 @@
         """Serve requests from the owner of a new term, or from none."""
         self.handler.owner = owner
 
+    def find_table(self) -> QueueTable | None:
+        """Return the configuration in force, or None before the first one."""
+        return self.config.table
+
     def make_owner(self, ownership_lease: OwnershipLease) -> Owner:
         """Create the owner of a new term."""
         limits = Limits(
@@ -142,6 +148,7 @@
             limits=limits,
             metrics=self.metrics,
             fence=ownership_lease.fence,
+            find_table=self.find_table,
         )
         return Owner(
             context, self.advice_dispatcher, ListingReader(decode_worker)
--- a/src/lycheerelay/platform/_ingress.py
+++ b/src/lycheerelay/platform/_ingress.py
@@ -37,6 +37,7 @@
     RequestStatus.NO_SUCH_JOB: 410,
     RequestStatus.UNAVAILABLE: 503,
     RequestStatus.TOO_LATE: 429,
+    RequestStatus.OVER_QUOTA: 429,
 }
 # Responses with these statuses carry a Retry-After header.
 RETRYABLE_ERRORS: Final = {
@@ -202,6 +203,9 @@
     if outcome.status in RETRYABLE_ERRORS:
         text = RETRYABLE_ERRORS[outcome.status]
         return _error_response(status, text, outcome.retry_after_s)
+    if outcome.status is RequestStatus.OVER_QUOTA:
+        # No Retry-After: the job cannot be served later under this quota.
+        return _error_response(status, outcome.content)
     if outcome.status is not RequestStatus.OK:
         return _error_response(status, outcome.status.value)
     body = {field: outcome.content} if field else {}
--- a/src/lycheerelay/serving/_context.py
+++ b/src/lycheerelay/serving/_context.py
@@ -9,6 +9,7 @@
 from ._metrics_registry import MetricsRegistry
 from ._ownership_lease import OwnershipLease
 from ._ports import KeyedLog, Workers
+from ._queues import TableSource, no_table
 
 # Minimum time for which events are batched before a scheduling cycle.
 CYCLE_DELAY_S: Final = 0.002
@@ -25,7 +26,10 @@
 
 @dataclass(slots=True, eq=False)
 class OwnerContext:
-    """Share one cell among the tasks that serve it."""
+    """Share one cell among the tasks that serve it.
+
+    `find_table` returns the configuration in force, or None before the first one.
+    """
 
     cell: CellState
     ownership_lease: OwnershipLease
@@ -35,6 +39,7 @@
     limits: Limits
     metrics: MetricsRegistry
     fence: int
+    find_table: TableSource = no_table
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     cycle_needed: asyncio.Event = field(default_factory=asyncio.Event)
     recorded: asyncio.Event = field(default_factory=asyncio.Event)
--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -135,6 +135,7 @@
 
     def run_cycle(self) -> None:
         """Run one scheduling cycle and execute the resulting commands."""
+        _configure_tenants(self.context)
         if self.context.may_send_orders:
             dispatch(self.cell, self.context.now_ms)
         self.orders.execute_commands()
@@ -156,6 +157,7 @@
         self.context.tail_offset = jobs.next_offset
         self.listings.next_offset = listed.next_offset
         self._load_workers(listed, progress)
+        _configure_tenants(self.context)
         self.stream.restore(jobs, progress)
         self.cell.loaded = True
         self.context.loaded.set()
@@ -359,6 +361,15 @@
             self.pause_s = max(CYCLE_DELAY_S, pause_s)
 
 
+def _configure_tenants(context: OwnerContext) -> None:
+    """Apply the tenants of the configuration in force if it has changed."""
+    table = context.find_table()
+    if table is not None:
+        context.cell.tenants.configure(
+            table.version, table.tenants, is_enforced=table.requires_keys
+        )
+
+
 def _update_gauges(context: OwnerContext) -> None:
     cell = context.cell
     context.metrics.gauge('jobs', len(cell.jobs))
--- a/src/lycheerelay/serving/_queues.py
+++ b/src/lycheerelay/serving/_queues.py
@@ -1,5 +1,6 @@
 """Look up queues in the operators' configuration."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from ..workflow import QueuePolicy
@@ -47,3 +48,18 @@
             if queue.policy.name == name:
                 return queue
         return None
+
+    def tenant_named(self, name: str) -> TenantPolicy | None:
+        """Return the tenant with a name."""
+        for tenant in self.tenants:
+            if tenant.name == name:
+                return tenant
+        return None
+
+
+# Returns the configuration in force, or None before the first one.
+TableSource = Callable[[], QueueTable | None]
+
+
+def no_table() -> None:
+    """Stand for a configuration that is not known."""
--- a/src/lycheerelay/serving/_request_handler.py
+++ b/src/lycheerelay/serving/_request_handler.py
@@ -11,6 +11,7 @@
 from .._clock import Clock
 from .._registry import Registry
 from ..workflow import JobPhase, WorkflowSpec
+from ..workflow.tenants import find_quota_excess
 from ._append_gate import RETRY_AFTER_S, AppendGate
 from ._append_route import AppendRoute, AppendRouter
 from ._job_appends import AppendOutcome, JobAppends
@@ -19,6 +20,7 @@
 from ._owner import Owner
 from ._peers import OWNER_SEARCH_INTERVAL_MS, Peers
 from ._ports import KeyedLog, KeyedRecord, LogFault
+from ._queues import TableSource, no_table
 from ._spec_codec import encode_spec
 from ._store_health import StoreHealth
 from ._wait_forecast import (
@@ -54,6 +56,7 @@
     NO_SUCH_JOB = 'no_such_job'
     UNAVAILABLE = 'unavailable'
     TOO_LATE = 'too_late'
+    OVER_QUOTA = 'over_quota'
 
 
 class RequestResult(NamedTuple):
@@ -81,6 +84,7 @@
         self.peers = peers
         self.metrics = metrics
         self.owner: Owner | None = None
+        self.find_table: TableSource = no_table
         self.wait_forecast = WaitForecast({}, 0)
         self.append_gate = AppendGate(clock, store_health)
         self.append_router = AppendRouter(clock, store_health)
@@ -91,17 +95,12 @@
     ) -> RequestResult:
         """Append a job; it is accepted once the store has acknowledged it.
 
-        A new job that is predicted to end after its value has expired is
-        refused at once.
+        A new job that is predicted to end after its value has expired, or that can
+        never fit in the quota of its tenant, is refused at once.
         """
         begun_ms = self.clock.now_ms()
-        retry_after_s = forecast_retry_after_s(
-            spec, self._current_forecast(), self.clock.now_ms()
-        )
-        if retry_after_s:
-            refusal = RequestResult(
-                RequestStatus.TOO_LATE, retry_after_s=retry_after_s
-            )
+        refusal = self._find_refusal(spec)
+        if refusal is not None:
             outcome = await self._accept_known_or(refusal, spec.job_id)
             return self._report(
                 'submit', spec.job_id, spec.queue, outcome, begun_ms
@@ -306,6 +305,21 @@
             return RequestResult(RequestStatus.OK)
         return refusal
 
+    def _find_refusal(self, spec: WorkflowSpec) -> RequestResult | None:
+        table = self.find_table() if spec.tenant else None
+        tenant = table.tenant_named(spec.tenant) if table else None
+        excess = find_quota_excess(spec, tenant.quota) if tenant else None
+        if excess is not None:
+            return RequestResult(RequestStatus.OVER_QUOTA, excess.text)
+        retry_after_s = forecast_retry_after_s(
+            spec, self._current_forecast(), self.clock.now_ms()
+        )
+        if retry_after_s:
+            return RequestResult(
+                RequestStatus.TOO_LATE, retry_after_s=retry_after_s
+            )
+        return None
+
     def _current_forecast(self) -> WaitForecast:
         if self.owner is not None:
             return WaitForecast(self.owner.waits, self.clock.now_ms())
--- a/src/lycheerelay/serving/_workflow_api.py
+++ b/src/lycheerelay/serving/_workflow_api.py
@@ -33,6 +33,7 @@
     RequestStatus.NO_SUCH_JOB: Code.NOT_FOUND,
     RequestStatus.UNAVAILABLE: Code.NO_OWNER,
     RequestStatus.TOO_LATE: Code.OVERLOADED,
+    RequestStatus.OVER_QUOTA: Code.NEVER_IN_QUOTA,
 }
 CODE_OF_PHASE: Final = {
     JobPhase.QUEUED: Code.ACCEPTED,
@@ -133,6 +134,8 @@
 
 def _failure_reply(outcome: RequestResult) -> Reply:
     code = CODE_OF_STATUS[outcome.status]
+    if outcome.status is RequestStatus.OVER_QUOTA:
+        return _refusal_reply(Refusal(code, outcome.content, not_run=True))
     retry_after_ms = outcome.retry_after_s * MS_PER_SECOND
     return _refusal_reply(
         Refusal(code, CODES[code].text, retry_after_ms=retry_after_ms),
--- a/src/lycheerelay/workflow/_progress.py
+++ b/src/lycheerelay/workflow/_progress.py
@@ -6,9 +6,12 @@
 hexadecimal bit mask, and a row for each open task that was started: index,
 failed runs, last run, checkpoint, worker. `crashes` has a row for each open task
 that a crash of its worker counted for: occurrence, step, index, a row for each
-crash (run, evidence) and its last run on trial. Earlier versions ignore it.
+crash (run, evidence) and its last run on trial. `stopping`, in a final record of
+a tenant's job, has a row for each step and worker with runs that had not ended:
+step, worker, number of runs. Earlier versions ignore both.
 """
 
+from collections import Counter
 from collections.abc import Iterator
 from typing import Final, TypedDict
 
@@ -18,6 +21,7 @@
 from ._ends import mark_done
 from ._intake import open_if_ready, open_occurrence, steps_of
 from ._log_events import log_event
+from ._spec import StepSpec
 from ._state import (
     FINAL_PHASES,
     CellState,
@@ -44,6 +48,7 @@
     finished: list[int]
     steps: list[list[object]]
     crashes: list[CrashRow]
+    stopping: list[tuple[int, str, int]]
 
 
 def encode_progress(job: JobInfo) -> bytes:
@@ -51,6 +56,9 @@
     record: ProgressRecord = {'phase': job.phase.value}
     if job.is_final:
         record['why'] = job.reason
+        stopping = _stopping_rows(job) if job.account else []
+        if stopping:
+            record['stopping'] = stopping
         return orjson.dumps(record)
     if job.finished:
         record['finished'] = list(job.finished)
@@ -67,6 +75,17 @@
     return orjson.dumps(record)
 
 
+def _stopping_rows(job: JobInfo) -> list[tuple[int, str, int]]:
+    counts: Counter[tuple[int, str]] = Counter()
+    for step in steps_of(job):
+        for task in step.tasks:
+            counts.update(
+                (step.key.step, run.worker.worker_id)
+                for run in task.runs.values()
+            )
+    return [(*key, count) for key, count in counts.items()]
+
+
 def _crash_rows(job: JobInfo) -> Iterator[CrashRow]:
     for step in steps_of(job):
         _, occurrence, index = step.key
@@ -116,6 +135,9 @@
         for steps in job.occurrences.values():
             for step in steps:
                 cell.open_steps.pop(step.key, None)
+        for step_index, worker_id, count in record.get('stopping', ()):
+            step_spec = job.spec.steps[step_index]
+            _presume_runs(cell, job, step_spec, worker_id, count)
         return
     for number in record.get('finished', ()):
         job.finished[number] = None
@@ -140,13 +162,29 @@
         if mask >> task.index & 1:
             mark_done(step, task)
     for number, *rest in tasks:  # type: ignore[attr-defined]
-        _restore_task(step.tasks[number], *rest)
+        task = step.tasks[number]
+        _restore_task(task, *rest)
+        if task.last_run not in task.failed_runs:
+            _presume_runs(cell, job, step.spec, task.assigned_worker, 1)
     if step.is_done:
         cell.open_steps.pop(step.key, None)
     for other in steps:
         open_if_ready(cell, job, other)
 
 
+def _presume_runs(
+    cell: CellState,
+    job: JobInfo,
+    step: StepSpec,
+    worker_id: str,
+    count: int,
+) -> None:
+    """Count runs against the quota until their worker has answered."""
+    if job.account is not None and worker_id in cell.unsynced_workers:
+        demand = step.charged_demand.times(count)
+        cell.tenants.presume(worker_id, job.account, demand)
+
+
 def _restore_crashes(cell: CellState, job: JobInfo, row: CrashRow) -> None:
     occurrence, index, number, crashes, trial_run = row
     step = job.occurrences[occurrence][index]
--- a/src/lycheerelay/workflow/_wait_forecast.py
+++ b/src/lycheerelay/workflow/_wait_forecast.py
@@ -5,6 +5,7 @@
 
 from .._resources import Resources
 from ._fit import is_in_service
+from ._forecast_quota import QuotaForecast
 from ._intake import VALUE_EXPIRY_FACTOR
 from ._order import IN_TIME, by_slack
 from ._spec import WorkflowSpec, critical_path_ms, objective_ms
@@ -31,10 +32,16 @@
 
 
 class CapacityRelease(NamedTuple):
-    """Capacity that a run is expected to free at a time."""
+    """Capacity that runs are expected to free at a time.
+
+    `tasks` of `step` end then; `order` only makes the order of equal ones certain.
+    """
 
     end_ms: int
     demand: Resources
+    order: int
+    step: StepInfo
+    tasks: int
 
 
 PoolWaits = dict[str, tuple[WaitPoint, ...]]
@@ -46,6 +53,7 @@
     The simulation starts steps that can still meet their objective in order
     of slack, and runs end after their expected time. It treats a pool as one
     large worker, so actual waits are longer where tasks do not fit together.
+    Work beyond the quota of a tenant starts as earlier work of the tenant ends.
     """
     waiting = _waiting_in_time(cell, now_ms)
     capacities = _pool_capacities(cell, now_ms) if waiting else {}
@@ -55,7 +63,7 @@
         points = _simulate_starts(
             waiting[pool], capacities[pool], releases, now_ms
         )
-        if points[-1].wait_ms >= MIN_REPORTED_WAIT_MS:
+        if points and points[-1].wait_ms >= MIN_REPORTED_WAIT_MS:
             waits[pool] = _downsample(points)
     return waits
 
@@ -118,14 +126,22 @@
 def _expected_releases(
     cell: CellState, pool: str, now_ms: int
 ) -> list[CapacityRelease]:
-    releases = [
-        CapacityRelease(
-            max(run.sent_ms + run.step.spec.expected_ms, now_ms), run.demand
-        )
+    ending = (
+        run
         for worker in cell.workers.values()
         if worker.pool == pool and is_in_service(worker, now_ms)
         for run in worker.runs.values()
         if _is_finite(run)
+    )
+    releases = [
+        CapacityRelease(
+            max(run.sent_ms + run.step.spec.expected_ms, now_ms),
+            run.demand,
+            order,
+            run.step,
+            1,
+        )
+        for order, run in enumerate(ending)
     ]
     heapq.heapify(releases)
     return releases
@@ -141,23 +157,62 @@
     releases: list[CapacityRelease],
     now_ms: int,
 ) -> list[WaitPoint]:
-    free = capacity.free
-    time_ms = now_ms
+    quotas = QuotaForecast()
+    timeline = _Timeline(capacity, releases, now_ms)
     points = []
     for step in steps:
-        wanted = step.spec.demand.times(len(step.waiting))
-        demand = Resources(*map(min, wanted, capacity.total))
-        while not demand.fits_in(free) and releases:
-            release = heapq.heappop(releases)
-            time_ms = max(time_ms, release.end_ms)
-            free = free.plus(release.demand)
-        free = free.minus(demand)
-        end_ms = time_ms + step.spec.expected_ms
-        heapq.heappush(releases, CapacityRelease(end_ms, demand))
-        points.append(WaitPoint(step.latest_start_ms, time_ms - now_ms))
+        tasks = quotas.admit(step)
+        if not tasks:
+            continue
+        demand = timeline.limit(step, tasks)
+        while not demand.fits_in(timeline.free) and releases:
+            ended = timeline.release_next()
+            for held in quotas.release(ended.step, ended.tasks):
+                timeline.start(held.step, held.tasks)
+        timeline.start(step, tasks)
+        points.append(WaitPoint(step.latest_start_ms, timeline.now_ms - now_ms))
     return points
 
 
+class _Timeline:
+    """Track the free capacity of a pool over the time of a forecast."""
+
+    def __init__(
+        self,
+        capacity: PoolCapacity,
+        releases: list[CapacityRelease],
+        now_ms: int,
+    ) -> None:
+        self.total = capacity.total
+        self.free = capacity.free
+        self.releases = releases
+        self.now_ms = now_ms
+        self.order = len(releases)
+
+    def limit(self, step: StepInfo, tasks: int) -> Resources:
+        """Return the demand of tasks, of the whole pool at most."""
+        wanted = step.spec.demand.times(tasks)
+        return Resources(*map(min, wanted, self.total))
+
+    def release_next(self) -> CapacityRelease:
+        """Advance to the next release and return it."""
+        release = heapq.heappop(self.releases)
+        self.now_ms = max(self.now_ms, release.end_ms)
+        self.free = self.free.plus(release.demand)
+        return release
+
+    def start(self, step: StepInfo, tasks: int) -> None:
+        """Allocate tasks until their expected end."""
+        demand = self.limit(step, tasks)
+        self.free = self.free.minus(demand)
+        end_ms = self.now_ms + step.spec.expected_ms
+        self.order += 1
+        heapq.heappush(
+            self.releases,
+            CapacityRelease(end_ms, demand, self.order, step, tasks),
+        )
+
+
 def _downsample(points: list[WaitPoint]) -> tuple[WaitPoint, ...]:
     stride = -(-len(points) // MAX_POINTS_PER_POOL)
     return tuple(points[stride - 1 :: stride])
--- a/src/lycheerelay/workflow/tenants.py
+++ b/src/lycheerelay/workflow/tenants.py
@@ -1,5 +1,17 @@
 """Accounts of tenants and their quotas."""
 
-from ._tenants import TenantAccount, TenantLedger, TenantPolicy
+from ._tenants import (
+    QuotaExcess,
+    TenantAccount,
+    TenantLedger,
+    TenantPolicy,
+    find_quota_excess,
+)
 
-__all__ = ('TenantAccount', 'TenantLedger', 'TenantPolicy')
+__all__ = (
+    'QuotaExcess',
+    'TenantAccount',
+    'TenantLedger',
+    'TenantPolicy',
+    'find_quota_excess',
+)
