--- a/src/lycheerelay/workflow/_quota.py
+++ b/src/lycheerelay/workflow/_quota.py
@@ -33,9 +33,10 @@
 # A tenant counts as no longer held back after this time. A shorter one would log
 # two events for each task end of a tenant that is at its quota.
 HELD_LINGER_MS: Final = 1000
-# A step waits no longer than this for a gang of its tenant while it leaves half of
-# the quota unused: no step may wait for 3 s then. For the same reason a gang that
-# waits for capacity does not hold back others before this time.
+# A gang may keep its tenant below half of the quota for this time, in which most
+# runs end. Then later steps start up to that half: with more of the quota unused
+# no step may wait for 3 s. For the same reason a gang that waits for capacity holds
+# back others only for this time before its expected start.
 MAX_GANG_WAIT_MS: Final = 2000
 
 
@@ -145,6 +146,13 @@
         for account in ledger.accounts.values():
             state = self.accounts.get(account)
             account.has_waiting_gang = state is not None and bool(state.gang)
+            if (
+                not account.has_waiting_gang
+                or min(account.free_below_half) <= 0
+            ):
+                account.below_half_since_ms = NEVER
+            elif account.below_half_since_ms == NEVER:
+                account.below_half_since_ms = self.now_ms
         for name, held_ms in list(ledger.held.items()):
             if self.now_ms - held_ms >= HELD_LINGER_MS:
                 ledger.held.pop(name)
@@ -206,13 +214,12 @@
         free = start.ceiling.minus(account.used)
         demand = step.spec.charged_demand
         startable = count_fitting_tasks(demand, free)
-        if not startable and self._has_waited_for_gang(step):
-            return count_fitting_tasks(demand, account.free_below_half)
-        return startable
-
-    def _has_waited_for_gang(self, step: StepInfo) -> bool:
-        since_ms = step.held_by_quota_ms
-        return since_ms != NEVER and self.now_ms - since_ms >= MAX_GANG_WAIT_MS
+        since_ms = account.below_half_since_ms
+        if startable or since_ms == NEVER:
+            return startable
+        if self.now_ms - since_ms < MAX_GANG_WAIT_MS:
+            return 0
+        return count_fitting_tasks(demand, account.free_below_half)
 
     def _is_planned_soon(self, step: StepInfo) -> bool:
         if not step.openings:
--- a/src/lycheerelay/workflow/_tenants.py
+++ b/src/lycheerelay/workflow/_tenants.py
@@ -87,7 +87,8 @@
     `is_active` says whether the configuration in force has the tenant. `used`
     contains `presumed`, the demand of starts by earlier owners whose workers have
     not answered yet. `runs` holds the allocated runs. `has_waiting_gang` says
-    that the last scheduling cycle left quota to a gang.
+    that the last scheduling cycle left quota to a gang, and `below_half_since_ms`
+    since when less than half of the quota has been in use meanwhile, or -1.
     """
 
     policy: TenantPolicy
@@ -96,6 +97,7 @@
     presumed: Resources = Resources()
     runs: 'dict[Run, None]' = field(default_factory=dict)
     has_waiting_gang: bool = False
+    below_half_since_ms: int = -1
 
     @property
     def free(self) -> Resources:
