Sharpen the tests of held steps and reservations

Cause: with the checks for stalled steps, for the position in a cycle, for reservations or for expired gangs removed, test_tenant_quotas still passed. Change: steps of another tenant keep fresh tickets behind held steps, stalls are checked while workers answer, and reservations are counted.

--- a/tests/test_tenant_quotas.py
+++ b/tests/test_tenant_quotas.py
@@ -344,16 +344,19 @@
 
 
 def test_a_gang_that_cannot_start_holds_nothing_back() -> None:
-    """Its value has expired, it is above the quota, or beside services."""
-    for quota, gang, accepted_ms in (
-        (3000, tasks(4, gang=True), 0),
-        (4000, tasks(4, gang=True), -90_000),
-        (4000, tasks(4, gang=True), 0),
+    """It is above the quota, its value has expired, or services are in the way."""
+    gang = tasks(4, gang=True)
+    for quota, accepted_ms, is_service in (
+        (3000, 0, False),
+        (4000, -90_000, False),
+        (4000, 0, True),
     ):
         model = cell_of(Resources(quota))
-        model.simulation.submit(spec_of('l', tasks(1, lasts=True)))
+        first = tasks(1, lasts=is_service)
+        model.simulation.submit(spec_of('l', first))
         model.simulation.submit(spec_of('g', gang, accepted_ms=accepted_ms))
-        model.simulation.submit(spec_of('s', tasks(2), accepted_ms=90_000))
+        later = spec_of('s', tasks(2), accepted_ms=accepted_ms + 10_000)
+        model.simulation.submit(later)
         assert model.simulation.first_start_ms.keys() == {'l', 's'}
 
 
@@ -388,17 +391,35 @@
     assert 0 < len({call.step for call in calls}) <= 10
     model.run_until(5000)
     assert cell.wanted_workers == {'p': frozenset()}
-    assert report_stalled_steps(cell, 5000) == 0
-    assert report_stalled_steps(cell, 9000) == 0
     assert predict_waits(cell, 5000) == {}
-    full = tasks(12, gang=True, demand=Resources(5000))
-    other = spec_of('u', full, tenant='u', advice=ADVICE, accepted_ms=5000)
-    simulation.submit(other)
-    model.run_until(6500)
-    assert 'u' in simulation.first_start_ms
+    assert report_stalled_steps(cell, 5000) == 0
+    model.run_until(8500)
+    assert report_stalled_steps(cell, 8500) == 0
+    full = tasks(12, gang=True, demand=Resources(5000))._replace(
+        expected_ms=60_000
+    )
+    after = tasks(1, demand=Resources(5000))
+    for name, spec in (('u', full), ('v', after)):
+        other = spec_of(name, spec, tenant='u', advice=ADVICE)
+        simulation.submit(other._replace(accepted_ms=8500))
+    model.run_until(12_500)
+    assert 8500 <= simulation.first_start_ms['u'] < 9000
+    tickets = cell.jobs['v'].occurrences[0][0].tickets.values()
+    assert max(ticket.until_ms for ticket in tickets) > 12_500
     assert model.excesses == []
 
 
+def test_reservations_of_a_tenant_stay_within_its_quota() -> None:
+    """Capacity kept for steps that cannot all start would stay idle."""
+    model = cell_of(Resources(0, 0, 3))
+    whole = tasks(4, demand=Resources(1000, 100, 4))
+    model.simulation.submit(spec_of('u', whole, tenant='u'))
+    for name in ('a', 'b'):
+        waiting = tasks(1, demand=Resources(1000, 100, 3))
+        model.simulation.submit(spec_of(name, waiting))
+    assert len(model.cell.wanted_workers['p']) == 1
+
+
 def test_a_forecast_keeps_counting_what_a_quota_lets_run() -> None:
     """Held tasks follow those that end, so their capacity stays in use."""
     model = cell_of(Resources(CORES), workers=1)
