--- a/src/lycheerelay/platform/_entry.py
+++ b/src/lycheerelay/platform/_entry.py
@@ -21,6 +21,7 @@
     OwnerElector,
     OwnershipLease,
     Peers,
+    QueueTable,
     RequestHandler,
     WorkflowApi,
     claim_delay_ms,
@@ -139,6 +140,10 @@
         """Serve requests from the owner of a new term, or from none."""
         self.handler.owner = owner
 
+    def find_table(self) -> QueueTable | None:
+        """Return the configuration in force, or None before the first one."""
+        return self.config.table
+
     def make_owner(self, ownership_lease: OwnershipLease) -> Owner:
         """Create the owner of a new term."""
         limits = Limits(
@@ -159,6 +164,7 @@
             limits=limits,
             metrics=self.metrics,
             fence=ownership_lease.fence,
+            find_table=self.find_table,
         )
         return Owner(
             context, self.advice_dispatcher, ListingReader(decode_worker)
