Look at a held step again only when its account changes

Cause: with 1,100 waiting steps on a full cell, a scheduling cycle took 0.8 to 1.8 ms without tenants and 7.4 to 8.1 ms with 20 or 94, as each step was compared with its quota twice. Change: accounts keep what is free and count their changes; a step that waits for capacity is not compared, and a held one only after a change.

--- a/src/lycheerelay/workflow/_dispatch.py
+++ b/src/lycheerelay/workflow/_dispatch.py
@@ -36,13 +36,17 @@
     quotas = QuotaCycle(cell, now_ms)
     started = 0
     for step in waiting:
+        account = step.job.account
+        if account is not None and quotas.is_still_held(step, account):
+            continue
         pool = step.job.spec.pool
         cycle = cycles.get(pool)
         if cycle is None:
             cycle = begin_cycle(cell, pool, quotas, now_ms)
             cycles[pool] = cycle
         started += _try_step(cell, step, cycle, now_ms)
-        quotas.finish_step(step, cycle.last_reserved == step.key)
+        if account is not None:
+            quotas.finish_step(step, account, cycle.last_reserved is step)
         cycle.position += not is_held_by_quota(step)
     quotas.finish()
     cell.wanted_workers = {
@@ -74,14 +78,13 @@
     now_ms: int,
 ) -> int:
     policy = step.job.spec.advice
-    startable = cycle.quotas.count_startable(step)
     if policy is not None and not step.asked_workers:
-        if _may_call_first(step, cycle, startable):
+        if cycle.quotas.may_call_first(step):
             ask_about_new_workers(cell, step, policy, cycle.usable, now_ms)
         return 0
-    if not startable:
-        return 0
     if step.spec.gang and not step.suspects:
+        if not cycle.quotas.may_start(step):
+            return 0
         return GANG_POLICIES[cell.policies.gangs](cell, step, cycle, now_ms)
     return _dispatch_tasks(cell, step, cycle, now_ms)
 
@@ -99,6 +102,8 @@
     may_fit = step.spec.demand.fits_in(cycle.max_free)
     if not may_fit and policy is None and not _needs_reserved_capacity(step):
         return started
+    if not cycle.quotas.may_start(step):
+        return started
     workers = step_candidates(step, cycle)
     if may_fit:
         tasks = [
@@ -116,12 +121,6 @@
     return started
 
 
-def _may_call_first(step: StepInfo, cycle: PoolCycle, startable: int) -> bool:
-    if startable and cycle.quotas.may_ask(step):
-        return True
-    return cycle.quotas.may_call_ahead(step)
-
-
 def _prepare_next_start(
     cell: CellState,
     step: StepInfo,
--- a/src/lycheerelay/workflow/_intake.py
+++ b/src/lycheerelay/workflow/_intake.py
@@ -162,6 +162,8 @@
         tasks=[TaskInfo(number) for number in range(step_spec.width)],
     )
     step.waiting = dict.fromkeys(range(step_spec.width))
+    tasks = step_spec.width if step_spec.gang else 1
+    step.quota_needed = step_spec.charged_demand.times(tasks)
     begin_ms = spec.accepted_ms
     if spec.occurrences:
         begin_ms = spec.first_due_ms + occurrence * spec.every_ms
--- a/src/lycheerelay/workflow/_pool_cycle.py
+++ b/src/lycheerelay/workflow/_pool_cycle.py
@@ -42,11 +42,11 @@
         default_factory=dict
     )
     held: dict[StepKey, list[WorkerInfo]] = field(default_factory=dict)
-    last_reserved: StepKey | None = None
+    last_reserved: StepInfo | None = None
 
     def reserve(self, step: StepInfo, openings: Iterable[Opening]) -> None:
         """Reserve the openings for a step until the cycle ends."""
-        self.last_reserved = step.key
+        self.last_reserved = step
         for worker, reservation in reservations_for(step, openings):
             self.reserved.setdefault(worker, []).append(reservation)
 
--- a/src/lycheerelay/workflow/_quota.py
+++ b/src/lycheerelay/workflow/_quota.py
@@ -70,17 +70,41 @@
 
 @dataclass(slots=True, eq=False)
 class QuotaCycle:
-    """Apply the quotas to one scheduling cycle over the steps of all pools."""
+    """Apply the quotas to one scheduling cycle over the steps of all pools.
+
+    `judged` is the last step that was compared with its quota.
+    """
 
     cell: CellState
     now_ms: int
     accounts: dict[TenantAccount, AccountCycle] = field(default_factory=dict)
+    judged: StepInfo | None = None
+
+    def is_still_held(self, step: StepInfo, account: TenantAccount) -> bool:
+        """Return whether the account is as it was when it held a step back."""
+        if step.held_epoch != account.epoch:
+            return False
+        self.cell.tenants.held[account.policy.name] = self.now_ms
+        return True
+
+    def may_start(self, step: StepInfo) -> bool:
+        """Return whether the quota lets any task start, or the whole gang."""
+        account = step.job.account
+        if account is None:
+            return True
+        self.judged = step
+        if step.quota_needed.fits_in(account.free):
+            state = self.accounts.get(account)
+            if state is None or state.gang is None:
+                return True
+        return self.count_startable(step) > 0
 
     def count_startable(self, step: StepInfo) -> int:
         """Return how many waiting tasks the quota lets start; a gang all or none."""
         account = step.job.account
         if account is None:
             return len(step.waiting)
+        self.judged = step
         startable = account.count_startable(step.spec.charged_demand)
         if startable:
             startable = min(startable, self._count_beside_gang(step, account))
@@ -91,6 +115,19 @@
             return len(step.tasks)
         return 0
 
+    def may_call_first(self, step: StepInfo) -> bool:
+        """Return whether a step may make its first call for advice.
+
+        A few held steps may, so that they can start at once later.
+        """
+        account = step.job.account
+        if account is None or (self.may_start(step) and self.may_ask(step)):
+            return True
+        calls_ahead = self._cycle_of(account).calls_ahead
+        pool = step.job.spec.pool
+        calls_ahead[pool] = calls_ahead.get(pool, 0) + 1
+        return account.is_active and calls_ahead[pool] <= CALLS_AHEAD
+
     def may_ask(self, step: StepInfo) -> bool:
         """Return whether the quota suffices beside earlier steps that ask.
 
@@ -110,34 +147,29 @@
         reserved = self._cycle_of(account).reserved.get(step.job.spec.pool)
         return _fits_beside(step, account, reserved)
 
-    def may_call_ahead(self, step: StepInfo) -> bool:
-        """Return whether a held step may make its first call for advice."""
-        account = step.job.account
-        if account is None or not account.is_active:
-            return account is None
-        calls_ahead = self._cycle_of(account).calls_ahead
-        pool = step.job.spec.pool
-        calls_ahead[pool] = calls_ahead.get(pool, 0) + 1
-        return calls_ahead[pool] <= CALLS_AHEAD
-
-    def finish_step(self, step: StepInfo, has_reserved: bool) -> None:
+    def finish_step(
+        self, step: StepInfo, account: TenantAccount, has_reserved: bool
+    ) -> None:
         """Mark a step that its quota holds back, after it was decided on."""
-        account = step.job.account
-        if account is None:
+        is_held = step.held_by_quota_ms != NEVER
+        if self.judged is not step and not is_held:
+            # It waits for capacity; the quota has made no difference.
             return
         state = self._cycle_of(account)
-        if not step.waiting or self.count_startable(step):
-            step.held_by_quota_ms = NEVER
-            step.held_by_quota = ''
-            if has_reserved:
-                _add_demand(state.reserved, step)
-            if step.pending_calls:
-                _add_demand(state.asking, step)
-            if self._is_planned_soon(step):
+        if step.waiting and not self.may_start(step):
+            self._hold(step, account)
+            if step.held_by_quota != WAITING_GANG:
                 self._note_gang(step, state)
             return
-        self._hold(step, account)
-        if step.held_by_quota != WAITING_GANG:
+        if is_held:
+            step.held_by_quota_ms = NEVER
+            step.held_by_quota = ''
+            step.held_epoch = NEVER
+        if has_reserved:
+            _add_demand(state.reserved, step)
+        if step.pending_calls:
+            _add_demand(state.asking, step)
+        if self._is_planned_soon(step):
             self._note_gang(step, state)
 
     def finish(self) -> None:
@@ -169,7 +201,8 @@
         if step.held_by_quota_ms == NEVER:
             step.held_by_quota_ms = self.now_ms
         step.openings = ()
-        shortage = account.find_shortage(_needed(step))
+        step.held_epoch = NEVER
+        shortage = account.find_shortage(step.quota_needed)
         if not account.is_active:
             step.held_by_quota = INACTIVE_TENANT
             shortage = Shortage('', 0, 0)
@@ -178,17 +211,22 @@
             return
         else:
             step.held_by_quota = shortage.resource
+        is_advised = step.job.spec.advice is None or bool(step.asked_workers)
+        if is_advised and not step.spec.gang:
+            step.held_epoch = account.epoch
+        self._note_held(step, account.policy.name, shortage)
+
+    def _note_held(self, step: StepInfo, name: str, shortage: Shortage) -> None:
         held = self.cell.tenants.held
-        if account.policy.name not in held:
+        if name not in held:
             log_event(
                 self.cell,
                 'quota_reached',
-                tenant=account.policy.name,
-                active=account.is_active,
+                tenant=name,
                 step=step.key,
                 **shortage._asdict(),
             )
-        held[account.policy.name] = self.now_ms
+        held[name] = self.now_ms
 
     def _note_gang(self, step: StepInfo, state: AccountCycle) -> None:
         """Let a gang keep later steps of its tenant from delaying it."""
@@ -198,7 +236,11 @@
         is_expired = (
             self.now_ms > step.infeasible_from_ms and not step.spec.lasts
         )
-        if account and not is_expired and account.can_ever_fit(_needed(step)):
+        if (
+            account
+            and not is_expired
+            and account.can_ever_fit(step.quota_needed)
+        ):
             state.gang = step
 
     def _count_beside_gang(self, step: StepInfo, account: TenantAccount) -> int:
@@ -230,7 +272,7 @@
         self, gang: StepInfo, account: TenantAccount
     ) -> GangStart:
         """Return when the runs of the tenant will have left room for a gang."""
-        needed = _needed(gang)
+        needed = gang.quota_needed
         free = account.free
         at_ms = gang.openings[-1].at_ms if gang.openings else self.now_ms
         for end_ms, demand in sorted(self._expected_ends(account)):
@@ -269,18 +311,12 @@
     return step.held_by_quota_ms != NEVER
 
 
-def _needed(step: StepInfo) -> Resources:
-    """Return what must be left of a quota for the next start of a step."""
-    demand = step.spec.charged_demand
-    return demand.times(len(step.tasks)) if step.spec.gang else demand
-
-
 def _fits_beside(
     step: StepInfo, account: TenantAccount, claimed: Resources | None
 ) -> bool:
     if claimed is None:
         return True
-    return _needed(step).fits_in(account.free.minus(claimed))
+    return step.quota_needed.fits_in(account.free.minus(claimed))
 
 
 def _add_demand(claimed: dict[str, Resources], step: StepInfo) -> None:
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -158,7 +158,8 @@
     has raised an error in this term. `suspects` holds the indexes of the tasks that
     are started on trial only. Waiting tasks have been held back since
     `held_by_quota_ms` by `held_by_quota`: a resource of the quota, INACTIVE_TENANT
-    or WAITING_GANG.
+    or WAITING_GANG. They need not be looked at before the epoch of the account
+    changes from `held_epoch`. `quota_needed` is what the next start needs.
     """
 
     key: StepKey
@@ -187,6 +188,8 @@
     suspects: dict[int, None] = field(default_factory=dict)
     held_by_quota_ms: int = NEVER
     held_by_quota: str = ''
+    held_epoch: int = NEVER
+    quota_needed: Resources = Resources()
 
     @property
     def is_done(self) -> bool:
--- a/src/lycheerelay/workflow/_tenants.py
+++ b/src/lycheerelay/workflow/_tenants.py
@@ -16,6 +16,8 @@
 
 # Free amount of a resource without a limit.
 UNLIMITED: Final = 1 << 60
+# Free amounts in which no demand fits.
+NOTHING: Final = Resources(-1, -1, -1, -1, -1)
 
 
 class TenantPolicy(NamedTuple):
@@ -88,7 +90,9 @@
     contains `presumed`, the demand of starts by earlier owners whose workers have
     not answered yet. `runs` holds the allocated runs. `has_waiting_gang` says
     that the last scheduling cycle left quota to a gang, and `below_half_since_ms`
-    since when less than half of the quota has been in use meanwhile, or -1.
+    since when less than half of the quota has been in use meanwhile, or -1. `free`
+    is what the quota leaves: negative above it, and for a tenant that is not
+    active. `epoch` counts its changes.
     """
 
     policy: TenantPolicy
@@ -98,18 +102,18 @@
     runs: 'dict[Run, None]' = field(default_factory=dict)
     has_waiting_gang: bool = False
     below_half_since_ms: int = -1
+    free: Resources = Resources()
+    epoch: int = 0
 
-    @property
-    def free(self) -> Resources:
-        """Return what the quota leaves, negative above the quota."""
-        return Resources(
-            *(
-                limit - amount if limit else UNLIMITED
-                for limit, amount in zip(
-                    self.policy.quota, self.used, strict=True
-                )
-            )
-        )
+    def __post_init__(self) -> None:
+        """Derive what is free."""
+        self._update_free()
+
+    def configure(self, policy: TenantPolicy, *, is_active: bool) -> None:
+        """Apply the settings of a version of the configuration."""
+        self.policy = policy
+        self.is_active = is_active
+        self._update_free()
 
     @property
     def free_below_half(self) -> Resources:
@@ -126,10 +130,12 @@
     def charge(self, demand: Resources) -> None:
         """Add the demand of a run."""
         self.used = self.used.plus(demand)
+        self._update_free()
 
     def refund(self, demand: Resources) -> None:
         """Subtract the demand of a run that its worker no longer holds."""
         self.used = self.used.minus(demand)
+        self._update_free()
 
     def add_run(self, run: 'Run') -> None:
         """Charge an allocated run."""
@@ -161,6 +167,20 @@
                 return Shortage(resource, used, limit)
         return None
 
+    def _update_free(self) -> None:
+        self.epoch += 1
+        if not self.is_active:
+            self.free = NOTHING
+            return
+        self.free = Resources(
+            *(
+                limit - amount if limit else UNLIMITED
+                for limit, amount in zip(
+                    self.policy.quota, self.used, strict=True
+                )
+            )
+        )
+
 
 @dataclass(slots=True, eq=False)
 class TenantLedger:
@@ -197,13 +217,10 @@
         self.version = version
         self.is_enforced = is_enforced
         for name, account in self.accounts.items():
-            account.is_active = not is_enforced
-            if not is_enforced:
-                account.policy = TenantPolicy(name)
+            policy = account.policy if is_enforced else TenantPolicy(name)
+            account.configure(policy, is_active=not is_enforced)
         for policy in policies:
-            account = self.find(policy.name)
-            account.policy = policy
-            account.is_active = True
+            self.find(policy.name).configure(policy, is_active=True)
 
     def find(self, name: str) -> TenantAccount:
         """Return the account of a tenant; an unknown one may run nothing."""
--- a/tests/test_tenant_quotas.py
+++ b/tests/test_tenant_quotas.py
@@ -390,7 +390,7 @@
     calls = [each for each in cell.outbox if isinstance(each, AskAdvice)]
     assert 0 < len({call.step for call in calls}) <= 10
     model.run_until(5000)
-    assert cell.wanted_workers == {'p': frozenset()}
+    assert not any(cell.wanted_workers.values())
     assert predict_waits(cell, 5000) == {}
     assert report_stalled_steps(cell, 5000) == 0
     model.run_until(8500)
