Let advice calls wait for a queue instead of joining a long one

Change: a call joins a queue only if that is free within 100 ms. The others wait in the dispatcher, those that would be answered first in front, and use the VMs that become known meanwhile.

--- a/src/lycheerelay/serving/_advice_dispatcher.py
+++ b/src/lycheerelay/serving/_advice_dispatcher.py
@@ -1,15 +1,20 @@
 """Distribute calls to the placement advisor over the entry VMs.
 
-The advisor serves one call per calling VM at a time, so each VM is a queue in
-which a long call delays the short calls behind it. Some queues are therefore
-reserved for short calls.
+Load: after a takeover all waiting steps need advice at once, while the new owner
+knows few other VMs. The advisor serves one call per calling VM at a time, so each
+VM is a queue in which a long call delays the short calls behind it. Some queues are
+therefore reserved for short calls, and calls wait here rather than in a long queue,
+since other VMs may become known.
 """
 
-from typing import Final, final
+import asyncio
+import heapq
+import itertools
+from typing import Final, NamedTuple, final
 
 from result import Err, Result
 
-from .._clock import Clock
+from .._clock import MS_PER_SECOND, Clock
 from ..workflow import AskAdvice
 from ._peers import Peers
 from ._ports import AdviceReply, Advisor, LogFault
@@ -21,6 +26,23 @@
 # others.
 SHORT_CALL_QUEUES: Final = 2
 LOCAL_QUEUE: Final = ''
+# A call joins a queue that is expected to be free within this time. That covers the
+# way to another VM, so that no queue runs empty.
+MAX_QUEUED_MS: Final = 100
+# Interval at which waiting calls look for VMs that became known.
+RECHECK_S: Final = 0.02
+
+
+class WaitingCall(NamedTuple):
+    """A call without a queue; the future is for its queue.
+
+    Calls sort by the time at which they would be answered without waiting.
+    """
+
+    answer_due_ms: float
+    number: int
+    expected_ms: float
+    queue: 'asyncio.Future[str]'
 
 
 @final
@@ -33,12 +55,13 @@
         self.advisor = advisor
         self.peers = peers
         self.busy_until_ms: dict[str, float] = {}
+        self.waiting: list[WaitingCall] = []
+        self.numbers = itertools.count()
+        self.assigner: asyncio.Task[None] | None = None
 
     async def ask(self, command: AskAdvice) -> Result[AdviceReply, LogFault]:
         """Ask for advice through the queue that is free first."""
-        queue = self._pick_queue(command.expected_ms)
-        begin_ms = max(self.clock.now_ms(), self.busy_until_ms.get(queue, 0))
-        self.busy_until_ms[queue] = begin_ms + command.expected_ms
+        queue = await self._join_queue(command.expected_ms)
         if queue == LOCAL_QUEUE:
             return await self.advisor.ask(command.step, command.worker_ids)
         outcome = await self.peers.ask_advice(
@@ -50,12 +73,47 @@
             self.peers.suspect(queue)
         return outcome
 
+    async def _join_queue(self, expected_ms: float) -> str:
+        if not self.waiting:
+            queue = self._pick_queue(expected_ms)
+            if self._backlog_ms(queue) <= MAX_QUEUED_MS:
+                return self._occupy(queue, expected_ms)
+        loop = asyncio.get_running_loop()
+        assigned: asyncio.Future[str] = loop.create_future()
+        due_ms = self.clock.now_ms() + expected_ms
+        number = next(self.numbers)
+        heapq.heappush(
+            self.waiting, WaitingCall(due_ms, number, expected_ms, assigned)
+        )
+        if self.assigner is None or self.assigner.done():
+            self.assigner = loop.create_task(self._assign_queues())
+        return await assigned
+
+    async def _assign_queues(self) -> None:
+        while self.waiting:
+            call = self.waiting[0]
+            queue = self._pick_queue(call.expected_ms)
+            excess_ms = self._backlog_ms(queue) - MAX_QUEUED_MS
+            if call.queue.cancelled():
+                heapq.heappop(self.waiting)
+            elif excess_ms <= 0:
+                heapq.heappop(self.waiting)
+                call.queue.set_result(self._occupy(queue, call.expected_ms))
+            else:
+                excess_s = excess_ms / MS_PER_SECOND
+                await asyncio.sleep(min(excess_s, RECHECK_S))
+
+    def _occupy(self, queue: str, expected_ms: float) -> str:
+        begin_ms = self.clock.now_ms() + self._backlog_ms(queue)
+        self.busy_until_ms[queue] = begin_ms + expected_ms
+        return queue
+
+    def _backlog_ms(self, queue: str) -> float:
+        until_ms = self.busy_until_ms.get(queue, 0)
+        return max(until_ms - self.clock.now_ms(), 0)
+
     def _pick_queue(self, expected_ms: float) -> str:
         queues = [LOCAL_QUEUE, *self.peers.live_peers()]
         if expected_ms > SHORT_CALL_MS and len(queues) > SHORT_CALL_QUEUES:
             queues = queues[SHORT_CALL_QUEUES:]
-        now_ms = self.clock.now_ms()
-        return min(
-            queues,
-            key=lambda queue: max(self.busy_until_ms.get(queue, 0), now_ms),
-        )
+        return min(queues, key=self._backlog_ms)
