Start the task that asks other VMs only when reads fail

Cause: a second task per process changed the order of events at the same time, so that another VM became the owner in cells without tenants. Change: the task starts with the first failed read of a configuration that requires keys, and ends once the reads succeed.

--- a/src/lycheerelay/serving/_config_watch.py
+++ b/src/lycheerelay/serving/_config_watch.py
@@ -56,7 +56,9 @@
         # Offset of the newest record of the configuration, readable or not.
         self.newest_offset = -1
         self.is_newest_readable = False
-        self.reads_fail = asyncio.Event()
+        self.reads_fail = False
+        # Task that asks other VMs while the reads fail.
+        self.asking: asyncio.Task[None] | None = None
 
     @property
     def is_current(self) -> bool:
@@ -70,18 +72,26 @@
 
     async def run(self) -> None:
         """Follow the stream until cancelled."""
-        await asyncio.gather(self._follow(), self._ask_while_reads_fail())
+        try:
+            await self._follow()
+        finally:
+            if self.asking is not None:
+                self.asking.cancel()
 
     async def _follow(self) -> None:
         while True:
             outcome = await self._read()
+            self.reads_fail = isinstance(outcome, Err)
             if isinstance(outcome, Err):
                 if outcome.err_value is LogFault.GONE:
                     self.next_offset = -1
-                self.reads_fail.set()
+                self._start_asking()
                 await asyncio.sleep(RETRY_DELAY_S)
-            else:
-                self.reads_fail.clear()
+
+    def _start_asking(self) -> None:
+        is_asking = self.asking is not None and not self.asking.done()
+        if self._must_be_current() and not is_asking:
+            self.asking = asyncio.create_task(self._ask_while_reads_fail())
 
     async def _read(self) -> Err[LogFault] | None:
         sent_ms = self.clock.now_ms()
@@ -108,7 +118,7 @@
     def _wait_ms(self) -> int:
         if not self._must_be_current():
             return READ_WAIT_MS
-        if self.reads_fail.is_set():
+        if self.reads_fail:
             # The age of the configuration grows until this read returns.
             return 0
         return min(READ_WAIT_MS, self.freshness.longest_wait_ms)
@@ -151,16 +161,14 @@
         )
 
     async def _ask_while_reads_fail(self) -> None:
-        while True:
-            await self.reads_fail.wait()
-            if self.table is not None and self._must_be_current():
-                await self._ask_peer(self.table.version)
+        while self.reads_fail and self.table is not None:
+            await self._ask_peer(self.table.version)
             await asyncio.sleep(PEER_INTERVAL_MS / MS_PER_SECOND)
 
     async def _ask_peer(self, version: int) -> None:
         sent_ms = self.clock.now_ms()
         outcome = await self.peers.ask_config(version)
-        if isinstance(outcome, Err) or not self.reads_fail.is_set():
+        if isinstance(outcome, Err) or not self.reads_fail:
             return
         try:
             self._apply_answer(outcome.ok_value, sent_ms)
