Order steps by the shares of their tenants

Cause: a tenant that sends several times its usual work delays all others, as steps are ordered by slack alone. Change: a token bucket per tenant marks jobs over its rate, accounts know their usage by pool, and cells with tenants order steps by weighted dominant shares. Orders take all waiting steps instead of a key for each; those by a key are registered by register_key and sort as before. Effects on callers are not measured in this commit.

--- a/src/lycheerelay/platform/_entry.py
+++ b/src/lycheerelay/platform/_entry.py
@@ -26,6 +26,7 @@
     previous_orders_expire_ms,
 )
 from ..workflow import CellState
+from ..workflow.tenants import TenantLedger
 from ._advisor import AdvisorClient
 from ._decode import decode_config, decode_worker
 from ._ingress import Ingress
@@ -132,6 +133,7 @@
         cell = CellState(
             ownership_lease.fence,
             previous_orders_expire_ms(self.clock.now_ms(), limits),
+            tenants=self._make_ledger(),
         )
         context = OwnerContext(
             cell=cell,
@@ -147,6 +149,14 @@
             context, self.advice_dispatcher, ListingReader(decode_worker)
         )
 
+    def _make_ledger(self) -> TenantLedger:
+        """Return the accounts of a new term; the rates need their weights."""
+        ledger = TenantLedger(window_ms=self.settings.quota_window_ms)
+        table = self.config.table
+        if table is not None:
+            ledger.configure(table.version, table.tenants)
+        return ledger
+
     def start(self) -> None:
         """Start the election, the configuration watch and the peer refresh."""
         loop = asyncio.get_running_loop()
--- a/src/lycheerelay/rehearsal/_simulation.py
+++ b/src/lycheerelay/rehearsal/_simulation.py
@@ -143,6 +143,7 @@
         self.history: list[RunRecord] = []
         self.first_start_ms: dict[str, int] = {}
         self.on_tick: Callable[[], None] = _do_nothing
+        self.decide: Callable[[CellState, int], int] = dispatch
         cell.loaded = True
         cell.gangs_checked = True
 
@@ -192,7 +193,7 @@
             self.at(later_ms, self._tick, until_ms, is_over)
 
     def _dispatch(self) -> None:
-        dispatch(self.cell, self.now_ms)
+        self.decide(self.cell, self.now_ms)
         commands = self.cell.outbox
         self.cell.outbox = []
         for command in commands:
--- a/src/lycheerelay/workflow/_dispatch.py
+++ b/src/lycheerelay/workflow/_dispatch.py
@@ -11,7 +11,7 @@
 from ._gangs import GANG_POLICIES
 from ._log_events import log_event
 from ._openings import earliest_openings
-from ._order import ORDERS
+from ._order import choose_order
 from ._pool_cycle import (
     PoolCycle,
     begin_cycle,
@@ -29,8 +29,7 @@
     if not cell.loaded or cell.deposed:
         return 0
     waiting = [step for step in cell.open_steps.values() if step.waiting]
-    order = ORDERS[cell.policies.order]
-    waiting.sort(key=lambda step: order(step, now_ms))
+    waiting = choose_order(cell)(cell, waiting, now_ms)
     cycles: dict[str, PoolCycle] = {}
     started = 0
     for step in waiting:
--- a/src/lycheerelay/workflow/_intake.py
+++ b/src/lycheerelay/workflow/_intake.py
@@ -26,6 +26,9 @@
     job = JobInfo(spec, offset)
     if spec.tenant:
         job.account = cell.tenants.find(spec.tenant)
+        job.is_over_rate = cell.tenants.is_over_rate(
+            job.account, spec.accepted_ms
+        )
     cell.jobs[spec.job_id] = job
     if not spec.occurrences:
         open_occurrence(cell, job, 0)
--- a/src/lycheerelay/workflow/_order.py
+++ b/src/lycheerelay/workflow/_order.py
@@ -1,24 +1,55 @@
 """Order waiting steps for scheduling."""
 
 from collections.abc import Callable
+from itertools import chain
 from typing import Final
 
 from .._registry import Registry
-from ._state import StepInfo
+from .._resources import Resources
+from ._fit import is_in_service
+from ._state import CellState, StepInfo
+from ._tenant_shares import TenantUsage, tenant_usages
+from ._tenants import TenantAccount
 
 OrderKey = tuple[int, int, int]
-Order = Callable[[StepInfo, int], OrderKey]
+StepKeyOf = Callable[[StepInfo, int], OrderKey]
+Order = Callable[[CellState, list[StepInfo], int], list[StepInfo]]
 
 IN_TIME: Final = 0
 LATE: Final = 1
 VALUE_EXPIRED: Final = 2
 
-# Sort key functions for waiting steps. Each takes a step and the current time in
-# ms; the step with the lowest key is served first.
+# Groups of the steps of tenants. A step of the second kind adds to its group.
+WITHIN_SHARE: Final = 0
+ABOVE_SHARE: Final = 1
+DEFERRED: Final = 2
+# Interval at which the capacity of the pools is added up.
+CAPACITY_INTERVAL_MS: Final = 200
+
+# Functions that order waiting steps. Each takes the cell, the steps and the
+# current time in ms; the first step of the result is served first.
 ORDERS: Final[Registry[str, Order]] = Registry('order')
 
 
-@ORDERS.register('slack')
+def register_key(name: str) -> Callable[[StepKeyOf], StepKeyOf]:
+    """Return a decorator that registers an order by a key of each step.
+
+    The step with the lowest key is served first.
+    """
+
+    def register(key: StepKeyOf) -> StepKeyOf:
+        def order(
+            cell: CellState, steps: list[StepInfo], now_ms: int
+        ) -> list[StepInfo]:
+            return sorted(steps, key=lambda step: key(step, now_ms))
+
+        ORDERS.register(name)(order)
+        return key
+
+    return register
+
+
+@register_key('slack')
 def by_slack(step: StepInfo, now_ms: int) -> OrderKey:
     """Serve steps that can meet their objective first, by least slack.
 
@@ -33,21 +64,85 @@
     return VALUE_EXPIRED, offset, offset
 
 
-@ORDERS.register('arrival')
+@register_key('arrival')
 def by_arrival(step: StepInfo, now_ms: int) -> OrderKey:
     """Serve steps in order of acceptance."""
     return IN_TIME, step.job.offset, step.key.step
 
 
-@ORDERS.register('shortest')
+@register_key('shortest')
 def by_expected_work(step: StepInfo, now_ms: int) -> OrderKey:
     """Serve the step with the least expected work first."""
     work_ms = step.spec.expected_ms * len(step.waiting)
     return IN_TIME, work_ms, step.job.offset
 
 
-@ORDERS.register('priority')
+@register_key('priority')
 def by_priority(step: StepInfo, now_ms: int) -> OrderKey:
     """Serve by timeliness, then by queue priority, then by due time."""
     timeliness, due_ms, _ = by_slack(step, now_ms)
     return timeliness, step.job.spec.priority, due_ms
+
+
+@ORDERS.register('fair')
+def order_fairly(
+    cell: CellState, steps: list[StepInfo], now_ms: int
+) -> list[StepInfo]:
+    """Serve tenants by their shares, and those within it by slack.
+
+    Steps of jobs over the rate of their tenant follow all others that still have
+    value, and so do steps without value of tenants above their share. Jobs
+    without a tenant have no share, and count as within it.
+    """
+    ranked = sorted(steps, key=lambda step: by_slack(step, now_ms))
+    usages = _usages_by_pool(cell, ranked, now_ms)
+    groups: tuple[list[StepInfo], ...] = ([], [], [], [])
+    for step in ranked:
+        job = step.job
+        if job.account is None:
+            groups[WITHIN_SHARE].append(step)
+            continue
+        is_above = usages[job.spec.pool][job.account].count(step)
+        has_value = now_ms <= step.infeasible_from_ms or step.spec.lasts
+        is_deferred = job.is_over_rate or (is_above and not has_value)
+        group = DEFERRED * is_deferred + ABOVE_SHARE * is_above
+        groups[group].append(step)
+    return list(chain.from_iterable(groups))
+
+
+def _usages_by_pool(
+    cell: CellState, steps: list[StepInfo], now_ms: int
+) -> dict[str, dict[TenantAccount, TenantUsage]]:
+    waiting: dict[str, dict[TenantAccount, None]] = {}
+    for step in steps:
+        job = step.job
+        if job.account is not None:
+            waiting.setdefault(job.spec.pool, {})[job.account] = None
+    capacities = _pool_capacities(cell, now_ms)
+    return {
+        pool: tenant_usages(accounts, pool, capacities.get(pool, Resources()))
+        for pool, accounts in waiting.items()
+    }
+
+
+def _pool_capacities(cell: CellState, now_ms: int) -> dict[str, Resources]:
+    """Return the capacity of each pool that is in service.
+
+    It changes rarely, so it is not added up in every cycle.
+    """
+    ledger = cell.tenants
+    if now_ms >= ledger.capacities_until_ms:
+        ledger.capacities_until_ms = now_ms + CAPACITY_INTERVAL_MS
+        ledger.capacities = {}
+        for worker in cell.workers.values():
+            if is_in_service(worker, now_ms):
+                total = ledger.capacities.get(worker.pool, Resources())
+                ledger.capacities[worker.pool] = total.plus(worker.capacity)
+    return ledger.capacities
+
+
+def choose_order(cell: CellState) -> Order:
+    """Return the order of a cell, which may differ if it has tenants."""
+    policies = cell.policies
+    has_tenants = bool(cell.tenants.accounts)
+    return ORDERS[policies.tenant_order if has_tenants else policies.order]
--- a/src/lycheerelay/workflow/_policies.py
+++ b/src/lycheerelay/workflow/_policies.py
@@ -9,7 +9,7 @@
     `spare_reserved` says whether tasks avoid workers that were reserved in the
     previous cycle. `reserving_steps` is the number of steps of a pool for which capacity is
     reserved in each scheduling cycle. More reservations would leave too much
-    of it idle.
+    of it idle. `tenant_order` replaces `order` in a cell with tenants.
     """
 
     order: str = 'slack'
@@ -21,3 +21,4 @@
     result_waits: str = 'last_tasks'
     contact: str = 'second_miss'
     suspects: str = 'first_start'
+    tenant_order: str = 'fair'
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -97,6 +97,11 @@
         """Return the task that this run executes."""
         return self.step.tasks[self.key.task.member]
 
+    @property
+    def pool(self) -> str:
+        """Return the pool of the job."""
+        return self.step.job.spec.pool
+
 
 @dataclass(slots=True, eq=False)
 class TaskInfo:
@@ -195,7 +200,8 @@
     """Track one accepted job.
 
     `durable_phase` is the phase in the last durable progress record, `account` that
-    of its tenant, if it has one.
+    of its tenant, if it has one. `is_over_rate` says that its tenant had sent more
+    jobs than its rate allows.
     """
 
     spec: WorkflowSpec
@@ -209,6 +215,7 @@
     finalized_ms: int = NEVER
     reason: str = ''
     account: TenantAccount | None = None
+    is_over_rate: bool = False
 
     @property
     def is_final(self) -> bool:
@@ -289,7 +296,7 @@
         self.runs[run.key] = run
         self.free = self.free.minus(run.demand)
         if run.step.job.account is not None:
-            run.step.job.account.charge(run.demand)
+            run.step.job.account.charge(run.demand, run.pool)
         key = self.key
         run.step.runs_per_worker[key] = run.step.runs_per_worker.get(key, 0) + 1
 
@@ -299,7 +306,7 @@
             return
         self.free = self.free.plus(run.demand)
         if run.step.job.account is not None:
-            run.step.job.account.refund(run.demand)
+            run.step.job.account.refund(run.demand, run.pool)
         if run.trial_until_ms and not any(
             other.trial_until_ms for other in self.runs.values()
         ):
