--- a/src/lycheerelay/platform/_entry.py
+++ b/src/lycheerelay/platform/_entry.py
@@ -29,6 +29,7 @@
     previous_orders_expire_ms,
 )
 from ..workflow import CellState
+from ..workflow.tenants import TenantLedger
 from ._advisor import AdvisorClient
 from ._decode import decode_config, decode_worker
 from ._ingress import Ingress
@@ -154,6 +155,7 @@
         cell = CellState(
             ownership_lease.fence,
             previous_orders_expire_ms(self.clock.now_ms(), limits),
+            tenants=TenantLedger(window_ms=self.settings.quota_window_ms),
         )
         context = OwnerContext(
             cell=cell,
--- a/src/lycheerelay/workflow/_tenants.py
+++ b/src/lycheerelay/workflow/_tenants.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 from .._resources import Resources
+from ._tenant_rates import TokenBucket
 
 if TYPE_CHECKING:
     from ._spec import WorkflowSpec
@@ -17,7 +18,8 @@
 # Free amount of a resource without a limit.
 UNLIMITED: Final = 1 << 60
 # Free amounts in which no demand fits.
-NOTHING: Final = Resources(-1, -1, -1, -1, -1)
+NO_ROOM: Final = Resources(-1, -1, -1, -1, -1)
+NOTHING: Final = Resources()
 
 
 class TenantPolicy(NamedTuple):
@@ -92,7 +94,9 @@
     that the last scheduling cycle left quota to a gang, and `below_half_since_ms`
     since when less than half of the quota has been in use meanwhile, or -1. `free`
     is what the quota leaves: negative above it, and for a tenant that is not
-    active. `epoch` counts its changes.
+    active. `epoch` counts its changes. `used_by_pool`
+    is the usage of its runs by the pool of their jobs, and `bucket` holds the tokens
+    of its rate.
     """
 
     policy: TenantPolicy
@@ -104,6 +108,8 @@
     below_half_since_ms: int = -1
     free: Resources = Resources()
     epoch: int = 0
+    used_by_pool: dict[str, Resources] = field(default_factory=dict)
+    bucket: TokenBucket = field(default_factory=TokenBucket)
 
     def __post_init__(self) -> None:
         """Derive what is free."""
@@ -140,12 +146,20 @@
     def add_run(self, run: 'Run') -> None:
         """Charge an allocated run."""
         self.runs[run] = None
-        self.charge(run.step.spec.charged_demand)
+        demand = run.step.spec.charged_demand
+        self.charge(demand)
+        self.used_by_pool[run.pool] = self.used_in(run.pool).plus(demand)
 
     def remove_run(self, run: 'Run') -> None:
         """Refund a run that its worker no longer holds."""
         self.runs.pop(run, None)
-        self.refund(run.step.spec.charged_demand)
+        demand = run.step.spec.charged_demand
+        self.refund(demand)
+        self.used_by_pool[run.pool] = self.used_in(run.pool).minus(demand)
+
+    def used_in(self, pool: str) -> Resources:
+        """Return the usage of the runs of one pool."""
+        return self.used_by_pool.get(pool, NOTHING)
 
     def count_startable(self, demand: Resources) -> int:
         """Return how many tasks the quota lets start now."""
@@ -170,7 +184,7 @@
     def _update_free(self) -> None:
         self.epoch += 1
         if not self.is_active:
-            self.free = NOTHING
+            self.free = NO_ROOM
             return
         self.free = Resources(
             *(
@@ -191,6 +205,9 @@
     quota applies. `presumed` holds the starts of earlier owners that may run on a
     worker that has not answered, by worker id. `held` holds the tenants with
     steps that their quota holds back, with the time in ms at which it last did.
+    `window_ms` limits the jobs that a tenant may send at once to those of its
+    rate in this time; with 0 there are no rates. `capacities` holds the usable
+    capacity of each pool, which is added up again from `capacities_until_ms` on.
     """
 
     version: int = -1
@@ -200,6 +217,9 @@
         default_factory=dict
     )
     held: dict[str, int] = field(default_factory=dict)
+    window_ms: int = 0
+    capacities: dict[str, Resources] = field(default_factory=dict)
+    capacities_until_ms: int = 0
 
     def configure(
         self,
@@ -250,3 +270,13 @@
         """Refund all presumed starts, as their orders have expired."""
         for worker_id in list(self.presumed):
             self.settle(worker_id)
+
+    def is_over_rate(self, account: TenantAccount, accepted_ms: int) -> bool:
+        """Count an accepted job, and return whether it is over the rate.
+
+        Jobs that are read before their tenant is known are not counted.
+        """
+        if not self.window_ms or not account.is_active:
+            return False
+        rate = account.policy.weight
+        return not account.bucket.take(rate, self.window_ms, accepted_ms)
