Refuse jobs over a tenant's rate while a pool is short, and show why tenants wait

Cause: a tenant that sends several times its rate filled the pools of the others, and operators could not see what a tenant uses or why its jobs wait. Change: the owner publishes rows about tenants with jobs over the rate that wait in a short pool, in answers to state queries and hellos. A VM with such a row asks the owner about each new job of that tenant, and refuses it with 429 if no token is left. The owner grants no token twice. Metrics by tenant, rows in /dump, the sub-command tenants, and the causes quota, share and key in trace. The wait forecast leaves out jobs over the rate. Marks and tokens are read with defaults until the token buckets exist, so nothing is refused yet.

--- a/src/lycheerelay/_cli.py
+++ b/src/lycheerelay/_cli.py
@@ -16,6 +16,7 @@
     _cli_check,
     _cli_config,
     _cli_jobs,
+    _cli_tenants,
     _cli_trace,
     _cli_workflow,
 )
@@ -43,6 +44,7 @@
     _cli_check,
     _cli_config,
     _cli_jobs,
+    _cli_tenants,
     _cli_trace,
     _cli_workflow,
 )
--- a/src/lycheerelay/platform/_ingress.py
+++ b/src/lycheerelay/platform/_ingress.py
@@ -37,12 +37,17 @@
     RequestStatus.NO_SUCH_JOB: 410,
     RequestStatus.UNAVAILABLE: 503,
     RequestStatus.TOO_LATE: 429,
+    RequestStatus.OVER_RATE: 429,
 }
 # Responses with these statuses carry a Retry-After header.
 RETRYABLE_ERRORS: Final = {
     RequestStatus.REFUSED: 'the store is unavailable',
     RequestStatus.UNAVAILABLE: 'the owner is unavailable',
     RequestStatus.TOO_LATE: 'the job cannot finish in time',
+    RequestStatus.OVER_RATE: (
+        'the tenant is over its rate and capacity is short; '
+        'the job was not stored and has not run'
+    ),
 }
 NOT_FOUND: Final = 404
 BAD_REQUEST: Final = 400
--- a/src/lycheerelay/serving/_dump.py
+++ b/src/lycheerelay/serving/_dump.py
@@ -7,6 +7,7 @@
 from ._config_watch import ConfigWatch
 from ._owner_elector import OwnerElector
 from ._request_handler import RequestHandler
+from ._tenant_dump import dump_rows, dump_tenants
 from ._wait_forecast import encode_waits
 
 Fields = dict[str, Any]
@@ -18,8 +19,9 @@
     """Return the state of this process, with the cell only at its owner."""
     table = config.table
     owner = handler.owner
+    now_ms = handler.clock.now_ms()
     return {
-        'now_ms': handler.clock.now_ms(),
+        'now_ms': now_ms,
         'name': handler.peers.own_name,
         'owner': handler.peers.owner,
         'members': list(handler.peers.members),
@@ -30,6 +32,8 @@
         'config_version': table.version if table else 0,
         'cell': _dump_cell(owner.cell) if owner else None,
         'waits': encode_waits(owner.waits) if owner else {},
+        'tenants': dump_tenants(owner.tenants, now_ms) if owner else [],
+        'tenant_rows': dump_rows(handler.tenant_gate.rows, now_ms),
     }
 
 
--- a/src/lycheerelay/serving/_internal_api.py
+++ b/src/lycheerelay/serving/_internal_api.py
@@ -64,7 +64,9 @@
 async def state(internal: InternalApi, body: Body) -> Body | None:
     """Return the phase of a job."""
     return await internal.handler.answer_state(
-        body['job'], waits=bool(body.get('waits'))
+        body['job'],
+        waits=bool(body.get('waits')),
+        admit=str(body.get('admit', '')),
     )
 
 
@@ -96,9 +98,11 @@
 @ROUTES.register('/hello')
 async def hello(internal: InternalApi, body: Body) -> Body | None:
     """Register a member that regards this VM as the owner."""
-    return {
-        'again_ms': internal.handler.peers.receive_hello(str(body['member']))
-    }
+    handler = internal.handler
+    again_ms = handler.peers.receive_hello(str(body['member']))
+    owner = handler.owner
+    published = owner.tenants.published() if owner else {}
+    return {'again_ms': again_ms, **published}
 
 
 @ROUTES.register('/vacant')
--- a/src/lycheerelay/serving/_job_stream.py
+++ b/src/lycheerelay/serving/_job_stream.py
@@ -6,6 +6,7 @@
 from result import Err
 
 from ..workflow import JobInfo, cancel, restore_progress, submit
+from ..workflow.tenants import is_over_rate
 from ._context import OwnerContext
 from ._ports import KeyedRecord, RecordPage
 from ._spec_codec import decode_spec
@@ -75,7 +76,8 @@
             return None
         spec = decoded.ok_value
         cell = self.context.cell
-        if spec.job_id not in cell.jobs:
+        is_new = spec.job_id not in cell.jobs
+        if is_new:
             logger.info(
                 'job_opened',
                 extra={
@@ -84,10 +86,15 @@
                     'pool': spec.pool,
                     'offset': record.offset,
                     'widths': [step.width for step in spec.steps],
+                    **({'tenant': spec.tenant} if spec.tenant else {}),
                     'age_ms': self.context.now_ms - spec.accepted_ms,
                 },
             )
-        return submit(cell, spec, record.offset)
+        job = submit(cell, spec, record.offset)
+        if is_new and cell.loaded and is_over_rate(job):
+            context = self.context
+            context.metrics.count_job('tenant_over_rate_jobs', spec.tenant)
+        return job
 
     def _apply_cancel(self, record: KeyedRecord) -> None:
         job_id = record.key.removeprefix(CANCEL_PREFIX)
--- a/src/lycheerelay/serving/_orders.py
+++ b/src/lycheerelay/serving/_orders.py
@@ -112,7 +112,11 @@
 @EXECUTORS.register(LogEvent)
 def execute_log_event(orders: Orders, command: LogEvent) -> None:
     """Write a log line and count the event."""
-    orders.context.metrics.count('events', event=command.event)
+    metrics = orders.context.metrics
+    metrics.count('events', event=command.event)
+    if command.event == 'job_started':
+        fields: dict[str, Any] = dict(command.fields)
+        metrics.observe_job('tenant_wait', fields['tenant'], fields['wait_ms'])
     write_log_event(command)
 
 
--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -37,6 +37,7 @@
 from ._ports import LogFault, RecordPage, Stream
 from ._recorder import Recorder
 from ._result_watch import ResultWatch
+from ._tenant_monitor import TenantMonitor
 from ._worker_poller import WorkerPoller
 
 logger = logging.getLogger('lycheerelay.owner')
@@ -92,6 +93,7 @@
         self.has_ended = False
         self.pause_s = CYCLE_DELAY_S
         self.waits: PoolWaits = {}
+        self.tenants = TenantMonitor(context)
 
     @property
     def cell(self) -> CellState:
@@ -233,6 +235,7 @@
 
     def _stop(self) -> None:
         self.has_ended = True
+        self.tenants.end()
         self.depose()
         for task in self.tasks:
             task.cancel()
@@ -340,6 +343,7 @@
                 self.context.notify_changed()
 
     def _observe_waits(self, ticks: int, now_ms: int) -> None:
+        self.tenants.tick(ticks, now_ms)
         if ticks % FORECAST_TICKS == 0:
             self.waits = predict_waits(self.cell, now_ms)
         if ticks % STALL_CHECK_TICKS == 0:
--- a/src/lycheerelay/serving/_peers.py
+++ b/src/lycheerelay/serving/_peers.py
@@ -8,6 +8,7 @@
 import asyncio
 import base64
 import logging
+from collections.abc import Callable
 from typing import Any, Final, final
 
 from result import Err, Ok, Result
@@ -77,6 +78,9 @@
         self.hello_expiry_ms: dict[str, int] = {}
         self.hello_due_ms = 0
         self.refresh_lock = asyncio.Lock()
+        self.on_owner_answer: Callable[[dict[str, Any], int], None] = (
+            _ignore_answer
+        )
 
     def live_peers(self) -> list[str]:
         """Return the addresses of the known peers that are not suspected."""
@@ -108,6 +112,10 @@
         self.hello_expiry_ms[member] = now_ms + HELLO_EXPIRY_INTERVALS * wait_ms
         return wait_ms
 
+    def send_hello_soon(self) -> None:
+        """Send the next hello at the next call of `send_hello`."""
+        self.hello_due_ms = 0
+
     async def send_hello(self) -> None:
         """Announce this member to the owner if its next hello is due."""
         now_ms = self.clock.now_ms()
@@ -165,10 +173,18 @@
         body: dict[str, Any],
         timeout_ms: int,
     ) -> Result[dict[str, Any], LogFault]:
-        """Call the owner; REFUSED while no owner is known."""
+        """Call the owner; REFUSED while no owner is known.
+
+        `on_owner_answer` takes each answer and the time of the call.
+        """
         if not self.owner:
             return Err(LogFault.REFUSED)
-        return await self.call(address_of(self.owner), path, body, timeout_ms)
+        sent_ms = self.clock.now_ms()
+        address = address_of(self.owner)
+        outcome = await self.call(address, path, body, timeout_ms)
+        if isinstance(outcome, Ok):
+            self.on_owner_answer(outcome.ok_value, sent_ms)
+        return outcome
 
     async def append_at_owner(
         self, record: KeyedRecord, timeout_ms: int
@@ -228,3 +244,7 @@
             is_sent = reply.status == NO_ANSWER
             return Err(LogFault.UNKNOWN if is_sent else LogFault.REFUSED)
         return Err(LogFault.REFUSED)
+
+
+def _ignore_answer(answer: dict[str, Any], sent_ms: int) -> None:
+    """Use nothing of an answer."""
--- a/src/lycheerelay/serving/_request_handler.py
+++ b/src/lycheerelay/serving/_request_handler.py
@@ -21,6 +21,7 @@
 from ._ports import KeyedLog, KeyedRecord, LogFault
 from ._spec_codec import encode_spec
 from ._store_health import StoreHealth
+from ._tenant_gate import TenantGate
 from ._wait_forecast import (
     WaitForecast,
     decode_waits,
@@ -54,6 +55,7 @@
     NO_SUCH_JOB = 'no_such_job'
     UNAVAILABLE = 'unavailable'
     TOO_LATE = 'too_late'
+    OVER_RATE = 'over_rate'
 
 
 class RequestResult(NamedTuple):
@@ -82,6 +84,8 @@
         self.metrics = metrics
         self.owner: Owner | None = None
         self.wait_forecast = WaitForecast({}, 0)
+        self.tenant_gate = TenantGate(clock)
+        peers.on_owner_answer = self.tenant_gate.receive
         self.append_gate = AppendGate(clock, store_health)
         self.append_router = AppendRouter(clock, store_health)
         self.job_appends = JobAppends(clock, log, self.append_gate, metrics)
@@ -92,7 +96,8 @@
         """Append a job; it is accepted once the store has acknowledged it.
 
         A new job that is predicted to end after its value has expired is
-        refused at once.
+        refused at once, and so is one over the rate of its tenant while
+        capacity is short.
         """
         begun_ms = self.clock.now_ms()
         retry_after_s = forecast_retry_after_s(
@@ -103,14 +108,14 @@
                 RequestStatus.TOO_LATE, retry_after_s=retry_after_s
             )
             outcome = await self._accept_known_or(refusal, spec.job_id)
-            return self._report(
-                'submit', spec.job_id, spec.queue, outcome, begun_ms
-            )
+            return self._report_submission(spec, outcome, begun_ms)
+        over_rate = await self._refuse_over_rate(spec)
+        if over_rate is not None:
+            return self._report_submission(spec, over_rate, begun_ms)
         record = KeyedRecord(f'{JOB_PREFIX}{spec.job_id}', encode_spec(spec))
-        outcome = await self._append(record, timeout_ms, 'submit')
-        return self._report(
-            'submit', spec.job_id, spec.queue, outcome, begun_ms
-        )
+        remaining_ms = timeout_ms - (self.clock.now_ms() - begun_ms)
+        outcome = await self._append(record, remaining_ms, 'submit')
+        return self._report_submission(spec, outcome, begun_ms)
 
     async def cancel(
         self,
@@ -159,12 +164,13 @@
         return RequestResult(RequestStatus.OK, answer['waiting'])
 
     async def answer_state(
-        self, job_id: str, *, waits: bool = False
+        self, job_id: str, *, waits: bool = False, admit: str = ''
     ) -> dict[str, Any] | None:
         """Return a job's phase; None if this VM is not serving.
 
         The phase in the result is None if the job is not known. With `waits`,
         the answer waits shortly for the end of a job that is about to end.
+        `admit` names the tenant that is about to submit the job.
         """
         owner = self.owner
         if owner is None or not owner.is_serving:
@@ -177,7 +183,9 @@
         if waits and job is not None:
             await owner.results.wait(job)
         phase: JobPhase | None = None if job is None else job.visible_phase
-        return {'phase': phase, 'waits': encode_waits(owner.waits)}
+        new_job_id = '' if job else job_id
+        published = owner.tenants.published(new_job_id, admit)
+        return {'phase': phase, 'waits': encode_waits(owner.waits), **published}
 
     def answer_waiting(self, queue: str) -> dict[str, Any] | None:
         """Count the waiting jobs of a queue; None if this VM is not serving."""
@@ -189,7 +197,11 @@
             for job in owner.cell.jobs.values()
             if job.spec.queue == queue and not job.started and not job.is_final
         )
-        return {'waiting': waiting, 'waits': encode_waits(owner.waits)}
+        return {
+            'waiting': waiting,
+            'waits': encode_waits(owner.waits),
+            **owner.tenants.published(),
+        }
 
     async def append_for_peer(self, record: KeyedRecord) -> dict[str, Any]:
         """Append a record of another VM; it is not passed on again."""
@@ -278,7 +290,9 @@
         if self.owner is not None:
             if path == '/state':
                 return await self.answer_state(
-                    body['job'], waits=body.get('waits', False)
+                    body['job'],
+                    waits=body.get('waits', False),
+                    admit=body.get('admit', ''),
                 )
             return self.answer_waiting(body['queue'])
         remaining_ms = max(deadline_ms - self.clock.now_ms(), 1)
@@ -311,6 +325,37 @@
             return WaitForecast(self.owner.waits, self.clock.now_ms())
         return self.wait_forecast
 
+    async def _refuse_over_rate(
+        self, spec: WorkflowSpec
+    ) -> RequestResult | None:
+        gate = self.tenant_gate
+        sent_ms = self.clock.now_ms()
+        if self.owner is not None:
+            gate.receive(self.owner.tenants.published(), sent_ms)
+        elif spec.tenant and gate.needs_news:
+            self.peers.send_hello_soon()
+        if not gate.is_doubtful(spec):
+            return None
+        body = {'job': spec.job_id, 'admit': spec.tenant}
+        known = await self._query_owner('/state', body, OWNER_QUERY_TIMEOUT_MS)
+        if known is None:
+            return None
+        if known.get('phase') is not None:
+            return RequestResult(RequestStatus.OK)
+        delay_s = gate.refusal_s(spec, known, sent_ms)
+        if not delay_s:
+            return None
+        return RequestResult(RequestStatus.OVER_RATE, retry_after_s=delay_s)
+
+    def _report_submission(
+        self, spec: WorkflowSpec, outcome: RequestResult, begun_ms: int
+    ) -> RequestResult:
+        verdict = outcome.status.value
+        self.metrics.count_job('tenant_jobs', spec.tenant, verdict=verdict)
+        return self._report(
+            'submit', spec.job_id, spec.queue, outcome, begun_ms
+        )
+
     def _report(
         self,
         operation: str,
--- /dev/null
+++ b/src/lycheerelay/serving/_tenant_monitor.py
@@ -0,0 +1,211 @@
+"""Watch at the owner what tenants use and wait for, and publish rows.
+
+Load: about 43 entry VMs ask for the same tenant within a round trip, while the
+jobs that they admit are not read back from the store yet.
+"""
+
+import logging
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple, final
+
+from ..workflow.tenants import (
+    Hold,
+    HoldCause,
+    PoolBacklog,
+    TenantView,
+    over_rate_backlogs,
+    tokens_left,
+    view_tenants,
+)
+from ._context import OwnerContext
+from ._tenant_admission import TenantRow, encode_rows, is_short
+
+logger = logging.getLogger('lycheerelay.tenants')
+
+# Ticks of the owner, of 100 ms each, between two computations of the rows, and
+# between two views of all tenants.
+ROW_TICKS: Final = 3
+VIEW_TICKS: Final = 10
+# A token that was granted to a submission is not granted again within this time
+# unless the job was read. An append takes less, and later the job either was read
+# or its caller got no success.
+GRANT_MS: Final = 1000
+# Rows carry this instead of an unlimited number of tokens, which JSON lacks.
+MANY_TOKENS: Final = float(1 << 30)
+CORES_MILLI: Final = 1000
+
+HoldKey = tuple[str, HoldCause, str]
+
+
+class Grant(NamedTuple):
+    """A token that was granted to a submission that is not read yet."""
+
+    tenant: str
+    until_ms: int
+
+
+class Shortage(NamedTuple):
+    """A pool that is short of capacity, and since when."""
+
+    backlog: PoolBacklog
+    since_ms: int
+
+
+@final
+class TenantMonitor:
+    """Track shortages, grants and the causes for which tenants wait."""
+
+    def __init__(self, context: OwnerContext) -> None:
+        """Start without tenants."""
+        self.context = context
+        self.shortages: dict[str, Shortage] = {}
+        self.computed_ms = context.now_ms
+        self.grants: dict[str, Grant] = {}
+        self.views: tuple[TenantView, ...] = ()
+        self.held_since_ms: dict[HoldKey, int] = {}
+        self.logged_shares: set[HoldKey] = set()
+
+    def tick(self, ticks: int, now_ms: int) -> None:
+        """Compute what is due; nothing without tenants."""
+        if not self.context.cell.tenants.accounts:
+            return
+        if ticks % ROW_TICKS == 0:
+            self._update_shortages(now_ms)
+        if ticks % VIEW_TICKS == 0:
+            self._update_views(now_ms)
+
+    def published(self, job_id: str = '', tenant: str = '') -> dict[str, Any]:
+        """Return the field for responses to other VMs; none without tenants.
+
+        A call about a submission of a tenant gets one of its tokens, if there is
+        one left.
+        """
+        if not self.context.cell.tenants.accounts:
+            return {}
+        now_ms = self.context.now_ms
+        rows = self.rows(now_ms, job_id)
+        own = [row for row in rows if row.tenant == tenant]
+        if job_id and own and own[0].tokens >= 1:
+            self.grants[job_id] = Grant(tenant, now_ms + GRANT_MS)
+        return {'tenants': encode_rows(rows, now_ms - self.computed_ms)}
+
+    def rows(self, now_ms: int, job_id: str = '') -> list[TenantRow]:
+        """Return the rows with the tokens of this moment.
+
+        A grant to `job_id` itself counts as free.
+        """
+        granted = self._count_grants(now_ms, job_id)
+        accounts = self.context.cell.tenants.accounts
+        rows = []
+        for pool, shortage in self.shortages.items():
+            for tenant, count in shortage.backlog.jobs.items():
+                account = accounts[tenant]
+                left = min(tokens_left(account, now_ms), MANY_TOKENS)
+                rows.append(
+                    TenantRow(
+                        tenant,
+                        pool,
+                        count,
+                        shortage.backlog.drain_ms,
+                        round(left - granted.get(tenant, 0), 3),
+                        account.policy.weight,
+                    )
+                )
+        return rows
+
+    def end(self) -> None:
+        """Remove the gauges by tenant, which another owner now sets."""
+        for name in _GAUGES:
+            self.context.metrics.gauge_tenants(name, {})
+
+    def _count_grants(self, now_ms: int, job_id: str) -> dict[str, int]:
+        jobs = self.context.cell.jobs
+        self.grants = {
+            other: grant
+            for other, grant in self.grants.items()
+            if grant.until_ms > now_ms and other not in jobs
+        }
+        counts: dict[str, int] = {}
+        for other, grant in self.grants.items():
+            if other != job_id:
+                counts[grant.tenant] = counts.get(grant.tenant, 0) + 1
+        return counts
+
+    def _update_shortages(self, now_ms: int) -> None:
+        backlogs = over_rate_backlogs(self.context.cell, now_ms)
+        before = self.shortages
+        self.shortages = {}
+        for pool, backlog in backlogs.items():
+            known = before.get(pool)
+            may_begin = known is not None or backlog.lacks_room
+            if may_begin and is_short(
+                known is not None, backlog.waited_ms, backlog.slack_ms
+            ):
+                since_ms = now_ms if known is None else known.since_ms
+                self.shortages[pool] = Shortage(backlog, since_ms)
+        self.computed_ms = now_ms
+        for pool in self.shortages.keys() - before.keys():
+            _log_shortage('pool_short', self.shortages[pool], now_ms)
+        for pool in before.keys() - self.shortages.keys():
+            _log_shortage('pool_not_short', before[pool], now_ms)
+
+    def _update_views(self, now_ms: int) -> None:
+        self.views = tuple(view_tenants(self.context.cell, now_ms))
+        holds: dict[HoldKey, Hold] = {
+            (view.name, hold.cause, hold.subject): hold
+            for view in self.views
+            for hold in view.holds
+        }
+        self.held_since_ms = {
+            key: self.held_since_ms.get(key, now_ms) for key in holds
+        }
+        self._log_shares(now_ms)
+        for name, value_of in _GAUGES.items():
+            values = {view.name: value_of(view) for view in self.views}
+            self.context.metrics.gauge_tenants(name, values)
+
+    def _log_shares(self, now_ms: int) -> None:
+        """Log each tenant that was above its share in two views, and the end."""
+        views = {view.name: view for view in self.views}
+        held = {
+            key
+            for key, since_ms in self.held_since_ms.items()
+            if key[1] is HoldCause.SHARE and since_ms < now_ms
+        }
+        for message, keys in (
+            ('share_reached', held - self.logged_shares),
+            ('share_left', self.logged_shares - held),
+        ):
+            for tenant, _, pool in sorted(keys):
+                fields: dict[str, str] = {'tenant': tenant, 'pool': pool}
+                view = views.get(tenant)
+                if view is not None:
+                    fields['share'] = f'{view.share:.3f}'
+                    fields['fair_share'] = f'{view.fair_share:.3f}'
+                logger.info(message, extra=fields)
+        self.logged_shares = held
+
+
+_GAUGES: Final[dict[str, Callable[[TenantView], float]]] = {
+    'tenant_cores': lambda view: view.account.used.cores_milli / CORES_MILLI,
+    'tenant_dominant_share': lambda view: round(view.share, 4),
+    'tenant_waiting_jobs': lambda view: view.waiting_jobs,
+    'tenant_over_rate_waiting_jobs': lambda view: view.over_rate_jobs,
+}
+
+
+def _log_shortage(message: str, shortage: Shortage, now_ms: int) -> None:
+    backlog = shortage.backlog
+    logger.info(
+        message,
+        extra={
+            'pool': backlog.pool,
+            'jobs': sum(backlog.jobs.values()),
+            'tenants': sorted(backlog.jobs),
+            'waited_ms': backlog.waited_ms,
+            'slack_ms': backlog.slack_ms,
+            'drain_ms': backlog.drain_ms,
+            'since_ms': shortage.since_ms,
+            'after_ms': now_ms - shortage.since_ms,
+        },
+    )
--- a/src/lycheerelay/serving/_workflow_api.py
+++ b/src/lycheerelay/serving/_workflow_api.py
@@ -33,6 +33,7 @@
     RequestStatus.NO_SUCH_JOB: Code.NOT_FOUND,
     RequestStatus.UNAVAILABLE: Code.NO_OWNER,
     RequestStatus.TOO_LATE: Code.OVERLOADED,
+    RequestStatus.OVER_RATE: Code.OVERLOADED,
 }
 CODE_OF_PHASE: Final = {
     JobPhase.QUEUED: Code.ACCEPTED,
@@ -135,7 +136,12 @@
     code = CODE_OF_STATUS[outcome.status]
     retry_after_ms = outcome.retry_after_s * MS_PER_SECOND
     return _refusal_reply(
-        Refusal(code, CODES[code].text, retry_after_ms=retry_after_ms),
+        Refusal(
+            code,
+            CODES[code].text,
+            not_run=outcome.status is RequestStatus.OVER_RATE,
+            retry_after_ms=retry_after_ms,
+        ),
     )
 
 
--- a/src/lycheerelay/traces/_causes.py
+++ b/src/lycheerelay/traces/_causes.py
@@ -10,9 +10,12 @@
 class Cause(StrEnum):
     """Reason for which a job is not done at a moment."""
 
+    KEY = 'key'
     STORE = 'store'
     OWNER = 'owner'
     ADVICE = 'advice'
+    QUOTA = 'quota'
+    SHARE = 'share'
     CAPACITY = 'capacity'
     START_RECORD = 'start_record'
     RUNNING = 'running'
@@ -28,7 +31,9 @@
 
     `widths` are the numbers of tasks of its steps. `advised` holds the steps
     that the advisor has allowed workers for, `done`, `lost` and `suspected` task names,
-    `unrecorded` and `running` the names of runs in that state.
+    `unrecorded` and `running` the names of runs in that state. `refused_by` is the
+    cause of the last refusal until the job is accepted, `held_by` holds the causes
+    for which work of its tenant is held back.
     """
 
     accepted: bool = False
@@ -42,6 +47,8 @@
     suspected: set[str] = field(default_factory=set)
     unrecorded: set[str] = field(default_factory=set)
     running: set[str] = field(default_factory=set)
+    refused_by: Cause | None = None
+    held_by: set[Cause] = field(default_factory=set)
 
     @property
     def has_gaps(self) -> bool:
@@ -71,26 +78,42 @@
 Rule = Callable[[JobProgress], bool]
 
 # Causes in the order in which they are tested; the first that holds counts.
-RULES: Final[dict[Cause, Rule]] = {
-    Cause.STORE: lambda job: not job.accepted,
-    Cause.END_RECORD: lambda job: job.settled,
-    Cause.OWNER: lambda job: not job.opened,
-    Cause.START_RECORD: lambda job: bool(job.unrecorded and not job.running),
-    Cause.TRIAL: lambda job: bool((job.lost & job.suspected) - job.done),
-    Cause.RERUN: lambda job: bool(job.lost - job.done),
-    Cause.ADVICE: lambda job: bool(
-        job.missing
-        and job.needs_advice
-        and str(job.open_step) not in job.advised
+RULES: Final[tuple[tuple[Cause, Rule], ...]] = (
+    (Cause.KEY, lambda job: job.refused_by is Cause.KEY),
+    (Cause.SHARE, lambda job: job.refused_by is Cause.SHARE),
+    (Cause.STORE, lambda job: not job.accepted),
+    (Cause.END_RECORD, lambda job: job.settled),
+    (Cause.OWNER, lambda job: not job.opened),
+    (
+        Cause.START_RECORD,
+        lambda job: bool(job.unrecorded and not job.running),
     ),
-    Cause.CAPACITY: lambda job: bool(job.missing),
-    Cause.RUNNING: lambda job: bool(job.running),
-}
+    (Cause.TRIAL, lambda job: bool((job.lost & job.suspected) - job.done)),
+    (Cause.RERUN, lambda job: bool(job.lost - job.done)),
+    (
+        Cause.ADVICE,
+        lambda job: bool(
+            job.missing
+            and job.needs_advice
+            and str(job.open_step) not in job.advised
+        ),
+    ),
+    (
+        Cause.QUOTA,
+        lambda job: bool(job.missing and Cause.QUOTA in job.held_by),
+    ),
+    (
+        Cause.SHARE,
+        lambda job: bool(job.missing and Cause.SHARE in job.held_by),
+    ),
+    (Cause.CAPACITY, lambda job: bool(job.missing)),
+    (Cause.RUNNING, lambda job: bool(job.running)),
+)
 
 
 def cause_of(job: JobProgress) -> Cause:
     """Return what the job waits for."""
-    for cause, holds in RULES.items():
+    for cause, holds in RULES:
         if holds(job):
             return cause
     return Cause.UNKNOWN
--- a/src/lycheerelay/traces/_timeline.py
+++ b/src/lycheerelay/traces/_timeline.py
@@ -10,6 +10,8 @@
 from ._lines import LogLine
 
 COMPLETED: Final = 'completed'
+# Verdict of a submission over the rate of its tenant.
+OVER_RATE: Final = 'over_rate'
 # Ends that a later run of the task has to make up for.
 FAILED_ENDS: Final = frozenset(('failed', 'stopped', 'lapsed', 'broken'))
 
@@ -31,6 +33,8 @@
 
     job_id: str
     queue: str = ''
+    pool: str = ''
+    tenant: str = ''
     verdict: str = ''
     phase: str = ''
     begun_ms: int = -1
@@ -64,6 +68,93 @@
         return spent
 
 
+class TenantHold(NamedTuple):
+    """Reason for which work of a tenant is held back.
+
+    `subject` is a resource for the quota, a pool for the share.
+    """
+
+    tenant: str
+    cause: Cause
+    subject: str
+
+
+# Lines of an owner that begin and end a hold, and the field with its subject. An end
+# without a subject ends all holds of that cause.
+HOLD_LINES: Final = {
+    'quota_reached': (Cause.QUOTA, 'resource', True),
+    'quota_available': (Cause.QUOTA, '', False),
+    'share_reached': (Cause.SHARE, 'pool', True),
+    'share_left': (Cause.SHARE, 'pool', False),
+}
+# Fields that name the job of a line, where they are not the usual ones. A refused
+# caller is logged with the job, its record or only the queue.
+JOB_FIELDS: Final = {'caller_refused': ('job', 'what')}
+RECORD_PREFIX: Final = 'job/'
+# Lines about a tenant name a step only as an example.
+TENANT_LINES: Final = frozenset(HOLD_LINES)
+# A new owner logs the holds that it finds again.
+RESET_LINE: Final = 'takeover_loaded'
+
+
+class TenantHolds:
+    """Apply lines about tenants to their jobs."""
+
+    def __init__(self) -> None:
+        """Start without holds."""
+        self.held: set[TenantHold] = set()
+        self.jobs: dict[str, dict[str, JobTimeline]] = {}
+
+    def follow(self, timeline: JobTimeline) -> None:
+        """Tell a job what holds its tenant back until the job has ended."""
+        if not timeline.tenant:
+            return
+        jobs = self.jobs.setdefault(timeline.tenant, {})
+        if timeline.phase:
+            jobs.pop(timeline.job_id, None)
+            return
+        jobs[timeline.job_id] = timeline
+        timeline.progress.held_by = self._causes(timeline)
+
+    def apply(self, line: LogLine) -> None:
+        """Apply the begin or end of a hold to the open jobs of the tenant."""
+        if line.message == RESET_LINE:
+            self.held.clear()
+            for jobs in self.jobs.values():
+                self._update(jobs.values(), line)
+        if line.message not in HOLD_LINES:
+            return
+        cause, name, begins = HOLD_LINES[line.message]
+        tenant = str(line.fields.get('tenant', ''))
+        hold = TenantHold(tenant, cause, str(line.fields.get(name, '')))
+        if begins:
+            self.held.add(hold)
+        else:
+            self.held = {
+                other for other in self.held if not _is_ended(other, hold)
+            }
+        self._update(self.jobs.get(tenant, {}).values(), line)
+
+    def _update(self, jobs: Iterable[JobTimeline], line: LogLine) -> None:
+        for timeline in jobs:
+            timeline.advance(line.at_ms)
+            timeline.progress.held_by = self._causes(timeline)
+            timeline.lines.append((line.at_ms, line.vm, line.message))
+
+    def _causes(self, timeline: JobTimeline) -> set[Cause]:
+        return {
+            hold.cause
+            for hold in self.held
+            if hold.tenant == timeline.tenant
+            and (hold.cause is Cause.QUOTA or hold.subject == timeline.pool)
+        }
+
+
+def _is_ended(hold: TenantHold, end: TenantHold) -> bool:
+    is_same = hold[:2] == end[:2]
+    return is_same and end.subject in {'', hold.subject}
+
+
 Handler = Callable[[JobTimeline, LogLine], None]
 HANDLERS: Final[Registry[str, Handler]] = Registry('log message')
 
@@ -71,8 +162,10 @@
 def build_timelines(lines: Iterable[LogLine]) -> dict[str, JobTimeline]:
     """Return the timeline of each job, by id; lines may come in any order."""
     timelines: dict[str, JobTimeline] = {}
+    holds = TenantHolds()
     ordered = sorted(lines, key=lambda line: line.at_ms)
     for line in chain.from_iterable(map(_split_by_run, ordered)):
+        holds.apply(line)
         job_id = _job_of(line)
         if job_id is None:
             continue
@@ -81,6 +174,7 @@
             _begin_span(timeline, line)
             timeline.advance(line.at_ms)
             HANDLERS[line.message](timeline, line)
+            holds.follow(timeline)
         timeline.lines.append((line.at_ms, line.vm, line.message))
     return timelines
 
@@ -94,10 +188,12 @@
 
 
 def _job_of(line: LogLine) -> str | None:
-    for name in ('job', 'run', 'step'):
+    if line.message in TENANT_LINES:
+        return None
+    for name in JOB_FIELDS.get(line.message, ('job', 'run', 'step')):
         text = line.fields.get(name)
         if isinstance(text, str):
-            return text.partition('.')[0]
+            return text.removeprefix(RECORD_PREFIX).partition('.')[0]
     return None
 
 
@@ -120,7 +216,19 @@
         return
     timeline.queue = str(line.fields.get('queue', ''))
     timeline.verdict = str(line.fields.get('verdict', ''))
-    timeline.progress.accepted |= timeline.verdict == 'ok'
+    progress = timeline.progress
+    progress.accepted |= timeline.verdict == 'ok'
+    if progress.accepted:
+        progress.refused_by = None
+    elif timeline.verdict == OVER_RATE:
+        progress.refused_by = Cause.SHARE
+
+
+@HANDLERS.register('caller_refused')
+def apply_refusal(timeline: JobTimeline, line: LogLine) -> None:
+    """Apply that a call was refused for its key."""
+    if not timeline.progress.accepted:
+        timeline.progress.refused_by = Cause.KEY
 
 
 @HANDLERS.register('job_opened')
@@ -128,7 +236,10 @@
     """Apply that an owner knows the job; after a takeover, its runs too."""
     progress = timeline.progress
     timeline.queue = str(line.fields.get('queue', timeline.queue))
+    timeline.pool = str(line.fields.get('pool', timeline.pool))
+    timeline.tenant = str(line.fields.get('tenant', timeline.tenant))
     progress.accepted = True
+    progress.refused_by = None
     progress.opened = True
     progress.widths = tuple(line.fields.get('widths', ()))
 
--- a/src/lycheerelay/workflow/_runs.py
+++ b/src/lycheerelay/workflow/_runs.py
@@ -14,6 +14,7 @@
     TaskInfo,
     WorkerInfo,
 )
+from ._tenant_backlog import is_over_rate
 
 # Interval for resending an unanswered stop order: a few round trips.
 STOP_RETRY_MS = 500
@@ -34,6 +35,7 @@
     run = Run(key, worker, step, step.spec.demand, now_ms)
     attach_run(run)
     step.waiting.pop(task.index, None)
+    _log_first_start(cell, step, now_ms)
     step.job.started = True
     task.assigned_worker = worker.worker_id
     # The start order is sent once the progress record is durable.
@@ -51,6 +53,20 @@
     return run
 
 
+def _log_first_start(cell: CellState, step: StepInfo, now_ms: int) -> None:
+    spec = step.job.spec
+    if spec.tenant and not step.job.started:
+        wait_ms = max(now_ms - max(spec.accepted_ms, spec.first_due_ms), 0)
+        log_event(
+            cell,
+            'job_started',
+            job=spec.job_id,
+            tenant=spec.tenant,
+            wait_ms=wait_ms,
+            over_rate=is_over_rate(step.job),
+        )
+
+
 def attach_run(run: Run) -> None:
     """Register a run with its task and allocate it on its worker."""
     task = run.task
--- /dev/null
+++ b/src/lycheerelay/workflow/_tenant_backlog.py
@@ -0,0 +1,204 @@
+"""Measure what waits over the rates of its tenants, by pool.
+
+Load: a tenant that sends several times its rate fills a pool, so that its jobs
+over the rate wait longer than their objective allows.
+"""
+
+import math
+from collections import Counter
+from collections.abc import Iterator
+from typing import Final, NamedTuple
+
+from .._resources import Resources
+from ._fit import is_in_service, meets_requirements
+from ._spec import critical_path_ms, objective_ms
+from ._state import CellState, JobInfo, Run, StepInfo, WorkerInfo
+from ._tenants import TenantAccount
+
+# Steps that have waited longest and are checked for room. The first that some
+# worker could run counts.
+MAX_CHECKED_STEPS: Final = 5
+
+
+class PoolBacklog(NamedTuple):
+    """Jobs over the rate that have not started in one pool.
+
+    `jobs` counts them by tenant. `waited_ms` is how long the one that waits longest
+    for capacity has waited, `slack_ms` how long it may wait by its objective, and
+    `lacks_room` says that it fits nowhere now. `drain_ms` is the time in which the
+    pool does the work that runs and waits.
+    """
+
+    pool: str
+    jobs: dict[str, int]
+    waited_ms: int = 0
+    slack_ms: int = 0
+    lacks_room: bool = False
+    drain_ms: int = 0
+
+
+def is_over_rate(job: JobInfo) -> bool:
+    """Return whether the job was over the rate of its tenant when accepted."""
+    return bool(getattr(job, 'is_over_rate', False))
+
+
+def tokens_left(account: TenantAccount, now_ms: int) -> float:
+    """Return how many jobs of a tenant would be within its rate now.
+
+    Without a rate every job is.
+    """
+    tokens_at = getattr(account, 'tokens_at', None)
+    return float(tokens_at(now_ms)) if tokens_at else math.inf
+
+
+def over_rate_backlogs(cell: CellState, now_ms: int) -> dict[str, PoolBacklog]:
+    """Return the backlog of each pool in which jobs over the rate wait."""
+    steps: dict[str, list[StepInfo]] = {}
+    jobs: dict[str, Counter[str]] = {}
+    counted: set[str] = set()
+    for step in _waiting_over_rate(cell):
+        spec = step.job.spec
+        steps.setdefault(spec.pool, []).append(step)
+        if spec.job_id not in counted:
+            counted.add(spec.job_id)
+            jobs.setdefault(spec.pool, Counter())[spec.tenant] += 1
+    return {
+        pool: _measure(cell, pool, waiting, dict(jobs[pool]), now_ms)
+        for pool, waiting in steps.items()
+    }
+
+
+def quota_hold(step: StepInfo) -> str:
+    """Return the resource whose quota holds a step back, or ''.
+
+    'gang' stands for the quota that is left to an earlier gang.
+    """
+    decided = getattr(step, 'held_by_quota', None)
+    account = step.job.account
+    if decided is not None or account is None:
+        return decided or ''
+    demand = step.spec.demand.times(_tasks_together(step))
+    for name, used, more, limit in zip(
+        Resources._fields,
+        account.used,
+        demand,
+        account.policy.quota,
+        strict=True,
+    ):
+        if limit and more and used + more > limit:
+            return name
+    return ''
+
+
+def waited_ms(step: StepInfo, now_ms: int) -> int:
+    """Return how long the occurrence of a step has waited or run."""
+    spec = step.job.spec
+    begin_ms = spec.accepted_ms
+    if spec.occurrences:
+        begin_ms = spec.first_due_ms + step.key.occurrence * spec.every_ms
+    return max(now_ms - begin_ms, 0)
+
+
+def pool_capacity(cell: CellState, pool: str, now_ms: int) -> Resources:
+    """Return the capacity of the workers of a pool that take new runs."""
+    total = Resources()
+    for worker in _workers_of(cell, pool, now_ms):
+        total = total.plus(worker.capacity)
+    return total
+
+
+def dominant_share(used: Resources, capacity: Resources) -> float:
+    """Return the largest share of a resource in use."""
+    return max(
+        amount / total if total else float(0)
+        for amount, total in zip(used, capacity, strict=True)
+    )
+
+
+def _waiting_over_rate(cell: CellState) -> Iterator[StepInfo]:
+    for step in cell.open_steps.values():
+        job = step.job
+        is_counted = step.waiting and not _is_endless(step)
+        if is_counted and not job.started and is_over_rate(job):
+            yield step
+
+
+def _measure(
+    cell: CellState,
+    pool: str,
+    steps: list[StepInfo],
+    jobs: dict[str, int],
+    now_ms: int,
+) -> PoolBacklog:
+    workers = list(_workers_of(cell, pool, now_ms))
+    backlog = PoolBacklog(pool, jobs)
+    steps.sort(key=lambda step: -waited_ms(step, now_ms))
+    in_quota = (step for step in steps if not quota_hold(step))
+    for step, _ in zip(in_quota, range(MAX_CHECKED_STEPS), strict=False):
+        able = [
+            worker for worker in workers if meets_requirements(step, worker)
+        ]
+        if able:
+            spec = step.job.spec
+            return backlog._replace(
+                waited_ms=waited_ms(step, now_ms),
+                slack_ms=objective_ms(spec) - critical_path_ms(spec),
+                lacks_room=not _has_room(step, able),
+                drain_ms=_drain_ms(cell, pool, workers, now_ms),
+            )
+    return backlog
+
+
+def _tasks_together(step: StepInfo) -> int:
+    return len(step.waiting) if step.spec.gang else 1
+
+
+def _has_room(step: StepInfo, workers: list[WorkerInfo]) -> bool:
+    fitting = sum(
+        max(step.spec.demand.times_in(worker.free), 0) for worker in workers
+    )
+    return fitting >= _tasks_together(step)
+
+
+def _drain_ms(
+    cell: CellState, pool: str, workers: list[WorkerInfo], now_ms: int
+) -> int:
+    """Return the time for the work of a pool, taken as one large worker."""
+    capacity = Resources()
+    work = _waiting_work(cell, pool)
+    for worker in workers:
+        capacity = capacity.plus(worker.capacity)
+        for run in worker.runs.values():
+            work = work.plus(_remaining_work(run, now_ms))
+    return math.ceil(dominant_share(work, capacity))
+
+
+def _remaining_work(run: Run, now_ms: int) -> Resources:
+    spec = run.step.spec
+    if _is_endless(run.step):
+        return Resources()
+    left_ms = max(run.sent_ms + spec.expected_ms - now_ms, 0)
+    return run.demand.times(left_ms)
+
+
+def _waiting_work(cell: CellState, pool: str) -> Resources:
+    work = Resources()
+    for step in cell.open_steps.values():
+        is_counted = step.waiting and not _is_endless(step)
+        if is_counted and step.job.spec.pool == pool:
+            spec = step.spec
+            tasks_ms = len(step.waiting) * spec.expected_ms
+            work = work.plus(spec.demand.times(tasks_ms))
+    return work
+
+
+def _is_endless(step: StepInfo) -> bool:
+    return step.spec.lasts or step.spec.fills
+
+
+def _workers_of(
+    cell: CellState, pool: str, now_ms: int
+) -> Iterator[WorkerInfo]:
+    for worker in cell.workers.values():
+        if worker.pool == pool and is_in_service(worker, now_ms):
+            yield worker
--- a/src/lycheerelay/workflow/_wait_forecast.py
+++ b/src/lycheerelay/workflow/_wait_forecast.py
@@ -9,6 +9,7 @@
 from ._order import IN_TIME, by_slack
 from ._spec import WorkflowSpec, critical_path_ms, objective_ms
 from ._state import CellState, Run, StepInfo
+from ._tenant_backlog import is_over_rate
 
 # Shorter waits are not reported. They come and go within a few scheduling
 # cycles.
@@ -67,6 +68,10 @@
     waiting: dict[str, list[StepInfo]] = {}
     for step in cell.open_steps.values():
         is_counted = step.waiting and not (step.spec.lasts or step.spec.fills)
+        # Jobs over the rate of their tenant come after those within the rates,
+        # so they do not make those late.
+        if is_over_rate(step.job):
+            continue
         if is_counted and by_slack(step, now_ms)[0] == IN_TIME:
             waiting.setdefault(step.job.spec.pool, []).append(step)
     for steps in waiting.values():
--- a/src/lycheerelay/workflow/tenants.py
+++ b/src/lycheerelay/workflow/tenants.py
@@ -1,5 +1,24 @@
-"""Accounts of tenants and their quotas."""
+"""Accounts of tenants, their quotas and what waits for them."""
 
+from ._tenant_backlog import (
+    PoolBacklog,
+    is_over_rate,
+    over_rate_backlogs,
+    tokens_left,
+)
+from ._tenant_views import Hold, HoldCause, TenantView, view_tenants
 from ._tenants import TenantAccount, TenantLedger, TenantPolicy
 
-__all__ = ('TenantAccount', 'TenantLedger', 'TenantPolicy')
+__all__ = (
+    'Hold',
+    'HoldCause',
+    'PoolBacklog',
+    'TenantAccount',
+    'TenantLedger',
+    'TenantPolicy',
+    'TenantView',
+    'is_over_rate',
+    'over_rate_backlogs',
+    'tokens_left',
+    'view_tenants',
+)
