--- a/src/lycheerelay/serving/_request_handler.py
+++ b/src/lycheerelay/serving/_request_handler.py
@@ -8,7 +8,7 @@
 
 from result import Err, Ok
 
-from .._clock import Clock
+from .._clock import MS_PER_SECOND, Clock
 from .._registry import Registry
 from ..workflow import JobPhase, WorkflowSpec
 from ._append_gate import RETRY_AFTER_S, AppendGate
@@ -342,10 +342,11 @@
             return None
         if known.get('phase') is not None:
             return RequestResult(RequestStatus.OK)
-        delay_s = gate.refusal_s(spec, known, sent_ms)
-        if not delay_s:
-            return None
-        return RequestResult(RequestStatus.OVER_RATE, retry_after_s=delay_s)
+        delay_s, hold_ms = gate.decide(spec, known, sent_ms)
+        if delay_s:
+            return RequestResult(RequestStatus.OVER_RATE, retry_after_s=delay_s)
+        await asyncio.sleep(hold_ms / MS_PER_SECOND)
+        return None
 
     def _report_submission(
         self, spec: WorkflowSpec, outcome: RequestResult, begun_ms: int
--- a/src/lycheerelay/serving/_tenant_admission.py
+++ b/src/lycheerelay/serving/_tenant_admission.py
@@ -4,15 +4,15 @@
 several times its rate, beside the calls of tenants within theirs.
 
 A job is refused only if a row of the owner about its tenant and pool is at most
-MAX_ROW_AGE_MS old and leaves the tenant no token. Tokens are estimated from above:
-they grow from the time at which the call for the row was sent. So no job within the
-rate is refused.
+MAX_ROW_AGE_MS old and leaves the tenant no token, now or within MAX_HOLD_MS. So no job
+within the rate is refused, also if calls arrive less evenly than they were sent.
 
 While a row exists, the owner is asked about each job of its tenant. It has read the
 store to its end by then, counts the tokens that it granted to jobs that it has not
-read, and answers with a row for this job. Too many jobs are accepted only where a VM has
-no row: what the tenant sends there until the VM hears of the shortage, and after it
-has lost the owner. With a row, the error is the rate times one call to the owner.
+read, and answers with a row for this job. Too many jobs are accepted only where a
+VM has no row: what the tenant sends there until the VM hears of the shortage, and
+after it has lost the owner. With a row, a job that is admitted takes a token once it
+is read.
 """
 
 import math
@@ -41,6 +41,19 @@
 SHORT_UNTIL_SHARE: Final = 0.25
 # Shorter waits come and go within a few scheduling cycles.
 MIN_SHORT_WAIT_MS: Final = 1000
+# Time for which a job is held at most until its tenant has earned a token. Calls of a
+# tenant exactly at its rate arrive this much unevenly.
+MAX_HOLD_MS: Final = 100
+
+
+class Decision(NamedTuple):
+    """Decision on one submission: the delay of a retry, or of the acceptance.
+
+    `retry_after_s` is 0 for an admitted job, which is held for `hold_ms`.
+    """
+
+    retry_after_s: int = 0
+    hold_ms: int = 0
 
 
 class TenantRow(NamedTuple):
@@ -48,7 +61,8 @@
 
     `backlog` is the number of its jobs over the rate that wait, and
     `served_in_ms` the time until a further one would be served. `tokens` is the
-    number of jobs that are within the rate now, `rate` its growth per second.
+    number of further jobs that are within the rate now, `rate` its growth per
+    second.
     """
 
     tenant: str
@@ -109,13 +123,14 @@
     return TenantRows(by_key, sent_ms, max(int(raw['age_ms']), 0))
 
 
-def has_token(row: TenantRow, since_ms: int) -> bool:
-    """Return whether a further job may be within the rate of the tenant.
-
-    `since_ms` is the time since the call for the row was sent.
-    """
-    earned = row.rate * max(since_ms, 0) / MS_PER_SECOND
-    return row.tokens + earned >= 1
+def hold_ms(row: TenantRow) -> int | None:
+    """Return how long to hold a job until a token is there; None refuses it."""
+    if row.tokens >= 1:
+        return 0
+    if row.rate <= 0:
+        return None
+    wait_ms = math.ceil((1 - row.tokens) * MS_PER_SECOND / row.rate)
+    return wait_ms if wait_ms <= MAX_HOLD_MS else None
 
 
 def retry_after_s(row: TenantRow, job_id: str, age_ms: int) -> int:
--- a/src/lycheerelay/serving/_tenant_monitor.py
+++ b/src/lycheerelay/serving/_tenant_monitor.py
@@ -18,7 +18,7 @@
     view_tenants,
 )
 from ._context import OwnerContext
-from ._tenant_admission import TenantRow, encode_rows, is_short
+from ._tenant_admission import TenantRow, encode_rows, hold_ms, is_short
 
 logger = logging.getLogger('lycheerelay.tenants')
 
@@ -85,7 +85,7 @@
         now_ms = self.context.now_ms
         rows = self.rows(now_ms, job_id)
         own = [row for row in rows if row.tenant == tenant]
-        if job_id and own and own[0].tokens >= 1:
+        if job_id and own and hold_ms(own[0]) is not None:
             self.grants[job_id] = Grant(tenant, now_ms + GRANT_MS)
         return {'tenants': encode_rows(rows, now_ms - self.computed_ms)}
 
@@ -100,14 +100,15 @@
         for pool, shortage in self.shortages.items():
             for tenant, count in shortage.backlog.jobs.items():
                 account = accounts[tenant]
-                left = min(tokens_left(account, now_ms), MANY_TOKENS)
+                tokens = min(tokens_left(account, now_ms), MANY_TOKENS)
+                tokens -= granted.get(tenant, 0)
                 rows.append(
                     TenantRow(
                         tenant,
                         pool,
                         count,
                         shortage.backlog.drain_ms,
-                        round(left - granted.get(tenant, 0), 3),
+                        round(tokens, 3),
                         account.policy.weight,
                     )
                 )
