--- a/src/lycheerelay/platform/_store.py
+++ b/src/lycheerelay/platform/_store.py
@@ -40,6 +40,9 @@
 # Limit on the transfer of a page while data keeps arriving. A page holds up to
 # 1 MB, which takes some seconds on the slowest links.
 MAX_PAGE_TIME_MS: Final = 5000
+# A version of the configuration with 2,000 queues is several hundred kilobytes,
+# and reads of it wait for a short time only while calls need keys.
+LONGEST_READ_MS: Final = {Stream.OPERATOR: MAX_PAGE_TIME_MS}
 # Number of requests for a page before the read fails.
 PAGE_ATTEMPTS: Final = 3
 OK: Final = 200
@@ -125,12 +128,15 @@
             'GET',
             f'{self.base}/log-read?{urlencode(query)}',
             TIMEOUT_MS + wait_ms,
+            longest_ms=LONGEST_READ_MS.get(stream, 0),
         )
         if reply.status != OK or len(reply.raw) < BOUNDS.size:
             return Err(to_log_fault(reply))
         body = reply.raw[BOUNDS.size :]
         records = tuple(unpack(body, from_offset))
-        return Ok(RecordPage(records, from_offset + len(records)))
+        next_offset = from_offset + len(records)
+        end_offset, _ = BOUNDS.unpack_from(reply.raw)
+        return Ok(RecordPage(records, next_offset, next_offset == end_offset))
 
     async def newest(self, stream: Stream) -> Result[RecordPage, LogFault]:
         """Return the newest record of each key."""
@@ -149,7 +155,10 @@
             items = page.get('items') or []
             records.extend(_decode_item(item) for item in items)
             if not page.get('hasMore') or not items:
-                return Ok(RecordPage(tuple(records), next_offset))
+                # A reply without an end offset is malformed.
+                return Ok(
+                    RecordPage(tuple(records), next_offset, 'end' in page)
+                )
             query['after'] = items[-1]['key']
 
     async def _read_page(self, query: str) -> Reply:
--- a/src/lycheerelay/serving/_internal_api.py
+++ b/src/lycheerelay/serving/_internal_api.py
@@ -10,6 +10,7 @@
 
 from .._registry import Registry
 from ..workflow import StepKey
+from ._credentials import decode_identity
 from ._http_calls import Reply
 from ._ports import Advisor, KeyedRecord
 from ._request_handler import RequestHandler
@@ -65,6 +66,7 @@
     """Return the phase of a job."""
     return await internal.handler.answer_state(
         body['job'],
+        decode_identity(body),
         waits=bool(body.get('waits')),
         admit=str(body.get('admit', '')),
     )
@@ -73,7 +75,7 @@
 @ROUTES.register('/waiting')
 async def waiting(internal: InternalApi, body: Body) -> Body | None:
     """Return how many jobs of a queue are waiting."""
-    return internal.handler.answer_waiting(body['queue'])
+    return internal.handler.answer_waiting(body['queue'], decode_identity(body))
 
 
 @ROUTES.register('/advice')
@@ -92,17 +94,28 @@
     """Append a record of a caller of another entry VM."""
     payload = base64.b64decode(body['payload'], validate=True)
     record = KeyedRecord(str(body['key']), payload)
-    return await internal.handler.append_for_peer(record)
+    return await internal.handler.append_for_peer(record, decode_identity(body))
+
+
+@ROUTES.register('/config')
+async def config(internal: InternalApi, body: Body) -> Body | None:
+    """Return the age of the configuration, and its record if it is newer."""
+    watch = internal.handler.checks.config
+    return watch.answer_peer(int(body['version']))
 
 
 @ROUTES.register('/hello')
 async def hello(internal: InternalApi, body: Body) -> Body | None:
     """Register a member that regards this VM as the owner."""
     handler = internal.handler
-    again_ms = handler.peers.receive_hello(str(body['member']))
+    member = str(body['member'])
     owner = handler.owner
     published = owner.tenants.published() if owner else {}
-    return {'again_ms': again_ms, **published}
+    return {
+        'again_ms': handler.peers.receive_hello(member),
+        'members': handler.peers.name_members(member),
+        **published,
+    }
 
 
 @ROUTES.register('/vacant')
