Test the views of tenants, shortages, and a surge on the emulator

Cause: the rows, metrics, the command and the causes of trace had no tests. Waits of jobs that came through other VMs were counted as `other` at the owner. Change: the histogram of waits names tenants as the counters do; a refused caller's line names the job, so that trace can give the cause key; tests of all of these.

--- a/src/lycheerelay/platform/_ingress.py
+++ b/src/lycheerelay/platform/_ingress.py
@@ -131,11 +131,12 @@
         if queue is None:
             return Err(_error_response(NOT_FOUND, 'no such queue'))
         key = request.headers.get(KEY_HEADER, '')
-        identified = self.handler.checks.identify(table, queue, key)
+        job_id = request.path[len(queue.prefix) :]
+        named_job = job_id if _is_job_id(job_id) else ''
+        identified = self.handler.checks.identify(table, queue, key, named_job)
         if isinstance(identified, Err):
             status = STATUS_OF_CAUSE[identified.err_value.cause]
             return Err(_outcome_response(RequestResult(status), ''))
-        job_id = request.path[len(queue.prefix) :]
         return Ok(Target(queue, job_id, table, identified.ok_value))
 
     async def _route(self, request: web.BaseRequest) -> web.Response:
@@ -160,7 +161,7 @@
                 target.identity,
             )
             return _outcome_response(outcome, 'waiting')
-        if len(job_id) != JOB_ID_DIGITS or not HEX_DIGITS.issuperset(job_id):
+        if not _is_job_id(job_id):
             return _error_response(
                 NOT_FOUND, 'a job id has 16 hexadecimal digits'
             )
@@ -242,6 +243,10 @@
     return _outcome_response(outcome, '')
 
 
+def _is_job_id(text: str) -> bool:
+    return len(text) == JOB_ID_DIGITS and HEX_DIGITS.issuperset(text)
+
+
 def _timeout_ms(request: web.BaseRequest) -> int:
     text = request.headers.get(TIMEOUT_HEADER, '')
     return int(text) if text.isdecimal() else DEFAULT_TIMEOUT_MS
--- a/src/lycheerelay/serving/_caller_checks.py
+++ b/src/lycheerelay/serving/_caller_checks.py
@@ -38,13 +38,20 @@
         self.metrics = metrics
 
     def identify(
-        self, table: QueueTable, queue: Queue | None, key: str
+        self,
+        table: QueueTable,
+        queue: Queue | None,
+        key: str,
+        job_id: str = '',
     ) -> Identification:
-        """Return the identity of a call to a queue, or why it is refused."""
+        """Return the identity of a call to a queue, or why it is refused.
+
+        `job_id` is for the log line only.
+        """
         outcome = identify(table, queue, key, is_current=self.config.is_current)
         if isinstance(outcome, Err):
             name = '' if queue is None else queue.policy.name
-            self._report(outcome.err_value, name)
+            self._report(outcome.err_value, name, job_id)
         return outcome
 
     def recheck(self, identity: Identity, what: str) -> RequestStatus | None:
@@ -69,7 +76,7 @@
         digest = shorten(identity.digest)
         self._report(Refusal(cause, digest, identity.tenant or ''), what)
 
-    def _report(self, refusal: Refusal, what: str) -> None:
+    def _report(self, refusal: Refusal, what: str, job_id: str = '') -> None:
         cause = refusal.cause.value
         table = self.config.table
         self.metrics.count('callers_refused', cause=cause)
@@ -78,6 +85,7 @@
             extra={
                 'cause': cause,
                 'what': what,
+                **({'job': job_id} if job_id else {}),
                 'key_digest': refusal.short_digest,
                 'tenant': refusal.tenant,
                 'version': table.version if table else 0,
--- a/src/lycheerelay/serving/_metrics_registry.py
+++ b/src/lycheerelay/serving/_metrics_registry.py
@@ -51,16 +51,12 @@
         """Increment a counter of jobs; nothing for jobs without a tenant."""
         if not tenant:
             return
-        replaced = self.tenant_labels.add_job(tenant)
-        if replaced:
-            self._drop_tenant(replaced)
-        self.count(name, tenant=self.tenant_labels.find(tenant), **labels)
+        self.count(name, tenant=self._label(tenant), **labels)
 
     def observe_job(self, name: str, tenant: str, elapsed_ms: int) -> None:
-        """Add a duration to the histogram of a tenant."""
+        """Add the duration of a job to the histogram of its tenant."""
         if tenant:
-            label = self.tenant_labels.find(tenant)
-            self.observe(name, elapsed_ms, tenant=label)
+            self.observe(name, elapsed_ms, tenant=self._label(tenant))
 
     def gauge_tenants(self, name: str, values: dict[str, float]) -> None:
         """Replace a gauge by tenant."""
@@ -70,6 +66,12 @@
         for tenant, value in largest_tenants(values).items():
             self.gauge(name, value, tenant=tenant)
 
+    def _label(self, tenant: str) -> str:
+        replaced = self.tenant_labels.add_job(tenant)
+        if replaced:
+            self._drop_tenant(replaced)
+        return self.tenant_labels.find(tenant)
+
     def _drop_tenant(self, tenant: str) -> None:
         for table in (self.counters, self.buckets, self.sums):
             outdated = [key for key in table if ('tenant', tenant) in key[1]]
--- a/src/lycheerelay/serving/_tenant_dump.py
+++ b/src/lycheerelay/serving/_tenant_dump.py
@@ -1,11 +1,12 @@
 """Dump the state of tenants as JSON."""
 
+import math
 from typing import Any
 
 from .._resources import Resources
 from ..workflow.tenants import TenantView, tokens_left
 from ._tenant_admission import TenantRow, TenantRows
-from ._tenant_monitor import MANY_TOKENS, TenantMonitor
+from ._tenant_monitor import TenantMonitor
 
 Fields = dict[str, Any]
 
@@ -37,13 +38,13 @@
 
 def _dump_view(view: TenantView, now_ms: int) -> Fields:
     policy = view.account.policy
-    tokens = min(tokens_left(view.account, now_ms), MANY_TOKENS)
+    tokens = tokens_left(view.account, now_ms)
     return {
         'tenant': view.name,
         'active': view.account.is_active,
         'weight': policy.weight,
         'rate': policy.weight,
-        'tokens': round(tokens, 3),
+        'tokens': None if math.isinf(tokens) else round(tokens, 3),
         'quota': _amounts(policy.quota),
         'used': _amounts(view.account.used),
         'share': round(view.share, 4),
--- a/tests/test_tenant_admission.py
+++ b/tests/test_tenant_admission.py
@@ -1,16 +1,24 @@
 """Test which jobs are refused while the capacity is short, and what operators see."""
 
+import asyncio
 import heapq
 import itertools
+import json
 import random
+import threading
 from collections import Counter
+from collections.abc import Iterator
+from http.server import BaseHTTPRequestHandler, HTTPServer
 from typing import Any
 
 import pytest
 
 from lycheerelay._clock import ManualClock
 from lycheerelay._resources import Resources
+from lycheerelay.cli import main
+from lycheerelay.platform import decode_job
 from lycheerelay.serving import _tenant_monitor as monitor_module
+from lycheerelay.serving import dump_process
 from lycheerelay.serving._metrics_registry import MetricsRegistry
 from lycheerelay.serving._tenant_admission import (
     MAX_HOLD_MS,
@@ -22,8 +30,28 @@
 )
 from lycheerelay.serving._tenant_gate import TenantGate
 from lycheerelay.serving._tenant_monitor import TenantMonitor
-from lycheerelay.workflow import CellState, StepSpec, WorkflowSpec
-from lycheerelay.workflow.tenants import PoolBacklog, TenantPolicy
+from lycheerelay.traces import Cause, LineCounts, build_timelines, read_lines
+from lycheerelay.workflow import (
+    CellState,
+    StepSpec,
+    WorkerKey,
+    WorkerListing,
+    WorkflowSpec,
+    _tenant_backlog,
+    _tenant_views,
+    _wait_forecast,
+    dispatch,
+    list_worker,
+    predict_waits,
+)
+from lycheerelay.workflow import submit as submit_job
+from lycheerelay.workflow.tenants import (
+    PoolBacklog,
+    TenantPolicy,
+    over_rate_backlogs,
+)
+from lycheerelay_standins.platform import CellShape, PlatformCell, Shape, _cell
+from platform_days import job, play, step
 
 POOL = 'cpu'
 SURGE = 'surge'
@@ -278,3 +306,256 @@
     assert max(counts.values()) < 400 / 3
     soon = row._replace(served_in_ms=0)
     assert {retry_after_s(soon, f'{n}', 500) for n in range(50)} == {1, 2}
+
+
+ID = '5c0e7a21d94b36f8'
+
+
+def _line(at_ms: int, message: str, **fields: object) -> str:
+    time = f'2026-01-01T00:00:00.{at_ms:03}Z'
+    return json.dumps({'time': time, 'message': message, **fields})
+
+
+def test_trace_tells_key_quota_and_share_apart() -> None:
+    """The time of a job that its tenant holds back must not count as capacity."""
+    mine, other = {'tenant': 't', 'pool': POOL}, {'tenant': 'u', 'pool': POOL}
+    submit = {'what': 'submit', 'job': ID, 'queue': 'q'}
+    texts = (
+        _line(10, 'caller_refused', job=ID, what='q', cause='unknown_key'),
+        _line(30, 'request', verdict='over_rate', took_ms=5, **submit),
+        _line(90, 'request', verdict='ok', took_ms=9, **submit),
+        _line(95, 'quota_reached', resource='cores_milli', step='x', **mine),
+        _line(100, 'job_opened', job=ID, widths=[1], **mine),
+        _line(300, 'share_reached', **mine),
+        _line(310, 'quota_available', tenant='u'),
+        _line(350, 'quota_available', tenant='t'),
+        _line(400, 'share_left', tenant='t', pool='another'),
+        _line(450, 'share_left', **mine),
+        _line(460, 'quota_reached', resource='memory_mb', step='y', **other),
+        _line(500, 'runs_started', step=f'{ID}.0.0', members=[0], numbers=[1]),
+        _line(510, 'quota_reached', resource='cores_milli', **mine),
+        _line(520, 'job_settled', job=ID, phase='completed'),
+    )
+    lines = [each.unwrap() for each in read_lines(texts, LineCounts())]
+    timelines = build_timelines(lines)
+    assert set(timelines) == {ID}
+    assert timelines[ID].spent_ms() == {
+        Cause.KEY: 20,
+        Cause.SHARE: 60 + 100,
+        Cause.OWNER: 10,
+        Cause.QUOTA: 250,
+        Cause.CAPACITY: 50,
+        Cause.START_RECORD: 20,
+    }
+
+
+def test_tenants_beyond_the_largest_share_a_label() -> None:
+    """Many tenants must not create many series, nor a counter decrease."""
+    metrics = MetricsRegistry()
+    for number in range(90):
+        metrics.count_job('tenant_jobs', f't{number}', verdict='ok')
+        metrics.observe_job('tenant_wait', f't{number}', 700)
+    assert 'tenant_jobs_total{tenant="other",verdict="ok"} 60' in (
+        metrics.render()
+    )
+    # With each other tenant counted twice, the fifth makes it a larger one.
+    for _ in range(5):
+        metrics.count_job('tenant_jobs', 'late"r', verdict='ok')
+    text = metrics.render()
+    assert 'tenant_jobs_total{tenant="late\\"r",verdict="ok"} 1' in text
+    assert 'tenant_jobs_total{tenant="other",verdict="ok"} 64' in text
+    assert text.count('tenant_jobs_total{') == 31
+    assert 'tenant_wait_ms_bucket{tenant="other",le="1000"} 60' in text
+    metrics.gauge_tenants('tenant_cores', {f't{n}': n for n in range(40)})
+    assert 'tenant_cores{tenant="other"} 45' in metrics.render()
+    metrics.gauge_tenants('tenant_cores', {})
+    assert 'tenant_cores' not in metrics.render()
+
+
+def _cell_with_backlog(*jobs: WorkflowSpec) -> CellState:
+    """Return a cell with one worker that runs one of the jobs at a time."""
+    cell = CellState(fence=1, previous_orders_expire_ms=0)
+    cell.loaded = True
+    cell.tenants.configure(
+        1, [TenantPolicy(SURGE, 1, Resources(2000)), TenantPolicy(CALM[0])]
+    )
+    listing = WorkerListing(
+        WorkerKey('w'),
+        'w:80',
+        POOL,
+        'a',
+        'r',
+        frozenset(),
+        Resources(1000, 4000),
+        draining=False,
+    )
+    list_worker(cell, listing, 0)
+    worker = cell.workers[listing.worker]
+    worker.enrolled = worker.synced = True
+    for number, spec in enumerate(jobs):
+        submit_job(cell, spec, number)
+    dispatch(cell, 0)
+    return cell
+
+
+def test_only_work_that_lacks_capacity_makes_a_pool_short(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Jobs held by their quota, or that never fit, must not cause refusals."""
+    for module in (_tenant_backlog, _wait_forecast):
+        monkeypatch.setattr(
+            module, 'is_over_rate', lambda job: job.spec.tenant == SURGE
+        )
+    calm = [spec_of(f'calm-{number}', CALM[0]) for number in range(2)]
+    surge = [spec_of(f'surge-{number}', SURGE) for number in range(5)]
+    cell = _cell_with_backlog(*calm, *surge)
+    backlog = over_rate_backlogs(cell, 700)[POOL]
+    assert backlog[:5] == (POOL, {SURGE: 5}, 700, 500, True)
+    # What runs is 300 ms from its end, and six tasks of a second wait.
+    assert backlog.drain_ms == 6300
+    # The forecast for other jobs has only what runs and waits within the rate.
+    assert [point.wait_ms for point in predict_waits(cell, 0)[POOL]] == [1000]
+
+    worker = cell.workers[WorkerKey('w')]
+    worker.free = Resources(1000, 4000)
+    assert not over_rate_backlogs(cell, 700)[POOL].lacks_room
+    worker.free = Resources()
+    cell.tenants.find(SURGE).used = Resources(1500)
+    held = over_rate_backlogs(cell, 700)[POOL]
+    assert (held.jobs, held.waited_ms) == ({SURGE: 5}, 0)
+
+    wide = StepSpec(1, Resources(64_000), 1000)
+    never = spec_of('never', SURGE)._replace(steps=(wide,))
+    cell = _cell_with_backlog(calm[0], never)
+    cell.tenants.find(SURGE).policy = TenantPolicy(SURGE)
+    assert over_rate_backlogs(cell, 2000)[POOL].waited_ms == 0
+
+
+class _Entry(BaseHTTPRequestHandler):
+    """Answer like entry VMs, the second of which is the owner."""
+
+    dumps: dict[str, Any] = {}
+
+    def do_GET(self) -> None:
+        """Send the dump of the VM whose address was called."""
+        body = json.dumps(self.dumps[self.headers['Host']]).encode()
+        self.send_response(200)
+        self.send_header('Content-Length', str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *_: object) -> None:
+        """Suppress the log output of the server."""
+
+
+@pytest.fixture
+def addresses() -> Iterator[list[str]]:
+    """Serve on two free ports and return the addresses."""
+    servers = [HTTPServer(('127.0.0.1', 0), _Entry) for _ in range(2)]
+    for server in servers:
+        threading.Thread(target=server.serve_forever).start()
+    yield [f'127.0.0.1:{server.server_port}' for server in servers]
+    for server in servers:
+        server.shutdown()
+        server.server_close()
+
+
+def test_a_cell_refuses_a_surge_and_tells_why(
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+    addresses: list[str],
+) -> None:
+    """Every VM refuses the surging tenant only, only while the pool is short.
+
+    The command finds the owner and names the causes for which the tenant waits.
+    """
+    sender = [SURGE]
+    for module in (_tenant_backlog, _tenant_views, _wait_forecast):
+        monkeypatch.setattr(
+            module, 'is_over_rate', lambda job: job.spec.tenant == SURGE
+        )
+    monkeypatch.setattr(
+        monitor_module,
+        'tokens_left',
+        lambda account, _: -1.0 if account.policy.name == SURGE else 9.0,
+    )
+    monkeypatch.setattr(
+        _cell,
+        'decode_job',
+        lambda *args: decode_job(*args).map(
+            lambda spec: spec._replace(tenant=sender[0])
+        ),
+    )
+    body = job(step(1, cpu=16000, estimatedMs=2000))
+    seen: dict[str, Any] = {}
+
+    async def submit(cell: PlatformCell, vm: str, job_id: str = '') -> Any:
+        return await cell.submit(vm, body, work_ms=2000, job_id=job_id)
+
+    async def scenario(cell: PlatformCell) -> None:
+        owner = cell.entries[cell.owner()].handler.owner
+        assert owner is not None
+        ledger = owner.cell.tenants
+        ledger.configure(
+            1,
+            [
+                TenantPolicy(SURGE, 1, Resources(32_000)),
+                TenantPolicy('calm', 4),
+            ],
+        )
+        first, _ = await submit(cell, 'vm-0')
+        names = [(await submit(cell, 'vm-0'))[0] for _ in range(4)]
+        await asyncio.sleep(3)
+        for vm in sorted(cell.entries):
+            _, outcome = await submit(cell, vm)
+            # The owner knows; another VM without rows accepts and asks for them.
+            if vm == cell.owner():
+                assert outcome.status.value == 'over_rate'
+        await asyncio.sleep(1.2)
+        for vm in sorted(cell.entries):
+            _, outcome = await submit(cell, vm)
+            assert outcome.status.value == 'over_rate'
+            assert outcome.retry_after_s >= 2
+            _, again = await submit(cell, vm, names[0])
+            assert again.status.value == 'ok'
+            sender[0] = 'calm'
+            _, calm = await submit(cell, vm)
+            assert calm.status.value == 'ok'
+            sender[0] = SURGE
+        await asyncio.sleep(1.1)
+        entry = cell.entries[cell.owner()]
+        seen['owner'] = dump_process(entry.handler, entry.config, entry.elector)
+        seen['metrics'] = entry.metrics.render()
+        await asyncio.sleep(25)
+        for vm in sorted(cell.entries):
+            _, outcome = await submit(cell, vm)
+            assert outcome.status.value == 'ok'
+        assert await cell.settle([first], 1) == {first: 'completed'}
+
+    play(scenario, CellShape(workers=(Shape('cpu'),)))
+    metrics = seen['metrics']
+    assert 'tenant_jobs_total{tenant="surge",verdict="over_rate"} 2' in metrics
+    assert 'tenant_wait_ms_count{tenant="surge"}' in metrics
+    assert 'tenant_dominant_share{tenant="surge"} 1.0' in metrics
+    assert 'tenant_cores{tenant="calm"} 0.0' in metrics
+
+    other = {'cell': None, 'owner': f'{addresses[1]}#7', 'tenants': []}
+    _Entry.dumps = {addresses[0]: other, addresses[1]: seen['owner']}
+    entry_option = ['--entry', addresses[0]]
+    assert main(['tenants', *entry_option]) == 0
+    table = capsys.readouterr().out.splitlines()
+    assert table[0].split()[:4] == ['TENANT', 'WEIGHT', 'RATE/S', 'CORES']
+    surge_row = next(line for line in table if line.startswith(SURGE))
+    assert surge_row.split()[1:7] == ['1', '1', '16', '32', '1.000', '0.200']
+    assert surge_row.endswith('rate share')
+    assert main(['tenants', SURGE, *entry_option]) == 0
+    told = capsys.readouterr().out
+    assert 'share: ' in told
+    assert 'new jobs over 1 a second are refused with 429 in pool cpu' in told
+    assert main(['tenants', 'calm', *entry_option]) == 0
+    assert 'capacity: 3 jobs wait since ' in capsys.readouterr().out
+    assert main(['tenants', 'nobody', *entry_option]) == 3
+    assert 'tenant nobody: not known' in capsys.readouterr().err
+    _Entry.dumps[addresses[1]] = other
+    assert main(['tenants', *entry_option]) != 0
+    assert 'is no longer the owner' in capsys.readouterr().err
