--- a/src/lycheerelay/serving/_request_result.py
+++ b/src/lycheerelay/serving/_request_result.py
@@ -16,6 +16,7 @@
     NO_SUCH_JOB = 'no_such_job'
     UNAVAILABLE = 'unavailable'
     TOO_LATE = 'too_late'
+    OVER_QUOTA = 'over_quota'
     OVER_RATE = 'over_rate'
     KEY_REFUSED = 'key_refused'
     CONFIG_TOO_OLD = 'config_too_old'
--- a/src/lycheerelay/workflow/_tenant_backlog.py
+++ b/src/lycheerelay/workflow/_tenant_backlog.py
@@ -71,13 +71,15 @@
 def quota_hold(step: StepInfo) -> str:
     """Return the resource whose quota holds a step back, or ''.
 
-    'gang' stands for the quota that is left to an earlier gang.
+    'gang' stands for the quota that is left to an earlier gang. A step that waits for
+    capacity is not marked as held, so its demand is compared with the quota here.
     """
-    decided = getattr(step, 'held_by_quota', None)
+    decided = str(getattr(step, 'held_by_quota', ''))
     account = step.job.account
-    if decided is not None or account is None:
-        return decided or ''
-    demand = step.spec.demand.times(_tasks_together(step))
+    if decided or account is None:
+        return decided
+    charged = getattr(step.spec, 'charged_demand', step.spec.demand)
+    demand = charged.times(_tasks_together(step))
     for name, used, more, limit in zip(
         Resources._fields,
         account.used,
--- a/tests/test_tenant_admission.py
+++ b/tests/test_tenant_admission.py
@@ -421,6 +421,7 @@
     assert not over_rate_backlogs(cell, 700)[POOL].lacks_room
     worker.free = Resources()
     cell.tenants.find(SURGE).used = Resources(1500)
+    dispatch(cell, 700)
     held = over_rate_backlogs(cell, 700)[POOL]
     assert (held.jobs, held.waited_ms) == ({SURGE: 5}, 0)
 
@@ -496,8 +497,9 @@
         owner = cell.entries[cell.owner()].handler.owner
         assert owner is not None
         ledger = owner.cell.tenants
+        # Later than the versions of the stand-in, which have no tenants.
         ledger.configure(
-            1,
+            1000,
             [
                 TenantPolicy(SURGE, 1, Resources(32_000)),
                 TenantPolicy('calm', 4),
