--- a/src/lycheerelay/_codes.py
+++ b/src/lycheerelay/_codes.py
@@ -31,6 +31,7 @@
     QUOTA_EXCEEDED = 306
     NOT_READY = 307
     CONFIG_TOO_OLD = 308
+    NEVER_IN_QUOTA = 309
     TASK_FAILED = 400
     OUTCOME_UNKNOWN = 401
     LEASE_LAPSED = 402
@@ -147,6 +148,12 @@
         6,
         'The configuration is too old to check the API key; ask another one.',
     ),
+    (
+        Code.NEVER_IN_QUOTA,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        5,
+        'A gang or task is larger than the quota of its tenant.',
+    ),
     (Code.TASK_FAILED, HTTPStatus.OK, 8, 'A task failed for good.'),
     (
         Code.OUTCOME_UNKNOWN,
--- a/src/lycheerelay/serving/_internal_api.py
+++ b/src/lycheerelay/serving/_internal_api.py
@@ -109,13 +109,13 @@
     """Register a member that regards this VM as the owner."""
     handler = internal.handler
     member = str(body['member'])
-    owner = handler.owner
-    published = owner.tenants.published() if owner else {}
-    return {
-        'again_ms': handler.peers.receive_hello(member),
-        'members': handler.peers.name_members(member),
-        **published,
-    }
+    answer: Body = {'again_ms': handler.peers.receive_hello(member)}
+    table = handler.checks.config.table
+    if table is not None and table.requires_keys:
+        answer['members'] = handler.peers.name_members(member)
+    if handler.owner is not None:
+        answer.update(handler.owner.tenants.published())
+    return answer
 
 
 @ROUTES.register('/vacant')
--- a/src/lycheerelay/workflow/tenants.py
+++ b/src/lycheerelay/workflow/tenants.py
@@ -7,16 +7,24 @@
     tokens_left,
 )
 from ._tenant_views import Hold, HoldCause, TenantView, view_tenants
-from ._tenants import TenantAccount, TenantLedger, TenantPolicy
+from ._tenants import (
+    QuotaExcess,
+    TenantAccount,
+    TenantLedger,
+    TenantPolicy,
+    find_quota_excess,
+)
 
 __all__ = (
     'Hold',
     'HoldCause',
     'PoolBacklog',
+    'QuotaExcess',
     'TenantAccount',
     'TenantLedger',
     'TenantPolicy',
     'TenantView',
+    'find_quota_excess',
     'is_over_rate',
     'over_rate_backlogs',
     'tokens_left',
