--- a/src/lycheerelay/serving/_tenant_monitor.py
+++ b/src/lycheerelay/serving/_tenant_monitor.py
@@ -65,9 +65,16 @@
         self.held_since_ms: dict[HoldKey, int] = {}
         self.logged_shares: set[HoldKey] = set()
 
+    @property
+    def has_tenants(self) -> bool:
+        """Return whether the configuration in force defines tenants."""
+        ledger = self.context.cell.tenants
+        return bool(ledger.accounts) and ledger.is_enforced
+
     def tick(self, ticks: int, now_ms: int) -> None:
         """Compute what is due; nothing without tenants."""
-        if not self.context.cell.tenants.accounts:
+        if not self.has_tenants:
+            self.shortages = {}
             return
         if ticks % ROW_TICKS == 0:
             self._update_shortages(now_ms)
@@ -80,7 +87,7 @@
         A call about a submission of a tenant gets one of its tokens, if there is
         one left.
         """
-        if not self.context.cell.tenants.accounts:
+        if not self.has_tenants:
             return {}
         now_ms = self.context.now_ms
         rows = self.rows(now_ms, job_id)
