Sum the runs of a pool by step for the views of tenants

Cause: the views and backlogs of 94 tenants with 11,760 runs on 980 workers and 1,000 waiting steps took 30 and 19 ms. Change: runs are counted by step before their demands are added, and shares are compared once per pool.

--- a/src/lycheerelay/workflow/_tenant_backlog.py
+++ b/src/lycheerelay/workflow/_tenant_backlog.py
@@ -12,7 +12,7 @@
 from .._resources import Resources
 from ._fit import is_in_service, meets_requirements
 from ._spec import critical_path_ms, objective_ms
-from ._state import CellState, JobInfo, Run, StepInfo, WorkerInfo
+from ._state import CellState, JobInfo, StepInfo, WorkerInfo
 from ._tenants import TenantAccount
 
 # Steps that have waited longest and are checked for room. The first that some
@@ -101,14 +101,6 @@
     return max(now_ms - begin_ms, 0)
 
 
-def pool_capacity(cell: CellState, pool: str, now_ms: int) -> Resources:
-    """Return the capacity of the workers of a pool that take new runs."""
-    total = Resources()
-    for worker in _workers_of(cell, pool, now_ms):
-        total = total.plus(worker.capacity)
-    return total
-
-
 def dominant_share(used: Resources, capacity: Resources) -> float:
     """Return the largest share of a resource in use."""
     return max(
@@ -168,21 +160,19 @@
     """Return the time for the work of a pool, taken as one large worker."""
     capacity = Resources()
     work = _waiting_work(cell, pool)
+    # Summed by step first, since a pool has thousands of runs.
+    left_ms: Counter[StepInfo] = Counter()
     for worker in workers:
         capacity = capacity.plus(worker.capacity)
         for run in worker.runs.values():
-            work = work.plus(_remaining_work(run, now_ms))
+            end_ms = run.sent_ms + run.step.spec.expected_ms
+            left_ms[run.step] += max(end_ms - now_ms, 0)
+    for step, step_ms in left_ms.items():
+        if not _is_endless(step):
+            work = work.plus(step.spec.demand.times(step_ms))
     return math.ceil(dominant_share(work, capacity))
 
 
-def _remaining_work(run: Run, now_ms: int) -> Resources:
-    spec = run.step.spec
-    if _is_endless(run.step):
-        return Resources()
-    left_ms = max(run.sent_ms + spec.expected_ms - now_ms, 0)
-    return run.demand.times(left_ms)
-
-
 def _waiting_work(cell: CellState, pool: str) -> Resources:
     work = Resources()
     for step in cell.open_steps.values():
--- a/src/lycheerelay/workflow/_tenant_views.py
+++ b/src/lycheerelay/workflow/_tenant_views.py
@@ -1,5 +1,6 @@
 """Show for each tenant what it uses, what waits and why."""
 
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import StrEnum, unique
@@ -7,11 +8,10 @@
 
 from .._resources import Resources
 from ._fit import is_in_service
-from ._state import CellState, StepInfo, WorkerInfo
+from ._state import CellState, StepInfo
 from ._tenant_backlog import (
     dominant_share,
     is_over_rate,
-    pool_capacity,
     quota_hold,
 )
 from ._tenants import TenantAccount
@@ -89,45 +89,55 @@
 
 @dataclass(slots=True)
 class _PoolUsage:
-    """Use of one pool; `active` holds the weights of tenants with work there."""
+    """Use of one pool.
 
-    capacity: Resources
+    `active` holds the weights of the tenants with work there, `above_share` those of
+    them that use more than their weighted share.
+    """
+
+    capacity: Resources = Resources()
     used: dict[str, Resources] = field(default_factory=dict)
     active: dict[str, float] = field(default_factory=dict)
+    above_share: set[str] = field(default_factory=set)
 
-    def is_above_share(self, name: str) -> bool:
-        """Return whether a tenant uses more than its weighted share."""
+    def find_above_share(self) -> None:
+        """Compare each tenant with its weighted share."""
         total = sum(self.active.values())
-        fair = self.active.get(name, 0) / total if total else 1
-        return dominant_share(
-            self.used.get(name, Resources()), self.capacity
-        ) > (fair)
+        for name, used in self.used.items():
+            fair = self.active[name] / total if total else 1
+            if dominant_share(used, self.capacity) > fair:
+                self.above_share.add(name)
 
 
 def _usage_by_pool(cell: CellState, now_ms: int) -> dict[str, _PoolUsage]:
-    pools = {worker.pool for worker in cell.workers.values()}
-    usage = {
-        pool: _PoolUsage(pool_capacity(cell, pool, now_ms)) for pool in pools
-    }
+    usage = {worker.pool: _PoolUsage() for worker in cell.workers.values()}
+    # Counted by step first, since a cell has thousands of runs.
+    runs: dict[str, Counter[StepInfo]] = {pool: Counter() for pool in usage}
     for worker in cell.workers.values():
         if is_in_service(worker, now_ms):
-            _add_runs(usage[worker.pool], worker)
+            pool = usage[worker.pool]
+            pool.capacity = pool.capacity.plus(worker.capacity)
+            runs[worker.pool].update(run.step for run in worker.runs.values())
+    for name, counts in runs.items():
+        _add_runs(usage[name], counts)
     for step in _waiting_steps(cell):
         account = step.job.account
         if account is not None and step.job.spec.pool in usage:
             active = usage[step.job.spec.pool].active
             active[account.policy.name] = account.policy.weight
+    for pool in usage.values():
+        pool.find_above_share()
     return usage
 
 
-def _add_runs(usage: _PoolUsage, worker: WorkerInfo) -> None:
-    for run in worker.runs.values():
-        account = run.step.job.account
+def _add_runs(usage: _PoolUsage, counts: Counter[StepInfo]) -> None:
+    for step, count in counts.items():
+        account = step.job.account
         if account is not None:
             name = account.policy.name
             usage.active[name] = account.policy.weight
             used = usage.used.get(name, Resources())
-            usage.used[name] = used.plus(run.demand)
+            usage.used[name] = used.plus(step.spec.demand.times(count))
 
 
 def _waiting_steps(cell: CellState) -> Iterator[StepInfo]:
@@ -163,7 +173,7 @@
     if held_by:
         return HoldCause.QUOTA, held_by
     known = usage.get(pool)
-    if known is not None and known.is_above_share(account.policy.name):
+    if known is not None and account.policy.name in known.above_share:
         return HoldCause.SHARE, pool
     return HoldCause.CAPACITY, pool
 
