Test that a VM which cannot reach the owner refuses nothing by tenant

Cause: the case had no test on the emulator. Change: one VM is cut off from the owner while the pool is short, and accepts a job of the surging tenant.

--- a/tests/test_tenant_admission.py
+++ b/tests/test_tenant_admission.py
@@ -468,6 +468,7 @@
 ) -> None:
     """Every VM refuses the surging tenant only, only while the pool is short.
 
+    A VM that cannot reach the owner must refuse nothing.
     The command finds the owner and names the causes for which the tenant waits.
     """
     sender = [SURGE]
@@ -524,6 +525,11 @@
             _, calm = await submit(cell, vm)
             assert calm.status.value == 'ok'
             sender[0] = SURGE
+        apart = next(vm for vm in sorted(cell.entries) if vm != cell.owner())
+        cell.net.cuts.add((apart, cell.owner()))
+        _, outcome = await submit(cell, apart)
+        assert outcome.status.value == 'ok'
+        cell.net.cuts.clear()
         await asyncio.sleep(1.1)
         entry = cell.entries[cell.owner()]
         seen['owner'] = dump_process(entry.handler, entry.config, entry.elector)
