Decide on a job over the rate by the time at which its VM got it

Cause: the owner marks accepted jobs by their acceptance time. A decision by the time of the question, or by a token that a held job earns later, would admit jobs that are then marked as over the rate and take no token. Change: the question about a job carries that time, the owner looks at the bucket as of then, and no job is held any more.

--- a/src/lycheerelay/serving/_internal_api.py
+++ b/src/lycheerelay/serving/_internal_api.py
@@ -14,6 +14,7 @@
 from ._http_calls import Reply
 from ._ports import Advisor, KeyedRecord
 from ._request_handler import RequestHandler
+from ._tenant_admission import decode_applicant
 
 logger = logging.getLogger('lycheerelay.internal')
 
@@ -68,7 +69,7 @@
         body['job'],
         decode_identity(body),
         waits=bool(body.get('waits')),
-        admit=str(body.get('admit', '')),
+        applicant=decode_applicant(body),
     )
 
 
--- a/src/lycheerelay/serving/_request_handler.py
+++ b/src/lycheerelay/serving/_request_handler.py
@@ -6,7 +6,7 @@
 
 from result import Err
 
-from .._clock import MS_PER_SECOND, Clock
+from .._clock import Clock
 from ..workflow import JobPhase, WorkflowSpec
 from ..workflow.tenants import find_quota_excess
 from ._caller_checks import CallerChecks
@@ -24,6 +24,11 @@
 from ._request_result import RequestResult, RequestStatus
 from ._spec_codec import encode_spec
 from ._store_health import StoreHealth
+from ._tenant_admission import (
+    Applicant,
+    decode_applicant,
+    encode_applicant,
+)
 from ._tenant_gate import TenantGate
 from ._wait_forecast import (
     WaitForecast,
@@ -163,14 +168,14 @@
         identity: Identity = EVERYONE,
         *,
         waits: bool = False,
-        admit: str = '',
+        applicant: Applicant | None = None,
     ) -> dict[str, Any] | None:
         """Return a job's phase; None if this VM is not serving.
 
         The phase in the result is None if the job is not known, or not visible
         to the caller. With `waits`, the answer waits shortly for the end of a
-        job that is about to end. `admit` names the tenant that is about to
-        submit the job.
+        job that is about to end. `applicant` is the job if it is about to
+        be submitted.
         """
         owner = self.owner
         if owner is None or not owner.is_serving:
@@ -188,8 +193,7 @@
         if waits and job is not None:
             await owner.results.wait(job)
         phase: JobPhase | None = None if job is None else job.visible_phase
-        new_job_id = '' if job else job_id
-        published = owner.tenants.published(new_job_id, admit)
+        published = owner.tenants.published(None if job else applicant)
         return {'phase': phase, 'waits': encode_waits(owner.waits), **published}
 
     def answer_waiting(
@@ -272,7 +276,7 @@
                     body['job'],
                     decode_identity(body),
                     waits=body.get('waits', False),
-                    admit=body.get('admit', ''),
+                    applicant=decode_applicant(body),
                 )
             return self.answer_waiting(body['queue'], decode_identity(body))
         remaining_ms = max(deadline_ms - self.clock.now_ms(), 1)
@@ -333,21 +337,16 @@
             self.peers.send_hello_soon()
         if not gate.is_doubtful(spec):
             return None
-        body = {
-            'job': spec.job_id,
-            'admit': spec.tenant,
-            **encode_identity(identity),
-        }
+        body = {**encode_applicant(spec), **encode_identity(identity)}
         known = await self._query_owner('/state', body, OWNER_QUERY_TIMEOUT_MS)
         if known is None:
             return None
         if known.get('phase') is not None:
             return RequestResult(RequestStatus.OK)
-        delay_s, hold_ms = gate.decide(spec, known, sent_ms)
-        if delay_s:
-            return RequestResult(RequestStatus.OVER_RATE, retry_after_s=delay_s)
-        await asyncio.sleep(hold_ms / MS_PER_SECOND)
-        return None
+        delay_s = gate.refusal_s(spec, known, sent_ms)
+        if not delay_s:
+            return None
+        return RequestResult(RequestStatus.OVER_RATE, retry_after_s=delay_s)
 
     def _report_submission(
         self, spec: WorkflowSpec, outcome: RequestResult, begun_ms: int
--- a/src/lycheerelay/serving/_tenant_admission.py
+++ b/src/lycheerelay/serving/_tenant_admission.py
@@ -4,8 +4,9 @@
 several times its rate, beside the calls of tenants within theirs.
 
 A job is refused only if a row of the owner about its tenant and pool is at most
-MAX_ROW_AGE_MS old and leaves the tenant no token, now or within MAX_HOLD_MS. So no job
-within the rate is refused, also if calls arrive less evenly than they were sent.
+MAX_ROW_AGE_MS old and leaves the tenant no token at the time at which the VM got the
+job. The owner marks accepted jobs as over the rate by that same time, so that no job
+within the rate is refused.
 
 While a row exists, the owner is asked about each job of its tenant. It has read the
 store to its end by then, counts the tokens that it granted to jobs that it has not
@@ -21,6 +22,7 @@
 
 from .._clock import MS_PER_SECOND
 from .._hashing import number_of
+from ..workflow import WorkflowSpec
 
 # A row older than this refuses nothing, so that a VM that is cut off from the
 # owner accepts jobs.
@@ -41,19 +43,14 @@
 SHORT_UNTIL_SHARE: Final = 0.25
 # Shorter waits come and go within a few scheduling cycles.
 MIN_SHORT_WAIT_MS: Final = 1000
-# Time for which a job is held at most until its tenant has earned a token. Calls of a
-# tenant exactly at its rate arrive this much unevenly.
-MAX_HOLD_MS: Final = 100
 
 
-class Decision(NamedTuple):
-    """Decision on one submission: the delay of a retry, or of the acceptance.
+class Applicant(NamedTuple):
+    """Job of a tenant that is about to be submitted."""
 
-    `retry_after_s` is 0 for an admitted job, which is held for `hold_ms`.
-    """
-
-    retry_after_s: int = 0
-    hold_ms: int = 0
+    job_id: str
+    tenant: str
+    accepted_ms: int
 
 
 class TenantRow(NamedTuple):
@@ -61,8 +58,7 @@
 
     `backlog` is the number of its jobs over the rate that wait, and
     `served_in_ms` the time until a further one would be served. `tokens` is the
-    number of further jobs that are within the rate now, `rate` its growth per
-    second.
+    number of further jobs that are within the rate, `rate` its growth per second.
     """
 
     tenant: str
@@ -123,14 +119,25 @@
     return TenantRows(by_key, sent_ms, max(int(raw['age_ms']), 0))
 
 
-def hold_ms(row: TenantRow) -> int | None:
-    """Return how long to hold a job until a token is there; None refuses it."""
-    if row.tokens >= 1:
-        return 0
-    if row.rate <= 0:
+def has_token(row: TenantRow) -> bool:
+    """Return whether a further job is within the rate of the tenant."""
+    return row.tokens >= 1
+
+
+def encode_applicant(spec: WorkflowSpec) -> dict[str, Any]:
+    """Return the fields of a call about a job that is about to be submitted."""
+    admit = {'tenant': spec.tenant, 'accepted_ms': spec.accepted_ms}
+    return {'job': spec.job_id, 'admit': admit}
+
+
+def decode_applicant(body: dict[str, Any]) -> Applicant | None:
+    """Return the job that a call asks to admit, if it does."""
+    admit = body.get('admit')
+    if admit is None:
         return None
-    wait_ms = math.ceil((1 - row.tokens) * MS_PER_SECOND / row.rate)
-    return wait_ms if wait_ms <= MAX_HOLD_MS else None
+    return Applicant(
+        str(body['job']), str(admit['tenant']), int(admit['accepted_ms'])
+    )
 
 
 def retry_after_s(row: TenantRow, job_id: str, age_ms: int) -> int:
--- a/src/lycheerelay/serving/_tenant_dump.py
+++ b/src/lycheerelay/serving/_tenant_dump.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from .._resources import Resources
+from ..workflow import CellState
 from ..workflow.tenants import TenantView, tokens_left
 from ._tenant_admission import TenantRow, TenantRows
 from ._tenant_monitor import TenantMonitor
@@ -13,10 +14,11 @@
 
 def dump_tenants(monitor: TenantMonitor, now_ms: int) -> list[Fields]:
     """Return a row for each tenant at the owner, and why its jobs wait."""
+    cell = monitor.context.cell
     rows = monitor.rows(now_ms)
     return [
         {
-            **_dump_view(view, now_ms),
+            **_dump_view(cell, view, now_ms),
             'held': _dump_holds(monitor, view, now_ms),
             'refused': [
                 _dump_refusal(monitor, row, now_ms)
@@ -36,9 +38,9 @@
     }
 
 
-def _dump_view(view: TenantView, now_ms: int) -> Fields:
+def _dump_view(cell: CellState, view: TenantView, now_ms: int) -> Fields:
     policy = view.account.policy
-    tokens = tokens_left(view.account, now_ms)
+    tokens = tokens_left(cell, view.account, now_ms)
     return {
         'tenant': view.name,
         'active': view.account.is_active,
--- a/src/lycheerelay/serving/_tenant_gate.py
+++ b/src/lycheerelay/serving/_tenant_gate.py
@@ -8,10 +8,9 @@
 from ._tenant_admission import (
     MAX_ROW_AGE_MS,
     NO_ROWS,
-    Decision,
     TenantRows,
     decode_rows,
-    hold_ms,
+    has_token,
     retry_after_s,
 )
 
@@ -58,21 +57,18 @@
         row = self.rows.find(spec.tenant, spec.pool, now_ms)
         return bool(spec.tenant) and row is not None
 
-    def decide(
+    def refusal_s(
         self, spec: WorkflowSpec, answer: Answer, sent_ms: int
-    ) -> Decision:
-        """Admit or refuse a job.
+    ) -> int:
+        """Return the retry delay of a job over the rate, in s; 0 admits it.
 
         `answer` is that of the owner to a call about this job.
         """
         now_ms = self.clock.now_ms()
         rows = _rows_in(answer, sent_ms)
         row = rows.find(spec.tenant, spec.pool, now_ms)
-        if row is None:
-            return Decision()
-        held_ms = hold_ms(row)
-        if held_ms is not None:
-            return Decision(hold_ms=held_ms)
+        if row is None or has_token(row):
+            return 0
         age_ms = rows.age_ms(now_ms)
         delay_s = retry_after_s(row, spec.job_id, age_ms)
         logger.info(
@@ -86,7 +82,7 @@
                 **row._asdict(),
             },
         )
-        return Decision(delay_s)
+        return delay_s
 
 
 def _rows_in(answer: Answer, sent_ms: int) -> TenantRows:
--- a/src/lycheerelay/serving/_tenant_monitor.py
+++ b/src/lycheerelay/serving/_tenant_monitor.py
@@ -18,7 +18,13 @@
     view_tenants,
 )
 from ._context import OwnerContext
-from ._tenant_admission import TenantRow, encode_rows, hold_ms, is_short
+from ._tenant_admission import (
+    Applicant,
+    TenantRow,
+    encode_rows,
+    has_token,
+    is_short,
+)
 
 logger = logging.getLogger('lycheerelay.tenants')
 
@@ -81,41 +87,48 @@
         if ticks % VIEW_TICKS == 0:
             self._update_views(now_ms)
 
-    def published(self, job_id: str = '', tenant: str = '') -> dict[str, Any]:
+    def published(self, applicant: Applicant | None = None) -> dict[str, Any]:
         """Return the field for responses to other VMs; none without tenants.
 
-        A call about a submission of a tenant gets one of its tokens, if there is
-        one left.
+        An applicant gets one of the tokens of its tenant, if there is one left.
         """
         if not self.has_tenants:
             return {}
         now_ms = self.context.now_ms
-        rows = self.rows(now_ms, job_id)
-        own = [row for row in rows if row.tenant == tenant]
-        if job_id and own and hold_ms(own[0]) is not None:
-            self.grants[job_id] = Grant(tenant, now_ms + GRANT_MS)
+        rows = self.rows(now_ms, applicant)
+        if applicant is not None and any(
+            row.tenant == applicant.tenant and has_token(row) for row in rows
+        ):
+            grant = Grant(applicant.tenant, now_ms + GRANT_MS)
+            self.grants[applicant.job_id] = grant
         return {'tenants': encode_rows(rows, now_ms - self.computed_ms)}
 
-    def rows(self, now_ms: int, job_id: str = '') -> list[TenantRow]:
+    def rows(
+        self, now_ms: int, applicant: Applicant | None = None
+    ) -> list[TenantRow]:
         """Return the rows with the tokens of this moment.
 
-        A grant to `job_id` itself counts as free.
+        For the tenant of an applicant they are those at its acceptance, and a
+        grant to it counts as free.
         """
-        granted = self._count_grants(now_ms, job_id)
-        accounts = self.context.cell.tenants.accounts
+        cell = self.context.cell
+        granted = self._count_grants(now_ms, applicant)
         rows = []
         for pool, shortage in self.shortages.items():
             for tenant, count in shortage.backlog.jobs.items():
-                account = accounts[tenant]
-                tokens = min(tokens_left(account, now_ms), MANY_TOKENS)
-                tokens -= granted.get(tenant, 0)
+                account = cell.tenants.accounts[tenant]
+                is_own = applicant is not None and applicant.tenant == tenant
+                at_ms = (
+                    applicant.accepted_ms if applicant and is_own else now_ms
+                )
+                tokens = min(tokens_left(cell, account, at_ms), MANY_TOKENS)
                 rows.append(
                     TenantRow(
                         tenant,
                         pool,
                         count,
                         shortage.backlog.drain_ms,
-                        round(tokens, 3),
+                        tokens - granted.get(tenant, 0),
                         account.policy.weight,
                     )
                 )
@@ -126,7 +139,9 @@
         for name in _GAUGES:
             self.context.metrics.gauge_tenants(name, {})
 
-    def _count_grants(self, now_ms: int, job_id: str) -> dict[str, int]:
+    def _count_grants(
+        self, now_ms: int, applicant: Applicant | None
+    ) -> dict[str, int]:
         jobs = self.context.cell.jobs
         self.grants = {
             other: grant
@@ -135,7 +150,7 @@
         }
         counts: dict[str, int] = {}
         for other, grant in self.grants.items():
-            if other != job_id:
+            if applicant is None or other != applicant.job_id:
                 counts[grant.tenant] = counts.get(grant.tenant, 0) + 1
         return counts
 
--- a/src/lycheerelay/workflow/_tenant_backlog.py
+++ b/src/lycheerelay/workflow/_tenant_backlog.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 from typing import Final, NamedTuple
 
+from .._clock import MS_PER_SECOND
 from .._resources import Resources
 from ._fit import is_in_service, meets_requirements
 from ._spec import critical_path_ms, objective_ms
@@ -42,13 +43,19 @@
     return bool(getattr(job, 'is_over_rate', False))
 
 
-def tokens_left(account: TenantAccount, now_ms: int) -> float:
-    """Return how many jobs of a tenant would be within its rate now.
+def tokens_left(cell: CellState, account: TenantAccount, at_ms: int) -> float:
+    """Return how many jobs that are accepted at a time are within the rate.
 
-    Without a rate every job is.
+    Without rates every job is.
     """
-    tokens_at = getattr(account, 'tokens_at', None)
-    return float(tokens_at(now_ms)) if tokens_at else math.inf
+    window_ms = getattr(cell.tenants, 'window_ms', 0)
+    bucket = getattr(account, 'bucket', None)
+    if not window_ms or bucket is None or bucket.filled_ms is None:
+        return math.inf
+    rate = account.policy.weight
+    earned = rate * max(at_ms - bucket.filled_ms, 0) / MS_PER_SECOND
+    limit = max(rate * window_ms / MS_PER_SECOND, 1 if rate else 0)
+    return float(min(bucket.tokens + earned, limit))
 
 
 def over_rate_backlogs(cell: CellState, now_ms: int) -> dict[str, PoolBacklog]:
--- a/tests/test_tenant_admission.py
+++ b/tests/test_tenant_admission.py
@@ -21,9 +21,11 @@
 from lycheerelay.serving import dump_process
 from lycheerelay.serving._metrics_registry import MetricsRegistry
 from lycheerelay.serving._tenant_admission import (
-    MAX_HOLD_MS,
     MAX_ROW_AGE_MS,
+    Applicant,
     TenantRow,
+    decode_applicant,
+    encode_applicant,
     encode_rows,
     is_short,
     retry_after_s,
@@ -86,12 +88,13 @@
 
     def tokens_at(self, now_ms: int) -> float:
         """Return the tokens at a time."""
-        earned = self.rate * (now_ms - self.at_ms) / 1000
+        earned = self.rate * max(now_ms - self.at_ms, 0) / 1000
         return min(self.tokens + earned, 5 * self.rate)
 
     def take(self, now_ms: int) -> bool:
         """Take a token for a job; return whether it was within the rate."""
-        self.tokens, self.at_ms = self.tokens_at(now_ms), now_ms
+        self.tokens = self.tokens_at(now_ms)
+        self.at_ms = max(now_ms, self.at_ms)
         if self.tokens < 1:
             return False
         self.tokens -= 1
@@ -120,9 +123,9 @@
         monkeypatch.setattr(
             monitor_module,
             'tokens_left',
-            lambda account, now_ms: self.buckets[account.policy.name].tokens_at(
-                now_ms
-            ),
+            lambda _, account, at_ms: self.buckets[
+                account.policy.name
+            ].tokens_at(at_ms),
         )
         for bucket in self.buckets.values():
             bucket.at_ms = 10_000
@@ -162,20 +165,22 @@
     def call(self, gate: TenantGate, spec: WorkflowSpec) -> None:
         """Submit a job at a VM."""
         sent_ms = self.clock.now_ms()
+        spec = spec._replace(accepted_ms=sent_ms)
         if not gate.is_doubtful(spec):
             self.accept(spec)
             return
 
         def decided(answer: dict[str, Any]) -> None:
-            delay_s, hold_ms = gate.decide(spec, answer, sent_ms)
+            delay_s = gate.refusal_s(spec, answer, sent_ms)
             if delay_s:
                 self.refused[spec.tenant] += 1
                 self.delays_s.append(delay_s)
             else:
-                self.at(hold_ms, lambda: self.accept(spec))
+                self.accept(spec)
 
         def answered() -> None:
-            answer = self.monitor.published(spec.job_id, spec.tenant)
+            applicant = decode_applicant(encode_applicant(spec))
+            answer = self.monitor.published(applicant)
             self.at(HOP_MS, lambda: decided(answer))
 
         self.at(HOP_MS, answered)
@@ -185,7 +190,7 @@
         self.accepted[spec.tenant] += 1
 
         def read() -> None:
-            self.buckets[spec.tenant].take(self.clock.now_ms())
+            self.buckets[spec.tenant].take(spec.accepted_ms)
             self.cell.jobs[spec.job_id] = None  # type: ignore[assignment]
 
         self.at(APPEND_MS, read)
@@ -235,8 +240,8 @@
         )
     site.run(10_000 + warm_ms + span_ms + 1000)
     assert set(site.refused) == {SURGE}
-    # The token at the beginning, and those earned until the last decision.
-    earned = RATES[SURGE] * (span_ms + warm_ms + HOP_MS + MAX_HOLD_MS) / 1000
+    # The token at the beginning, and those earned until the last call.
+    earned = RATES[SURGE] * (span_ms + warm_ms) / 1000
     assert RATES[SURGE] * span_ms / 1000 <= site.accepted[SURGE] <= 1 + earned
     assert len(set(site.delays_s)) >= 4
 
@@ -251,8 +256,8 @@
     gate.receive(answer, clock.now_ms())
     assert gate.is_doubtful(spec)
     assert not gate.is_doubtful(spec_of('a', CALM[0]))
-    assert gate.decide(spec, answer, clock.now_ms()).retry_after_s
-    assert gate.decide(spec, {'phase': None, 'waits': {}}, 10_000) == (0, 0)
+    assert gate.refusal_s(spec, answer, clock.now_ms())
+    assert not gate.refusal_s(spec, {'phase': None, 'waits': {}}, 10_000)
     clock.advance(MAX_ROW_AGE_MS - 100)
     assert gate.is_doubtful(spec)
     clock.advance(1)
@@ -273,9 +278,9 @@
     gate, tenant = site.gates[0], CALM[0]
 
     def refusal_s(job_id: str) -> int:
-        answer = site.monitor.published(job_id, tenant)
-        spec = spec_of(job_id, tenant)
-        return gate.decide(spec, answer, site.clock.now_ms()).retry_after_s
+        now_ms = site.clock.now_ms()
+        answer = site.monitor.published(Applicant(job_id, tenant, now_ms))
+        return gate.refusal_s(spec_of(job_id, tenant), answer, now_ms)
 
     assert not refusal_s('first')
     assert refusal_s('second')
@@ -479,7 +484,7 @@
     monkeypatch.setattr(
         monitor_module,
         'tokens_left',
-        lambda account, _: -1.0 if account.policy.name == SURGE else 9.0,
+        lambda _, account, __: -1.0 if account.policy.name == SURGE else 9.0,
     )
     monkeypatch.setattr(
         _cell,
