Let no error in the views of tenants end the owner's term

Cause: the monitor runs in the owner's ticks, where an error ends the term, and the next owner would meet the same error. Change: an error is logged, and nothing is refused by rate until the views work again.

--- a/src/lycheerelay/serving/_tenant_monitor.py
+++ b/src/lycheerelay/serving/_tenant_monitor.py
@@ -82,6 +82,14 @@
         if not self.has_tenants:
             self.shortages = {}
             return
+        try:
+            self._update(ticks, now_ms)
+        except Exception:
+            # Any owner would meet the same fault, and no start depends on this.
+            self.shortages = {}
+            logger.exception('tenant_views_crashed')
+
+    def _update(self, ticks: int, now_ms: int) -> None:
         if ticks % ROW_TICKS == 0:
             self._update_shortages(now_ms)
         if ticks % VIEW_TICKS == 0:
--- a/tests/test_tenant_admission.py
+++ b/tests/test_tenant_admission.py
@@ -437,6 +437,22 @@
     assert over_rate_backlogs(cell, 2000)[POOL].waited_ms == 0
 
 
+def test_an_error_in_the_views_refuses_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A fault in the views must not end the terms of owner after owner."""
+    site = Site(monkeypatch)
+    site.monitor.tick(3, site.clock.now_ms())
+    assert site.monitor.published()['tenants']['rows']
+
+    def fail(*_: object) -> None:
+        raise ValueError('a fault')
+
+    monkeypatch.setattr(monitor_module, 'over_rate_backlogs', fail)
+    site.monitor.tick(6, site.clock.now_ms())
+    assert not site.monitor.published()['tenants']['rows']
+
+
 class _Entry(BaseHTTPRequestHandler):
     """Answer like entry VMs, the second of which is the owner."""
 
