--- a/src/lycheerelay/platform/_ingress.py
+++ b/src/lycheerelay/platform/_ingress.py
@@ -40,6 +40,7 @@
     RequestStatus.NO_SUCH_JOB: 410,
     RequestStatus.UNAVAILABLE: 503,
     RequestStatus.TOO_LATE: 429,
+    RequestStatus.OVER_RATE: 429,
     RequestStatus.KEY_REFUSED: 401,
     RequestStatus.CONFIG_TOO_OLD: 503,
     RequestStatus.OVER_QUOTA: 429,
@@ -49,6 +50,10 @@
     RequestStatus.REFUSED: 'the store is unavailable',
     RequestStatus.UNAVAILABLE: 'the owner is unavailable',
     RequestStatus.TOO_LATE: 'the job cannot finish in time',
+    RequestStatus.OVER_RATE: (
+        'the tenant is over its rate and capacity is short; '
+        'the job was not stored and has not run'
+    ),
     RequestStatus.CONFIG_TOO_OLD: (
         'the configuration is too old to check the key; the request has not run'
     ),
@@ -127,11 +132,12 @@
         if queue is None:
             return Err(_error_response(NOT_FOUND, 'no such queue'))
         key = request.headers.get(KEY_HEADER, '')
-        identified = self.handler.checks.identify(table, queue, key)
+        job_id = request.path[len(queue.prefix) :]
+        named_job = job_id if _is_job_id(job_id) else ''
+        identified = self.handler.checks.identify(table, queue, key, named_job)
         if isinstance(identified, Err):
             status = STATUS_OF_CAUSE[identified.err_value.cause]
             return Err(_outcome_response(RequestResult(status), ''))
-        job_id = request.path[len(queue.prefix) :]
         return Ok(Target(queue, job_id, table, identified.ok_value))
 
     async def _route(self, request: web.BaseRequest) -> web.Response:
@@ -156,7 +162,7 @@
                 target.identity,
             )
             return _outcome_response(outcome, 'waiting')
-        if len(job_id) != JOB_ID_DIGITS or not HEX_DIGITS.issuperset(job_id):
+        if not _is_job_id(job_id):
             return _error_response(
                 NOT_FOUND, 'a job id has 16 hexadecimal digits'
             )
@@ -238,6 +244,10 @@
     return _outcome_response(outcome, '')
 
 
+def _is_job_id(text: str) -> bool:
+    return len(text) == JOB_ID_DIGITS and HEX_DIGITS.issuperset(text)
+
+
 def _timeout_ms(request: web.BaseRequest) -> int:
     text = request.headers.get(TIMEOUT_HEADER, '')
     return int(text) if text.isdecimal() else DEFAULT_TIMEOUT_MS
--- a/src/lycheerelay/serving/_internal_api.py
+++ b/src/lycheerelay/serving/_internal_api.py
@@ -14,6 +14,7 @@
 from ._http_calls import Reply
 from ._ports import Advisor, KeyedRecord
 from ._request_handler import RequestHandler
+from ._tenant_admission import decode_applicant
 
 logger = logging.getLogger('lycheerelay.internal')
 
@@ -65,7 +66,10 @@
 async def state(internal: InternalApi, body: Body) -> Body | None:
     """Return the phase of a job."""
     return await internal.handler.answer_state(
-        body['job'], decode_identity(body), waits=bool(body.get('waits'))
+        body['job'],
+        decode_identity(body),
+        waits=bool(body.get('waits')),
+        applicant=decode_applicant(body),
     )
 
 
@@ -104,12 +108,14 @@
 @ROUTES.register('/hello')
 async def hello(internal: InternalApi, body: Body) -> Body | None:
     """Register a member that regards this VM as the owner."""
-    peers = internal.handler.peers
+    handler = internal.handler
     member = str(body['member'])
-    answer: Body = {'again_ms': peers.receive_hello(member)}
-    table = internal.handler.checks.config.table
+    answer: Body = {'again_ms': handler.peers.receive_hello(member)}
+    table = handler.checks.config.table
     if table is not None and table.requires_keys:
-        answer['members'] = peers.name_members(member)
+        answer['members'] = handler.peers.name_members(member)
+    if handler.owner is not None:
+        answer.update(handler.owner.tenants.published())
     return answer
 
 
