--- a/tests/test_tenant_quotas.py
+++ b/tests/test_tenant_quotas.py
@@ -329,7 +329,8 @@
     model = cell_of(Resources(4000), workers=8)
     simulation = model.simulation
     for number in range(160):
-        small = spec_of(f's{number}', tasks(1), stretch=30, advice=advice)
+        one = tasks(1, gang=number % 2 == 0)
+        small = spec_of(f's{number}', one, stretch=30, advice=advice)
         simulation.at(100 * number, lambda each=small: simulation.submit(each))
     gang = spec_of('g', tasks(4, gang=True), accepted_ms=3000, advice=advice)
     simulation.at(3000, lambda: simulation.submit(gang))
@@ -355,7 +356,8 @@
         first = tasks(1, lasts=is_service)
         model.simulation.submit(spec_of('l', first))
         model.simulation.submit(spec_of('g', gang, accepted_ms=accepted_ms))
-        later = spec_of('s', tasks(2), accepted_ms=accepted_ms + 10_000)
+        longer = tasks(2)._replace(expected_ms=5000)
+        later = spec_of('s', longer, accepted_ms=accepted_ms + 10_000)
         model.simulation.submit(later)
         assert model.simulation.first_start_ms.keys() == {'l', 's'}
 
@@ -384,7 +386,7 @@
         spec = tasks(3, gang=number % 2 == 0, demand=TASK)
         if number % 3 == 0:
             spec = tasks(3, demand=wide)
-        urgent = spec_of(f't{number}', spec, advice=ADVICE, objective_ms=0)
+        urgent = spec_of(f't{number}', spec, advice=ADVICE, objective_ms=12_500)
         submit(cell, urgent, number)
     dispatch(cell, 0)
     calls = [each for each in cell.outbox if isinstance(each, AskAdvice)]
