Record copies and runs of done tasks for the next owner

Cause: after a takeover only the last start of each open task counted against the quota; a copy's first run and runs of done tasks did not. Change: the progress record of a tenant's job counts the runs that no other row tells, by step and worker. Records of jobs without a tenant are as before.

--- a/src/lycheerelay/workflow/_progress.py
+++ b/src/lycheerelay/workflow/_progress.py
@@ -6,9 +6,10 @@
 hexadecimal bit mask, and a row for each open task that was started: index,
 failed runs, last run, checkpoint, worker. `crashes` has a row for each open task
 that a crash of its worker counted for: occurrence, step, index, a row for each
-crash (run, evidence) and its last run on trial. `stopping`, in a final record of
-a tenant's job, has a row for each step and worker with runs that had not ended:
-step, worker, number of runs. Earlier versions ignore both.
+crash (run, evidence) and its last run on trial. `others`, for the job of a
+tenant, counts the runs that no other row tells, such as copies and the runs of done
+tasks, and in a final record all runs that had not ended: step, worker, number of
+runs. Earlier versions ignore both.
 """
 
 from collections import Counter
@@ -36,6 +37,8 @@
 DECODE_ERRORS: Final = (ValueError, KeyError, IndexError, TypeError)
 
 
+# Step, worker and number of runs.
+RunCountRow = tuple[int, str, int]
 # Occurrence, step, index, crashes and last run on trial of a task.
 CrashRow = tuple[int, int, int, list[tuple[int, str]], int]
 
@@ -48,17 +51,17 @@
     finished: list[int]
     steps: list[list[object]]
     crashes: list[CrashRow]
-    stopping: list[tuple[int, str, int]]
+    others: list[RunCountRow]
 
 
 def encode_progress(job: JobInfo) -> bytes:
     """Return the progress record of a job."""
     record: ProgressRecord = {'phase': job.phase.value}
+    others = _count_other_runs(job) if job.account else []
+    if others:
+        record['others'] = others
     if job.is_final:
         record['why'] = job.reason
-        stopping = _stopping_rows(job) if job.account else []
-        if stopping:
-            record['stopping'] = stopping
         return orjson.dumps(record)
     if job.finished:
         record['finished'] = list(job.finished)
@@ -75,13 +78,14 @@
     return orjson.dumps(record)
 
 
-def _stopping_rows(job: JobInfo) -> list[tuple[int, str, int]]:
+def _count_other_runs(job: JobInfo) -> list[RunCountRow]:
     counts: Counter[tuple[int, str]] = Counter()
     for step in steps_of(job):
         for task in step.tasks:
             counts.update(
                 (step.key.step, run.worker.worker_id)
-                for run in task.runs.values()
+                for number, run in task.runs.items()
+                if job.is_final or task.done or number != task.last_run
             )
     return [(*key, count) for key, count in counts.items()]
 
@@ -127,6 +131,9 @@
 
 def _restore(cell: CellState, job: JobInfo, record: ProgressRecord) -> None:
     phase = JobPhase(record['phase'])
+    for step_index, worker_id, count in record.get('others', ()):
+        step_spec = job.spec.steps[step_index]
+        _presume_runs(cell, job, step_spec, worker_id, count)
     if phase in FINAL_PHASES:
         job.phase = phase
         job.durable_phase = phase
@@ -135,9 +142,6 @@
         for steps in job.occurrences.values():
             for step in steps:
                 cell.open_steps.pop(step.key, None)
-        for step_index, worker_id, count in record.get('stopping', ()):
-            step_spec = job.spec.steps[step_index]
-            _presume_runs(cell, job, step_spec, worker_id, count)
         return
     for number in record.get('finished', ()):
         job.finished[number] = None
--- a/tests/test_tenant_quotas.py
+++ b/tests/test_tenant_quotas.py
@@ -278,18 +278,20 @@
 
 
 def test_starts_of_an_earlier_owner_count_until_their_workers_answer() -> None:
-    """Those of jobs that are running, cancelled since, and already final."""
+    """Those of jobs that run, are cancelled since or already final, and copies."""
     names = ('w0', 'w1')
-    before = cell_of(Resources(4000), workers=2).cell
+    before = cell_of(Resources(5000), workers=2).cell
     for number, name in enumerate(('a', 'b', 'c', 'd')):
-        submit(before, spec_of(name, tasks(1)), number)
-        assert len(start_and_take(before, 0)) == 1
+        submit(before, spec_of(name, tasks(1, copies=name == 'd')), number)
+        (start,) = start_and_take(before, 0)
+        handle_start_answer(before, start.worker, start.run, Answer.DONE, 0)
+    run_periodic_checks(before, 2000)
     submit(before, spec_of('e', tasks(4)), 9)
     cancel(before, 'a', 1)
     cell = successor(before, names)
     cancel(cell, 'b', 1)
     account = cell.tenants.accounts['t']
-    assert account.used.cores_milli == 4000
+    assert account.used.cores_milli == 5000
     list_worker(cell, listing('free'), 0)
     for worker in cell.workers.values():
         worker.enrolled = True
