Start nothing while any resource is above its quota

Cause: a trial with 1,500 random histories, now with takeovers, started tasks without cores while the cores of their tenant were above a lowered quota. Change: a task starts only if no resource is above its quota, even one that it does not use.

--- a/src/lycheerelay/workflow/_tenants.py
+++ b/src/lycheerelay/workflow/_tenants.py
@@ -35,7 +35,7 @@
 
 
 class Shortage(NamedTuple):
-    """Resource of which a demand needs more than its tenant has left."""
+    """Resource of which a tenant has too little left for a demand."""
 
     resource: str
     used: int
@@ -61,10 +61,10 @@
 
 
 def count_fitting_tasks(demand: Resources, free: Resources) -> int:
-    """Return how many tasks fit in the free amounts; some may be negative."""
-    if not any(demand):
-        return UNLIMITED
-    return max(demand.times_in(free), 0)
+    """Return how many tasks fit; none while any amount is exceeded."""
+    if min(free) < 0:
+        return 0
+    return demand.times_in(free) if any(demand) else UNLIMITED
 
 
 def find_quota_excess(
@@ -149,7 +149,7 @@
 
     def count_startable(self, demand: Resources) -> int:
         """Return how many tasks the quota lets start now."""
-        return count_fitting_tasks(demand, self.free) if self.is_active else 0
+        return count_fitting_tasks(demand, self.free)
 
     def can_ever_fit(self, demand: Resources) -> bool:
         """Return whether a demand fits in the quota if nothing else runs."""
@@ -159,11 +159,11 @@
         )
 
     def find_shortage(self, demand: Resources) -> Shortage | None:
-        """Return the first resource that a demand needs more of."""
+        """Return the first resource that a demand does not fit in."""
         for resource, amount, used, limit in zip(
             demand._fields, demand, self.used, self.policy.quota, strict=True
         ):
-            if limit and amount and used + amount > limit:
+            if limit and used + amount > limit:
                 return Shortage(resource, used, limit)
         return None
 
