Keep unanswered starts over a second takeover

Change: a job counts the runs that may be on workers without an answer, and its progress record tells the next owner.

--- a/src/lycheerelay/workflow/_progress.py
+++ b/src/lycheerelay/workflow/_progress.py
@@ -22,7 +22,6 @@
 from ._ends import mark_done
 from ._intake import open_if_ready, open_occurrence, steps_of
 from ._log_events import log_event
-from ._spec import StepSpec
 from ._state import (
     FINAL_PHASES,
     CellState,
@@ -32,6 +31,7 @@
     StepInfo,
     TaskInfo,
 )
+from ._tenants import PresumedKey, PresumedRuns
 
 HEX_BASE: Final = 16
 DECODE_ERRORS: Final = (ValueError, KeyError, IndexError, TypeError)
@@ -87,6 +87,9 @@
                 for number, run in task.runs.items()
                 if job.is_final or task.done or number != task.last_run
             )
+    for key, count in job.presumed.items():
+        if job.is_final or key.is_other:
+            counts[key.step, key.worker_id] += count
     return [(*key, count) for key, count in counts.items()]
 
 
@@ -132,8 +135,8 @@
 def _restore(cell: CellState, job: JobInfo, record: ProgressRecord) -> None:
     phase = JobPhase(record['phase'])
     for step_index, worker_id, count in record.get('others', ()):
-        step_spec = job.spec.steps[step_index]
-        _presume_runs(cell, job, step_spec, worker_id, count)
+        key = PresumedKey(step_index, worker_id, is_other=True)
+        _presume_runs(cell, job, key, count)
     if phase in FINAL_PHASES:
         job.phase = phase
         job.durable_phase = phase
@@ -169,7 +172,8 @@
         task = step.tasks[number]
         _restore_task(task, *rest)
         if task.last_run not in task.failed_runs:
-            _presume_runs(cell, job, step.spec, task.assigned_worker, 1)
+            key = PresumedKey(index, task.assigned_worker, is_other=False)
+            _presume_runs(cell, job, key, 1)
     if step.is_done:
         cell.open_steps.pop(step.key, None)
     for other in steps:
@@ -179,14 +183,15 @@
 def _presume_runs(
     cell: CellState,
     job: JobInfo,
-    step: StepSpec,
-    worker_id: str,
+    key: PresumedKey,
     count: int,
 ) -> None:
     """Count runs against the quota until their worker has answered."""
-    if job.account is not None and worker_id in cell.unsynced_workers:
-        demand = step.charged_demand.times(count)
-        cell.tenants.presume(worker_id, job.account, demand)
+    if job.account is not None and key.worker_id in cell.unsynced_workers:
+        demand = job.spec.steps[key.step].charged_demand.times(count)
+        cell.tenants.presume(
+            PresumedRuns(job.account, demand, job.presumed, key, count)
+        )
 
 
 def _restore_crashes(cell: CellState, job: JobInfo, row: CrashRow) -> None:
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -7,7 +7,7 @@
 from .._resources import Resources
 from ._policies import Policies
 from ._spec import RunKey, StepKey, StepSpec, WorkerKey, WorkflowSpec
-from ._tenants import TenantAccount, TenantLedger
+from ._tenants import PresumedCounts, TenantAccount, TenantLedger
 
 if TYPE_CHECKING:
     from ._commands import Command
@@ -207,7 +207,8 @@
     """Track one accepted job.
 
     `durable_phase` is the phase in the last durable progress record, `account` that
-    of its tenant, if it has one.
+    of its tenant, if it has one. `presumed` counts its runs that may be on workers
+    that have not answered since a takeover.
     """
 
     spec: WorkflowSpec
@@ -221,6 +222,7 @@
     finalized_ms: int = NEVER
     reason: str = ''
     account: TenantAccount | None = None
+    presumed: PresumedCounts = field(default_factory=dict)
 
     @property
     def is_final(self) -> bool:
--- a/src/lycheerelay/workflow/_tenants.py
+++ b/src/lycheerelay/workflow/_tenants.py
@@ -182,6 +182,34 @@
         )
 
 
+class PresumedKey(NamedTuple):
+    """Step and worker of presumed runs.
+
+    `is_other` says that the rows of open tasks in the progress record do not tell
+    them.
+    """
+
+    step: int
+    worker_id: str
+    is_other: bool
+
+
+PresumedCounts = dict[PresumedKey, int]
+
+
+class PresumedRuns(NamedTuple):
+    """Runs that earlier owners sent to a worker that has not answered.
+
+    `counts` are those of the job, which the next owner has to know as well.
+    """
+
+    account: TenantAccount
+    demand: Resources
+    counts: PresumedCounts
+    key: PresumedKey
+    tasks: int
+
+
 @dataclass(slots=True, eq=False)
 class TenantLedger:
     """Hold the accounts of all tenants by name.
@@ -196,9 +224,7 @@
     version: int = -1
     is_enforced: bool = True
     accounts: dict[str, TenantAccount] = field(default_factory=dict)
-    presumed: dict[str, list[tuple[TenantAccount, Resources]]] = field(
-        default_factory=dict
-    )
+    presumed: dict[str, list[PresumedRuns]] = field(default_factory=dict)
     held: dict[str, int] = field(default_factory=dict)
 
     def configure(
@@ -232,19 +258,22 @@
             self.accounts[name] = account
         return account
 
-    def presume(
-        self, worker_id: str, account: TenantAccount, demand: Resources
-    ) -> None:
-        """Charge a start that may run on a worker that has not answered."""
-        account.charge(demand)
-        account.presumed = account.presumed.plus(demand)
-        self.presumed.setdefault(worker_id, []).append((account, demand))
+    def presume(self, runs: PresumedRuns) -> None:
+        """Charge runs that may be on a worker that has not answered."""
+        account = runs.account
+        account.charge(runs.demand)
+        account.presumed = account.presumed.plus(runs.demand)
+        counts = runs.counts
+        counts[runs.key] = counts.get(runs.key, 0) + runs.tasks
+        self.presumed.setdefault(runs.key.worker_id, []).append(runs)
 
     def settle(self, worker_id: str) -> None:
-        """Refund the presumed starts of a worker; its run table replaces them."""
-        for account, demand in self.presumed.pop(worker_id, ()):
-            account.refund(demand)
-            account.presumed = account.presumed.minus(demand)
+        """Refund the presumed runs of a worker; its run table replaces them."""
+        for runs in self.presumed.pop(worker_id, ()):
+            account = runs.account
+            account.refund(runs.demand)
+            account.presumed = account.presumed.minus(runs.demand)
+            runs.counts.pop(runs.key, None)
 
     def settle_all(self) -> None:
         """Refund all presumed starts, as their orders have expired."""
--- a/tests/test_tenant_quotas.py
+++ b/tests/test_tenant_quotas.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from lycheerelay._resources import Resources
@@ -515,6 +515,22 @@
 
 
 @settings(derandomize=True, deadline=None, max_examples=100)
+@example(
+    [
+        ('job', tasks(1), 't', False, 0),
+        ('takeover', 0),
+        ('cancel', 0),
+        ('takeover', 0),
+    ]
+)
+@example(
+    [
+        ('job', tasks(1, demand=Resources(0, 100)), 't', False, 0),
+        ('job', tasks(1, demand=Resources(3000, 100)), 't', False, 0),
+        ('quota', 2000),
+        ('job', tasks(1, demand=Resources(0, 100)), 't', False, 0),
+    ]
+)
 @given(st.lists(CHANGES, min_size=4, max_size=30))
 def test_no_history_exceeds_the_quota_in_force(
     changes: list[tuple[Any, ...]],
