Prepare nothing for the tasks beyond a wave

Cause: after a step had started what its quota allows, the rest could renew tickets and take one of the places for reservations in the same cycle. Change: calls for advice and reservations need room in the quota even if no other step of the tenant waits. Tests for waves, and for the answers of both interfaces to a job above the quota.

--- a/src/lycheerelay/workflow/_quota.py
+++ b/src/lycheerelay/workflow/_quota.py
@@ -314,9 +314,8 @@
 def _fits_beside(
     step: StepInfo, account: TenantAccount, claimed: Resources | None
 ) -> bool:
-    if claimed is None:
-        return True
-    return step.quota_needed.fits_in(account.free.minus(claimed))
+    free = account.free if claimed is None else account.free.minus(claimed)
+    return step.quota_needed.fits_in(free)
 
 
 def _add_demand(claimed: dict[str, Resources], step: StepInfo) -> None:
--- a/tests/test_tenant_quotas.py
+++ b/tests/test_tenant_quotas.py
@@ -17,9 +17,12 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
+from lycheerelay._codes import Code
 from lycheerelay._resources import Resources
+from lycheerelay.platform._ingress import _outcome_response
 from lycheerelay.rehearsal import RunPlan, Simulation
 from lycheerelay.serving import RequestStatus
+from lycheerelay.serving._workflow_api import _job_reply
 from lycheerelay.workflow import (
     AdvicePolicy,
     Answer,
@@ -433,6 +436,25 @@
     assert len(model.cell.wanted_workers['p']) == 1
 
 
+def test_the_tasks_beyond_a_wave_prepare_nothing() -> None:
+    """Their tickets would expire, and capacity kept for them would stay idle."""
+    model = cell_of(Resources(0, 0, 3))
+    calls: list[AskAdvice] = []
+    ask = model.simulation._ask_advice
+
+    def count(command: AskAdvice) -> None:
+        calls.append(command)
+        ask(command)
+
+    model.simulation._ask_advice = count  # type: ignore[method-assign]
+    wide = StepSpec(3, Resources(1000, 100, 3), 60_000)
+    model.simulation.submit(spec_of('a', wide, advice=ADVICE))
+    model.run_until(10_000)
+    assert len(calls) == 1
+    assert not any(model.cell.wanted_workers.values())
+    assert model.cell.jobs['a'].occurrences[0][0].held_by_quota_ms >= 0
+
+
 def test_a_forecast_keeps_counting_what_a_quota_lets_run() -> None:
     """Held tasks follow those that end, so their capacity stays in use."""
     model = cell_of(Resources(CORES), workers=1)
@@ -621,6 +643,11 @@
             refused = await entry.handler.submit(fresh, 2000)
             assert refused.status is RequestStatus.OVER_QUOTA
             assert 'cores_milli 4000' in refused.content
+            response = _outcome_response(refused, '')
+            assert response.status == 429 and response.text
+            assert refused.content in response.text
+            reply = _job_reply('f' * 16, Code.ACCEPTED, refused)
+            assert reply.status == 429 and b'"code":308' in reply.raw
         assert 'f' * 16 not in owner.cell.jobs
 
     play(scenario, CellShape(workers=(Shape('cpu'),) * 2))
