Compare fewer steps with their quota in a cycle

Cause: a cycle over 1,100 steps that wait for capacity took up to twice as long with tenants. Change: a step whose account has not changed is passed over without a call, and a gang that fits in the quota needs no list of expected ends.

--- a/src/lycheerelay/workflow/_dispatch.py
+++ b/src/lycheerelay/workflow/_dispatch.py
@@ -18,10 +18,10 @@
     startable_tasks,
     step_candidates,
 )
-from ._quota import QuotaCycle, is_held_by_quota
+from ._quota import QuotaCycle
 from ._runs import start_run
 from ._starting import log_starts, next_run_number
-from ._state import CellState, StepInfo, TaskInfo, WorkerInfo
+from ._state import NEVER, CellState, StepInfo, TaskInfo, WorkerInfo
 from ._trials import start_trials
 
 
@@ -37,7 +37,8 @@
     started = 0
     for step in waiting:
         account = step.job.account
-        if account is not None and quotas.is_still_held(step, account):
+        if account is not None and step.held_epoch == account.epoch:
+            quotas.keep_held(account)
             continue
         pool = step.job.spec.pool
         cycle = cycles.get(pool)
@@ -47,7 +48,7 @@
         started += _try_step(cell, step, cycle, now_ms)
         if account is not None:
             quotas.finish_step(step, account, cycle.last_reserved is step)
-        cycle.position += not is_held_by_quota(step)
+        cycle.position += step.held_by_quota_ms == NEVER
     quotas.finish()
     cell.wanted_workers = {
         pool: frozenset(worker.key for worker in cycle.reserved)
--- a/src/lycheerelay/workflow/_quota.py
+++ b/src/lycheerelay/workflow/_quota.py
@@ -80,12 +80,9 @@
     accounts: dict[TenantAccount, AccountCycle] = field(default_factory=dict)
     judged: StepInfo | None = None
 
-    def is_still_held(self, step: StepInfo, account: TenantAccount) -> bool:
-        """Return whether the account is as it was when it held a step back."""
-        if step.held_epoch != account.epoch:
-            return False
+    def keep_held(self, account: TenantAccount) -> None:
+        """Note that an unchanged account still holds a step back."""
         self.cell.tenants.held[account.policy.name] = self.now_ms
-        return True
 
     def may_start(self, step: StepInfo) -> bool:
         """Return whether the quota lets any task start, or the whole gang."""
@@ -151,8 +148,7 @@
         self, step: StepInfo, account: TenantAccount, has_reserved: bool
     ) -> None:
         """Mark a step that its quota holds back, after it was decided on."""
-        is_held = step.held_by_quota_ms != NEVER
-        if self.judged is not step and not is_held:
+        if self.judged is not step and step.held_by_quota_ms == NEVER:
             # It waits for capacity; the quota has made no difference.
             return
         state = self._cycle_of(account)
@@ -161,10 +157,9 @@
             if step.held_by_quota != WAITING_GANG:
                 self._note_gang(step, state)
             return
-        if is_held:
-            step.held_by_quota_ms = NEVER
-            step.held_by_quota = ''
-            step.held_epoch = NEVER
+        step.held_by_quota_ms = NEVER
+        step.held_by_quota = ''
+        step.held_epoch = NEVER
         if has_reserved:
             _add_demand(state.reserved, step)
         if step.pending_calls:
@@ -275,6 +270,8 @@
         needed = gang.quota_needed
         free = account.free
         at_ms = gang.openings[-1].at_ms if gang.openings else self.now_ms
+        if needed.fits_in(free):
+            return GangStart(at_ms, account.used.plus(free.minus(needed)))
         for end_ms, demand in sorted(self._expected_ends(account)):
             if needed.fits_in(free):
                 break
