Accept steps beside a gang that is to start without a count

Cause: with 110 waiting gangs of 20 tenants a cycle took 5.7 ms, as each later gang counted what the first one leaves. Change: one comparison suffices if the next start fits beside the gang.

--- a/src/lycheerelay/workflow/_quota.py
+++ b/src/lycheerelay/workflow/_quota.py
@@ -94,6 +94,11 @@
             state = self.accounts.get(account)
             if state is None or state.gang is None:
                 return True
+            start = state.gang_start
+            if start and step.quota_needed.fits_in(
+                start.ceiling.minus(account.used)
+            ):
+                return True
         return self.count_startable(step) > 0
 
     def count_startable(self, step: StepInfo) -> int:
