Let the stand-in platform have tenants, and audit them

Cause: the emulated platform knew no tenants, so no run could show whether keys, revocations and quotas hold. Change: a cell may have tenants; TenantBook changes their keys, quotas and weights and the auditor remembers when each version was confirmed. KeyedCaller sends requests with headers through the ingress of a VM. FreezableLoop suspends one VM in virtual time while its clock goes on.

--- a/src/lycheerelay_standins/platform/__init__.py
+++ b/src/lycheerelay_standins/platform/__init__.py
@@ -1,13 +1,17 @@
 """Provide the emulated platform: virtual time, auditor, fuzzer and soak."""
 
-from ._audit import Audit
+from ._audit import Audit, ObservedRun
+from ._audit_tenants import ObservedCall, TenantAudit
+from ._callers import Credential, KeyedCaller
 from ._cell import PlatformCell
 from ._environment import CellShape, QueueShape
+from ._freezing import FreezableLoop
 from ._fuzz import FuzzResult, fuzz
 from ._fuzz_faults import FAULTS
 from ._network import EmulatedNetwork, NetCaller, Request
 from ._soak import SoakResult, soak
 from ._store import StoreStandIn
+from ._tenants import TenantBounds, TenantShape
 from ._virtual_time import LoopClock, run_virtual
 from ._worker import Shape, WorkerStandIn
 
@@ -15,16 +19,24 @@
     'FAULTS',
     'Audit',
     'CellShape',
+    'Credential',
     'EmulatedNetwork',
+    'FreezableLoop',
     'FuzzResult',
+    'KeyedCaller',
     'LoopClock',
     'NetCaller',
+    'ObservedCall',
+    'ObservedRun',
     'PlatformCell',
     'QueueShape',
     'Request',
     'Shape',
     'SoakResult',
     'StoreStandIn',
+    'TenantAudit',
+    'TenantBounds',
+    'TenantShape',
     'WorkerStandIn',
     'fuzz',
     'run_virtual',
--- a/src/lycheerelay_standins/platform/_audit.py
+++ b/src/lycheerelay_standins/platform/_audit.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 from typing import Any, Final, final
 
+from ._audit_tenants import TenantAudit, step_demand
+
 MAX_START_AFTER_CANCEL_MS: Final = 3000
 # A task that crashes its workers may be given up after this many crashes, and may
 # be started less than this many times after the last of them.
@@ -15,7 +17,8 @@
 class SubmittedJob:
     """A job as submitted, and what its caller learned about it.
 
-    `deadly` holds the tasks, as `STEP.MEMBER`, that crash their workers.
+    `deadly` holds the tasks, as `STEP.MEMBER`, that crash their workers, and
+    `tenant` is empty for jobs of public queues.
     """
 
     body: dict[str, Any]
@@ -27,6 +30,7 @@
     cancel_asked: bool = False
     work_ms: int = 500
     deadly: frozenset[str] = frozenset()
+    tenant: str = ''
 
 
 @dataclass
@@ -54,7 +58,8 @@
     A violation starts with its rule: UNASKED (run that was not requested),
     TWICE (task that ran twice), ORDER (step before its dependency), ROUTE
     (wrong worker), LIMIT (capacity exceeded), BUDGET (too many attempts),
-    LOST and MIXED (wrong state shown to a caller).
+    LOST and MIXED (wrong state shown to a caller). `tenants` adds CONFIG and
+    QUOTA.
     """
 
     jobs: dict[str, SubmittedJob] = field(default_factory=dict)
@@ -62,6 +67,11 @@
     broken: list[str] = field(default_factory=list)
     checkpoints: dict[str, set[str]] = field(default_factory=dict)
     alone: int = 0
+    tenants: TenantAudit = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Collect the violations of the tenants' rules in the same list."""
+        self.tenants = TenantAudit(self.broken)
 
     def report_violation(self, rule: str, text: str) -> None:
         """Record a violation of a rule."""
@@ -86,6 +96,10 @@
             self._check_request(worker, request, job, step, now_ms)
             self._check_single_execution(run, earlier, step)
             self._check_crashes(run, earlier, job)
+            if job.tenant:
+                self.tenants.check_start(
+                    run, job.tenant, step_demand(step), now_ms
+                )
         earlier.append(run)
         return run
 
--- a/src/lycheerelay_standins/platform/_cell.py
+++ b/src/lycheerelay_standins/platform/_cell.py
@@ -3,10 +3,12 @@
 import asyncio
 import json
 import random
-from collections.abc import Collection
+from collections.abc import Awaitable, Collection, Coroutine
+from contextvars import Context
 from typing import Any, Final, final
 from urllib.parse import urlencode
 
+from lycheerelay._clock import MS_PER_SECOND
 from lycheerelay.platform import Entry, PlatformSettings, decode_job
 from lycheerelay.serving import (
     GROUP_TTL_MS,
@@ -18,6 +20,7 @@
 
 from ._audit import SubmittedJob
 from ._environment import ROUTE_HOST, CellShape, Environment
+from ._freezing import FreezableLoop, process_context, run_as
 from ._network import EmulatedNetwork, Handler, NetCaller, Request
 from ._virtual_time import LoopClock
 
@@ -38,9 +41,23 @@
         self.rng = random.Random(shape.seed)
         self.net = EmulatedNetwork(self.rng)
         self.entries: dict[str, Entry] = {}
+        # Contexts of the VMs' processes, and the calls of callers in progress.
+        self.contexts: dict[str, Context] = {}
+        self.calls: dict[str, set[asyncio.Task[Any]]] = {}
         self.net.listen(STORE_ADDRESS, 'store', self.store.handle)
         self.net.listen(ADVISOR_ADDRESS, 'advisor', self.advise)
 
+    def impaired_vms(self) -> Collection[str]:
+        """Return the VMs that cannot use the store without hindrance."""
+        refusing = {vm for vm, _ in self.net.refusing}
+        return [
+            name
+            for name in self.entries
+            if self.net.is_cut(name, STORE_ADDRESS)
+            or not refusing.isdisjoint((name, '*'))
+            or self.is_frozen(name)
+        ]
+
     def can_reach_store(self, worker_id: str) -> bool:
         """Return whether the writes of a worker reach the store."""
         is_cut = self.net.is_cut(worker_id, STORE_ADDRESS)
@@ -61,6 +78,9 @@
             self.add_worker(shape)
         for number in range(self.shape.vms):
             self.start_vm(f'vm-{number}')
+        if self.shape.tenants:
+            loop = asyncio.get_running_loop()
+            self.tasks.append(loop.create_task(self.watch_contact()))
         await asyncio.sleep(3)
 
     async def finish(self) -> None:
@@ -89,19 +109,73 @@
             stop_grace_ms=6000,
             group_ttl_ms=GROUP_TTL_MS,
             link_mbps=link_mbps,
+            **self._tenant_settings(),
         )
         self.net.bytes_per_s[name] = link_mbps * BYTES_PER_MBIT
         caller = NetCaller(self.net, name)
-        entry = Entry(settings, caller, self.clock, str(self.created_count))
+        context = process_context(name)
+        self.contexts[name] = context
+        entry = context.run(
+            Entry, settings, caller, self.clock, str(self.created_count)
+        )
         self.entries[name] = entry
-        self.net.listen(f'{host}:3', name, _internal_handler(entry))
-        entry.start()
+        self.impaired_ms[name] = self.now_ms()
+        handler = _internal_handler(entry)
+        if self.shape.tenants:
+            handler = _in_process(context, handler)
+        self.net.listen(f'{host}:3', name, handler)
+        context.run(entry.start)
         return entry
 
+    def _tenant_settings(self) -> dict[str, Any]:
+        if not self.shape.tenants:
+            return {}
+        bounds = self.shape.bounds
+        return {
+            'strict_revocation': True,
+            'revocation_ms': bounds.revocation_ms,
+            'quota_window_ms': bounds.quota_window_s * MS_PER_SECOND,
+        }
+
+    def freeze_vm(self, name: str) -> None:
+        """Suspend a VM; its clock goes on, and calls to it wait."""
+        self._freezable_loop().freeze(name)
+
+    def thaw_vm(self, name: str) -> None:
+        """Resume a VM, which then handles all that it finds, in any order."""
+        self._freezable_loop().thaw(name, self.rng)
+
+    def is_frozen(self, name: str) -> bool:
+        """Return whether a VM is suspended."""
+        loop = asyncio.get_running_loop()
+        return isinstance(loop, FreezableLoop) and loop.is_frozen(name)
+
+    def _freezable_loop(self) -> FreezableLoop:
+        loop = asyncio.get_running_loop()
+        if not isinstance(loop, FreezableLoop):
+            raise TypeError('only a FreezableLoop can suspend a VM')
+        return loop
+
+    def call_in_vm(
+        self, name: str, work: Coroutine[Any, Any, Any]
+    ) -> asyncio.Task[Any]:
+        """Run a caller's request as code of a VM, until the VM is killed."""
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(work, context=self.contexts[name].copy())
+        calls = self.calls.setdefault(name, set())
+        calls.add(task)
+        task.add_done_callback(calls.discard)
+        return task
+
     def kill_vm(self, name: str) -> None:
         """Kill an entry VM without a shutdown."""
         entry = self.entries.pop(name)
+        for call in self.calls.pop(name, ()):
+            call.cancel()
         entry.halt()
+        if self.is_frozen(name):
+            # Its callbacks find their tasks cancelled.
+            self.thaw_vm(name)
         address = f'{entry.settings.host}:{entry.settings.internal_port}'
         self.net.handlers.pop(address, None)
 
@@ -211,6 +285,18 @@
         return phases
 
 
+def _in_process(context: Context, handler: Handler) -> Handler:
+    async def handle(request: Request) -> Reply:
+        reply: Reply = await run_as(context, _await(handler(request)))
+        return reply
+
+    return handle
+
+
+async def _await(work: Awaitable[Reply]) -> Reply:
+    return await work
+
+
 def _internal_handler(entry: Entry) -> Any:
     async def handle(request: Request) -> Reply:
         if is_workflow_path(request.path):
--- a/src/lycheerelay_standins/platform/_environment.py
+++ b/src/lycheerelay_standins/platform/_environment.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any, Final, NamedTuple
 
 from lycheerelay._clock import MS_PER_SECOND
@@ -12,6 +12,7 @@
 from ._audit import Audit
 from ._network import Handler, Request
 from ._store import StoreStandIn
+from ._tenants import TenantBook, TenantBounds, TenantShape
 from ._worker import ActiveRun, Shape, WorkerStandIn
 
 ROUTE_HOST: Final = 'cell.example'
@@ -27,6 +28,8 @@
 
 # Time from the crash of a worker by a task to the start of the next process.
 CRASH_PAUSE_S: Final = 3
+# Faults on the path between a VM and the store last longer than this interval.
+CONTACT_CHECK_INTERVAL_S: Final = 0.05
 
 
 class QueueShape(NamedTuple):
@@ -36,13 +39,14 @@
     pool: str
     max_attempts: int = 3
     advice: dict[str, float] | None = None
+    is_public: bool = False
 
 
 class CellShape(NamedTuple):
     """Size and settings of a cell.
 
     `keeps_ids` says whether a worker that a task has crashed starts again under
-    its id.
+    its id. Without tenants the configuration has neither tenants nor keys.
     """
 
     vms: int = 3
@@ -51,6 +55,8 @@
     lease_ms: int = 6000
     seed: int = 1
     keeps_ids: bool = False
+    tenants: tuple[TenantShape, ...] = ()
+    bounds: TenantBounds = TenantBounds()
 
 
 class Environment(ABC):
@@ -71,6 +77,14 @@
         self.gangs: dict[
             tuple[str, int], list[tuple[WorkerStandIn, ActiveRun]]
         ] = {}
+        self.audit.tenants.bounds = shape.bounds
+        self.tenants = TenantBook(shape.tenants, self.configure)
+        # Last time at which the path of a VM to the store was impaired.
+        self.impaired_ms: dict[str, int] = {}
+
+    @abstractmethod
+    def impaired_vms(self) -> Collection[str]:
+        """Return the VMs that cannot use the store without hindrance."""
 
     @abstractmethod
     def can_reach_store(self, worker_id: str) -> bool:
@@ -108,7 +122,29 @@
             'services': [{'name': pool} for pool in pools],
             'limits': {'maxBodyBytes': 262144},
         }
+        if self.shape.tenants:
+            for route, queue in zip(routes, self.shape.queues, strict=True):
+                route['public'] = queue.is_public
+            config['tenants'] = self.tenants.config_fields()
         self.store.put('keyed.op', 'config', config)
+        self.audit.tenants.confirm_version(
+            self.version, self.now_ms(), self.tenants.shapes.values()
+        )
+
+    def is_in_contact(self, vm: str, since_ms: int) -> bool:
+        """Return whether a VM could use the store since a time until now."""
+        self._note_impairments()
+        return self.impaired_ms.get(vm, 0) < since_ms
+
+    async def watch_contact(self) -> None:
+        """Note which VMs cannot use the store, until cancelled."""
+        while True:
+            self._note_impairments()
+            await asyncio.sleep(CONTACT_CHECK_INTERVAL_S)
+
+    def _note_impairments(self) -> None:
+        for vm in self.impaired_vms():
+            self.impaired_ms[vm] = self.now_ms()
 
     def add_worker(self, shape: Shape, address: str = '') -> WorkerStandIn:
         """Start a worker at a new address, or at the given one."""
--- a/src/lycheerelay_standins/platform/_network.py
+++ b/src/lycheerelay_standins/platform/_network.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable, Mapping
+from contextvars import copy_context
 from typing import Final, NamedTuple, final
 from urllib.parse import parse_qsl, urlsplit
 
@@ -65,6 +66,8 @@
         self.bytes_per_s: dict[str, float] = {}
         self.frozen: dict[str, asyncio.Event] = {}
         self.running_calls: set[asyncio.Task[object]] = set()
+        # Calls in progress go on while the process of their origin is frozen.
+        self.context = copy_context()
 
     def listen(self, address: str, vm: str, handler: Handler) -> None:
         """Register the handler of an address of a VM."""
@@ -145,7 +148,9 @@
         timeout_ms: int,
         origin: str,
     ) -> Reply | None:
-        task = asyncio.ensure_future(self.execute(address, request))
+        task = asyncio.get_running_loop().create_task(
+            self.execute(address, request), context=self.context.copy()
+        )
         self.running_calls.add(task)
         task.add_done_callback(self.running_calls.discard)
         done, _ = await asyncio.wait({task}, timeout=timeout_ms / MS_PER_SECOND)
--- a/src/lycheerelay_standins/platform/_proxy.py
+++ b/src/lycheerelay_standins/platform/_proxy.py
@@ -72,6 +72,12 @@
         self.connections: set[ProxiedConnection] = set()
         self.server: asyncio.Server | None = None
 
+    @property
+    def has_faults(self) -> bool:
+        """Return whether a fault is active."""
+        is_dropping = self.drops_all or self.drops_requests
+        return self.refusing or is_dropping or self.delay_s > 0
+
     async def start(self) -> None:
         """Start to accept connections."""
         host, port = self.address.rsplit(':', 1)
--- a/src/lycheerelay_standins/platform/_soak_cell.py
+++ b/src/lycheerelay_standins/platform/_soak_cell.py
@@ -6,6 +6,7 @@
 import socket
 import sys
 import time
+from collections.abc import Collection
 from pathlib import Path
 from typing import Any, Final, final
 
@@ -162,6 +163,16 @@
         """Return the base URL of a VM for callers."""
         return f'http://{self.hosts[vm]}:8149'
 
+    def impaired_vms(self) -> Collection[str]:
+        """Return the VMs that cannot use the store without hindrance."""
+        return [
+            name
+            for name, vm in self.vms.items()
+            if vm.is_frozen
+            or not vm.is_running
+            or self.store_proxies[name].has_faults
+        ]
+
     def can_reach_store(self, worker_id: str) -> bool:
         """Return whether the writes of a worker reach the store."""
         return not any(proxy.refusing for proxy in self.store_proxies.values())
--- a/src/lycheerelay_standins/platform/_virtual_time.py
+++ b/src/lycheerelay_standins/platform/_virtual_time.py
@@ -49,7 +49,6 @@
         return self.keys
 
 
-@final
 class VirtualLoop(asyncio.SelectorEventLoop):
     """Event loop whose time is that of its selector."""
 
@@ -77,9 +76,11 @@
         return self.epoch_ms + int(elapsed_s * MS_PER_SECOND)
 
 
-def run_virtual(work: Coroutine[Any, Any, Any]) -> Any:
+def run_virtual(
+    work: Coroutine[Any, Any, Any], loop: VirtualLoop | None = None
+) -> Any:
     """Run a coroutine in virtual time and return its result."""
-    loop = VirtualLoop()
+    loop = loop or VirtualLoop()
     try:
         return loop.run_until_complete(work)
     finally:
