--- a/src/lycheerelay_standins/platform/__init__.py
+++ b/src/lycheerelay_standins/platform/__init__.py
@@ -8,6 +8,7 @@
 from ._freezing import FreezableLoop
 from ._fuzz import FuzzResult, fuzz
 from ._fuzz_faults import FAULTS
+from ._fuzz_tenants import TENANT_FAULTS
 from ._network import EmulatedNetwork, NetCaller, Request
 from ._soak import SoakResult, soak
 from ._store import StoreStandIn
@@ -17,6 +18,7 @@
 
 __all__ = (
     'FAULTS',
+    'TENANT_FAULTS',
     'Audit',
     'CellShape',
     'Credential',
--- a/src/lycheerelay_standins/platform/_callers.py
+++ b/src/lycheerelay_standins/platform/_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from collections import Counter
 from collections.abc import Mapping
 from typing import Any, Final, NamedTuple, final
 from urllib.parse import parse_qsl, urlsplit
@@ -73,6 +74,7 @@
     def __init__(self, cell: PlatformCell) -> None:
         """Call the VMs of a cell with tenants."""
         self.cell = cell
+        self.statuses: Counter[int] = Counter()
 
     async def submit(
         self,
@@ -80,11 +82,14 @@
         body: dict[str, Any],
         credential: Credential,
         queue: str = 'batch',
-        work_ms: int = 500,
         job_id: str = '',
         body_delay_s: float = 0,
+        **job_fields: Any,
     ) -> tuple[str, CallReply]:
-        """Submit a job of a tenant and register it with the auditor."""
+        """Submit a job of a tenant and register it with the auditor.
+
+        `job_fields` are those of `SubmittedJob`, such as `work_ms`.
+        """
         shape = self._queue(queue)
         name = job_id or f'{self.cell.rng.getrandbits(64):016x}'
         submitted = self.cell.audit.jobs.setdefault(
@@ -93,7 +98,7 @@
                 body,
                 shape.pool,
                 shape.max_attempts,
-                work_ms=work_ms,
+                **job_fields,
                 tenant='' if shape.is_public else credential.tenant,
             ),
         )
@@ -151,6 +156,7 @@
         request = CallerRequest(method, url, headers, raw, body_delay_s)
         sent_ms = self.cell.now_ms()
         reply = await self._send(vm, request)
+        self.statuses[reply.status] += 1
         if not self._queue(url.split('/')[1]).is_public:
             self._report(vm, credential, sent_ms, reply.status)
         return reply
--- a/src/lycheerelay_standins/platform/_fuzz.py
+++ b/src/lycheerelay_standins/platform/_fuzz.py
@@ -9,12 +9,16 @@
 
 from ._cell import PlatformCell
 from ._environment import CellShape, QueueShape
-from ._fuzz_faults import FAULTS
+from ._freezing import FreezableLoop
+from ._fuzz_faults import FAULTS, Inject
+from ._fuzz_tenants import TENANT_FAULTS, TenantLoad, add_tenants
 from ._virtual_time import run_virtual
 from ._worker import Shape
 
 LOAD_S: Final = 25
 FINAL_TIMEOUT_S: Final = 90
+# Jobs wait for the quotas of their tenants.
+TENANTS_FINAL_TIMEOUT_S: Final = 240
 CANCEL_SHARE: Final = 0.2
 STEP_VARIANTS: Final[tuple[dict[str, Any], ...]] = (
     {},
@@ -49,13 +53,19 @@
 class FuzzRun:
     """One fuzz run: a cell, random load and random faults."""
 
-    def __init__(self, seed: int, only: tuple[str, ...] = ()) -> None:
-        """Draw the shape of the cell; `only` restricts the faults."""
+    def __init__(
+        self,
+        seed: int,
+        only: tuple[str, ...] = (),
+        with_tenants: bool = False,
+    ) -> None:
+        """Draw the shape of the cell; `only` restricts the faults.
+
+        A run with tenants requires a `FreezableLoop`.
+        """
         self.seed = seed
         self.rng = random.Random(number_of(f'fuzz:{seed}'))
-        self.only = only or tuple(
-            name for name in FAULTS if name not in OPTIONAL_FAULTS
-        )
+        self.only = only or _default_faults(with_tenants)
         self.jobs: list[str] = []
         self.injected: list[str] = []
         advice: dict[str, float] = {
@@ -64,14 +74,16 @@
             'validityMs': 2000,
         }
         advised = self.rng.choice((None, advice))
+        shape = CellShape(
+            vms=self.rng.randint(2, 4),
+            workers=(Shape('cpu'),) * self.rng.randint(3, 6),
+            queues=(QueueShape('batch', 'cpu', 3, advised),),
+            seed=seed,
+        )
         self.cell = PlatformCell(
-            CellShape(
-                vms=self.rng.randint(2, 4),
-                workers=(Shape('cpu'),) * self.rng.randint(3, 6),
-                queues=(QueueShape('batch', 'cpu', 3, advised),),
-                seed=seed,
-            ),
+            add_tenants(shape, seed) if with_tenants else shape
         )
+        self.tenant_load = TenantLoad(self) if with_tenants else None
 
     async def run(self) -> FuzzResult:
         """Inject faults under load, remove them, wait for the jobs."""
@@ -82,7 +94,7 @@
         load.cancel()
         await fault_task
         self._clear_faults()
-        phases = await self.cell.settle(self._accepted(), FINAL_TIMEOUT_S)
+        phases = await self._settle()
         await self.cell.finish()
         open_jobs = [
             f'{name}: {phase}'
@@ -97,6 +109,19 @@
             tuple(self.injected),
         )
 
+    def tenants(self) -> TenantLoad:
+        """Return the load of the tenants; raise ValueError without any."""
+        if self.tenant_load is None:
+            raise ValueError('this fault needs a run with tenants')
+        return self.tenant_load
+
+    async def _settle(self) -> dict[str, str]:
+        if self.tenant_load is None:
+            return await self.cell.settle(self._accepted(), FINAL_TIMEOUT_S)
+        return await self.tenant_load.settle(
+            self._accepted(), TENANTS_FINAL_TIMEOUT_S
+        )
+
     def pick_vm(self) -> str:
         """Return a random VM, which is the owner in half of the cases."""
         owner = self.cell.owner()
@@ -122,13 +147,22 @@
             await asyncio.sleep(self.rng.expovariate(3))
             asyncio.create_task(self.submit_job())
 
-    async def submit_job(self, is_deadly: bool = False) -> None:
-        """Submit a random job; a deadly one has a task that crashes workers."""
+    async def submit_job(
+        self, is_deadly: bool = False, tenant: str = ''
+    ) -> None:
+        """Submit a random job; a deadly one has a task that crashes workers.
+
+        In a run with tenants it is that of `tenant`, or of a random one.
+        """
         steps = self._steps()
         body = {'spec': 'x', 'steps': steps}
         vm = self.rng.choice(sorted(self.cell.entries))
         work_ms = self.rng.choice((200, 800, 3000))
         deadly = self._pick_deadly(steps) if is_deadly else ()
+        if self.tenant_load is not None:
+            name = await self.tenant_load.submit(body, work_ms, deadly, tenant)
+            await self._cancel_some(name)
+            return
         name, outcome = await self.cell.submit(
             vm, body, work_ms=work_ms, deadly=deadly
         )
@@ -136,11 +170,19 @@
         if outcome.status.value == 'unknown_outcome':
             again = self.rng.choice(sorted(self.cell.entries))
             await self.cell.submit(again, body, job_id=name, deadly=deadly)
-        if self.rng.random() < CANCEL_SHARE:
-            await asyncio.sleep(self.rng.uniform(0, 3))
-            chosen = self.rng.choice(sorted(self.cell.entries))
-            if self.cell.audit.jobs[name].accepted:
-                await self.cell.cancel(chosen, name)
+        await self._cancel_some(name)
+
+    async def _cancel_some(self, name: str) -> None:
+        if self.rng.random() >= CANCEL_SHARE:
+            return
+        await asyncio.sleep(self.rng.uniform(0, 3))
+        chosen = self.rng.choice(sorted(self.cell.entries))
+        if not self.cell.audit.jobs[name].accepted:
+            return
+        if self.tenant_load is None:
+            await self.cell.cancel(chosen, name)
+        else:
+            await self.tenant_load.cancel(name)
 
     def _steps(self) -> list[dict[str, Any]]:
         steps = []
@@ -168,7 +210,7 @@
             await asyncio.sleep(self.rng.uniform(0, LOAD_S / 7))
             name = self.rng.choice(self.only)
             self.injected.append(name)
-            running_faults.append(asyncio.create_task(FAULTS[name](self)))
+            running_faults.append(asyncio.create_task(_find_fault(name)(self)))
         await asyncio.gather(*running_faults)
 
     def _clear_faults(self) -> None:
@@ -184,11 +226,27 @@
             impairment.clear()
 
 
-def fuzz(seed: int, only: tuple[str, ...] = ()) -> FuzzResult:
+def _default_faults(with_tenants: bool) -> tuple[str, ...]:
+    names = tuple(name for name in FAULTS if name not in OPTIONAL_FAULTS)
+    if not with_tenants:
+        return names
+    # The faults of tenants are half of those that are drawn.
+    weight = len(names) // len(tuple(TENANT_FAULTS))
+    return names + tuple(TENANT_FAULTS) * weight
+
+
+def _find_fault(name: str) -> Inject:
+    return (TENANT_FAULTS if name in TENANT_FAULTS else FAULTS)[name]
+
+
+def fuzz(
+    seed: int, only: tuple[str, ...] = (), with_tenants: bool = False
+) -> FuzzResult:
     """Run the fuzzer with a seed in virtual time."""
 
     async def execute() -> FuzzResult:
-        return await FuzzRun(seed, only).run()
+        return await FuzzRun(seed, only, with_tenants).run()
 
-    result: FuzzResult = run_virtual(execute())
+    loop = FreezableLoop() if with_tenants else None
+    result: FuzzResult = run_virtual(execute(), loop)
     return result
