Test revoked keys behind cuts, failing reads and frozen VMs

Cause: the fuzzer cut VMs off from the whole store only. The owner then gives up its term and refuses every query, so a missing check of the configuration's age went unnoticed. Change: the emulated network can fail just the reads of the operators' stream, and key_withdrawn uses that, a cut of the store for all VMs and a freeze of all VMs, too.

--- a/src/lycheerelay_standins/platform/_callers.py
+++ b/src/lycheerelay_standins/platform/_callers.py
@@ -59,6 +59,7 @@
         self.query = dict(parse_qsl(parts.query))
         self.headers = headers
         self.raw = raw
+        self.can_read_body = bool(raw)
         self.body_delay_s = body_delay_s
 
     async def read(self) -> bytes:
--- a/src/lycheerelay_standins/platform/_cell.py
+++ b/src/lycheerelay_standins/platform/_cell.py
@@ -50,6 +50,7 @@
     def impaired_vms(self) -> Collection[str]:
         """Return the VMs that cannot use the store without hindrance."""
         refusing = {vm for vm, _ in self.net.refusing}
+        refusing.update(self.net.failing_reads)
         return [
             name
             for name in self.entries
--- a/src/lycheerelay_standins/platform/_fuzz_tenants.py
+++ b/src/lycheerelay_standins/platform/_fuzz_tenants.py
@@ -8,18 +8,21 @@
 from lycheerelay._hashing import number_of
 from lycheerelay._registry import Registry
 from lycheerelay._resources import Resources
+from lycheerelay.serving import NO_ANSWER
 from lycheerelay.workflow import FINAL_PHASES
 
 from ._callers import GATEWAY_TIMEOUT, NO_RESPONSE, Credential, KeyedCaller
 from ._cell import STORE_ADDRESS, PlatformCell
 from ._environment import CellShape, QueueShape
 from ._fuzz_faults import Inject
+from ._network import HTTP_UNAVAILABLE
 from ._tenants import TenantShape
 
 if TYPE_CHECKING:
     from ._fuzz import FuzzRun
 
 TENANT_FAULTS: Final[Registry[str, Inject]] = Registry('tenant fault')
+TOO_MANY_REQUESTS: Final = 429
 PUBLIC_QUEUE: Final = 'open'
 PUBLIC_SHARE: Final = 0.1
 # Shares of submissions without a key, with an unknown one and with a revoked one.
@@ -218,8 +221,8 @@
 class Hindrance(NamedTuple):
     """Way in which a VM fails to learn of a new version."""
 
-    begin: Callable[[PlatformCell, str], None]
-    end: Callable[[PlatformCell, str], None]
+    begin: Callable[[PlatformCell, str], object]
+    end: Callable[[PlatformCell, str], object]
 
 
 def _make_cut(*ends: tuple[str, str]) -> Hindrance:
@@ -229,21 +232,43 @@
         return {(origin.format(vm=vm), to.format(vm=vm)) for origin, to in ends}
 
     return Hindrance(
-        lambda cell, vm: cell.net.cuts.update(pairs(vm)),
-        lambda cell, vm: cell.net.cuts.difference_update(pairs(vm)),
+        lambda cell, name: cell.net.cuts.update(pairs(name)),
+        lambda cell, name: cell.net.cuts.difference_update(pairs(name)),
     )
 
 
+def _make_reads_fail(vm: str, status: int) -> Hindrance:
+    """Return a failure of reads of the configuration; all other calls work."""
+    return Hindrance(
+        lambda cell, name: cell.net.failing_reads.update(
+            {vm.format(vm=name): status}
+        ),
+        lambda cell, name: cell.net.failing_reads.pop(vm.format(vm=name), None),
+    )
+
+
+def _freeze_all(cell: PlatformCell, vm: str) -> None:
+    for name in cell.entries:
+        cell.freeze_vm(name)
+
+
+def _thaw_all(cell: PlatformCell, vm: str) -> None:
+    for name in cell.entries:
+        cell.thaw_vm(name)
+
+
 HINDRANCES: Final = (
     Hindrance(lambda cell, vm: None, lambda cell, vm: None),
     _make_cut(('{vm}', STORE_ADDRESS)),
+    _make_cut(('*', STORE_ADDRESS)),
     _make_cut(('{vm}', '*'), ('*', '{vm}')),
-    Hindrance(
-        lambda cell, vm: cell.net.refusing.add((vm, STORE_ADDRESS)),
-        lambda cell, vm: cell.net.refusing.discard((vm, STORE_ADDRESS)),
-    ),
+    _make_reads_fail('{vm}', HTTP_UNAVAILABLE),
+    _make_reads_fail('{vm}', TOO_MANY_REQUESTS),
+    _make_reads_fail('*', HTTP_UNAVAILABLE),
+    _make_reads_fail('*', NO_ANSWER),
     Hindrance(PlatformCell.freeze_vm, PlatformCell.thaw_vm),
     Hindrance(PlatformCell.freeze_vm, PlatformCell.thaw_vm),
+    Hindrance(_freeze_all, _thaw_all),
 )
 
 
--- a/src/lycheerelay_standins/platform/_network.py
+++ b/src/lycheerelay_standins/platform/_network.py
@@ -13,6 +13,7 @@
 ONE_WAY_LATENCY_MS: Final = 1
 CONNECT_TIMEOUT_MS: Final = 400
 HTTP_UNAVAILABLE: Final = 503
+OPERATOR_TOPIC: Final = 'keyed.op'
 # `lost` and `late` do not apply to reads of the store.
 READ_ONLY_PATHS: Final = ('/v1/log-read', '/v1/log-newest', '/v1/log-owners')
 
@@ -49,7 +50,8 @@
     (share, shortest and longest delay in s), and `slow` the delay in ms of
     each response. `bytes_per_s` limits the links of VMs by name. `frozen` VMs
     neither send nor receive until they are thawed; what was held back is then
-    delivered.
+    delivered. `failing_reads` gives by VM (or `*`) the status of its reads of the
+    operators' stream; with NO_ANSWER they time out.
     """
 
     def __init__(self, rng: random.Random) -> None:
@@ -65,6 +67,7 @@
         self.slow: dict[str, int] = {}
         self.bytes_per_s: dict[str, float] = {}
         self.frozen: dict[str, asyncio.Event] = {}
+        self.failing_reads: dict[str, int] = {}
         self.running_calls: set[asyncio.Task[object]] = set()
         # Calls in progress go on while the process of their origin is frozen.
         self.context = copy_context()
@@ -115,6 +118,14 @@
             return await self._refuse()
         if self.is_cut(origin, address):
             return await self._fail_by_timeout(timeouts.response_ms)
+        status = self._failing_status(origin, request)
+        if status is not None:
+            await _sleep_ms(
+                timeouts.response_ms
+                if status == NO_ANSWER
+                else ONE_WAY_LATENCY_MS * 2
+            )
+            return Reply(status)
         return await self._deliver(origin, address, request, timeouts)
 
     async def _deliver(
@@ -157,6 +168,14 @@
         await self._wait_until_thawed(origin)
         return task.result() if done else Reply(NO_ANSWER)
 
+    def _failing_status(self, origin: str, request: Request) -> int | None:
+        if request.query.get('topic') != OPERATOR_TOPIC:
+            return None
+        for vm in (origin, '*'):
+            if vm in self.failing_reads:
+                return self.failing_reads[vm]
+        return None
+
     def _is_refusing(self, origin: str, address: str) -> bool:
         pairs = {(origin, address), ('*', address)}
         return not pairs.isdisjoint(self.refusing)
--- a/tests/test_platform_tenants.py
+++ b/tests/test_platform_tenants.py
@@ -2,9 +2,15 @@
 
 import asyncio
 import json
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Any
 
+import pytest
+from result import Ok
+
+from lycheerelay.serving import _caller_checks
+from lycheerelay.serving._config_freshness import ConfigFreshness
+from lycheerelay.serving._credentials import EVERYONE
 from lycheerelay_standins.platform import (
     CellShape,
     Credential,
@@ -14,9 +20,10 @@
     QueueShape,
     Shape,
     TenantShape,
+    fuzz,
     run_virtual,
 )
-from platform_days import job, step
+from platform_days import STORE, job, step
 
 SHAPE = CellShape(
     workers=(Shape('cpu'),) * 3,
@@ -26,6 +33,8 @@
     ),
     tenants=(TenantShape('a', ('ka', 'kb')), TenantShape('b', ('kc',))),
 )
+# A day logs thousands of lines.
+pytestmark = pytest.mark.usefixtures('disable_logging')
 CREDENTIAL = Credential('a', 'ka')
 Day = Callable[[PlatformCell, KeyedCaller], Coroutine[Any, Any, None]]
 
@@ -77,3 +86,141 @@
         assert newest is not None and newest.version == 2
 
     play(day)
+
+
+def rules(broken: Iterable[str]) -> set[str]:
+    """Return the rules that were broken."""
+    return {line.partition(':')[0] for line in broken}
+
+
+def accept_every_key(patch: pytest.MonkeyPatch) -> None:
+    """Let every caller in."""
+    patch.setattr(
+        _caller_checks, 'identify', lambda *args, **kwargs: Ok(EVERYONE)
+    )
+
+
+def trust_any_age(patch: pytest.MonkeyPatch) -> None:
+    """Trust the configuration however old it is."""
+    patch.setattr(ConfigFreshness, 'is_current', lambda self, now_ms: True)
+
+
+def keep_checks(patch: pytest.MonkeyPatch) -> None:
+    """Disable nothing."""
+
+
+Disable = Callable[[pytest.MonkeyPatch], None]
+
+
+def trust_every_key(patch: pytest.MonkeyPatch) -> None:
+    """Check a key only once, by a configuration of any age."""
+    trust_any_age(patch)
+    patch.setattr(_caller_checks, 'is_revoked', lambda identity, table: False)
+
+
+Hinder = Callable[[PlatformCell, Iterable[str]], None]
+
+
+def cut(cell: PlatformCell, vms: Iterable[str]) -> None:
+    """Disconnect VMs from the store."""
+    cell.net.cuts.update((vm, STORE) for vm in vms)
+
+
+def freeze(cell: PlatformCell, vms: Iterable[str]) -> None:
+    """Suspend VMs."""
+    for vm in vms:
+        cell.freeze_vm(vm)
+
+
+def fail_reads(cell: PlatformCell, vms: Iterable[str]) -> None:
+    """Let the store refuse to read the configuration, and do all else."""
+    cell.net.failing_reads.update(dict.fromkeys(vms, 503))
+
+
+@pytest.mark.parametrize('is_owner', [True, False])
+@pytest.mark.parametrize(
+    ('hinder', 'hinders_all', 'disable', 'rule'),
+    [
+        (cut, False, keep_checks, set()),
+        (cut, True, keep_checks, set()),
+        (fail_reads, False, keep_checks, set()),
+        (fail_reads, True, keep_checks, set()),
+        (freeze, False, keep_checks, set()),
+        (freeze, True, keep_checks, set()),
+        # The owner knows of the revocation unless its reads fail, too.
+        (fail_reads, True, trust_any_age, {'CONFIG'}),
+        (freeze, True, trust_every_key, {'CONFIG'}),
+    ],
+)
+def test_no_vm_serves_a_revoked_key(
+    hinder: Hinder,
+    hinders_all: bool,
+    is_owner: bool,
+    disable: Disable,
+    rule: set[str],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A VM that cannot know of the revocation refuses the key in time."""
+    disable(monkeypatch)
+
+    async def day(cell: PlatformCell, caller: KeyedCaller) -> None:
+        vm = next(
+            name
+            for name in sorted(cell.entries)
+            if (name == cell.owner()) is is_owner
+        )
+        name, _ = await caller.submit(vm, job(step(1)), CREDENTIAL)
+        hinder(cell, cell.entries if hinders_all else (vm,))
+        # A read in progress may still return the revocation.
+        await asyncio.sleep(2)
+        cell.tenants.withdraw_key('ka')
+        calls = []
+        for _ in range(60):
+            await asyncio.sleep(0.1)
+            calls.append(asyncio.create_task(caller.state(vm, name, 'ka')))
+        cell.net.cuts.clear()
+        cell.net.failing_reads.clear()
+        for other in cell.entries:
+            cell.thaw_vm(other)
+        await asyncio.gather(*calls)
+        await asyncio.sleep(5)
+        assert await caller.state(vm, name, 'ka') == '401'
+        assert await caller.state(vm, name, 'kb') == 'completed'
+
+    assert rules(play(day).audit.broken) == rule
+
+
+def test_a_vm_serves_keys_for_a_while_after_its_last_contact() -> None:
+    """Refusing earlier than necessary would turn short cuts into outages."""
+
+    async def day(cell: PlatformCell, caller: KeyedCaller) -> None:
+        vm = next(name for name in cell.entries if name != cell.owner())
+        name, _ = await caller.submit(vm, job(step(1)), CREDENTIAL)
+        await asyncio.sleep(5)
+        cell.net.cuts.add((vm, STORE))
+        for _ in range(30):
+            assert await caller.state(vm, name, 'ka') == 'completed'
+            await asyncio.sleep(0.095)
+
+    assert play(day).audit.broken == []
+
+
+@pytest.mark.parametrize(
+    ('disable', 'rule', 'faults'),
+    [
+        (accept_every_key, 'ROUTE', ()),
+        (trust_any_age, 'CONFIG', ('key_withdrawn',)),
+    ],
+)
+def test_a_random_day_shows_a_missing_check(
+    disable: Disable,
+    rule: str,
+    faults: tuple[str, ...],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Days that pass without a check would prove nothing about it."""
+    disable(monkeypatch)
+    assert any(
+        rule in rules(fuzz(seed, faults, with_tenants=True).broken)
+        for seed in range(1, 7)
+    )
