Soak processes with tenants

Cause: keys, revocations and quotas were exercised in virtual time only, where neither sockets nor signals nor the system's clock take part. Callers send keys, some missing, unknown or revoked. Keys are revoked while processes are stopped by SIGSTOP, cut off from the store or cannot read the configuration, and quotas drop far below what runs. What draws keys is shared with the fuzzer.

--- a/src/lycheerelay_standins/platform/__init__.py
+++ b/src/lycheerelay_standins/platform/__init__.py
@@ -2,7 +2,7 @@
 
 from ._audit import Audit, ObservedRun
 from ._audit_tenants import ObservedCall, TenantAudit
-from ._callers import Credential, KeyedCaller
+from ._callers import KeyedCaller
 from ._cell import PlatformCell
 from ._environment import CellShape, QueueShape
 from ._freezing import FreezableLoop
@@ -12,7 +12,7 @@
 from ._network import EmulatedNetwork, NetCaller, Request
 from ._soak import SoakResult, soak
 from ._store import StoreStandIn
-from ._tenants import TenantBounds, TenantShape
+from ._tenants import Credential, TenantBounds, TenantShape
 from ._virtual_time import LoopClock, run_virtual
 from ._worker import Shape, WorkerStandIn
 
--- a/src/lycheerelay_standins/platform/_callers.py
+++ b/src/lycheerelay_standins/platform/_callers.py
@@ -11,6 +11,7 @@
 from ._audit_tenants import OK, ObservedCall
 from ._cell import PlatformCell
 from ._environment import ROUTE_HOST, QueueShape
+from ._tenants import Credential
 
 KEY_HEADER: Final = 'X-Api-Key'
 NO_RESPONSE: Final = 0
@@ -21,13 +22,6 @@
 CALL_TIMEOUT_S: Final = 20
 
 
-class Credential(NamedTuple):
-    """Key that a caller sends, and the tenant as which it acts."""
-
-    tenant: str
-    key: str
-
-
 class CallReply(NamedTuple):
     """Status of a response, or 0 without one, its JSON body and headers."""
 
--- a/src/lycheerelay_standins/platform/_fuzz.py
+++ b/src/lycheerelay_standins/platform/_fuzz.py
@@ -11,7 +11,8 @@
 from ._environment import CellShape, QueueShape
 from ._freezing import FreezableLoop
 from ._fuzz_faults import FAULTS, Inject
-from ._fuzz_tenants import TENANT_FAULTS, TenantLoad, add_tenants
+from ._fuzz_tenants import TENANT_FAULTS, TenantLoad
+from ._tenant_load import add_tenants
 from ._virtual_time import run_virtual
 from ._worker import Shape
 
--- a/src/lycheerelay_standins/platform/_fuzz_tenants.py
+++ b/src/lycheerelay_standins/platform/_fuzz_tenants.py
@@ -7,80 +7,40 @@
 
 from lycheerelay._hashing import number_of
 from lycheerelay._registry import Registry
-from lycheerelay._resources import Resources
 from lycheerelay.serving import NO_ANSWER
 from lycheerelay.workflow import FINAL_PHASES
 
-from ._callers import GATEWAY_TIMEOUT, NO_RESPONSE, Credential, KeyedCaller
+from ._callers import GATEWAY_TIMEOUT, NO_RESPONSE, KeyedCaller
 from ._cell import STORE_ADDRESS, PlatformCell
-from ._environment import CellShape, QueueShape
 from ._fuzz_faults import Inject
 from ._network import HTTP_UNAVAILABLE
-from ._tenants import TenantShape
+from ._tenant_load import PUBLIC_QUEUE, SMALL_STEP, TenantKeys
+from ._tenants import Credential
 
 if TYPE_CHECKING:
     from ._fuzz import FuzzRun
 
 TENANT_FAULTS: Final[Registry[str, Inject]] = Registry('tenant fault')
 TOO_MANY_REQUESTS: Final = 429
-PUBLIC_QUEUE: Final = 'open'
 PUBLIC_SHARE: Final = 0.1
-# Shares of submissions without a key, with an unknown one and with a revoked one.
-MISSING_KEY_SHARE: Final = 0.02
-UNKNOWN_KEY_SHARE: Final = 0.05
-REVOKED_KEY_SHARE: Final = 0.1
-UNKNOWN_KEY: Final = 'unknown'
-# Share of tenants with a quota.
-LIMITED_SHARE: Final = 0.8
 # Share of probes at the VM in question, and of those that ask for a state.
 PROBE_SHARE: Final = 0.7
-JOBS_PER_S: Final = 3
-# Demand of the largest task of the load.
-MIN_QUOTA_CORES_MILLI: Final = 8000
 # Probes go on until revocation is certain, including that behind a hindrance.
 PROBE_S: Final = 14
 SURGE_FACTORS: Final = (4, 8)
-SMALL_STEP: Final = {'count': 1, 'cpu': 1000, 'memMb': 100, 'estimatedMs': 500}
-
-
-def add_tenants(shape: CellShape, seed: int) -> CellShape:
-    """Return the shape with 5 to 20 tenants of uneven size, by the seed."""
-    rng = random.Random(number_of(f'tenants:{seed}'))
-    sizes = [rng.paretovariate(1) for _ in range(rng.randint(5, 20))]
-    capacity = sum(worker.cores_milli for worker in shape.workers)
-    tenants = tuple(
-        _draw_tenant(rng, f't-{number}', size / sum(sizes), capacity)
-        for number, size in enumerate(sizes)
-    )
-    queue = shape.queues[0]
-    open_queue = QueueShape(PUBLIC_QUEUE, queue.pool, is_public=True)
-    return shape._replace(tenants=tenants, queues=(queue, open_queue))
-
-
-def _draw_tenant(
-    rng: random.Random, name: str, share: float, capacity: int
-) -> TenantShape:
-    keys = tuple(f'{name}-key-{number}' for number in range(rng.randint(1, 3)))
-    cores = int(share * capacity * rng.uniform(0.4, 1.6))
-    is_limited = rng.random() < LIMITED_SHARE
-    quota = Resources(max(cores, MIN_QUOTA_CORES_MILLI) if is_limited else 0)
-    return TenantShape(name, keys, share * JOBS_PER_S * 1.2, quota)
 
 
 @final
-class TenantLoad:
+class TenantLoad(TenantKeys):
     """Load of the tenants of a fuzz run, and changes of their settings."""
 
     def __init__(self, run: 'FuzzRun') -> None:
         """Draw from a generator of its own."""
+        rng = random.Random(number_of(f'tenant load:{run.seed}'))
+        super().__init__(run.cell, rng)
         self.run = run
-        self.cell = run.cell
-        self.book = run.cell.tenants
+        self.entries = run.cell.entries
         self.caller = KeyedCaller(run.cell)
-        self.rng = random.Random(number_of(f'tenant load:{run.seed}'))
-        self.original = dict(self.book.shapes)
-        self.revoked: list[Credential] = []
-        self.key_count = 0
 
     async def submit(
         self,
@@ -91,7 +51,7 @@
     ) -> str:
         """Submit a job of a tenant, again if the outcome is unknown."""
         is_public = self.rng.random() < PUBLIC_SHARE
-        credential = self._draw_credential(tenant or self._draw_tenant())
+        credential = self.draw_credential(tenant or self.draw_tenant())
         queue = PUBLIC_QUEUE if is_public else 'batch'
         vm = self.pick_vm()
         name, reply = await self.caller.submit(
@@ -107,13 +67,13 @@
     async def cancel(self, name: str) -> None:
         """Cancel a job with a key that its tenant holds."""
         await self.caller.cancel(
-            self.pick_vm(), name, self._key_of(name), self._queue_of(name)
+            self.pick_vm(), name, self.key_of(name), self._queue_of(name)
         )
 
     async def state(self, name: str) -> str:
         """Return the phase of a job, with a key that its tenant holds."""
         return await self.caller.state(
-            self.pick_vm(), name, self._key_of(name), self._queue_of(name)
+            self.pick_vm(), name, self.key_of(name), self._queue_of(name)
         )
 
     async def settle(self, names: list[str], within_s: float) -> dict[str, str]:
@@ -137,7 +97,7 @@
         probes = []
         while loop.time() < until_s:
             probed = vm if self.rng.random() < PROBE_SHARE else self.pick_vm()
-            if probed in self.cell.entries:
+            if probed in self.entries:
                 probes.append(
                     asyncio.create_task(self._probe_once(probed, credential))
                 )
@@ -145,12 +105,7 @@
         await asyncio.gather(*probes)
 
     async def _probe_once(self, vm: str, credential: Credential) -> None:
-        jobs = self.cell.audit.jobs
-        names = [
-            name
-            for name in self.run.jobs
-            if jobs[name].tenant == credential.tenant and jobs[name].accepted
-        ]
+        names = self.jobs_of(credential.tenant)
         if names and self.rng.random() < PROBE_SHARE:
             name = self.rng.choice(names)
             await self.caller.state(vm, name, credential.key)
@@ -162,57 +117,9 @@
         )
         self.run.jobs.append(name)
 
-    def pick_credential(self) -> Credential:
-        """Return a random key in force and its tenant."""
-        tenant = self._draw_tenant()
-        return Credential(tenant, self.rng.choice(self._keys(tenant)))
-
-    def revoke(self, credential: Credential) -> None:
-        """Remove a key; a tenant without another one gets a new one."""
-        keys = self._keys(credential.tenant)
-        if credential.key not in keys:
-            return
-        self.revoked.append(credential)
-        if len(keys) > 1:
-            self.book.withdraw_key(credential.key)
-        else:
-            self.key_count += 1
-            self.book.replace_key(credential.key, f'new-key-{self.key_count}')
-
-    def largest_user(self) -> str:
-        """Return the tenant with the most cores in use."""
-        tenants = self.cell.audit.tenants
-        return max(
-            self.book.shapes,
-            key=lambda name: tenants.used_by(name).cores_milli,
-        )
-
     def pick_vm(self) -> str:
         """Return a random VM."""
-        return self.rng.choice(sorted(self.cell.entries))
-
-    def _draw_tenant(self) -> str:
-        names = sorted(self.original)
-        weights = [self.original[name].weight for name in names]
-        return self.rng.choices(names, weights)[0]
-
-    def _draw_credential(self, tenant: str) -> Credential:
-        draw = self.rng.random()
-        if draw < MISSING_KEY_SHARE:
-            return Credential(tenant, '')
-        if draw < UNKNOWN_KEY_SHARE:
-            return Credential(tenant, UNKNOWN_KEY)
-        if draw < REVOKED_KEY_SHARE and self.revoked:
-            return self.rng.choice(self.revoked)
-        return Credential(tenant, self.rng.choice(self._keys(tenant)))
-
-    def _keys(self, tenant: str) -> tuple[str, ...]:
-        return self.book.shapes[tenant].keys
-
-    def _key_of(self, name: str) -> str:
-        tenant = self.cell.audit.jobs[name].tenant
-        # The first key is in force for the longest time.
-        return self._keys(tenant)[0] if tenant else ''
+        return self.rng.choice(sorted(self.entries))
 
     def _queue_of(self, name: str) -> str:
         return 'batch' if self.cell.audit.jobs[name].tenant else PUBLIC_QUEUE
@@ -293,13 +200,10 @@
 async def quota_dropped(run: 'FuzzRun') -> None:
     """Lower a quota far below what runs, and restore it."""
     load = run.tenants()
-    tenant = load.largest_user()
-    used = run.cell.audit.tenants.used_by(tenant).cores_milli
-    lowered = max(int(used * load.rng.uniform(0.05, 0.3)), 1000)
-    load.book.set_quota(tenant, Resources(lowered))
+    tenant = load.drop_quota()
     await run.pause()
     await run.pause()
-    load.book.set_quota(tenant, load.original[tenant].quota)
+    load.restore_quota(tenant)
 
 
 @TENANT_FAULTS.register('tenant_surge')
--- a/src/lycheerelay_standins/platform/_network.py
+++ b/src/lycheerelay_standins/platform/_network.py
@@ -118,7 +118,7 @@
             return await self._refuse()
         if self.is_cut(origin, address):
             return await self._fail_by_timeout(timeouts.response_ms)
-        status = self._failing_status(origin, request)
+        status = self.failing_status(origin, request)
         if status is not None:
             await _sleep_ms(
                 timeouts.response_ms
@@ -168,7 +168,8 @@
         await self._wait_until_thawed(origin)
         return task.result() if done else Reply(NO_ANSWER)
 
-    def _failing_status(self, origin: str, request: Request) -> int | None:
+    def failing_status(self, origin: str, request: Request) -> int | None:
+        """Return the status of a read that is to fail, else None."""
         if request.query.get('topic') != OPERATOR_TOPIC:
             return None
         for vm in (origin, '*'):
--- a/src/lycheerelay_standins/platform/_soak_cell.py
+++ b/src/lycheerelay_standins/platform/_soak_cell.py
@@ -41,10 +41,18 @@
 maxHoldMs = {lease_ms}
 status_s = 120
 graceS = 6
+{tenant_bounds}
 [platform]
 address = "{store}"
 minTtlMs = 1000
 """
+TENANT_BOUNDS: Final = """
+strictRevocation = true
+revocationMs = {bounds.revocation_ms}
+quotaWindowS = {bounds.quota_window_s}
+quotaOverage = {bounds.quota_overage}
+quotaTolerance = 1
+"""
 
 
 @final
@@ -142,6 +150,9 @@
             await self._serve_worker(worker.worker_id)
         for number in range(self.shape.vms):
             await self._start_vm(number, store, advisor)
+        if self.shape.tenants:
+            loop = asyncio.get_running_loop()
+            self.tasks.append(loop.create_task(self.watch_contact()))
 
     async def finish(self) -> None:
         """Stop every process and close every socket."""
@@ -169,6 +180,7 @@
             name
             for name, vm in self.vms.items()
             if vm.is_frozen
+            or self.net.failing_reads
             or not vm.is_running
             or self.store_proxies[name].has_faults
         ]
@@ -207,6 +219,7 @@
             'advisor': advisor,
             'store': proxy.address,
             'lease_ms': self.shape.lease_ms,
+            'tenant_bounds': self._tenant_bounds(),
         }
         (self.folder / f'{name}.toml').write_text(SETTINGS.format(**fields))
         self.hosts[name] = host
@@ -215,7 +228,15 @@
         self.vms[name] = EntryProcess(name, self.folder, log)
         await self.vms[name].start()
 
+    def _tenant_bounds(self) -> str:
+        if not self.shape.tenants:
+            return ''
+        return TENANT_BOUNDS.format(bounds=self.shape.bounds)
+
     async def _handle_store_call(self, request: Request) -> Reply:
+        status = self.net.failing_status('', request)
+        if status is not None:
+            return Reply(status)
         reply = await self.net.execute(STORE_NAME, request)
         if reply is None:
             # The response is lost: the connection stays open without one.
--- a/src/lycheerelay_standins/platform/_tenants.py
+++ b/src/lycheerelay_standins/platform/_tenants.py
@@ -15,6 +15,13 @@
     quota: Resources = Resources()
 
 
+class Credential(NamedTuple):
+    """Key that a caller sends, and the tenant as which it acts."""
+
+    tenant: str
+    key: str
+
+
 class TenantBounds(NamedTuple):
     """Bounds that the platform sets for tenants."""
 
