--- a/src/lycheerelay/serving/_queues.py
+++ b/src/lycheerelay/serving/_queues.py
@@ -5,7 +5,7 @@
 """
 
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Final, NamedTuple, final
 
@@ -69,6 +69,7 @@
     queues_by_host: dict[str, PrefixIndex] = field(init=False, repr=False)
     queues_by_name: dict[str, Queue] = field(init=False, repr=False)
     tenants_by_key: dict[bytes, TenantPolicy] = field(init=False, repr=False)
+    tenants_by_name: dict[str, TenantPolicy] = field(init=False, repr=False)
 
     def __post_init__(self) -> None:
         """Build the indexes."""
@@ -80,6 +81,7 @@
         self.queues_by_host = {
             host: PrefixIndex(queues) for host, queues in by_host.items()
         }
+        self.tenants_by_name = {tenant.name: tenant for tenant in self.tenants}
         self.tenants_by_key = {}
         for tenant in self.tenants:
             for digest in tenant.keys:
@@ -98,8 +100,20 @@
         """Return the tenant that holds an API key."""
         return self.tenants_by_key.get(digest_of(key))
 
+    def tenant_named(self, name: str) -> TenantPolicy | None:
+        """Return the tenant with a name."""
+        return self.tenants_by_name.get(name)
+
 
 def digest_of(key: str) -> bytes:
     """Return the SHA-256 digest of an API key."""
     # Headers may contain bytes that are not UTF-8, decoded as surrogates.
     return hashlib.sha256(key.encode(errors='surrogateescape')).digest()
+
+
+# Returns the configuration in force, or None before the first one.
+TableSource = Callable[[], QueueTable | None]
+
+
+def no_table() -> None:
+    """Stand for a configuration that is not known."""
--- a/src/lycheerelay/serving/_request_handler.py
+++ b/src/lycheerelay/serving/_request_handler.py
@@ -8,6 +8,7 @@
 
 from .._clock import Clock
 from ..workflow import JobPhase, WorkflowSpec
+from ..workflow.tenants import find_quota_excess
 from ._caller_checks import CallerChecks
 from ._credentials import (
     EVERYONE,
@@ -74,17 +75,12 @@
     ) -> RequestResult:
         """Append a job; it is accepted once the store has acknowledged it.
 
-        A new job that is predicted to end after its value has expired is
-        refused at once.
+        A new job that is predicted to end after its value has expired, or that can
+        never fit in the quota of its tenant, is refused at once.
         """
         begun_ms = self.clock.now_ms()
-        retry_after_s = forecast_retry_after_s(
-            spec, self._current_forecast(), self.clock.now_ms()
-        )
-        if retry_after_s:
-            refusal = RequestResult(
-                RequestStatus.TOO_LATE, retry_after_s=retry_after_s
-            )
+        refusal = self._find_refusal(spec)
+        if refusal is not None:
             outcome = await self._accept_known_or(
                 refusal, spec.job_id, identity
             )
@@ -293,6 +289,21 @@
             return RequestResult(RequestStatus.OK)
         return refusal
 
+    def _find_refusal(self, spec: WorkflowSpec) -> RequestResult | None:
+        table = self.checks.config.table if spec.tenant else None
+        tenant = table.tenant_named(spec.tenant) if table else None
+        excess = find_quota_excess(spec, tenant.quota) if tenant else None
+        if excess is not None:
+            return RequestResult(RequestStatus.OVER_QUOTA, excess.text)
+        retry_after_s = forecast_retry_after_s(
+            spec, self._current_forecast(), self.clock.now_ms()
+        )
+        if retry_after_s:
+            return RequestResult(
+                RequestStatus.TOO_LATE, retry_after_s=retry_after_s
+            )
+        return None
+
     def _current_forecast(self) -> WaitForecast:
         if self.owner is not None:
             return WaitForecast(self.owner.waits, self.clock.now_ms())
--- a/src/lycheerelay/serving/_workflow_api.py
+++ b/src/lycheerelay/serving/_workflow_api.py
@@ -45,6 +45,7 @@
     RequestStatus.TOO_LATE: Code.OVERLOADED,
     RequestStatus.KEY_REFUSED: Code.KEY_REFUSED,
     RequestStatus.CONFIG_TOO_OLD: Code.CONFIG_TOO_OLD,
+    RequestStatus.OVER_QUOTA: Code.NEVER_IN_QUOTA,
 }
 CODE_OF_PHASE: Final = {
     JobPhase.QUEUED: Code.ACCEPTED,
@@ -216,6 +217,8 @@
     text = CODES[code].text
     if outcome.status is RequestStatus.KEY_REFUSED:
         return _refusal_reply(Refusal(code, text, not_run=True))
+    if outcome.status is RequestStatus.OVER_QUOTA:
+        return _refusal_reply(Refusal(code, outcome.content, not_run=True))
     retry_after_ms = outcome.retry_after_s * MS_PER_SECOND
     is_too_old = outcome.status is RequestStatus.CONFIG_TOO_OLD
     return _refusal_reply(Refusal(code, text, is_too_old, retry_after_ms))
