--- a/tests/test_platform_tenants.py
+++ b/tests/test_platform_tenants.py
@@ -2,15 +2,18 @@
 
 import asyncio
 import json
+import sys
 from collections.abc import Callable, Coroutine, Iterable
 from typing import Any
 
 import pytest
 from result import Ok
 
+from lycheerelay._resources import Resources
 from lycheerelay.serving import _caller_checks
 from lycheerelay.serving._config_freshness import ConfigFreshness
 from lycheerelay.serving._credentials import EVERYONE
+from lycheerelay.workflow._tenants import TenantAccount
 from lycheerelay_standins.platform import (
     CellShape,
     Credential,
@@ -105,6 +108,13 @@
     patch.setattr(ConfigFreshness, 'is_current', lambda self, now_ms: True)
 
 
+def ignore_quotas(patch: pytest.MonkeyPatch) -> None:
+    """Start whatever fits on the workers."""
+    patch.setattr(
+        TenantAccount, 'count_startable', lambda self, demand: sys.maxsize
+    )
+
+
 def keep_checks(patch: pytest.MonkeyPatch) -> None:
     """Disable nothing."""
 
@@ -205,11 +215,54 @@
     assert play(day).audit.broken == []
 
 
+@pytest.mark.parametrize(
+    ('disable', 'rule'), [(keep_checks, set()), (ignore_quotas, {'QUOTA'})]
+)
+def test_a_quota_holds_while_it_drops_and_owners_change(
+    disable: Disable, rule: set[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The next owner counts what runs, and starts nothing above the quota."""
+    disable(monkeypatch)
+    limited = TenantShape('a', ('ka',), quota=Resources(12_000))
+
+    async def day(cell: PlatformCell, caller: KeyedCaller) -> None:
+        names = []
+        for number in range(8):
+            vm = f'vm-{number % 3}'
+            body = job(step(4, cpu=2000), step(2, gang=True, after=[0]))
+            name, _ = await caller.submit(vm, body, CREDENTIAL, work_ms=2000)
+            names.append(name)
+        await asyncio.sleep(1)
+        cell.tenants.set_quota('a', Resources(4000))
+        await asyncio.sleep(4)
+        owner = cell.owner()
+        cell.kill_vm(owner)
+        cell.start_vm(owner)
+        await asyncio.sleep(8)
+        cell.tenants.set_quota('a', Resources(12_000))
+        await asyncio.sleep(40)
+        for name in names:
+            assert await caller.state('vm-0', name, 'ka') == 'completed'
+
+    cell = play(day, SHAPE._replace(tenants=(limited,)))
+    assert rules(cell.audit.broken) == rule
+
+
+@pytest.mark.parametrize('seed', range(1, 7))
+def test_a_random_day_with_tenants_keeps_every_promise(seed: int) -> None:
+    """Keys, quotas and load of tenants change under random faults."""
+    result = fuzz(seed, with_tenants=True)
+    assert result.jobs > 20
+    assert result.broken == ()
+    assert result.unfinished == ()
+
+
 @pytest.mark.parametrize(
     ('disable', 'rule', 'faults'),
     [
         (accept_every_key, 'ROUTE', ()),
         (trust_any_age, 'CONFIG', ('key_withdrawn',)),
+        (ignore_quotas, 'QUOTA', ()),
     ],
 )
 def test_a_random_day_shows_a_missing_check(
