--- a/src/lycheerelay/serving/_request_handler.py
+++ b/src/lycheerelay/serving/_request_handler.py
@@ -24,6 +24,12 @@
 from ._request_result import RequestResult, RequestStatus
 from ._spec_codec import encode_spec
 from ._store_health import StoreHealth
+from ._tenant_admission import (
+    Applicant,
+    decode_applicant,
+    encode_applicant,
+)
+from ._tenant_gate import TenantGate
 from ._wait_forecast import (
     WaitForecast,
     decode_waits,
@@ -64,6 +70,8 @@
         self.metrics = checks.metrics
         self.owner: Owner | None = None
         self.wait_forecast = WaitForecast({}, 0)
+        self.tenant_gate = TenantGate(clock)
+        peers.on_owner_answer = self.tenant_gate.receive
         self.appends = RecordAppends(clock, log, peers, checks, store_health)
         self.append_gate = self.appends.gate
 
@@ -76,7 +84,8 @@
         """Append a job; it is accepted once the store has acknowledged it.
 
         A new job that is predicted to end after its value has expired, or that can
-        never fit in the quota of its tenant, is refused at once.
+        never fit in the quota of its tenant, is refused at once, and so is one over
+        the rate of its tenant while capacity is short.
         """
         begun_ms = self.clock.now_ms()
         refusal = self._find_refusal(spec)
@@ -84,14 +93,14 @@
             outcome = await self._accept_known_or(
                 refusal, spec.job_id, identity
             )
-            return self._report(
-                'submit', spec.job_id, spec.queue, outcome, begun_ms
-            )
+            return self._report_submission(spec, outcome, begun_ms)
+        over_rate = await self._refuse_over_rate(spec, identity)
+        if over_rate is not None:
+            return self._report_submission(spec, over_rate, begun_ms)
         record = KeyedRecord(f'{JOB_PREFIX}{spec.job_id}', encode_spec(spec))
-        outcome = await self._append(record, identity, timeout_ms, 'submit')
-        return self._report(
-            'submit', spec.job_id, spec.queue, outcome, begun_ms
-        )
+        remaining_ms = timeout_ms - (self.clock.now_ms() - begun_ms)
+        outcome = await self._append(record, identity, remaining_ms, 'submit')
+        return self._report_submission(spec, outcome, begun_ms)
 
     async def cancel(
         self,
@@ -159,12 +168,14 @@
         identity: Identity = EVERYONE,
         *,
         waits: bool = False,
+        applicant: Applicant | None = None,
     ) -> dict[str, Any] | None:
         """Return a job's phase; None if this VM is not serving.
 
         The phase in the result is None if the job is not known, or not visible
         to the caller. With `waits`, the answer waits shortly for the end of a
-        job that is about to end.
+        job that is about to end. `applicant` is the job if it is about to
+        be submitted.
         """
         owner = self.owner
         if owner is None or not owner.is_serving:
@@ -182,7 +193,8 @@
         if waits and job is not None:
             await owner.results.wait(job)
         phase: JobPhase | None = None if job is None else job.visible_phase
-        return {'phase': phase, 'waits': encode_waits(owner.waits)}
+        published = owner.tenants.published(None if job else applicant)
+        return {'phase': phase, 'waits': encode_waits(owner.waits), **published}
 
     def answer_waiting(
         self, queue: str, identity: Identity = EVERYONE
@@ -205,7 +217,11 @@
             and not job.is_final
             and identity.may_access(job.spec.tenant)
         )
-        return {'waiting': waiting, 'waits': encode_waits(owner.waits)}
+        return {
+            'waiting': waiting,
+            'waits': encode_waits(owner.waits),
+            **owner.tenants.published(),
+        }
 
     async def append_for_peer(
         self, record: KeyedRecord, identity: Identity = EVERYONE
@@ -260,6 +276,7 @@
                     body['job'],
                     decode_identity(body),
                     waits=body.get('waits', False),
+                    applicant=decode_applicant(body),
                 )
             return self.answer_waiting(body['queue'], decode_identity(body))
         remaining_ms = max(deadline_ms - self.clock.now_ms(), 1)
@@ -309,6 +326,37 @@
             return WaitForecast(self.owner.waits, self.clock.now_ms())
         return self.wait_forecast
 
+    async def _refuse_over_rate(
+        self, spec: WorkflowSpec, identity: Identity
+    ) -> RequestResult | None:
+        gate = self.tenant_gate
+        sent_ms = self.clock.now_ms()
+        if self.owner is not None:
+            gate.receive(self.owner.tenants.published(), sent_ms)
+        elif spec.tenant and gate.needs_news:
+            self.peers.send_hello_soon()
+        if not gate.is_doubtful(spec):
+            return None
+        body = {**encode_applicant(spec), **encode_identity(identity)}
+        known = await self._query_owner('/state', body, OWNER_QUERY_TIMEOUT_MS)
+        if known is None:
+            return None
+        if known.get('phase') is not None:
+            return RequestResult(RequestStatus.OK)
+        delay_s = gate.refusal_s(spec, known, sent_ms)
+        if not delay_s:
+            return None
+        return RequestResult(RequestStatus.OVER_RATE, retry_after_s=delay_s)
+
+    def _report_submission(
+        self, spec: WorkflowSpec, outcome: RequestResult, begun_ms: int
+    ) -> RequestResult:
+        verdict = outcome.status.value
+        self.metrics.count_job('tenant_jobs', spec.tenant, verdict=verdict)
+        return self._report(
+            'submit', spec.job_id, spec.queue, outcome, begun_ms
+        )
+
     def _report(
         self,
         operation: str,
--- a/src/lycheerelay/serving/_request_result.py
+++ b/src/lycheerelay/serving/_request_result.py
@@ -17,6 +17,7 @@
     UNAVAILABLE = 'unavailable'
     TOO_LATE = 'too_late'
     OVER_QUOTA = 'over_quota'
+    OVER_RATE = 'over_rate'
     KEY_REFUSED = 'key_refused'
     CONFIG_TOO_OLD = 'config_too_old'
 
--- a/src/lycheerelay/serving/_workflow_api.py
+++ b/src/lycheerelay/serving/_workflow_api.py
@@ -43,6 +43,7 @@
     RequestStatus.NO_SUCH_JOB: Code.NOT_FOUND,
     RequestStatus.UNAVAILABLE: Code.NO_OWNER,
     RequestStatus.TOO_LATE: Code.OVERLOADED,
+    RequestStatus.OVER_RATE: Code.OVERLOADED,
     RequestStatus.KEY_REFUSED: Code.KEY_REFUSED,
     RequestStatus.CONFIG_TOO_OLD: Code.CONFIG_TOO_OLD,
     RequestStatus.OVER_QUOTA: Code.NEVER_IN_QUOTA,
@@ -220,8 +221,11 @@
     if outcome.status is RequestStatus.OVER_QUOTA:
         return _refusal_reply(Refusal(code, outcome.content, not_run=True))
     retry_after_ms = outcome.retry_after_s * MS_PER_SECOND
-    is_too_old = outcome.status is RequestStatus.CONFIG_TOO_OLD
-    return _refusal_reply(Refusal(code, text, is_too_old, retry_after_ms))
+    is_not_run = outcome.status in {
+        RequestStatus.CONFIG_TOO_OLD,
+        RequestStatus.OVER_RATE,
+    }
+    return _refusal_reply(Refusal(code, text, is_not_run, retry_after_ms))
 
 
 def _refusal_reply(refusal: Refusal) -> Reply:
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -102,6 +102,11 @@
         """Return the task that this run executes."""
         return self.step.tasks[self.key.task.member]
 
+    @property
+    def pool(self) -> str:
+        """Return the pool of the job."""
+        return self.step.job.spec.pool
+
 
 @dataclass(slots=True, eq=False)
 class TaskInfo:
@@ -207,7 +212,8 @@
     """Track one accepted job.
 
     `durable_phase` is the phase in the last durable progress record, `account` that
-    of its tenant, if it has one.
+    of its tenant, if it has one. `is_over_rate` says that its tenant had sent more
+    jobs than its rate allows.
     """
 
     spec: WorkflowSpec
@@ -221,6 +227,7 @@
     finalized_ms: int = NEVER
     reason: str = ''
     account: TenantAccount | None = None
+    is_over_rate: bool = False
 
     @property
     def is_final(self) -> bool:
--- a/src/lycheerelay/workflow/tenants.py
+++ b/src/lycheerelay/workflow/tenants.py
@@ -1,5 +1,12 @@
-"""Accounts of tenants and their quotas."""
+"""Accounts of tenants, their quotas and what waits for them."""
 
+from ._tenant_backlog import (
+    PoolBacklog,
+    is_over_rate,
+    over_rate_backlogs,
+    tokens_left,
+)
+from ._tenant_views import Hold, HoldCause, TenantView, view_tenants
 from ._tenants import (
     QuotaExcess,
     TenantAccount,
@@ -9,9 +16,17 @@
 )
 
 __all__ = (
+    'Hold',
+    'HoldCause',
+    'PoolBacklog',
     'QuotaExcess',
     'TenantAccount',
     'TenantLedger',
     'TenantPolicy',
+    'TenantView',
     'find_quota_excess',
+    'is_over_rate',
+    'over_rate_backlogs',
+    'tokens_left',
+    'view_tenants',
 )
