Hold tenants to their shares when over rate or late

Cause: the order by shares alone puts the gangs of small tenants last, since one gang exceeds the share of its tenant. Change: the order 'fair' applies shares to tenants with jobs over their rate waiting and to late steps; 'shares' is the strict variant.

--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -11,7 +11,7 @@
 import random
 import tomllib
 from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from pathlib import Path
 from typing import Any, Final, NamedTuple
 
@@ -24,6 +24,13 @@
     worker_listings,
 )
 from replay_plot import Bar, draw_bars
+from replay_tenants import (
+    Arrival,
+    relabelled,
+    tenant_arrivals,
+    tenant_name,
+    tenant_policies,
+)
 
 from lycheerelay.rehearsal import ADVICE_QUEUES, Simulation
 from lycheerelay.workflow import (
@@ -32,6 +39,7 @@
     JobPhase,
     Policies,
     RunOutcome,
+    dispatch,
     lateness_ms,
     objective_ms,
     predict_waits,
@@ -52,6 +60,7 @@
     wait_ms: int
     took_ms: int
     objective_ms: int
+    tenant: str = ''
 
 
 class ReplayResult(NamedTuple):
@@ -63,10 +72,10 @@
     errors_ms: tuple[int, ...]
 
 
-class KindSummary(NamedTuple):
-    """Summarize the jobs of one kind; results are shares of `jobs`."""
+class Summary(NamedTuple):
+    """Summarize the jobs of one name; results are shares of `jobs`."""
 
-    kind: str
+    name: str
     jobs: int
     in_time: float
     late: float
@@ -101,7 +110,11 @@
         return {key: self.sums[key] / self.counts[key] for key in self.sums}
 
 
-def simulate_load(load: Load, policies: Policies) -> ReplayResult:
+def simulate_load(
+    load: Load,
+    policies: Policies,
+    decide: Callable[[CellState, int], int] = dispatch,
+) -> ReplayResult:
     """Simulate a load to its end."""
     rng = random.Random(load['seed'])
     model = DrawnRunModel(load, rng)
@@ -109,16 +122,19 @@
     simulation = Simulation(
         cell, model, advice_queues=load.get('advice_queues', ADVICE_QUEUES)
     )
+    simulation.decide = decide
     model.simulation = simulation
     for entry in worker_listings(load):
         simulation.add_worker(entry)
     model.choose_impaired(list(simulation.workers))
     refused: list[JobResult] = []
-    for kind in load['kinds']:
-        for arrival_ms in arrival_times_ms(rng, load, kind):
-            simulation.at(
-                arrival_ms, _submit_arrival, simulation, model, kind, refused
-            )
+    if 'tenants' in load:
+        cell.tenants.window_ms = int(load['tenants']['window_s'] * MS_PER_S)
+        cell.tenants.configure(1, tenant_policies(load))
+    for arrival in _arrivals(rng, load, model):
+        simulation.at(
+            arrival.at_ms, _submit_arrival, simulation, model, arrival, refused
+        )
     for mass_cancel in load.get('cancels', ()):
         simulation.at(
             mass_cancel['at'] * MS_PER_S,
@@ -145,19 +161,33 @@
     return simulation.now_ms > until_ms and all(job.is_final for job in jobs)
 
 
+def _arrivals(
+    rng: random.Random, load: Load, model: DrawnRunModel
+) -> Iterator[Arrival]:
+    if 'tenants' in load:
+        arrivals = tenant_arrivals(load)
+        has_labels = 'labels' in load['tenants']
+        yield from relabelled(arrivals, load) if has_labels else arrivals
+        return
+    for kind in load['kinds']:
+        for arrival_ms in arrival_times_ms(rng, load, kind):
+            yield Arrival(arrival_ms, kind, '', model.job_rng)
+
+
 def _submit_arrival(
     simulation: Simulation,
     model: DrawnRunModel,
-    kind: dict[str, Any],
+    arrival: Arrival,
     refused: list[JobResult],
 ) -> None:
-    spec = draw_job(model.job_rng, model, kind, simulation.now_ms)
+    spec = draw_job(arrival.draws, model, arrival.kind, simulation.now_ms)
+    spec = spec._replace(tenant=arrival.tenant)
     points = predict_waits(simulation.cell, simulation.now_ms).get(
         spec.pool, ()
     )
     wait_ms = predicted_wait_ms(spec, points)
     if lateness_ms(spec, wait_ms):
-        refused.append(JobResult(spec.queue, None, 0, 0, 0))
+        refused.append(JobResult(spec.queue, None, 0, 0, 0, spec.tenant))
         return
     model.predicted_ms[spec.job_id] = wait_ms
     simulation.submit(spec)
@@ -184,6 +214,7 @@
             started_ms - spec.accepted_ms,
             ended_ms - spec.accepted_ms,
             objective_ms(spec),
+            spec.tenant,
         )
 
 
@@ -215,12 +246,14 @@
     return {pool: lost[pool] / total[pool] for pool in total}
 
 
-def summarize_kinds(job_results: Iterable[JobResult]) -> Iterator[KindSummary]:
-    """Summarize job results by kind; cancelled jobs are left out."""
+def summarize(
+    job_results: Iterable[JobResult], name_of: Callable[[JobResult], str]
+) -> Iterator[Summary]:
+    """Summarize job results by a name; cancelled jobs are left out."""
     kinds: dict[str, list[JobResult]] = {}
     for result in job_results:
         if result.phase is not JobPhase.CANCELLED:
-            kinds.setdefault(result.kind, []).append(result)
+            kinds.setdefault(name_of(result), []).append(result)
     for kind, rows in sorted(kinds.items()):
         done = [row for row in rows if row.phase is JobPhase.COMPLETED]
         in_time = sum(row.took_ms <= row.objective_ms for row in done)
@@ -233,7 +266,7 @@
         failed = sum(row.phase is JobPhase.FAILED for row in rows)
         refused = sum(row.phase is None for row in rows)
         waits = sorted(row.wait_ms for row in rows)
-        yield KindSummary(
+        yield Summary(
             kind,
             len(rows),
             in_time / len(rows),
@@ -245,19 +278,21 @@
         )
 
 
-def replay(
-    load: Load, policies: Policies, seeds: int
-) -> tuple[list[KindSummary], str]:
-    """Simulate a load for each seed; return its rows and a usage summary."""
+class Replay(NamedTuple):
+    """Hold the rows of a load by kind and by tenant, and a usage summary."""
+
+    kinds: list[Summary]
+    tenants: list[Summary]
+    used: str
+
+
+def replay(load: Load, policies: Policies, seeds: int) -> Replay:
+    """Simulate a load for each seed."""
     results = [
         simulate_load({**load, 'seed': load.get('seed', 1) + number}, policies)
         for number in range(seeds)
     ]
-    rows = list(
-        summarize_kinds(
-            job_result for each in results for job_result in each.job_results
-        ),
-    )
+    rows = [row for each in results for row in each.job_results]
     parts = [
         f'{key} {sum(each.used.get(key, 0) for each in results) / seeds:.3f}'
         for key in sorted(results[0].used)
@@ -275,28 +310,45 @@
             f'p10 {errors_ms[len(errors_ms) // 10]} ms, '
             f'p90 {errors_ms[len(errors_ms) * 9 // 10]} ms',
         )
-    return rows, ', '.join(parts)
+    return Replay(
+        list(summarize(rows, lambda row: row.kind)),
+        list(_summarize_tenants(load, rows)),
+        ', '.join(parts),
+    )
 
 
-def print_table(
-    name: str,
-    policies: Policies,
-    rows: list[KindSummary],
-    used: str,
-) -> None:
+def _summarize_tenants(load: Load, rows: list[JobResult]) -> Iterator[Summary]:
+    """Yield a row for each tenant, and for all but the one that surges."""
+    if 'tenants' not in load:
+        return
+    yield from summarize(rows, lambda row: row.tenant)
+    surging = tenant_name(load['surge']['tenant'])
+    others = [row for row in rows if row.tenant != surging]
+    yield from summarize(others, lambda row: f'others {row.kind}')
+    yield from summarize(
+        rows, lambda row: 'surging' if row.tenant == surging else 'others'
+    )
+
+
+def without_surge(load: Load) -> Load:
+    """Return the same load without the surge."""
+    return {**load, 'surge': {**load['surge'], 'x': 1}}
+
+
+def print_table(name: str, policies: Policies, result: Replay) -> None:
     """Print the table of one replay."""
     settings = ', '.join(
         f'{field} {choice}' for field, choice in policies._asdict().items()
     )
     print(f'{name}, {settings}')
-    for row in rows:
+    for row in (*result.kinds, *result.tenants):
         print(
-            f'  {row.kind:14}{row.jobs:5} jobs'
+            f'  {row.name:14}{row.jobs:5} jobs'
             f'  in time {row.in_time:.3f}  late {row.late:.3f}'
             f'  failed {row.failed:.3f}  refused {row.refused:.3f}'
             f'  wait p50 {row.wait_p50_ms:6} ms  p99 {row.wait_p99_ms:6} ms',
         )
-    print(f'  in use: {used}')
+    print(f'  in use: {result.used}')
 
 
 def read_load(name: str, pool: str | None) -> Load:
@@ -339,12 +391,15 @@
         load = read_load(name, options.pool)
         for choices in options.policies or ['']:
             policies = parse_policies(choices)
-            rows, used = replay(load, policies, options.seeds)
-            print_table(name, policies, rows, used)
+            result = replay(load, policies, options.seeds)
+            print_table(name, policies, result)
+            if 'surge' in load:
+                calm = replay(without_surge(load), policies, options.seeds)
+                print_table(f'{name} without surge', policies, calm)
             label = choices or 'default'
             bars.extend(
-                Bar(f'{name}: {row.kind}', label, row.in_time, row.late)
-                for row in rows
+                Bar(f'{name}: {row.name}', label, row.in_time, row.late)
+                for row in result.kinds
             )
     if options.plot is not None:
         options.plot.write_text(draw_bars(bars))
--- a/src/lycheerelay/workflow/_order.py
+++ b/src/lycheerelay/workflow/_order.py
@@ -1,6 +1,6 @@
 """Order waiting steps for scheduling."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from itertools import chain
 from typing import Final
 
@@ -19,10 +19,12 @@
 LATE: Final = 1
 VALUE_EXPIRED: Final = 2
 
-# Groups of the steps of tenants. A step of the second kind adds to its group.
-WITHIN_SHARE: Final = 0
-ABOVE_SHARE: Final = 1
-DEFERRED: Final = 2
+# Groups of steps in the order `fair`, in the order in which they are served. Steps
+# above the share that have no value left wait with those over the rate.
+FIRST: Final = 0
+LATE_ABOVE_SHARE: Final = 1
+ABOVE_SHARE: Final = 2
+OVER_RATE: Final = 3
 # Interval at which the capacity of the pools is added up.
 CAPACITY_INTERVAL_MS: Final = 200
 
@@ -88,28 +90,69 @@
 def order_fairly(
     cell: CellState, steps: list[StepInfo], now_ms: int
 ) -> list[StepInfo]:
-    """Serve tenants by their shares, and those within it by slack.
+    """Serve tenants by slack, rate and share.
 
-    Steps of jobs over the rate of their tenant follow all others that still have
-    value, and so do steps without value of tenants above their share. Jobs
-    without a tenant have no share, and count as within it.
+    Shares apply to tenants that wait with jobs over their rate, and to steps
+    that are late. They would delay the gangs of small tenants otherwise, which
+    exceed the share of their tenant by themselves. Jobs over the rate come last.
     """
     ranked = sorted(steps, key=lambda step: by_slack(step, now_ms))
     usages = _usages_by_pool(cell, ranked, now_ms)
+    limited = _limited_tenants(cell, ranked)
     groups: tuple[list[StepInfo], ...] = ([], [], [], [])
     for step in ranked:
         job = step.job
-        if job.account is None:
-            groups[WITHIN_SHARE].append(step)
-            continue
-        is_above = usages[job.spec.pool][job.account].count(step)
-        has_value = now_ms <= step.infeasible_from_ms or step.spec.lasts
-        is_deferred = job.is_over_rate or (is_above and not has_value)
-        group = DEFERRED * is_deferred + ABOVE_SHARE * is_above
+        group = FIRST
+        if job.account is not None:
+            is_above = usages[job.spec.pool][job.account].count(step)
+            if job.is_over_rate:
+                group = OVER_RATE
+            elif is_above:
+                group = _group_above_share(step, job.account in limited, now_ms)
         groups[group].append(step)
     return list(chain.from_iterable(groups))
 
 
+@ORDERS.register('shares')
+def order_by_shares(
+    cell: CellState, steps: list[StepInfo], now_ms: int
+) -> list[StepInfo]:
+    """Serve all steps within the share of their tenant first, then by slack.
+
+    Jobs without a tenant count as within a share.
+    """
+    ranked = sorted(steps, key=lambda step: by_slack(step, now_ms))
+    usages = _usages_by_pool(cell, ranked, now_ms)
+    within: list[StepInfo] = []
+    above: list[StepInfo] = []
+    for step in ranked:
+        account = step.job.account
+        is_above = account is not None and (
+            usages[step.job.spec.pool][account].count(step)
+        )
+        (above if is_above else within).append(step)
+    return within + above
+
+
+def _group_above_share(step: StepInfo, is_limited: bool, now_ms: int) -> int:
+    if is_limited:
+        return ABOVE_SHARE
+    if now_ms <= step.latest_start_ms or step.spec.lasts:
+        return FIRST
+    if now_ms <= step.infeasible_from_ms:
+        return LATE_ABOVE_SHARE
+    return OVER_RATE
+
+
+def _limited_tenants(
+    cell: CellState, steps: list[StepInfo]
+) -> Collection[TenantAccount | None]:
+    """Return the tenants whose steps in time are held to their share."""
+    if not cell.tenants.window_ms:
+        return cell.tenants.accounts.values()
+    return {step.job.account for step in steps if step.job.is_over_rate}
+
+
 def _usages_by_pool(
     cell: CellState, steps: list[StepInfo], now_ms: int
 ) -> dict[str, dict[TenantAccount, TenantUsage]]:
