--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -7,7 +7,7 @@
 from .._resources import Resources
 from ._policies import Policies
 from ._spec import RunKey, StepKey, StepSpec, WorkerKey, WorkflowSpec
-from ._tenants import TenantAccount, TenantLedger
+from ._tenants import PresumedCounts, TenantAccount, TenantLedger
 
 if TYPE_CHECKING:
     from ._commands import Command
@@ -213,7 +213,8 @@
 
     `durable_phase` is the phase in the last durable progress record, `account` that
     of its tenant, if it has one. `is_over_rate` says that its tenant had sent more
-    jobs than its rate allows.
+    jobs than its rate allows. `presumed` counts its
+    runs that may be on workers that have not answered since a takeover.
     """
 
     spec: WorkflowSpec
@@ -228,6 +229,7 @@
     reason: str = ''
     account: TenantAccount | None = None
     is_over_rate: bool = False
+    presumed: PresumedCounts = field(default_factory=dict)
 
     @property
     def is_final(self) -> bool:
--- a/src/lycheerelay/workflow/_tenant_backlog.py
+++ b/src/lycheerelay/workflow/_tenant_backlog.py
@@ -9,11 +9,11 @@
 from collections.abc import Iterator
 from typing import Final, NamedTuple
 
-from .._clock import MS_PER_SECOND
 from .._resources import Resources
 from ._fit import is_in_service, meets_requirements
 from ._spec import critical_path_ms, objective_ms
 from ._state import CellState, JobInfo, StepInfo, WorkerInfo
+from ._tenant_rates import MS_PER_SECOND
 from ._tenants import TenantAccount
 
 # Steps that have waited longest and are checked for room. The first that some
--- a/src/lycheerelay/workflow/_tenants.py
+++ b/src/lycheerelay/workflow/_tenants.py
@@ -37,7 +37,7 @@
 
 
 class Shortage(NamedTuple):
-    """Resource of which a demand needs more than its tenant has left."""
+    """Resource of which a tenant has too little left for a demand."""
 
     resource: str
     used: int
@@ -63,10 +63,10 @@
 
 
 def count_fitting_tasks(demand: Resources, free: Resources) -> int:
-    """Return how many tasks fit in the free amounts; some may be negative."""
-    if not any(demand):
-        return UNLIMITED
-    return max(demand.times_in(free), 0)
+    """Return how many tasks fit; none while any amount is exceeded."""
+    if min(free) < 0:
+        return 0
+    return demand.times_in(free) if any(demand) else UNLIMITED
 
 
 def find_quota_excess(
@@ -163,7 +163,7 @@
 
     def count_startable(self, demand: Resources) -> int:
         """Return how many tasks the quota lets start now."""
-        return count_fitting_tasks(demand, self.free) if self.is_active else 0
+        return count_fitting_tasks(demand, self.free)
 
     def can_ever_fit(self, demand: Resources) -> bool:
         """Return whether a demand fits in the quota if nothing else runs."""
@@ -173,11 +173,11 @@
         )
 
     def find_shortage(self, demand: Resources) -> Shortage | None:
-        """Return the first resource that a demand needs more of."""
+        """Return the first resource that a demand does not fit in."""
         for resource, amount, used, limit in zip(
             demand._fields, demand, self.used, self.policy.quota, strict=True
         ):
-            if limit and amount and used + amount > limit:
+            if limit and used + amount > limit:
                 return Shortage(resource, used, limit)
         return None
 
@@ -196,6 +196,34 @@
         )
 
 
+class PresumedKey(NamedTuple):
+    """Step and worker of presumed runs.
+
+    `is_other` says that the rows of open tasks in the progress record do not tell
+    them.
+    """
+
+    step: int
+    worker_id: str
+    is_other: bool
+
+
+PresumedCounts = dict[PresumedKey, int]
+
+
+class PresumedRuns(NamedTuple):
+    """Runs that earlier owners sent to a worker that has not answered.
+
+    `counts` are those of the job, which the next owner has to know as well.
+    """
+
+    account: TenantAccount
+    demand: Resources
+    counts: PresumedCounts
+    key: PresumedKey
+    tasks: int
+
+
 @dataclass(slots=True, eq=False)
 class TenantLedger:
     """Hold the accounts of all tenants by name.
@@ -213,9 +241,7 @@
     version: int = -1
     is_enforced: bool = True
     accounts: dict[str, TenantAccount] = field(default_factory=dict)
-    presumed: dict[str, list[tuple[TenantAccount, Resources]]] = field(
-        default_factory=dict
-    )
+    presumed: dict[str, list[PresumedRuns]] = field(default_factory=dict)
     held: dict[str, int] = field(default_factory=dict)
     window_ms: int = 0
     capacities: dict[str, Resources] = field(default_factory=dict)
@@ -252,19 +278,22 @@
             self.accounts[name] = account
         return account
 
-    def presume(
-        self, worker_id: str, account: TenantAccount, demand: Resources
-    ) -> None:
-        """Charge a start that may run on a worker that has not answered."""
-        account.charge(demand)
-        account.presumed = account.presumed.plus(demand)
-        self.presumed.setdefault(worker_id, []).append((account, demand))
+    def presume(self, runs: PresumedRuns) -> None:
+        """Charge runs that may be on a worker that has not answered."""
+        account = runs.account
+        account.charge(runs.demand)
+        account.presumed = account.presumed.plus(runs.demand)
+        counts = runs.counts
+        counts[runs.key] = counts.get(runs.key, 0) + runs.tasks
+        self.presumed.setdefault(runs.key.worker_id, []).append(runs)
 
     def settle(self, worker_id: str) -> None:
-        """Refund the presumed starts of a worker; its run table replaces them."""
-        for account, demand in self.presumed.pop(worker_id, ()):
-            account.refund(demand)
-            account.presumed = account.presumed.minus(demand)
+        """Refund the presumed runs of a worker; its run table replaces them."""
+        for runs in self.presumed.pop(worker_id, ()):
+            account = runs.account
+            account.refund(runs.demand)
+            account.presumed = account.presumed.minus(runs.demand)
+            runs.counts.pop(runs.key, None)
 
     def settle_all(self) -> None:
         """Refund all presumed starts, as their orders have expired."""
