Share one token bucket between marks and admission

Cause: the parts were written side by side, so the limit of the bucket stood twice, and the admission read marks, tokens and quota holds by getattr with defaults. Its tests replaced both by fakes. Change: TokenBucket.tokens_at has the limit for both; the attributes are read directly. The tests use real buckets; the stand-in passes quota_window_ms to its VMs. Weights of the test on the emulator are scaled by 1/20, so that the bucket stays empty during it; its bounds are the same, and the marks of the other tenants are checked as well.

--- a/src/lycheerelay/serving/_job_stream.py
+++ b/src/lycheerelay/serving/_job_stream.py
@@ -7,7 +7,6 @@
 from result import Err
 
 from ..workflow import JobInfo, cancel, restore_progress, submit
-from ..workflow.tenants import is_over_rate
 from ._context import OwnerContext
 from ._credentials import Identity
 from ._ports import KeyedRecord, RecordPage
@@ -113,7 +112,7 @@
                 },
             )
         job = submit(cell, spec, record.offset)
-        if is_new and cell.loaded and is_over_rate(job):
+        if is_new and cell.loaded and job.is_over_rate:
             context = self.context
             context.metrics.count_job('tenant_over_rate_jobs', spec.tenant)
         return job
--- a/src/lycheerelay/serving/_tenant_dump.py
+++ b/src/lycheerelay/serving/_tenant_dump.py
@@ -5,7 +5,7 @@
 
 from .._resources import Resources
 from ..workflow import CellState
-from ..workflow.tenants import TenantView, tokens_left
+from ..workflow.tenants import TenantView
 from ._tenant_admission import TenantRow, TenantRows
 from ._tenant_monitor import TenantMonitor
 
@@ -40,7 +40,7 @@
 
 def _dump_view(cell: CellState, view: TenantView, now_ms: int) -> Fields:
     policy = view.account.policy
-    tokens = tokens_left(cell, view.account, now_ms)
+    tokens = cell.tenants.tokens_left(view.account, now_ms)
     return {
         'tenant': view.name,
         'active': view.account.is_active,
--- a/src/lycheerelay/serving/_tenant_monitor.py
+++ b/src/lycheerelay/serving/_tenant_monitor.py
@@ -14,7 +14,6 @@
     PoolBacklog,
     TenantView,
     over_rate_backlogs,
-    tokens_left,
     view_tenants,
 )
 from ._context import OwnerContext
@@ -119,17 +118,17 @@
         For the tenant of an applicant they are those at its acceptance, and a
         grant to it counts as free.
         """
-        cell = self.context.cell
+        ledger = self.context.cell.tenants
         granted = self._count_grants(now_ms, applicant)
         rows = []
         for pool, shortage in self.shortages.items():
             for tenant, count in shortage.backlog.jobs.items():
-                account = cell.tenants.accounts[tenant]
+                account = ledger.accounts[tenant]
                 is_own = applicant is not None and applicant.tenant == tenant
                 at_ms = (
                     applicant.accepted_ms if applicant and is_own else now_ms
                 )
-                tokens = min(tokens_left(cell, account, at_ms), MANY_TOKENS)
+                tokens = min(ledger.tokens_left(account, at_ms), MANY_TOKENS)
                 rows.append(
                     TenantRow(
                         tenant,
--- a/src/lycheerelay/workflow/_runs.py
+++ b/src/lycheerelay/workflow/_runs.py
@@ -14,7 +14,6 @@
     TaskInfo,
     WorkerInfo,
 )
-from ._tenant_backlog import is_over_rate
 
 # Interval for resending an unanswered stop order: a few round trips.
 STOP_RETRY_MS = 500
@@ -63,7 +62,7 @@
             job=spec.job_id,
             tenant=spec.tenant,
             wait_ms=wait_ms,
-            over_rate=is_over_rate(step.job),
+            over_rate=step.job.is_over_rate,
         )
 
 
--- a/src/lycheerelay/workflow/_tenant_backlog.py
+++ b/src/lycheerelay/workflow/_tenant_backlog.py
@@ -9,12 +9,10 @@
 from collections.abc import Iterator
 from typing import Final, NamedTuple
 
-from .._clock import MS_PER_SECOND
 from .._resources import Resources
 from ._fit import is_in_service, meets_requirements
 from ._spec import critical_path_ms, objective_ms
-from ._state import CellState, JobInfo, StepInfo, WorkerInfo
-from ._tenants import TenantAccount
+from ._state import CellState, StepInfo, WorkerInfo
 
 # Steps that have waited longest and are checked for room. The first that some
 # worker could run counts.
@@ -38,26 +36,6 @@
     drain_ms: int = 0
 
 
-def is_over_rate(job: JobInfo) -> bool:
-    """Return whether the job was over the rate of its tenant when accepted."""
-    return bool(getattr(job, 'is_over_rate', False))
-
-
-def tokens_left(cell: CellState, account: TenantAccount, at_ms: int) -> float:
-    """Return how many jobs that are accepted at a time are within the rate.
-
-    Without rates every job is.
-    """
-    window_ms = getattr(cell.tenants, 'window_ms', 0)
-    bucket = getattr(account, 'bucket', None)
-    if not window_ms or bucket is None or bucket.filled_ms is None:
-        return math.inf
-    rate = account.policy.weight
-    earned = rate * max(at_ms - bucket.filled_ms, 0) / MS_PER_SECOND
-    limit = max(rate * window_ms / MS_PER_SECOND, 1 if rate else 0)
-    return float(min(bucket.tokens + earned, limit))
-
-
 def over_rate_backlogs(cell: CellState, now_ms: int) -> dict[str, PoolBacklog]:
     """Return the backlog of each pool in which jobs over the rate wait."""
     steps: dict[str, list[StepInfo]] = {}
@@ -78,25 +56,16 @@
 def quota_hold(step: StepInfo) -> str:
     """Return the resource whose quota holds a step back, or ''.
 
-    'gang' stands for the quota that is left to an earlier gang. A step that waits for
-    capacity is not marked as held, so its demand is compared with the quota here.
+    WAITING_GANG stands for the quota that is left to an earlier gang. A step that
+    waits for capacity is not marked as held, so its demand is compared with the quota
+    here.
     """
-    decided = str(getattr(step, 'held_by_quota', ''))
     account = step.job.account
-    if decided or account is None:
-        return decided
-    charged = getattr(step.spec, 'charged_demand', step.spec.demand)
-    demand = charged.times(_tasks_together(step))
-    for name, used, more, limit in zip(
-        Resources._fields,
-        account.used,
-        demand,
-        account.policy.quota,
-        strict=True,
-    ):
-        if limit and more and used + more > limit:
-            return name
-    return ''
+    if step.held_by_quota or account is None:
+        return step.held_by_quota
+    demand = step.spec.charged_demand.times(_tasks_together(step))
+    shortage = account.find_shortage(demand)
+    return '' if shortage is None else shortage.resource
 
 
 def waited_ms(step: StepInfo, now_ms: int) -> int:
@@ -120,7 +89,7 @@
     for step in cell.open_steps.values():
         job = step.job
         is_counted = step.waiting and not _is_endless(step)
-        if is_counted and not job.started and is_over_rate(job):
+        if is_counted and not job.started and job.is_over_rate:
             yield step
 
 
--- a/src/lycheerelay/workflow/_tenant_views.py
+++ b/src/lycheerelay/workflow/_tenant_views.py
@@ -9,11 +9,7 @@
 from .._resources import Resources
 from ._fit import is_in_service
 from ._state import CellState, StepInfo
-from ._tenant_backlog import (
-    dominant_share,
-    is_over_rate,
-    quota_hold,
-)
+from ._tenant_backlog import dominant_share, quota_hold
 from ._tenants import TenantAccount
 
 
@@ -151,7 +147,7 @@
 ) -> None:
     job = step.job
     waiting.jobs.add(job.spec.job_id)
-    if is_over_rate(job):
+    if job.is_over_rate:
         waiting.over_rate.add(job.spec.job_id)
     cause = _cause_of(step, usage)
     if cause is not None:
--- a/src/lycheerelay/workflow/_tenants.py
+++ b/src/lycheerelay/workflow/_tenants.py
@@ -4,6 +4,7 @@
 versions of the configuration lower their quotas and owners change.
 """
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final, NamedTuple
@@ -276,7 +277,20 @@
 
         Jobs that are read before their tenant is known are not counted.
         """
-        if not self.window_ms or not account.is_active:
+        if not self._has_rate(account):
             return False
         rate = account.policy.weight
         return not account.bucket.take(rate, self.window_ms, accepted_ms)
+
+    def tokens_left(self, account: TenantAccount, accepted_ms: int) -> float:
+        """Return how many jobs that are accepted at a time are within the rate.
+
+        Without rates every job is.
+        """
+        if not self._has_rate(account):
+            return math.inf
+        rate = account.policy.weight
+        return account.bucket.tokens_at(rate, self.window_ms, accepted_ms)
+
+    def _has_rate(self, account: TenantAccount) -> bool:
+        return bool(self.window_ms) and account.is_active
--- a/src/lycheerelay/workflow/_wait_forecast.py
+++ b/src/lycheerelay/workflow/_wait_forecast.py
@@ -10,7 +10,6 @@
 from ._order import IN_TIME, by_slack
 from ._spec import WorkflowSpec, critical_path_ms, objective_ms
 from ._state import CellState, Run, StepInfo
-from ._tenant_backlog import is_over_rate
 
 # Shorter waits are not reported. They come and go within a few scheduling
 # cycles.
@@ -78,7 +77,7 @@
         is_counted = step.waiting and not (step.spec.lasts or step.spec.fills)
         # Jobs over the rate of their tenant come after those within the rates,
         # so they do not make those late.
-        if is_over_rate(step.job):
+        if step.job.is_over_rate:
             continue
         if is_counted and by_slack(step, now_ms)[0] == IN_TIME:
             waiting.setdefault(step.job.spec.pool, []).append(step)
--- a/src/lycheerelay/workflow/tenants.py
+++ b/src/lycheerelay/workflow/tenants.py
@@ -1,11 +1,6 @@
 """Accounts of tenants, their quotas and what waits for them."""
 
-from ._tenant_backlog import (
-    PoolBacklog,
-    is_over_rate,
-    over_rate_backlogs,
-    tokens_left,
-)
+from ._tenant_backlog import PoolBacklog, over_rate_backlogs
 from ._tenant_views import Hold, HoldCause, TenantView, view_tenants
 from ._tenants import (
     QuotaExcess,
@@ -25,8 +20,6 @@
     'TenantPolicy',
     'TenantView',
     'find_quota_excess',
-    'is_over_rate',
     'over_rate_backlogs',
-    'tokens_left',
     'view_tenants',
 )
--- a/src/lycheerelay_standins/platform/_cell.py
+++ b/src/lycheerelay_standins/platform/_cell.py
@@ -89,6 +89,7 @@
             stop_grace_ms=6000,
             group_ttl_ms=GROUP_TTL_MS,
             link_mbps=link_mbps,
+            quota_window_ms=self.shape.quota_window_ms,
         )
         self.net.bytes_per_s[name] = link_mbps * BYTES_PER_MBIT
         caller = NetCaller(self.net, name)
--- a/src/lycheerelay_standins/platform/_environment.py
+++ b/src/lycheerelay_standins/platform/_environment.py
@@ -42,7 +42,7 @@
     """Size and settings of a cell.
 
     `keeps_ids` says whether a worker that a task has crashed starts again under
-    its id.
+    its id. With a `quota_window_ms` of 0 tenants have no rates.
     """
 
     vms: int = 3
@@ -51,6 +51,7 @@
     lease_ms: int = 6000
     seed: int = 1
     keeps_ids: bool = False
+    quota_window_ms: int = 0
 
 
 class Environment(ABC):
--- a/tests/test_tenant_admission.py
+++ b/tests/test_tenant_admission.py
@@ -39,16 +39,15 @@
     WorkerKey,
     WorkerListing,
     WorkflowSpec,
-    _tenant_backlog,
-    _tenant_views,
-    _wait_forecast,
     dispatch,
     list_worker,
     predict_waits,
 )
 from lycheerelay.workflow import submit as submit_job
+from lycheerelay.workflow._tenant_rates import TokenBucket
 from lycheerelay.workflow.tenants import (
     PoolBacklog,
+    TenantLedger,
     TenantPolicy,
     over_rate_backlogs,
 )
@@ -58,6 +57,7 @@
 POOL = 'cpu'
 SURGE = 'surge'
 VMS = 43
+WINDOW_MS = 5000
 CALM = tuple(f'calm-{number:02}' for number in range(19))
 # Jobs per second; a calm tenant sends exactly its rate.
 RATES = {
@@ -77,41 +77,22 @@
     )
 
 
-class Bucket:
-    """Count the tokens of one tenant, as the owner does when it reads jobs."""
-
-    def __init__(self, rate: float) -> None:
-        """Start with one token."""
-        self.rate = rate
-        self.tokens = 1.0
-        self.at_ms = 0
-
-    def tokens_at(self, now_ms: int) -> float:
-        """Return the tokens at a time."""
-        earned = self.rate * max(now_ms - self.at_ms, 0) / 1000
-        return min(self.tokens + earned, 5 * self.rate)
-
-    def take(self, now_ms: int) -> bool:
-        """Take a token for a job; return whether it was within the rate."""
-        self.tokens = self.tokens_at(now_ms)
-        self.at_ms = max(now_ms, self.at_ms)
-        if self.tokens < 1:
-            return False
-        self.tokens -= 1
-        return True
-
-
 class Site:
     """The owner's monitor and the gates of all VMs, with delays between them."""
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
         """Let every tenant have jobs over the rate that wait in a short pool."""
         self.clock = ManualClock(10_000)
-        cell = CellState(fence=1, previous_orders_expire_ms=0)
+        cell = CellState(
+            fence=1,
+            previous_orders_expire_ms=0,
+            tenants=TenantLedger(window_ms=WINDOW_MS),
+        )
         cell.tenants.configure(
             1, [TenantPolicy(name, rate) for name, rate in RATES.items()]
         )
-        self.buckets = {name: Bucket(rate) for name, rate in RATES.items()}
+        for account in cell.tenants.accounts.values():
+            account.bucket = TokenBucket(1, 10_000)
         self.backlog = PoolBacklog(
             POOL, dict.fromkeys(RATES, 9), 5000, 2000, True, 8000
         )
@@ -120,15 +101,6 @@
             'over_rate_backlogs',
             lambda *_: {POOL: self.backlog},
         )
-        monkeypatch.setattr(
-            monitor_module,
-            'tokens_left',
-            lambda _, account, at_ms: self.buckets[
-                account.policy.name
-            ].tokens_at(at_ms),
-        )
-        for bucket in self.buckets.values():
-            bucket.at_ms = 10_000
         context = Context(cell, self.clock)
         self.monitor = TenantMonitor(context)  # type: ignore[arg-type]
         self.gates = [TenantGate(self.clock) for _ in range(VMS)]
@@ -190,8 +162,7 @@
         self.accepted[spec.tenant] += 1
 
         def read() -> None:
-            self.buckets[spec.tenant].take(spec.accepted_ms)
-            self.cell.jobs[spec.job_id] = None  # type: ignore[assignment]
+            submit_job(self.cell, spec, 0)
 
         self.at(APPEND_MS, read)
 
@@ -240,6 +211,10 @@
         )
     site.run(10_000 + warm_ms + span_ms + 1000)
     assert set(site.refused) == {SURGE}
+    over_rate = {
+        job.spec.tenant for job in site.cell.jobs.values() if job.is_over_rate
+    }
+    assert over_rate <= {SURGE}
     # The token at the beginning, and those earned until the last call.
     earned = RATES[SURGE] * (span_ms + warm_ms) / 1000
     assert RATES[SURGE] * span_ms / 1000 <= site.accepted[SURGE] <= 1 + earned
@@ -379,11 +354,16 @@
 
 def _cell_with_backlog(*jobs: WorkflowSpec) -> CellState:
     """Return a cell with one worker that runs one of the jobs at a time."""
-    cell = CellState(fence=1, previous_orders_expire_ms=0)
+    cell = CellState(
+        fence=1,
+        previous_orders_expire_ms=0,
+        tenants=TenantLedger(window_ms=WINDOW_MS),
+    )
     cell.loaded = True
     cell.tenants.configure(
         1, [TenantPolicy(SURGE, 1, Resources(2000)), TenantPolicy(CALM[0])]
     )
+    cell.tenants.find(SURGE).bucket = TokenBucket(0, 0)
     listing = WorkerListing(
         WorkerKey('w'),
         'w:80',
@@ -403,14 +383,8 @@
     return cell
 
 
-def test_only_work_that_lacks_capacity_makes_a_pool_short(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+def test_only_work_that_lacks_capacity_makes_a_pool_short() -> None:
     """Jobs held by their quota, or that never fit, must not cause refusals."""
-    for module in (_tenant_backlog, _wait_forecast):
-        monkeypatch.setattr(
-            module, 'is_over_rate', lambda job: job.spec.tenant == SURGE
-        )
     calm = [spec_of(f'calm-{number}', CALM[0]) for number in range(2)]
     surge = [spec_of(f'surge-{number}', SURGE) for number in range(5)]
     cell = _cell_with_backlog(*calm, *surge)
@@ -493,15 +467,6 @@
     The command finds the owner and names the causes for which the tenant waits.
     """
     sender = [SURGE]
-    for module in (_tenant_backlog, _tenant_views, _wait_forecast):
-        monkeypatch.setattr(
-            module, 'is_over_rate', lambda job: job.spec.tenant == SURGE
-        )
-    monkeypatch.setattr(
-        monitor_module,
-        'tokens_left',
-        lambda _, account, __: -1.0 if account.policy.name == SURGE else 9.0,
-    )
     monkeypatch.setattr(
         _cell,
         'decode_job',
@@ -523,8 +488,9 @@
         ledger.configure(
             1000,
             [
-                TenantPolicy(SURGE, 1, Resources(32_000)),
-                TenantPolicy('calm', 4),
+                # The window of 20 s has one token of the first, four of the second.
+                TenantPolicy(SURGE, 0.05, Resources(32_000)),
+                TenantPolicy('calm', 0.2),
             ],
         )
         first, _ = await submit(cell, 'vm-0')
@@ -561,7 +527,8 @@
             assert outcome.status.value == 'ok'
         assert await cell.settle([first], 1) == {first: 'completed'}
 
-    play(scenario, CellShape(workers=(Shape('cpu'),)))
+    shape = CellShape(workers=(Shape('cpu'),), quota_window_ms=20_000)
+    play(scenario, shape)
     metrics = seen['metrics']
     assert 'tenant_jobs_total{tenant="surge",verdict="over_rate"} 2' in metrics
     assert 'tenant_wait_ms_count{tenant="surge"}' in metrics
@@ -575,12 +542,21 @@
     table = capsys.readouterr().out.splitlines()
     assert table[0].split()[:4] == ['TENANT', 'WEIGHT', 'RATE/S', 'CORES']
     surge_row = next(line for line in table if line.startswith(SURGE))
-    assert surge_row.split()[1:7] == ['1', '1', '16', '32', '1.000', '0.200']
+    assert surge_row.split()[1:7] == [
+        '0.05',
+        '0.05',
+        '16',
+        '32',
+        '1.000',
+        '0.200',
+    ]
     assert surge_row.endswith('rate share')
     assert main(['tenants', SURGE, *entry_option]) == 0
     told = capsys.readouterr().out
     assert 'share: ' in told
-    assert 'new jobs over 1 a second are refused with 429 in pool cpu' in told
+    assert (
+        'new jobs over 0.05 a second are refused with 429 in pool cpu' in told
+    )
     assert main(['tenants', 'calm', *entry_option]) == 0
     assert 'capacity: 3 jobs wait since ' in capsys.readouterr().out
     assert main(['tenants', 'nobody', *entry_option]) == 3
