Show no hold of a removal once its tenant is restored

Cause: the views used the mark that the last scheduling cycle left on a step. After a version restored a tenant, the cause was its quota with the mark "tenant" as the resource, on which `lycheerelay tenants NAME` failed with a KeyError. A raised quota was shown as reached for the same reason. Change: of the marks only that of a waiting gang is used; the account decides the rest. Result: the new test fails before the change (cause quota) and passes after it.

--- a/src/lycheerelay/workflow/_tenant_backlog.py
+++ b/src/lycheerelay/workflow/_tenant_backlog.py
@@ -12,7 +12,13 @@
 from .._resources import Resources
 from ._fit import is_in_service, meets_requirements
 from ._spec import critical_path_ms, objective_ms
-from ._state import CellState, StepInfo, WorkerInfo
+from ._state import (
+    INACTIVE_TENANT,
+    WAITING_GANG,
+    CellState,
+    StepInfo,
+    WorkerInfo,
+)
 
 # Steps that have waited longest and are checked for room. The first that some
 # worker could run counts.
@@ -56,13 +62,18 @@
 def quota_hold(step: StepInfo) -> str:
     """Return the resource whose quota holds a step back, or ''.
 
-    WAITING_GANG stands for the quota that is left to an earlier gang. A step that
-    waits for capacity is not marked as held, so its demand is compared with the quota
-    here.
+    WAITING_GANG stands for the quota that is left to an earlier gang, INACTIVE_TENANT
+    for a tenant that the configuration in force does not have. Other marks of the step
+    are as old as the last scheduling cycle, and a step that waits for capacity has
+    none, so its demand is compared with the quota here.
     """
     account = step.job.account
-    if step.held_by_quota or account is None:
-        return step.held_by_quota
+    if account is None:
+        return ''
+    if not account.is_active:
+        return INACTIVE_TENANT
+    if step.held_by_quota == WAITING_GANG:
+        return WAITING_GANG
     demand = step.spec.charged_demand.times(_tasks_together(step))
     shortage = account.find_shortage(demand)
     return '' if shortage is None else shortage.resource
--- a/src/lycheerelay/workflow/_tenant_views.py
+++ b/src/lycheerelay/workflow/_tenant_views.py
@@ -8,7 +8,7 @@
 
 from .._resources import Resources
 from ._fit import is_in_service
-from ._state import CellState, StepInfo
+from ._state import INACTIVE_TENANT, WAITING_GANG, CellState, StepInfo
 from ._tenant_backlog import dominant_share, quota_hold
 from ._tenants import TenantAccount
 
@@ -161,10 +161,10 @@
     if account is None:
         return None
     pool = step.job.spec.pool
-    if not account.is_active:
-        return HoldCause.REMOVED, pool
     held_by = quota_hold(step)
-    if held_by == HoldCause.GANG:
+    if held_by == INACTIVE_TENANT:
+        return HoldCause.REMOVED, pool
+    if held_by == WAITING_GANG:
         return HoldCause.GANG, pool
     if held_by:
         return HoldCause.QUOTA, held_by
--- a/tests/test_tenant_admission.py
+++ b/tests/test_tenant_admission.py
@@ -46,10 +46,12 @@
 from lycheerelay.workflow import submit as submit_job
 from lycheerelay.workflow._tenant_rates import TokenBucket
 from lycheerelay.workflow.tenants import (
+    HoldCause,
     PoolBacklog,
     TenantLedger,
     TenantPolicy,
     over_rate_backlogs,
+    view_tenants,
 )
 from lycheerelay_standins.platform import CellShape, PlatformCell, Shape, _cell
 from platform_days import job, play, step
@@ -427,6 +429,20 @@
     assert not site.monitor.published()['tenants']['rows']
 
 
+def test_a_tenant_that_is_restored_has_no_hold_of_its_removal() -> None:
+    """The command failed on a hold whose subject is not a resource."""
+    cell = _cell_with_backlog()
+    policies = [account.policy for account in cell.tenants.accounts.values()]
+    cell.tenants.configure(2, [])
+    submit_job(cell, spec_of('a', SURGE), 0)
+    dispatch(cell, 100)
+    views = {view.name: view for view in view_tenants(cell, 100)}
+    assert [hold.cause for hold in views[SURGE].holds] == [HoldCause.REMOVED]
+    cell.tenants.configure(3, policies)
+    views = {view.name: view for view in view_tenants(cell, 200)}
+    assert [hold.cause for hold in views[SURGE].holds] == [HoldCause.CAPACITY]
+
+
 class _Entry(BaseHTTPRequestHandler):
     """Answer like entry VMs, the second of which is the owner."""
 
