Refuse no job within the rate because a later one asked first

Cause: the tokens at the acceptance of a job were reduced by the grants to jobs that were accepted later, but not increased by what the tenant had earned until then. A tenant within its rate was refused when calls of two VMs reached the owner out of order. Change: the tokens are those after taking the granted jobs from a copy of the bucket, as reading their records does.

--- a/src/lycheerelay/serving/_tenant_monitor.py
+++ b/src/lycheerelay/serving/_tenant_monitor.py
@@ -46,6 +46,7 @@
     """A token that was granted to a submission that is not read yet."""
 
     tenant: str
+    accepted_ms: int
     until_ms: int
 
 
@@ -106,8 +107,9 @@
         if applicant is not None and any(
             row.tenant == applicant.tenant and has_token(row) for row in rows
         ):
-            grant = Grant(applicant.tenant, now_ms + GRANT_MS)
-            self.grants[applicant.job_id] = grant
+            self.grants[applicant.job_id] = Grant(
+                applicant.tenant, applicant.accepted_ms, now_ms + GRANT_MS
+            )
         return {'tenants': encode_rows(rows, now_ms - self.computed_ms)}
 
     def rows(
@@ -119,7 +121,7 @@
         grant to it counts as free.
         """
         ledger = self.context.cell.tenants
-        granted = self._count_grants(now_ms, applicant)
+        granted = self._granted_times(now_ms, applicant)
         rows = []
         for pool, shortage in self.shortages.items():
             for tenant, count in shortage.backlog.jobs.items():
@@ -128,14 +130,16 @@
                 at_ms = (
                     applicant.accepted_ms if applicant and is_own else now_ms
                 )
-                tokens = min(ledger.tokens_left(account, at_ms), MANY_TOKENS)
+                tokens = ledger.tokens_left(
+                    account, at_ms, granted.get(tenant, ())
+                )
                 rows.append(
                     TenantRow(
                         tenant,
                         pool,
                         count,
                         shortage.backlog.drain_ms,
-                        tokens - granted.get(tenant, 0),
+                        min(tokens, MANY_TOKENS),
                         account.policy.weight,
                     )
                 )
@@ -146,20 +150,21 @@
         for name in _GAUGES:
             self.context.metrics.gauge_tenants(name, {})
 
-    def _count_grants(
+    def _granted_times(
         self, now_ms: int, applicant: Applicant | None
-    ) -> dict[str, int]:
+    ) -> dict[str, list[int]]:
+        """Return the acceptance times of other jobs with a grant, by tenant."""
         jobs = self.context.cell.jobs
         self.grants = {
             other: grant
             for other, grant in self.grants.items()
             if grant.until_ms > now_ms and other not in jobs
         }
-        counts: dict[str, int] = {}
+        times: dict[str, list[int]] = {}
         for other, grant in self.grants.items():
             if applicant is None or other != applicant.job_id:
-                counts[grant.tenant] = counts.get(grant.tenant, 0) + 1
-        return counts
+                times.setdefault(grant.tenant, []).append(grant.accepted_ms)
+        return times
 
     def _update_shortages(self, now_ms: int) -> None:
         backlogs = over_rate_backlogs(self.context.cell, now_ms)
--- a/src/lycheerelay/workflow/_tenants.py
+++ b/src/lycheerelay/workflow/_tenants.py
@@ -6,7 +6,7 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 from .._resources import Resources
@@ -282,15 +282,24 @@
         rate = account.policy.weight
         return not account.bucket.take(rate, self.window_ms, accepted_ms)
 
-    def tokens_left(self, account: TenantAccount, accepted_ms: int) -> float:
+    def tokens_left(
+        self,
+        account: TenantAccount,
+        accepted_ms: int,
+        granted: Iterable[int] = (),
+    ) -> float:
         """Return how many jobs that are accepted at a time are within the rate.
 
-        Without rates every job is.
+        Without rates every job is. `granted` has the acceptance times of jobs that
+        are read before these.
         """
         if not self._has_rate(account):
             return math.inf
         rate = account.policy.weight
-        return account.bucket.tokens_at(rate, self.window_ms, accepted_ms)
+        bucket = replace(account.bucket)
+        for granted_ms in granted:
+            bucket.take(rate, self.window_ms, granted_ms)
+        return bucket.tokens_at(rate, self.window_ms, accepted_ms)
 
     def _has_rate(self, account: TenantAccount) -> bool:
         return bool(self.window_ms) and account.is_active
--- a/tests/test_tenant_admission.py
+++ b/tests/test_tenant_admission.py
@@ -267,6 +267,35 @@
     assert not refusal_s('second')
 
 
+def test_jobs_that_ask_out_of_order_are_within_the_rate_all_the_same(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A job within the rate was refused if one accepted later had asked first.
+
+    The calls of VMs at different distances reach the owner in another order.
+    """
+    site = Site(monkeypatch)
+    site.monitor.tick(3, site.clock.now_ms())
+    tenant = next(name for name in CALM if RATES[name] == 4)
+    begin_ms = site.clock.now_ms()
+    site.clock.advance(250)
+    specs = [
+        spec_of(f'at-{at_ms}', tenant)._replace(accepted_ms=begin_ms + at_ms)
+        for at_ms in (250, 0, 250)
+    ]
+    delays_s = []
+    for number, spec in enumerate(specs):
+        spec = spec._replace(job_id=f'{number}')
+        applicant = decode_applicant(encode_applicant(spec))
+        answer = site.monitor.published(applicant)
+        delays_s.append(site.gates[0].refusal_s(spec, answer, begin_ms + 250))
+    assert delays_s[:2] == [0, 0]
+    assert delays_s[2] > 0
+    for spec in specs:
+        submit_job(site.cell, spec, 0)
+    assert not any(job.is_over_rate for job in site.cell.jobs.values())
+
+
 def test_a_pool_does_not_become_short_and_recover_in_turn() -> None:
     """A wait that swings around one threshold must not change the state."""
     slack_ms = 8000
