End the views of tenants when a version removes all tenants

Cause: without tenants the monitor of the owner only forgot the shortages. The gauges by tenant, the rows of the dump and the open holds in the log stayed until the term ended. Change: it clears the views and gauges, and logs the end of shortages and shares. Result: the new test fails before the change (19 rows in the dump) and passes after it.

--- a/src/lycheerelay/serving/_tenant_monitor.py
+++ b/src/lycheerelay/serving/_tenant_monitor.py
@@ -80,7 +80,8 @@
     def tick(self, ticks: int, now_ms: int) -> None:
         """Compute what is due; nothing without tenants."""
         if not self.has_tenants:
-            self.shortages = {}
+            if self.views or self.shortages:
+                self._clear(now_ms)
             return
         try:
             self._update(ticks, now_ms)
@@ -150,6 +151,14 @@
         for name in _GAUGES:
             self.context.metrics.gauge_tenants(name, {})
 
+    def _clear(self, now_ms: int) -> None:
+        """Forget the tenants, which the configuration in force does not have."""
+        self._replace_shortages({}, now_ms)
+        self.views = ()
+        self.held_since_ms = {}
+        self._log_shares(now_ms)
+        self.end()
+
     def _granted_times(
         self, now_ms: int, applicant: Applicant | None
     ) -> dict[str, list[int]]:
@@ -168,16 +177,22 @@
 
     def _update_shortages(self, now_ms: int) -> None:
         backlogs = over_rate_backlogs(self.context.cell, now_ms)
-        before = self.shortages
-        self.shortages = {}
+        shortages = {}
         for pool, backlog in backlogs.items():
-            known = before.get(pool)
+            known = self.shortages.get(pool)
             may_begin = known is not None or backlog.lacks_room
             if may_begin and is_short(
                 known is not None, backlog.waited_ms, backlog.slack_ms
             ):
                 since_ms = now_ms if known is None else known.since_ms
-                self.shortages[pool] = Shortage(backlog, since_ms)
+                shortages[pool] = Shortage(backlog, since_ms)
+        self._replace_shortages(shortages, now_ms)
+
+    def _replace_shortages(
+        self, shortages: dict[str, Shortage], now_ms: int
+    ) -> None:
+        before = self.shortages
+        self.shortages = shortages
         self.computed_ms = now_ms
         for pool in self.shortages.keys() - before.keys():
             _log_shortage('pool_short', self.shortages[pool], now_ms)
--- a/tests/test_tenant_admission.py
+++ b/tests/test_tenant_admission.py
@@ -30,6 +30,7 @@
     is_short,
     retry_after_s,
 )
+from lycheerelay.serving._tenant_dump import dump_tenants
 from lycheerelay.serving._tenant_gate import TenantGate
 from lycheerelay.serving._tenant_monitor import TenantMonitor
 from lycheerelay.traces import Cause, LineCounts, build_timelines, read_lines
@@ -458,6 +459,20 @@
     assert not site.monitor.published()['tenants']['rows']
 
 
+def test_views_end_with_the_tenants(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Gauges and rows of operators must not show tenants that no longer count."""
+    site = Site(monkeypatch)
+    site.monitor.tick(30, site.clock.now_ms())
+    metrics = site.monitor.context.metrics
+    assert site.monitor.views
+    assert 'tenant_cores{' in metrics.render()
+    site.cell.tenants.configure(2, [], is_enforced=False)
+    site.monitor.tick(31, site.clock.now_ms())
+    assert not dump_tenants(site.monitor, site.clock.now_ms())
+    assert 'tenant_cores{' not in metrics.render()
+    assert not site.monitor.published()
+
+
 def test_a_tenant_that_is_restored_has_no_hold_of_its_removal() -> None:
     """The command failed on a hold whose subject is not a resource."""
     cell = _cell_with_backlog()
