Mark no job as over a rate while there are no tenants

Cause: after a version without a `tenants` field, jobs that had a tenant by an earlier version were counted against a rate of one job a second when an owner read them, which put them behind other jobs. Change: rates apply only while the tenants do. Result: the new test fails before the change and passes after it.

--- a/src/lycheerelay/workflow/_tenants.py
+++ b/src/lycheerelay/workflow/_tenants.py
@@ -302,4 +302,5 @@
         return bucket.tokens_at(rate, self.window_ms, accepted_ms)
 
     def _has_rate(self, account: TenantAccount) -> bool:
-        return bool(self.window_ms) and account.is_active
+        is_limited = self.is_enforced and bool(self.window_ms)
+        return is_limited and account.is_active
--- a/tests/test_tenant_admission.py
+++ b/tests/test_tenant_admission.py
@@ -4,6 +4,7 @@
 import heapq
 import itertools
 import json
+import math
 import random
 import threading
 from collections import Counter
@@ -473,6 +474,15 @@
     assert not site.monitor.published()
 
 
+def test_without_tenants_no_job_is_over_a_rate() -> None:
+    """Jobs that an earlier version gave a tenant must keep their order."""
+    ledger = TenantLedger(window_ms=WINDOW_MS)
+    ledger.configure(1, [], is_enforced=False)
+    account = ledger.find(SURGE)
+    assert not any(ledger.is_over_rate(account, 0) for _ in range(20))
+    assert ledger.tokens_left(account, 0) == math.inf
+
+
 def test_a_tenant_that_is_restored_has_no_hold_of_its_removal() -> None:
     """The command failed on a hold whose subject is not a resource."""
     cell = _cell_with_backlog()
