Keep the rows about tenants when a call has a revoked key

Cause: the owner answered calls with a revoked key with waits but without rows, which the asking VM reads as "no tenant is over its rate". Each such call let the surging tenants through at that VM until its next answer or hello, up to 1 s later. Change: every answer with waits has the rows. A job without a tenant returns before the rows are computed, since no row can concern it.

--- a/src/lycheerelay/serving/_request_handler.py
+++ b/src/lycheerelay/serving/_request_handler.py
@@ -181,8 +181,7 @@
         if owner is None or not owner.is_serving:
             return None
         if self.checks.is_revoked(identity, job_id):
-            waits_now = encode_waits(owner.waits)
-            return {'phase': None, 'waits': waits_now, REVOKED_FIELD: True}
+            return {'phase': None, REVOKED_FIELD: True, **_published(owner)}
         job = owner.cell.jobs.get(job_id)
         if job is None:
             if not await owner.catch_up() or not owner.is_serving:
@@ -193,8 +192,7 @@
         if waits and job is not None:
             await owner.results.wait(job)
         phase: JobPhase | None = None if job is None else job.visible_phase
-        published = owner.tenants.published(None if job else applicant)
-        return {'phase': phase, 'waits': encode_waits(owner.waits), **published}
+        return {'phase': phase, **_published(owner, None if job else applicant)}
 
     def answer_waiting(
         self, queue: str, identity: Identity = EVERYONE
@@ -207,8 +205,7 @@
         if owner is None or not owner.is_serving:
             return None
         if self.checks.is_revoked(identity, queue):
-            waits_now = encode_waits(owner.waits)
-            return {'waiting': 0, 'waits': waits_now, REVOKED_FIELD: True}
+            return {'waiting': 0, REVOKED_FIELD: True, **_published(owner)}
         waiting = sum(
             1
             for job in owner.cell.jobs.values()
@@ -217,11 +214,7 @@
             and not job.is_final
             and identity.may_access(job.spec.tenant)
         )
-        return {
-            'waiting': waiting,
-            'waits': encode_waits(owner.waits),
-            **owner.tenants.published(),
-        }
+        return {'waiting': waiting, **_published(owner)}
 
     async def append_for_peer(
         self, record: KeyedRecord, identity: Identity = EVERYONE
@@ -329,11 +322,13 @@
     async def _refuse_over_rate(
         self, spec: WorkflowSpec, identity: Identity
     ) -> RequestResult | None:
+        if not spec.tenant:
+            return None
         gate = self.tenant_gate
         sent_ms = self.clock.now_ms()
         if self.owner is not None:
             gate.receive(self.owner.tenants.published(), sent_ms)
-        elif spec.tenant and gate.needs_news:
+        elif gate.needs_news:
             self.peers.send_hello_soon()
         if not gate.is_doubtful(spec):
             return None
@@ -381,6 +376,17 @@
         return outcome
 
 
+def _published(
+    owner: Owner, applicant: Applicant | None = None
+) -> dict[str, Any]:
+    """Return what each answer of the owner tells other VMs.
+
+    An answer with waits but without rows would clear the rows of its receiver.
+    """
+    rows = owner.tenants.published(applicant)
+    return {'waits': encode_waits(owner.waits), **rows}
+
+
 def _missing_job_result(answer: dict[str, Any]) -> RequestResult:
     is_revoked = bool(answer.get(REVOKED_FIELD))
     return RequestResult(
--- a/tests/test_tenant_keys.py
+++ b/tests/test_tenant_keys.py
@@ -16,8 +16,10 @@
     QueueTable,
     digest_of,
 )
+from lycheerelay.serving._request_result import RequestStatus
+from lycheerelay.serving._tenant_monitor import Shortage
 from lycheerelay.workflow import QueuePolicy
-from lycheerelay.workflow.tenants import TenantPolicy
+from lycheerelay.workflow.tenants import PoolBacklog, TenantPolicy
 from lycheerelay_standins.platform import CellShape, PlatformCell
 from platform_days import STORE, job, play, step
 from tenant_calls import (
@@ -178,6 +180,32 @@
     play(scenario, IDLE)
 
 
+def test_an_answer_about_a_revoked_key_keeps_the_rows_of_tenants() -> None:
+    """Guards against a revoked key that lets a surge through.
+
+    An answer without rows says that the owner has no tenant over its rate.
+    """
+
+    async def scenario(cell: PlatformCell) -> None:
+        await begin(cell)
+        owner = cell.entries[cell.owner()].handler.owner
+        assert owner is not None
+        backlog = PoolBacklog('cpu', {'bob': 9}, 5000, 2000, True, 8000)
+        owner.tenants.shortages['cpu'] = Shortage(backlog, 0)
+        vm = cell.entries[other_vm(cell)]
+        revoked = Identity('ada', digest_of('revoked').hex(), 1)
+        await vm.handler.state(JOB, 'batch', 3000)
+        assert vm.handler.tenant_gate.rows.rows
+        refused = await vm.handler.state(JOB, 'batch', 3000, revoked)
+        assert refused.status is RequestStatus.KEY_REFUSED
+        assert vm.handler.tenant_gate.rows.rows
+        refused = await vm.handler.waiting('batch', 3000, revoked)
+        assert refused.status is RequestStatus.KEY_REFUSED
+        assert vm.handler.tenant_gate.rows.rows
+
+    play(scenario, IDLE)
+
+
 def test_an_owner_with_an_older_version_trusts_the_sender() -> None:
     """Guards against new keys that fail until the owner has read them."""
 
