Log the key and the version with each refused submission

Refusals for the rate, the quota, lateness and the store had only the job and the queue, so that operators could not assign them to a key. Without tenants the line is unchanged. Result: the new test fails before the change (no key_digest) and passes after it; tests of keys, docs, traces and admission pass.

--- a/src/lycheerelay/serving/_caller_checks.py
+++ b/src/lycheerelay/serving/_caller_checks.py
@@ -70,6 +70,12 @@
         self._report_known(RefusalCause.UNKNOWN_KEY, identity, what)
         return True
 
+    def describe(self, identity: Identity) -> dict[str, object]:
+        """Return what may be logged of an identified caller, if it has a key."""
+        if not identity.digest:
+            return {}
+        return self._describe(shorten(identity.digest), identity.tenant or '')
+
     def _report_known(
         self, cause: RefusalCause, identity: Identity, what: str
     ) -> None:
@@ -78,7 +84,6 @@
 
     def _report(self, refusal: Refusal, what: str, job_id: str = '') -> None:
         cause = refusal.cause.value
-        table = self.config.table
         self.metrics.count('callers_refused', cause=cause)
         logger.info(
             'caller_refused',
@@ -86,9 +91,15 @@
                 'cause': cause,
                 'what': what,
                 **({'job': job_id} if job_id else {}),
-                'key_digest': refusal.short_digest,
-                'tenant': refusal.tenant,
-                'version': table.version if table else 0,
-                'version_age_ms': self.config.age_ms,
+                **self._describe(refusal.short_digest, refusal.tenant),
             },
         )
+
+    def _describe(self, short_digest: str, tenant: str) -> dict[str, object]:
+        table = self.config.table
+        return {
+            'key_digest': short_digest,
+            'tenant': tenant,
+            'version': table.version if table else 0,
+            'version_age_ms': self.config.age_ms,
+        }
--- a/src/lycheerelay/serving/_request_handler.py
+++ b/src/lycheerelay/serving/_request_handler.py
@@ -93,14 +93,14 @@
             outcome = await self._accept_known_or(
                 refusal, spec.job_id, identity
             )
-            return self._report_submission(spec, outcome, begun_ms)
+            return self._report_submission(spec, identity, outcome, begun_ms)
         over_rate = await self._refuse_over_rate(spec, identity)
         if over_rate is not None:
-            return self._report_submission(spec, over_rate, begun_ms)
+            return self._report_submission(spec, identity, over_rate, begun_ms)
         record = KeyedRecord(f'{JOB_PREFIX}{spec.job_id}', encode_spec(spec))
         remaining_ms = timeout_ms - (self.clock.now_ms() - begun_ms)
         outcome = await self._append(record, identity, remaining_ms, 'submit')
-        return self._report_submission(spec, outcome, begun_ms)
+        return self._report_submission(spec, identity, outcome, begun_ms)
 
     async def cancel(
         self,
@@ -344,12 +344,18 @@
         return RequestResult(RequestStatus.OVER_RATE, retry_after_s=delay_s)
 
     def _report_submission(
-        self, spec: WorkflowSpec, outcome: RequestResult, begun_ms: int
+        self,
+        spec: WorkflowSpec,
+        identity: Identity,
+        outcome: RequestResult,
+        begun_ms: int,
     ) -> RequestResult:
         verdict = outcome.status.value
         self.metrics.count_job('tenant_jobs', spec.tenant, verdict=verdict)
+        is_accepted = outcome.status is RequestStatus.OK
+        caller = {} if is_accepted else self.checks.describe(identity)
         return self._report(
-            'submit', spec.job_id, spec.queue, outcome, begun_ms
+            'submit', spec.job_id, spec.queue, outcome, begun_ms, **caller
         )
 
     def _report(
@@ -359,6 +365,7 @@
         queue: str,
         outcome: RequestResult,
         begun_ms: int,
+        **caller: object,
     ) -> RequestResult:
         status = outcome.status.value
         self.metrics.count('requests', what=operation, verdict=status)
@@ -371,6 +378,7 @@
                 'verdict': status,
                 'answer': outcome.content,
                 'took_ms': self.clock.now_ms() - begun_ms,
+                **caller,
             },
         )
         return outcome
--- a/tests/test_tenant_keys.py
+++ b/tests/test_tenant_keys.py
@@ -19,6 +19,7 @@
 from lycheerelay.serving._request_result import RequestStatus
 from lycheerelay.serving._tenant_monitor import Shortage
 from lycheerelay.workflow import QueuePolicy
+from lycheerelay.workflow._tenant_rates import TokenBucket
 from lycheerelay.workflow.tenants import PoolBacklog, TenantPolicy
 from lycheerelay_standins.platform import CellShape, PlatformCell
 from platform_days import STORE, job, play, step
@@ -206,6 +207,36 @@
     play(scenario, IDLE)
 
 
+def test_a_refusal_for_the_rate_tells_whose_key_was_used(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against refusals that operators cannot assign to a key."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        await begin(cell)
+        owner = cell.entries[cell.owner()].handler.owner
+        assert owner is not None
+        owner.cell.tenants.window_ms = 5000
+        account = owner.cell.tenants.accounts['bob']
+        account.bucket = TokenBucket(0, cell.clock.now_ms())
+        backlog = PoolBacklog('cpu', {'bob': 9}, 5000, 2000, True, 8000)
+        owner.tenants.shortages['cpu'] = Shortage(backlog, 0)
+        refused = request('POST', JOB, BOB)
+        assert await status(cell, cell.owner(), refused) == 429
+
+    with caplog.at_level(logging.INFO, 'lycheerelay'):
+        play(scenario, IDLE)
+    (line,) = [
+        record.__dict__
+        for record in caplog.records
+        if getattr(record, 'verdict', '') == 'over_rate'
+    ]
+    assert line['key_digest'] == digest_of(BOB).hex()[:8]
+    assert line['tenant'] == 'bob'
+    assert line['version'] > 0
+    assert 0 <= line['version_age_ms'] < 5000
+
+
 def test_an_owner_with_an_older_version_trusts_the_sender() -> None:
     """Guards against new keys that fail until the owner has read them."""
 
