Take the usage in the views of tenants from their accounts

Cause: the views added up all runs of the cell once a second, since the accounts had no usage by pool when they were written: 7.6 ms with 12,740 runs, 980 workers and 94 tenants. Change: they read `used_by_pool` of the accounts, as the fair order does.

--- a/src/lycheerelay/workflow/_tenant_views.py
+++ b/src/lycheerelay/workflow/_tenant_views.py
@@ -1,6 +1,5 @@
 """Show for each tenant what it uses, what waits and why."""
 
-from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import StrEnum, unique
@@ -107,15 +106,12 @@
 
 def _usage_by_pool(cell: CellState, now_ms: int) -> dict[str, _PoolUsage]:
     usage = {worker.pool: _PoolUsage() for worker in cell.workers.values()}
-    # Counted by step first, since a cell has thousands of runs.
-    runs: dict[str, Counter[StepInfo]] = {pool: Counter() for pool in usage}
     for worker in cell.workers.values():
         if is_in_service(worker, now_ms):
             pool = usage[worker.pool]
             pool.capacity = pool.capacity.plus(worker.capacity)
-            runs[worker.pool].update(run.step for run in worker.runs.values())
-    for name, counts in runs.items():
-        _add_runs(usage[name], counts)
+    for known in cell.tenants.accounts.values():
+        _add_account(usage, known)
     for step in _waiting_steps(cell):
         account = step.job.account
         if account is not None and step.job.spec.pool in usage:
@@ -126,14 +122,12 @@
     return usage
 
 
-def _add_runs(usage: _PoolUsage, counts: Counter[StepInfo]) -> None:
-    for step, count in counts.items():
-        account = step.job.account
-        if account is not None:
+def _add_account(usage: dict[str, _PoolUsage], account: TenantAccount) -> None:
+    for pool, used in account.used_by_pool.items():
+        if pool in usage and any(used):
             name = account.policy.name
-            usage.active[name] = account.policy.weight
-            used = usage.used.get(name, Resources())
-            usage.used[name] = used.plus(step.spec.demand.times(count))
+            usage[pool].active[name] = account.policy.weight
+            usage[pool].used[name] = used
 
 
 def _waiting_steps(cell: CellState) -> Iterator[StepInfo]:
