--- a/src/lycheerelay/serving/_tenant_monitor.py
+++ b/src/lycheerelay/serving/_tenant_monitor.py
@@ -14,7 +14,6 @@
     PoolBacklog,
     TenantView,
     over_rate_backlogs,
-    tokens_left,
     view_tenants,
 )
 from ._context import OwnerContext
@@ -47,6 +46,7 @@
     """A token that was granted to a submission that is not read yet."""
 
     tenant: str
+    accepted_ms: int
     until_ms: int
 
 
@@ -80,7 +80,8 @@
     def tick(self, ticks: int, now_ms: int) -> None:
         """Compute what is due; nothing without tenants."""
         if not self.has_tenants:
-            self.shortages = {}
+            if self.views or self.shortages:
+                self._clear(now_ms)
             return
         try:
             self._update(ticks, now_ms)
@@ -107,8 +108,9 @@
         if applicant is not None and any(
             row.tenant == applicant.tenant and has_token(row) for row in rows
         ):
-            grant = Grant(applicant.tenant, now_ms + GRANT_MS)
-            self.grants[applicant.job_id] = grant
+            self.grants[applicant.job_id] = Grant(
+                applicant.tenant, applicant.accepted_ms, now_ms + GRANT_MS
+            )
         return {'tenants': encode_rows(rows, now_ms - self.computed_ms)}
 
     def rows(
@@ -119,24 +121,26 @@
         For the tenant of an applicant they are those at its acceptance, and a
         grant to it counts as free.
         """
-        cell = self.context.cell
-        granted = self._count_grants(now_ms, applicant)
+        ledger = self.context.cell.tenants
+        granted = self._granted_times(now_ms, applicant)
         rows = []
         for pool, shortage in self.shortages.items():
             for tenant, count in shortage.backlog.jobs.items():
-                account = cell.tenants.accounts[tenant]
+                account = ledger.accounts[tenant]
                 is_own = applicant is not None and applicant.tenant == tenant
                 at_ms = (
                     applicant.accepted_ms if applicant and is_own else now_ms
                 )
-                tokens = min(tokens_left(cell, account, at_ms), MANY_TOKENS)
+                tokens = ledger.tokens_left(
+                    account, at_ms, granted.get(tenant, ())
+                )
                 rows.append(
                     TenantRow(
                         tenant,
                         pool,
                         count,
                         shortage.backlog.drain_ms,
-                        tokens - granted.get(tenant, 0),
+                        min(tokens, MANY_TOKENS),
                         account.policy.weight,
                     )
                 )
@@ -147,33 +151,48 @@
         for name in _GAUGES:
             self.context.metrics.gauge_tenants(name, {})
 
-    def _count_grants(
+    def _clear(self, now_ms: int) -> None:
+        """Forget the tenants, which the configuration in force does not have."""
+        self._replace_shortages({}, now_ms)
+        self.views = ()
+        self.held_since_ms = {}
+        self._log_shares(now_ms)
+        self.end()
+
+    def _granted_times(
         self, now_ms: int, applicant: Applicant | None
-    ) -> dict[str, int]:
+    ) -> dict[str, list[int]]:
+        """Return the acceptance times of other jobs with a grant, by tenant."""
         jobs = self.context.cell.jobs
         self.grants = {
             other: grant
             for other, grant in self.grants.items()
             if grant.until_ms > now_ms and other not in jobs
         }
-        counts: dict[str, int] = {}
+        times: dict[str, list[int]] = {}
         for other, grant in self.grants.items():
             if applicant is None or other != applicant.job_id:
-                counts[grant.tenant] = counts.get(grant.tenant, 0) + 1
-        return counts
+                times.setdefault(grant.tenant, []).append(grant.accepted_ms)
+        return times
 
     def _update_shortages(self, now_ms: int) -> None:
         backlogs = over_rate_backlogs(self.context.cell, now_ms)
-        before = self.shortages
-        self.shortages = {}
+        shortages = {}
         for pool, backlog in backlogs.items():
-            known = before.get(pool)
+            known = self.shortages.get(pool)
             may_begin = known is not None or backlog.lacks_room
             if may_begin and is_short(
                 known is not None, backlog.waited_ms, backlog.slack_ms
             ):
                 since_ms = now_ms if known is None else known.since_ms
-                self.shortages[pool] = Shortage(backlog, since_ms)
+                shortages[pool] = Shortage(backlog, since_ms)
+        self._replace_shortages(shortages, now_ms)
+
+    def _replace_shortages(
+        self, shortages: dict[str, Shortage], now_ms: int
+    ) -> None:
+        before = self.shortages
+        self.shortages = shortages
         self.computed_ms = now_ms
         for pool in self.shortages.keys() - before.keys():
             _log_shortage('pool_short', self.shortages[pool], now_ms)
--- a/src/lycheerelay/workflow/_tenants.py
+++ b/src/lycheerelay/workflow/_tenants.py
@@ -4,8 +4,9 @@
 versions of the configuration lower their quotas and owners change.
 """
 
+import math
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 from .._resources import Resources
@@ -305,7 +306,30 @@
 
         Jobs that are read before their tenant is known are not counted.
         """
-        if not self.window_ms or not account.is_active:
+        if not self._has_rate(account):
             return False
         rate = account.policy.weight
         return not account.bucket.take(rate, self.window_ms, accepted_ms)
+
+    def tokens_left(
+        self,
+        account: TenantAccount,
+        accepted_ms: int,
+        granted: Iterable[int] = (),
+    ) -> float:
+        """Return how many jobs that are accepted at a time are within the rate.
+
+        Without rates every job is. `granted` has the acceptance times of jobs that
+        are read before these.
+        """
+        if not self._has_rate(account):
+            return math.inf
+        rate = account.policy.weight
+        bucket = replace(account.bucket)
+        for granted_ms in granted:
+            bucket.take(rate, self.window_ms, granted_ms)
+        return bucket.tokens_at(rate, self.window_ms, accepted_ms)
+
+    def _has_rate(self, account: TenantAccount) -> bool:
+        is_limited = self.is_enforced and bool(self.window_ms)
+        return is_limited and account.is_active
--- a/src/lycheerelay_standins/platform/_cell.py
+++ b/src/lycheerelay_standins/platform/_cell.py
@@ -130,7 +130,7 @@
 
     def _tenant_settings(self) -> dict[str, Any]:
         if not self.shape.tenants:
-            return {}
+            return {'quota_window_ms': self.shape.quota_window_ms}
         bounds = self.shape.bounds
         return {
             'strict_revocation': True,
--- a/src/lycheerelay_standins/platform/_environment.py
+++ b/src/lycheerelay_standins/platform/_environment.py
@@ -46,7 +46,8 @@
     """Size and settings of a cell.
 
     `keeps_ids` says whether a worker that a task has crashed starts again under
-    its id. Without tenants the configuration has neither tenants nor keys.
+    its id. Without tenants the configuration has neither tenants nor keys, and
+    `quota_window_ms` applies to a configuration that a test publishes itself.
     """
 
     vms: int = 3
@@ -57,6 +58,7 @@
     keeps_ids: bool = False
     tenants: tuple[TenantShape, ...] = ()
     bounds: TenantBounds = TenantBounds()
+    quota_window_ms: int = 0
 
 
 class Environment(ABC):
