Keep public queues from reaching the jobs of other queues

Cause: a call through a public queue carries no key, and could show and cancel the job of any tenant by its id. Change: such a call reaches jobs without a tenant and those of its own queue, so that callers of a queue that became public still find their jobs. The internal calls and the stored cancellation carry the queue.

--- a/src/lycheerelay/serving/_credentials.py
+++ b/src/lycheerelay/serving/_credentials.py
@@ -10,6 +10,7 @@
 
 from result import Err, Ok, Result
 
+from ..workflow import WorkflowSpec
 from ._queues import Queue, QueueTable, digest_of
 
 # Enough to tell the keys of a configuration apart, too few to derive a key.
@@ -28,23 +29,27 @@
 class Identity(NamedTuple):
     """Tenant of a call, and the key and version that prove it.
 
-    `tenant` is None if the call may access every job: it came through a public
-    queue, or there are no tenants. An empty name stands for a call without a
-    key, which may access jobs without a tenant only. `digest` is the SHA-256
-    digest of the key, in hexadecimal.
+    `tenant` is None if there are no tenants, so that the call may access every
+    job. An empty name stands for a call without a key, which may access jobs
+    without a tenant and those of `queue`, the public queue that it came through.
+    `digest` is the SHA-256 digest of the key, in hexadecimal.
     """
 
     tenant: str | None = None
     digest: str = ''
     version: int = 0
+    queue: str = ''
 
-    def may_access(self, tenant: str) -> bool:
-        """Return whether a job with this tenant is visible to the call.
+    def may_access(self, spec: WorkflowSpec) -> bool:
+        """Return whether a job is visible to the call.
 
         A job without a tenant came through a public queue, or was accepted
-        before there were tenants.
+        before there were tenants. A queue that became public may have jobs of
+        tenants, whose callers send no key any more.
         """
-        return self.tenant is None or tenant in {'', self.tenant}
+        if self.tenant is None or spec.tenant in {'', self.tenant}:
+            return True
+        return bool(self.queue) and spec.queue == self.queue
 
 
 EVERYONE: Final = Identity()
@@ -70,8 +75,10 @@
     `is_current` says whether the configuration is new enough to trust its keys.
     Without a queue, the call names a job only, which may have no tenant.
     """
-    if not table.requires_keys or (queue is not None and queue.is_public):
+    if not table.requires_keys:
         return Ok(EVERYONE)
+    if queue is not None and queue.is_public:
+        return Ok(KEYLESS._replace(queue=queue.policy.name))
     if not key:
         missing = Refusal(RefusalCause.MISSING_KEY)
         return Ok(KEYLESS) if queue is None else Err(missing)
@@ -111,6 +118,7 @@
         'tenant': identity.tenant,
         'key_digest': identity.digest,
         'version': identity.version,
+        'queue_of_call': identity.queue,
     }
 
 
@@ -125,4 +133,5 @@
         return EVERYONE
     digest = str(fields['key_digest'])
     bytes.fromhex(digest)
-    return Identity(str(tenant), digest, int(fields['version']))
+    queue = str(fields.get('queue_of_call', ''))
+    return Identity(str(tenant), digest, int(fields['version']), queue)
--- a/src/lycheerelay/serving/_job_stream.py
+++ b/src/lycheerelay/serving/_job_stream.py
@@ -26,7 +26,7 @@
     """
     if identity.tenant is None:
         return b'{}'
-    return orjson.dumps({'tenant': identity.tenant})
+    return orjson.dumps({'tenant': identity.tenant, 'queue': identity.queue})
 
 
 def decode_cancellation(payload: bytes | None) -> Identity:
@@ -35,7 +35,10 @@
         fields = orjson.loads(payload or b'{}')
     except ValueError:
         return Identity('')
-    return Identity(fields.get('tenant') if isinstance(fields, dict) else None)
+    if not isinstance(fields, dict):
+        return Identity('')
+    queue = str(fields.get('queue', ''))
+    return Identity(fields.get('tenant'), queue=queue)
 
 
 @final
@@ -123,7 +126,7 @@
         job = cell.jobs.get(job_id)
         is_allowed = job is None or decode_cancellation(
             record.payload
-        ).may_access(job.spec.tenant)
+        ).may_access(job.spec)
         effect = is_allowed and cancel(cell, job_id, self.context.now_ms)
         logger.info(
             'cancel_read',
--- a/src/lycheerelay/serving/_request_handler.py
+++ b/src/lycheerelay/serving/_request_handler.py
@@ -187,7 +187,7 @@
             if not await owner.catch_up() or not owner.is_serving:
                 return None
             job = owner.cell.jobs.get(job_id)
-        if job is not None and not identity.may_access(job.spec.tenant):
+        if job is not None and not identity.may_access(job.spec):
             job = None
         if waits and job is not None:
             await owner.results.wait(job)
@@ -212,7 +212,7 @@
             if job.spec.queue == queue
             and not job.started
             and not job.is_final
-            and identity.may_access(job.spec.tenant)
+            and identity.may_access(job.spec)
         )
         return {'waiting': waiting, **_published(owner)}
 
--- a/tests/tenant_calls.py
+++ b/tests/tenant_calls.py
@@ -34,8 +34,12 @@
         return self.body
 
 
-def publish(cell: PlatformCell, **keys: tuple[str, ...]) -> None:
-    """Write the next version: a queue with keys and a public one."""
+def publish(
+    cell: PlatformCell,
+    public: tuple[str, ...] = ('open',),
+    **keys: tuple[str, ...],
+) -> None:
+    """Write the next version with two queues, of which some are public."""
     cell.version += 1
     routes = [
         {
@@ -44,7 +48,7 @@
             'pathPrefix': f'/{name}/',
             'service': 'cpu',
             'maxAttempts': 3,
-            'public': name == 'open',
+            'public': name in public,
         }
         for name in ('batch', 'open')
     ]
--- a/tests/test_tenant_keys.py
+++ b/tests/test_tenant_keys.py
@@ -100,9 +100,10 @@
             assert await status(cell, vm, request('GET', JOB, BOB)) == 410
             assert await status(cell, vm, request('DELETE', JOB, BOB)) == 410
             assert await status(cell, vm, request('GET', JOB, ADA)) == 200
-            assert (
-                await status(cell, vm, request('GET', JOB, queue='open')) == 200
-            )
+            # A public queue is no way to the jobs of other queues.
+            for method in ('GET', 'DELETE'):
+                by_open = request(method, JOB, queue='open')
+                assert await status(cell, vm, by_open) == 410
         cell.kill_vm(cell.owner())
         vm = next(iter(cell.entries))
         # A VM stores this cancellation while no owner knows the job.
@@ -116,6 +117,24 @@
     play(scenario, IDLE)
 
 
+def test_callers_of_a_queue_that_became_public_keep_their_jobs() -> None:
+    """Guards against a 410 for accepted jobs whose callers send no key now."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        await begin(cell)
+        assert await status(cell, 'vm-0', request('POST', JOB, ADA)) == 200
+        publish(cell, public=('open', 'batch'), **KEYS)
+        await asyncio.sleep(3)
+        for vm in cell.entries:
+            assert await status(cell, vm, request('GET', JOB)) == 200
+        assert await status(cell, 'vm-0', request('DELETE', JOB)) == 200
+        await asyncio.sleep(1)
+        _, fields = await call(cell, 'vm-0', request('GET', JOB))
+        assert fields['state'] == 'cancelled'
+
+    play(scenario, IDLE)
+
+
 def test_waiting_jobs_of_other_tenants_are_not_counted() -> None:
     """Guards against counts from which a tenant learns the load of others."""
 
