Log which worker's crash is counted, and how it was found out

Cause: the record of the incident cannot tell counted crashes that happened from others: crash_counted names neither the worker nor the reason, and nothing counts the tasks that wait for a trial. Change: crash_counted has the worker and the sign (replaced, restarted, recorded); step_stalled has its suspects; the gauge waiting_suspects counts them over all steps. No change of a decision. Conclusion: the hypotheses of the incident can be told apart from the log of one owner.

--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -14,6 +14,7 @@
     PoolWaits,
     WorkerKey,
     WorkerListing,
+    count_waiting_suspects,
     dispatch,
     expire_jobs,
     list_worker,
@@ -351,6 +352,8 @@
         if ticks % STALL_CHECK_TICKS == 0:
             stalled = report_stalled_steps(self.cell, now_ms)
             self.context.metrics.gauge('stalled_steps', stalled)
+            suspects = count_waiting_suspects(self.cell)
+            self.context.metrics.gauge('waiting_suspects', suspects)
 
     async def _run_cycles(self) -> None:
         while not self.cell.deposed:
--- a/src/lycheerelay/workflow/__init__.py
+++ b/src/lycheerelay/workflow/__init__.py
@@ -47,7 +47,7 @@
     make_step_spec,
     objective_ms,
 )
-from ._stalls import report_stalled_steps
+from ._stalls import count_waiting_suspects, report_stalled_steps
 from ._state import (
     FINAL_PHASES,
     NEVER,
@@ -109,6 +109,7 @@
     'apply_run_table',
     'remove_replaced_worker',
     'cancel',
+    'count_waiting_suspects',
     'dispatch',
     'encode_progress',
     'expire_jobs',
--- a/src/lycheerelay/workflow/_crashes.py
+++ b/src/lycheerelay/workflow/_crashes.py
@@ -7,8 +7,9 @@
 
 import itertools
 from collections import Counter
-from collections.abc import Iterable, Mapping
-from typing import Final
+from collections.abc import Mapping
+from enum import StrEnum, unique
+from typing import Final, NamedTuple
 
 from ._intake import finalize_job, find_step, steps_of
 from ._log_events import log_event
@@ -24,11 +25,31 @@
 MAX_CRASHES: Final = 4
 
 
-def count_crash(
-    cell: CellState, suspects: Iterable[Suspect], now_ms: int
-) -> None:
+@unique
+class CrashSign(StrEnum):
+    """How an owner has learned that a worker crashed.
+
+    REPLACED: another worker answers at its address. RESTARTED: a later instance
+    answers under its id. RECORDED: so it was with the instance that an earlier
+    owner had recorded.
+    """
+
+    REPLACED = 'replaced'
+    RESTARTED = 'restarted'
+    RECORDED = 'recorded'
+
+
+class Crash(NamedTuple):
+    """Crash of a worker, and the runs that may have caused it."""
+
+    worker_id: str
+    sign: CrashSign
+    suspects: tuple[Suspect, ...]
+
+
+def count_crash(cell: CellState, crash: Crash, now_ms: int) -> None:
     """Count the crash of a worker, and give up the tasks that caused enough."""
-    for suspect in suspects:
+    for suspect in crash.suspects:
         step = find_step(cell, suspect.run)
         if step is None or step.job.is_final:
             continue
@@ -42,6 +63,8 @@
             cell,
             'crash_counted',
             run=suspect.run,
+            worker=crash.worker_id,
+            sign=crash.sign,
             evidence=suspect.evidence,
             crashes=len(task.crashes),
         )
@@ -85,12 +108,13 @@
     how long the others had run, but which of them had been on trial or in a crash
     before.
     """
-    suspects = [
+    suspects = tuple(
         Suspect(run, _recorded_evidence(run, task))
         for run, task in _assigned_runs(cell, worker_id)
         if run not in running
-    ]
-    count_crash(cell, suspects, now_ms)
+    )
+    crash = Crash(worker_id, CrashSign.RECORDED, suspects)
+    count_crash(cell, crash, now_ms)
 
 
 def _recorded_evidence(run: RunKey, task: TaskInfo) -> CrashEvidence:
--- a/src/lycheerelay/workflow/_ends.py
+++ b/src/lycheerelay/workflow/_ends.py
@@ -3,7 +3,7 @@
 from enum import StrEnum, unique
 from typing import Final, NamedTuple
 
-from ._crashes import count_crash
+from ._crashes import Crash, CrashSign, count_crash
 from ._intake import finalize_job, find_step, finish_step, reopen_task
 from ._log_events import log_event
 from ._runs import note_unconfirmed_start, release_run, stop_run
@@ -232,6 +232,8 @@
     if run.state is not RunState.STOPPING and run.step.spec.checkpoints:
         cell.unrecorded_jobs[run.key.task.job_id] = None
     if run.earlier_crash is not None:
-        count_crash(cell, [Suspect(run.key, run.earlier_crash)], now_ms)
+        suspects = (Suspect(run.key, run.earlier_crash),)
+        crash = Crash(run.worker.worker_id, CrashSign.RESTARTED, suspects)
+        count_crash(cell, crash, now_ms)
     if not run.step.job.is_final:
         requeue(cell, run.step, run.task, now_ms)
--- a/src/lycheerelay/workflow/_instances.py
+++ b/src/lycheerelay/workflow/_instances.py
@@ -7,12 +7,16 @@
 """
 
 import itertools
-from collections.abc import Iterable
 from typing import NamedTuple
 
 from .._resources import Resources
 from ._commands import StopRun
-from ._crashes import count_crash, count_crash_before_takeover
+from ._crashes import (
+    Crash,
+    CrashSign,
+    count_crash,
+    count_crash_before_takeover,
+)
 from ._ends import requeue
 from ._log_events import log_event
 from ._runs import (
@@ -188,13 +192,9 @@
         voided=len(given_up),
         handled_end=before.handled_end,
     )
-    _remove(
-        cell,
-        before.key,
-        itertools.starmap(Suspect, evidence.items()),
-        now_ms,
-        'replaced by a later instance',
-    )
+    suspects = tuple(itertools.starmap(Suspect, evidence.items()))
+    crash = Crash(before.worker_id, CrashSign.RESTARTED, suspects)
+    _remove(cell, before.key, crash, now_ms, 'replaced by a later instance')
 
 
 def _move_run(run: Run, worker: WorkerInfo) -> None:
@@ -215,7 +215,8 @@
     """Remove a worker instance that is known to have ended."""
     worker = cell.workers.get(key)
     suspects = _crash_suspects(worker) if worker else ()
-    _remove(cell, key, suspects, now_ms, reason)
+    crash = Crash(key.worker_id, CrashSign.REPLACED, suspects)
+    _remove(cell, key, crash, now_ms, reason)
 
 
 def _crash_suspects(worker: WorkerInfo) -> tuple[Suspect, ...]:
@@ -228,7 +229,7 @@
 def _remove(
     cell: CellState,
     key: WorkerKey,
-    suspects: Iterable[Suspect],
+    crash: Crash,
     now_ms: int,
     reason: str,
 ) -> None:
@@ -239,7 +240,7 @@
     if worker is None:
         return
     runs = release_worker_runs(cell, worker, reason)
-    count_crash(cell, suspects, now_ms)
+    count_crash(cell, crash, now_ms)
     earlier = cell.earlier_instances.pop(key.worker_id, None)
     if earlier is not None and not worker.synced and not worker.draining:
         count_crash_before_takeover(cell, key.worker_id, {}, now_ms)
--- a/src/lycheerelay/workflow/_stalls.py
+++ b/src/lycheerelay/workflow/_stalls.py
@@ -45,6 +45,15 @@
     return stalled
 
 
+def count_waiting_suspects(cell: CellState) -> int:
+    """Return how many tasks wait to be started on trial."""
+    return sum(
+        len(step.suspects.keys() & step.waiting.keys())
+        for step in cell.open_steps.values()
+        if step.suspects
+    )
+
+
 def _waiting_steps(cell: CellState) -> list[StepInfo]:
     waiting = []
     for step in cell.open_steps.values():
@@ -83,6 +92,7 @@
         step=step.key,
         waiting=len(step.waiting),
         startable=len(startable_tasks(cell, step, now_ms)),
+        suspects=len(step.suspects.keys() & step.waiting.keys()),
         calls=len(step.pending_calls),
         asked=len(step.asked_workers),
         eligible=len(step.eligible_workers),
