Show that jobs fail after takeovers although no worker crashed

Callers saw: jobs shown as failed whose tasks had not failed, and jobs with nothing running (LOST). Cause (hypothesis 1 of the incident): an owner that knows a worker from the record alone takes its first answer for another instance and counts a crash for every run assigned there. Evidence: on the unchanged code, five takeovers with expired registrations and without a crash log ten lines crash_counted, three for each of the three tasks (weak, unclear, unclear) and a fourth one for one of them, and then "4 workers crashed under a task"; after two takeovers 24 services start one every 3 to 4 s. Result: both fail.

--- /dev/null
+++ b/tests/test_unlisted_workers.py
@@ -0,0 +1,68 @@
+"""Test workers whose registrations have expired when an owner takes over.
+
+Guards against counting a crash when such a worker answers the new owner, and so
+against giving up jobs whose workers never crashed.
+"""
+
+import asyncio
+
+from lycheerelay_standins.platform import CellShape, PlatformCell, Shape
+from platform_days import STORE, job, play, step
+
+CELL = CellShape(workers=(Shape('cpu', 8000),) * 6, seed=7)
+# The time after which the registration of a silent worker has expired.
+EXPIRY_S = 6
+# The time after which the leases of a cell without an owner have expired.
+LEASE_S = 7
+# A waiting service has to run after this time without a fault.
+CALM_S = 7
+
+
+async def _take_over_without_registrations(cell: PlatformCell) -> None:
+    """Restart every entry VM while no worker is registered."""
+    cuts = {(worker, STORE) for worker in cell.workers}
+    cell.net.cuts.update(cuts)
+    await asyncio.sleep(EXPIRY_S)
+    names = sorted(cell.entries)
+    for vm in names:
+        cell.kill_vm(vm)
+    await asyncio.sleep(LEASE_S)
+    for vm in names:
+        cell.start_vm(vm)
+    await asyncio.sleep(4)
+    cell.net.cuts.difference_update(cuts)
+    await asyncio.sleep(2)
+
+
+def test_a_job_is_not_given_up_after_takeovers_without_registrations() -> None:
+    """Its runs lapse each time, and no worker crashes."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        name, _ = await cell.submit('vm-0', job(step(3)), work_ms=12_000)
+        for _ in range(5):
+            await _take_over_without_registrations(cell)
+        assert await cell.settle([name], 20) == {name: 'completed'}
+
+    play(scenario, CELL)
+
+
+def test_services_are_back_after_takeovers_without_registrations() -> None:
+    """They do not wait for trials, as no worker has crashed."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        names = []
+        for _ in range(24):
+            body = job(step(1, longRunning=True))
+            name, _ = await cell.submit('vm-0', body)
+            names.append(name)
+        for _ in range(2):
+            await _take_over_without_registrations(cell)
+        await asyncio.sleep(CALM_S)
+        running = {
+            task.partition('.')[0]
+            for worker in cell.workers.values()
+            for task, _ in worker.runs
+        }
+        assert running == set(names)
+
+    play(scenario, CELL)
