Count no crash when an unlisted worker answers a new owner

Cause: registrations expire while the store is away. An owner that takes over then knows a worker by the record of known workers and listed it without the recorded start time. The first answer names that time, was taken for that of a later instance, and a crash was counted for each run assigned there, before the ends in the same answer were read. Each takeover counted one run more; the fourth gave the job up, and suspected tasks were tried one at a time. Change: the recorded start time is kept, so the same instance is recognised. A worker whose start nobody knew is identified by its first answer, which is no crash. Whether a worker restarted before it answered a new owner is decided in one place, from its run table and the recorded instance.

--- a/src/lycheerelay/serving/_known_workers.py
+++ b/src/lycheerelay/serving/_known_workers.py
@@ -78,17 +78,15 @@
     return {}
 
 
-def placeholder_listing(
-    worker_id: str, address: str, draining: bool
-) -> WorkerListing:
+def placeholder_listing(known: KnownWorker, address: str) -> WorkerListing:
     """Return a registration of a worker that has none any more."""
     return WorkerListing(
-        worker=WorkerKey(worker_id),
+        worker=known.key,
         address=address,
         pool='',
         domain='',
         rack='',
         labels=frozenset(),
         capacity=Resources(),
-        draining=draining,
+        draining=known.draining,
     )
--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -29,6 +29,7 @@
 from ._context import CYCLE_DELAY_S, Limits, OwnerContext
 from ._job_stream import JobStream
 from ._known_workers import (
+    KnownWorker,
     decode_addresses,
     decode_instances,
     placeholder_listing,
@@ -202,8 +203,9 @@
         leaving = {name for name, known in earlier.items() if known.draining}
         for worker_id, address in decode_addresses(progress).items():
             if worker_id not in cell.instances:
-                is_leaving = worker_id in leaving
-                listing = placeholder_listing(worker_id, address, is_leaving)
+                unknown = KnownWorker(WorkerKey(worker_id), draining=False)
+                known = earlier.get(worker_id, unknown)
+                listing = placeholder_listing(known, address)
                 list_worker(cell, listing, now_ms)
                 unlist_worker(cell, worker_id)
         for worker_id in earlier.keys() - leaving:
--- a/src/lycheerelay/workflow/_instances.py
+++ b/src/lycheerelay/workflow/_instances.py
@@ -128,10 +128,41 @@
     if len(cell.instances[key.worker_id]) > 1:
         for other in cell.find_instances(key.worker_id):
             if other is not worker and other.known_since_ms <= poll_sent_ms:
-                _replace_instance(cell, other, worker, now_ms)
+                _supersede(cell, other, worker, now_ms)
     return worker
 
 
+def _supersede(
+    cell: CellState, other: WorkerInfo, worker: WorkerInfo, now_ms: int
+) -> None:
+    if _is_unidentified(other):
+        _identify(cell, other, worker)
+    else:
+        _replace_instance(cell, other, worker, now_ms)
+
+
+def _is_unidentified(worker: WorkerInfo) -> bool:
+    """Return whether neither a record nor an answer has told its start."""
+    return not worker.key.started_ms and not worker.synced
+
+
+def _identify(
+    cell: CellState, placeholder: WorkerInfo, worker: WorkerInfo
+) -> None:
+    """Replace a worker whose start was unknown by the instance it turns out."""
+    cell.removed_workers[placeholder.key] = None
+    cell.pop_worker(placeholder.key)
+    worker.lease_until_ms = max(
+        worker.lease_until_ms, placeholder.lease_until_ms
+    )
+    log_event(
+        cell,
+        'worker_identified',
+        worker=worker.worker_id,
+        started_ms=worker.key.started_ms,
+    )
+
+
 def _admit_instance(
     cell: CellState, key: WorkerKey, now_ms: int
 ) -> WorkerInfo | None:
@@ -182,6 +213,7 @@
     worker.unconfirmed_voids.update(dict.fromkeys(given_up))
     cell.outbox.extend(StopRun(worker.key, run_key) for run_key in given_up)
     worker.lease_until_ms = max(worker.lease_until_ms, before.lease_until_ms)
+    _note_earlier_instance(cell, before)
     log_event(
         cell,
         'worker_restarted',
@@ -197,6 +229,15 @@
     _remove(cell, before.key, crash, now_ms, 'replaced by a later instance')
 
 
+def _note_earlier_instance(cell: CellState, before: WorkerInfo) -> None:
+    """Let the run table of the later instance tell what this one took along."""
+    earlier = cell.earlier_instances.get(before.worker_id)
+    if before.draining:
+        cell.earlier_instances.pop(before.worker_id, None)
+    elif earlier is not None and not earlier.started_ms:
+        cell.earlier_instances[before.worker_id] = before.key
+
+
 def _move_run(run: Run, worker: WorkerInfo) -> None:
     """Expect a run on another instance, which has not confirmed it."""
     run.worker.release(run)
@@ -217,6 +258,11 @@
     suspects = _crash_suspects(worker) if worker else ()
     crash = Crash(key.worker_id, CrashSign.REPLACED, suspects)
     _remove(cell, key, crash, now_ms, reason)
+    earlier = cell.earlier_instances.pop(key.worker_id, None)
+    if worker is None or earlier is None:
+        return
+    if not (worker.synced or worker.draining):
+        count_crash_before_takeover(cell, key.worker_id, {}, now_ms)
 
 
 def _crash_suspects(worker: WorkerInfo) -> tuple[Suspect, ...]:
@@ -241,9 +287,6 @@
         return
     runs = release_worker_runs(cell, worker, reason)
     count_crash(cell, crash, now_ms)
-    earlier = cell.earlier_instances.pop(key.worker_id, None)
-    if earlier is not None and not worker.synced and not worker.draining:
-        count_crash_before_takeover(cell, key.worker_id, {}, now_ms)
     for run in runs:
         if not run.step.job.is_final:
             requeue(cell, run.step, run.task, now_ms)
--- a/tests/test_unlisted_workers.py
+++ b/tests/test_unlisted_workers.py
@@ -6,6 +6,8 @@
 
 import asyncio
 
+import pytest
+
 from lycheerelay_standins.platform import CellShape, PlatformCell, Shape
 from platform_days import STORE, job, play, step
 
@@ -18,7 +20,16 @@
 CALM_S = 7
 
 
-async def _take_over_without_registrations(cell: PlatformCell) -> None:
+# Earlier versions do not record when the workers started, and an owner that no
+# worker has answered does not know it.
+INSTANCES = pytest.mark.parametrize(
+    'instances', ['recorded', 'missing', 'unknown']
+)
+
+
+async def _take_over_without_registrations(
+    cell: PlatformCell, instances: str
+) -> None:
     """Restart every entry VM while no worker is registered."""
     cuts = {(worker, STORE) for worker in cell.workers}
     cell.net.cuts.update(cuts)
@@ -27,6 +38,11 @@
     for vm in names:
         cell.kill_vm(vm)
     await asyncio.sleep(LEASE_S)
+    if instances == 'missing':
+        cell.store.drop('keyed.progress', 'instances')
+    elif instances == 'unknown':
+        unknown = dict.fromkeys(cell.workers, (0, False))
+        cell.store.put('keyed.progress', 'instances', unknown)
     for vm in names:
         cell.start_vm(vm)
     await asyncio.sleep(4)
@@ -34,19 +50,25 @@
     await asyncio.sleep(2)
 
 
-def test_a_job_is_not_given_up_after_takeovers_without_registrations() -> None:
+@INSTANCES
+def test_a_job_is_not_given_up_after_takeovers_without_registrations(
+    instances: str,
+) -> None:
     """Its runs lapse each time, and no worker crashes."""
 
     async def scenario(cell: PlatformCell) -> None:
         name, _ = await cell.submit('vm-0', job(step(3)), work_ms=12_000)
         for _ in range(5):
-            await _take_over_without_registrations(cell)
+            await _take_over_without_registrations(cell, instances)
         assert await cell.settle([name], 20) == {name: 'completed'}
 
     play(scenario, CELL)
 
 
-def test_services_are_back_after_takeovers_without_registrations() -> None:
+@INSTANCES
+def test_services_are_back_after_takeovers_without_registrations(
+    instances: str,
+) -> None:
     """They do not wait for trials, as no worker has crashed."""
 
     async def scenario(cell: PlatformCell) -> None:
@@ -56,7 +78,7 @@
             name, _ = await cell.submit('vm-0', body)
             names.append(name)
         for _ in range(2):
-            await _take_over_without_registrations(cell)
+            await _take_over_without_registrations(cell, instances)
         await asyncio.sleep(CALM_S)
         running = {
             task.partition('.')[0]
