Give a job up only if two workers began its task and crashed

Callers saw: jobs shown as failed whose tasks had not failed (LOST). In the users' record four starts of a job were recorded and reached no worker. Cause: a successor counts a crash for each run that the record assigns to a worker that crashed. The record is written before the start is sent, so the run may never have begun; owners that last for a moment each leave one such assignment a term, and four of them gave the job up. Class: the absence of a report taken as evidence. Change: each counted crash tells whether a worker is known to have begun the run (its start was answered or a poll listed it). A task is given up only if that holds for two of its crashes. That a run on trial has begun is recorded at once, one record a trial, so the starts of a task that does crash its workers stay bounded over owners. A task that crashes its workers on trial just after the start was answered, or listed, each time under another owner, is still given up within five starts.

--- a/src/lycheerelay/workflow/_crashes.py
+++ b/src/lycheerelay/workflow/_crashes.py
@@ -14,7 +14,14 @@
 from ._intake import finalize_job, find_step, steps_of
 from ._log_events import log_event
 from ._spec import RunKey, TaskKey
-from ._state import CellState, CrashEvidence, JobPhase, StepInfo, TaskInfo
+from ._state import (
+    CellState,
+    CrashEvidence,
+    JobPhase,
+    Run,
+    StepInfo,
+    TaskInfo,
+)
 from ._suspects import SUSPECT_RULES, Suspect
 
 # A task is given up after this many crashes if the evidence is clear: none is
@@ -23,6 +30,9 @@
 # Otherwise it is given up after this many, if it may be the cause of as many as
 # above.
 MAX_CRASHES: Final = 4
+# In any case so many workers are known to have crashed with it. An assignment in
+# the record alone does not tell whether the worker ever began the run.
+MIN_BEGUN_CRASHES: Final = 2
 
 
 @unique
@@ -56,18 +66,7 @@
         task = step.tasks[suspect.run.task.member]
         if task.done:
             continue
-        task.crashes.setdefault(suspect.run.number, suspect.evidence)
-        mark_suspect(cell, step, task)
-        cell.unrecorded_jobs[step.job.spec.job_id] = None
-        log_event(
-            cell,
-            'crash_counted',
-            run=suspect.run,
-            worker=crash.worker_id,
-            sign=crash.sign,
-            evidence=suspect.evidence,
-            crashes=len(task.crashes),
-        )
+        _add_crash(cell, crash, suspect, step, task)
         if _is_at_fault(task):
             finalize_job(
                 cell,
@@ -78,7 +77,47 @@
             )
 
 
+def _add_crash(
+    cell: CellState,
+    crash: Crash,
+    suspect: Suspect,
+    step: StepInfo,
+    task: TaskInfo,
+) -> None:
+    task.crashes.setdefault(suspect.run.number, suspect.evidence)
+    if suspect.has_begun:
+        _note_begun(task, suspect.run.number)
+    mark_suspect(cell, step, task)
+    cell.unrecorded_jobs[step.job.spec.job_id] = None
+    log_event(
+        cell,
+        'crash_counted',
+        run=suspect.run,
+        worker=crash.worker_id,
+        sign=crash.sign,
+        evidence=suspect.evidence,
+        begun=suspect.has_begun,
+        crashes=len(task.crashes),
+    )
+
+
+def note_trial_begun(cell: CellState, run: Run) -> None:
+    """Record that a worker has begun a run on trial, for the next owner."""
+    if run.trial_until_ms and run.key.number not in run.task.begun_runs:
+        _note_begun(run.task, run.key.number)
+        cell.unrecorded_jobs[run.key.task.job_id] = None
+
+
+def _note_begun(task: TaskInfo, number: int) -> None:
+    task.begun_runs = {
+        begun: None for begun in task.begun_runs if begun in task.crashes
+    }
+    task.begun_runs[number] = None
+
+
 def _is_at_fault(task: TaskInfo) -> bool:
+    if len(task.crashes.keys() & task.begun_runs.keys()) < MIN_BEGUN_CRASHES:
+        return False
     counts = Counter(task.crashes.values())
     crashes = len(task.crashes)
     own = counts[CrashEvidence.OWN]
@@ -109,7 +148,9 @@
     before.
     """
     suspects = tuple(
-        Suspect(run, _recorded_evidence(run, task))
+        Suspect(
+            run, _recorded_evidence(run, task), run.number in task.begun_runs
+        )
         for run, task in _assigned_runs(cell, worker_id)
         if run not in running
     )
--- a/src/lycheerelay/workflow/_ends.py
+++ b/src/lycheerelay/workflow/_ends.py
@@ -18,7 +18,6 @@
     TaskInfo,
     WorkerInfo,
 )
-from ._suspects import Suspect
 
 # Delay before a failed service task is restarted, multiplied by its number of
 # failed runs. It is short because callers of the service are waiting.
@@ -232,7 +231,7 @@
     if run.state is not RunState.STOPPING and run.step.spec.checkpoints:
         cell.unrecorded_jobs[run.key.task.job_id] = None
     if run.earlier_crash is not None:
-        suspects = (Suspect(run.key, run.earlier_crash),)
+        suspects = (run.earlier_crash,)
         crash = Crash(run.worker.worker_id, CrashSign.RESTARTED, suspects)
         count_crash(cell, crash, now_ms)
     if not run.step.job.is_final:
--- a/src/lycheerelay/workflow/_instances.py
+++ b/src/lycheerelay/workflow/_instances.py
@@ -6,7 +6,6 @@
 the instance before may still reach it, as orders name only the id.
 """
 
-import itertools
 from typing import NamedTuple
 
 from .._resources import Resources
@@ -200,10 +199,10 @@
     cell: CellState, before: WorkerInfo, worker: WorkerInfo, now_ms: int
 ) -> None:
     unconfirmed = list(filter(is_start_unconfirmed, before.runs.values()))
-    evidence = dict(_crash_suspects(before))
+    suspects = {suspect.run: suspect for suspect in _crash_suspects(before)}
     for run in unconfirmed:
         _move_run(run, worker)
-        run.earlier_crash = evidence.pop(run.key, None)
+        run.earlier_crash = suspects.pop(run.key, None)
     given_up = {
         run_key: given_up_ms
         for run_key, given_up_ms in before.unconfirmed_starts.items()
@@ -224,8 +223,9 @@
         voided=len(given_up),
         handled_end=before.handled_end,
     )
-    suspects = tuple(itertools.starmap(Suspect, evidence.items()))
-    crash = Crash(before.worker_id, CrashSign.RESTARTED, suspects)
+    crash = Crash(
+        before.worker_id, CrashSign.RESTARTED, tuple(suspects.values())
+    )
     _remove(cell, before.key, crash, now_ms, 'replaced by a later instance')
 
 
--- a/src/lycheerelay/workflow/_progress.py
+++ b/src/lycheerelay/workflow/_progress.py
@@ -6,10 +6,11 @@
 hexadecimal bit mask, and a row for each open task that was started: index,
 failed runs, last run, checkpoint, worker. `crashes` has a row for each open task
 that a crash of its worker counted for: occurrence, step, index, a row for each
-crash (run, evidence) and its last run on trial. `others`, for the job of a
+crash (run, evidence) and its last run on trial. `begun` has a row for each of these
+tasks: occurrence, step, index and those of these runs that a worker had begun. `others`, for the job of a
 tenant, counts the runs that no other row tells, such as copies and the runs of done
 tasks, and in a final record all runs that had not ended: step, worker, number of
-runs. Earlier versions ignore both.
+runs. Earlier versions ignore all three.
 """
 
 from collections import Counter
@@ -34,6 +35,10 @@
 from ._tenants import PresumedKey, PresumedRuns
 
 HEX_BASE: Final = 16
+# Earlier versions do not record `begun`.
+EVIDENCE_OF_BEGUN_RUNS: Final = frozenset(
+    (CrashEvidence.OWN, CrashEvidence.SHARED)
+)
 DECODE_ERRORS: Final = (ValueError, KeyError, IndexError, TypeError)
 
 
@@ -41,6 +46,8 @@
 RunCountRow = tuple[int, str, int]
 # Occurrence, step, index, crashes and last run on trial of a task.
 CrashRow = tuple[int, int, int, list[tuple[int, str]], int]
+# Occurrence, step, index and runs of a task.
+BegunRow = tuple[int, int, int, list[int]]
 
 
 class ProgressRecord(TypedDict, total=False):
@@ -51,6 +58,7 @@
     finished: list[int]
     steps: list[list[object]]
     crashes: list[CrashRow]
+    begun: list[BegunRow]
     others: list[RunCountRow]
 
 
@@ -75,6 +83,7 @@
     crashes = list(_crash_rows(job))
     if crashes:
         record['crashes'] = crashes
+        record['begun'] = list(_begun_rows(job))
     return orjson.dumps(record)
 
 
@@ -94,15 +103,26 @@
 
 
 def _crash_rows(job: JobInfo) -> Iterator[CrashRow]:
-    for step in steps_of(job):
+    for step, task in _crashed_tasks(job):
         _, occurrence, index = step.key
+        crashes = [
+            (run, evidence.value) for run, evidence in task.crashes.items()
+        ]
+        yield occurrence, index, task.index, crashes, task.trial_run
+
+
+def _begun_rows(job: JobInfo) -> Iterator[BegunRow]:
+    for step, task in _crashed_tasks(job):
+        _, occurrence, index = step.key
+        yield occurrence, index, task.index, list(task.begun_runs)
+
+
+def _crashed_tasks(job: JobInfo) -> Iterator[tuple[StepInfo, TaskInfo]]:
+    """Iterate over the open tasks that a crash of their worker counted for."""
+    for step in steps_of(job):
         for task in step.tasks:
             if task.crashes and not task.done:
-                crashes = [
-                    (run, evidence.value)
-                    for run, evidence in task.crashes.items()
-                ]
-                yield occurrence, index, task.index, crashes, task.trial_run
+                yield step, task
 
 
 def _step_row(step: StepInfo) -> list[object]:
@@ -153,6 +173,9 @@
         _restore_step(cell, job, row)
     for crash_row in record.get('crashes', ()):
         _restore_crashes(cell, job, crash_row)
+    for occurrence, index, number, runs in record.get('begun', ()):
+        task = job.occurrences[occurrence][index].tasks[number]
+        task.begun_runs.update(dict.fromkeys(runs))
 
 
 def _restore_step(cell: CellState, job: JobInfo, row: list[object]) -> None:
@@ -200,6 +223,8 @@
     task = step.tasks[number]
     for run, evidence in crashes:
         task.crashes[run] = CrashEvidence(evidence)
+        if task.crashes[run] in EVIDENCE_OF_BEGUN_RUNS:
+            task.begun_runs[run] = None
     task.trial_run = trial_run
     mark_suspect(cell, step, task)
 
--- a/src/lycheerelay/workflow/_run_table.py
+++ b/src/lycheerelay/workflow/_run_table.py
@@ -4,7 +4,7 @@
 
 from ._commands import StopRun
 from ._contact import regain_contact
-from ._crashes import count_crash_before_takeover
+from ._crashes import count_crash_before_takeover, note_trial_begun
 from ._ends import (
     RunEnd,
     apply_end,
@@ -140,6 +140,7 @@
     if run.state is RunState.SENT:
         run.state = RunState.RUNNING
         run.answered_ms = now_ms
+    note_trial_begun(cell, run)
     if run.state is RunState.STOPPING:
         stop_run(cell, run, now_ms, run.stop_reason)
     if row.percent != run.percent:
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -95,7 +95,7 @@
     order_sent: bool = False
     listed: bool = False
     trial_until_ms: int = 0
-    earlier_crash: CrashEvidence | None = None
+    earlier_crash: 'Suspect | None' = None
 
     @property
     def task(self) -> 'TaskInfo':
@@ -116,6 +116,7 @@
     worker of the last failure and `assigned_worker` the id of the worker of the
     last start. `crashes` holds the numbers of its runs that may have crashed their
     workers, with the evidence. `trial_run` is the number of its last run on trial.
+    `begun_runs` holds those of these runs that a worker is known to have begun.
     """
 
     index: int
@@ -129,6 +130,7 @@
     assigned_worker: str = ''
     crashes: dict[int, CrashEvidence] = field(default_factory=dict)
     trial_run: int = 0
+    begun_runs: dict[int, None] = field(default_factory=dict)
 
 
 @dataclass(slots=True, eq=False)
--- a/src/lycheerelay/workflow/_suspects.py
+++ b/src/lycheerelay/workflow/_suspects.py
@@ -46,10 +46,11 @@
 
 
 class Suspect(NamedTuple):
-    """Run that may have crashed its worker."""
+    """Run that may have crashed its worker, and whether it had surely begun."""
 
     run: RunKey
     evidence: CrashEvidence
+    has_begun: bool
 
 
 def find_suspects(worker: WorkerInfo) -> tuple[Suspect, ...]:
@@ -58,7 +59,8 @@
     unsettled = [run for run in started if not is_settled(run)]
     begun = [run for run in unsettled if _has_begun(run)]
     return tuple(
-        Suspect(run.key, _evidence(run, begun)) for run in unsettled or started
+        Suspect(run.key, _evidence(run, begun), _has_begun(run))
+        for run in unsettled or started
     )
 
 
