Forget which worker had a run that is known to be over

Cause: the record keeps the worker of the last start of a task after the worker has refused the start, or listed its end. A successor that finds this worker crashed counts the crash for the task, which is then started on trial. Change: the worker of the last start is forgotten once it is known not to hold the run. A run that a worker does not have when it first answers a new owner still counts until its task is started again; it counts as not begun.

--- a/src/lycheerelay/workflow/_ends.py
+++ b/src/lycheerelay/workflow/_ends.py
@@ -6,7 +6,7 @@
 from ._crashes import Crash, CrashSign, count_crash
 from ._intake import finalize_job, find_step, finish_step, reopen_task
 from ._log_events import log_event
-from ._runs import note_unconfirmed_start, release_run, stop_run
+from ._runs import note_unconfirmed_start, release_ended_run, stop_run
 from ._spec import RunKey
 from ._state import (
     NEVER,
@@ -56,7 +56,7 @@
     worker.orphaned_runs.pop(end.run, None)
     run = worker.runs.get(end.run)
     if run is not None:
-        release_run(run)
+        release_ended_run(run)
         if end.outcome is RunOutcome.DONE:
             run.step.duration_by_worker_ms[worker.key] = now_ms - run.sent_ms
     step = find_step(cell, end.run)
@@ -217,7 +217,7 @@
 ) -> None:
     """Discard a run that its worker can no longer hold."""
     note_unconfirmed_start(run, now_ms)
-    release_run(run)
+    release_ended_run(run)
     log_event(
         cell,
         'run_over',
--- a/src/lycheerelay/workflow/_run_table.py
+++ b/src/lycheerelay/workflow/_run_table.py
@@ -18,7 +18,7 @@
 from ._runs import (
     attach_run,
     note_unconfirmed_start,
-    release_run,
+    release_ended_run,
     release_worker_runs,
     stop_run,
 )
@@ -235,6 +235,6 @@
 
 def drop_run(cell: CellState, run: Run, now_ms: int) -> None:
     """Release a run that its worker did not start."""
-    release_run(run)
+    release_ended_run(run)
     if not run.step.job.is_final:
         requeue(cell, run.step, run.task, now_ms)
--- a/src/lycheerelay/workflow/_runs.py
+++ b/src/lycheerelay/workflow/_runs.py
@@ -94,6 +94,17 @@
     run.task.runs.pop(run.key.number, None)
 
 
+def release_ended_run(run: Run) -> None:
+    """Release a run that its worker is known not to hold any more.
+
+    A later crash of the worker then tells nothing about the task.
+    """
+    release_run(run)
+    task = run.task
+    if task.assigned_worker == run.worker.worker_id and not task.runs:
+        task.assigned_worker = ''
+
+
 def is_start_unconfirmed(run: Run) -> bool:
     """Return whether no run table has shown that an order sent was carried out."""
     return run.order_sent and not run.listed
--- a/tests/test_counted_crashes.py
+++ b/tests/test_counted_crashes.py
@@ -104,6 +104,12 @@
     apply_run_table(cell, table, now_ms)
 
 
+def _refuse_start(cell: CellState, start: StartRun, now_ms: int) -> None:
+    handle_start_answer(
+        cell, start.worker, start.run, Answer.DOES_NOT_FIT, now_ms
+    )
+
+
 def _leave_unsent(cell: CellState, start: StartRun, now_ms: int) -> None:
     """Record a start in a term that ends before it can be sent."""
 
@@ -125,6 +131,13 @@
     assert _play(9, _leave_unsent).job.phase is not JobPhase.FAILED
 
 
+def test_a_refused_start_is_not_counted_as_a_crash() -> None:
+    """The owner knew that the worker did not run the task."""
+    term = _play(3, _refuse_start)
+    task = term.job.occurrences[0][0].tasks[0]
+    assert not task.crashes
+
+
 def test_a_task_that_crashes_its_workers_on_trial_is_given_up() -> None:
     """Each owner ends between the answer to the start and the crash."""
     for handle in (_answer_start, _list_run):
