--- a/src/lycheerelay_standins/platform/_fuzz.py
+++ b/src/lycheerelay_standins/platform/_fuzz.py
@@ -37,6 +37,7 @@
     'deadly',
     'restart',
     'shrink',
+    'unlisted',
 )
 
 
--- a/src/lycheerelay_standins/platform/_fuzz_faults.py
+++ b/src/lycheerelay_standins/platform/_fuzz_faults.py
@@ -13,6 +13,9 @@
 if TYPE_CHECKING:
     from ._fuzz import FuzzRun
 
+# The registration of a silent worker has expired after this time.
+REGISTRATION_EXPIRY_S: Final = 6
+
 Inject = Callable[['FuzzRun'], Coroutine[Any, Any, None]]
 FAULTS: Final[Registry[str, Inject]] = Registry('fault')
 
@@ -168,6 +171,21 @@
     run.cell.store.revoke('seat')
 
 
+@FAULTS.register('unlisted')
+async def expire_registrations(run: 'FuzzRun') -> None:
+    """Let all registrations expire while the store is down; kill the owner."""
+    refusing = ('*', STORE_ADDRESS)
+    run.cell.net.refusing.add(refusing)
+    await asyncio.sleep(REGISTRATION_EXPIRY_S)
+    vm = run.pick_vm()
+    if len(run.cell.entries) > 1:
+        run.cell.kill_vm(vm)
+    run.cell.net.refusing.discard(refusing)
+    await run.pause()
+    if vm not in run.cell.entries:
+        run.cell.start_vm(vm)
+
+
 @FAULTS.register('history')
 async def history(run: 'FuzzRun') -> None:
     """Delete the history of every topic."""
--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -1,5 +1,7 @@
 """Run the fuzzer with fixed seeds on the emulated platform."""
 
+import logging
+
 import pytest
 
 from lycheerelay_standins.platform import fuzz
@@ -57,6 +59,22 @@
     assert result.unfinished == ()
 
 
+WITHOUT_CRASHES = ('unlisted', 'kill', 'revoke', 'store_down', 'worker_cut')
+
+
+@pytest.mark.parametrize('seed', range(1, 7))
+def test_no_crash_is_counted_on_a_day_without_crashes(
+    seed: int, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Registrations expire and owners change, but every worker stays up."""
+    with caplog.at_level(logging.INFO, 'lycheerelay.cell'):
+        result = fuzz(seed, WITHOUT_CRASHES)
+    assert result.jobs > 20
+    assert result.broken == ()
+    assert result.unfinished == ()
+    assert 'crash_counted' not in caplog.messages
+
+
 DEADLY = ('deadly', 'kill', 'revoke', 'restart', 'crash')
 
 
