--- a/src/lycheerelay_standins/platform/_soak.py
+++ b/src/lycheerelay_standins/platform/_soak.py
@@ -17,7 +17,7 @@
 from ._environment import ROUTE_HOST, CellShape
 from ._network import EmulatedNetwork
 from ._soak_cell import EntryProcess, SoakCell, job_body
-from ._soak_faults import SOAK_FAULTS
+from ._soak_faults import OPTIONAL_SOAK_FAULTS, SOAK_FAULTS
 from ._soak_tenants import SOAK_TENANT_FAULTS, SoakTenants
 from ._tenant_load import add_tenants
 from ._tenants import Credential
@@ -56,10 +56,12 @@
         folder: Path,
         deadly_share: float = 0,
         with_tenants: bool = False,
+        only: tuple[str, ...] = (),
     ) -> None:
         """Draw the shape of the cell from the seed.
 
-        `deadly_share` is the share of jobs with a task that crashes its workers.
+        `deadly_share` is the share of jobs with a task that crashes its workers,
+        `only` restricts the faults.
         """
         self.seed = seed
         self.length_s = length_s
@@ -80,7 +82,7 @@
         self.net = EmulatedNetwork(random.Random(seed))
         self.cell = SoakCell(shape, folder, self.net)
         self.tenants = SoakTenants(self)
-        self.faults = sorted(SOAK_FAULTS)
+        self.faults = sorted(only or set(SOAK_FAULTS) - OPTIONAL_SOAK_FAULTS)
         if with_tenants:
             # Half of the faults that are drawn are those of tenants.
             self.faults += sorted(SOAK_TENANT_FAULTS) * (len(self.faults) // 2)
@@ -285,10 +287,11 @@
     folder: Path,
     deadly_share: float = 0,
     with_tenants: bool = False,
+    only: tuple[str, ...] = (),
 ) -> SoakResult:
     """Run the soak of a seed; its processes log to a folder."""
     folder.mkdir(parents=True, exist_ok=True)
-    soaked = Soak(seed, length_s, folder, deadly_share, with_tenants)
+    soaked = Soak(seed, length_s, folder, deadly_share, with_tenants, only)
     return await soaked.run()
 
 
@@ -298,10 +301,11 @@
     folder: Path | None = None,
     deadly_share: float = 0,
     with_tenants: bool = False,
+    only: tuple[str, ...] = (),
 ) -> SoakResult:
     """Run the soak of a seed; without a folder, the logs are dropped."""
     with tempfile.TemporaryDirectory() as temporary_folder:
         logs = folder or Path(temporary_folder)
         return asyncio.run(
-            run_soak(seed, length_s, logs, deadly_share, with_tenants)
+            run_soak(seed, length_s, logs, deadly_share, with_tenants, only)
         )
--- a/src/lycheerelay_standins/platform/_soak_faults.py
+++ b/src/lycheerelay_standins/platform/_soak_faults.py
@@ -13,6 +13,12 @@
 if TYPE_CHECKING:
     from ._soak import Soak
 
+# Faults that are drawn only if they are asked for, so that the faults of earlier
+# seeds stay as they were.
+OPTIONAL_SOAK_FAULTS: Final = frozenset(('unlisted',))
+# The registration of a silent worker has expired after this time.
+REGISTRATION_EXPIRY_S: Final = 6
+
 Inject = Callable[['Soak'], Coroutine[Any, Any, None]]
 SOAK_FAULTS: Final[Registry[str, Inject]] = Registry('soak fault')
 
@@ -92,6 +98,22 @@
         proxy.refusing = False
 
 
+@SOAK_FAULTS.register('unlisted')
+async def expire_registrations(soak: 'Soak') -> None:
+    """Let all registrations expire while the store is down; kill a VM."""
+    proxies = list(soak.cell.store_proxies.values())
+    for proxy in proxies:
+        proxy.refusing = True
+        proxy.reset()
+    await asyncio.sleep(REGISTRATION_EXPIRY_S)
+    vm = soak.pick_vm()
+    await vm.send(signal.SIGKILL)
+    for proxy in proxies:
+        proxy.refusing = False
+    await soak.pause()
+    await vm.start()
+
+
 @SOAK_FAULTS.register('store_slow')
 async def store_slow(soak: 'Soak') -> None:
     """Delay the responses of the store."""
