Bar no pool for the failures of jobs

Seen by callers: sound jobs wait up to 12.8 s beside idle workers while jobs come that can never be done (rule LOST, a job has nothing running).

Cause: a worker is barred for 2.5 to 10 s after runs of two jobs have failed there in a row. Jobs that fail wherever they run bar worker after worker, and nothing can succeed there that would clear the bars.

Evidence: tests/test_failing_jobs.py, 8, 24 or 48 such jobs on four workers, then sound ones: on 18 of 18 cases miss the bound of 3 s (or fail on the failing jobs, which wait too).

Now a job that has failed on two workers before any task of its step was done counts against none of them, and at most a quarter of a pool, or one worker, is barred for failures at a time: the sound ones have somewhere to run, and one that fails everything is still avoided. Longest wait in the 18 cases: 7 ms.

--- a/src/lycheerelay/workflow/_ends.py
+++ b/src/lycheerelay/workflow/_ends.py
@@ -19,6 +19,7 @@
     WorkerInfo,
 )
 from ._suspects import Suspect
+from ._worker_bars import clear_failures, count_failure
 
 # Delay before a failed service task is restarted, multiplied by its number of
 # failed runs. It is short because callers of the service are waiting.
@@ -79,9 +80,10 @@
         keep_checkpoint(step, task, end.checkpoint)
     if end.outcome is RunOutcome.DONE:
         _handle_done(cell, step, task, end.run.number, now_ms)
+        clear_failures(worker)
     elif end.outcome is RunOutcome.FAILED:
         _handle_failed(cell, worker, step, end.run, now_ms)
-    _track_worker_failures(cell, worker, step, end.outcome, now_ms)
+        count_failure(cell, worker, step, now_ms)
     requeue(cell, step, task, now_ms)
 
 
@@ -174,42 +176,6 @@
         )
 
 
-# A worker is barred temporarily after runs of this many different jobs failed on
-# it in a row. Failures of a single job may be caused by the job itself.
-FAILED_JOBS_TO_BAR: Final = 2
-FAILURE_BAR_MS: Final = 2500
-MAX_FAILURE_BAR_MS: Final = 10000
-
-
-def _track_worker_failures(
-    cell: CellState,
-    worker: WorkerInfo,
-    step: StepInfo,
-    outcome: RunOutcome,
-    now_ms: int,
-) -> None:
-    if outcome is RunOutcome.DONE:
-        worker.failures_in_row.clear()
-        worker.bar_count = 0
-        return
-    if outcome is not RunOutcome.FAILED:
-        return
-    worker.failures_in_row[step.job.spec.job_id] = None
-    if len(worker.failures_in_row) >= FAILED_JOBS_TO_BAR:
-        worker.bar_count += 1
-        bar_ms = min(FAILURE_BAR_MS * worker.bar_count, MAX_FAILURE_BAR_MS)
-        worker.barred_until_ms = now_ms + bar_ms
-        jobs = len(worker.failures_in_row)
-        worker.failures_in_row.clear()
-        log_event(
-            cell,
-            'worker_barred',
-            worker=worker.worker_id,
-            jobs=jobs,
-            for_ms=bar_ms,
-        )
-
-
 def discard_lost_run(
     cell: CellState,
     run: Run,
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -214,7 +214,8 @@
     `durable_phase` is the phase in the last durable progress record, `account` that
     of its tenant, if it has one. `is_over_rate` says that its tenant had sent more
     jobs than its rate allows. `presumed` counts its
-    runs that may be on workers that have not answered since a takeover.
+    runs that may be on workers that have not answered since a takeover. `failed_on`
+    holds the workers on which runs of it have failed in this term.
     """
 
     spec: WorkflowSpec
@@ -230,6 +231,7 @@
     account: TenantAccount | None = None
     is_over_rate: bool = False
     presumed: PresumedCounts = field(default_factory=dict)
+    failed_on: dict[WorkerKey, None] = field(default_factory=dict)
 
     @property
     def is_final(self) -> bool:
--- a/src/lycheerelay_standins/platform/_cell.py
+++ b/src/lycheerelay_standins/platform/_cell.py
@@ -198,10 +198,12 @@
         work_ms: int = 500,
         job_id: str = '',
         deadly: Collection[str] = (),
+        failing: Collection[str] = (),
     ) -> tuple[str, RequestResult]:
         """Submit a job at a VM and register it with the auditor.
 
-        `deadly` names the tasks that crash their workers, as `STEP.MEMBER`.
+        `deadly` names the tasks that crash their workers and `failing` those
+        that fail wherever they run, as `STEP.MEMBER`.
         """
         entry = self.entries[vm]
         name = job_id or f'{self.rng.getrandbits(64):016x}'
@@ -220,6 +222,7 @@
                 policy.max_attempts,
                 work_ms=work_ms,
                 deadly=frozenset(deadly),
+                failing=frozenset(failing),
             ),
         )
         outcome = await entry.handler.submit(spec, 3000)
--- a/src/lycheerelay_standins/platform/_worker.py
+++ b/src/lycheerelay_standins/platform/_worker.py
@@ -235,7 +235,8 @@
             return
         if self._find_step(run.observed.name).get('longRunning'):
             return
-        outcome = 'failed' if self.fails else 'done'
+        fails = self.fails or self.audit.is_failing(run.observed.name)
+        outcome = 'failed' if fails else 'done'
         run.timer = asyncio.get_running_loop().call_later(
             run.total_ms / MS_PER_SECOND,
             self.end_run,
