Leave channels of the workers to the next owners

Cause: an owner opens up to twelve channels to a worker, which accepts 64. Owners without power leave theirs open, so the sixth owner finds none left: its calls are reset, and a start that may have been sent is not repeated before its lease is over.

Now at most four calls to a worker are made at the same time, so an owner opens four channels, and sixteen owners fit. The others wait their turn; one that gets none in the time for its answer has not been sent and counts as withheld, which says nothing about the worker, unlike a failed connection.

--- a/src/lycheerelay/platform/_workers.py
+++ b/src/lycheerelay/platform/_workers.py
@@ -6,8 +6,10 @@
 
 from ..serving import (
     NO_ANSWER,
+    NO_CHANNEL,
     NOT_SENT,
     Caller,
+    ChannelBudget,
     PaceOrder,
     PollReply,
     PollRequest,
@@ -44,6 +46,7 @@
 STATUS_ANSWERS: Final = {
     NO_ANSWER: Answer.NONE,
     NOT_SENT: Answer.UNREACHED,
+    NO_CHANNEL: Answer.UNSENT,
     OK: Answer.DONE,
     400: Answer.MALFORMED,
     421: Answer.OTHER_INSTANCE,
@@ -65,7 +68,7 @@
 
     def __init__(self, http: Caller, now_ms: Callable[[], int]) -> None:
         """Take the send times of polls from `now_ms`."""
-        self.http = http
+        self.http = ChannelBudget(http)
         self.now_ms = now_ms
 
     async def poll(self, request: PollRequest) -> PollReply:
--- a/src/lycheerelay/serving/__init__.py
+++ b/src/lycheerelay/serving/__init__.py
@@ -2,6 +2,7 @@
 
 from ._advice_dispatcher import AdviceDispatcher
 from ._caller_checks import STATUS_OF_CAUSE, CallerChecks
+from ._channel_budget import ChannelBudget
 from ._config_freshness import ConfigFreshness
 from ._config_watch import ConfigWatch
 from ._context import Limits, OwnerContext
@@ -9,7 +10,10 @@
 from ._dump import dump_process
 from ._event_log import set_up_event_log
 from ._http_calls import (
+    KEEP_ALIVE_S,
+    MAX_CONNECTIONS_PER_HOST,
     NO_ANSWER,
+    NO_CHANNEL,
     NOT_SENT,
     Caller,
     HttpCalls,
@@ -55,11 +59,15 @@
     'CONFIG_KEY',
     'EVERYONE',
     'GROUP_TTL_MS',
+    'KEEP_ALIVE_S',
     'KEY_HEADER',
+    'MAX_CONNECTIONS_PER_HOST',
     'STATUS_OF_CAUSE',
     'NOT_SENT',
     'NO_ANSWER',
+    'NO_CHANNEL',
     'Caller',
+    'ChannelBudget',
     'CallerChecks',
     'ConfigFreshness',
     'Identity',
--- a/src/lycheerelay/serving/_http_calls.py
+++ b/src/lycheerelay/serving/_http_calls.py
@@ -19,6 +19,8 @@
 NO_ANSWER: Final = 0
 # Status of a call that was not sent.
 NOT_SENT: Final = 1
+# The same, as every channel to the host was in use.
+NO_CHANNEL: Final = 2
 
 # Errors after which the call may have been executed. ValueError stands for a
 # malformed answer or address.
@@ -31,7 +33,7 @@
 
 
 class Reply(NamedTuple):
-    """HTTP status, NO_ANSWER or NOT_SENT, and the body."""
+    """HTTP status, NO_ANSWER, NOT_SENT or NO_CHANNEL, and the body."""
 
     status: int
     raw: bytes = b''
--- a/src/lycheerelay_standins/platform/_cell.py
+++ b/src/lycheerelay_standins/platform/_cell.py
@@ -19,6 +19,7 @@
 from lycheerelay.workflow import FINAL_PHASES
 
 from ._audit import SubmittedJob
+from ._channels import ChannelPool
 from ._environment import ROUTE_HOST, CellShape, Environment
 from ._freezing import FreezableLoop, process_context, run_as
 from ._network import EmulatedNetwork, Handler, NetCaller, Request
@@ -43,6 +44,7 @@
         self.entries: dict[str, Entry] = {}
         # Contexts of the VMs' processes, and the calls of callers in progress.
         self.contexts: dict[str, Context] = {}
+        self.channels: dict[str, ChannelPool] = {}
         self.calls: dict[str, set[asyncio.Task[Any]]] = {}
         self.net.listen(STORE_ADDRESS, 'store', self.store.handle)
         self.net.listen(ADVISOR_ADDRESS, 'advisor', self.advise)
@@ -70,6 +72,8 @@
         """Register a worker's handler at a new or a reused address."""
         address = reused_address or f'10.2.0.{self.created_count}:80'
         self.net.listen(address, name, handler)
+        if self.shape.worker_channels:
+            self.net.channels.limits[address] = self.shape.worker_channels
         return address
 
     async def begin(self) -> None:
@@ -114,6 +118,7 @@
         )
         self.net.bytes_per_s[name] = link_mbps * BYTES_PER_MBIT
         caller = NetCaller(self.net, name)
+        self.channels[name] = caller.channels
         context = process_context(name)
         self.contexts[name] = context
         entry = context.run(
@@ -168,9 +173,15 @@
         task.add_done_callback(calls.discard)
         return task
 
+    def cut_power(self, name: str) -> None:
+        """Kill an entry VM whose channels to the workers stay open."""
+        self.channels[name].has_power = False
+        self.kill_vm(name)
+
     def kill_vm(self, name: str) -> None:
         """Kill an entry VM without a shutdown."""
         entry = self.entries.pop(name)
+        self.channels.pop(name).close()
         for call in self.calls.pop(name, ()):
             call.cancel()
         entry.halt()
--- a/src/lycheerelay_standins/platform/_environment.py
+++ b/src/lycheerelay_standins/platform/_environment.py
@@ -48,6 +48,7 @@
     `keeps_ids` says whether a worker that a task has crashed starts again under
     its id. Without tenants the configuration has neither tenants nor keys, and
     `quota_window_ms` applies to a configuration that a test publishes itself.
+    A worker accepts `worker_channels` channels, any number with 0.
     """
 
     vms: int = 3
@@ -59,6 +60,7 @@
     tenants: tuple[TenantShape, ...] = ()
     bounds: TenantBounds = TenantBounds()
     quota_window_ms: int = 0
+    worker_channels: int = 0
 
 
 class Environment(ABC):
--- a/src/lycheerelay_standins/platform/_network.py
+++ b/src/lycheerelay_standins/platform/_network.py
@@ -10,6 +10,8 @@
 from lycheerelay._clock import MS_PER_SECOND
 from lycheerelay.serving import NO_ANSWER, NOT_SENT, Reply
 
+from ._channels import ChannelLimits
+
 ONE_WAY_LATENCY_MS: Final = 1
 CONNECT_TIMEOUT_MS: Final = 400
 HTTP_UNAVAILABLE: Final = 503
@@ -51,7 +53,8 @@
     each response. `bytes_per_s` limits the links of VMs by name. `frozen` VMs
     neither send nor receive until they are thawed; what was held back is then
     delivered. `failing_reads` gives by VM (or `*`) the status of its reads of the
-    operators' stream; with NO_ANSWER they time out.
+    operators' stream; with NO_ANSWER they time out. `channels` limits the channels
+    to an address.
     """
 
     def __init__(self, rng: random.Random) -> None:
@@ -68,6 +71,7 @@
         self.bytes_per_s: dict[str, float] = {}
         self.frozen: dict[str, asyncio.Event] = {}
         self.failing_reads: dict[str, int] = {}
+        self.channels = ChannelLimits()
         self.running_calls: set[asyncio.Task[object]] = set()
         # Calls in progress go on while the process of their origin is frozen.
         self.context = copy_context()
@@ -229,6 +233,7 @@
         """Create the client of a VM."""
         self.net = net
         self.vm = vm
+        self.channels = net.channels.add_pool()
 
     async def call(
         self,
@@ -253,8 +258,32 @@
             body or b'',
         )
         timeouts = CallTimeouts(timeout_ms, max(timeout_ms, longest_ms))
+        if parts.netloc in self.net.channels.limits:
+            return await self._call_on_channel(parts.netloc, request, timeouts)
         return await self.net.call(self.vm, parts.netloc, request, timeouts)
 
+    async def _call_on_channel(
+        self, address: str, request: Request, timeouts: CallTimeouts
+    ) -> Reply:
+        try:
+            async with asyncio.timeout(timeouts.response_ms / MS_PER_SECOND):
+                await self.channels.wait_for_turn(address)
+        except TimeoutError:
+            return Reply(NOT_SENT)
+        if not self.net.channels.accepts(address, self.channels):
+            # The reset comes after the request was written.
+            await _sleep_ms(ONE_WAY_LATENCY_MS * 2)
+            return Reply(NO_ANSWER)
+        self.channels.take(address)
+        status = NO_ANSWER
+        try:
+            reply = await self.net.call(self.vm, address, request, timeouts)
+            status = reply.status
+        finally:
+            is_answered = status not in {NO_ANSWER, NOT_SENT}
+            self.channels.release(address, is_answered)
+        return reply
+
     async def close(self) -> None:
         """Do nothing; there is no connection to close."""
 
