Know a call that was not written as not sent

Cause: a connection that the host closes between connecting and writing, as a worker without a free channel does, counted like one that was cut off afterwards: the call may have been executed.

Now the body of a call notes when its writing begins, and refuses a connection that is closed.

--- a/src/lycheerelay/serving/_http_calls.py
+++ b/src/lycheerelay/serving/_http_calls.py
@@ -7,6 +7,7 @@
 import orjson
 
 from .._clock import MS_PER_SECOND
+from ._request_body import RequestBody
 
 # Connecting takes one round trip; after this time the host counts as down.
 CONNECT_TIMEOUT_S: Final = 0.4
@@ -114,11 +115,12 @@
             sock_connect=CONNECT_TIMEOUT_S,
             sock_read=timeout_ms / MS_PER_SECOND,
         )
+        request_body = None if body is None else RequestBody(body)
         try:
             async with self.session.request(
                 method,
                 url,
-                data=body,
+                data=request_body,
                 headers=headers,
                 timeout=timeout,
             ) as reply:
@@ -130,7 +132,8 @@
         ):
             return Reply(NOT_SENT)
         except ANSWER_ERRORS:
-            return Reply(NO_ANSWER)
+            is_unsent = request_body is not None and not request_body.is_begun
+            return Reply(NOT_SENT if is_unsent else NO_ANSWER)
 
     async def close(self) -> None:
         """Close every connection."""
--- a/tests/test_worker_channels.py
+++ b/tests/test_worker_channels.py
@@ -5,11 +5,20 @@
 """
 
 import asyncio
+import socket
+import threading
 from typing import Any
 
 import pytest
 
-from lycheerelay.serving import NO_CHANNEL, ChannelBudget, Reply
+from lycheerelay.serving import (
+    NO_ANSWER,
+    NO_CHANNEL,
+    NOT_SENT,
+    ChannelBudget,
+    HttpCalls,
+    Reply,
+)
 from lycheerelay_standins.platform import (
     CellShape,
     PlatformCell,
@@ -123,3 +132,40 @@
         assert not budget.turns
 
     run_virtual(scenario())
+
+
+def _serve_resets(listener: socket.socket, reads_first: bool) -> None:
+    """Close each connection, before or after the call is read."""
+    while True:
+        try:
+            connection, _ = listener.accept()
+        except OSError:
+            return
+        with connection:
+            if reads_first:
+                connection.recv(4096)
+
+
+@pytest.mark.parametrize('reads_first', [False, True])
+def test_a_call_that_was_not_written_is_known_as_not_sent(
+    reads_first: bool,
+) -> None:
+    """A host that closes connections before a call has executed nothing."""
+
+    async def call(address: str) -> list[int]:
+        http = HttpCalls()
+        url = f'http://{address}/v1/run-start'
+        replies = [await http.call('POST', url, 300, b'{}') for _ in range(100)]
+        await http.close()
+        return [reply.status for reply in replies]
+
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        threading.Thread(
+            target=_serve_resets, args=(listener, reads_first), daemon=True
+        ).start()
+        statuses = asyncio.run(call('{}:{}'.format(*listener.getsockname())))
+        listener.shutdown(socket.SHUT_RDWR)
+    if reads_first:
+        assert set(statuses) == {NO_ANSWER}
+    else:
+        assert NOT_SENT in statuses
