Tell an append that is refused for good from one that may succeed

Cause: `to_log_fault` made a 413 an UNKNOWN, and `Recorder._append` repeats an UNKNOWN without a pause and without an end.

400, 413 and 422 to an append are now REJECTED. They speak of what was sent, which is the same in each repeat; 401, 403, 404, 408 and others may pass and are repeated as before. The job of a record at fault is failed, so that it starts nothing without a record; its runs that wait for the record are stopped before they are sent. Ends are acknowledged to workers only once that failure is recorded. Peers of earlier versions read `refused`, as they don't know the new fault.

The store of the stand-ins keeps the limits of the settings example.

--- a/src/lycheerelay/platform/_ingress.py
+++ b/src/lycheerelay/platform/_ingress.py
@@ -44,6 +44,7 @@
     RequestStatus.KEY_REFUSED: 401,
     RequestStatus.CONFIG_TOO_OLD: 503,
     RequestStatus.OVER_QUOTA: 429,
+    RequestStatus.NEVER_STORED: 413,
 }
 # Responses with these statuses carry a Retry-After header.
 RETRYABLE_ERRORS: Final = {
@@ -258,8 +259,8 @@
     if outcome.status in RETRYABLE_ERRORS:
         text = RETRYABLE_ERRORS[outcome.status]
         return _error_response(status, text, outcome.retry_after_s)
-    if outcome.status is RequestStatus.OVER_QUOTA:
-        # No Retry-After: the job cannot be served later under this quota.
+    if outcome.status in {RequestStatus.OVER_QUOTA, RequestStatus.NEVER_STORED}:
+        # No Retry-After: the job cannot be served later as it is.
         return _error_response(status, outcome.content)
     if outcome.status is not RequestStatus.OK:
         text = FINAL_ERRORS.get(outcome.status, outcome.status.value)
--- a/src/lycheerelay/platform/_store.py
+++ b/src/lycheerelay/platform/_store.py
@@ -51,6 +51,10 @@
 GONE: Final = 410
 TOO_MANY_REQUESTS: Final = 429
 SERVICE_UNAVAILABLE: Final = 503
+# Malformed, too large and not processable: refusals of the content of a call,
+# which is the same in each repeat. Others speak of the path, the caller or the
+# state of the store, and may pass.
+CONTENT_REFUSALS: Final = frozenset((400, 413, 422))
 CONFLICT_FAULTS: Final = {
     'fenced': LogFault.FENCED,
     'seq': LogFault.OUT_OF_ORDER,
@@ -100,7 +104,9 @@
         )
         if reply.status == OK:
             return Ok(int(reply.fields().get('offset', 0)))
-        return Err(to_log_fault(reply))
+        fault = to_log_fault(reply)
+        is_for_good = reply.status in CONTENT_REFUSALS
+        return Err(LogFault.REJECTED if is_for_good else fault)
 
     async def append_at(
         self,
--- a/src/lycheerelay/serving/_job_appends.py
+++ b/src/lycheerelay/serving/_job_appends.py
@@ -72,13 +72,20 @@
 
     async def _send(self) -> None:
         while self.pending:
-            batch = self._next_batch()
-            outcome: AppendOutcome = Err(LogFault.UNKNOWN)
-            try:
-                outcome = await self._append_batch(batch)
-            finally:
-                # Callers get an outcome even if the append raised.
-                _resolve(batch, outcome)
+            await self._send_batch(self._next_batch())
+
+    async def _send_batch(self, batch: list[PendingAppend]) -> None:
+        outcome: AppendOutcome = Err(LogFault.UNKNOWN)
+        try:
+            outcome = await self._append_batch(batch)
+            if outcome == Err(LogFault.REJECTED) and len(batch) > 1:
+                # Only the caller of the record at fault is refused.
+                middle = len(batch) // 2
+                await self._send_batch(batch[:middle])
+                await self._send_batch(batch[middle:])
+        finally:
+            # Callers get an outcome even if the append raised.
+            _resolve(batch, outcome)
 
     async def _append_batch(self, batch: list[PendingAppend]) -> AppendOutcome:
         sent_ms = self.clock.now_ms()
@@ -90,7 +97,7 @@
         self.metrics.observe('append', self.clock.now_ms() - sent_ms)
         if isinstance(outcome, Ok):
             self.gate.succeeded()
-        else:
+        elif outcome.err_value is not LogFault.REJECTED:
             self.gate.failed()
             self._refuse_pending()
         return outcome
--- a/src/lycheerelay/serving/_peers.py
+++ b/src/lycheerelay/serving/_peers.py
@@ -38,6 +38,8 @@
 CALL_TIMEOUT_MS: Final = 500
 # A vacancy announcement is answered within one round trip.
 VACANT_TIMEOUT_MS: Final = 150
+# Field of the owner's answer about a record that the store refuses for good.
+REJECTED_FIELD: Final = 'rejected'
 HTTP_OK: Final = 200
 # Interval between a member's hellos to the owner, and its increase per member
 # that the owner knows.
@@ -217,6 +219,8 @@
         answer = outcome.ok_value
         if 'offset' in answer:
             return Ok(int(answer['offset']))
+        if answer.get(REJECTED_FIELD):
+            return Err(LogFault.REJECTED)
         return Err(LogFault(answer['fault']))
 
     async def ask_config(
--- a/src/lycheerelay/serving/_ports.py
+++ b/src/lycheerelay/serving/_ports.py
@@ -25,11 +25,12 @@
     """Reasons why a call failed.
 
     After REFUSED and THROTTLED the call had no effect, nor after KEY_REVOKED,
-    with which the owner refuses a record whose caller has lost its key. After
-    UNKNOWN it may have taken effect or may still do so. FENCED means that a later writer has
-    taken over, GONE that the requested records are deleted, RACED that a
-    condition of the call did not hold, and OUT_OF_ORDER that the sequence
-    number of an append did not follow the last one.
+    with which the owner refuses a record whose caller has lost its key, nor
+    after REJECTED, with which the store refuses what was sent for good, as it is
+    too large or malformed. After UNKNOWN it may have taken effect or may still do
+    so. FENCED means that a later writer has taken over, GONE that the requested
+    records are deleted, RACED that a condition of the call did not hold, and
+    OUT_OF_ORDER that the sequence number of an append did not follow the last one.
     """
 
     REFUSED = 'refused'
@@ -40,6 +41,7 @@
     RACED = 'raced'
     OUT_OF_ORDER = 'out_of_order'
     KEY_REVOKED = 'key_revoked'
+    REJECTED = 'rejected'
 
 
 class KeyedRecord(NamedTuple):
--- a/src/lycheerelay/serving/_record_appends.py
+++ b/src/lycheerelay/serving/_record_appends.py
@@ -80,7 +80,7 @@
             fault = outcome.err_value
             status = worse_status(status, STATUS_OF_FAULT.get(fault, status))
             if (
-                fault is LogFault.KEY_REVOKED
+                fault in FINAL_FAULTS
                 or self.clock.now_ms() >= pending.deadline_ms
             ):
                 break
@@ -94,6 +94,11 @@
                 'store_failing_since_ms': self.gate.failing_since_ms,
             },
         )
+        return self._refusal(status)
+
+    def _refusal(self, status: RequestStatus) -> RequestResult:
+        if status is RequestStatus.NEVER_STORED:
+            return RequestResult(status, NEVER_STORED_TEXT)
         if status is RequestStatus.REFUSED:
             return RequestResult(
                 status, retry_after_s=self.gate.retry_after_s()
@@ -124,7 +129,7 @@
         # The first record of a key counts, so that a second append of it
         # changes nothing.
         outcome = await APPENDERS[route](self, pending)
-        is_answered = outcome.is_ok() or outcome == Err(LogFault.KEY_REVOKED)
+        is_answered = outcome.is_ok() or outcome.err() in FINAL_FAULTS
         took_ms = self.clock.now_ms() - begun_ms
         self.router.observe(route, took_ms, not is_answered)
         verdict = 'ok' if is_answered else 'failed'
@@ -135,7 +140,13 @@
 STATUS_OF_FAULT: Final = {
     LogFault.UNKNOWN: RequestStatus.UNKNOWN_OUTCOME,
     LogFault.KEY_REVOKED: RequestStatus.KEY_REFUSED,
+    LogFault.REJECTED: RequestStatus.NEVER_STORED,
 }
+# Faults that no other route or attempt would change.
+FINAL_FAULTS: Final = frozenset((LogFault.KEY_REVOKED, LogFault.REJECTED))
+NEVER_STORED_TEXT: Final = (
+    'the store refuses the record for good; it was not stored and has not run'
+)
 
 
 def worse_status(before: RequestStatus, after: RequestStatus) -> RequestStatus:
--- a/src/lycheerelay/serving/_recorder.py
+++ b/src/lycheerelay/serving/_recorder.py
@@ -1,33 +1,27 @@
 """Record the owner's progress durably before anything depends on it."""
 
 import asyncio
-import itertools
-import logging
 from collections.abc import Callable, Collection
 from typing import Final, final
 
-from result import Err, Ok
-
-from ..workflow import JobPhase, WorkerKey, encode_progress
+from ..workflow import (
+    JobPhase,
+    WorkerKey,
+    encode_progress,
+    fail_unrecordable_job,
+)
 from ._context import OwnerContext
-from ._known_workers import KnownWorker, encode_known_workers, known_workers
-from ._ports import KeyedRecord, LogFault, Stream, Writer
-
-logger = logging.getLogger('lycheerelay.recorder')
+from ._known_workers import (
+    KNOWN_WORKERS_KEY,
+    KnownWorker,
+    encode_known_workers,
+    known_workers,
+)
+from ._ports import KeyedRecord
+from ._progress_appends import OwnedRecord, ProgressAppends
 
-FENCE_KEY: Final = 'fence'
-WRITER: Final = 'owner'
-# Faults that end the term. Only a new term, whose epoch restarts the sequence
-# numbers, can append again.
-TERM_ENDING_FAULTS: Final = frozenset((LogFault.FENCED, LogFault.OUT_OF_ORDER))
 # Changes that arrive within this time share one append.
 BATCH_DELAY_S: Final = 0.002
-# Delay before a failed append is repeated.
-RETRY_DELAY_S: Final = 0.12
-# Starts wait for their record, and repeating an append with its sequence number
-# is safe, so the first attempts time out early. Later attempts use the default
-# timeout of the store.
-FIRST_TIMEOUTS_MS: Final = (100, 300)
 # Size of the progress in one append, exceeded by at most one record. The store
 # accepts more.
 MAX_BATCH_BYTES: Final = 256 * 1024
@@ -51,25 +45,13 @@
         self.context = context
         self.on_encoded = on_encoded
         self.on_recorded = on_recorded
-        self.sequence = 0
+        self.appends = ProgressAppends(context)
         self.recorded_workers: frozenset[KnownWorker] = frozenset()
         self.expired_jobs: list[str] = []
 
     async def fence(self) -> bool:
         """Fence off the appends of earlier owners; return whether it worked."""
-        while not self.context.cell.deposed:
-            outcome = await self.context.log.append(
-                Stream.PROGRESS,
-                (KeyedRecord(FENCE_KEY, str(self.context.fence).encode()),),
-                Writer(WRITER, self.context.fence, self.sequence),
-            )
-            if isinstance(outcome, Ok):
-                return True
-            if outcome.err_value in TERM_ENDING_FAULTS:
-                self.context.cell.deposed = True
-                return False
-            await asyncio.sleep(RETRY_DELAY_S)
-        return False
+        return await self.appends.fence()
 
     async def run(self) -> None:
         """Record changes until the ownership ends."""
@@ -107,11 +89,14 @@
             worker.key: worker.handled_end for worker in cell.workers.values()
         }
         phases: dict[str, JobPhase] = {}
-        records: list[KeyedRecord] = []
+        records: list[OwnedRecord] = []
         if workers - self.recorded_workers:
-            records.extend(encode_known_workers(cell))
+            records.extend(
+                OwnedRecord(KNOWN_WORKERS_KEY, record)
+                for record in encode_known_workers(cell)
+            )
         for job_id in self.expired_jobs:
-            records.append(KeyedRecord(job_id, None))
+            records.append(OwnedRecord(job_id, KeyedRecord(job_id, None)))
         self.expired_jobs = []
         size = 0
         for job_id in list(cell.unrecorded_jobs):
@@ -125,10 +110,25 @@
             payload = encode_progress(job)
             size += len(payload)
             phases[job_id] = job.phase
-            records.append(KeyedRecord(job_id, payload))
+            records.append(OwnedRecord(job_id, KeyedRecord(job_id, payload)))
         self.on_encoded(phases)
-        if not records or await self._append(records):
-            self._mark_recorded(handled_ends, phases, workers)
+        refused = await self.appends.append(records)
+        if refused is None:
+            return
+        if self._fail_jobs(refused):
+            # Their ends are acknowledged once their failure is recorded.
+            handled_ends = {}
+        for name in refused:
+            phases.pop(name, None)
+        self._mark_recorded(handled_ends, phases, workers)
+
+    def _fail_jobs(self, refused: Collection[str]) -> bool:
+        """Fail the jobs whose record is refused; return whether any has."""
+        failed = [
+            fail_unrecordable_job(self.context.cell, name, self.context.now_ms)
+            for name in refused
+        ]
+        return any(failed)
 
     def _mark_recorded(
         self,
@@ -153,40 +153,3 @@
         self.on_recorded(phases)
         self.context.recorded.set()
         self.context.recorded.clear()
-
-    async def _append(self, records: list[KeyedRecord]) -> bool:
-        self.sequence += 1
-        writer = Writer(WRITER, self.context.fence, self.sequence)
-        sent_ms = self.context.now_ms
-        for timeout_ms in itertools.chain(
-            FIRST_TIMEOUTS_MS, itertools.repeat(0)
-        ):
-            if self.context.cell.deposed:
-                return False
-            outcome = await self.context.log.append(
-                Stream.PROGRESS,
-                records,
-                writer,
-                timeout_ms,
-            )
-            if isinstance(outcome, Ok):
-                took_ms = self.context.now_ms - sent_ms
-                self.context.metrics.observe('record', took_ms)
-                return True
-            self._handle_fault(outcome, sent_ms)
-            if outcome.err_value is not LogFault.UNKNOWN:
-                await asyncio.sleep(RETRY_DELAY_S)
-        return False
-
-    def _handle_fault(self, outcome: Err[LogFault], sent_ms: int) -> None:
-        fault = outcome.err_value
-        logger.warning(
-            'progress_not_recorded',
-            extra={
-                'fault': fault.value,
-                'since_ms': self.context.now_ms - sent_ms,
-                'fence': self.context.fence,
-            },
-        )
-        if fault in TERM_ENDING_FAULTS:
-            self.context.cell.deposed = True
--- a/src/lycheerelay/serving/_request_handler.py
+++ b/src/lycheerelay/serving/_request_handler.py
@@ -18,8 +18,8 @@
 )
 from ._job_stream import CANCEL_PREFIX, JOB_PREFIX, encode_cancellation
 from ._owner import Owner
-from ._peers import OWNER_SEARCH_INTERVAL_MS, Peers
-from ._ports import KeyedLog, KeyedRecord
+from ._peers import OWNER_SEARCH_INTERVAL_MS, REJECTED_FIELD, Peers
+from ._ports import KeyedLog, KeyedRecord, LogFault
 from ._record_appends import PendingRecord, RecordAppends
 from ._request_result import RequestResult, RequestStatus
 from ._spec_codec import encode_spec
@@ -221,6 +221,9 @@
     ) -> dict[str, Any]:
         """Append a record of another VM; it is not passed on again."""
         outcome = await self.appends.append_for_peer(record, identity)
+        if outcome == Err(LogFault.REJECTED):
+            # Earlier versions know the first field only.
+            return {'fault': LogFault.REFUSED.value, REJECTED_FIELD: True}
         if isinstance(outcome, Err):
             return {'fault': outcome.err_value.value}
         return {'offset': outcome.ok_value}
--- a/src/lycheerelay/serving/_request_result.py
+++ b/src/lycheerelay/serving/_request_result.py
@@ -20,6 +20,7 @@
     OVER_RATE = 'over_rate'
     KEY_REFUSED = 'key_refused'
     CONFIG_TOO_OLD = 'config_too_old'
+    NEVER_STORED = 'never_stored'
 
 
 class RequestResult(NamedTuple):
--- a/src/lycheerelay/serving/_workflow_api.py
+++ b/src/lycheerelay/serving/_workflow_api.py
@@ -47,6 +47,7 @@
     RequestStatus.KEY_REFUSED: Code.KEY_REFUSED,
     RequestStatus.CONFIG_TOO_OLD: Code.CONFIG_TOO_OLD,
     RequestStatus.OVER_QUOTA: Code.NEVER_IN_QUOTA,
+    RequestStatus.NEVER_STORED: Code.TOO_LARGE,
 }
 CODE_OF_PHASE: Final = {
     JobPhase.QUEUED: Code.ACCEPTED,
@@ -218,7 +219,7 @@
     text = CODES[code].text
     if outcome.status is RequestStatus.KEY_REFUSED:
         return _refusal_reply(Refusal(code, text, not_run=True))
-    if outcome.status is RequestStatus.OVER_QUOTA:
+    if outcome.status in {RequestStatus.OVER_QUOTA, RequestStatus.NEVER_STORED}:
         return _refusal_reply(Refusal(code, outcome.content, not_run=True))
     retry_after_ms = outcome.retry_after_s * MS_PER_SECOND
     is_not_run = outcome.status in {
--- a/src/lycheerelay/workflow/__init__.py
+++ b/src/lycheerelay/workflow/__init__.py
@@ -24,7 +24,12 @@
     remove_replaced_worker,
     unlist_worker,
 )
-from ._intake import VALUE_EXPIRY_FACTOR, cancel, submit
+from ._intake import (
+    VALUE_EXPIRY_FACTOR,
+    cancel,
+    fail_unrecordable_job,
+    submit,
+)
 from ._periodic_checks import (
     expire_jobs,
     open_occurrences,
@@ -111,6 +116,7 @@
     'cancel',
     'dispatch',
     'encode_progress',
+    'fail_unrecordable_job',
     'expire_jobs',
     'list_worker',
     'objective_ms',
--- a/src/lycheerelay/workflow/_intake.py
+++ b/src/lycheerelay/workflow/_intake.py
@@ -65,6 +65,19 @@
                 stop_run(cell, run, now_ms, phase)
 
 
+def fail_unrecordable_job(cell: CellState, job_id: str, now_ms: int) -> bool:
+    """Fail a job whose progress can never be recorded; return whether it did.
+
+    None of its tasks may start without a record. A failed job has a small one.
+    """
+    job = cell.jobs.get(job_id)
+    if job is None or job.is_final:
+        return False
+    reason = 'the store refuses the record of its progress for good'
+    finalize_job(cell, job, JobPhase.FAILED, reason, now_ms)
+    return True
+
+
 def find_step(cell: CellState, run: RunKey) -> StepInfo | None:
     """Return the step of a run, or None if it is not known."""
     job = cell.jobs.get(run.task.job_id)
--- a/src/lycheerelay_standins/platform/_store.py
+++ b/src/lycheerelay_standins/platform/_store.py
@@ -18,8 +18,12 @@
 CONFLICT: Final = 409
 PRECONDITION_FAILED: Final = 412
 GONE: Final = 410
+CONTENT_TOO_LARGE: Final = 413
 PARTITIONS: Final = 12
 PAGE_ITEMS: Final = 500
+# Limits of the settings example on one record and on the records of one call.
+RECORD_BYTES: Final = 262_144
+REQUEST_BYTES: Final = 2_097_152
 
 
 @dataclass
@@ -159,6 +163,9 @@
         self.topics: dict[str, Partition] = {}
         self.groups: dict[str, GroupStandIn] = {}
         self.calls = 0
+        self.record_bytes = RECORD_BYTES
+        self.request_bytes = REQUEST_BYTES
+        self.too_large = 0
         self.appends: collections.Counter[str] = collections.Counter()
 
     def group(self, name: str) -> GroupStandIn:
@@ -213,6 +220,14 @@
     async def _log_append(self, request: Request) -> Reply:
         partition = self.partition(request.query['topic'])
         self.appends[request.query['topic']] += 1
+        contents = _split_records(request.body)
+        sizes = [len(content) for content in contents]
+        if (
+            max(sizes, default=0) > self.record_bytes
+            or sum(sizes) > self.request_bytes
+        ):
+            self.too_large += 1
+            return _json(CONTENT_TOO_LARGE, {})
         producer = request.query.get('producer')
         if producer is not None:
             epoch = int(request.query['epoch'])
@@ -225,7 +240,7 @@
         if int(request.query.get('at', partition.end)) != partition.end:
             return _json(PRECONDITION_FAILED, {'end': partition.end})
         offset = partition.end
-        for content in _split_records(request.body):
+        for content in contents:
             partition.add(content)
         if producer is not None:
             partition.append_offsets[producer, epoch, sequence] = offset
