Split progress that is larger than a record of the store

Seen by callers: a step of 9,000 tasks has a progress record of 305 kB; the store takes 262,144 bytes, and the job can't be recorded.

Cause: `encode_progress` writes one record a job, and nothing reads the limits `recordBytes` and `requestBytes` of the settings.

Both are read, with the values of the settings example as defaults. Progress that is too large is split: the base under the id of the job has the masks of done tasks and names the numbers of the parts under `part/ID/NUMBER`. Parts get new numbers and come before their base, so one record replaces them all, whichever append is the last one of an owner. Leftover parts are deleted by the next owner. `ProgressRecords.keys_of` returns every key of a job's progress. Appends are cut to the limit of a call. A job whose own record can't be stored is refused at once with 413 and the sizes, before anything is sent.

The stand-in of the store in test_serving_parts.py has the new attribute `limits` of the interface.

--- a/src/lycheerelay/platform/_entry.py
+++ b/src/lycheerelay/platform/_entry.py
@@ -69,7 +69,7 @@
         self.clock = clock
         self.http = http
         self.metrics = MetricsRegistry()
-        self.log = StoreLog(http, settings.store_address)
+        self.log = StoreLog(http, settings.store_address, settings.store_limits)
         address = f'{settings.host}:{settings.internal_port}'
         member = f'{address}#{settings.vm}-{incarnation}'
         membership = StoreMembership(
--- a/src/lycheerelay/platform/_settings.py
+++ b/src/lycheerelay/platform/_settings.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from .._clock import MS_PER_SECOND
-from ..serving import GROUP_TTL_MS
+from ..serving import GROUP_TTL_MS, StoreLimits
 
 SETTINGS_PATH_VARIABLE: Final = 'LYCHEERELAY_CONFIG'
 
@@ -33,6 +33,7 @@
     strict_revocation: bool = False
     revocation_ms: int = 0
     quota_window_ms: int = 0
+    store_limits: StoreLimits = StoreLimits()
 
 
 def read_settings() -> Result[PlatformSettings, str]:
@@ -77,4 +78,14 @@
         strict_revocation=bool(bounds.get('strictRevocation', False)),
         revocation_ms=int(bounds.get('revocationMs') or 0),
         quota_window_ms=int((bounds.get('quotaWindowS') or 0) * MS_PER_SECOND),
+        store_limits=_decode_store_limits(fields['platform']),
+    )
+
+
+def _decode_store_limits(fields: dict[str, Any]) -> StoreLimits:
+    # A field that is missing or 0 has its default.
+    defaults = StoreLimits()
+    return StoreLimits(
+        int(fields.get('recordBytes') or defaults.record_bytes),
+        int(fields.get('requestBytes') or defaults.request_bytes),
     )
--- a/src/lycheerelay/platform/_store.py
+++ b/src/lycheerelay/platform/_store.py
@@ -17,6 +17,7 @@
     LogFault,
     RecordPage,
     Reply,
+    StoreLimits,
     Stream,
     Writer,
 )
@@ -65,9 +66,15 @@
 class StoreLog:
     """Append to and read from the keyed topics of the store."""
 
-    def __init__(self, http: Caller, address: str) -> None:
-        """Use the store at `address`."""
+    def __init__(
+        self,
+        http: Caller,
+        address: str,
+        limits: StoreLimits,
+    ) -> None:
+        """Use the store at `address`, which accepts records up to its limits."""
         self.http = http
+        self.limits = limits
         self.base = f'http://{address}/v1'
 
     async def append(
--- a/src/lycheerelay/serving/_job_appends.py
+++ b/src/lycheerelay/serving/_job_appends.py
@@ -9,12 +9,12 @@
 from .._clock import Clock
 from ._append_gate import AppendGate
 from ._metrics_registry import MetricsRegistry
-from ._ports import KeyedLog, KeyedRecord, LogFault, Stream
+from ._ports import KEY_BYTES, KeyedLog, KeyedRecord, LogFault, Stream
 
 # Allows for a store that is 60 times slower than usual. It serves the appends
 # of a partition one at a time, in 0.12 s each, while eight VMs send them.
 APPEND_TIMEOUT_MS: Final = 1200
-# Size of one append, exceeded by at most one record. The store accepts 2 MB.
+# Size of one append, exceeded by a single record only. The store accepts 2 MB.
 MAX_BATCH_BYTES: Final = 512 * 1024
 
 AppendOutcome = Result[int, LogFault]
@@ -110,15 +110,21 @@
         self.pending = []
 
     def _next_batch(self) -> list[PendingAppend]:
-        size = 0
-        batch = []
-        while self.pending and size < MAX_BATCH_BYTES:
-            pending_append = self.pending.pop(0)
-            size += len(pending_append.record.payload or b'')
-            batch.append(pending_append)
+        limit = min(self.log.limits.request_bytes, MAX_BATCH_BYTES)
+        batch = [self.pending.pop(0)]
+        size = _size_of(batch[0])
+        while self.pending:
+            size += _size_of(self.pending[0])
+            if size > limit:
+                break
+            batch.append(self.pending.pop(0))
         return batch
 
 
+def _size_of(pending_append: PendingAppend) -> int:
+    return KEY_BYTES + len(pending_append.record.payload or b'')
+
+
 def _resolve(batch: list[PendingAppend], outcome: AppendOutcome) -> None:
     for index, pending_append in enumerate(batch):
         if not pending_append.future.done():
--- a/src/lycheerelay/serving/_ports.py
+++ b/src/lycheerelay/serving/_ports.py
@@ -2,12 +2,15 @@
 
 from collections.abc import Sequence
 from enum import Enum, unique
-from typing import NamedTuple, Protocol
+from typing import Final, NamedTuple, Protocol
 
 from result import Result
 
 from ..workflow import Answer, RunKey, RunTable, StepKey, WorkerKey
 
+# A record holds the length of its key in one byte, the key and the payload.
+KEY_BYTES: Final = 256
+
 
 @unique
 class Stream(Enum):
@@ -63,6 +66,18 @@
     reaches_end: bool = False
 
 
+class StoreLimits(NamedTuple):
+    """Largest record and largest sum of the records of one append, in bytes."""
+
+    record_bytes: int = 262_144
+    request_bytes: int = 2_097_152
+
+    @property
+    def payload_bytes(self) -> int:
+        """Return the size of a payload that fits in a record with any key."""
+        return max(self.record_bytes - KEY_BYTES, 1)
+
+
 class Writer(NamedTuple):
     """Identify an append, so that later owners fence off earlier ones."""
 
@@ -74,6 +89,10 @@
 class KeyedLog(Protocol):
     """Read and append to the streams in the store."""
 
+    @property
+    def limits(self) -> StoreLimits:
+        """Return what the store accepts."""
+
     async def append(
         self,
         stream: Stream,
--- a/src/lycheerelay/serving/_progress_appends.py
+++ b/src/lycheerelay/serving/_progress_appends.py
@@ -15,7 +15,7 @@
 
 from .._clock import MS_PER_SECOND
 from ._context import OwnerContext
-from ._ports import KeyedRecord, LogFault, Stream, Writer
+from ._ports import KEY_BYTES, KeyedRecord, LogFault, Stream, Writer
 from ._repeat_pace import RepeatPace
 
 logger = logging.getLogger('lycheerelay.recorder')
@@ -29,6 +29,9 @@
 # is safe, so the first attempts time out early. Later attempts use the default
 # timeout of the store.
 FIRST_TIMEOUTS_MS: Final = (100, 300)
+# Size of one append, exceeded by a single record only. A larger one would take
+# longer than the first attempts wait.
+MAX_APPEND_BYTES: Final = 512 * 1024
 
 
 class OwnedRecord(NamedTuple):
@@ -90,7 +93,7 @@
         None means that the term is over.
         """
         refused: set[str] = set()
-        batches = [list(records)]
+        batches = self._batches(records)
         while batches:
             batch = [
                 owned for owned in batches.pop() if owned.owner not in refused
@@ -102,6 +105,22 @@
                 batches.extend(await self._split(batch, refused))
         return frozenset(refused)
 
+    def _batches(
+        self, records: Sequence[OwnedRecord]
+    ) -> list[list[OwnedRecord]]:
+        """Return the records in batches that fit in one append, last first."""
+        limit = min(self.context.log.limits.request_bytes, MAX_APPEND_BYTES)
+        batches: list[list[OwnedRecord]] = []
+        room = 0
+        for owned in records:
+            size = KEY_BYTES + len(owned.record.payload or b'')
+            if size > room:
+                batches.insert(0, [])
+                room = limit
+            batches[0].append(owned)
+            room -= size
+        return batches
+
     async def _split(
         self, batch: list[OwnedRecord], refused: set[str]
     ) -> list[list[OwnedRecord]]:
--- a/src/lycheerelay/serving/_record_appends.py
+++ b/src/lycheerelay/serving/_record_appends.py
@@ -14,7 +14,7 @@
 from ._credentials import Identity
 from ._job_appends import AppendOutcome, JobAppends
 from ._peers import Peers
-from ._ports import KeyedLog, KeyedRecord, LogFault
+from ._ports import KeyedLog, KeyedRecord, LogFault, StoreLimits
 from ._request_result import RequestResult, RequestStatus
 from ._store_health import StoreHealth
 
@@ -149,6 +149,20 @@
 )
 
 
+def find_size_excess(
+    record: KeyedRecord, limits: StoreLimits
+) -> RequestResult | None:
+    """Return the refusal of a record that can never be stored, or None."""
+    size = len(record.payload or b'')
+    if size <= limits.payload_bytes:
+        return None
+    return RequestResult(
+        RequestStatus.NEVER_STORED,
+        f'the job takes {size} bytes in the store, which accepts '
+        f'{limits.payload_bytes}; it was not stored and has not run',
+    )
+
+
 def worse_status(before: RequestStatus, after: RequestStatus) -> RequestStatus:
     """Return the status after two attempts; an unknown outcome stays one."""
     is_unknown = before is RequestStatus.UNKNOWN_OUTCOME
--- a/src/lycheerelay/serving/_recorder.py
+++ b/src/lycheerelay/serving/_recorder.py
@@ -4,12 +4,8 @@
 from collections.abc import Callable, Collection
 from typing import Final, final
 
-from ..workflow import (
-    JobPhase,
-    WorkerKey,
-    encode_progress,
-    fail_unrecordable_job,
-)
+from ..workflow import JobPhase, WorkerKey, encode_progress
+from ..workflow.records import fail_unrecordable_job
 from ._context import OwnerContext
 from ._known_workers import (
     KNOWN_WORKERS_KEY,
@@ -19,6 +15,7 @@
 )
 from ._ports import KeyedRecord
 from ._progress_appends import OwnedRecord, ProgressAppends
+from ._progress_records import ProgressRecords
 
 # Changes that arrive within this time share one append.
 BATCH_DELAY_S: Final = 0.002
@@ -46,6 +43,7 @@
         self.on_encoded = on_encoded
         self.on_recorded = on_recorded
         self.appends = ProgressAppends(context)
+        self.records = ProgressRecords(context.log.limits)
         self.recorded_workers: frozenset[KnownWorker] = frozenset()
         self.expired_jobs: list[str] = []
 
@@ -75,6 +73,7 @@
         return bool(
             cell.unrecorded_jobs
             or self.expired_jobs
+            or self.records.stale_keys
             or known_workers(cell) - self.recorded_workers
             or any(
                 worker.recorded_end < worker.handled_end
@@ -96,8 +95,15 @@
                 for record in encode_known_workers(cell)
             )
         for job_id in self.expired_jobs:
-            records.append(OwnedRecord(job_id, KeyedRecord(job_id, None)))
+            records.extend(
+                OwnedRecord(job_id, record)
+                for record in self.records.deletions(job_id)
+            )
         self.expired_jobs = []
+        records.extend(
+            OwnedRecord(key, KeyedRecord(key, None))
+            for key in self.records.take_stale_keys()
+        )
         size = 0
         for job_id in list(cell.unrecorded_jobs):
             if size > MAX_BATCH_BYTES:
@@ -110,7 +116,10 @@
             payload = encode_progress(job)
             size += len(payload)
             phases[job_id] = job.phase
-            records.append(OwnedRecord(job_id, KeyedRecord(job_id, payload)))
+            records.extend(
+                OwnedRecord(job_id, record)
+                for record in self.records.encode(job_id, payload)
+            )
         self.on_encoded(phases)
         refused = await self.appends.append(records)
         if refused is None:
@@ -137,6 +146,7 @@
         workers: frozenset[KnownWorker],
     ) -> None:
         cell = self.context.cell
+        self.records.confirm(phases)
         self.recorded_workers = workers
         for key, number in handled_ends.items():
             worker = cell.workers.get(key)
--- a/src/lycheerelay/serving/_request_handler.py
+++ b/src/lycheerelay/serving/_request_handler.py
@@ -20,7 +20,7 @@
 from ._owner import Owner
 from ._peers import OWNER_SEARCH_INTERVAL_MS, REJECTED_FIELD, Peers
 from ._ports import KeyedLog, KeyedRecord, LogFault
-from ._record_appends import PendingRecord, RecordAppends
+from ._record_appends import PendingRecord, RecordAppends, find_size_excess
 from ._request_result import RequestResult, RequestStatus
 from ._spec_codec import encode_spec
 from ._store_health import StoreHealth
@@ -65,6 +65,7 @@
     ) -> None:
         """Start as a VM that is not the owner."""
         self.clock = clock
+        self.log = log
         self.peers = peers
         self.checks = checks
         self.metrics = checks.metrics
@@ -83,11 +84,16 @@
     ) -> RequestResult:
         """Append a job; it is accepted once the store has acknowledged it.
 
-        A new job that is predicted to end after its value has expired, or that can
-        never fit in the quota of its tenant, is refused at once, and so is one over
-        the rate of its tenant while capacity is short.
+        A job that is too large for the store, a new one that is predicted to end
+        after its value has expired, or that can never fit in the quota of its
+        tenant, is refused at once, and so is one over the rate of its tenant while
+        capacity is short.
         """
         begun_ms = self.clock.now_ms()
+        record = KeyedRecord(f'{JOB_PREFIX}{spec.job_id}', encode_spec(spec))
+        too_large = find_size_excess(record, self.log.limits)
+        if too_large is not None:
+            return self._report_submission(spec, identity, too_large, begun_ms)
         refusal = self._find_refusal(spec)
         if refusal is not None:
             outcome = await self._accept_known_or(
@@ -97,7 +103,6 @@
         over_rate = await self._refuse_over_rate(spec, identity)
         if over_rate is not None:
             return self._report_submission(spec, identity, over_rate, begun_ms)
-        record = KeyedRecord(f'{JOB_PREFIX}{spec.job_id}', encode_spec(spec))
         remaining_ms = timeout_ms - (self.clock.now_ms() - begun_ms)
         outcome = await self._append(record, identity, remaining_ms, 'submit')
         return self._report_submission(spec, identity, outcome, begun_ms)
--- a/src/lycheerelay/workflow/__init__.py
+++ b/src/lycheerelay/workflow/__init__.py
@@ -24,12 +24,7 @@
     remove_replaced_worker,
     unlist_worker,
 )
-from ._intake import (
-    VALUE_EXPIRY_FACTOR,
-    cancel,
-    fail_unrecordable_job,
-    submit,
-)
+from ._intake import VALUE_EXPIRY_FACTOR, cancel, submit
 from ._periodic_checks import (
     expire_jobs,
     open_occurrences,
@@ -116,7 +111,6 @@
     'cancel',
     'dispatch',
     'encode_progress',
-    'fail_unrecordable_job',
     'expire_jobs',
     'list_worker',
     'objective_ms',
--- a/src/lycheerelay_standins/platform/_cell.py
+++ b/src/lycheerelay_standins/platform/_cell.py
@@ -14,6 +14,7 @@
     GROUP_TTL_MS,
     Reply,
     RequestResult,
+    StoreLimits,
     is_workflow_path,
 )
 from lycheerelay.workflow import FINAL_PHASES
@@ -110,6 +111,7 @@
             stop_grace_ms=6000,
             group_ttl_ms=GROUP_TTL_MS,
             link_mbps=link_mbps,
+            store_limits=StoreLimits(self.shape.record_bytes),
             **self._tenant_settings(),
         )
         self.net.bytes_per_s[name] = link_mbps * BYTES_PER_MBIT
--- a/src/lycheerelay_standins/platform/_environment.py
+++ b/src/lycheerelay_standins/platform/_environment.py
@@ -11,7 +11,7 @@
 
 from ._audit import Audit
 from ._network import Handler, Request
-from ._store import StoreStandIn
+from ._store import RECORD_BYTES, StoreStandIn
 from ._tenants import TenantBook, TenantBounds, TenantShape
 from ._worker import ActiveRun, Shape, WorkerStandIn
 
@@ -59,6 +59,7 @@
     tenants: tuple[TenantShape, ...] = ()
     bounds: TenantBounds = TenantBounds()
     quota_window_ms: int = 0
+    record_bytes: int = RECORD_BYTES
 
 
 class Environment(ABC):
@@ -69,6 +70,7 @@
         self.shape = shape
         self.now_ms = now_ms
         self.store = StoreStandIn(now_ms)
+        self.store.record_bytes = shape.record_bytes
         self.audit = Audit()
         self.workers: dict[str, WorkerStandIn] = {}
         self.addresses: dict[str, str] = {}
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -22,7 +22,7 @@
 from lycheerelay.platform._records import pack, unpack
 from lycheerelay.platform._settings import read_settings
 from lycheerelay.platform._workers import format_task_name, parse_task_name
-from lycheerelay.serving import KeyedRecord
+from lycheerelay.serving import KeyedRecord, StoreLimits
 from lycheerelay.serving._spec_codec import decode_spec, encode_spec
 from lycheerelay.workflow import QueuePolicy, TaskKey, WorkflowSpec
 
@@ -314,3 +314,18 @@
     assert read_settings().unwrap().group_ttl_ms == 2500
     path.write_text(SETTINGS)
     assert read_settings().unwrap().group_ttl_ms == 1000
+
+
+def test_the_limits_of_the_store_are_read(
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A field that is missing has the value of the settings example."""
+    path = tmp_path / 'settings.toml'
+    path.write_text(f'{SETTINGS}recordBytes = 9000\n')
+    monkeypatch.setenv('LYCHEERELAY_CONFIG', str(path))
+    limits = read_settings().unwrap().store_limits
+    assert limits == StoreLimits(9000, 2_097_152)
+    assert limits.payload_bytes == 9000 - 256
+    path.write_text(f'{SETTINGS}requestBytes = 70000\n')
+    assert read_settings().unwrap().store_limits == StoreLimits(262_144, 70_000)
--- a/tests/test_serving_parts.py
+++ b/tests/test_serving_parts.py
@@ -15,7 +15,7 @@
     HELLO_INTERVAL_PER_MEMBER_MS,
     Peers,
 )
-from lycheerelay.serving._ports import KeyedRecord, LogFault
+from lycheerelay.serving._ports import KeyedRecord, LogFault, StoreLimits
 from lycheerelay.serving._store_health import StoreHealth
 
 
@@ -34,6 +34,8 @@
 class BrokenLog:
     """Log whose appends raise."""
 
+    limits = StoreLimits()
+
     async def append(self, *_: Any, **__: Any) -> None:
         """Fail like a client with a fault of its own."""
         raise RuntimeError('connector is closed')
