Send the starts of a wide step in turns

Cause: all recorded starts were sent at once. 9,000 tasks of the event loop need over a second for one turn, the owner doesn't renew its ownership in time, and the cell goes from VM to VM (18 claims in 28 s), each of which begins anew: 22 starts were carried out. Orders that waited for a connection to their worker timed out as unanswered (12,029 at one VM). Runs counted from the decision, so those that waited for seconds were taken for hung (2,769 once starts were queued).

Recorded starts are queued by worker, up to the connections of a worker less one for its poll, with the jobs in turn, and 32 orders are sent in one turn of the loop. The time of a run counts from the sending of its order. The mask of done tasks is built in linear time; it was the largest entry of a profile of the owner (8% of the samples).

--- a/src/lycheerelay/serving/_orders.py
+++ b/src/lycheerelay/serving/_orders.py
@@ -30,6 +30,7 @@
 from ._cell_log import write_log_event
 from ._context import OwnerContext
 from ._ports import PaceOrder, StartOrder, StopOrder
+from ._start_queue import StartQueue
 from ._worker_poller import WorkerPoller
 
 logger = logging.getLogger('lycheerelay.orders')
@@ -51,6 +52,7 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.unrecorded_starts: dict[str, list[StartRun]] = {}
         self.recording_starts: list[StartRun] = []
+        self.start_queue = StartQueue(partial(_spawn_start, self))
 
     def execute_commands(self) -> None:
         """Execute and clear the commands in the core's outbox."""
@@ -77,10 +79,7 @@
         )
         for job_id, count in counts.items():
             logger.info('starts_recorded', extra={'job': job_id, 'runs': count})
-        for command in commands:
-            self.spawn(
-                _start(self, command), partial(_start_crashed, self, command)
-            )
+        self.start_queue.add(commands)
 
     def spawn(
         self,
@@ -94,6 +93,7 @@
 
     def cancel(self) -> None:
         """Cancel every order in flight."""
+        self.start_queue.stop()
         for task in self.tasks:
             task.cancel()
 
@@ -156,7 +156,20 @@
     )
 
 
+def _spawn_start(orders: Orders, command: StartRun) -> None:
+    orders.spawn(
+        _start(orders, command), partial(_start_crashed, orders, command)
+    )
+
+
 async def _start(orders: Orders, command: StartRun) -> None:
+    try:
+        await _send_start(orders, command)
+    finally:
+        orders.start_queue.finish(command.worker)
+
+
+async def _send_start(orders: Orders, command: StartRun) -> None:
     context = orders.context
     poller = orders.pollers.get(command.worker)
     answer = Answer.UNSENT
@@ -229,6 +242,8 @@
     run = context.cell.find_run(command.worker.worker_id, command.run)
     if run is not None:
         run.order_sent = True
+        run.sent_ms = context.now_ms
+        run.percent_ms = context.now_ms
         run.start_expires_ms = expires_ms
 
 
--- /dev/null
+++ b/src/lycheerelay/serving/_start_queue.py
@@ -0,0 +1,80 @@
+"""Hold back start orders that a worker or this process cannot take at once.
+
+Load: a step of thousands of tasks is started in one decision. Orders beyond the
+connections of a worker would time out while they wait for one, and thousands of
+orders at once would hold up the calls that renew the ownership.
+"""
+
+import asyncio
+import collections
+from collections.abc import Callable, Iterable
+from typing import Final, final
+
+from ..workflow import StartRun, WorkerKey
+from ._http_calls import MAX_CONNECTIONS_PER_HOST
+
+# Starts in flight at one worker, which leaves a connection for its poll.
+STARTS_PER_WORKER: Final = MAX_CONNECTIONS_PER_HOST - 1
+# Orders that are sent before other work of the process has its turn.
+ORDERS_PER_TURN: Final = 32
+
+JobQueues = collections.OrderedDict[str, collections.deque[StartRun]]
+
+
+@final
+class StartQueue:
+    """Release the starts of each worker in order, with the jobs in turn."""
+
+    def __init__(self, send: Callable[[StartRun], None]) -> None:
+        """Release starts by `send`; each one is to be followed by `finish`."""
+        self.send = send
+        self.in_flight: collections.Counter[WorkerKey] = collections.Counter()
+        self.waiting: dict[WorkerKey, JobQueues] = {}
+        self.released: collections.deque[StartRun] = collections.deque()
+        self.is_scheduled = False
+
+    def add(self, commands: Iterable[StartRun]) -> None:
+        """Queue recorded starts, and release those that can be sent."""
+        workers: dict[WorkerKey, None] = {}
+        for command in commands:
+            queues = self.waiting.setdefault(command.worker, JobQueues())
+            job_id = command.run.task.job_id
+            queues.setdefault(job_id, collections.deque()).append(command)
+            workers[command.worker] = None
+        for key in workers:
+            self._release(key)
+
+    def finish(self, key: WorkerKey) -> None:
+        """Note the end of an order to a worker, whatever its outcome."""
+        self.in_flight[key] -= 1
+        if self.in_flight[key] <= 0:
+            self.in_flight.pop(key)
+        self._release(key)
+
+    def stop(self) -> None:
+        """Send nothing any more."""
+        self.waiting.clear()
+        self.released.clear()
+
+    def _release(self, key: WorkerKey) -> None:
+        queues = self.waiting.get(key, JobQueues())
+        while queues and self.in_flight[key] < STARTS_PER_WORKER:
+            job_id, commands = queues.popitem(last=False)
+            self.in_flight[key] += 1
+            self.released.append(commands.popleft())
+            if commands:
+                queues[job_id] = commands
+        if not queues:
+            self.waiting.pop(key, None)
+        self._schedule_turn()
+
+    def _schedule_turn(self) -> None:
+        if self.released and not self.is_scheduled:
+            self.is_scheduled = True
+            asyncio.get_running_loop().call_soon(self._send_turn)
+
+    def _send_turn(self) -> None:
+        self.is_scheduled = False
+        for _ in range(min(len(self.released), ORDERS_PER_TURN)):
+            self.send(self.released.popleft())
+        self._schedule_turn()
--- a/src/lycheerelay/workflow/_progress.py
+++ b/src/lycheerelay/workflow/_progress.py
@@ -106,7 +106,9 @@
 
 
 def _step_row(step: StepInfo) -> list[object]:
-    mask = sum(1 << task.index for task in step.tasks if task.done)
+    # Linear in the number of tasks; a sum of powers of two is not.
+    digits = ''.join('01'[task.done] for task in reversed(step.tasks))
+    mask = int(digits, 2)
     tasks = [
         [
             task.index,
