Bound what a long-lived job adds to its record

Seen by callers: nothing yet; the review worked out from the code that 36 service tasks that fail once a second reach the limit of a record in half an hour.

Cause: `failed_runs` keeps the number of every failed run of a task that lasts, and `finished` the number of every finished occurrence; both are written whole.

Of a task that lasts, the last 20 failed runs are kept: its delay does not grow beyond as many, and it has no limit of attempts. Its run numbers go on from `last_run`, which is recorded apart. Other tasks keep all failed runs, so that maxAttempts holds over owners. More than 5,000 finished occurrences are recorded as ranges (`finished_ranges`); a shorter list is written as before.

--- a/src/lycheerelay/workflow/_ends.py
+++ b/src/lycheerelay/workflow/_ends.py
@@ -24,6 +24,8 @@
 # failed runs. It is short because callers of the service are waiting.
 SERVICE_RETRY_MS: Final = 50
 MAX_SERVICE_RETRY_MS: Final = 1000
+# Failed runs of a service task that are kept; the delay does not grow beyond.
+MAX_SERVICE_FAILURES: Final = MAX_SERVICE_RETRY_MS // SERVICE_RETRY_MS
 
 
 @unique
@@ -151,6 +153,13 @@
     step.waiting.pop(task.index, None)
 
 
+def note_failed_run(step: StepInfo, task: TaskInfo, number: int) -> None:
+    """Count a failed run; of a task that lasts, the last ones are kept."""
+    task.failed_runs[number] = None
+    while step.spec.lasts and len(task.failed_runs) > MAX_SERVICE_FAILURES:
+        task.failed_runs.pop(min(task.failed_runs))
+
+
 def _handle_failed(
     cell: CellState,
     worker: WorkerInfo,
@@ -162,7 +171,7 @@
     job = step.job
     cell.unrecorded_jobs[job.spec.job_id] = None
     for member in members:
-        member.failed_runs[run.number] = None
+        note_failed_run(step, member, run.number)
         member.avoided_worker = worker.key
     failures = len(members[0].failed_runs)
     if step.spec.lasts:
--- a/src/lycheerelay/workflow/_progress.py
+++ b/src/lycheerelay/workflow/_progress.py
@@ -1,7 +1,8 @@
 """Encode and restore the durable progress record of a job.
 
 The record is a JSON object. `phase` is the phase of the job and `why` the reason
-for a final one. `finished` lists the numbers of finished occurrences. `steps`
+for a final one. `finished` lists the numbers of finished occurrences; if they are
+many, `finished_ranges` has the first and last number of each range of them. `steps`
 has a row for each step with progress: occurrence, step, done tasks as a
 hexadecimal bit mask, and a row for each open task that was started: index,
 failed runs, last run, checkpoint, worker. `crashes` has a row for each open task
@@ -12,6 +13,7 @@
 runs. Earlier versions ignore both.
 """
 
+import itertools
 from collections import Counter
 from collections.abc import Iterator
 from typing import Final, TypedDict
@@ -20,6 +22,12 @@
 
 from ._crashes import mark_suspect
 from ._ends import mark_done
+from ._finished_numbers import (
+    MAX_LISTED,
+    NumberRange,
+    from_ranges,
+    to_ranges,
+)
 from ._intake import open_if_ready, open_occurrence, steps_of
 from ._log_events import log_event
 from ._state import (
@@ -49,6 +57,7 @@
     phase: str
     why: str
     finished: list[int]
+    finished_ranges: list[NumberRange]
     steps: list[list[object]]
     crashes: list[CrashRow]
     others: list[RunCountRow]
@@ -63,7 +72,9 @@
     if job.is_final:
         record['why'] = job.reason
         return orjson.dumps(record)
-    if job.finished:
+    if len(job.finished) > MAX_LISTED:
+        record['finished_ranges'] = to_ranges(job.finished)
+    elif job.finished:
         record['finished'] = list(job.finished)
     rows = [
         _step_row(step)
@@ -148,7 +159,8 @@
             for step in steps:
                 cell.open_steps.pop(step.key, None)
         return
-    for number in record.get('finished', ()):
+    ranges = from_ranges(record.get('finished_ranges', ()))
+    for number in itertools.chain(record.get('finished', ()), ranges):
         job.finished[number] = None
         job.started = True
     for row in record.get('steps', ()):
--- a/src/lycheerelay/workflow/_progress_parts.py
+++ b/src/lycheerelay/workflow/_progress_parts.py
@@ -1,7 +1,7 @@
 """Split the progress record of a job that is too large for one record.
 
 The first part, the base, has the fields that are no lists, the masks of done
-tasks of every step and as many rows as fit; `parts` lists the numbers of the
+tasks of every step and as many rows as fit, those of tasks last; `parts` lists the numbers of the
 others. Each of those has further rows of the same fields. An earlier version
 reads the base alone and so knows at least which tasks are done.
 """
@@ -98,12 +98,12 @@
     """Yield the rows of every list, the masks of done tasks first."""
     steps = fields.get('steps', [])
     yield from _row_blocks('steps', [[*row[:3], []] for row in steps])
-    for occurrence, step, _, tasks in steps:
-        for block in _row_blocks('', tasks):
-            yield Block('steps', [[occurrence, step, '0', block.rows]])
     for name, content in fields.items():
         if isinstance(content, list) and name != 'steps':
             yield from _row_blocks(name, content)
+    for occurrence, step, _, tasks in steps:
+        for block in _row_blocks('', tasks):
+            yield Block('steps', [[occurrence, step, '0', block.rows]])
 
 
 def _row_blocks(field: str, rows: list[Any]) -> Iterable[Block]:
