Split the list of known workers, and don't enrol those it can't name

The list is split over `workers/1`, `instances/1` and so on. The first records begin with the workers without a registration, as earlier versions read no more. Parts are deleted once they are not needed, also those of an earlier owner. If the list is refused for good, it is not repeated before the workers change, and new workers are not enrolled, so they get no starts.

The check whether a refused record is at fault deletes a key that no record has, instead of writing the fence record again, whose offset should say when the term began.

--- a/src/lycheerelay/serving/_known_workers.py
+++ b/src/lycheerelay/serving/_known_workers.py
@@ -6,19 +6,20 @@
 """
 
 import logging
-from collections.abc import Iterator
 from typing import Any, Final, NamedTuple
 
 import orjson
 
 from .._resources import Resources
 from ..workflow import CellState, WorkerKey, WorkerListing
-from ._ports import KeyedRecord, RecordPage
+from ._ports import RecordPage
 
 logger = logging.getLogger('lycheerelay.owner')
 
 KNOWN_WORKERS_KEY: Final = 'workers'
 INSTANCES_KEY: Final = 'instances'
+# Further rows of either list are in records with this and a number after the key.
+PART_SEPARATOR: Final = '/'
 
 
 class KnownWorker(NamedTuple):
@@ -36,16 +37,9 @@
     )
 
 
-def encode_known_workers(cell: CellState) -> Iterator[KeyedRecord]:
-    """Yield the records of the known workers."""
-    workers = cell.workers.values()
-    addresses = {worker.worker_id: worker.address for worker in workers}
-    instances = {
-        worker.worker_id: (worker.key.started_ms, worker.draining)
-        for worker in workers
-    }
-    yield KeyedRecord(KNOWN_WORKERS_KEY, orjson.dumps(addresses))
-    yield KeyedRecord(INSTANCES_KEY, orjson.dumps(instances))
+def is_part_of(key: str, list_key: str) -> bool:
+    """Return whether a record has further rows of a list."""
+    return key.startswith(f'{list_key}{PART_SEPARATOR}')
 
 
 def decode_addresses(progress: RecordPage) -> dict[str, str]:
@@ -63,19 +57,24 @@
     }
 
 
-def _decode(progress: RecordPage, key: str) -> dict[str, Any]:
+def _decode(progress: RecordPage, list_key: str) -> dict[str, Any]:
+    rows: dict[str, Any] = {}
     for record in progress.records:
-        if record.key == key and record.payload is not None:
-            try:
-                fields: dict[str, Any] = orjson.loads(record.payload)
-            except ValueError as error:
-                logger.warning(
-                    'roster_unreadable',
-                    extra={'key': key, 'error': str(error)},
-                )
-                return {}
-            return fields
-    return {}
+        is_listed = record.key == list_key or is_part_of(record.key, list_key)
+        if is_listed and record.payload is not None:
+            rows.update(_decode_rows(record.key, record.payload))
+    return rows
+
+
+def _decode_rows(key: str, payload: bytes) -> dict[str, Any]:
+    try:
+        rows: dict[str, Any] = orjson.loads(payload)
+    except ValueError as error:
+        logger.warning(
+            'roster_unreadable', extra={'key': key, 'error': str(error)}
+        )
+        return {}
+    return rows
 
 
 def placeholder_listing(
--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -158,7 +158,7 @@
             return False
         self.context.tail_offset = jobs.next_offset
         self.listings.next_offset = listed.next_offset
-        progress = self.recorder.records.join(progress)
+        progress = self.recorder.join(progress)
         self._load_workers(listed, progress)
         _configure_tenants(self.context)
         self.stream.restore(jobs, progress)
--- a/src/lycheerelay/serving/_progress_appends.py
+++ b/src/lycheerelay/serving/_progress_appends.py
@@ -22,6 +22,9 @@
 
 FENCE_KEY: Final = 'fence'
 WRITER: Final = 'owner'
+# The deletion of this key, which no record has, tells whether the store takes any
+# record.
+PROBE_KEY: Final = 'probe'
 # Faults that end the term. Only a new term, whose epoch restarts the sequence
 # numbers, can append again.
 TERM_ENDING_FAULTS: Final = frozenset((LogFault.FENCED, LogFault.OUT_OF_ORDER))
@@ -73,7 +76,7 @@
             sent_ms = self.context.now_ms
             outcome = await self.context.log.append(
                 Stream.PROGRESS,
-                (self._fence_record(),),
+                (KeyedRecord(FENCE_KEY, str(self.context.fence).encode()),),
                 Writer(WRITER, self.context.fence, self.sequence),
             )
             if isinstance(outcome, Ok):
@@ -137,12 +140,12 @@
         return []
 
     async def _is_at_fault(self, owned: OwnedRecord) -> bool:
-        """Return whether the store takes a record that it has taken before.
+        """Return whether the store takes another record.
 
         Otherwise it refuses everything, and no record is at fault.
         """
         sent_ms = self.context.now_ms
-        probe = OwnedRecord(FENCE_KEY, self._fence_record())
+        probe = OwnedRecord(PROBE_KEY, KeyedRecord(PROBE_KEY, None))
         state = await self._append([probe])
         if state is not AppendState.TAKEN:
             self.useless_checks += 1
@@ -194,9 +197,6 @@
         pause_ms = self.pace.pause_ms(attempt, sent_ms, self.context.now_ms)
         await asyncio.sleep(pause_ms / MS_PER_SECOND)
 
-    def _fence_record(self) -> KeyedRecord:
-        return KeyedRecord(FENCE_KEY, str(self.context.fence).encode())
-
     def _handle_fault(self, outcome: Err[LogFault], since_ms: int) -> None:
         fault = outcome.err_value
         logger.warning(
--- a/src/lycheerelay/serving/_recorder.py
+++ b/src/lycheerelay/serving/_recorder.py
@@ -7,15 +7,11 @@
 from ..workflow import JobPhase, WorkerKey, encode_progress
 from ..workflow.records import fail_unrecordable_job
 from ._context import OwnerContext
-from ._known_workers import (
-    KNOWN_WORKERS_KEY,
-    KnownWorker,
-    encode_known_workers,
-    known_workers,
-)
-from ._ports import KeyedRecord
+from ._known_workers import KNOWN_WORKERS_KEY, KnownWorker, known_workers
+from ._ports import KeyedRecord, RecordPage
 from ._progress_appends import OwnedRecord, ProgressAppends
 from ._progress_records import ProgressRecords
+from ._worker_records import WorkerRecords
 
 # Changes that arrive within this time share one append.
 BATCH_DELAY_S: Final = 0.002
@@ -44,6 +40,7 @@
         self.on_recorded = on_recorded
         self.appends = ProgressAppends(context)
         self.records = ProgressRecords(context.log.limits)
+        self.worker_records = WorkerRecords(context.log.limits)
         self.recorded_workers: frozenset[KnownWorker] = frozenset()
         self.expired_jobs: list[str] = []
 
@@ -51,6 +48,11 @@
         """Fence off the appends of earlier owners; return whether it worked."""
         return await self.appends.fence()
 
+    def join(self, page: RecordPage) -> RecordPage:
+        """Return the records of earlier owners with each progress in one."""
+        self.worker_records.note_stored(page)
+        return self.records.join(page)
+
     async def run(self) -> None:
         """Record changes until the ownership ends."""
         while not self.context.cell.deposed:
@@ -88,22 +90,7 @@
             worker.key: worker.handled_end for worker in cell.workers.values()
         }
         phases: dict[str, JobPhase] = {}
-        records: list[OwnedRecord] = []
-        if workers - self.recorded_workers:
-            records.extend(
-                OwnedRecord(KNOWN_WORKERS_KEY, record)
-                for record in encode_known_workers(cell)
-            )
-        for job_id in self.expired_jobs:
-            records.extend(
-                OwnedRecord(job_id, record)
-                for record in self.records.deletions(job_id)
-            )
-        self.expired_jobs = []
-        records.extend(
-            OwnedRecord(key, KeyedRecord(key, None))
-            for key in self.records.take_stale_keys()
-        )
+        records = self._other_records(workers)
         size = 0
         for job_id in list(cell.unrecorded_jobs):
             if size > MAX_BATCH_BYTES:
@@ -129,8 +116,34 @@
             handled_ends = {}
         for name in refused:
             phases.pop(name, None)
+        # A list that is refused is repeated once the workers change.
+        self.recorded_workers = workers
+        if KNOWN_WORKERS_KEY in refused:
+            workers = frozenset()
         self._mark_recorded(handled_ends, phases, workers)
 
+    def _other_records(
+        self, workers: frozenset[KnownWorker]
+    ) -> list[OwnedRecord]:
+        """Return the list of workers, if it has changed, and what is deleted."""
+        records: list[OwnedRecord] = []
+        if workers - self.recorded_workers:
+            records.extend(
+                OwnedRecord(KNOWN_WORKERS_KEY, record)
+                for record in self.worker_records.encode(self.context.cell)
+            )
+        for job_id in self.expired_jobs:
+            records.extend(
+                OwnedRecord(job_id, record)
+                for record in self.records.deletions(job_id)
+            )
+        self.expired_jobs = []
+        records.extend(
+            OwnedRecord(key, KeyedRecord(key, None))
+            for key in self.records.take_stale_keys()
+        )
+        return records
+
     def _fail_jobs(self, refused: Collection[str]) -> bool:
         """Fail the jobs whose record is refused; return whether any has."""
         failed = [
@@ -147,7 +160,6 @@
     ) -> None:
         cell = self.context.cell
         self.records.confirm(phases)
-        self.recorded_workers = workers
         for key, number in handled_ends.items():
             worker = cell.workers.get(key)
             if worker is not None:
--- a/tests/test_refused_records.py
+++ b/tests/test_refused_records.py
@@ -12,7 +12,7 @@
 import pytest
 
 from lycheerelay.serving import Reply
-from lycheerelay_standins.platform import PlatformCell, Request
+from lycheerelay_standins.platform import PlatformCell, Request, Shape
 from platform_days import STORE, job, play, step
 
 REFUSED_JOB = f'{0xBAD:016x}'
@@ -130,6 +130,25 @@
     play(scenario)
 
 
+def test_a_refused_list_of_workers_is_not_repeated() -> None:
+    """Workers that are not in the record get no starts; jobs run on the others."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        refused = _refuse(
+            cell, 413, lambda request: b'\x07workers' in request.body
+        )
+        first = set(cell.workers)
+        cell.add_worker(Shape('cpu'))
+        name, _ = await cell.submit('vm-0', job(step(6)))
+        assert await cell.settle([name], 8) == {name: 'completed'}
+        assert len(refused) <= 4
+        assert _metric(cell, 'records_refused') == 1
+        late = set(cell.workers) - first
+        assert not any(cell.workers[each].starts for each in late)
+
+    play(scenario)
+
+
 def test_a_refused_hand_in_leaves_those_that_share_its_append() -> None:
     """Only the caller of the record at fault is refused."""
 
--- a/tests/test_wide_progress.py
+++ b/tests/test_wide_progress.py
@@ -12,12 +12,19 @@
 
 from lycheerelay._resources import Resources
 from lycheerelay.serving import KeyedRecord, RecordPage, StoreLimits
+from lycheerelay.serving._known_workers import (
+    decode_addresses,
+    decode_instances,
+)
 from lycheerelay.serving._progress_records import ProgressRecords
+from lycheerelay.serving._worker_records import WorkerRecords
 from lycheerelay.workflow import (
     MAX_TASKS_PER_STEP,
     CellState,
     JobInfo,
     StepSpec,
+    WorkerInfo,
+    WorkerKey,
     WorkflowSpec,
     encode_progress,
     restore_progress,
@@ -221,3 +228,47 @@
         assert cell.store.appends['keyed.jobs'] == before
 
     play(scenario, CellShape(record_bytes=SMALL_RECORDS))
+
+
+def _cell_of(addresses: dict[str, str], unlisted: str = '') -> CellState:
+    cell = CellState(1, 0)
+    for name, address in addresses.items():
+        key = WorkerKey(name, 7)
+        room = Resources()
+        cell.add_worker(WorkerInfo(key, address, 'p', 'r', frozenset(), room))
+        cell.workers[key].listed = name != unlisted
+    return cell
+
+
+def _read_workers(store: StoreModel) -> tuple[object, object]:
+    page = RecordPage(
+        tuple(KeyedRecord(*item) for item in store.newest.items()), 0
+    )
+    instances = decode_instances(page)
+    return decode_addresses(page), {
+        name: instances[name].key for name in instances
+    }
+
+
+def test_the_list_of_many_workers_fits() -> None:
+    """It is read whole, also after it has shrunk; the first record is old style."""
+    addresses = {
+        f'{number:016x}': f'10.0.0.1:{number}' for number in range(9000)
+    }
+    gone = next(reversed(addresses))
+    store = StoreModel()
+    records = WorkerRecords(LIMITS)
+    for count in (9000, 100, 9000):
+        few = dict(list(addresses.items())[-count:])
+        appended = records.encode(_cell_of(few, gone))
+        sizes = [len(record.payload or b'') for record in appended]
+        assert max(sizes) <= LIMITS.payload_bytes
+        store.apply(appended)
+        keys = {name: WorkerKey(name, 7) for name in few}
+        assert _read_workers(store) == (few, keys)
+        assert gone in orjson.loads(store.newest['workers'])
+        page = RecordPage(
+            tuple(KeyedRecord(*item) for item in store.newest.items()), 0
+        )
+        records = WorkerRecords(LIMITS)
+        records.note_stored(page)
