--- a/src/lycheerelay/serving/_record_appends.py
+++ b/src/lycheerelay/serving/_record_appends.py
@@ -14,7 +14,7 @@
 from ._credentials import Identity
 from ._job_appends import AppendOutcome, JobAppends
 from ._peers import Peers
-from ._ports import KeyedLog, KeyedRecord, LogFault
+from ._ports import KeyedLog, KeyedRecord, LogFault, StoreLimits
 from ._request_result import RequestResult, RequestStatus
 from ._store_health import StoreHealth
 
@@ -80,7 +80,7 @@
             fault = outcome.err_value
             status = worse_status(status, STATUS_OF_FAULT.get(fault, status))
             if (
-                fault is LogFault.KEY_REVOKED
+                fault in FINAL_FAULTS
                 or self.clock.now_ms() >= pending.deadline_ms
             ):
                 break
@@ -94,6 +94,11 @@
                 'store_failing_since_ms': self.gate.failing_since_ms,
             },
         )
+        return self._refusal(status)
+
+    def _refusal(self, status: RequestStatus) -> RequestResult:
+        if status is RequestStatus.NEVER_STORED:
+            return RequestResult(status, NEVER_STORED_TEXT)
         if status is RequestStatus.REFUSED:
             return RequestResult(
                 status, retry_after_s=self.gate.retry_after_s()
@@ -124,7 +129,7 @@
         # The first record of a key counts, so that a second append of it
         # changes nothing.
         outcome = await APPENDERS[route](self, pending)
-        is_answered = outcome.is_ok() or outcome == Err(LogFault.KEY_REVOKED)
+        is_answered = outcome.is_ok() or outcome.err() in FINAL_FAULTS
         took_ms = self.clock.now_ms() - begun_ms
         self.router.observe(route, took_ms, not is_answered)
         verdict = 'ok' if is_answered else 'failed'
@@ -135,7 +140,27 @@
 STATUS_OF_FAULT: Final = {
     LogFault.UNKNOWN: RequestStatus.UNKNOWN_OUTCOME,
     LogFault.KEY_REVOKED: RequestStatus.KEY_REFUSED,
+    LogFault.REJECTED: RequestStatus.NEVER_STORED,
 }
+# Faults that no other route or attempt would change.
+FINAL_FAULTS: Final = frozenset((LogFault.KEY_REVOKED, LogFault.REJECTED))
+NEVER_STORED_TEXT: Final = (
+    'the store refuses the record for good; it was not stored and has not run'
+)
+
+
+def find_size_excess(
+    record: KeyedRecord, limits: StoreLimits
+) -> RequestResult | None:
+    """Return the refusal of a record that can never be stored, or None."""
+    size = len(record.payload or b'')
+    if size <= limits.payload_bytes:
+        return None
+    return RequestResult(
+        RequestStatus.NEVER_STORED,
+        f'the job takes {size} bytes in the store, which accepts '
+        f'{limits.payload_bytes}; it was not stored and has not run',
+    )
 
 
 def worse_status(before: RequestStatus, after: RequestStatus) -> RequestStatus:
--- a/src/lycheerelay/workflow/_progress.py
+++ b/src/lycheerelay/workflow/_progress.py
@@ -1,7 +1,8 @@
 """Encode and restore the durable progress record of a job.
 
 The record is a JSON object. `phase` is the phase of the job and `why` the reason
-for a final one. `finished` lists the numbers of finished occurrences. `steps`
+for a final one. `finished` lists the numbers of finished occurrences; if they are
+many, `finished_ranges` has the first and last number of each range of them. `steps`
 has a row for each step with progress: occurrence, step, done tasks as a
 hexadecimal bit mask, and a row for each open task that was started: index,
 failed runs, last run, checkpoint, worker. `crashes` has a row for each open task
@@ -13,6 +14,7 @@
 runs. Earlier versions ignore all three.
 """
 
+import itertools
 from collections import Counter
 from collections.abc import Iterator
 from typing import Final, TypedDict
@@ -21,6 +23,12 @@
 
 from ._crashes import mark_suspect
 from ._ends import mark_done
+from ._finished_numbers import (
+    MAX_LISTED,
+    NumberRange,
+    from_ranges,
+    to_ranges,
+)
 from ._intake import open_if_ready, open_occurrence, steps_of
 from ._log_events import log_event
 from ._state import (
@@ -56,6 +64,7 @@
     phase: str
     why: str
     finished: list[int]
+    finished_ranges: list[NumberRange]
     steps: list[list[object]]
     crashes: list[CrashRow]
     begun: list[BegunRow]
@@ -71,7 +80,9 @@
     if job.is_final:
         record['why'] = job.reason
         return orjson.dumps(record)
-    if job.finished:
+    if len(job.finished) > MAX_LISTED:
+        record['finished_ranges'] = to_ranges(job.finished)
+    elif job.finished:
         record['finished'] = list(job.finished)
     rows = [
         _step_row(step)
@@ -126,7 +137,9 @@
 
 
 def _step_row(step: StepInfo) -> list[object]:
-    mask = sum(1 << task.index for task in step.tasks if task.done)
+    # Linear in the number of tasks; a sum of powers of two is not.
+    digits = ''.join('01'[task.done] for task in reversed(step.tasks))
+    mask = int(digits, 2)
     tasks = [
         [
             task.index,
@@ -166,7 +179,8 @@
             for step in steps:
                 cell.open_steps.pop(step.key, None)
         return
-    for number in record.get('finished', ()):
+    ranges = from_ranges(record.get('finished_ranges', ()))
+    for number in itertools.chain(record.get('finished', ()), ranges):
         job.finished[number] = None
         job.started = True
     for row in record.get('steps', ()):
