Delete the records of expired jobs in an order that is safe throughout

Cause: expire_jobs and drop_records deleted only the progress of an expired job. Its job record stayed for ever, and _restore_job takes a job record without progress for a job that has never begun.

Now the owner deletes cancel/ID and job/ID first, in one append that holds only if the stream ends where it has read to, so that no hand-in of the id is unseen. It forgets the job and deletes the progress once it has read the deletion back. A takeover deletes final progress without a job record, and cancellations without a job are deleted after the same time.

--- a/src/lycheerelay/platform/_store.py
+++ b/src/lycheerelay/platform/_store.py
@@ -105,12 +105,12 @@
     async def append_at(
         self,
         stream: Stream,
-        record: KeyedRecord,
+        records: Sequence[KeyedRecord],
         expected_end: int,
     ) -> Result[int, LogFault]:
-        """Append a record only if the stream ends at `expected_end`."""
+        """Append records only if the stream ends at `expected_end`."""
         query = urlencode({**_partition_query(stream), 'at': expected_end})
-        return await self._append(query, (record,), TIMEOUT_MS)
+        return await self._append(query, records, TIMEOUT_MS)
 
     async def read(
         self,
--- a/src/lycheerelay/platform/_store_groups.py
+++ b/src/lycheerelay/platform/_store_groups.py
@@ -128,7 +128,9 @@
         Fails with RACED if the lock stream no longer ends at `lock_end_offset`.
         """
         record = KeyedRecord(LOCK_KEY, self.member.encode())
-        outcome = await self.log.append_at(Stream.LOCK, record, lock_end_offset)
+        outcome = await self.log.append_at(
+            Stream.LOCK, (record,), lock_end_offset
+        )
         # Offsets start at 0, but a worker reads a missing fence number as 0.
         return outcome.map(lambda offset: offset + 1)
 
--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -15,7 +15,6 @@
     WorkerKey,
     WorkerListing,
     dispatch,
-    expire_jobs,
     list_worker,
     open_occurrences,
     predict_waits,
@@ -26,6 +25,7 @@
 )
 from ._advice_dispatcher import AdviceDispatcher
 from ._context import CYCLE_DELAY_S, Limits, OwnerContext
+from ._job_expiry import JobExpiry
 from ._job_stream import JobStream
 from ._known_workers import (
     decode_addresses,
@@ -56,8 +56,6 @@
 FORECAST_TICKS: Final = 5
 # Ticks between two checks for steps that wait with capacity free.
 STALL_CHECK_TICKS: Final = 10
-# Ticks between two scans of the final jobs for expired ones.
-EXPIRY_CHECK_TICKS: Final = 100
 # Delay before a failed read is repeated.
 RETRY_DELAY_S: Final = 0.1
 # After each scheduling cycle, events are batched for this multiple of its
@@ -87,7 +85,8 @@
         )
         self.results = ResultWatch(context.cell)
         self.listings = listings
-        self.stream = JobStream(context)
+        self.expiry = JobExpiry(context, self.recorder, self.catch_up)
+        self.stream = JobStream(context, self.expiry)
         self.started_ms = context.now_ms
         self.tasks: list[asyncio.Task[None]] = []
         self.has_ended = False
@@ -220,6 +219,7 @@
             self._follow_jobs(),
             self._follow_workers(),
             self.recorder.run(),
+            self.expiry.run(),
             self._run_ticks(),
             self._run_cycles(),
         )
@@ -331,13 +331,6 @@
             open_occurrences(self.cell, now_ms)
             if ticks % ORPHAN_CHECK_TICKS == 0:
                 stop_orphaned_runs(self.cell)
-            if ticks % EXPIRY_CHECK_TICKS == 0:
-                expired = expire_jobs(
-                    self.cell,
-                    self.context.limits.status_ms,
-                    now_ms,
-                )
-                self.recorder.drop_records(expired)
             _update_gauges(self.context)
             self._observe_waits(ticks, now_ms)
             self.run_cycle()
--- a/src/lycheerelay/serving/_ports.py
+++ b/src/lycheerelay/serving/_ports.py
@@ -84,6 +84,14 @@
         A timeout of 0 stands for the default of the store.
         """
 
+    async def append_at(
+        self,
+        stream: Stream,
+        records: Sequence[KeyedRecord],
+        expected_end: int,
+    ) -> Result[int, LogFault]:
+        """Append all records or none, only if the stream ends there."""
+
     async def read(
         self,
         stream: Stream,
--- a/src/lycheerelay/serving/_recorder.py
+++ b/src/lycheerelay/serving/_recorder.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import logging
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from typing import Final, final
 
 from result import Err, Ok
@@ -15,7 +15,11 @@
 
 logger = logging.getLogger('lycheerelay.recorder')
 
-FENCE_KEY: Final = 'fence'
+TERM_KEY: Final = 'term'
+# Earlier versions write this key at the start of each term.
+LEGACY_FENCE_KEY: Final = 'fence'
+# The last term of an earlier version whose records have been examined.
+JUDGED_KEY: Final = 'judged'
 WRITER: Final = 'owner'
 # Faults that end the term. Only a new term, whose epoch restarts the sequence
 # numbers, can append again.
@@ -31,6 +35,8 @@
 # Size of the progress in one append, exceeded by at most one record. The store
 # accepts more.
 MAX_BATCH_BYTES: Final = 256 * 1024
+# Deletions and other short records in one append.
+MAX_OTHER_RECORDS: Final = 2000
 
 
 @final
@@ -53,14 +59,14 @@
         self.on_recorded = on_recorded
         self.sequence = 0
         self.recorded_workers: frozenset[KnownWorker] = frozenset()
-        self.expired_jobs: list[str] = []
+        self.other_records: list[KeyedRecord] = []
 
     async def fence(self) -> bool:
         """Fence off the appends of earlier owners; return whether it worked."""
         while not self.context.cell.deposed:
             outcome = await self.context.log.append(
                 Stream.PROGRESS,
-                (KeyedRecord(FENCE_KEY, str(self.context.fence).encode()),),
+                (KeyedRecord(TERM_KEY, str(self.context.fence).encode()),),
                 Writer(WRITER, self.context.fence, self.sequence),
             )
             if isinstance(outcome, Ok):
@@ -81,9 +87,9 @@
             if self._has_work():
                 await self._write()
 
-    def drop_records(self, job_ids: list[str]) -> None:
-        """Schedule the deletion of the records of expired jobs."""
-        self.expired_jobs.extend(job_ids)
+    def write(self, records: Iterable[KeyedRecord]) -> None:
+        """Schedule records; they precede progress that changes later."""
+        self.other_records.extend(records)
         self.context.notify_changed()
 
     def _has_work(self) -> bool:
@@ -92,7 +98,7 @@
             return False
         return bool(
             cell.unrecorded_jobs
-            or self.expired_jobs
+            or self.other_records
             or known_workers(cell) - self.recorded_workers
             or any(
                 worker.recorded_end < worker.handled_end
@@ -110,9 +116,8 @@
         records: list[KeyedRecord] = []
         if workers - self.recorded_workers:
             records.extend(encode_known_workers(cell))
-        for job_id in self.expired_jobs:
-            records.append(KeyedRecord(job_id, None))
-        self.expired_jobs = []
+        records.extend(self.other_records[:MAX_OTHER_RECORDS])
+        del self.other_records[:MAX_OTHER_RECORDS]
         size = 0
         for job_id in list(cell.unrecorded_jobs):
             if size > MAX_BATCH_BYTES:
--- a/src/lycheerelay/serving/_request_handler.py
+++ b/src/lycheerelay/serving/_request_handler.py
@@ -16,7 +16,8 @@
     decode_identity,
     encode_identity,
 )
-from ._job_stream import CANCEL_PREFIX, JOB_PREFIX, encode_cancellation
+from ._job_expiry import CANCEL_PREFIX, JOB_PREFIX
+from ._job_stream import encode_cancellation
 from ._owner import Owner
 from ._peers import OWNER_SEARCH_INTERVAL_MS, Peers
 from ._ports import KeyedLog, KeyedRecord
--- a/src/lycheerelay/workflow/__init__.py
+++ b/src/lycheerelay/workflow/__init__.py
@@ -1,5 +1,6 @@
 """Schedule jobs of steps, without clocks, sockets or threads."""
 
+from . import retention
 from ._advice import Advice, advice_failed, apply_advice
 from ._answers import (
     Answer,
@@ -26,12 +27,11 @@
 )
 from ._intake import VALUE_EXPIRY_FACTOR, cancel, submit
 from ._periodic_checks import (
-    expire_jobs,
     open_occurrences,
     run_periodic_checks,
 )
 from ._policies import Policies
-from ._progress import encode_progress, restore_progress
+from ._progress import encode_progress, is_final_record, restore_progress
 from ._run_table import RunTable, RunTableRow, apply_run_table
 from ._spec import (
     MAX_TASKS_PER_STEP,
@@ -111,7 +111,7 @@
     'cancel',
     'dispatch',
     'encode_progress',
-    'expire_jobs',
+    'is_final_record',
     'list_worker',
     'objective_ms',
     'open_occurrences',
@@ -119,6 +119,7 @@
     'predicted_wait_ms',
     'report_stalled_steps',
     'restore_progress',
+    'retention',
     'handle_start_answer',
     'handle_stop_answer',
     'stop_orphaned_runs',
--- a/src/lycheerelay/workflow/_periodic_checks.py
+++ b/src/lycheerelay/workflow/_periodic_checks.py
@@ -34,8 +34,6 @@
 COPY_DELAY_FACTOR: Final = 1.6
 COPY_EXTRA_DELAY_MS: Final = 300
 MAX_RUNS_PER_TASK: Final = 2
-# Final jobs are kept this much longer than callers may query them.
-RETENTION_MARGIN_MS: Final = 60_000
 FULL_PERCENT: Final = 100
 # A worker that is up may have answered last this long ago, as a poll waits there
 # for a second and registrations are read three times a second.
@@ -187,16 +185,3 @@
     return min(
         (due_ms for due_ms in due_times_ms if due_ms != NEVER), default=NEVER
     )
-
-
-def expire_jobs(cell: CellState, retain_ms: int, now_ms: int) -> list[str]:
-    """Remove final jobs past their retention time; return their ids."""
-    limit_ms = now_ms - retain_ms - RETENTION_MARGIN_MS
-    expired = [
-        job_id
-        for job_id, job in cell.jobs.items()
-        if job.is_final and job.finalized_ms < limit_ms
-    ]
-    for job_id in expired:
-        cell.jobs.pop(job_id)
-    return expired
--- a/src/lycheerelay/workflow/_progress.py
+++ b/src/lycheerelay/workflow/_progress.py
@@ -121,6 +121,15 @@
     return [step.key.occurrence, step.key.step, f'{mask:x}', tasks]
 
 
+def is_final_record(raw: bytes | None) -> bool:
+    """Return whether a record is the progress of a final job."""
+    try:
+        record = orjson.loads(raw or b'')
+    except ValueError:
+        return False
+    return isinstance(record, dict) and record.get('phase') in FINAL_PHASES
+
+
 def restore_progress(cell: CellState, job: JobInfo, raw: bytes) -> None:
     """Restore a job from its progress record; log an unreadable one."""
     try:
