Restore a large cell in slices, and keep final jobs as records

Cause: JobStream.restore decoded every job and opened its steps in one call that did not return to the event loop, so that the membership in the election lapsed.

Now the jobs are restored in slices of 5 ms, and workers are polled meanwhile, so that their leases last. Jobs that are final stay records (PastJobs): they are decoded when a query, a repeat or a listed run refers to them, also those that end in a term, 15 s later. A restored job is answered for before the takeover is over, and what was appended during a long one is read before its first cycle. Reading may take 1 ms more for two records; restoring goes on for as long as it takes.

--- a/src/lycheerelay/platform/_store.py
+++ b/src/lycheerelay/platform/_store.py
@@ -3,7 +3,7 @@
 import base64
 import binascii
 import logging
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Final, final
 from urllib.parse import urlencode
 
@@ -19,6 +19,7 @@
     Reply,
     Stream,
     Writer,
+    ignore_page,
 )
 from ._records import BOUNDS, pack, unpack
 
@@ -138,7 +139,9 @@
         end_offset, _ = BOUNDS.unpack_from(reply.raw)
         return Ok(RecordPage(records, next_offset, next_offset == end_offset))
 
-    async def newest(self, stream: Stream) -> Result[RecordPage, LogFault]:
+    async def newest(
+        self, stream: Stream, on_page: Callable[[int], None] = ignore_page
+    ) -> Result[RecordPage, LogFault]:
         """Return the newest record of each key."""
         records: list[KeyedRecord] = []
         next_offset = -1
@@ -154,6 +157,7 @@
                 next_offset = int(page.get('end', 0))
             items = page.get('items') or []
             records.extend(_decode_item(item) for item in items)
+            on_page(len(items))
             if not page.get('hasMore') or not items:
                 # A reply without an end offset is malformed.
                 return Ok(
--- a/src/lycheerelay/serving/__init__.py
+++ b/src/lycheerelay/serving/__init__.py
@@ -45,6 +45,7 @@
     Stream,
     Workers,
     Writer,
+    ignore_page,
 )
 from ._queues import CONFIG_KEY, Queue, QueueTable, digest_of
 from ._request_handler import RequestHandler
@@ -102,6 +103,7 @@
     'Workers',
     'Writer',
     'claim_delay_ms',
+    'ignore_page',
     'previous_orders_expire_ms',
     'dump_process',
     'is_workflow_path',
--- /dev/null
+++ b/src/lycheerelay/serving/_cell_restore.py
@@ -0,0 +1,99 @@
+"""Restore an empty cell from the newest record of each key, in slices."""
+
+import logging
+from typing import Final, final
+
+from ..workflow import is_final_record, restore_progress
+from ._context import OwnerContext
+from ._job_expiry import CANCEL_PREFIX, JOB_PREFIX
+from ._job_stream import JobStream
+from ._ports import KeyedRecord, RecordPage
+from ._slices import Slices
+
+logger = logging.getLogger('lycheerelay.owner')
+
+REPORT_INTERVAL_MS: Final = 1000
+
+
+@final
+class CellRestore:
+    """Restore the jobs of one term.
+
+    A job is restored with its cancellation, so that its state is right from then
+    on. Final jobs stay records.
+    """
+
+    def __init__(
+        self, context: OwnerContext, stream: JobStream, progress: RecordPage
+    ) -> None:
+        """Restore with the progress records that an earlier owner has left."""
+        self.context = context
+        self.stream = stream
+        self.expiry = stream.expiry
+        self.slices = Slices(context.clock)
+        self.expiry.examine(progress)
+        self.progress = {
+            record.key: record.payload for record in progress.records
+        }
+        self.reported_ms = context.now_ms
+
+    async def run(self, jobs: RecordPage) -> bool:
+        """Restore the jobs; return False if the term ends meanwhile."""
+        records: dict[str, KeyedRecord] = {}
+        cancels: dict[str, KeyedRecord] = {}
+        for record in sorted(jobs.records, key=lambda record: record.offset):
+            await self.slices.next_item()
+            if record.key.startswith(JOB_PREFIX):
+                records[record.key.removeprefix(JOB_PREFIX)] = record
+            elif record.key.startswith(CANCEL_PREFIX):
+                cancels[record.key.removeprefix(CANCEL_PREFIX)] = record
+        for number, (job_id, record) in enumerate(records.items()):
+            await self.slices.next_item()
+            if self.context.cell.deposed:
+                return False
+            self._report(number, len(records))
+            self._restore_job(job_id, record, cancels.get(job_id))
+        self.expiry.report_leftovers()
+        for job_id in cancels.keys() - records.keys():
+            self.expiry.note_stray(job_id)
+        await self._drop_orphans(records)
+        return not self.context.cell.deposed
+
+    async def _drop_orphans(self, records: dict[str, KeyedRecord]) -> None:
+        orphans = []
+        for job_id, payload in self.progress.items():
+            await self.slices.next_item()
+            if job_id not in records and is_final_record(payload):
+                orphans.append(job_id)
+        self.expiry.drop_orphans(orphans)
+
+    def _restore_job(
+        self, job_id: str, record: KeyedRecord, cancel: KeyedRecord | None
+    ) -> None:
+        payload = self.progress.get(job_id)
+        past = self.expiry.past
+        if past.add(job_id, record, payload, self.context.now_ms):
+            return
+        spec = self.stream.decode(record)
+        if spec is None or (payload is None and self.expiry.is_leftover(spec)):
+            return
+        job = self.stream.submit(spec, record.offset)
+        if payload is not None:
+            restore_progress(self.context.cell, job, payload)
+        if job.is_final:
+            job.finalized_ms = self.context.now_ms
+        if cancel is not None:
+            self.stream.apply_cancel(cancel)
+
+    def _report(self, restored: int, total: int) -> None:
+        now_ms = self.context.now_ms
+        if now_ms - self.reported_ms >= REPORT_INTERVAL_MS:
+            self.reported_ms = now_ms
+            logger.info(
+                'takeover_restoring',
+                extra={
+                    'fence': self.context.fence,
+                    'restored': restored,
+                    'jobs': total,
+                },
+            )
--- a/src/lycheerelay/serving/_dump.py
+++ b/src/lycheerelay/serving/_dump.py
@@ -32,6 +32,7 @@
         'config_version': table.version if table else 0,
         'config_age_ms': config.age_ms,
         'cell': _dump_cell(owner.cell) if owner else None,
+        'past_jobs': len(owner.past.jobs) if owner else 0,
         'waits': encode_waits(owner.waits) if owner else {},
         'tenants': dump_tenants(owner.tenants, now_ms) if owner else [],
         'tenant_rows': dump_rows(handler.tenant_gate.rows, now_ms),
--- a/src/lycheerelay/serving/_job_expiry.py
+++ b/src/lycheerelay/serving/_job_expiry.py
@@ -22,8 +22,10 @@
 
 from ..workflow import WorkflowSpec, retention
 from ._context import OwnerContext
+from ._past_jobs import PastJobs
 from ._ports import KeyedRecord, RecordPage, Stream
 from ._recorder import JUDGED_KEY, LEGACY_FENCE_KEY, Recorder
+from ._slices import Slices
 
 logger = logging.getLogger('lycheerelay.expiry')
 
@@ -47,6 +49,7 @@
         self,
         context: OwnerContext,
         recorder: Recorder,
+        past: PastJobs,
         catch_up: Callable[[], Awaitable[bool]],
     ) -> None:
         """Start without anything to delete.
@@ -58,6 +61,7 @@
         """
         self.context = context
         self.recorder = recorder
+        self.past = past
         self.catch_up = catch_up
         self.retain_ms = retention.retention_ms(context.limits.status_ms)
         self.leftovers: dict[str, None] = {}
@@ -72,6 +76,7 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             if self.context.may_send_orders:
                 self._record_waiting()
+                await self._shelve()
                 await self._delete_due()
                 self._finish_examination()
 
@@ -116,18 +121,27 @@
         """Forget a job whose record is deleted, and delete its progress."""
         self.leftovers.pop(job_id, None)
         job = self.context.cell.jobs.get(job_id)
-        if job is None:
-            return
-        if not job.is_final:
+        if job is not None and not job.is_final:
             logger.error('job_record_gone', extra={'job': job_id})
             return
-        self.context.cell.jobs.pop(job_id)
+        if job is None and job_id not in self.past.jobs:
+            return
+        self.past.jobs.pop(job_id, None)
+        self.context.cell.jobs.pop(job_id, None)
         self.recorder.write([KeyedRecord(job_id, None)])
 
     def drop_orphans(self, orphans: list[str]) -> None:
         """Delete the progress of final jobs whose record is gone."""
         self.recorder.write([KeyedRecord(job_id, None) for job_id in orphans])
 
+    async def _shelve(self) -> None:
+        context = self.context
+        slices = Slices(context.clock)
+        for job_id in retention.find_settled(context.cell, context.now_ms):
+            await slices.next_item()
+            self.past.shelve(job_id)
+        context.metrics.gauge('past_jobs', len(self.past.jobs))
+
     async def _delete_due(self) -> None:
         failures = 0
         while failures < MAX_FAILURES and not self.context.cell.deposed:
@@ -152,11 +166,12 @@
         now_ms = self.context.now_ms
         cell = self.context.cell
         expired = retention.find_expired(cell, self.retain_ms, now_ms)
-        for job_id in (*expired, *self.leftovers):
+        past = self.past.expired(now_ms - self.retain_ms)
+        for job_id in (*expired, *past, *self.leftovers):
             yield KeyedRecord(f'{CANCEL_PREFIX}{job_id}', None)
             yield KeyedRecord(f'{JOB_PREFIX}{job_id}', None)
         for job_id, read_ms in list(self.strays.items()):
-            if job_id in cell.jobs:
+            if job_id in cell.jobs or job_id in self.past.jobs:
                 self.strays.pop(job_id)
             elif read_ms < now_ms - self.retain_ms:
                 yield KeyedRecord(f'{CANCEL_PREFIX}{job_id}', None)
--- a/src/lycheerelay/serving/_job_stream.py
+++ b/src/lycheerelay/serving/_job_stream.py
@@ -10,8 +10,6 @@
     JobInfo,
     WorkflowSpec,
     cancel,
-    is_final_record,
-    restore_progress,
     submit,
 )
 from ._context import OwnerContext
@@ -64,65 +62,26 @@
             if record.key.startswith(JOB_PREFIX):
                 self._apply_job(record)
             elif record.key.startswith(CANCEL_PREFIX):
-                self._apply_cancel(record)
+                self.apply_cancel(record)
         context.tail_offset = max(context.tail_offset, page.next_offset)
         if page.records:
             context.notify_changed()
 
-    def restore(self, jobs: RecordPage, progress: RecordPage) -> None:
-        """Restore an empty cell from the newest record of each key."""
-        self.expiry.examine(progress)
-        payloads = {record.key: record.payload for record in progress.records}
-        ordered = sorted(jobs.records, key=lambda record: record.offset)
-        for record in ordered:
-            if record.key.startswith(JOB_PREFIX):
-                self._restore_job(record, payloads)
-        for record in ordered:
-            if record.key.startswith(CANCEL_PREFIX):
-                self._apply_cancel(record)
-        self.expiry.report_leftovers()
-        names = {record.key for record in jobs.records}
-        self.expiry.drop_orphans(
-            [
-                job_id
-                for job_id, payload in payloads.items()
-                if f'{JOB_PREFIX}{job_id}' not in names
-                and is_final_record(payload)
-            ]
-        )
-
-    def _restore_job(
-        self,
-        record: KeyedRecord,
-        progress: dict[str, bytes | None],
-    ) -> None:
-        spec = self._decode(record)
-        if spec is None:
-            return
-        payload = progress.get(spec.job_id)
-        if payload is None:
-            if not self.expiry.is_leftover(spec):
-                self._submit(spec, record.offset)
-            return
-        job = self._submit(spec, record.offset)
-        restore_progress(self.context.cell, job, payload)
-        if job.is_final:
-            job.finalized_ms = self.context.now_ms
-
     def _apply_job(self, record: KeyedRecord) -> None:
         if record.payload is None:
             self.expiry.forget(record.key.removeprefix(JOB_PREFIX))
             return
-        spec = self._decode(record)
+        spec = self.decode(record)
         if spec is None:
             return
         self.expiry.leftovers.pop(spec.job_id, None)
-        job = self._submit(spec, record.offset)
+        job = self.submit(spec, record.offset)
         if job.is_final:
             # Its caller may ask for the state of a job that was just accepted.
             job.finalized_ms = self.context.now_ms
 
-    def _decode(self, record: KeyedRecord) -> WorkflowSpec | None:
+    def decode(self, record: KeyedRecord) -> WorkflowSpec | None:
+        """Return the job in a record, or None if it cannot be read."""
         decoded = decode_spec(record.payload or b'')
         if isinstance(decoded, Err):
             logger.warning(
@@ -132,9 +91,10 @@
             return None
         return decoded.ok_value
 
-    def _submit(self, spec: WorkflowSpec, offset: int) -> JobInfo:
+    def submit(self, spec: WorkflowSpec, offset: int) -> JobInfo:
+        """Add a job, or return the one that is known."""
         cell = self.context.cell
-        is_new = spec.job_id not in cell.jobs
+        is_new = cell.find_job(spec.job_id) is None
         if is_new:
             logger.info(
                 'job_opened',
@@ -154,13 +114,14 @@
             context.metrics.count_job('tenant_over_rate_jobs', spec.tenant)
         return job
 
-    def _apply_cancel(self, record: KeyedRecord) -> None:
+    def apply_cancel(self, record: KeyedRecord) -> None:
+        """Cancel a job if its caller may, or note a cancellation without one."""
         job_id = record.key.removeprefix(CANCEL_PREFIX)
         if record.payload is None:
             self.expiry.strays.pop(job_id, None)
             return
         cell = self.context.cell
-        job = cell.jobs.get(job_id)
+        job = cell.find_job(job_id)
         if job is None:
             self.expiry.note_stray(job_id)
         is_allowed = job is None or decode_cancellation(
--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -27,16 +27,13 @@
 from ._context import CYCLE_DELAY_S, Limits, OwnerContext
 from ._job_expiry import JobExpiry
 from ._job_stream import JobStream
-from ._known_workers import (
-    decode_addresses,
-    decode_instances,
-    placeholder_listing,
-)
 from ._listings import ListingReader
 from ._orders import Orders
+from ._past_jobs import PastJobs
 from ._ports import LogFault, RecordPage, Stream
 from ._recorder import Recorder
 from ._result_watch import ResultWatch
+from ._takeover import Takeover
 from ._tenant_monitor import TenantMonitor
 from ._worker_poller import WorkerPoller
 
@@ -45,6 +42,8 @@
 # How long one read of the job stream waits for new records. A connection that
 # stalls delays new jobs by up to this time.
 JOB_READ_WAIT_MS: Final = 1500
+# Pages of the job stream that are read at the end of a long takeover.
+MAX_TAIL_PAGES: Final = 100
 # A draining worker must receive no new runs after 2 s, so registrations are
 # read well within that bound.
 LISTING_READ_INTERVAL_S: Final = 0.35
@@ -85,8 +84,12 @@
         )
         self.results = ResultWatch(context.cell)
         self.listings = listings
-        self.expiry = JobExpiry(context, self.recorder, self.catch_up)
+        self.past = PastJobs(context.cell)
+        self.expiry = JobExpiry(
+            context, self.recorder, self.past, self.catch_up
+        )
         self.stream = JobStream(context, self.expiry)
+        self.takeover = Takeover(context, listings, self.stream)
         self.started_ms = context.now_ms
         self.tasks: list[asyncio.Task[None]] = []
         self.has_ended = False
@@ -111,6 +114,16 @@
         """Return whether queries about jobs can be answered."""
         return self.cell.loaded and self.context.may_send_orders
 
+    def can_answer(self, job_id: str) -> bool:
+        """Return whether queries about a job can be answered.
+
+        During a takeover those about restored jobs can.
+        """
+        if self.cell.loaded:
+            return self.is_serving
+        is_known = self.cell.find_job(job_id) is not None
+        return is_known and self.context.may_send_orders
+
     async def run(self) -> None:
         """Load the cell, then serve it until the ownership ends."""
         logger.info('takeover_begun', extra={'fence': self.context.fence})
@@ -148,18 +161,13 @@
     async def _load(self) -> bool:
         if not await self.recorder.fence():
             return False
-        jobs, progress, listed = await asyncio.gather(
-            self._read_newest(Stream.JOBS),
-            self._read_newest(Stream.PROGRESS),
-            self._read_newest(Stream.WORKERS),
+        is_restored = await self.takeover.run(
+            self._start_pollers, partial(_configure_tenants, self.context)
         )
-        if jobs is None or progress is None or listed is None:
+        if not is_restored:
             return False
-        self.context.tail_offset = jobs.next_offset
-        self.listings.next_offset = listed.next_offset
-        self._load_workers(listed, progress)
-        _configure_tenants(self.context)
-        self.stream.restore(jobs, progress)
+        if self.takeover.is_outdated:
+            await self._read_tail()
         self.cell.loaded = True
         self.context.loaded.set()
         self.context.notify_changed()
@@ -168,46 +176,26 @@
             extra={
                 'fence': self.context.fence,
                 'jobs': len(self.cell.jobs),
+                'past_jobs': len(self.past.jobs),
                 'workers': len(self.cell.workers),
+                'records': self.takeover.records_read,
                 'took_ms': self.context.now_ms - self.started_ms,
                 'job_offset': self.context.tail_offset,
             },
         )
         return True
 
-    async def _read_newest(self, stream: Stream) -> RecordPage | None:
-        while not self.cell.deposed:
-            outcome = await self.context.log.newest(stream)
-            if isinstance(outcome, Ok):
-                return outcome.ok_value
-            logger.warning(
-                'store_unread',
-                extra={
-                    'stream': stream.value,
-                    'fault': outcome.err_value.value,
-                },
-            )
-            await asyncio.sleep(RETRY_DELAY_S)
-        return None
-
-    def _load_workers(self, listed: RecordPage, progress: RecordPage) -> None:
-        cell = self.cell
-        now_ms = self.context.now_ms
-        for listing in self.listings.decode(listed.records):
-            if isinstance(listing, WorkerListing):
-                list_worker(cell, listing, now_ms)
-        earlier = decode_instances(progress)
-        leaving = {name for name, known in earlier.items() if known.draining}
-        for worker_id, address in decode_addresses(progress).items():
-            if worker_id not in cell.instances:
-                is_leaving = worker_id in leaving
-                listing = placeholder_listing(worker_id, address, is_leaving)
-                list_worker(cell, listing, now_ms)
-                unlist_worker(cell, worker_id)
-        for worker_id in earlier.keys() - leaving:
-            cell.earlier_instances[worker_id] = earlier[worker_id].key
-        cell.unsynced_workers.update(dict.fromkeys(cell.instances))
-        self._start_pollers()
+    async def _read_tail(self) -> None:
+        """Read what was appended during a long takeover, such as cancellations.
+
+        The reader of the stream goes on from where this ends.
+        """
+        for _ in range(MAX_TAIL_PAGES):
+            begun_at = self.context.tail_offset
+            if not await self.catch_up():
+                return
+            if self.context.tail_offset == begun_at:
+                return
 
     def _apply_page(self, page: RecordPage) -> None:
         self.stream.apply_page(page)
@@ -267,7 +255,7 @@
             await asyncio.sleep(RETRY_DELAY_S)
 
     async def _reload_jobs(self) -> None:
-        newest = await self._read_newest(Stream.JOBS)
+        newest = await self.takeover.read_newest(Stream.JOBS)
         if newest is not None:
             logger.warning(
                 'job_history_gone',
--- a/src/lycheerelay/serving/_owner_elector.py
+++ b/src/lycheerelay/serving/_owner_elector.py
@@ -37,9 +37,6 @@
 # up to 1 s at the worker and may take 0.7 s on top.
 UNRESPONSIVE_LIMIT_MS: Final = 1500
 CLAIM_BACKOFF_MS: Final = 6000
-# An owner that has not loaded the cell within this time hands over. Loading
-# takes 2 s on a slow link.
-LOAD_TIMEOUT_MS: Final = 5000
 
 # A new member is listed only after other members have handed partitions to it.
 # The owner therefore reads the members at the short interval for a while after
@@ -215,8 +212,7 @@
         if unresponsive_ms > UNRESPONSIVE_LIMIT_MS:
             await self._hand_over(sent_ms, 'most workers are unreachable')
             return
-        is_slow = sent_ms - owner.started_ms > LOAD_TIMEOUT_MS
-        if is_slow and not owner.cell.loaded:
+        if not owner.cell.loaded and owner.takeover.is_overdue(sent_ms):
             await self._hand_over(sent_ms, 'the takeover timed out')
             return
         latest, _ = await asyncio.gather(
--- a/src/lycheerelay/serving/_ports.py
+++ b/src/lycheerelay/serving/_ports.py
@@ -1,6 +1,6 @@
 """Define the interfaces that the serving process uses."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from enum import Enum, unique
 from typing import NamedTuple, Protocol
 
@@ -69,6 +69,10 @@
     sequence: int
 
 
+def ignore_page(records: int) -> None:
+    """Do nothing with the size of a page."""
+
+
 class KeyedLog(Protocol):
     """Read and append to the streams in the store."""
 
@@ -100,8 +104,13 @@
     ) -> Result[RecordPage, LogFault]:
         """Return records from an offset on; wait up to `wait_ms` for one."""
 
-    async def newest(self, stream: Stream) -> Result[RecordPage, LogFault]:
-        """Return the newest record of each key."""
+    async def newest(
+        self, stream: Stream, on_page: Callable[[int], None] = ignore_page
+    ) -> Result[RecordPage, LogFault]:
+        """Return the newest record of each key.
+
+        `on_page` is called with the number of records of each page.
+        """
 
 
 class Group(Protocol):
--- a/src/lycheerelay/serving/_request_handler.py
+++ b/src/lycheerelay/serving/_request_handler.py
@@ -179,15 +179,15 @@
         be submitted.
         """
         owner = self.owner
-        if owner is None or not owner.is_serving:
+        if owner is None or not owner.can_answer(job_id):
             return None
         if self.checks.is_revoked(identity, job_id):
             return {'phase': None, REVOKED_FIELD: True, **_published(owner)}
-        job = owner.cell.jobs.get(job_id)
+        job = owner.cell.find_job(job_id)
         if job is None:
             if not await owner.catch_up() or not owner.is_serving:
                 return None
-            job = owner.cell.jobs.get(job_id)
+            job = owner.cell.find_job(job_id)
         if job is not None and not identity.may_access(job.spec):
             job = None
         if waits and job is not None:
--- a/src/lycheerelay/serving/_worker_poller.py
+++ b/src/lycheerelay/serving/_worker_poller.py
@@ -1,6 +1,7 @@
 """Poll one worker: extend its leases and read its run table."""
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Callable
 from typing import Final, final
@@ -37,6 +38,8 @@
 # Ends are acknowledged only within this time of the last answer. A worker takes
 # longer to start again.
 MAX_SILENCE_MS: Final = 400
+# Interval between polls that only extend leases, while the jobs are restored.
+TAKEOVER_POLL_INTERVAL_S: Final = 1
 # Requested leases end this long before the maximum lease.
 LEASE_MARGIN_MS: Final = 50
 
@@ -153,13 +156,13 @@
         now_ms = context.now_ms
         if reply.answer is Answer.DONE and reply.table is not None:
             self._read_clock(reply.table)
-            await context.loaded.wait()
-            await self._apply_reply(reply.table)
+            if await self._are_jobs_known():
+                await self._apply_reply(reply.table)
         elif reply.answer is Answer.OTHER_INSTANCE:
             # The jobs tell what the worker took with it.
-            await context.loaded.wait()
-            remove_replaced_worker(context.cell, self.key, now_ms)
-            context.notify_changed()
+            if await self._are_jobs_known():
+                remove_replaced_worker(context.cell, self.key, now_ms)
+                context.notify_changed()
         elif reply.answer is Answer.FENCED:
             logger.warning(
                 'fenced_by_worker', extra={'worker': self.key.worker_id}
@@ -169,6 +172,18 @@
         else:
             await self._handle_no_answer(reply.answer)
 
+    async def _are_jobs_known(self) -> bool:
+        """Wait for the end of a takeover, but not past the next poll.
+
+        During a long takeover the leases of the worker would expire otherwise.
+        """
+        loaded = self.context.loaded
+        if not loaded.is_set():
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(TAKEOVER_POLL_INTERVAL_S):
+                    await loaded.wait()
+        return loaded.is_set()
+
     async def _apply_reply(self, table: RunTable) -> None:
         context = self.context
         worker = context.cell.workers.get(self.key)
--- a/src/lycheerelay/workflow/_intake.py
+++ b/src/lycheerelay/workflow/_intake.py
@@ -20,7 +20,7 @@
 
 def submit(cell: CellState, spec: WorkflowSpec, offset: int) -> JobInfo:
     """Add a job; a repeated id returns the job already known."""
-    known = cell.jobs.get(spec.job_id)
+    known = cell.find_job(spec.job_id)
     if known is not None:
         return known
     job = JobInfo(spec, offset)
@@ -37,7 +37,7 @@
 
 def cancel(cell: CellState, job_id: str, now_ms: int) -> bool:
     """Cancel a job and return whether it was known and not final."""
-    job = cell.jobs.get(job_id)
+    job = cell.find_job(job_id)
     if job is None or job.is_final:
         return False
     job.cancelled = True
@@ -67,7 +67,7 @@
 
 def find_step(cell: CellState, run: RunKey) -> StepInfo | None:
     """Return the step of a run, or None if it is not known."""
-    job = cell.jobs.get(run.task.job_id)
+    job = cell.find_job(run.task.job_id)
     if job is None:
         return None
     steps = job.occurrences.get(run.task.occurrence)
--- a/src/lycheerelay/workflow/_retention.py
+++ b/src/lycheerelay/workflow/_retention.py
@@ -2,11 +2,14 @@
 
 from typing import Final
 
+from ._intake import steps_of
 from ._spec import WorkflowSpec
 from ._state import CellState, JobInfo
 
 # Final jobs are kept this much longer than callers may query them.
 RETENTION_MARGIN_MS: Final = 60_000
+# Callers ask for the state of a job mostly within this time after its end.
+SETTLED_AFTER_MS: Final = 15_000
 
 
 def retention_ms(status_ms: int) -> int:
@@ -32,6 +35,26 @@
     ]
 
 
+def find_settled(cell: CellState, now_ms: int) -> list[str]:
+    """Return the ids of the final jobs that are unlikely to be referred to."""
+    limit_ms = now_ms - SETTLED_AFTER_MS
+    return [
+        job_id
+        for job_id, job in cell.jobs.items()
+        if job.is_final and job.finalized_ms < limit_ms and is_settled(job)
+    ]
+
+
+def is_settled(job: JobInfo) -> bool:
+    """Return whether a final job has neither runs nor a tenant."""
+    return (
+        job.is_final
+        and job.durable_phase is job.phase
+        and job.account is None
+        and not any(step.has_runs for step in steps_of(job))
+    )
+
+
 def find_waiting(cell: CellState, now_ms: int) -> list[str]:
     """Return the ids of the jobs that have waited for RETENTION_MARGIN_MS."""
     limit_ms = now_ms - RETENTION_MARGIN_MS
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -10,6 +10,8 @@
 from ._tenants import PresumedCounts, TenantAccount, TenantLedger
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ._commands import Command
     from ._openings import Opening
     from ._suspects import Suspect
@@ -332,6 +334,9 @@
             run.step.runs_per_worker.pop(self.key, None)
 
 
+NO_JOBS: Final[dict[str, JobInfo]] = {}
+
+
 @dataclass(slots=True, eq=False)
 class CellState:
     """Hold every job and worker that one owner schedules.
@@ -344,7 +349,8 @@
     not received yet, whichever instance returns it, and `earlier_instances` the
     instances that an earlier owner has recorded, by worker id. `wanted_workers`
     holds the workers of each pool with capacity reserved in the last scheduling
-    cycle, `advice_counts` the replies of the advisor by queue.
+    cycle, `advice_counts` the replies of the advisor by queue. `find_past_job` adds a
+    final job that is held elsewhere to the cell.
     """
 
     fence: int
@@ -368,6 +374,11 @@
         default_factory=dict
     )
     advice_counts: dict[str, AdviceCounts] = field(default_factory=dict)
+    find_past_job: 'Callable[[str], JobInfo | None]' = NO_JOBS.get
+
+    def find_job(self, job_id: str) -> JobInfo | None:
+        """Return a job, or None if it is not known."""
+        return self.jobs.get(job_id) or self.find_past_job(job_id)
 
     def add_worker(self, worker: WorkerInfo) -> None:
         """Add an instance of a worker."""
--- a/src/lycheerelay/workflow/retention.py
+++ b/src/lycheerelay/workflow/retention.py
@@ -2,16 +2,20 @@
 
 from ._retention import (
     find_expired,
+    find_settled,
     find_waiting,
     is_expired,
+    is_settled,
     may_be_over,
     retention_ms,
 )
 
 __all__ = (
     'find_expired',
+    'find_settled',
     'find_waiting',
     'is_expired',
+    'is_settled',
     'may_be_over',
     'retention_ms',
 )
--- a/src/lycheerelay_standins/platform/_store.py
+++ b/src/lycheerelay_standins/platform/_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import bisect
 import collections
 import json
 import struct
@@ -35,6 +36,7 @@
         default_factory=dict
     )
     appended: asyncio.Event = field(default_factory=asyncio.Event)
+    ordered: tuple[str, ...] = ()
 
     @property
     def end(self) -> int:
@@ -49,6 +51,8 @@
         size = content[0]
         key = content[1 : size + 1].decode()
         payload = content[size + 1 :]
+        if (key in self.newest) != bool(payload):
+            self.ordered = ()
         if payload:
             self.newest[key] = (self.end, payload)
         else:
@@ -57,6 +61,13 @@
         self.appended.set()
         self.appended = asyncio.Event()
 
+    def keys_after(self, key: str, count: int) -> tuple[str, ...]:
+        """Return the next keys in order."""
+        if not self.ordered:
+            self.ordered = tuple(sorted(self.newest))
+        first = bisect.bisect_right(self.ordered, key)
+        return self.ordered[first : first + count]
+
 
 @dataclass
 class Member:
@@ -280,7 +291,7 @@
     async def _log_newest(self, request: Request) -> Reply:
         partition = self.partition(request.query['topic'])
         after = request.query.get('after', '')
-        keys = sorted(key for key in partition.newest if key > after)
+        keys = partition.keys_after(after, PAGE_ITEMS + 1)
         rows = [
             {
                 'key': key,
