--- a/src/lycheerelay/serving/_recorder.py
+++ b/src/lycheerelay/serving/_recorder.py
@@ -59,7 +59,7 @@
         self.on_recorded = on_recorded
         self.sequence = 0
         self.recorded_workers: frozenset[KnownWorker] = frozenset()
-        self.other_records: list[KeyedRecord] = []
+        self.other_records: dict[str, bytes | None] = {}
 
     async def fence(self) -> bool:
         """Fence off the appends of earlier owners; return whether it worked."""
@@ -88,8 +88,10 @@
                 await self._write()
 
     def write(self, records: Iterable[KeyedRecord]) -> None:
-        """Schedule records; they precede progress that changes later."""
-        self.other_records.extend(records)
+        """Schedule records; progress that is written later replaces them."""
+        self.other_records.update(
+            (record.key, record.payload) for record in records
+        )
         self.context.notify_changed()
 
     def _has_work(self) -> bool:
@@ -116,8 +118,10 @@
         records: list[KeyedRecord] = []
         if workers - self.recorded_workers:
             records.extend(encode_known_workers(cell))
-        records.extend(self.other_records[:MAX_OTHER_RECORDS])
-        del self.other_records[:MAX_OTHER_RECORDS]
+        for key in list(
+            itertools.islice(self.other_records, MAX_OTHER_RECORDS)
+        ):
+            records.append(KeyedRecord(key, self.other_records.pop(key)))
         size = 0
         for job_id in list(cell.unrecorded_jobs):
             if size > MAX_BATCH_BYTES:
@@ -127,6 +131,8 @@
             job = cell.jobs.get(job_id)
             if job is None:
                 continue
+            # A late deletion would leave a job that runs without progress.
+            self.other_records.pop(job_id, None)
             payload = encode_progress(job)
             size += len(payload)
             phases[job_id] = job.phase
