--- a/src/lycheerelay/platform/_store.py
+++ b/src/lycheerelay/platform/_store.py
@@ -3,7 +3,7 @@
 import base64
 import binascii
 import logging
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Final, final
 from urllib.parse import urlencode
 
@@ -20,6 +20,7 @@
     StoreLimits,
     Stream,
     Writer,
+    ignore_page,
 )
 from ._records import BOUNDS, pack, unpack
 
@@ -118,12 +119,12 @@
     async def append_at(
         self,
         stream: Stream,
-        record: KeyedRecord,
+        records: Sequence[KeyedRecord],
         expected_end: int,
     ) -> Result[int, LogFault]:
-        """Append a record only if the stream ends at `expected_end`."""
+        """Append records only if the stream ends at `expected_end`."""
         query = urlencode({**_partition_query(stream), 'at': expected_end})
-        return await self._append(query, (record,), TIMEOUT_MS)
+        return await self._append(query, records, TIMEOUT_MS)
 
     async def read(
         self,
@@ -151,7 +152,9 @@
         end_offset, _ = BOUNDS.unpack_from(reply.raw)
         return Ok(RecordPage(records, next_offset, next_offset == end_offset))
 
-    async def newest(self, stream: Stream) -> Result[RecordPage, LogFault]:
+    async def newest(
+        self, stream: Stream, on_page: Callable[[int], None] = ignore_page
+    ) -> Result[RecordPage, LogFault]:
         """Return the newest record of each key."""
         records: list[KeyedRecord] = []
         next_offset = -1
@@ -167,6 +170,7 @@
                 next_offset = int(page.get('end', 0))
             items = page.get('items') or []
             records.extend(_decode_item(item) for item in items)
+            on_page(len(items))
             if not page.get('hasMore') or not items:
                 # A reply without an end offset is malformed.
                 return Ok(
--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -14,31 +14,26 @@
     PoolWaits,
     WorkerKey,
     WorkerListing,
-    count_waiting_suspects,
     dispatch,
-    expire_jobs,
     list_worker,
     open_occurrences,
     predict_waits,
-    report_stalled_steps,
     run_periodic_checks,
     stop_orphaned_runs,
     unlist_worker,
 )
+from ..workflow.stalls import count_waiting_suspects, report_stalled_steps
 from ._advice_dispatcher import AdviceDispatcher
 from ._context import CYCLE_DELAY_S, Limits, OwnerContext
+from ._job_expiry import JobExpiry
 from ._job_stream import JobStream
-from ._known_workers import (
-    KnownWorker,
-    decode_addresses,
-    decode_instances,
-    placeholder_listing,
-)
 from ._listings import ListingReader
 from ._orders import Orders
+from ._past_jobs import PastJobs
 from ._ports import LogFault, RecordPage, Stream
 from ._recorder import Recorder
 from ._result_watch import ResultWatch
+from ._takeover import Takeover
 from ._tenant_monitor import TenantMonitor
 from ._worker_poller import WorkerPoller
 
@@ -47,6 +42,8 @@
 # How long one read of the job stream waits for new records. A connection that
 # stalls delays new jobs by up to this time.
 JOB_READ_WAIT_MS: Final = 1500
+# Pages of the job stream that are read at the end of a long takeover.
+MAX_TAIL_PAGES: Final = 100
 # A draining worker must receive no new runs after 2 s, so registrations are
 # read well within that bound.
 LISTING_READ_INTERVAL_S: Final = 0.35
@@ -58,8 +55,6 @@
 FORECAST_TICKS: Final = 5
 # Ticks between two checks for steps that wait with capacity free.
 STALL_CHECK_TICKS: Final = 10
-# Ticks between two scans of the final jobs for expired ones.
-EXPIRY_CHECK_TICKS: Final = 100
 # Delay before a failed read is repeated.
 RETRY_DELAY_S: Final = 0.1
 # After each scheduling cycle, events are batched for this multiple of its
@@ -89,7 +84,12 @@
         )
         self.results = ResultWatch(context.cell)
         self.listings = listings
-        self.stream = JobStream(context)
+        self.past = PastJobs(context.cell)
+        self.expiry = JobExpiry(
+            context, self.recorder, self.past, self.catch_up
+        )
+        self.stream = JobStream(context, self.expiry)
+        self.takeover = Takeover(context, listings, self.stream, self.recorder)
         self.started_ms = context.now_ms
         self.tasks: list[asyncio.Task[None]] = []
         self.has_ended = False
@@ -114,6 +114,16 @@
         """Return whether queries about jobs can be answered."""
         return self.cell.loaded and self.context.may_send_orders
 
+    def can_answer(self, job_id: str) -> bool:
+        """Return whether queries about a job can be answered.
+
+        During a takeover those about restored jobs can.
+        """
+        if self.cell.loaded:
+            return self.is_serving
+        is_known = self.cell.find_job(job_id) is not None
+        return is_known and self.context.may_send_orders
+
     async def run(self) -> None:
         """Load the cell, then serve it until the ownership ends."""
         logger.info('takeover_begun', extra={'fence': self.context.fence})
@@ -151,19 +161,13 @@
     async def _load(self) -> bool:
         if not await self.recorder.fence():
             return False
-        jobs, progress, listed = await asyncio.gather(
-            self._read_newest(Stream.JOBS),
-            self._read_newest(Stream.PROGRESS),
-            self._read_newest(Stream.WORKERS),
+        is_restored = await self.takeover.run(
+            self._start_pollers, partial(_configure_tenants, self.context)
         )
-        if jobs is None or progress is None or listed is None:
+        if not is_restored:
             return False
-        self.context.tail_offset = jobs.next_offset
-        self.listings.next_offset = listed.next_offset
-        progress = self.recorder.join(progress)
-        self._load_workers(listed, progress)
-        _configure_tenants(self.context)
-        self.stream.restore(jobs, progress)
+        if self.takeover.is_outdated:
+            await self._read_tail()
         self.cell.loaded = True
         self.context.loaded.set()
         self.context.notify_changed()
@@ -172,47 +176,26 @@
             extra={
                 'fence': self.context.fence,
                 'jobs': len(self.cell.jobs),
+                'past_jobs': len(self.past.jobs),
                 'workers': len(self.cell.workers),
+                'records': self.takeover.records_read,
                 'took_ms': self.context.now_ms - self.started_ms,
                 'job_offset': self.context.tail_offset,
             },
         )
         return True
 
-    async def _read_newest(self, stream: Stream) -> RecordPage | None:
-        while not self.cell.deposed:
-            outcome = await self.context.log.newest(stream)
-            if isinstance(outcome, Ok):
-                return outcome.ok_value
-            logger.warning(
-                'store_unread',
-                extra={
-                    'stream': stream.value,
-                    'fault': outcome.err_value.value,
-                },
-            )
-            await asyncio.sleep(RETRY_DELAY_S)
-        return None
-
-    def _load_workers(self, listed: RecordPage, progress: RecordPage) -> None:
-        cell = self.cell
-        now_ms = self.context.now_ms
-        for listing in self.listings.decode(listed.records):
-            if isinstance(listing, WorkerListing):
-                list_worker(cell, listing, now_ms)
-        earlier = decode_instances(progress)
-        leaving = {name for name, known in earlier.items() if known.draining}
-        for worker_id, address in decode_addresses(progress).items():
-            if worker_id not in cell.instances:
-                unknown = KnownWorker(WorkerKey(worker_id), draining=False)
-                known = earlier.get(worker_id, unknown)
-                listing = placeholder_listing(known, address)
-                list_worker(cell, listing, now_ms)
-                unlist_worker(cell, worker_id)
-        for worker_id in earlier.keys() - leaving:
-            cell.earlier_instances[worker_id] = earlier[worker_id].key
-        cell.unsynced_workers.update(dict.fromkeys(cell.instances))
-        self._start_pollers()
+    async def _read_tail(self) -> None:
+        """Read what was appended during a long takeover, such as cancellations.
+
+        The reader of the stream goes on from where this ends.
+        """
+        for _ in range(MAX_TAIL_PAGES):
+            begun_at = self.context.tail_offset
+            if not await self.catch_up():
+                return
+            if self.context.tail_offset == begun_at:
+                return
 
     def _apply_page(self, page: RecordPage) -> None:
         self.stream.apply_page(page)
@@ -224,6 +207,7 @@
             self._follow_jobs(),
             self._follow_workers(),
             self.recorder.run(),
+            self.expiry.run(),
             self._run_ticks(),
             self._run_cycles(),
         )
@@ -271,7 +255,7 @@
             await asyncio.sleep(RETRY_DELAY_S)
 
     async def _reload_jobs(self) -> None:
-        newest = await self._read_newest(Stream.JOBS)
+        newest = await self.takeover.read_newest(Stream.JOBS)
         if newest is not None:
             logger.warning(
                 'job_history_gone',
@@ -335,13 +319,6 @@
             open_occurrences(self.cell, now_ms)
             if ticks % ORPHAN_CHECK_TICKS == 0:
                 stop_orphaned_runs(self.cell)
-            if ticks % EXPIRY_CHECK_TICKS == 0:
-                expired = expire_jobs(
-                    self.cell,
-                    self.context.limits.status_ms,
-                    now_ms,
-                )
-                self.recorder.drop_records(expired)
             _update_gauges(self.context)
             self._observe_waits(ticks, now_ms)
             self.run_cycle()
--- a/src/lycheerelay/serving/_ports.py
+++ b/src/lycheerelay/serving/_ports.py
@@ -1,6 +1,6 @@
 """Define the interfaces that the serving process uses."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from enum import Enum, unique
 from typing import Final, NamedTuple, Protocol
 
@@ -86,6 +86,10 @@
     sequence: int
 
 
+def ignore_page(records: int) -> None:
+    """Do nothing with the size of a page."""
+
+
 class KeyedLog(Protocol):
     """Read and append to the streams in the store."""
 
@@ -105,6 +109,14 @@
         A timeout of 0 stands for the default of the store.
         """
 
+    async def append_at(
+        self,
+        stream: Stream,
+        records: Sequence[KeyedRecord],
+        expected_end: int,
+    ) -> Result[int, LogFault]:
+        """Append all records or none, only if the stream ends there."""
+
     async def read(
         self,
         stream: Stream,
@@ -113,8 +125,13 @@
     ) -> Result[RecordPage, LogFault]:
         """Return records from an offset on; wait up to `wait_ms` for one."""
 
-    async def newest(self, stream: Stream) -> Result[RecordPage, LogFault]:
-        """Return the newest record of each key."""
+    async def newest(
+        self, stream: Stream, on_page: Callable[[int], None] = ignore_page
+    ) -> Result[RecordPage, LogFault]:
+        """Return the newest record of each key.
+
+        `on_page` is called with the number of records of each page.
+        """
 
 
 class Group(Protocol):
--- a/src/lycheerelay/serving/_progress_appends.py
+++ b/src/lycheerelay/serving/_progress_appends.py
@@ -20,7 +20,7 @@
 
 logger = logging.getLogger('lycheerelay.recorder')
 
-FENCE_KEY: Final = 'fence'
+TERM_KEY: Final = 'term'
 WRITER: Final = 'owner'
 # The deletion of this key, which no record has, tells whether the store takes any
 # record.
@@ -76,7 +76,7 @@
             sent_ms = self.context.now_ms
             outcome = await self.context.log.append(
                 Stream.PROGRESS,
-                (KeyedRecord(FENCE_KEY, str(self.context.fence).encode()),),
+                (KeyedRecord(TERM_KEY, str(self.context.fence).encode()),),
                 Writer(WRITER, self.context.fence, self.sequence),
             )
             if isinstance(outcome, Ok):
--- a/src/lycheerelay/serving/_recorder.py
+++ b/src/lycheerelay/serving/_recorder.py
@@ -1,7 +1,8 @@
 """Record the owner's progress durably before anything depends on it."""
 
 import asyncio
-from collections.abc import Callable, Collection
+import itertools
+from collections.abc import Callable, Collection, Iterable
 from typing import Final, final
 
 from ..workflow import JobPhase, WorkerKey, encode_progress
@@ -13,11 +14,17 @@
 from ._progress_records import ProgressRecords
 from ._worker_records import WorkerRecords
 
+# Earlier versions write this key at the start of each term.
+LEGACY_FENCE_KEY: Final = 'fence'
+# The last term of an earlier version whose records have been examined.
+JUDGED_KEY: Final = 'judged'
 # Changes that arrive within this time share one append.
 BATCH_DELAY_S: Final = 0.002
 # Size of the progress in one append, exceeded by at most one record. The store
 # accepts more.
 MAX_BATCH_BYTES: Final = 256 * 1024
+# Deletions and other short records in one append.
+MAX_OTHER_RECORDS: Final = 2000
 
 
 @final
@@ -42,7 +49,7 @@
         self.records = ProgressRecords(context.log.limits)
         self.worker_records = WorkerRecords(context.log.limits)
         self.recorded_workers: frozenset[KnownWorker] = frozenset()
-        self.expired_jobs: list[str] = []
+        self.other_records: dict[str, bytes | None] = {}
 
     async def fence(self) -> bool:
         """Fence off the appends of earlier owners; return whether it worked."""
@@ -63,9 +70,11 @@
             if self._has_work():
                 await self._write()
 
-    def drop_records(self, job_ids: list[str]) -> None:
-        """Schedule the deletion of the records of expired jobs."""
-        self.expired_jobs.extend(job_ids)
+    def write(self, records: Iterable[KeyedRecord]) -> None:
+        """Schedule records; progress that is written later replaces them."""
+        self.other_records.update(
+            (record.key, record.payload) for record in records
+        )
         self.context.notify_changed()
 
     def _has_work(self) -> bool:
@@ -74,7 +83,7 @@
             return False
         return bool(
             cell.unrecorded_jobs
-            or self.expired_jobs
+            or self.other_records
             or self.records.stale_keys
             or known_workers(cell) - self.recorded_workers
             or any(
@@ -100,6 +109,8 @@
             job = cell.jobs.get(job_id)
             if job is None:
                 continue
+            # A late deletion would leave a job that runs without progress.
+            self.other_records.pop(job_id, None)
             payload = encode_progress(job)
             size += len(payload)
             phases[job_id] = job.phase
@@ -125,19 +136,21 @@
     def _other_records(
         self, workers: frozenset[KnownWorker]
     ) -> list[OwnedRecord]:
-        """Return the list of workers, if it has changed, and what is deleted."""
+        """Return the list of workers, if it has changed, and scheduled records."""
         records: list[OwnedRecord] = []
         if workers - self.recorded_workers:
             records.extend(
                 OwnedRecord(KNOWN_WORKERS_KEY, record)
                 for record in self.worker_records.encode(self.context.cell)
             )
-        for job_id in self.expired_jobs:
-            records.extend(
-                OwnedRecord(job_id, record)
-                for record in self.records.deletions(job_id)
-            )
-        self.expired_jobs = []
+        for key in list(
+            itertools.islice(self.other_records, MAX_OTHER_RECORDS)
+        ):
+            payload = self.other_records.pop(key)
+            others = [KeyedRecord(key, payload)]
+            if payload is None:
+                others = self.records.deletions(key)
+            records.extend(OwnedRecord(key, record) for record in others)
         records.extend(
             OwnedRecord(key, KeyedRecord(key, None))
             for key in self.records.take_stale_keys()
--- a/src/lycheerelay/serving/_request_handler.py
+++ b/src/lycheerelay/serving/_request_handler.py
@@ -16,7 +16,8 @@
     decode_identity,
     encode_identity,
 )
-from ._job_stream import CANCEL_PREFIX, JOB_PREFIX, encode_cancellation
+from ._job_expiry import CANCEL_PREFIX, JOB_PREFIX
+from ._job_stream import encode_cancellation
 from ._owner import Owner
 from ._peers import OWNER_SEARCH_INTERVAL_MS, REJECTED_FIELD, Peers
 from ._ports import KeyedLog, KeyedRecord, LogFault
@@ -183,15 +184,15 @@
         be submitted.
         """
         owner = self.owner
-        if owner is None or not owner.is_serving:
+        if owner is None or not owner.can_answer(job_id):
             return None
         if self.checks.is_revoked(identity, job_id):
             return {'phase': None, REVOKED_FIELD: True, **_published(owner)}
-        job = owner.cell.jobs.get(job_id)
+        job = owner.cell.find_job(job_id)
         if job is None:
             if not await owner.catch_up() or not owner.is_serving:
                 return None
-            job = owner.cell.jobs.get(job_id)
+            job = owner.cell.find_job(job_id)
         if job is not None and not identity.may_access(job.spec):
             job = None
         if waits and job is not None:
--- /dev/null
+++ b/src/lycheerelay/workflow/stalls.py
@@ -0,0 +1,5 @@
+"""Report what waits although there is capacity for it."""
+
+from ._stalls import count_waiting_suspects, report_stalled_steps
+
+__all__ = ('count_waiting_suspects', 'report_stalled_steps')
--- a/tests/test_tenant_quotas.py
+++ b/tests/test_tenant_quotas.py
@@ -48,11 +48,11 @@
     handle_start_answer,
     list_worker,
     predict_waits,
-    report_stalled_steps,
     restore_progress,
     run_periodic_checks,
     submit,
 )
+from lycheerelay.workflow.stalls import report_stalled_steps
 from lycheerelay.workflow.tenants import TenantPolicy, find_quota_excess
 from lycheerelay_standins.platform import CellShape, PlatformCell, Shape
 from platform_days import job, play, step
--- a/tests/test_wide_gangs.py
+++ b/tests/test_wide_gangs.py
@@ -26,8 +26,8 @@
     WorkerListing,
     WorkflowSpec,
     advice_failed,
-    report_stalled_steps,
 )
+from lycheerelay.workflow.stalls import report_stalled_steps
 
 POOL = 'pool'
 CAPACITY = Resources(64_000, 262_144)
