Fuzz records that are too large and stores that refuse everything

The stand-in of the store keeps the limits of the settings, and a run reports RECORD if it was sent more. New optional faults: `wide` submits a step of 60 to 150 tasks to a cell with records of 1,800 bytes and kills a VM; `store_refuses` answers 400 to every append for a while.

A record is now at fault only if it is refused between two others that the store takes.

--- a/src/lycheerelay/serving/_progress_appends.py
+++ b/src/lycheerelay/serving/_progress_appends.py
@@ -68,6 +68,8 @@
         self.pace = RepeatPace(context.fence)
         self.has_skipped_number = False
         self.useless_checks = 0
+        # Record that was refused before the store took another one.
+        self.suspect: OwnedRecord | None = None
 
     async def fence(self) -> bool:
         """Fence off the appends of earlier owners; return whether it worked."""
@@ -140,18 +142,23 @@
         return []
 
     async def _is_at_fault(self, owned: OwnedRecord) -> bool:
-        """Return whether the store takes another record.
+        """Return whether the store has taken another record before and after.
 
-        Otherwise it refuses everything, and no record is at fault.
+        Otherwise it may refuse everything for some time, and the record is to be
+        appended again.
         """
         sent_ms = self.context.now_ms
         probe = OwnedRecord(PROBE_KEY, KeyedRecord(PROBE_KEY, None))
         state = await self._append([probe])
         if state is not AppendState.TAKEN:
+            self.suspect = None
             self.useless_checks += 1
             await self._pause(self.useless_checks, sent_ms)
             return False
         self.useless_checks = 0
+        if self.suspect is not owned:
+            self.suspect = owned
+            return False
         payload = owned.record.payload or b''
         self.context.metrics.count('records_refused')
         logger.error(
--- a/src/lycheerelay_standins/platform/_fuzz.py
+++ b/src/lycheerelay_standins/platform/_fuzz.py
@@ -37,7 +37,12 @@
     'deadly',
     'restart',
     'shrink',
+    'store_refuses',
+    'wide',
 )
+# Largest record of a run with wide jobs, whose progress takes several.
+SMALL_RECORD_BYTES: Final = 1800
+WIDE_STEP_TASKS: Final = (60, 150)
 
 
 class FuzzResult(NamedTuple):
@@ -81,6 +86,8 @@
             queues=(QueueShape('batch', 'cpu', 3, advised),),
             seed=seed,
         )
+        if 'wide' in self.only:
+            shape = shape._replace(record_bytes=SMALL_RECORD_BYTES)
         self.cell = PlatformCell(
             add_tenants(shape, seed) if with_tenants else shape
         )
@@ -104,12 +111,17 @@
         ]
         return FuzzResult(
             self.seed,
-            tuple(self.cell.audit.broken),
+            tuple(self.cell.audit.broken) + self._refused_records(),
             tuple(open_jobs),
             len(self.jobs),
             tuple(self.injected),
         )
 
+    def _refused_records(self) -> tuple[str, ...]:
+        # Nothing that the system writes may be larger than the settings say.
+        count = self.cell.store.too_large
+        return (f'RECORD: {count} were too large',) if count else ()
+
     def tenants(self) -> TenantLoad:
         """Return the load of the tenants; raise ValueError without any."""
         if self.tenant_load is None:
@@ -148,14 +160,24 @@
             await asyncio.sleep(self.rng.expovariate(3))
             asyncio.create_task(self.submit_job())
 
+    async def submit_wide_job(self) -> None:
+        """Submit a job whose progress does not fit in a small record."""
+        count = self.rng.randint(*WIDE_STEP_TASKS)
+        step = {'count': count, 'cpu': 100, 'memMb': 100, 'estimatedMs': 3000}
+        await self.submit_job(steps=[step])
+
     async def submit_job(
-        self, is_deadly: bool = False, tenant: str = ''
+        self,
+        is_deadly: bool = False,
+        tenant: str = '',
+        steps: list[dict[str, Any]] | None = None,
     ) -> None:
         """Submit a random job; a deadly one has a task that crashes workers.
 
         In a run with tenants it is that of `tenant`, or of a random one.
         """
-        steps = self._steps()
+        if steps is None:
+            steps = self._steps()
         body = {'spec': 'x', 'steps': steps}
         vm = self.rng.choice(sorted(self.cell.entries))
         work_ms = self.rng.choice((200, 800, 3000))
@@ -216,6 +238,7 @@
 
     def _clear_faults(self) -> None:
         net = self.cell.net
+        self.cell.store.refuses_appends = False
         for impairment in (
             net.cuts,
             net.refusing,
--- a/src/lycheerelay_standins/platform/_fuzz_faults.py
+++ b/src/lycheerelay_standins/platform/_fuzz_faults.py
@@ -81,6 +81,24 @@
     run.cell.net.refusing.discard(('*', STORE_ADDRESS))
 
 
+@FAULTS.register('store_refuses')
+async def refuse_appends(run: 'FuzzRun') -> None:
+    """Make the store refuse every append as malformed."""
+    run.cell.store.refuses_appends = True
+    await run.pause()
+    run.cell.store.refuses_appends = False
+
+
+@FAULTS.register('wide')
+async def wide(run: 'FuzzRun') -> None:
+    """Submit a job whose progress takes several records; kill the owner."""
+    # A VM that has just started refuses it, as it does other jobs.
+    handing_in = asyncio.create_task(run.submit_wide_job())
+    await asyncio.sleep(run.rng.uniform(0, 2))
+    await kill(run)
+    await asyncio.wait({handing_in})
+
+
 @FAULTS.register('store_slow')
 async def store_slow(run: 'FuzzRun') -> None:
     """Delay the responses of the store."""
--- a/src/lycheerelay_standins/platform/_store.py
+++ b/src/lycheerelay_standins/platform/_store.py
@@ -18,6 +18,7 @@
 CONFLICT: Final = 409
 PRECONDITION_FAILED: Final = 412
 GONE: Final = 410
+BAD_REQUEST: Final = 400
 CONTENT_TOO_LARGE: Final = 413
 PARTITIONS: Final = 12
 PAGE_ITEMS: Final = 500
@@ -166,6 +167,7 @@
         self.record_bytes = RECORD_BYTES
         self.request_bytes = REQUEST_BYTES
         self.too_large = 0
+        self.refuses_appends = False
         self.appends: collections.Counter[str] = collections.Counter()
 
     def group(self, name: str) -> GroupStandIn:
@@ -220,6 +222,8 @@
     async def _log_append(self, request: Request) -> Reply:
         partition = self.partition(request.query['topic'])
         self.appends[request.query['topic']] += 1
+        if self.refuses_appends:
+            return _json(BAD_REQUEST, {})
         contents = _split_records(request.body)
         sizes = [len(content) for content in contents]
         if (
--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -57,6 +57,18 @@
     assert result.unfinished == ()
 
 
+WIDE = ('wide', 'wide', 'store_refuses', 'store_lost', 'kill', 'revoke')
+
+
+@pytest.mark.parametrize('seed', range(1, 7))
+def test_a_day_with_large_records_keeps_every_promise(seed: int) -> None:
+    """Wide jobs are recorded in parts over owners; the store refuses appends."""
+    result = fuzz(seed, WIDE)
+    assert result.jobs > 20
+    assert result.broken == ()
+    assert result.unfinished == ()
+
+
 DEADLY = ('deadly', 'kill', 'revoke', 'restart', 'crash')
 
 
