--- a/src/lycheerelay_standins/platform/_fuzz.py
+++ b/src/lycheerelay_standins/platform/_fuzz.py
@@ -42,7 +42,7 @@
 )
 # Largest record of a run with wide jobs, whose progress takes several.
 SMALL_RECORD_BYTES: Final = 1800
-WIDE_STEP_TASKS: Final = (60, 150)
+WIDE_STEP_TASKS: Final = (200, 400)
 
 
 class FuzzResult(NamedTuple):
@@ -163,7 +163,7 @@
     async def submit_wide_job(self) -> None:
         """Submit a job whose progress does not fit in a small record."""
         count = self.rng.randint(*WIDE_STEP_TASKS)
-        step = {'count': count, 'cpu': 100, 'memMb': 100, 'estimatedMs': 3000}
+        step = {'count': count, 'cpu': 50, 'memMb': 10, 'estimatedMs': 3000}
         await self.submit_job(steps=[step])
 
     async def submit_job(
