Judge runs only once a worker has listed all its ends

Callers saw: after an outage of the store of some seconds, or a takeover, tasks that were done ran again (rule TWICE) if over 500 had ended on one worker meanwhile.

Cause: a worker lists at most 500 ends in one answer, the next ones once these are acknowledged. A run that was neither at work nor in that answer was taken for lost, and after a takeover the worker counted as synced, so that what an earlier owner had sent there was started again.

Fix: the client of the workers, which knows the limit, says whether an answer may have more ends to follow (`RunTable.has_all_ends`). As long as it may, no missing run is judged, nor is it hung or copied; the worker is polled at once instead of with a wait; and after a takeover it is not synced, also not when the orders of the owner before are over, while it answers, since the leases that the new owner grants keep those ends valid. A worker that falls silent is judged by its leases as before.

--- a/src/lycheerelay/platform/_workers.py
+++ b/src/lycheerelay/platform/_workers.py
@@ -40,6 +40,8 @@
 OK: Final = 200
 CONFLICT: Final = 409
 CORES_MILLI: Final = 1000
+# A worker lists at most this many ends in one answer.
+MAX_LISTED_ENDS: Final = 500
 
 STATUS_ANSWERS: Final = {
     NO_ANSWER: Answer.NONE,
@@ -165,12 +167,14 @@
     asked: WorkerKey, poll_sent_ms: int, fields: Mapping[str, Any]
 ) -> PollReply:
     try:
+        ends = tuple(_decode_ends(fields['ended']))
         table = RunTable(
             decode_worker_key(asked, fields),
             poll_sent_ms,
             int(fields['clockMs']),
             tuple(_decode_rows(fields['running'])),
-            tuple(_decode_ends(fields['ended'])),
+            ends,
+            len(ends) < MAX_LISTED_ENDS,
         )
         return PollReply(Answer.DONE, table.clock_ms, table)
     except DECODE_ERRORS as error:
--- a/src/lycheerelay/serving/_worker_poller.py
+++ b/src/lycheerelay/serving/_worker_poller.py
@@ -118,7 +118,7 @@
         # so its leases expire only if no poll extends them.
         is_lost = worker is None or worker.missed_calls > 0
         deadline_ms = 0 if is_lost else self.lease_deadline()
-        if worker and worker.recorded_end < worker.handled_end:
+        if worker and (worker.has_more_ends or _has_unrecorded_ends(worker)):
             wait_ms = 0
         request = self._make_request(last_seen, deadline_ms, wait_ms)
         return await self.context.workers.poll(request)
@@ -199,7 +199,7 @@
         self.context.notify_changed()
 
     async def _wait_for_record(self, worker: WorkerInfo) -> None:
-        if worker.recorded_end >= worker.handled_end:
+        if not _has_unrecorded_ends(worker):
             return
         try:
             async with asyncio.timeout(RECORD_TIMEOUT_S):
@@ -212,7 +212,7 @@
 
     def _has_unrecorded(self, worker: WorkerInfo) -> bool:
         is_deposed = self.context.cell.deposed
-        return not is_deposed and worker.recorded_end < worker.handled_end
+        return not is_deposed and _has_unrecorded_ends(worker)
 
     async def _handle_no_answer(self, answer: Answer) -> None:
         if self._count_miss(answer):
@@ -236,3 +236,7 @@
                 },
             )
         return worker.unresponsive
+
+
+def _has_unrecorded_ends(worker: WorkerInfo) -> bool:
+    return worker.recorded_end < worker.handled_end
--- a/src/lycheerelay/workflow/_instances.py
+++ b/src/lycheerelay/workflow/_instances.py
@@ -142,7 +142,8 @@
 
 def _is_unidentified(worker: WorkerInfo) -> bool:
     """Return whether neither a record nor an answer has told its start."""
-    return not worker.key.started_ms and not worker.synced
+    has_answered = worker.synced or worker.has_more_ends
+    return not worker.key.started_ms and not has_answered
 
 
 def _identify(
--- a/src/lycheerelay/workflow/_periodic_checks.py
+++ b/src/lycheerelay/workflow/_periodic_checks.py
@@ -24,6 +24,7 @@
     StepInfo,
     WorkerInfo,
 )
+from ._unlisted_ends import end_takeover, may_have_ended
 
 # A run is hung if its progress has not changed for this time and for this share
 # of its expected time. Polls report progress every second.
@@ -50,8 +51,7 @@
     if not cell.loaded:
         return
     if cell.unsynced_workers and now_ms >= cell.previous_orders_expire_ms:
-        log_event(cell, 'takeover_clear', missing=len(cell.unsynced_workers))
-        cell.mark_all_synced()
+        end_takeover(cell)
     if cell.is_synced and not cell.gangs_checked:
         cell.gangs_checked = True
         stop_incomplete_gangs(cell, now_ms)
@@ -84,7 +84,7 @@
 
 def _expire_leases(cell: CellState, worker: WorkerInfo, now_ms: int) -> None:
     worker.lease_until_ms = 0
-    if worker.runs or worker.synced:
+    if worker.runs or worker.synced or worker.has_more_ends:
         expire_worker(cell, worker, now_ms)
 
 
@@ -98,6 +98,8 @@
     if worker.draining and step.spec.lasts:
         _stop_on_draining_worker(cell, worker, run, now_ms)
         return
+    if may_have_ended(worker):
+        return
     if _is_hung(worker, run, now_ms):
         worker.failures_in_row[f'hung:{step.job.spec.job_id}'] = None
         for member in step.tasks if step.spec.gang else (run.task,):
--- a/src/lycheerelay/workflow/_pool_cycle.py
+++ b/src/lycheerelay/workflow/_pool_cycle.py
@@ -10,6 +10,7 @@
 from ._quota import QuotaCycle
 from ._spec import StepKey, WorkerKey
 from ._state import CellState, StepInfo, TaskInfo, WorkerInfo
+from ._unlisted_ends import may_list_end
 
 # Part of a pool that is held at the same time.
 MAX_HELD_SHARE: Final = 0.2
@@ -134,7 +135,7 @@
 
 def _may_still_run(cell: CellState, task: TaskInfo, now_ms: int) -> bool:
     """Return whether an unsynced worker may still run the task."""
-    return (
-        task.assigned_worker in cell.unsynced_workers
-        and now_ms < cell.previous_orders_expire_ms
+    worker_id = task.assigned_worker
+    return worker_id in cell.unsynced_workers and (
+        now_ms < cell.previous_orders_expire_ms or may_list_end(cell, worker_id)
     )
--- a/src/lycheerelay/workflow/_run_table.py
+++ b/src/lycheerelay/workflow/_run_table.py
@@ -26,6 +26,7 @@
 from ._spec import RunKey, WorkerKey
 from ._state import NEVER, CellState, Run, RunState, TaskInfo, WorkerInfo
 from ._suspects import find_suspects
+from ._unlisted_ends import note_unlisted_ends
 
 
 class RunTableRow(NamedTuple):
@@ -45,7 +46,9 @@
     """The runs of a worker and the run ends that it still lists.
 
     `poll_sent_ms` is the local time at which the poll was sent, `clock_ms` the
-    worker's clock when it replied.
+    worker's clock when it replied. `has_all_ends` says that the worker has no more
+    ends to list than these; otherwise it lists the next ones once these have been
+    acknowledged.
     """
 
     worker: WorkerKey
@@ -53,6 +56,7 @@
     clock_ms: int
     rows: tuple[RunTableRow, ...]
     ends: tuple[RunEnd, ...]
+    has_all_ends: bool = True
 
 
 def expire_worker(cell: CellState, worker: WorkerInfo, now_ms: int) -> None:
@@ -61,6 +65,7 @@
         note_unconfirmed_start(run, now_ms)
     worker.lapsed_suspects += find_suspects(worker)
     worker.synced = False
+    worker.has_more_ends = False
     worker.unresponsive = True
     for run in release_worker_runs(cell, worker, 'its leases expired'):
         if not run.step.job.is_final:
@@ -82,25 +87,21 @@
     for end in new_ends:
         apply_end(cell, worker, end, now_ms)
         worker.handled_end = end.number
-    reported = {row.run for row in table.rows}
-    reported.update(end.run for end in table.ends)
     for row in table.rows:
         _apply_row(cell, worker, row, now_ms)
-    for run in list(worker.runs.values()):
-        if run.key not in reported:
-            _check_missing_run(cell, run, table.poll_sent_ms, now_ms)
-    for run_key in list(worker.orphaned_runs):
-        if run_key not in reported:
-            worker.orphaned_runs.pop(run_key)
+    note_unlisted_ends(cell, worker, table.has_all_ends)
+    if table.has_all_ends:
+        _check_missing_runs(cell, worker, table, now_ms)
     if not worker.synced:
-        worker.synced = True
-        _count_earlier_crash(cell, worker, now_ms)
         # Leases of an earlier owner may last until this time. Without it, the
         # runs of a worker that crashes before its first lease from this owner
         # would never expire.
         worker.lease_until_ms = max(
             worker.lease_until_ms, cell.previous_orders_expire_ms
         )
+    if table.has_all_ends and not worker.synced:
+        worker.synced = True
+        _count_earlier_crash(cell, worker, now_ms)
         cell.mark_synced(worker.worker_id)
         log_event(
             cell,
@@ -113,6 +114,19 @@
     return bool(new_ends)
 
 
+def _check_missing_runs(
+    cell: CellState, worker: WorkerInfo, table: RunTable, now_ms: int
+) -> None:
+    reported = {row.run for row in table.rows}
+    reported.update(end.run for end in table.ends)
+    for run in list(worker.runs.values()):
+        if run.key not in reported:
+            _check_missing_run(cell, run, table.poll_sent_ms, now_ms)
+    for run_key in list(worker.orphaned_runs):
+        if run_key not in reported:
+            worker.orphaned_runs.pop(run_key)
+
+
 def _count_earlier_crash(
     cell: CellState, worker: WorkerInfo, now_ms: int
 ) -> None:
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -261,7 +261,8 @@
     the time, and `unconfirmed_voids` those whose start this instance has still to
     void. From `held_since_ms` to `held_until_ms` only the step `held_for` may start
     runs there. `lapsed_suspects` holds the runs that may be the cause if the
-    instance proves to have crashed before its leases expired.
+    instance proves to have crashed before its leases expired. `has_more_ends` says
+    that there are run ends that it has not listed yet.
     """
 
     key: WorkerKey
@@ -296,6 +297,7 @@
     held_since_ms: int = 0
     held_until_ms: int = 0
     lapsed_suspects: 'tuple[Suspect, ...]' = ()
+    has_more_ends: bool = False
 
     @property
     def worker_id(self) -> str:
@@ -400,11 +402,6 @@
         self.unsynced_workers.pop(worker_id, None)
         self.tenants.settle(worker_id)
 
-    def mark_all_synced(self) -> None:
-        """Record that no order of an earlier owner is in effect any more."""
-        self.unsynced_workers.clear()
-        self.tenants.settle_all()
-
     @property
     def is_synced(self) -> bool:
         """Return whether no worker may hold runs unknown to this owner."""
--- a/src/lycheerelay/workflow/_tenants.py
+++ b/src/lycheerelay/workflow/_tenants.py
@@ -296,11 +296,6 @@
             account.presumed = account.presumed.minus(runs.demand)
             runs.counts.pop(runs.key, None)
 
-    def settle_all(self) -> None:
-        """Refund all presumed starts, as their orders have expired."""
-        for worker_id in list(self.presumed):
-            self.settle(worker_id)
-
     def is_over_rate(self, account: TenantAccount, accepted_ms: int) -> bool:
         """Count an accepted job, and return whether it is over the rate.
 
--- a/src/lycheerelay_standins/platform/_audit.py
+++ b/src/lycheerelay_standins/platform/_audit.py
@@ -136,8 +136,9 @@
                 )
         limit = step.get('antiAffinity', 0)
         prefix = f'{job_id}.{occurrence}.{step_text}.'
-        neighbours = sum(1 for run in worker.runs if run[0].startswith(prefix))
-        if limit and neighbours >= limit:
+        if limit and limit <= sum(
+            run[0].startswith(prefix) for run in worker.runs
+        ):
             self.report_violation('ROUTE', f'{name} exceeds its spread limit')
         failures = [
             run
--- a/src/lycheerelay_standins/platform/_worker.py
+++ b/src/lycheerelay_standins/platform/_worker.py
@@ -35,6 +35,7 @@
     observed: ObservedRun
     request: dict[str, Any]
     total_ms: int
+    demand: tuple[int, int, int] = (0, 0, 0)
     timer: asyncio.TimerHandle | None = None
     fails: bool = False
     awaits_gang: bool = False
@@ -87,6 +88,7 @@
         self.max_lease_ms = max_lease_ms
         self.born_ms = now_ms()
         self.runs: dict[tuple[str, int], ActiveRun] = {}
+        self.used = [0, 0, 0]
         self.ended: list[tuple[int, ObservedRun, str]] = []
         self.void_runs: dict[str, int] = {}
         self.fence = 0
@@ -149,8 +151,11 @@
         self.starts += 1
         observed = self.audit.check_start(self, body, self.now_ms())
         step = self._find_step(body['task'])
-        run = ActiveRun(observed, body, self._work_ms(body['task']))
+        run = ActiveRun(
+            observed, body, self._work_ms(body['task']), _demand(step)
+        )
         self.runs[key] = run
+        self._use(run.demand, 1)
         self._check_capacity()
         run.awaits_gang = bool(step.get('gang'))
         if self.audit.is_deadly(body['task']):
@@ -254,6 +259,7 @@
         if self.runs.get(key) is not run:
             return
         self.runs.pop(key)
+        self._use(run.demand, -1)
         if run.timer is not None:
             run.timer.cancel()
         run.observed.ended_ms = self.now_ms()
@@ -311,6 +317,7 @@
             if run.timer is not None:
                 run.timer.cancel()
         self.runs = {}
+        self.used = [0, 0, 0]
         self.ended_event.set()
         if self.lease_timer is not None:
             self.lease_timer.cancel()
@@ -329,12 +336,6 @@
         return work_ms * self.slowdown
 
     def _check_capacity(self) -> None:
-        used = [0, 0, 0]
-        for run in self.runs.values():
-            step = self._find_step(run.observed.name)
-            used[0] += 0 if step.get('fills') else step.get('cpu', 0)
-            used[1] += step.get('memMb', 0)
-            used[2] += step.get('gpus', 0)
         shapes = [self.shape]
         if self.now_ms() < self.resized_ms + SHRINK_GRACE_MS:
             shapes.append(self.earlier_shape)
@@ -344,8 +345,18 @@
             max(shape.accelerators for shape in shapes),
         )
         if any(
-            amount > limit for amount, limit in zip(used, capacity, strict=True)
+            amount > limit
+            for amount, limit in zip(self.used, capacity, strict=True)
         ):
             self.audit.report_violation(
-                'LIMIT', f'{self.worker_id}: {used} used of {capacity}'
+                'LIMIT', f'{self.worker_id}: {self.used} used of {capacity}'
             )
+
+    def _use(self, demand: tuple[int, int, int], sign: int) -> None:
+        for index, amount in enumerate(demand):
+            self.used[index] += sign * amount
+
+
+def _demand(step: dict[str, Any]) -> tuple[int, int, int]:
+    cores_milli = 0 if step.get('fills') else step.get('cpu', 0)
+    return cores_milli, step.get('memMb', 0), step.get('gpus', 0)
--- a/tests/workflow_session_files.py
+++ b/tests/workflow_session_files.py
@@ -140,7 +140,14 @@
         for number, run, how, checkpoint in fields.get('ends', ())
     ]
     asked_ms = fields.get('asked_ms', now_ms)
-    table = RunTable(key, asked_ms, now_ms, tuple(rows), tuple(ends))
+    table = RunTable(
+        key,
+        asked_ms,
+        now_ms,
+        tuple(rows),
+        tuple(ends),
+        fields.get('all_ends', True),
+    )
     apply_run_table(stage.cell, table, now_ms)
     worker = stage.cell.workers[key]
     worker.lease_until_ms = now_ms + 6000
