Read all pages of the stream of jobs before a job is unknown

Callers saw: a GET of a job that had been accepted could be answered with 410 (rule LOST) while the owner had more than one page, 1,024 KB, of new jobs to read.

Fix: it reads until a page reaches the end. The stand-in of the store now limits a read to 1 MB, as the protocol does, and a test may set less.

--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -131,10 +131,15 @@
     async def catch_up(self) -> bool:
         """Read the job stream to its end; return False if that fails."""
         context = self.context
-        outcome = await context.log.read(Stream.JOBS, context.tail_offset, 0)
-        if isinstance(outcome, Err):
-            return False
-        self._apply_page(outcome.ok_value)
+        reaches_end = False
+        while not reaches_end:
+            outcome = await context.log.read(
+                Stream.JOBS, context.tail_offset, 0
+            )
+            if isinstance(outcome, Err):
+                return False
+            self._apply_page(outcome.ok_value)
+            reaches_end = outcome.ok_value.reaches_end
         return True
 
     def run_cycle(self) -> None:
--- a/src/lycheerelay_standins/platform/_store.py
+++ b/src/lycheerelay_standins/platform/_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import collections
+import itertools
 import json
 import struct
 from collections.abc import Callable
@@ -20,6 +21,7 @@
 GONE: Final = 410
 PARTITIONS: Final = 12
 PAGE_ITEMS: Final = 500
+PAGE_BYTES: Final = 1 << 20
 
 
 @dataclass
@@ -41,6 +43,13 @@
         """Return the offset of the next record."""
         return self.first_offset + len(self.records)
 
+    def page(self, start: int, max_bytes: int) -> list[bytes]:
+        """Return records up to a size, but at least the first one."""
+        contents = self.records[start - self.first_offset :]
+        sizes = itertools.accumulate(map(len, contents))
+        count = sum(size <= max_bytes for size in sizes)
+        return contents[: max(count, 1)]
+
     def add(self, content: bytes) -> None:
         """Append a record; without a payload it deletes its key.
 
@@ -159,6 +168,7 @@
         self.topics: dict[str, Partition] = {}
         self.groups: dict[str, GroupStandIn] = {}
         self.calls = 0
+        self.page_bytes = PAGE_BYTES
         self.appends: collections.Counter[str] = collections.Counter()
 
     def group(self, name: str) -> GroupStandIn:
@@ -268,9 +278,9 @@
                 start = max(start, partition.end)
         if start < partition.first_offset:
             return _json(GONE, {'first': partition.first_offset})
-        contents = partition.records[start - partition.first_offset :]
         packed = b''.join(
-            struct.pack('>I', len(content)) + content for content in contents
+            struct.pack('>I', len(content)) + content
+            for content in partition.page(start, self.page_bytes)
         )
         return Reply(
             OK,
--- a/tests/test_platform_cell.py
+++ b/tests/test_platform_cell.py
@@ -2,13 +2,16 @@
 
 import asyncio
 
+from lycheerelay.workflow import JobPhase
 from lycheerelay_standins.platform import (
     CellShape,
     PlatformCell,
     QueueShape,
     Shape,
 )
-from platform_days import job, play, step
+from platform_days import STORE, job, play, step
+
+KNOWN_PHASES = {JobPhase.QUEUED, JobPhase.RUNNING, JobPhase.COMPLETED}
 
 
 def test_steps_run_in_order() -> None:
@@ -87,3 +90,18 @@
         assert not any(worker.runs for worker in cell.workers.values())
 
     play(scenario)
+
+
+def test_an_accepted_job_is_known_however_many_are_before_it() -> None:
+    """The stream of jobs is read page by page before a job is unknown."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        cell.store.page_bytes = 0
+        cell.net.slow[STORE] = 10
+        hand_ins = (cell.submit('vm-0', job(step(1))) for _ in range(20))
+        accepted = await asyncio.gather(*hand_ins)
+        for name, outcome in accepted[::-1]:
+            assert outcome.status.value == 'ok'
+            assert await cell.state('vm-1', name) in KNOWN_PHASES
+
+    play(scenario)
