Forget workers that are gone for good

Operators saw: an owner that is busy with workers that have left. With 600 of them in the list it used a whole core, its share, and took half a second to accept a job.

Cause: each worker that had left was polled four times a second for ever by each owner, unless another instance answered at its address, and stayed in the record `workers` for the next one.

Fix: polls to a worker without a registration back off, up to 60 s, less a share that differs by worker; a registration ends the delay. After five minutes the worker leaves the state and the record. It has no runs, leases or late orders by then, which is checked for each, and this owner has waited for 30 s itself, as the time recorded is that of another clock. It is taken in again like a new one, also with the same start, since it is not among the removed workers. What is lost: the runs that would count against their tasks if it proved to have crashed.

The list is now also recorded when it only loses workers. A poller ends when its worker is not known any more, and its task is dropped.

--- a/src/lycheerelay/serving/_known_workers.py
+++ b/src/lycheerelay/serving/_known_workers.py
@@ -1,8 +1,9 @@
 """Keep the workers that may hold runs in the record, for the next owner.
 
 The record `workers` maps ids to addresses. The record `instances` maps them to
-the time of their start and to whether they are draining; earlier versions write
-and read the first one only.
+the time of their start and to whether they are draining, and the record
+`silent_workers` those that are gone to the time since when; earlier versions write
+and read the first one only, or the first two.
 """
 
 import logging
@@ -19,6 +20,7 @@
 
 KNOWN_WORKERS_KEY: Final = 'workers'
 INSTANCES_KEY: Final = 'instances'
+SILENT_KEY: Final = 'silent_workers'
 
 
 class KnownWorker(NamedTuple):
@@ -26,12 +28,13 @@
 
     key: WorkerKey
     draining: bool
+    silent_since_ms: int = 0
 
 
 def known_workers(cell: CellState) -> frozenset[KnownWorker]:
     """Return the workers that the next owner has to know."""
     return frozenset(
-        KnownWorker(worker.key, worker.draining)
+        KnownWorker(worker.key, worker.draining, worker.silent_since_ms)
         for worker in cell.workers.values()
     )
 
@@ -45,7 +48,13 @@
         for worker in workers
     }
     yield KeyedRecord(KNOWN_WORKERS_KEY, orjson.dumps(addresses))
+    silent = {
+        worker.worker_id: worker.silent_since_ms
+        for worker in workers
+        if worker.silent_since_ms
+    }
     yield KeyedRecord(INSTANCES_KEY, orjson.dumps(instances))
+    yield KeyedRecord(SILENT_KEY, orjson.dumps(silent))
 
 
 def decode_addresses(progress: RecordPage) -> dict[str, str]:
@@ -57,8 +66,13 @@
 def decode_instances(progress: RecordPage) -> dict[str, KnownWorker]:
     """Return the recorded worker instances by worker id."""
     rows = _decode(progress, INSTANCES_KEY)
+    silent = _decode(progress, SILENT_KEY)
     return {
-        worker_id: KnownWorker(WorkerKey(worker_id, started_ms), draining)
+        worker_id: KnownWorker(
+            WorkerKey(worker_id, started_ms),
+            draining,
+            int(silent.get(worker_id, 0)),
+        )
         for worker_id, (started_ms, draining) in rows.items()
     }
 
--- a/src/lycheerelay/serving/_orders.py
+++ b/src/lycheerelay/serving/_orders.py
@@ -92,6 +92,12 @@
         self.tasks.add(task)
         task.add_done_callback(partial(self._on_task_done, on_crash))
 
+    def wake_pollers(self, worker_id: str) -> None:
+        """Poll a worker that has registered, however long it was silent."""
+        for key in self.context.cell.instances.get(worker_id, ()):
+            if key in self.pollers:
+                self.pollers[key].registered.set()
+
     def cancel(self) -> None:
         """Cancel every order in flight."""
         for task in self.tasks:
--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -25,6 +25,7 @@
     stop_orphaned_runs,
     unlist_worker,
 )
+from ..workflow.workers import forget_gone_workers
 from ._advice_dispatcher import AdviceDispatcher
 from ._context import CYCLE_DELAY_S, Limits, OwnerContext
 from ._job_stream import JobStream
@@ -213,6 +214,9 @@
                 listing = placeholder_listing(known, address)
                 list_worker(cell, listing, now_ms)
                 unlist_worker(cell, worker_id)
+                cell.workers[listing.worker].silent_since_ms = min(
+                    known.silent_since_ms, now_ms
+                )
         for worker_id in earlier.keys() - leaving:
             cell.earlier_instances[worker_id] = earlier[worker_id].key
         cell.unsynced_workers.update(dict.fromkeys(cell.instances))
@@ -290,6 +294,7 @@
             for listing in await self.listings.read_changes(self.context.log):
                 if isinstance(listing, WorkerListing):
                     list_worker(self.cell, listing, self.context.now_ms)
+                    self.orders.wake_pollers(listing.worker.worker_id)
                 else:
                     unlist_worker(self.cell, listing)
             self._start_pollers()
@@ -314,6 +319,7 @@
     def _on_poller_done(self, key: WorkerKey, task: asyncio.Task[None]) -> None:
         if task.cancelled() or self.has_ended:
             return
+        self.tasks.remove(task)
         self.orders.pollers.pop(key, None)
         if task.exception() is None:
             return
@@ -346,6 +352,8 @@
                     now_ms,
                 )
                 self.recorder.drop_records(expired)
+                gone = forget_gone_workers(self.cell, now_ms)
+                self.context.metrics.gauge('workers_gone', gone)
             _update_gauges(self.context)
             self._observe_waits(ticks, now_ms)
             self.run_cycle()
--- a/src/lycheerelay/serving/_recorder.py
+++ b/src/lycheerelay/serving/_recorder.py
@@ -93,7 +93,7 @@
         return bool(
             cell.unrecorded_jobs
             or self.expired_jobs
-            or known_workers(cell) - self.recorded_workers
+            or known_workers(cell) != self.recorded_workers
             or any(
                 worker.recorded_end < worker.handled_end
                 for worker in cell.workers.values()
@@ -108,7 +108,7 @@
         }
         phases: dict[str, JobPhase] = {}
         records: list[KeyedRecord] = []
-        if workers - self.recorded_workers:
+        if workers != self.recorded_workers:
             records.extend(encode_known_workers(cell))
         for job_id in self.expired_jobs:
             records.append(KeyedRecord(job_id, None))
@@ -142,8 +142,8 @@
             worker = cell.workers.get(key)
             if worker is not None:
                 worker.recorded_end = max(worker.recorded_end, number)
-        for key, _ in workers:
-            worker = cell.workers.get(key)
+        for known in workers:
+            worker = cell.workers.get(known.key)
             if worker is not None:
                 worker.enrolled = True
         for job_id, phase in phases.items():
--- a/src/lycheerelay/serving/_worker_poller.py
+++ b/src/lycheerelay/serving/_worker_poller.py
@@ -1,6 +1,7 @@
 """Poll one worker: extend its leases and read its run table."""
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Callable
 from typing import Final, final
@@ -15,6 +16,7 @@
 )
 from ..workflow.workers import count_missed_call, pace_worker
 from ._context import OwnerContext
+from ._poll_backoff import DelayRule, first_delay_s, retry_delay_s
 from ._ports import PollReply, PollRequest
 from ._worker_clock import WorkerClock
 
@@ -25,8 +27,8 @@
 POLL_WAIT_MS: Final = 1000
 # The same while the worker is held for a task that may crash it.
 HELD_POLL_WAIT_MS: Final = 100
-# Delay before the next poll after one that was not answered, not allowed, or
-# answered by another instance.
+# Delay before the next poll after one that was not allowed, or answered by another
+# instance.
 UNANSWERED_RETRY_S: Final = 0.25
 # Limit on the polls that follow an order without an answer.
 POLL_NOW_ATTEMPTS: Final = 3
@@ -61,11 +63,14 @@
         self.address = address
         self.on_other_instance = on_other_instance
         self.clock = WorkerClock()
+        # Set when a registration of the worker has been read.
+        self.registered = asyncio.Event()
 
     async def run(self) -> None:
         """Poll until the worker is removed or the ownership ends."""
+        await self._pause(first_delay_s)
         while not self.context.cell.deposed:
-            if self.key in self.context.cell.removed_workers:
+            if self.key not in self.context.cell.workers:
                 return
             if not self.context.may_send_orders:
                 await asyncio.sleep(UNANSWERED_RETRY_S)
@@ -216,7 +221,20 @@
 
     async def _handle_no_answer(self, answer: Answer) -> None:
         if self._count_miss(answer):
-            await asyncio.sleep(UNANSWERED_RETRY_S)
+            await self._pause(retry_delay_s)
+
+    async def _pause(self, delay_s: DelayRule) -> None:
+        """Wait before a poll, at most until the worker registers."""
+        worker = self.context.cell.workers.get(self.key)
+        if worker is None:
+            return
+        self.registered.clear()
+        delay = delay_s(worker, self.context.fence, self.context.now_ms)
+        if not delay:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(delay):
+                await self.registered.wait()
 
     def _count_miss(self, answer: Answer) -> bool:
         """Count an unanswered poll; return whether contact is lost."""
--- a/src/lycheerelay/workflow/_contact.py
+++ b/src/lycheerelay/workflow/_contact.py
@@ -49,6 +49,7 @@
     worker.last_contact_ms = now_ms
     worker.missed_calls = 0
     worker.unresponsive = False
+    worker.silent_since_ms = 0
 
 
 def may_copy_runs(worker: WorkerInfo, now_ms: int) -> bool:
--- a/src/lycheerelay/workflow/_instances.py
+++ b/src/lycheerelay/workflow/_instances.py
@@ -79,6 +79,7 @@
     worker.domain = listing.domain
     worker.listed = True
     worker.registered_ms = now_ms
+    worker.silent_since_ms = 0
     if listing.draining and not worker.draining:
         worker.draining = True
         log_event(cell, 'worker_draining', worker=key.worker_id)
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -262,7 +262,8 @@
     void. From `held_since_ms` to `held_until_ms` only the step `held_for` may start
     runs there. `lapsed_suspects` holds the runs that may be the cause if the
     instance proves to have crashed before its leases expired. `has_more_ends` says
-    that there are run ends that it has not listed yet.
+    that there are run ends that it has not listed yet. `silent_since_ms` is set if
+    the worker is gone: without a registration, and silent for long.
     """
 
     key: WorkerKey
@@ -298,6 +299,7 @@
     held_until_ms: int = 0
     lapsed_suspects: 'tuple[Suspect, ...]' = ()
     has_more_ends: bool = False
+    silent_since_ms: int = 0
 
     @property
     def worker_id(self) -> str:
