Teach the fuzzer piles of ends and workers that are gone

Cause: no fault of the fuzzer left more than 500 ends on a worker, or kept one away for longer than seconds, so that it could not find tasks that run again because a list of ends has more pages, or because a worker is forgotten.

--- a/src/lycheerelay_standins/platform/_cell.py
+++ b/src/lycheerelay_standins/platform/_cell.py
@@ -106,7 +106,7 @@
             store_address=STORE_ADDRESS,
             advisor_address=ADVISOR_ADDRESS,
             lease_ms=self.shape.lease_ms,
-            status_ms=120_000,
+            status_ms=self.shape.status_ms,
             stop_grace_ms=6000,
             group_ttl_ms=GROUP_TTL_MS,
             link_mbps=link_mbps,
--- a/src/lycheerelay_standins/platform/_environment.py
+++ b/src/lycheerelay_standins/platform/_environment.py
@@ -54,6 +54,7 @@
     workers: tuple[Shape, ...] = ()
     queues: tuple[QueueShape, ...] = (QueueShape('batch', 'cpu'),)
     lease_ms: int = 6000
+    status_ms: int = 120_000
     seed: int = 1
     keeps_ids: bool = False
     tenants: tuple[TenantShape, ...] = ()
--- a/src/lycheerelay_standins/platform/_fuzz.py
+++ b/src/lycheerelay_standins/platform/_fuzz.py
@@ -21,6 +21,8 @@
 # Jobs wait for the quotas of their tenants.
 TENANTS_FINAL_TIMEOUT_S: Final = 240
 CANCEL_SHARE: Final = 0.2
+# Jobs are asked for after a long cut.
+LONG_STATUS_MS: Final = 600_000
 STEP_VARIANTS: Final[tuple[dict[str, Any], ...]] = (
     {},
     {},
@@ -35,6 +37,9 @@
     'answers_broken',
     'config_storm',
     'deadly',
+    'leave',
+    'long_cut',
+    'pile_ends',
     'restart',
     'shrink',
     'unlisted',
@@ -82,6 +87,8 @@
             queues=(QueueShape('batch', 'cpu', 3, advised),),
             seed=seed,
         )
+        if 'long_cut' in self.only:
+            shape = shape._replace(status_ms=LONG_STATUS_MS)
         self.cell = PlatformCell(
             add_tenants(shape, seed) if with_tenants else shape
         )
--- a/src/lycheerelay_standins/platform/_fuzz_faults.py
+++ b/src/lycheerelay_standins/platform/_fuzz_faults.py
@@ -18,6 +18,9 @@
 
 Inject = Callable[['FuzzRun'], Coroutine[Any, Any, None]]
 FAULTS: Final[Registry[str, Inject]] = Registry('fault')
+# Jobs whose tasks are over 500 on each worker.
+PILED_JOBS: Final = 35
+LONG_CUT_S: Final = 330
 
 
 @FAULTS.register('kill')
@@ -123,6 +126,41 @@
         run.cell.add_worker(Shape('cpu'), address)
 
 
+@FAULTS.register('leave')
+async def leave(run: 'FuzzRun') -> None:
+    """Crash a worker for good."""
+    if len(run.cell.workers) > 2:
+        run.cell.crash_worker(run.cell.workers[run.pick_worker()])
+
+
+@FAULTS.register('long_cut')
+async def long_cut(run: 'FuzzRun') -> None:
+    """Disconnect a worker for longer than it is remembered."""
+    worker = run.pick_worker()
+    cut = {('*', worker), (worker, STORE_ADDRESS)}
+    run.cell.net.cuts.update(cut)
+    await asyncio.sleep(LONG_CUT_S)
+    run.cell.net.cuts.difference_update(cut)
+
+
+@FAULTS.register('pile_ends')
+async def pile_ends(run: 'FuzzRun') -> None:
+    """Let many short tasks end while the store refuses every call."""
+    steps = [{'count': 100, 'cpu': 1, 'memMb': 1, 'estimatedMs': 1000}]
+    for _ in range(PILED_JOBS):
+        vm = run.rng.choice(_configured_vms(run))
+        body = {'spec': 'x', 'steps': steps}
+        name, _ = await run.cell.submit(vm, body, work_ms=1500)
+        run.jobs.append(name)
+    await asyncio.sleep(run.rng.uniform(0, 1.5))
+    await store_down(run)
+
+
+def _configured_vms(run: 'FuzzRun') -> list[str]:
+    entries = run.cell.entries.items()
+    return sorted(name for name, entry in entries if entry.config.table)
+
+
 @FAULTS.register('restart')
 async def restart(run: 'FuzzRun') -> None:
     """Crash workers; each starts again under its id within two seconds."""
--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -87,3 +87,29 @@
     assert result.jobs > 20
     assert result.broken == ()
     assert result.unfinished == ()
+
+
+PILES = ('pile_ends', 'kill', 'worker_cut')
+
+
+@pytest.mark.parametrize('seed', range(1, 3))
+def test_a_day_with_piles_of_ends_keeps_every_promise(seed: int) -> None:
+    """Workers have more ends than one answer holds while owners change."""
+    result = fuzz(seed, PILES)
+    assert 'pile_ends' in result.faults
+    assert result.broken == ()
+    assert result.unfinished == ()
+
+
+GONE = ('leave', 'long_cut', 'kill', 'revoke')
+
+
+@pytest.mark.parametrize('seed', range(1, 3))
+def test_a_day_with_workers_that_are_forgotten_keeps_every_promise(
+    seed: int,
+) -> None:
+    """Some leave for good, others are back after a long cut."""
+    result = fuzz(seed, GONE)
+    assert result.jobs > 20
+    assert result.broken == ()
+    assert result.unfinished == ()
