--- a/src/lycheerelay/serving/_known_workers.py
+++ b/src/lycheerelay/serving/_known_workers.py
@@ -1,8 +1,9 @@
 """Keep the workers that may hold runs in the record, for the next owner.
 
 The record `workers` maps ids to addresses. The record `instances` maps them to
-the time of their start and to whether they are draining; earlier versions write
-and read the first one only.
+the time of their start and to whether they are draining, and the record
+`silent_workers` those that are gone to the time since when; earlier versions write
+and read the first one only, or the first two.
 """
 
 import logging
@@ -20,6 +21,7 @@
 INSTANCES_KEY: Final = 'instances'
 # Further rows of either list are in records with this and a number after the key.
 PART_SEPARATOR: Final = '/'
+SILENT_KEY: Final = 'silent_workers'
 
 
 class KnownWorker(NamedTuple):
@@ -27,12 +29,13 @@
 
     key: WorkerKey
     draining: bool
+    silent_since_ms: int = 0
 
 
 def known_workers(cell: CellState) -> frozenset[KnownWorker]:
     """Return the workers that the next owner has to know."""
     return frozenset(
-        KnownWorker(worker.key, worker.draining)
+        KnownWorker(worker.key, worker.draining, worker.silent_since_ms)
         for worker in cell.workers.values()
     )
 
@@ -51,8 +54,13 @@
 def decode_instances(progress: RecordPage) -> dict[str, KnownWorker]:
     """Return the recorded worker instances by worker id."""
     rows = _decode(progress, INSTANCES_KEY)
+    silent = _decode(progress, SILENT_KEY)
     return {
-        worker_id: KnownWorker(WorkerKey(worker_id, started_ms), draining)
+        worker_id: KnownWorker(
+            WorkerKey(worker_id, started_ms),
+            draining,
+            int(silent.get(worker_id, 0)),
+        )
         for worker_id, (started_ms, draining) in rows.items()
     }
 
--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -23,6 +23,7 @@
     unlist_worker,
 )
 from ..workflow.stalls import count_waiting_suspects, report_stalled_steps
+from ..workflow.workers import forget_gone_workers
 from ._advice_dispatcher import AdviceDispatcher
 from ._context import CYCLE_DELAY_S, Limits, OwnerContext
 from ._job_expiry import JobExpiry
@@ -55,6 +56,8 @@
 FORECAST_TICKS: Final = 5
 # Ticks between two checks for steps that wait with capacity free.
 STALL_CHECK_TICKS: Final = 10
+# Ticks between two checks for workers that are gone for good.
+GONE_CHECK_TICKS: Final = 100
 # Delay before a failed read is repeated.
 RETRY_DELAY_S: Final = 0.1
 # After each scheduling cycle, events are batched for this multiple of its
@@ -141,10 +144,15 @@
     async def catch_up(self) -> bool:
         """Read the job stream to its end; return False if that fails."""
         context = self.context
-        outcome = await context.log.read(Stream.JOBS, context.tail_offset, 0)
-        if isinstance(outcome, Err):
-            return False
-        self._apply_page(outcome.ok_value)
+        reaches_end = False
+        while not reaches_end:
+            outcome = await context.log.read(
+                Stream.JOBS, context.tail_offset, 0
+            )
+            if isinstance(outcome, Err):
+                return False
+            self._apply_page(outcome.ok_value)
+            reaches_end = outcome.ok_value.reaches_end
         return True
 
     def run_cycle(self) -> None:
@@ -270,6 +278,7 @@
             for listing in await self.listings.read_changes(self.context.log):
                 if isinstance(listing, WorkerListing):
                     list_worker(self.cell, listing, self.context.now_ms)
+                    self.orders.wake_pollers(listing.worker.worker_id)
                 else:
                     unlist_worker(self.cell, listing)
             self._start_pollers()
@@ -294,6 +303,7 @@
     def _on_poller_done(self, key: WorkerKey, task: asyncio.Task[None]) -> None:
         if task.cancelled() or self.has_ended:
             return
+        self.tasks.remove(task)
         self.orders.pollers.pop(key, None)
         if task.exception() is None:
             return
@@ -319,6 +329,9 @@
             open_occurrences(self.cell, now_ms)
             if ticks % ORPHAN_CHECK_TICKS == 0:
                 stop_orphaned_runs(self.cell)
+            if ticks % GONE_CHECK_TICKS == 0:
+                gone = forget_gone_workers(self.cell, now_ms)
+                self.context.metrics.gauge('workers_gone', gone)
             _update_gauges(self.context)
             self._observe_waits(ticks, now_ms)
             self.run_cycle()
--- a/src/lycheerelay/serving/_recorder.py
+++ b/src/lycheerelay/serving/_recorder.py
@@ -85,7 +85,7 @@
             cell.unrecorded_jobs
             or self.other_records
             or self.records.stale_keys
-            or known_workers(cell) - self.recorded_workers
+            or known_workers(cell) != self.recorded_workers
             or any(
                 worker.recorded_end < worker.handled_end
                 for worker in cell.workers.values()
@@ -138,7 +138,7 @@
     ) -> list[OwnedRecord]:
         """Return the list of workers, if it has changed, and scheduled records."""
         records: list[OwnedRecord] = []
-        if workers - self.recorded_workers:
+        if workers != self.recorded_workers:
             records.extend(
                 OwnedRecord(KNOWN_WORKERS_KEY, record)
                 for record in self.worker_records.encode(self.context.cell)
@@ -177,8 +177,8 @@
             worker = cell.workers.get(key)
             if worker is not None:
                 worker.recorded_end = max(worker.recorded_end, number)
-        for key, _ in workers:
-            worker = cell.workers.get(key)
+        for known in workers:
+            worker = cell.workers.get(known.key)
             if worker is not None:
                 worker.enrolled = True
         for job_id, phase in phases.items():
--- a/src/lycheerelay/serving/_takeover.py
+++ b/src/lycheerelay/serving/_takeover.py
@@ -125,6 +125,9 @@
                 listing = placeholder_listing(known, address)
                 list_worker(cell, listing, now_ms)
                 unlist_worker(cell, worker_id)
+                cell.workers[listing.worker].silent_since_ms = min(
+                    known.silent_since_ms, now_ms
+                )
         for worker_id in earlier.keys() - leaving:
             cell.earlier_instances[worker_id] = earlier[worker_id].key
         cell.unsynced_workers.update(dict.fromkeys(cell.instances))
--- a/src/lycheerelay/serving/_worker_poller.py
+++ b/src/lycheerelay/serving/_worker_poller.py
@@ -16,6 +16,7 @@
 )
 from ..workflow.workers import count_missed_call, pace_worker
 from ._context import OwnerContext
+from ._poll_backoff import DelayRule, first_delay_s, retry_delay_s
 from ._ports import PollReply, PollRequest
 from ._worker_clock import WorkerClock
 
@@ -26,8 +27,8 @@
 POLL_WAIT_MS: Final = 1000
 # The same while the worker is held for a task that may crash it.
 HELD_POLL_WAIT_MS: Final = 100
-# Delay before the next poll after one that was not answered, not allowed, or
-# answered by another instance.
+# Delay before the next poll after one that was not allowed, or answered by another
+# instance.
 UNANSWERED_RETRY_S: Final = 0.25
 # Limit on the polls that follow an order without an answer.
 POLL_NOW_ATTEMPTS: Final = 3
@@ -64,11 +65,14 @@
         self.address = address
         self.on_other_instance = on_other_instance
         self.clock = WorkerClock()
+        # Set when a registration of the worker has been read.
+        self.registered = asyncio.Event()
 
     async def run(self) -> None:
         """Poll until the worker is removed or the ownership ends."""
+        await self._pause(first_delay_s)
         while not self.context.cell.deposed:
-            if self.key in self.context.cell.removed_workers:
+            if self.key not in self.context.cell.workers:
                 return
             if not self.context.may_send_orders:
                 await asyncio.sleep(UNANSWERED_RETRY_S)
@@ -121,7 +125,7 @@
         # so its leases expire only if no poll extends them.
         is_lost = worker is None or worker.missed_calls > 0
         deadline_ms = 0 if is_lost else self.lease_deadline()
-        if worker and worker.recorded_end < worker.handled_end:
+        if worker and (worker.has_more_ends or _has_unrecorded_ends(worker)):
             wait_ms = 0
         request = self._make_request(last_seen, deadline_ms, wait_ms)
         return await self.context.workers.poll(request)
@@ -214,7 +218,7 @@
         self.context.notify_changed()
 
     async def _wait_for_record(self, worker: WorkerInfo) -> None:
-        if worker.recorded_end >= worker.handled_end:
+        if not _has_unrecorded_ends(worker):
             return
         try:
             async with asyncio.timeout(RECORD_TIMEOUT_S):
@@ -227,11 +231,24 @@
 
     def _has_unrecorded(self, worker: WorkerInfo) -> bool:
         is_deposed = self.context.cell.deposed
-        return not is_deposed and worker.recorded_end < worker.handled_end
+        return not is_deposed and _has_unrecorded_ends(worker)
 
     async def _handle_no_answer(self, answer: Answer) -> None:
         if self._count_miss(answer):
-            await asyncio.sleep(UNANSWERED_RETRY_S)
+            await self._pause(retry_delay_s)
+
+    async def _pause(self, delay_s: DelayRule) -> None:
+        """Wait before a poll, at most until the worker registers."""
+        worker = self.context.cell.workers.get(self.key)
+        if worker is None:
+            return
+        self.registered.clear()
+        delay = delay_s(worker, self.context.fence, self.context.now_ms)
+        if not delay:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(delay):
+                await self.registered.wait()
 
     def _count_miss(self, answer: Answer) -> bool:
         """Count an unanswered poll; return whether contact is lost."""
@@ -251,3 +268,7 @@
                 },
             )
         return worker.unresponsive
+
+
+def _has_unrecorded_ends(worker: WorkerInfo) -> bool:
+    return worker.recorded_end < worker.handled_end
--- a/src/lycheerelay/serving/_worker_records.py
+++ b/src/lycheerelay/serving/_worker_records.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Iterator
-from typing import Any, final
+from typing import Any, Final, final
 
 import orjson
 
@@ -15,10 +15,13 @@
     INSTANCES_KEY,
     KNOWN_WORKERS_KEY,
     PART_SEPARATOR,
+    SILENT_KEY,
     is_part_of,
 )
 from ._ports import KeyedRecord, RecordPage, StoreLimits
 
+LIST_KEYS: Final = (KNOWN_WORKERS_KEY, INSTANCES_KEY, SILENT_KEY)
+
 Rows = dict[str, Any]
 
 
@@ -36,8 +39,7 @@
         self.stored_keys = frozenset(
             record.key
             for record in page.records
-            if is_part_of(record.key, KNOWN_WORKERS_KEY)
-            or is_part_of(record.key, INSTANCES_KEY)
+            if any(is_part_of(record.key, key) for key in LIST_KEYS)
         )
 
     def encode(self, cell: CellState) -> list[KeyedRecord]:
@@ -50,10 +52,16 @@
             worker.worker_id: (worker.key.started_ms, worker.draining)
             for worker in workers
         }
+        silent = {
+            worker.worker_id: worker.silent_since_ms
+            for worker in workers
+            if worker.silent_since_ms
+        }
         limit = self.limits.payload_bytes
         records = [
             *_encode_rows(KNOWN_WORKERS_KEY, addresses, limit),
             *_encode_rows(INSTANCES_KEY, instances, limit),
+            *_encode_rows(SILENT_KEY, silent, limit),
         ]
         keys = frozenset(record.key for record in records)
         left_over = sorted(self.stored_keys - keys)
--- a/src/lycheerelay/workflow/_instances.py
+++ b/src/lycheerelay/workflow/_instances.py
@@ -79,6 +79,7 @@
     worker.domain = listing.domain
     worker.listed = True
     worker.registered_ms = now_ms
+    worker.silent_since_ms = 0
     if listing.draining and not worker.draining:
         worker.draining = True
         log_event(cell, 'worker_draining', worker=key.worker_id)
@@ -142,7 +143,8 @@
 
 def _is_unidentified(worker: WorkerInfo) -> bool:
     """Return whether neither a record nor an answer has told its start."""
-    return not worker.key.started_ms and not worker.synced
+    has_answered = worker.synced or worker.has_more_ends
+    return not worker.key.started_ms and not has_answered
 
 
 def _identify(
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -269,6 +269,9 @@
     runs there. It takes no new runs before `paused_until_ms`, and before
     `barred_until_ms` only as a last resort. `lapsed_suspects` holds the runs that
     may be the cause if the instance proves to have crashed before its leases expired.
+    `has_more_ends` says that there are run ends that it has not listed yet.
+    `silent_since_ms` is set if the worker is gone: without a registration, and silent
+    for long.
     """
 
     key: WorkerKey
@@ -304,6 +307,8 @@
     held_since_ms: int = 0
     held_until_ms: int = 0
     lapsed_suspects: 'tuple[Suspect, ...]' = ()
+    has_more_ends: bool = False
+    silent_since_ms: int = 0
 
     @property
     def worker_id(self) -> str:
@@ -417,11 +422,6 @@
         self.unsynced_workers.pop(worker_id, None)
         self.tenants.settle(worker_id)
 
-    def mark_all_synced(self) -> None:
-        """Record that no order of an earlier owner is in effect any more."""
-        self.unsynced_workers.clear()
-        self.tenants.settle_all()
-
     @property
     def is_synced(self) -> bool:
         """Return whether no worker may hold runs unknown to this owner."""
--- a/src/lycheerelay_standins/platform/_store.py
+++ b/src/lycheerelay_standins/platform/_store.py
@@ -4,6 +4,7 @@
 import base64
 import bisect
 import collections
+import itertools
 import json
 import struct
 from collections.abc import Callable
@@ -26,6 +27,7 @@
 # Limits of the settings example on one record and on the records of one call.
 RECORD_BYTES: Final = 262_144
 REQUEST_BYTES: Final = 2_097_152
+PAGE_BYTES: Final = 1 << 20
 
 
 @dataclass
@@ -48,6 +50,13 @@
         """Return the offset of the next record."""
         return self.first_offset + len(self.records)
 
+    def page(self, start: int, max_bytes: int) -> list[bytes]:
+        """Return records up to a size, but at least the first one."""
+        contents = self.records[start - self.first_offset :]
+        sizes = itertools.accumulate(map(len, contents))
+        count = sum(size <= max_bytes for size in sizes)
+        return contents[: max(count, 1)]
+
     def add(self, content: bytes) -> None:
         """Append a record; without a payload it deletes its key.
 
@@ -179,6 +188,7 @@
         self.request_bytes = REQUEST_BYTES
         self.too_large = 0
         self.refuses_appends = False
+        self.page_bytes = PAGE_BYTES
         self.appends: collections.Counter[str] = collections.Counter()
 
     def group(self, name: str) -> GroupStandIn:
@@ -298,9 +308,9 @@
                 start = max(start, partition.end)
         if start < partition.first_offset:
             return _json(GONE, {'first': partition.first_offset})
-        contents = partition.records[start - partition.first_offset :]
         packed = b''.join(
-            struct.pack('>I', len(content)) + content for content in contents
+            struct.pack('>I', len(content)) + content
+            for content in partition.page(start, self.page_bytes)
         )
         return Reply(
             OK,
--- a/tests/test_job_expiry.py
+++ b/tests/test_job_expiry.py
@@ -23,7 +23,8 @@
 
 def records(cell: PlatformCell) -> list[str]:
     """Return the keys of all records of jobs in the store."""
-    of_cell = {'workers', 'instances', 'fence', 'term', 'judged'}
+    of_lists = {'workers', 'instances', 'silent_workers'}
+    of_cell = of_lists | {'fence', 'term', 'judged'}
     return [
         key
         for topic in (JOBS, PROGRESS)
