Ask for tickets of free capacity first

Cause: after a takeover all steps ask the advisor which workers they may use. A call of 0.5 s and more for each of 200 steps keeps six VMs busy for 20 s. Tickets are valid for 2 s; a gang whose tickets have expired asks again when its capacity is free, and that call waited behind all the first ones, as calls were ordered by the time at which they were made. Meanwhile the workers were idle.

Evidence: the stand-in's advisor now serves one call of a VM at a time, with the times of the queue, and allows a share of the workers.

Now a call says whether its step has the capacity and lacks only tickets, and those go first among the calls that wait for a VM. Few steps have capacity at a time, so the others are not held up for long. Short calls wait apart from long ones: the first call in order may be one that short queues do not take.

--- a/src/lycheerelay/serving/_advice_dispatcher.py
+++ b/src/lycheerelay/serving/_advice_dispatcher.py
@@ -4,7 +4,9 @@
 knows few other VMs. The advisor serves one call per calling VM at a time, so each
 VM is a queue in which a long call delays the short calls behind it. Some queues are
 therefore reserved for short calls, and calls wait here rather than in a long queue,
-since other VMs may become known.
+since other VMs may become known. A step that lacks only tickets for its capacity is
+served before those that look for workers: the backlog of these takes longer than
+tickets are valid, and the capacity would be idle meanwhile.
 """
 
 import asyncio
@@ -14,7 +16,7 @@
 
 from result import Err, Result
 
-from .._clock import MS_PER_SECOND, Clock
+from .._clock import Clock
 from ..workflow import AskAdvice
 from ._peers import Peers
 from ._ports import AdviceReply, Advisor, LogFault
@@ -36,9 +38,11 @@
 class WaitingCall(NamedTuple):
     """A call without a queue; the future is for its queue.
 
-    Calls sort by the time at which they would be answered without waiting.
+    Calls sort by urgency, and by the time at which they would be answered without
+    waiting.
     """
 
+    can_wait: bool
     answer_due_ms: float
     number: int
     expected_ms: float
@@ -55,13 +59,14 @@
         self.advisor = advisor
         self.peers = peers
         self.busy_until_ms: dict[str, float] = {}
-        self.waiting: list[WaitingCall] = []
+        self.waiting_short: list[WaitingCall] = []
+        self.waiting_long: list[WaitingCall] = []
         self.numbers = itertools.count()
         self.assigner: asyncio.Task[None] | None = None
 
     async def ask(self, command: AskAdvice) -> Result[AdviceReply, LogFault]:
         """Ask for advice through the queue that is free first."""
-        queue = await self._join_queue(command.expected_ms)
+        queue = await self._join_queue(command)
         if queue == LOCAL_QUEUE:
             return await self.advisor.ask(command.step, command.worker_ids)
         outcome = await self.peers.ask_advice(
@@ -73,8 +78,11 @@
             self.peers.suspect(queue)
         return outcome
 
-    async def _join_queue(self, expected_ms: float) -> str:
-        if not self.waiting:
+    async def _join_queue(self, command: AskAdvice) -> str:
+        expected_ms = command.expected_ms
+        is_long = expected_ms > SHORT_CALL_MS
+        waiting = self.waiting_long if is_long else self.waiting_short
+        if not waiting:
             queue = self._pick_queue(expected_ms)
             if self._backlog_ms(queue) <= MAX_QUEUED_MS:
                 return self._occupy(queue, expected_ms)
@@ -83,25 +91,36 @@
         due_ms = self.clock.now_ms() + expected_ms
         number = next(self.numbers)
         heapq.heappush(
-            self.waiting, WaitingCall(due_ms, number, expected_ms, assigned)
+            waiting,
+            WaitingCall(
+                not command.is_urgent, due_ms, number, expected_ms, assigned
+            ),
         )
         if self.assigner is None or self.assigner.done():
             self.assigner = loop.create_task(self._assign_queues())
         return await assigned
 
     async def _assign_queues(self) -> None:
-        while self.waiting:
-            call = self.waiting[0]
-            queue = self._pick_queue(call.expected_ms)
-            excess_ms = self._backlog_ms(queue) - MAX_QUEUED_MS
-            if call.queue.cancelled():
-                heapq.heappop(self.waiting)
-            elif excess_ms <= 0:
-                heapq.heappop(self.waiting)
-                call.queue.set_result(self._occupy(queue, call.expected_ms))
-            else:
-                excess_s = excess_ms / MS_PER_SECOND
-                await asyncio.sleep(min(excess_s, RECHECK_S))
+        while self.waiting_short or self.waiting_long:
+            heaps = [
+                heap for heap in (self.waiting_short, self.waiting_long) if heap
+            ]
+            heaps.sort(key=lambda heap: heap[0].answer_due_ms)
+            if not any(map(self._assign_first, heaps)):
+                await asyncio.sleep(RECHECK_S)
+
+    def _assign_first(self, heap: list[WaitingCall]) -> bool:
+        """Take the first call out of a heap if a queue is free for it."""
+        call = heap[0]
+        if call.queue.cancelled():
+            heapq.heappop(heap)
+            return True
+        queue = self._pick_queue(call.expected_ms)
+        if self._backlog_ms(queue) > MAX_QUEUED_MS:
+            return False
+        heapq.heappop(heap)
+        call.queue.set_result(self._occupy(queue, call.expected_ms))
+        return True
 
     def _occupy(self, queue: str, expected_ms: float) -> str:
         begin_ms = self.clock.now_ms() + self._backlog_ms(queue)
--- a/src/lycheerelay/serving/_orders.py
+++ b/src/lycheerelay/serving/_orders.py
@@ -314,6 +314,7 @@
                 'step': command.step.step,
                 'asked': len(command.workers),
                 'allowed': len(advised.tickets),
+                'urgent': command.is_urgent,
                 'took_ms': now_ms - asked_ms,
             },
         )
--- a/src/lycheerelay/workflow/_advice.py
+++ b/src/lycheerelay/workflow/_advice.py
@@ -105,11 +105,12 @@
     policy: AdvicePolicy,
     workers: list[WorkerInfo],
     now_ms: int,
+    is_urgent: bool = True,
 ) -> None:
     """Request new tickets for workers whose tickets expired or soon expire."""
     if may_ask(step, now_ms):
         first_workers = workers[:MAX_WORKERS_PER_RENEWAL]
-        call_advisor(cell, step, policy, first_workers)
+        call_advisor(cell, step, policy, first_workers, is_urgent)
 
 
 def renew_expiring_tickets(
@@ -137,7 +138,7 @@
         default=NEVER,
     )
     if latest_end_ms < now_ms + call_ms + TICKET_EXPIRY_MARGIN_MS:
-        renew_tickets(cell, step, policy, workers, now_ms)
+        renew_tickets(cell, step, policy, workers, now_ms, is_urgent=False)
 
 
 def may_ask(step: StepInfo, now_ms: int) -> bool:
@@ -150,10 +151,12 @@
     step: StepInfo,
     policy: AdvicePolicy,
     workers: Sequence[WorkerInfo],
+    is_urgent: bool = False,
 ) -> None:
     """Request tickets for some workers, in addition to calls in progress."""
     keys = tuple(worker.key for worker in workers[:MAX_WORKERS_PER_CALL])
     if not keys:
         return
     step.pending_calls[keys] = None
-    cell.outbox.append(AskAdvice(step.key, keys, policy.call_ms(len(keys))))
+    call_ms = policy.call_ms(len(keys))
+    cell.outbox.append(AskAdvice(step.key, keys, call_ms, is_urgent))
--- a/src/lycheerelay/workflow/_commands.py
+++ b/src/lycheerelay/workflow/_commands.py
@@ -31,11 +31,15 @@
 
 
 class AskAdvice(NamedTuple):
-    """Ask which of these workers may run a step."""
+    """Ask which of these workers may run a step.
+
+    `is_urgent` says that the step has capacity and lacks only tickets for it.
+    """
 
     step: StepKey
     workers: tuple[WorkerKey, ...]
     expected_ms: float
+    is_urgent: bool = False
 
     @property
     def worker_ids(self) -> tuple[str, ...]:
--- a/src/lycheerelay/workflow/_gangs.py
+++ b/src/lycheerelay/workflow/_gangs.py
@@ -200,7 +200,7 @@
         for worker in planned.values()
         if not has_ticket(step, worker, needed_until_ms)
     ]
-    call_advisor(cell, step, policy, missing)
+    call_advisor(cell, step, policy, missing, is_urgent=True)
 
 
 def _ask_about_more(
--- a/src/lycheerelay/workflow/_trials.py
+++ b/src/lycheerelay/workflow/_trials.py
@@ -59,7 +59,7 @@
     ]
     if expired:
         if policy is not None and may_ask(step, now_ms):
-            call_advisor(cell, step, policy, expired)
+            call_advisor(cell, step, policy, expired, is_urgent=True)
         return 0
     return _start(cell, step, tasks, workers, now_ms)
 
--- a/src/lycheerelay_standins/platform/_audit.py
+++ b/src/lycheerelay_standins/platform/_audit.py
@@ -33,6 +33,7 @@
     deadly: frozenset[str] = frozenset()
     failing: frozenset[str] = frozenset()
     tenant: str = ''
+    queue: str = ''
 
 
 @dataclass
--- a/src/lycheerelay_standins/platform/_cell.py
+++ b/src/lycheerelay_standins/platform/_cell.py
@@ -234,6 +234,7 @@
                 work_ms=work_ms,
                 deadly=frozenset(deadly),
                 failing=frozenset(failing),
+                queue=queue,
             ),
         )
         outcome = await entry.handler.submit(spec, 3000)
--- a/src/lycheerelay_standins/platform/_environment.py
+++ b/src/lycheerelay_standins/platform/_environment.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import json
+import zlib
 from abc import ABC, abstractmethod
+from collections import Counter
 from collections.abc import Callable, Collection
 from typing import Any, Final, NamedTuple
 
@@ -21,6 +23,8 @@
 GANG_START_TIMEOUT_MS: Final = 3000
 ADVICE_LATENCY_S: Final = 0.02
 TICKET_VALIDITY_MS: Final = 2000
+# The advisor refuses a call of a VM that has more than these waiting.
+MAX_WAITING_ADVICE_CALLS: Final = 32
 # Clock readings at which a restarted worker may begin: behind or ahead of the one
 # before.
 RESTART_CLOCKS_MS: Final = (1, 50_000_000)
@@ -48,7 +52,9 @@
     `keeps_ids` says whether a worker that a task has crashed starts again under
     its id. Without tenants the configuration has neither tenants nor keys, and
     `quota_window_ms` applies to a configuration that a test publishes itself.
-    A worker accepts `worker_channels` channels, any number with 0.
+    A worker accepts `worker_channels` channels, any number with 0. With
+    `allowed_share`, the advisor allows that share of the workers for each step, and
+    serves one call of a VM at a time, which takes the times of its queue.
     """
 
     vms: int = 3
@@ -61,6 +67,7 @@
     bounds: TenantBounds = TenantBounds()
     quota_window_ms: int = 0
     worker_channels: int = 0
+    allowed_share: float = 0
 
 
 class Environment(ABC):
@@ -77,6 +84,8 @@
         self.tasks: list[asyncio.Task[None]] = []
         self.created_count = 0
         self.tickets: dict[tuple[str, str], int] = {}
+        self.advice_turns: dict[str, asyncio.Lock] = {}
+        self.advice_calls: Counter[str] = Counter()
         self.version = 0
         self.gangs: dict[
             tuple[str, int], list[tuple[WorkerStandIn, ActiveRun]]
@@ -215,10 +224,19 @@
     async def advise(self, request: Request) -> Reply:
         """Return a ticket for each known worker of an advisor call."""
         body = json.loads(request.body)
-        await asyncio.sleep(ADVICE_LATENCY_S)
+        if not self.shape.allowed_share:
+            await asyncio.sleep(ADVICE_LATENCY_S)
+        elif self.advice_calls[request.origin] > MAX_WAITING_ADVICE_CALLS:
+            return Reply(429)
+        else:
+            await self._decide_in_turn(
+                request.origin, body['step'], len(body['workers'])
+            )
         until_ms = self.now_ms() + TICKET_VALIDITY_MS
         known_workers = [
-            name for name in body['workers'] if name in self.workers
+            name
+            for name in body['workers']
+            if name in self.workers and self.is_allowed(body['step'], name)
         ]
         for name in known_workers:
             self.tickets[body['step'], name] = until_ms
@@ -226,6 +244,27 @@
         answer = {'good': rows, 'validityMs': TICKET_VALIDITY_MS}
         return Reply(200, json.dumps(answer).encode())
 
+    async def _decide_in_turn(
+        self, origin: str, step: str, workers: int
+    ) -> None:
+        queue = self.audit.jobs[step.partition('.')[0]].queue
+        advice = next(one for one in self.shape.queues if one.name == queue)
+        times = advice.advice or {}
+        decision_ms = times['decisionMs'] + times['periodMs'] * workers
+        turn = self.advice_turns.setdefault(origin, asyncio.Lock())
+        self.advice_calls[origin] += 1
+        try:
+            async with turn:
+                await asyncio.sleep(decision_ms / MS_PER_SECOND)
+        finally:
+            self.advice_calls[origin] -= 1
+
+    def is_allowed(self, step: str, worker_id: str) -> bool:
+        """Return whether the advisor allows a worker for a step."""
+        share = self.shape.allowed_share or 1
+        drawn = zlib.crc32(f'{self.shape.seed} {step} {worker_id}'.encode())
+        return drawn < share * 2**32
+
     async def _send_heartbeats(
         self, worker: WorkerStandIn, address: str
     ) -> None:
--- a/src/lycheerelay_standins/platform/_network.py
+++ b/src/lycheerelay_standins/platform/_network.py
@@ -21,13 +21,14 @@
 
 
 class Request(NamedTuple):
-    """A call as its receiver sees it."""
+    """A call as its receiver sees it, and the VM that makes it."""
 
     method: str
     path: str
     query: dict[str, str]
     headers: Mapping[str, str]
     body: bytes
+    origin: str = ''
 
 
 class CallTimeouts(NamedTuple):
@@ -256,6 +257,7 @@
             dict(parse_qsl(parts.query)),
             headers or {},
             body or b'',
+            self.vm,
         )
         timeouts = CallTimeouts(timeout_ms, max(timeout_ms, longest_ms))
         if parts.netloc in self.net.channels.limits:
--- a/tests/test_advice_dispatcher.py
+++ b/tests/test_advice_dispatcher.py
@@ -121,3 +121,39 @@
 
     # The virtual clock starts at 0.
     assert run_virtual(scenario()) < 2 * LONG_MS / 1000
+
+
+def test_a_step_with_capacity_is_not_behind_those_that_look_for_workers() -> (
+    None
+):
+    """Tickets of other workers would expire, and the capacity would be idle."""
+
+    async def scenario() -> float:
+        loop = asyncio.get_running_loop()
+        advisor = AdvisorStandIn()
+        advisor.durations_ms = dict.fromkeys(range(101), LONG_MS)
+        peers = PeersStandIn(advisor, 0)
+        dispatcher = AdviceDispatcher(LoopClock(EPOCH_MS), advisor, peers)  # type: ignore[arg-type]
+        searches = [
+            loop.create_task(
+                dispatcher.ask(AskAdvice(StepKey('j', 0, number), (), LONG_MS))
+            )
+            for number in range(100)
+        ]
+        await asyncio.sleep(2 * LONG_MS / 1000)
+        begin_s = loop.time()
+        await dispatcher.ask(
+            AskAdvice(StepKey('j', 0, 100), (), LONG_MS, is_urgent=True)
+        )
+        for search in searches:
+            search.cancel()
+        return (loop.time() - begin_s) * 1000
+
+    assert run_virtual(scenario()) < 2.1 * LONG_MS
+
+
+def test_a_long_call_does_not_hold_up_short_ones() -> None:
+    """The queues for short calls are free while the others are busy."""
+    durations_ms = [LONG_MS] * 100 + [SHORT_MS] * 4
+    answered_ms = run_virtual(ask_all(durations_ms, 0))
+    assert max(answered_ms[100:]) < 4 * SHORT_MS
