--- a/tests/test_refused_records.py
+++ b/tests/test_refused_records.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from lycheerelay.serving import Reply
+from lycheerelay.serving import KeyedRecord, Reply
 from lycheerelay_standins.platform import PlatformCell, Request, Shape
 from platform_days import STORE, job, play, step
 
@@ -170,3 +170,22 @@
         assert set(phases.values()) == {'completed'}
 
     play(scenario)
+
+
+def test_a_refused_hand_in_through_the_owner_is_told_to_its_caller() -> None:
+    """Earlier versions read from the same answer that it was not stored."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        owner = cell.owner()
+        vm = next(name for name in cell.entries if name != owner)
+        cell.store.record_bytes = 4000
+        cell.net.refusing.add((vm, STORE))
+        body = {**job(step(1)), 'spec': 'x' * 5000}
+        _, outcome = await cell.submit(vm, body)
+        assert outcome.status.value == 'never_stored'
+        handler = cell.entries[owner].handler
+        record = KeyedRecord('job/a', b'x' * 5000)
+        answer = await handler.append_for_peer(record)
+        assert answer == {'fault': 'refused', 'rejected': True}
+
+    play(scenario)
