Send no held-back start to a worker that drains

Seen by callers: nothing yet. A start that waits for its record (an outage of the store) or for its turn (a wide step) may wait longer than the 2 s after which a draining worker must get none (rule DRAIN); only tickets and capacity were checked before it is sent.

The start is withheld, and its task starts elsewhere.

--- a/src/lycheerelay/serving/_orders.py
+++ b/src/lycheerelay/serving/_orders.py
@@ -227,9 +227,9 @@
 
 
 def _is_start_allowed(context: OwnerContext, command: StartRun) -> bool:
-    """Return whether the ticket is valid and the worker has not shrunk."""
+    """Return whether the ticket holds and the worker is as at the decision."""
     run = context.cell.find_run(command.worker.worker_id, command.run)
-    if run is None or run.worker.is_over_capacity:
+    if run is None or run.worker.is_over_capacity or run.worker.draining:
         return False
     ticket = run.step.tickets.get(command.worker)
     is_valid = ticket is not None and ticket.until_ms > context.now_ms
--- a/tests/test_start_queue.py
+++ b/tests/test_start_queue.py
@@ -129,3 +129,28 @@
         assert sum(worker.starts for worker in cell.workers.values()) == 4
 
     play(scenario)
+
+
+def test_no_start_that_was_held_back_is_sent_to_a_draining_worker() -> None:
+    """Its task starts elsewhere."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        owner = cell.entries[cell.owner()].handler.owner
+        assert owner is not None
+        queue = owner.orders.start_queue
+        for key in owner.cell.workers:
+            queue.in_flight[key] = STARTS_PER_WORKER
+        name, _ = await cell.submit('vm-0', job(step(24)), work_ms=300)
+        await asyncio.sleep(0.5)
+        assert len(queue.waiting) > 1
+        leaving = next(iter(queue.waiting))
+        cell.workers[leaving.worker_id].draining = True
+        await asyncio.sleep(2.5)
+        assert owner.cell.workers[leaving].draining
+        for key in owner.cell.workers:
+            for _ in range(STARTS_PER_WORKER):
+                queue.finish(key)
+        assert await cell.settle([name], 8) == {name: 'completed'}
+        assert cell.workers[leaving.worker_id].starts == 0
+
+    play(scenario)
