Try suspected services in groups, on all idle workers

Cause: a task in two crashes was a suspect whatever the crashes said about it; each suspected step held a worker of its own for 3 s, and all steps of a pool together a fifth of it.

Change: a task whose two crashes say little is on probation: it starts like any other, and only a crash within 3 s of that start makes it a suspect. Suspects use workers that run nothing at once and without a limit, others are held as before (for steps that last up to half of the pool). Where there are more suspected jobs than such workers they share trials in equal groups. How many jobs may share one depends on how many crashes would give them up: 16, 4 or 1, so that a task which one more crash would give up is always alone. It works because the number of jobs that a crash leaves under suspicion falls by four or more each time, within the five starts of BUDGET.

--- a/src/lycheerelay/workflow/_periodic_checks.py
+++ b/src/lycheerelay/workflow/_periodic_checks.py
@@ -12,6 +12,7 @@
 )
 from ._intake import open_due_occurrences
 from ._log_events import log_event
+from ._probation import is_on_probation
 from ._quota import may_copy
 from ._run_table import expire_worker, stop_incomplete_gangs
 from ._runs import start_run, stop_run
@@ -149,7 +150,7 @@
     if elapsed_ms < limit_ms and not may_copy_runs(run.worker, now_ms):
         return
     task = run.task
-    if task.index in step.suspects:
+    if task.index in step.suspects or is_on_probation(task):
         return
     if task.done or step.job.is_final or step.spec.gang or not may_copy(step):
         return
--- a/src/lycheerelay/workflow/_pool_cycle.py
+++ b/src/lycheerelay/workflow/_pool_cycle.py
@@ -17,8 +17,10 @@
 from ._spec import StepKey, WorkerKey
 from ._state import CellState, StepInfo, TaskInfo, WorkerInfo
 
-# Part of a pool that is held at the same time.
+# Part of a pool that is held at the same time, and for steps that last, as callers
+# of their services are waiting.
 MAX_HELD_SHARE: Final = 0.2
+MAX_HELD_SHARE_LASTING: Final = 0.5
 # Gangs that are planned in one cycle. The others follow in the next cycles, so
 # that a backlog of gangs does not delay short steps.
 MAX_PLANS_PER_CYCLE: Final = 3
@@ -35,6 +37,7 @@
     cycle. Steps that come first in the order use them only as a last resort,
     as every cycle reserves again in order. `held` has the workers that only one
     step may use, `quotas` the state of the tenants in this cycle.
+    `group_size` is the number of suspected jobs that share a trial, once chosen.
     """
 
     usable: dict[WorkerKey, WorkerInfo]
@@ -50,6 +53,7 @@
     )
     held: dict[StepKey, list[WorkerInfo]] = field(default_factory=dict)
     last_reserved: StepInfo | None = None
+    group_size: int = 0
 
     def reserve(self, step: StepInfo, openings: Iterable[Opening]) -> None:
         """Reserve the openings for a step until the cycle ends."""
@@ -82,9 +86,15 @@
         The steps that hold workers share a part of the pool; one of them may
         always hold what it needs.
         """
+        is_first = not self.held.keys() - {step.key}
+        return is_first or added <= self.count_holdable(step)
+
+    def count_holdable(self, step: StepInfo) -> int:
+        """Return how many workers more may be held if one is held for the step."""
+        share = MAX_HELD_SHARE_LASTING if step.spec.lasts else MAX_HELD_SHARE
         held = sum(map(len, self.held.values()))
-        limit = MAX_HELD_SHARE * (len(self.usable) + held)
-        return not self.held.keys() - {step.key} or held + added <= limit
+        limit = int(share * (len(self.usable) + held))
+        return max(limit - held, int(not held))
 
 
 def begin_cycle(
--- a/src/lycheerelay/workflow/_runs.py
+++ b/src/lycheerelay/workflow/_runs.py
@@ -4,6 +4,7 @@
 
 from ._commands import StartRun, StopRun
 from ._log_events import log_event
+from ._probation import is_on_probation, watch_run
 from ._spec import RunKey, TaskKey
 from ._state import (
     NEVER,
@@ -32,6 +33,8 @@
     """Allocate a run on a worker and queue its start order."""
     key = RunKey(TaskKey(*step.key, task.index), number)
     run = Run(key, worker, step, step.spec.demand, now_ms)
+    if is_on_probation(task):
+        watch_run(run, now_ms)
     attach_run(run)
     step.waiting.pop(task.index, None)
     _log_first_start(cell, step, now_ms)
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -73,8 +73,9 @@
     on the worker. `percent` is the reported progress and `percent_ms` the time
     of its last change. `pace` is the allowed share of full speed, in percent.
     `order_sent` says that its start order was sent, and `listed` that its worker
-    has reported it as running. A run on trial has its worker to itself until
-    `trial_until_ms`. `earlier_crash` is set if the worker has crashed and the run
+    has reported it as running. A run is on trial until `trial_until_ms`, and
+    `holds_worker` says that only runs on trial start beside it until then.
+    `earlier_crash` is set if the worker has crashed and the run
     may be on the process that followed.
     """
 
@@ -97,6 +98,7 @@
     order_sent: bool = False
     listed: bool = False
     trial_until_ms: int = 0
+    holds_worker: bool = False
     earlier_crash: 'Suspect | None' = None
 
     @property
@@ -166,7 +168,7 @@
     has been free since `free_since_ms`. Since `blocked_since_ms` the step has started
     nothing and, unless its tasks last, had no run. `crashed` is set if a decision
     on the step has raised an error in this term. `suspects` holds the indexes of the tasks that
-    are started on trial only. Waiting tasks have been held back since
+    start only where nothing else has just begun. Waiting tasks have been held back since
     `held_by_quota_ms` by `held_by_quota`: a resource of the quota, INACTIVE_TENANT
     or WAITING_GANG. They need not be looked at before the epoch of the account
     changes from `held_epoch`. `quota_needed` is what the next start needs.
@@ -331,8 +333,8 @@
         self.free = self.free.plus(run.demand)
         if run.step.job.account is not None:
             run.step.job.account.remove_run(run)
-        if run.trial_until_ms and not any(
-            other.trial_until_ms for other in self.runs.values()
+        if run.holds_worker and not any(
+            other.holds_worker for other in self.runs.values()
         ):
             self.held_until_ms = 0
         remaining = run.step.runs_per_worker.get(self.key, 0) - 1
--- a/src/lycheerelay/workflow/_suspects.py
+++ b/src/lycheerelay/workflow/_suspects.py
@@ -28,9 +28,10 @@
 
 @SUSPECT_RULES.register('first_start')
 def had_just_begun(task: TaskInfo) -> bool:
-    """Suspect a task after a crash at its start, or after two crashes."""
-    is_weak = CrashEvidence.WEAK in task.crashes.values()
-    return len(task.crashes) > is_weak
+    """Suspect a task after a crash at its start, or on trial."""
+    return any(
+        evidence is not CrashEvidence.WEAK for evidence in task.crashes.values()
+    )
 
 
 @SUSPECT_RULES.register('second_crash')
--- a/src/lycheerelay/workflow/_trials.py
+++ b/src/lycheerelay/workflow/_trials.py
@@ -1,9 +1,11 @@
 """Start suspected tasks where nothing else has just begun.
 
 Load: tasks that crash their workers, in a cell so full that no worker is ever
-empty. A worker is held until all of its runs are settled, then the suspected tasks
-of one step start there, and nothing else does until they have ended or settled. So
-a crash has one explanation, and takes little other work with it. A gang holds as
+empty, and workers that crash under dozens of services. A worker that runs nothing
+is used at once, another one is held until all of its runs are settled. Then the
+suspected tasks of one step start there, or those of several if there are more of
+them than workers, and nothing else does until they have ended or settled. So a
+crash has few explanations, and takes little other work with it. A gang holds as
 many workers as it needs.
 """
 
@@ -11,35 +13,56 @@
 from itertools import repeat
 from typing import Final
 
-from ._advice import ask_about_new_workers, call_advisor, may_ask
+from ._advice import (
+    MAX_WORKERS_PER_RENEWAL,
+    ask_about_new_workers,
+    call_advisor,
+    may_ask,
+)
 from ._fit import count_fitting, has_ticket, score_worker
 from ._log_events import log_event
 from ._pool_cycle import PoolCycle, startable_tasks, step_candidates
+from ._probation import watch_run
 from ._runs import start_run
 from ._starting import log_starts, next_run_number
 from ._state import CellState, Run, StepInfo, TaskInfo, WorkerInfo
 from ._suspects import has_worked, is_settled
+from ._trial_groups import find_open_group, idle_workers, runs_on_trial
 
 # A worker is held for this time at most while its step is not decided on again.
 HOLD_MS: Final = 500
-# How long a run on trial has its worker to itself, unless it ends before.
-TRIAL_MS: Final = 3000
 
 
 def start_trials(
     cell: CellState, step: StepInfo, cycle: PoolCycle, now_ms: int
 ) -> int:
-    """Start the suspected tasks of a step on workers held for them."""
+    """Start the suspected tasks of a step where nothing else has just begun."""
     tasks = _startable_suspects(cell, step, now_ms)
     tasks = tasks[: cycle.quotas.count_startable(step)]
     if not tasks or _is_trial_open(step, now_ms):
         return 0
-    workers = [
+    held = [
         worker
         for worker in cycle.held.get(step.key, ())
-        if not _has_trial(worker, now_ms)
+        if not runs_on_trial(worker, now_ms)
     ]
-    needed = len(tasks) if step.spec.gang else 1
+    workers = [] if held else _choose_at_once(cell, step, cycle, tasks, now_ms)
+    if not workers:
+        needed = len(tasks) if step.spec.gang else 1
+        workers = _hold_workers(cell, step, cycle, needed, held, now_ms)
+    return _start(cell, step, cycle, tasks, workers, now_ms) if workers else 0
+
+
+def _hold_workers(
+    cell: CellState,
+    step: StepInfo,
+    cycle: PoolCycle,
+    needed: int,
+    held: list[WorkerInfo],
+    now_ms: int,
+) -> list[WorkerInfo]:
+    """Hold workers for a step; return them once all of them are ready."""
+    workers = list(held)
     if _count_slots(step, workers) < needed:
         workers += _choose(step, cycle, needed, workers, now_ms)
     policy = step.job.spec.advice
@@ -48,20 +71,49 @@
             ask_about_new_workers(
                 cell, step, policy, cycle.usable_for(step), now_ms
             )
-        return 0
+        return []
     for worker in workers:
         _note_hold(cell, worker, step, now_ms)
     cycle.hold(step, workers, now_ms + HOLD_MS)
     if not all(map(_is_ready, workers)):
-        return 0
+        return []
     expired = [
         worker for worker in workers if not has_ticket(step, worker, now_ms)
     ]
-    if expired:
-        if policy is not None and may_ask(step, now_ms):
-            call_advisor(cell, step, policy, expired)
-        return 0
-    return _start(cell, step, tasks, workers, now_ms)
+    if expired and policy is not None and may_ask(step, now_ms):
+        call_advisor(cell, step, policy, expired)
+    return [] if expired else workers
+
+
+def _choose_at_once(
+    cell: CellState,
+    step: StepInfo,
+    cycle: PoolCycle,
+    tasks: Sequence[TaskInfo],
+    now_ms: int,
+) -> list[WorkerInfo]:
+    """Return workers that need no hold: one with a new trial, or idle ones."""
+    if not step.spec.gang:
+        shared = find_open_group(cell, step, cycle, tasks, now_ms)
+        if shared is not None:
+            return [shared]
+    needed = len(tasks) if step.spec.gang else 1
+    idle = [
+        worker
+        for worker in idle_workers(step_candidates(step, cycle), cycle)
+        if count_fitting(step, worker, {}, now_ms)
+    ]
+    idle.sort(key=lambda worker: score_worker(step, worker, None))
+    ready = [worker for worker in idle if has_ticket(step, worker, now_ms)]
+    for count, _ in enumerate(ready, 1):
+        if _count_slots(step, ready[:count]) >= needed:
+            return ready[:count]
+    policy = step.job.spec.advice
+    if policy is not None and may_ask(step, now_ms):
+        expired = [worker for worker in idle if worker not in ready]
+        count = max(needed, MAX_WORKERS_PER_RENEWAL)
+        call_advisor(cell, step, policy, expired[:count])
+    return []
 
 
 def _startable_suspects(
@@ -81,10 +133,6 @@
     )
 
 
-def _has_trial(worker: WorkerInfo, now_ms: int) -> bool:
-    return any(run.trial_until_ms > now_ms for run in worker.runs.values())
-
-
 def _choose(
     step: StepInfo,
     cycle: PoolCycle,
@@ -161,9 +209,11 @@
 def _note_hold(
     cell: CellState, worker: WorkerInfo, step: StepInfo, now_ms: int
 ) -> None:
-    if worker.held_for == step.key and worker.held_until_ms > now_ms:
+    if worker.held_for == step.key and _is_held(worker, now_ms):
         return
-    worker.held_since_ms = now_ms
+    if worker.last_contact_ms >= worker.held_until_ms:
+        # Otherwise the poll in progress was sent while the worker was held.
+        worker.held_since_ms = now_ms
     log_event(
         cell,
         'worker_held',
@@ -173,11 +223,16 @@
     )
 
 
+def _is_held(worker: WorkerInfo, now_ms: int) -> bool:
+    return worker.held_until_ms > now_ms
+
+
 def _start(
     cell: CellState,
     step: StepInfo,
+    cycle: PoolCycle,
     tasks: Sequence[TaskInfo],
-    workers: Iterable[WorkerInfo],
+    workers: Sequence[WorkerInfo],
     now_ms: int,
 ) -> int:
     slots = [
@@ -187,6 +242,10 @@
     ]
     if step.spec.gang and len(slots) < len(tasks):
         return 0
+    for worker in workers:
+        if not _is_held(worker, now_ms):
+            _note_hold(cell, worker, step, now_ms)
+            cycle.hold(step, [worker], now_ms + HOLD_MS)
     # The members of a gang share their number.
     number = next_run_number(list(tasks))
     runs = [
@@ -194,8 +253,8 @@
         for task, worker in zip(tasks, slots, strict=False)
     ]
     for run in runs:
-        run.trial_until_ms = now_ms + TRIAL_MS
-        run.task.trial_run = number
-        run.worker.held_until_ms = now_ms + TRIAL_MS
+        watch_run(run, now_ms)
+        run.holds_worker = True
+        run.worker.held_until_ms = run.trial_until_ms
     log_starts(cell, step, runs, now_ms)
     return len(runs)
