Clear a service of the crashes that it has outlasted

Evidence: the five cases of the new tests fail on; the service is shown as failed. Change: once a worker has listed a run of a task that lasts for 3 s after it had begun, its earlier crashes are dropped, also from the record, and it is no suspect. It works as a task that crashes its workers at its start does not get that far; test_a_lasting_task_that_crashes_its_workers_is_ given_up is as it was. Tasks that end keep their bound. One that lasts and crashes its workers more than 3 s after each start is no longer given up.

--- a/src/lycheerelay/traces/_timeline.py
+++ b/src/lycheerelay/traces/_timeline.py
@@ -301,6 +301,13 @@
     timeline.progress.suspected.add(task)
 
 
+@HANDLERS.register('task_cleared')
+def apply_clearing(timeline: JobTimeline, line: LogLine) -> None:
+    """Apply that a task has outlasted the crashes of its workers."""
+    task = str(line.fields['run']).partition('#')[0]
+    timeline.progress.suspected.discard(task)
+
+
 @HANDLERS.register('job_settled')
 def apply_settled(timeline: JobTimeline, line: LogLine) -> None:
     """Apply that the job is over, though not yet durably."""
--- a/src/lycheerelay/workflow/_run_table.py
+++ b/src/lycheerelay/workflow/_run_table.py
@@ -12,6 +12,7 @@
     keep_checkpoint,
     requeue,
 )
+from ._exoneration import clear_outlasted
 from ._instances import find_answering_instance
 from ._intake import find_step, steps_of
 from ._log_events import log_event
@@ -89,6 +90,7 @@
     for run in list(worker.runs.values()):
         if run.key not in reported:
             _check_missing_run(cell, run, table.poll_sent_ms, now_ms)
+    clear_outlasted(cell, worker.runs.values(), now_ms)
     for run_key in list(worker.orphaned_runs):
         if run_key not in reported:
             worker.orphaned_runs.pop(run_key)
--- a/tests/test_services_after_crashes.py
+++ b/tests/test_services_after_crashes.py
@@ -146,3 +146,31 @@
         assert _running(cell) == set(names)
 
     play(scenario, CELL._replace(keeps_ids=keeps_ids))
+
+
+@pytest.mark.parametrize('keeps_ids', [False, True])
+@pytest.mark.parametrize('takes_over', [False, True])
+def test_a_service_is_not_given_up_after_seven_crashes_of_workers(
+    keeps_ids: bool, takes_over: bool
+) -> None:
+    """It had worked for some time before each of them."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        names = await _submit_services(cell, 1)
+        for _ in range(7):
+            await _start_together(cell, names)
+            await asyncio.sleep(4.5)
+            host = _host(cell, names)
+            cell.crash_worker(host)
+            if takes_over:
+                _restart_owner(cell)
+            await asyncio.sleep(DOWN_S)
+            if keeps_ids:
+                cell.restart_worker(host)
+            else:
+                cell.add_worker(host.shape, cell.addresses[host.worker_id])
+        await asyncio.sleep(CALM_S)
+        assert await cell.state('vm-0', names[0]) == 'running'
+        assert _running(cell) == set(names)
+
+    play(scenario, CELL)
--- a/tests/test_trial_groups.py
+++ b/tests/test_trial_groups.py
@@ -18,6 +18,7 @@
     WorkerKey,
     WorkerListing,
     WorkflowSpec,
+    encode_progress,
     remove_replaced_worker,
 )
 
@@ -171,3 +172,16 @@
     services.simulation.run(60_000, check)
     assert late == []
     assert services.waiting() == []
+
+
+def test_a_service_that_has_outlasted_its_crashes_is_cleared() -> None:
+    """It is no suspect any more, also for the next owner."""
+    services = Services(1, 0)
+    services.simulation.at(20, lambda: services.crash('w0'))
+    services.simulation.run(1000, lambda: False)
+    job = services.simulation.cell.jobs['j0']
+    step = job.occurrences[0][0]
+    assert step.suspects and b'crashes' in encode_progress(job)
+    services.simulation.run(5000, lambda: False)
+    assert not step.suspects and not step.tasks[0].crashes
+    assert b'crashes' not in encode_progress(job)
