Share the evidence of a trial before all of its starts are answered

Callers saw: nothing yet. Found in the review of the trials that jobs share; the class is a job shown as failed for the crashes of another one (LOST).

Cause: a crash is the own evidence of a job if its start alone was answered. In a trial that jobs share, the one that crashes the worker may be the one without an answer, and then another job has evidence of its own. Evidence: the new test, where the answered run of two has `own` on. Change: runs that share a trial count as jobs that may be the cause, answered or not.

--- a/src/lycheerelay/workflow/_suspects.py
+++ b/src/lycheerelay/workflow/_suspects.py
@@ -58,17 +58,21 @@
     """Return the runs that may be the cause if the worker has crashed."""
     started = [run for run in worker.runs.values() if _may_have_begun(run)]
     unsettled = [run for run in started if not is_settled(run)]
-    begun = [run for run in unsettled if _has_begun(run)]
+    # Runs that share a trial were sent together, so each of them may be the cause.
+    jobs = {
+        run.key.task.job_id
+        for run in unsettled
+        if run.holds_worker or _has_begun(run)
+    }
     return tuple(
-        Suspect(run.key, _evidence(run, begun), _has_begun(run))
+        Suspect(run.key, _evidence(run, len(jobs)), _has_begun(run))
         for run in unsettled or started
     )
 
 
-def _evidence(run: Run, begun: list[Run]) -> CrashEvidence:
-    if run in begun and not has_worked(run):
-        jobs = {other.key.task.job_id for other in begun}
-        return CrashEvidence.SHARED if len(jobs) > 1 else CrashEvidence.OWN
+def _evidence(run: Run, jobs: int) -> CrashEvidence:
+    if _has_begun(run) and not has_worked(run):
+        return CrashEvidence.SHARED if jobs > 1 else CrashEvidence.OWN
     is_on_trial = run.trial_until_ms > 0
     return CrashEvidence.UNCLEAR if is_on_trial else CrashEvidence.WEAK
 
--- a/tests/test_trial_groups.py
+++ b/tests/test_trial_groups.py
@@ -9,6 +9,7 @@
 from lycheerelay._resources import Resources
 from lycheerelay.rehearsal import RunPlan, Simulation
 from lycheerelay.workflow import (
+    NEVER,
     AdvicePolicy,
     CellState,
     JobPhase,
@@ -21,6 +22,8 @@
     encode_progress,
     remove_replaced_worker,
 )
+from lycheerelay.workflow._state import CrashEvidence
+from lycheerelay.workflow._suspects import find_suspects
 
 WORKERS = 8
 MAX_STARTS = 5
@@ -185,3 +188,21 @@
     services.simulation.run(5000, lambda: False)
     assert not step.suspects and not step.tasks[0].crashes
     assert b'crashes' not in encode_progress(job)
+
+
+def test_a_shared_trial_has_shared_evidence_before_all_starts_are_answered() -> (
+    None
+):
+    """The one that crashes the worker may be the one that has no answer."""
+    services = Services(2, 0)
+    host = services.simulation.cell.workers[WorkerKey('w0')]
+    first, second = host.runs.values()
+    for run in (first, second):
+        run.order_sent = True
+        run.holds_worker = True
+        run.trial_until_ms = 3000
+    second.answered_ms = NEVER
+    assert [suspect.evidence for suspect in find_suspects(host)] == [
+        CrashEvidence.SHARED,
+        CrashEvidence.UNCLEAR,
+    ]
