Keep no capacity from steps that wait beside it

Seen by callers: a gang waits 4 to 5 s beside free workers that the advisor allows, with under half of the pool in use (rule LOST).

Cause: gangs ahead of it in the order reserve free workers while they wait for others that are busy. Reserved capacity is used by others only if they are over in time; free workers are reserved from now on, so nothing fits before.

--- a/src/lycheerelay/workflow/_dispatch.py
+++ b/src/lycheerelay/workflow/_dispatch.py
@@ -136,11 +136,12 @@
     policy = step.job.spec.advice
     is_within_quota = cycle.quotas.may_ask(step)
     if policy is not None and is_within_quota and may_ask(step, now_ms):
+        reserved = cycle.reserved_for(step)
         expired = [
             worker
             for worker in workers
             if not has_ticket(step, worker, now_ms)
-            and count_fitting(step, worker, cycle.reserved, now_ms)
+            and count_fitting(step, worker, reserved, now_ms)
         ]
         if expired:
             renew_tickets(cell, step, policy, expired, now_ms)
@@ -155,7 +156,7 @@
     if cycle.reserving_steps < cell.policies.reserving_steps:
         cycle.reserving_steps += 1
         openings = earliest_openings(
-            step, workers, frozenset(), cycle.reserved, now_ms
+            step, workers, frozenset(), cycle.reserved_for(step), now_ms
         )
         # Only as many tasks as the quota lets start next.
         cycle.reserve(step, openings[: cycle.quotas.count_startable(step)])
@@ -173,7 +174,9 @@
     workers: list[WorkerInfo],
     now_ms: int,
 ) -> int:
-    ranking = CandidateRanking(step, cycle.reserved, cycle.wanted, now_ms)
+    ranking = CandidateRanking(
+        step, cycle.reserved_for(step), cycle.wanted, now_ms
+    )
     for worker in workers:
         if has_ticket(step, worker, now_ms):
             ranking.update(worker)
--- a/src/lycheerelay/workflow/_gangs.py
+++ b/src/lycheerelay/workflow/_gangs.py
@@ -150,6 +150,7 @@
     Unless `with_later` is set, only capacity that is free now counts.
     """
     workers = step_candidates(step, cycle)
+    reserved = cycle.reserved_for(step)
     preferred = frozenset(chain.from_iterable(step.pending_calls)) | {
         worker.key for worker in workers if has_ticket(step, worker, now_ms)
     }
@@ -160,17 +161,13 @@
         for rack in dict.fromkeys(worker.rack for worker in workers):
             group = [worker for worker in workers if worker.rack == rack]
             openings = current_openings(
-                step, group, preferred, cycle.reserved, now_ms
+                step, group, preferred, reserved, now_ms
             )
             if len(openings) == len(step.tasks):
                 return openings
-    openings = current_openings(
-        step, workers, preferred, cycle.reserved, now_ms
-    )
+    openings = current_openings(step, workers, preferred, reserved, now_ms)
     if with_later and len(openings) < len(step.tasks):
-        return earliest_openings(
-            step, workers, preferred, cycle.reserved, now_ms
-        )
+        return earliest_openings(step, workers, preferred, reserved, now_ms)
     return openings
 
 
--- a/src/lycheerelay/workflow/_last_resort.py
+++ b/src/lycheerelay/workflow/_last_resort.py
@@ -1,7 +1,7 @@
-"""Let steps use barred workers that no other worker can stand in for.
+"""Let steps use workers that are kept from them while the pool is idle.
 
-Load: the few workers with a label, or those that the advisor allows, are barred while
-the rest of the pool is idle.
+Load: the few workers with a label, or those that the advisor allows, are barred, or
+reserved for gangs that wait for other workers, while the rest of the pool is idle.
 """
 
 from collections.abc import Iterable, Mapping
@@ -14,6 +14,9 @@
 
 # A step that waits for this time uses barred workers of a pool that is not busy.
 MAX_BLOCKED_MS: Final = 1000
+# Capacity that has been free for a step for this time is not kept for another one in
+# a pool that is not busy.
+MAX_KEPT_MS: Final = 1000
 # A pool with less in use is not busy.
 BUSY_SHARE: Final = 0.5
 
@@ -27,12 +30,12 @@
     ) -> None:
         """Take the barred ones of the workers that accept runs."""
         self.now_ms = now_ms
+        self.accepting = accepting
         self.workers = {
             key: worker
             for key, worker in accepting.items()
             if worker.barred_until_ms > now_ms
         }
-        self.is_pool_busy = bool(self.workers) and _is_busy(accepting.values())
 
     def may_use(
         self, step: StepInfo, usable: Mapping[WorkerKey, WorkerInfo]
@@ -44,7 +47,7 @@
             step.blocked_since_ms != NEVER
             and self.now_ms - step.blocked_since_ms >= MAX_BLOCKED_MS
         )
-        if is_blocked and not self.is_pool_busy:
+        if is_blocked and not is_busy(self.accepting.values()):
             return True
         return not any(_may_run(step, worker) for worker in usable.values())
 
@@ -59,7 +62,7 @@
     return not is_refused
 
 
-def _is_busy(workers: Iterable[WorkerInfo]) -> bool:
+def is_busy(workers: Iterable[WorkerInfo]) -> bool:
     """Return whether half of the cores and of the accelerators is in use."""
     total = Resources()
     free = Resources()
@@ -73,6 +76,12 @@
     )
 
 
+def has_waited_beside_free(step: StepInfo, now_ms: int) -> bool:
+    """Return whether a step could have started for long, but for reservations."""
+    since_ms = step.free_since_ms
+    return since_ms != NEVER and now_ms - since_ms >= MAX_KEPT_MS
+
+
 def note_progress(step: StepInfo, runs: int, now_ms: int) -> None:
     """Note whether a step has started runs in a cycle, or has any."""
     has_runs = bool(step.runs_per_worker) and not step.spec.lasts
--- a/src/lycheerelay/workflow/_pool_cycle.py
+++ b/src/lycheerelay/workflow/_pool_cycle.py
@@ -6,12 +6,13 @@
 
 from .._resources import Resources
 from ._fit import (
+    Reserved,
     ReservedCapacity,
     candidates,
     is_in_service,
     is_last_resort,
 )
-from ._last_resort import BarredWorkers
+from ._last_resort import BarredWorkers, has_waited_beside_free, is_busy
 from ._openings import Opening, reservations_for
 from ._quota import QuotaCycle
 from ._spec import StepKey, WorkerKey
@@ -76,6 +77,15 @@
             return self.usable | self.barred.workers
         return self.usable
 
+    def reserved_for(self, step: StepInfo) -> Reserved:
+        """Return the reservations of others that a step has to respect."""
+        barred = self.barred
+        if has_waited_beside_free(step, barred.now_ms) and not is_busy(
+            barred.accepting.values()
+        ):
+            return {}
+        return self.reserved
+
     def may_hold(self, step: StepInfo, added: int) -> bool:
         """Return whether a step may hold that many workers more.
 
--- a/tests/test_gang_backlog.py
+++ b/tests/test_gang_backlog.py
@@ -118,3 +118,21 @@
         assert watch.longest_ms < MAX_WAIT_MS
 
     play(scenario, CELL._replace(seed=seed))
+
+
+@pytest.mark.parametrize('seed', [2, 5])
+def test_a_backlog_does_not_wait_for_workers_that_others_keep(
+    seed: int,
+) -> None:
+    """Gangs ahead keep free workers while they wait for busy ones."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        watch = IdleWatch(cell)
+        await _submit_gangs(cell, watch, 120, seed)
+        cell.kill_vm(cell.owner())
+        watching = asyncio.get_running_loop().create_task(watch.run())
+        await asyncio.sleep(60)
+        watching.cancel()
+        assert watch.longest_ms < MAX_WAIT_MS
+
+    play(scenario, CELL._replace(seed=seed))
