--- a/benchmarks/takeovers.py
+++ b/benchmarks/takeovers.py
@@ -34,7 +34,7 @@
 WIDE_STEP: Final = {**STEP, 'cpu': 900_000}
 LIMIT_S: Final = 60
 OK: Final = 200
-EXPIRY_S: Final = 195
+EXPIRY_S: Final = 215
 
 
 class Takeover:
