Poll a silent worker as often as before while it may have leases

Callers saw: work that began anew after a short cut. A worker that was cut off from everything for 4.5 s had its runs killed when their leases expired after 6 s, since the owner polled it too late.

The next poll then came after half the silence again, or with the next registration.

Fix: a worker without a registration is polled four times a second while this owner has granted it leases that last, and after a takeover while those of an earlier owner may last, unless the record has it as gone.

--- a/src/lycheerelay/serving/_worker_poller.py
+++ b/src/lycheerelay/serving/_worker_poller.py
@@ -243,7 +243,7 @@
         if worker is None:
             return
         self.registered.clear()
-        delay = delay_s(worker, self.context.fence, self.context.now_ms)
+        delay = delay_s(self.context.cell, worker, self.context.now_ms)
         if not delay:
             return
         with contextlib.suppress(TimeoutError):
--- a/tests/test_gone_workers.py
+++ b/tests/test_gone_workers.py
@@ -159,3 +159,24 @@
     )
     stage.play('932000 dispatch')
     assert stage.cell.workers[WorkerKey('w1')].runs
+
+
+@pytest.mark.parametrize('cut_s', [4.2, 4.5, 4.8])
+def test_runs_outlast_a_cut_that_is_shorter_than_their_leases(
+    cut_s: float,
+) -> None:
+    """The worker is polled at once, although its registration has expired."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        name, _ = await cell.submit('vm-0', job(step(16)), work_ms=12_000)
+        await asyncio.sleep(2)
+        worker = cell.workers['w-1']
+        cut = {('*', 'w-1'), ('w-1', STORE)}
+        cell.net.cuts.update(cut)
+        await asyncio.sleep(cut_s)
+        assert worker.runs
+        cell.net.cuts.difference_update(cut)
+        assert await cell.settle([name], 20) == {name: 'completed'}
+        assert {len(runs) for runs in cell.audit.runs.values()} == {1}
+
+    play(scenario, CELL)
