Clear no service whose run may have ended unlisted

Callers saw: nothing yet.

Cause: a run that is missing from a list is taken for one at work while its worker has more ends than it lists, so that the crashes of a service could be dropped although its run was over. Change: crashes are dropped only after a list with all ends, which has discarded the missing runs. Run: the new test and those of trial groups, services after crashes, crashing tasks and counted crashes pass.

--- a/src/lycheerelay/workflow/_run_table.py
+++ b/src/lycheerelay/workflow/_run_table.py
@@ -93,7 +93,7 @@
     note_unlisted_ends(cell, worker, table.has_all_ends)
     if table.has_all_ends:
         _check_missing_runs(cell, worker, table, now_ms)
-    clear_outlasted(cell, worker.runs.values(), now_ms)
+        clear_outlasted(cell, worker.runs.values(), now_ms)
     if not worker.synced:
         # Leases of an earlier owner may last until this time. Without it, the
         # runs of a worker that crashes before its first lease from this owner
--- a/tests/test_trial_groups.py
+++ b/tests/test_trial_groups.py
@@ -14,11 +14,13 @@
     CellState,
     JobPhase,
     RunKey,
+    RunTable,
     StepKey,
     StepSpec,
     WorkerKey,
     WorkerListing,
     WorkflowSpec,
+    apply_run_table,
     encode_progress,
     remove_replaced_worker,
 )
@@ -206,3 +208,16 @@
         CrashEvidence.SHARED,
         CrashEvidence.UNCLEAR,
     ]
+
+
+def test_a_service_that_may_have_ended_unlisted_is_not_cleared() -> None:
+    """Its worker has more ends than it lists, and does not list the run."""
+    services = Services(1, 0)
+    services.simulation.at(20, lambda: services.crash('w0'))
+    services.simulation.run(1000, lambda: False)
+    cell = services.simulation.cell
+    task = cell.jobs['j0'].occurrences[0][0].tasks[0]
+    key = next(iter(task.runs.values())).worker.key
+    table = RunTable(key, 5000, 5001, (), (), has_all_ends=False)
+    apply_run_table(cell, table, 5000)
+    assert task.runs and task.crashes
