--- a/src/lycheerelay_standins/platform/_fuzz_faults.py
+++ b/src/lycheerelay_standins/platform/_fuzz_faults.py
@@ -20,6 +20,7 @@
 FAULTS: Final[Registry[str, Inject]] = Registry('fault')
 # Jobs whose tasks are over 500 on each worker.
 PILED_JOBS: Final = 35
+PILED_WORK_MS: Final = 4000
 LONG_CUT_S: Final = 330
 
 
@@ -168,9 +169,9 @@
     for _ in range(PILED_JOBS):
         vm = run.rng.choice(_configured_vms(run))
         body = {'spec': 'x', 'steps': steps}
-        name, _ = await run.cell.submit(vm, body, work_ms=1500)
+        name, _ = await run.cell.submit(vm, body, work_ms=PILED_WORK_MS)
         run.jobs.append(name)
-    await asyncio.sleep(run.rng.uniform(0, 1.5))
+    await asyncio.sleep(run.rng.uniform(2, 4))
     await store_down(run)
 
 
