Poll a few silent workers soon after a takeover

Callers saw: nothing yet; found by the review of this work. Cause: an owner of an earlier version does not know the record of silent workers and leaves it as it was, so the next owner waited up to 60 s before it polled workers that were back, and their runs lapsed. Evidence: the new test, six services on workers without a registration and an old time of silence in the record: all six lapsed before, none now. Change: the first polls of silent workers are spread at 100 a second instead of over a minute. Conclusion: with 2,000 workers they are spread over 20 s; with a few there is no wait to speak of.

--- a/src/lycheerelay/serving/_poll_backoff.py
+++ b/src/lycheerelay/serving/_poll_backoff.py
@@ -22,6 +22,8 @@
 # The delay for a worker without registration and leases grows with its silence up to
 # this. Its next registration ends the delay.
 MAX_RETRY_MS: Final = 60_000
+# A new owner polls workers that are gone with this mean time between two of them.
+FIRST_POLL_SPACING_MS: Final = 10
 SILENCE_FACTOR: Final = 0.5
 # Delays are shorter by up to this share, which differs between workers.
 SPREAD: Final = 0.5
@@ -52,11 +54,13 @@
 def first_delay_s(cell: CellState, worker: WorkerInfo, now_ms: int) -> float:
     """Return the delay before a new owner polls a worker for the first time.
 
-    Workers that are gone are not polled all at once.
+    Workers that are gone are not polled all at once. The time is short where there
+    are few, as an owner of an earlier version may have had them back meanwhile.
     """
     if worker.listed or not worker.silent_since_ms:
         return 0
-    return MAX_RETRY_MS * _fraction(cell, worker) / MS_PER_SECOND
+    window_ms = min(FIRST_POLL_SPACING_MS * len(cell.workers), MAX_RETRY_MS)
+    return window_ms * _fraction(cell, worker) / MS_PER_SECOND
 
 
 def _fraction(cell: CellState, worker: WorkerInfo) -> float:
--- a/tests/test_unlisted_workers.py
+++ b/tests/test_unlisted_workers.py
@@ -88,3 +88,22 @@
         assert running == set(names)
 
     play(scenario, CELL)
+
+
+def test_runs_outlast_a_silence_that_an_earlier_version_left_recorded() -> None:
+    """It had the workers back, and does not know the record of silent ones."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        for _ in range(6):
+            await cell.submit('vm-0', job(step(1, longRunning=True)))
+        await asyncio.sleep(3)
+        cell.net.cuts.update({(worker, STORE) for worker in cell.workers})
+        await asyncio.sleep(EXPIRY_S)
+        silent = dict.fromkeys(cell.workers, cell.now_ms() - 100_000)
+        cell.store.put('keyed.progress', 'silent_workers', silent)
+        cell.kill_vm(cell.owner())
+        await asyncio.sleep(LEASE_S + 5)
+        assert {len(runs) for runs in cell.audit.runs.values()} == {1}
+        assert sum(len(worker.runs) for worker in cell.workers.values()) == 6
+
+    play(scenario, CELL)
