Take no drain from a placeholder for a worker that is back

Callers saw: nothing yet; found by the review of this work. Cause: an instance that is known by its answer alone took the drain of the worker listed from the record under its id, and its registration, which tells none, did not end it: it got no starts for the whole term. Change: only a registration tells of a drain. Conclusion: kept; without a registration nothing is started there anyway.

--- a/src/lycheerelay/workflow/_instances.py
+++ b/src/lycheerelay/workflow/_instances.py
@@ -192,7 +192,7 @@
         worker.capacity = before.capacity
         worker.free = before.capacity
         worker.listed = before.listed
-        worker.draining = before.draining
+        worker.draining = before.draining and before.listed
     cell.add_worker(worker)
     return worker
 
