Record that a worker holds a run no more

Callers saw: nothing yet; found by the review of this work. Cause: "Forget which worker had a run that is known to be over" forgot it in memory only. The job was not recorded again after an end that is neither done nor failed, or after a refusal, and an end that a new owner reads first did not count, so the next owner still counted a crash of that worker against the task. Run: 65 tests passed. Conclusion: a run that is stopped costs one record of its job more; of a task with copies only the last start is told.

--- a/src/lycheerelay/workflow/_ends.py
+++ b/src/lycheerelay/workflow/_ends.py
@@ -6,7 +6,12 @@
 from ._crashes import Crash, CrashSign, count_crash
 from ._intake import finalize_job, find_step, finish_step, reopen_task
 from ._log_events import log_event
-from ._runs import note_unconfirmed_start, release_ended_run, stop_run
+from ._runs import (
+    forget_assignment,
+    note_unconfirmed_start,
+    release_ended_run,
+    stop_run,
+)
 from ._spec import RunKey
 from ._state import (
     NEVER,
@@ -66,6 +71,7 @@
     if step is None or step.job.is_final:
         return
     task = step.tasks[end.run.task.member]
+    _note_end(cell, worker, step, end)
     log_event(
         cell,
         'run_ended',
@@ -88,6 +94,17 @@
     requeue(cell, step, task, now_ms)
 
 
+def _note_end(
+    cell: CellState, worker: WorkerInfo, step: StepInfo, end: RunEnd
+) -> None:
+    """Record that a worker holds a run no more, for the next owner."""
+    task = step.tasks[end.run.task.member]
+    if end.run.number == task.last_run:
+        forget_assignment(task, worker)
+    if not task.done:
+        cell.unrecorded_jobs[step.job.spec.job_id] = None
+
+
 def _elapsed_ms(run: Run, at_ms: int) -> int:
     """Return the time from the decision to start a run, or NEVER."""
     return NEVER if at_ms == NEVER else at_ms - run.sent_ms
--- a/src/lycheerelay/workflow/_runs.py
+++ b/src/lycheerelay/workflow/_runs.py
@@ -103,8 +103,12 @@
     A later crash of the worker then tells nothing about the task.
     """
     release_run(run)
-    task = run.task
-    if task.assigned_worker == run.worker.worker_id and not task.runs:
+    forget_assignment(run.task, run.worker)
+
+
+def forget_assignment(task: TaskInfo, worker: WorkerInfo) -> None:
+    """Note that a worker holds no run of a task any more."""
+    if task.assigned_worker == worker.worker_id and not task.runs:
         task.assigned_worker = ''
 
 
