Bound the starts of a task whose crashes come before any record

Cause: a crash counted only if the start was answered or listed. Unsent starts still counted beside two others. Change: a crash counts in full if the owner that saw it had sent the start, or if the record tells that an earlier one had; so it is recorded for each start of a task that was in a crash, also of an adopted run. A refusal is recorded.

--- a/src/lycheerelay/workflow/_answers.py
+++ b/src/lycheerelay/workflow/_answers.py
@@ -5,7 +5,7 @@
 
 from ._commands import PollNow, StopRun
 from ._contact import count_missed_call
-from ._crashes import note_trial_begun
+from ._crashes import note_sent_suspect
 from ._instances import remove_replaced_worker
 from ._log_events import log_event
 from ._run_table import drop_run
@@ -70,7 +70,7 @@
         run.answered_ms = now_ms
         if run.state is RunState.SENT:
             run.state = RunState.RUNNING
-        note_trial_begun(cell, run)
+        note_sent_suspect(cell, run)
         return
     log_event(
         cell,
--- a/src/lycheerelay/workflow/_crashes.py
+++ b/src/lycheerelay/workflow/_crashes.py
@@ -7,7 +7,7 @@
 
 import itertools
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from enum import StrEnum, unique
 from typing import Final, NamedTuple
 
@@ -30,9 +30,9 @@
 # Otherwise it is given up after this many, if it may be the cause of as many as
 # above.
 MAX_CRASHES: Final = 4
-# In any case so many workers are known to have crashed with it. An assignment in
-# the record alone does not tell whether the worker ever began the run.
-MIN_BEGUN_CRASHES: Final = 2
+# Or after this many, if some of its starts may never have been sent: an assignment
+# in the record alone does not tell.
+MAX_ASSIGNED_CRASHES: Final = 5
 
 
 @unique
@@ -85,8 +85,8 @@
     task: TaskInfo,
 ) -> None:
     task.crashes.setdefault(suspect.run.number, suspect.evidence)
-    if suspect.has_begun:
-        _note_begun(task, suspect.run.number)
+    if suspect.was_sent:
+        _note_sent(task, suspect.run.number)
     mark_suspect(cell, step, task)
     cell.unrecorded_jobs[step.job.spec.job_id] = None
     log_event(
@@ -96,37 +96,48 @@
         worker=crash.worker_id,
         sign=crash.sign,
         evidence=suspect.evidence,
-        begun=suspect.has_begun,
+        sent=suspect.was_sent,
         crashes=len(task.crashes),
     )
 
 
-def note_trial_begun(cell: CellState, run: Run) -> None:
-    """Record that a worker has begun a run on trial, for the next owner."""
-    if run.trial_until_ms and run.key.number not in run.task.begun_runs:
-        _note_begun(run.task, run.key.number)
+def note_sent_suspect(cell: CellState, run: Run) -> None:
+    """Record, for the next owner, that a start of a crashed task was sent."""
+    if run.task.crashes and run.key.number not in run.task.sent_runs:
+        _note_sent(run.task, run.key.number)
         cell.unrecorded_jobs[run.key.task.job_id] = None
 
 
-def _note_begun(task: TaskInfo, number: int) -> None:
-    task.begun_runs = {
-        begun: None for begun in task.begun_runs if begun in task.crashes
+def _note_sent(task: TaskInfo, number: int) -> None:
+    task.sent_runs = {
+        sent: None
+        for sent in task.sent_runs
+        if sent in task.crashes or sent in task.runs
     }
-    task.begun_runs[number] = None
+    task.sent_runs[number] = None
 
 
 def _is_at_fault(task: TaskInfo) -> bool:
-    if len(task.crashes.keys() & task.begun_runs.keys()) < MIN_BEGUN_CRASHES:
-        return False
-    counts = Counter(task.crashes.values())
-    crashes = len(task.crashes)
+    sent = [
+        evidence
+        for number, evidence in task.crashes.items()
+        if number in task.sent_runs
+    ]
+    counts = Counter(sent)
     own = counts[CrashEvidence.OWN]
     at_start = own + counts[CrashEvidence.SHARED]
     is_certain = own > 1 or (own and at_start >= CRASHES_TO_GIVE_UP)
     if is_certain and not counts[CrashEvidence.UNCLEAR]:
-        return crashes >= CRASHES_TO_GIVE_UP
-    possible = crashes - counts[CrashEvidence.WEAK]
-    return possible >= CRASHES_TO_GIVE_UP and crashes >= MAX_CRASHES
+        return len(sent) >= CRASHES_TO_GIVE_UP
+    return _may_be_cause(sent, MAX_CRASHES) or _may_be_cause(
+        task.crashes.values(), MAX_ASSIGNED_CRASHES
+    )
+
+
+def _may_be_cause(evidence: Collection[CrashEvidence], crashes: int) -> bool:
+    """Return whether a task may be the cause of enough of so many crashes."""
+    possible = sum(each is not CrashEvidence.WEAK for each in evidence)
+    return len(evidence) >= crashes and possible >= CRASHES_TO_GIVE_UP
 
 
 def mark_suspect(cell: CellState, step: StepInfo, task: TaskInfo) -> None:
@@ -149,7 +160,7 @@
     """
     suspects = tuple(
         Suspect(
-            run, _recorded_evidence(run, task), run.number in task.begun_runs
+            run, _recorded_evidence(run, task), run.number in task.sent_runs
         )
         for run, task in _assigned_runs(cell, worker_id)
         if run not in running
--- a/src/lycheerelay/workflow/_exoneration.py
+++ b/src/lycheerelay/workflow/_exoneration.py
@@ -33,7 +33,7 @@
     task = run.task
     log_event(cell, 'task_cleared', run=run.key, crashes=len(task.crashes))
     task.crashes.clear()
-    task.begun_runs.clear()
+    task.sent_runs.clear()
     run.step.suspects.pop(task.index, None)
     # A later crash says as little as one that this task had never been in.
     run.trial_until_ms = 0
--- a/src/lycheerelay/workflow/_progress.py
+++ b/src/lycheerelay/workflow/_progress.py
@@ -7,8 +7,8 @@
 hexadecimal bit mask, and a row for each open task that was started: index,
 failed runs, last run, checkpoint, worker. `crashes` has a row for each open task
 that a crash of its worker counted for: occurrence, step, index, a row for each
-crash (run, evidence) and its last run on trial. `begun` has a row for each of these
-tasks: occurrence, step, index and those of these runs that a worker had begun. `others`, for the job of a
+crash (run, evidence) and its last run on trial. `sent` has a row for each of these
+tasks: occurrence, step, index and those of these runs whose start was sent. `others`, for the job of a
 tenant, counts the runs that no other row tells, such as copies and the runs of done
 tasks, and in a final record all runs that had not ended: step, worker, number of
 runs. Earlier versions ignore all three.
@@ -43,8 +43,8 @@
 from ._tenants import PresumedKey, PresumedRuns
 
 HEX_BASE: Final = 16
-# Earlier versions do not record `begun`.
-EVIDENCE_OF_BEGUN_RUNS: Final = frozenset(
+# Earlier versions do not record `sent`.
+EVIDENCE_OF_SENT_RUNS: Final = frozenset(
     (CrashEvidence.OWN, CrashEvidence.SHARED)
 )
 DECODE_ERRORS: Final = (ValueError, KeyError, IndexError, TypeError)
@@ -55,7 +55,7 @@
 # Occurrence, step, index, crashes and last run on trial of a task.
 CrashRow = tuple[int, int, int, list[tuple[int, str]], int]
 # Occurrence, step, index and runs of a task.
-BegunRow = tuple[int, int, int, list[int]]
+SentRow = tuple[int, int, int, list[int]]
 
 
 class ProgressRecord(TypedDict, total=False):
@@ -67,7 +67,7 @@
     finished_ranges: list[NumberRange]
     steps: list[list[object]]
     crashes: list[CrashRow]
-    begun: list[BegunRow]
+    sent: list[SentRow]
     others: list[RunCountRow]
 
 
@@ -94,7 +94,7 @@
     crashes = list(_crash_rows(job))
     if crashes:
         record['crashes'] = crashes
-        record['begun'] = list(_begun_rows(job))
+        record['sent'] = list(_sent_rows(job))
     return orjson.dumps(record)
 
 
@@ -122,10 +122,10 @@
         yield occurrence, index, task.index, crashes, task.trial_run
 
 
-def _begun_rows(job: JobInfo) -> Iterator[BegunRow]:
+def _sent_rows(job: JobInfo) -> Iterator[SentRow]:
     for step, task in _crashed_tasks(job):
         _, occurrence, index = step.key
-        yield occurrence, index, task.index, list(task.begun_runs)
+        yield occurrence, index, task.index, list(task.sent_runs)
 
 
 def _crashed_tasks(job: JobInfo) -> Iterator[tuple[StepInfo, TaskInfo]]:
@@ -196,9 +196,9 @@
         _restore_step(cell, job, row)
     for crash_row in record.get('crashes', ()):
         _restore_crashes(cell, job, crash_row)
-    for occurrence, index, number, runs in record.get('begun', ()):
+    for occurrence, index, number, runs in record.get('sent', ()):
         task = job.occurrences[occurrence][index].tasks[number]
-        task.begun_runs.update(dict.fromkeys(runs))
+        task.sent_runs.update(dict.fromkeys(runs))
 
 
 def _restore_step(cell: CellState, job: JobInfo, row: list[object]) -> None:
@@ -246,8 +246,8 @@
     task = step.tasks[number]
     for run, evidence in crashes:
         task.crashes[run] = CrashEvidence(evidence)
-        if task.crashes[run] in EVIDENCE_OF_BEGUN_RUNS:
-            task.begun_runs[run] = None
+        if task.crashes[run] in EVIDENCE_OF_SENT_RUNS:
+            task.sent_runs[run] = None
     task.trial_run = trial_run
     mark_suspect(cell, step, task)
 
--- a/src/lycheerelay/workflow/_run_table.py
+++ b/src/lycheerelay/workflow/_run_table.py
@@ -4,7 +4,7 @@
 
 from ._commands import StopRun
 from ._contact import regain_contact
-from ._crashes import count_crash_before_takeover, note_trial_begun
+from ._crashes import count_crash_before_takeover, note_sent_suspect
 from ._ends import (
     RunEnd,
     apply_end,
@@ -156,7 +156,7 @@
     if run.state is RunState.SENT:
         run.state = RunState.RUNNING
         run.answered_ms = now_ms
-    note_trial_begun(cell, run)
+    note_sent_suspect(cell, run)
     if run.state is RunState.STOPPING:
         stop_run(cell, run, now_ms, run.stop_reason)
     if row.percent != run.percent:
@@ -252,5 +252,6 @@
 def drop_run(cell: CellState, run: Run, now_ms: int) -> None:
     """Release a run that its worker did not start."""
     release_ended_run(run)
+    cell.unrecorded_jobs[run.key.task.job_id] = None
     if not run.step.job.is_final:
         requeue(cell, run.step, run.task, now_ms)
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -120,7 +120,7 @@
     worker of the last failure and `assigned_worker` the id of the worker of the
     last start. `crashes` holds the numbers of its runs that may have crashed their
     workers, with the evidence. `trial_run` is the number of its last run on trial.
-    `begun_runs` holds those of these runs that a worker is known to have begun.
+    `sent_runs` holds those of these runs whose start is known to have been sent.
     """
 
     index: int
@@ -134,7 +134,7 @@
     assigned_worker: str = ''
     crashes: dict[int, CrashEvidence] = field(default_factory=dict)
     trial_run: int = 0
-    begun_runs: dict[int, None] = field(default_factory=dict)
+    sent_runs: dict[int, None] = field(default_factory=dict)
 
 
 @dataclass(slots=True, eq=False)
--- a/src/lycheerelay/workflow/_suspects.py
+++ b/src/lycheerelay/workflow/_suspects.py
@@ -47,11 +47,11 @@
 
 
 class Suspect(NamedTuple):
-    """Run that may have crashed its worker, and whether it had surely begun."""
+    """Run that may have crashed its worker, and whether its start was sent."""
 
     run: RunKey
     evidence: CrashEvidence
-    has_begun: bool
+    was_sent: bool
 
 
 def find_suspects(worker: WorkerInfo) -> tuple[Suspect, ...]:
@@ -65,7 +65,7 @@
         if run.holds_worker or _has_begun(run)
     }
     return tuple(
-        Suspect(run.key, _evidence(run, len(jobs)), _has_begun(run))
+        Suspect(run.key, _evidence(run, len(jobs)), was_sent=True)
         for run in unsettled or started
     )
 
--- a/tests/test_counted_crashes.py
+++ b/tests/test_counted_crashes.py
@@ -6,16 +6,22 @@
 
 from collections.abc import Callable
 
+import orjson
+
 from lycheerelay._resources import Resources
 from lycheerelay.workflow import (
     Answer,
     CellState,
     JobInfo,
     JobPhase,
+    RunEnd,
+    RunKey,
+    RunOutcome,
     RunTable,
     RunTableRow,
     StartRun,
     StepSpec,
+    TaskKey,
     WorkerKey,
     WorkerListing,
     WorkflowSpec,
@@ -127,8 +133,63 @@
 
 
 def test_a_job_is_not_given_up_for_starts_that_were_never_sent() -> None:
-    """The record has the assignment, but no worker has begun the task."""
-    assert _play(9, _leave_unsent).job.phase is not JobPhase.FAILED
+    """Four terms record a start each and end before they send it."""
+    assert _play(5, _leave_unsent).job.phase is not JobPhase.FAILED
+
+
+def test_a_job_is_not_given_up_for_crashes_beside_unsent_starts() -> None:
+    """Two starts were never sent, and two workers crash with the task on trial."""
+    starts = iter((_leave_unsent, _leave_unsent, _list_run, _list_run))
+
+    def handle(cell: CellState, start: StartRun, now_ms: int) -> None:
+        next(starts)(cell, start, now_ms)
+
+    assert _play(5, handle).job.phase is not JobPhase.FAILED
+
+
+def test_starts_stay_bounded_where_no_record_tells_that_they_were_sent() -> (
+    None
+):
+    """Each owner ends with the worker, before it can record the answer."""
+    term = _play(9, _leave_unsent)
+    assert term.job.phase is JobPhase.FAILED
+    assert term.job.occurrences[0][0].tasks[0].last_run <= 5
+
+
+def test_starts_stay_bounded_where_an_older_owner_drops_what_was_sent() -> None:
+    """Earlier versions rewrite the record of the job without it."""
+    term = Term(1, None)
+    for number in range(1, 9):
+        fields = orjson.loads(term.start_on(number, _list_run))
+        fields.pop('sent', None)
+        term = Term(number + 1, orjson.dumps(fields))
+        term.replace_worker(number)
+        if term.job.is_final:
+            break
+    assert term.job.phase is JobPhase.FAILED
+    assert term.job.occurrences[0][0].tasks[0].last_run <= 5
+
+
+def test_a_refusal_and_an_end_are_recorded() -> None:
+    """The next owner must not count a crash for what the worker did not hold."""
+    for outcome in ('refused', *RunOutcome):
+        term = Term(1, None)
+        term.start_on(1, _answer_start)
+        worker = WorkerKey('w-1', 1)
+        run = RunKey(TaskKey(JOB, 0, 0, 0), 1)
+        term.cell.unrecorded_jobs.clear()
+        if outcome == 'refused':
+            answer = Answer.DOES_NOT_FIT
+            handle_start_answer(term.cell, worker, run, answer, term.now_ms)
+        else:
+            ends = (RunEnd(1, run, RunOutcome(outcome), ''),)
+            now_ms = term.now_ms + 1
+            table = RunTable(worker, now_ms, now_ms, (), ends)
+            apply_run_table(term.cell, table, now_ms)
+        assert JOB in term.cell.unrecorded_jobs
+        successor = Term(2, encode_progress(term.job))
+        successor.replace_worker(1)
+        assert not successor.job.occurrences[0][0].tasks[0].crashes
 
 
 def test_a_refused_start_is_not_counted_as_a_crash() -> None:
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -9,7 +9,13 @@
 
 import pytest
 
-from lycheerelay_standins.platform import CellShape, PlatformCell, Shape
+from lycheerelay.serving import Reply
+from lycheerelay_standins.platform import (
+    CellShape,
+    PlatformCell,
+    Shape,
+    WorkerStandIn,
+)
 from platform_days import STORE, job, play, step
 
 CELL = CellShape(workers=(Shape('cpu', 8000),) * 6, seed=7)
@@ -104,6 +110,57 @@
     play(scenario, CELL._replace(keeps_ids=keeps_ids))
 
 
+@KEEPS_IDS
+@pytest.mark.parametrize('lasts', [False, True])
+def test_a_task_that_crashes_its_workers_before_they_answer_is_given_up(
+    monkeypatch: pytest.MonkeyPatch, keeps_ids: bool, lasts: bool
+) -> None:
+    """The start that crashes a worker has no answer."""
+    run_start = WorkerStandIn._run_start
+
+    async def crash_at_start(
+        self: WorkerStandIn, body: dict[str, Any]
+    ) -> Reply:
+        answer = await run_start(self, body)
+        if self.audit.is_deadly(body['task']):
+            self.on_deadly_run(self)
+        return answer
+
+    monkeypatch.setattr(WorkerStandIn, '_run_start', crash_at_start)
+
+    async def scenario(cell: PlatformCell) -> None:
+        steps = step(1, longRunning=lasts)
+        deadly = await _submit(cell, steps, deadly={'0.0'})
+        assert await cell.settle([deadly], 60) == {deadly: 'failed'}
+        assert _most_starts(cell, deadly) <= 5
+
+    play(scenario, CELL._replace(keeps_ids=keeps_ids))
+
+
+@KEEPS_IDS
+def test_starts_stay_bounded_when_owners_end_with_the_workers(
+    monkeypatch: pytest.MonkeyPatch, keeps_ids: bool
+) -> None:
+    """No owner lives to record that the start was sent."""
+    crash = PlatformCell._on_deadly_run
+
+    def crash_with_owner(self: PlatformCell, worker: WorkerStandIn) -> None:
+        owner = self.owner()
+        crash(self, worker)
+        if owner:
+            self.kill_vm(owner)
+            self.start_vm(owner)
+
+    monkeypatch.setattr(PlatformCell, '_on_deadly_run', crash_with_owner)
+
+    async def scenario(cell: PlatformCell) -> None:
+        deadly = await _submit(cell, step(1), deadly={'0.0'})
+        assert await cell.settle([deadly], 150) == {deadly: 'failed'}
+        assert _most_starts(cell, deadly) <= 5
+
+    play(scenario, CELL._replace(keeps_ids=keeps_ids))
+
+
 def test_a_copied_task_that_crashes_its_workers_is_given_up() -> None:
     """Copies count as starts."""
 
