Count a restart although the worker's start time steps back

Cause: a successor counts the crash of a worker that is back under its id only if its start is later than the recorded one; the start is a time of day, and clocks step back. Change: any other start time tells of a restart.

--- a/src/lycheerelay/workflow/_run_table.py
+++ b/src/lycheerelay/workflow/_run_table.py
@@ -132,9 +132,12 @@
 def _count_earlier_crash(
     cell: CellState, worker: WorkerInfo, now_ms: int
 ) -> None:
-    """Count a crash after which a worker has started again under its id."""
+    """Count a crash after which a worker has started again under its id.
+
+    Its clock may have stepped back since, so any other start time tells of one.
+    """
     earlier = cell.earlier_instances.pop(worker.worker_id, worker.key)
-    if earlier.started_ms < worker.key.started_ms and earlier.started_ms:
+    if earlier.started_ms and earlier != worker.key:
         count_crash_before_takeover(cell, worker.worker_id, worker.runs, now_ms)
 
 
--- a/tests/test_counted_crashes.py
+++ b/tests/test_counted_crashes.py
@@ -170,6 +170,18 @@
     assert term.job.occurrences[0][0].tasks[0].last_run <= 5
 
 
+def test_a_restart_is_counted_though_the_start_time_steps_back() -> None:
+    """The clock of the worker was set back before it started again."""
+    progress = Term(1, None).start_on(1, _answer_start)
+    term = Term(2, progress)
+    term.cell.earlier_instances['w-1'] = WorkerKey('w-1', 2)
+    key = WorkerKey('w-1', 1)
+    term.list_worker(key)
+    table = RunTable(key, term.now_ms, term.now_ms, (), ())
+    apply_run_table(term.cell, table, term.now_ms)
+    assert term.job.occurrences[0][0].tasks[0].crashes
+
+
 def test_a_refusal_and_an_end_are_recorded() -> None:
     """The next owner must not count a crash for what the worker did not hold."""
     for outcome in ('refused', *RunOutcome):
