Wrap doc comments at the width of the file

Cause: merged and inserted sentences left lines of up to 130 characters in four doc comments. Change: they are wrapped; no word is changed. Conclusion: no effect on behaviour.

--- a/src/lycheerelay/workflow/_pool_cycle.py
+++ b/src/lycheerelay/workflow/_pool_cycle.py
@@ -34,11 +34,11 @@
 
     `usable` holds the workers that accept new runs, `barred` those that accept them
     as a last resort. `max_free` holds the largest free amount of each resource among
-    them; the amounts may belong to different workers. `position` counts the steps handled before the
-    current one, without those that their quotas hold back. `wanted` holds the workers with reservations in the previous
-    cycle. Steps that come first in the order use them only as a last resort,
-    as every cycle reserves again in order. `held` has the workers that only one
-    step may use, `quotas` the state of the tenants in this cycle.
+    them; the amounts may belong to different workers. `position` counts the steps
+    handled before the current one, without those that their quotas hold back. `wanted`
+    holds the workers with reservations in the previous cycle. Steps that come first in
+    the order use them only as a last resort, as every cycle reserves again in order.
+    `held` has the workers that only one step may use, `quotas` the state of the tenants in this cycle.
     `group_size` is the number of suspected jobs that share a trial, once chosen.
     """
 
--- a/src/lycheerelay/workflow/_progress.py
+++ b/src/lycheerelay/workflow/_progress.py
@@ -8,10 +8,10 @@
 failed runs, last run, checkpoint, worker. `crashes` has a row for each open task
 that a crash of its worker counted for: occurrence, step, index, a row for each
 crash (run, evidence) and its last run on trial. `sent` has a row for each of these
-tasks: occurrence, step, index and those of these runs whose start was sent. `others`, for the job of a
-tenant, counts the runs that no other row tells, such as copies and the runs of done
-tasks, and in a final record all runs that had not ended: step, worker, number of
-runs. Earlier versions ignore all three.
+tasks: occurrence, step, index and those of these runs whose start was sent. `others`,
+for the job of a tenant, counts the runs that no other row tells, such as copies and
+the runs of done tasks, and in a final record all runs that had not ended: step,
+worker, number of runs. Earlier versions ignore all three.
 """
 
 import itertools
--- a/src/lycheerelay/workflow/_progress_parts.py
+++ b/src/lycheerelay/workflow/_progress_parts.py
@@ -1,9 +1,9 @@
 """Split the progress record of a job that is too large for one record.
 
 The first part, the base, has the fields that are no lists, the masks of done
-tasks of every step and as many rows as fit, those of tasks last; `parts` lists the numbers of the
-others. Each of those has further rows of the same fields. An earlier version
-reads the base alone and so knows at least which tasks are done.
+tasks of every step and as many rows as fit, those of tasks last; `parts` lists the
+numbers of the others. Each of those has further rows of the same fields. An earlier
+version reads the base alone and so knows at least which tasks are done.
 """
 
 from collections.abc import Callable, Iterable, Iterator
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -167,9 +167,9 @@
     a gang, which is made again from `replan_ms` on. Capacity for the waiting tasks
     has been free since `free_since_ms`. Since `blocked_since_ms` the step has started
     nothing and, unless its tasks last, had no run. `crashed` is set if a decision
-    on the step has raised an error in this term. `suspects` holds the indexes of the tasks that
-    start only where nothing else has just begun. Waiting tasks have been held back since
-    `held_by_quota_ms` by `held_by_quota`: a resource of the quota, INACTIVE_TENANT
+    on the step has raised an error in this term. `suspects` holds the indexes of the
+    tasks that start only where nothing else has just begun. Waiting tasks have been
+    held back since `held_by_quota_ms` by `held_by_quota`: a resource of the quota, INACTIVE_TENANT
     or WAITING_GANG. They need not be looked at before the epoch of the account
     changes from `held_epoch`. `quota_needed` is what the next start needs.
     """
