Take a forgotten worker in again, and read lists of both versions right

Callers saw: nothing yet; found by the review of this work. Cause: (1) a placeholder that an answer has identified counted as an instance that has ended, so a worker whose registrations tell no start was ignored once it was forgotten; (2) parts of the list of workers, which an owner of an earlier version leaves as they are, overrode its newer rows. Change: the placeholder is dropped, as no poller asks for it any more; the first record of a list counts before its parts. Both are reads of what a second writer has left.

--- a/src/lycheerelay/serving/_known_workers.py
+++ b/src/lycheerelay/serving/_known_workers.py
@@ -66,12 +66,21 @@
 
 
 def _decode(progress: RecordPage, list_key: str) -> dict[str, Any]:
+    """Return the rows of a list.
+
+    The first record counts where a part has the same row: an owner of an earlier
+    version replaces that record alone.
+    """
+    first: dict[str, Any] = {}
     rows: dict[str, Any] = {}
     for record in progress.records:
-        is_listed = record.key == list_key or is_part_of(record.key, list_key)
-        if is_listed and record.payload is not None:
+        if record.payload is None:
+            continue
+        if record.key == list_key:
+            first = _decode_rows(record.key, record.payload)
+        elif is_part_of(record.key, list_key):
             rows.update(_decode_rows(record.key, record.payload))
-    return rows
+    return rows | first
 
 
 def _decode_rows(key: str, payload: bytes) -> dict[str, Any]:
--- a/src/lycheerelay/workflow/_instances.py
+++ b/src/lycheerelay/workflow/_instances.py
@@ -151,7 +151,6 @@
     cell: CellState, placeholder: WorkerInfo, worker: WorkerInfo
 ) -> None:
     """Replace a worker whose start was unknown by the instance it turns out."""
-    cell.removed_workers[placeholder.key] = None
     cell.pop_worker(placeholder.key)
     worker.lease_until_ms = max(
         worker.lease_until_ms, placeholder.lease_until_ms
--- a/tests/test_unlisted_workers.py
+++ b/tests/test_unlisted_workers.py
@@ -6,8 +6,22 @@
 
 import asyncio
 
+import orjson
 import pytest
 
+from lycheerelay._resources import Resources
+from lycheerelay.serving import KeyedRecord, RecordPage
+from lycheerelay.serving._known_workers import decode_instances
+from lycheerelay.workflow import (
+    CellState,
+    RunTable,
+    WorkerKey,
+    WorkerListing,
+    apply_run_table,
+    list_worker,
+    unlist_worker,
+)
+from lycheerelay.workflow.workers import forget_gone_workers
 from lycheerelay_standins.platform import CellShape, PlatformCell, Shape
 from platform_days import STORE, job, play, step
 
@@ -107,3 +121,52 @@
         assert sum(len(worker.runs) for worker in cell.workers.values()) == 6
 
     play(scenario, CELL)
+
+
+IDENTIFIED = WorkerKey('w-1', 500)
+
+
+def _identify_worker(draining: bool = False) -> CellState:
+    """Return a cell whose worker was listed without its start, and has answered."""
+    cell = CellState(fence=1, previous_orders_expire_ms=0)
+    cell.loaded = True
+    list_worker(cell, _listing(WorkerKey('w-1'), draining), 0)
+    unlist_worker(cell, 'w-1')
+    apply_run_table(cell, RunTable(IDENTIFIED, 100, 100, (), ()), 100)
+    return cell
+
+
+def _listing(key: WorkerKey, draining: bool = False) -> WorkerListing:
+    labels: frozenset[str] = frozenset()
+    size = Resources(4000, 4000)
+    return WorkerListing(
+        key, 'w-1:80', 'pool', 'a', 'r1', labels, size, draining
+    )
+
+
+def test_a_worker_that_is_back_is_not_taken_for_a_draining_one() -> None:
+    """An earlier version has recorded its drain, but not its start."""
+    cell = _identify_worker(draining=True)
+    list_worker(cell, _listing(IDENTIFIED), 200)
+    assert not cell.workers[IDENTIFIED].draining
+
+
+def test_a_forgotten_worker_is_taken_in_without_its_start() -> None:
+    """Its registrations never tell when it started."""
+    cell = _identify_worker()
+    for now_ms in range(10_000, 800_000, 10_000):
+        forget_gone_workers(cell, now_ms)
+    assert not cell.instances
+    list_worker(cell, _listing(WorkerKey('w-1')), 800_000)
+    assert cell.instances
+
+
+def test_parts_of_a_list_do_not_override_its_first_record() -> None:
+    """An owner of an earlier version replaces the first record alone."""
+    rows = {'instances': (2, False), 'instances/1': (1, False)}
+    records = tuple(
+        KeyedRecord(key, orjson.dumps({'w-1': row}))
+        for key, row in rows.items()
+    )
+    page = RecordPage(records, 0)
+    assert decode_instances(page)['w-1'].key.started_ms == 2
