Log timers that fire late, with the processor time

The logs did not tell whether the owner's code held up the event loop, the process did not get the processor, or the store was slow.

timer_late has how late the timer between two rounds of the election fired and the processor time used meanwhile. The histogram decide now has every scheduling cycle, also those after a read of jobs and at ticks.

--- a/src/lycheerelay/_clock.py
+++ b/src/lycheerelay/_clock.py
@@ -45,5 +45,10 @@
         self.current_ms += by_ms
 
 
+def processor_ms() -> int:
+    """Return the processor time that this process has used, in ms."""
+    return time.process_time_ns() // NANOSECONDS_PER_MS
+
+
 def _monotonic_ms() -> int:
     return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // NANOSECONDS_PER_MS
--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -157,10 +157,13 @@
 
     def run_cycle(self) -> None:
         """Run one scheduling cycle and execute the resulting commands."""
-        _configure_tenants(self.context)
-        if self.context.may_send_orders:
-            dispatch(self.cell, self.context.now_ms)
+        context = self.context
+        begun_ms = context.now_ms
+        _configure_tenants(context)
+        if context.may_send_orders:
+            dispatch(self.cell, begun_ms)
         self.orders.execute_commands()
+        context.metrics.observe('decide', context.now_ms - begun_ms)
 
     def _on_recorded(self, job_ids: Collection[str]) -> None:
         self.orders.send_recorded_starts()
@@ -356,7 +359,6 @@
             begun_ms = self.context.now_ms
             self.run_cycle()
             took_ms = self.context.now_ms - begun_ms
-            self.context.metrics.observe('decide', took_ms)
             pause_s = CYCLE_PAUSE_FACTOR * took_ms / MS_PER_SECOND
             self.pause_s = max(CYCLE_DELAY_S, pause_s)
 
--- a/src/lycheerelay/serving/_owner_elector.py
+++ b/src/lycheerelay/serving/_owner_elector.py
@@ -18,6 +18,7 @@
 
 from .._clock import MS_PER_SECOND, Clock
 from ..workflow.workers import median_unresponsive_ms
+from ._loop_delay import LoopDelay
 from ._owner import Owner
 from ._ownership_lease import JOIN_INTERVAL_MS, ElectionTimes, OwnershipLease
 from ._peers import Peers
@@ -78,6 +79,7 @@
         self.joined_ms = 0
         self.leaving = False
         self.store_health = StoreHealth()
+        self.loop_delay = LoopDelay(clock)
         self.check_vacancy_until_ms = 0
         self.vacancy_checked_ms = 0
         self.no_claim_until_ms = 0
@@ -135,11 +137,13 @@
         self.set_owner(None)
 
     async def _pause(self, pause_ms: int) -> None:
+        self.loop_delay.expect(pause_ms)
         try:
             async with asyncio.timeout(pause_ms / MS_PER_SECOND):
                 await self.wake.wait()
         except TimeoutError:
             # No early round was requested.
+            self.loop_delay.report(is_owner=self.owner is not None)
             return
         self.wake.clear()
 
