Send the stops of a wide job in turns

After a job with thousands of running tasks is cancelled, the owner loses the ownership, and the next one as well, while the tasks run on.

Cause: each stop was sent in a task of its own at once, and decided again each 0.5 s while the earlier one still waited for a channel to its worker. Thousands of requests were built without a return to the renewal of the ownership, and most of them timed out for a channel.

StartQueue is now OrderTurns, for starts and stops: two stops are in flight at a worker, 32 orders are sent before other work has its turn, and a run has one stop that waits or is in flight.

Evidence: tests/test_order_turns.py:: test_the_stops_of_a_wide_job_do_not_crowd_each_other_out failed before (each run stopped three times).

--- a/src/lycheerelay/serving/_start_queue.py
+++ b/src/lycheerelay/serving/_order_turns.py
@@ -1,6 +1,6 @@
-"""Hold back start orders that a worker or this process cannot take at once.
+"""Hold back orders that a worker or this process cannot take at once.
 
-Load: a step of thousands of tasks is started in one decision. Orders beyond the
+Load: a step of thousands of tasks is started or cancelled. Orders beyond the
 channels to a worker would time out while they wait for one, and thousands of
 orders at once would hold up the calls that renew the ownership.
 """
@@ -8,36 +8,45 @@
 import asyncio
 import collections
 from collections.abc import Callable, Iterable
-from typing import Final, final
+from typing import Final, Generic, TypeVar, final
 
-from ..workflow import StartRun, WorkerKey
+from ..workflow import StartRun, StopRun, WorkerKey
 from ._channel_budget import MAX_CHANNELS
 
 # Starts in flight at one worker, which leaves a channel for its poll.
 STARTS_PER_WORKER: Final = MAX_CHANNELS - 1
+# Stops are few but for the end of wide jobs, and starts have to go on meanwhile.
+STOPS_PER_WORKER: Final = 2
 # Orders that are sent before other work of the process has its turn.
 ORDERS_PER_TURN: Final = 32
 
-JobQueues = collections.OrderedDict[str, collections.deque[StartRun]]
+Order = TypeVar('Order', StartRun, StopRun)
+JobQueues = collections.OrderedDict[str, collections.deque[Order]]
 
 
 @final
-class StartQueue:
-    """Release the starts of each worker in order, with the jobs in turn."""
+class OrderTurns(Generic[Order]):
+    """Release the orders of one kind to each worker, with the jobs in turn."""
 
-    def __init__(self, send: Callable[[StartRun], None]) -> None:
-        """Release starts by `send`; each one is to be followed by `finish`."""
-        self.send = send
+    def __init__(self, send: Callable[[Order], None], limit: int) -> None:
+        """Release by `send`, up to `limit` orders for a worker.
+
+        Each order that is sent has to be followed by `finish`.
+        """
+        self.send: Callable[[Order], None] = send
+        self.limit = limit
         self.in_flight: collections.Counter[WorkerKey] = collections.Counter()
-        self.waiting: dict[WorkerKey, JobQueues] = {}
-        self.released: collections.deque[StartRun] = collections.deque()
+        self.waiting: dict[WorkerKey, JobQueues[Order]] = {}
+        self.released: collections.deque[Order] = collections.deque()
         self.is_scheduled = False
 
-    def add(self, commands: Iterable[StartRun]) -> None:
-        """Queue recorded starts, and release those that can be sent."""
+    def add(self, commands: Iterable[Order]) -> None:
+        """Queue orders, and release those that can be sent."""
         workers: dict[WorkerKey, None] = {}
         for command in commands:
-            queues = self.waiting.setdefault(command.worker, JobQueues())
+            queues = self.waiting.setdefault(
+                command.worker, collections.OrderedDict()
+            )
             job_id = command.run.task.job_id
             queues.setdefault(job_id, collections.deque()).append(command)
             workers[command.worker] = None
@@ -57,8 +66,8 @@
         self.released.clear()
 
     def _release(self, key: WorkerKey) -> None:
-        queues = self.waiting.get(key, JobQueues())
-        while queues and self.in_flight[key] < STARTS_PER_WORKER:
+        queues = self.waiting.get(key, collections.OrderedDict())
+        while queues and self.in_flight[key] < self.limit:
             job_id, commands = queues.popitem(last=False)
             self.in_flight[key] += 1
             self.released.append(commands.popleft())
--- a/src/lycheerelay/serving/_orders.py
+++ b/src/lycheerelay/serving/_orders.py
@@ -29,8 +29,8 @@
 from ._advice_dispatcher import AdviceDispatcher
 from ._cell_log import write_log_event
 from ._context import OwnerContext
+from ._order_turns import STARTS_PER_WORKER, STOPS_PER_WORKER, OrderTurns
 from ._ports import PaceOrder, StartOrder, StopOrder
-from ._start_queue import StartQueue
 from ._worker_poller import WorkerPoller
 
 logger = logging.getLogger('lycheerelay.orders')
@@ -52,7 +52,14 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.unrecorded_starts: dict[str, list[StartRun]] = {}
         self.recording_starts: list[StartRun] = []
-        self.start_queue = StartQueue(partial(_spawn_start, self))
+        self.start_turns: OrderTurns[StartRun] = OrderTurns(
+            partial(_spawn_start, self), STARTS_PER_WORKER
+        )
+        self.stop_turns: OrderTurns[StopRun] = OrderTurns(
+            partial(_spawn_stop, self), STOPS_PER_WORKER
+        )
+        # Stops that wait or are in flight. They are decided again meanwhile.
+        self.pending_stops: set[StopRun] = set()
 
     def execute_commands(self) -> None:
         """Execute and clear the commands in the core's outbox."""
@@ -79,7 +86,7 @@
         )
         for job_id, count in counts.items():
             logger.info('starts_recorded', extra={'job': job_id, 'runs': count})
-        self.start_queue.add(commands)
+        self.start_turns.add(commands)
 
     def spawn(
         self,
@@ -99,7 +106,8 @@
 
     def cancel(self) -> None:
         """Cancel every order in flight."""
-        self.start_queue.stop()
+        self.start_turns.stop()
+        self.stop_turns.stop()
         for task in self.tasks:
             task.cancel()
 
@@ -136,8 +144,10 @@
 
 @EXECUTORS.register(StopRun)
 def execute_stop(orders: Orders, command: StopRun) -> None:
-    """Send a stop order."""
-    orders.spawn(_stop(orders, command))
+    """Send a stop order in its turn."""
+    if command not in orders.pending_stops:
+        orders.pending_stops.add(command)
+        orders.stop_turns.add((command,))
 
 
 @EXECUTORS.register(PaceRun)
@@ -172,7 +182,7 @@
     try:
         await _send_start(orders, command)
     finally:
-        orders.start_queue.finish(command.worker)
+        orders.start_turns.finish(command.worker)
 
 
 async def _send_start(orders: Orders, command: StartRun) -> None:
@@ -263,7 +273,19 @@
     return orders.pollers.get(key)
 
 
+def _spawn_stop(orders: Orders, command: StopRun) -> None:
+    orders.spawn(_stop(orders, command))
+
+
 async def _stop(orders: Orders, command: StopRun) -> None:
+    try:
+        await _send_stop(orders, command)
+    finally:
+        orders.pending_stops.discard(command)
+        orders.stop_turns.finish(command.worker)
+
+
+async def _send_stop(orders: Orders, command: StopRun) -> None:
     context = orders.context
     poller = _find_poller(orders, command.worker)
     if poller is None:
--- a/tests/test_start_queue.py
+++ b/tests/test_order_turns.py
@@ -1,19 +1,32 @@
-"""Test that thousands of starts at once hold up nothing else.
+"""Test that thousands of orders at once hold up nothing else.
 
-Replays a step of 9,000 tasks that is started in one decision. Guards against
+Replays a step of 9,000 tasks that is started, and cancelled. Guards against
 orders that time out while they wait for a connection, and against an owner that
 sends orders without a pause and so misses to renew its ownership.
 """
 
 import asyncio
 import collections
+from types import SimpleNamespace
+from typing import Any
 
-from lycheerelay.serving._start_queue import (
+from lycheerelay.serving._metrics_registry import MetricsRegistry
+from lycheerelay.serving._order_turns import (
     ORDERS_PER_TURN,
     STARTS_PER_WORKER,
-    StartQueue,
+    STOPS_PER_WORKER,
+    OrderTurns,
+)
+from lycheerelay.serving._orders import Orders
+from lycheerelay.serving._ports import StopOrder
+from lycheerelay.workflow import (
+    Answer,
+    RunKey,
+    StartRun,
+    StopRun,
+    TaskKey,
+    WorkerKey,
 )
-from lycheerelay.workflow import RunKey, StartRun, TaskKey, WorkerKey
 from lycheerelay_standins.platform import PlatformCell, run_virtual
 from platform_days import job, play, step
 
@@ -39,7 +52,9 @@
 
     def __init__(self) -> None:
         """Create a queue that sends by this sender."""
-        self.queue = StartQueue(self.send)
+        self.queue: OrderTurns[StartRun] = OrderTurns(
+            self.send, STARTS_PER_WORKER
+        )
         self.sent: list[StartRun] = []
         self.in_flight: collections.Counter[WorkerKey] = collections.Counter()
         self.most_in_flight = 0
@@ -117,7 +132,7 @@
     async def scenario(cell: PlatformCell) -> None:
         owner = cell.entries[cell.owner()].handler.owner
         assert owner is not None
-        queue = owner.orders.start_queue
+        queue = owner.orders.start_turns
         for key in owner.cell.workers:
             queue.in_flight[key] = STARTS_PER_WORKER
         name, _ = await cell.submit('vm-0', job(step(4)), work_ms=3000)
@@ -137,7 +152,7 @@
     async def scenario(cell: PlatformCell) -> None:
         owner = cell.entries[cell.owner()].handler.owner
         assert owner is not None
-        queue = owner.orders.start_queue
+        queue = owner.orders.start_turns
         for key in owner.cell.workers:
             queue.in_flight[key] = STARTS_PER_WORKER
         name, _ = await cell.submit('vm-0', job(step(24)), work_ms=300)
@@ -154,3 +169,56 @@
         assert cell.workers[leaving.worker_id].starts == 0
 
     play(scenario)
+
+
+class SlowWorkers:
+    """Answer each stop after some time, and count them."""
+
+    def __init__(self) -> None:
+        """Start without orders."""
+        self.stopped: collections.Counter[RunKey] = collections.Counter()
+        self.in_flight: collections.Counter[WorkerKey] = collections.Counter()
+        self.most_in_flight = 0
+
+    async def stop(self, order: StopOrder) -> Answer:
+        """Stop a run."""
+        self.in_flight[order.worker] += 1
+        most = max(self.in_flight.values())
+        self.most_in_flight = max(self.most_in_flight, most)
+        await asyncio.sleep(ORDER_S)
+        self.in_flight[order.worker] -= 1
+        self.stopped[order.run] += 1
+        return Answer.DONE
+
+
+def test_the_stops_of_a_wide_job_do_not_crowd_each_other_out() -> None:
+    """All at once, most would time out for a channel, over and over."""
+
+    async def scenario() -> SlowWorkers:
+        workers: Any = SlowWorkers()
+        cell: Any = SimpleNamespace(workers=dict.fromkeys(WORKERS), outbox=[])
+        context: Any = SimpleNamespace(
+            cell=cell,
+            workers=workers,
+            may_send_orders=True,
+            now_ms=0,
+            fence=1,
+            metrics=MetricsRegistry(),
+        )
+        nothing: Any = None
+        orders = Orders(context, nothing)
+        poller: Any = SimpleNamespace(address='w:80')
+        orders.pollers = dict.fromkeys(WORKERS, poller)
+        stops = [StopRun(each.worker, each.run) for each in _starts('wide', 80)]
+        for _ in range(3):
+            cell.outbox.extend(stops)
+            orders.execute_commands()
+            await asyncio.sleep(ORDER_S)
+        while len(workers.stopped) < len(stops) or orders.tasks:
+            await asyncio.sleep(ORDER_S)
+        return workers
+
+    workers = run_virtual(scenario())
+    assert len(workers.stopped) == 80
+    assert set(workers.stopped.values()) <= {1, 2}
+    assert workers.most_in_flight <= STOPS_PER_WORKER
