Share the cell with idle workers between two tests of the core

Cause: test_a_cycle_adds_up_the_use_of_a_pool_once repeated the set-up of test_steps_that_cannot_start_are_skipped line by line.

Change: cell_with_workers makes the cell for both. No assertion has changed.

--- a/tests/test_workflow_core.py
+++ b/tests/test_workflow_core.py
@@ -58,6 +58,28 @@
     return cell
 
 
+def cell_with_workers(count: int, capacity: Resources) -> CellState:
+    """Return a cell with workers that accept runs."""
+    cell = CellState(fence=1, previous_orders_expire_ms=0)
+    cell.loaded = True
+    for number in range(count):
+        entry = WorkerListing(
+            WorkerKey(f'w-{number}'),
+            f'w-{number}:80',
+            'pool',
+            'a',
+            'r1',
+            frozenset(('r1',)),
+            capacity,
+            draining=False,
+        )
+        list_worker(cell, entry, 0)
+        worker = cell.workers[entry.worker]
+        worker.enrolled = True
+        worker.synced = True
+    return cell
+
+
 def test_a_worker_lost_before_its_first_lease_is_removed() -> None:
     """Its task is queued again once the leases of the previous owner expire.
 
@@ -84,23 +106,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Steps that cannot start are skipped without checking each worker."""
-    cell = CellState(fence=1, previous_orders_expire_ms=0)
-    cell.loaded = True
-    for number in range(100):
-        entry = WorkerListing(
-            WorkerKey(f'w-{number}'),
-            f'w-{number}:80',
-            'pool',
-            'a',
-            'r1',
-            frozenset(('r1',)),
-            Resources(1000, 4000),
-            draining=False,
-        )
-        list_worker(cell, entry, 0)
-        worker = cell.workers[entry.worker]
-        worker.enrolled = True
-        worker.synced = True
+    cell = cell_with_workers(100, Resources(1000, 4000))
     step = StepSpec(1, Resources(1000, 100), 500)
     for number in range(400):
         name = f'{number:016x}'
@@ -156,23 +162,8 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """For each blocked gang, it took most of the owner's processor."""
-    cell = CellState(fence=1, previous_orders_expire_ms=0)
-    cell.loaded = True
-    for number in range(20):
-        entry = WorkerListing(
-            WorkerKey(f'w-{number}'),
-            f'w-{number}:80',
-            'pool',
-            'a',
-            'r1',
-            frozenset(('r1',)),
-            Resources(8000, 4000, 8),
-            draining=False,
-        )
-        list_worker(cell, entry, 0)
-        worker = cell.workers[entry.worker]
-        worker.enrolled = True
-        worker.synced = True
+    cell = cell_with_workers(20, Resources(8000, 4000, 8))
+    for worker in cell.workers.values():
         worker.free = Resources(8000, 4000, 1)
     cell.workers[WorkerKey('w-0')].barred_until_ms = 9000
     shape = StepSpec(3, Resources(1000, 100, 2), 500)
