--- a/review/cell_2.py
+++ b/review/cell_2.py
@@ -99,10 +99,16 @@
         return f'{self.cell.callers_url(vm)}/{QUEUE}/{name}'
 
     async def submit(
-        self, name: str, steps: list[Step], work_ms: int, *, quiet: bool = False
+        self,
+        name: str,
+        steps: list[Step],
+        work_ms: int,
+        *,
+        schedule: dict[str, int] | None = None,
+        quiet: bool = False,
     ) -> bool:
         """Hand a job in, again after no answer; return whether it is accepted."""
-        body = {'spec': 'x', 'steps': steps}
+        body = {'spec': 'x', 'steps': steps, **(schedule or {})}
         job = SubmittedJob(body, 'cpu', 3, work_ms=work_ms)
         self.cell.audit.jobs[name] = job
         for attempt in range(1 + RETRIES):
