--- a/review/cell_2.py
+++ b/review/cell_2.py
@@ -13,6 +13,7 @@
 import sys
 import tempfile
 import time
+import traceback
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -186,6 +187,11 @@
 
 
 async def _play(scenario: Scenario, shape: CellShape, trouble: bool) -> int:
+    play = asyncio.current_task()
+    if play is not None:
+        # The processes end with the script.
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, play.cancel)
     with tempfile.TemporaryDirectory() as folder:
         case = CaseCell(shape, Path(folder))
         verdict = NOT_RUN
@@ -195,8 +201,9 @@
                 verdict = await scenario(case, trouble)
             else:
                 case.note('an entry VM did not become ready')
-        except OSError as error:
-            case.note(f'the case could not run: {error}')
+        except (OSError, LookupError, ValueError) as error:
+            verdict = NOT_RUN
+            case.note(f'the case could not run: {error!r}')
         finally:
             with contextlib.suppress(ProcessLookupError):
                 await case.cell.finish()
@@ -210,4 +217,8 @@
 def main(scenario: Scenario, shape: CellShape) -> int:
     """Play a case and return its exit code; without trouble if TROUBLE=0."""
     trouble = os.environ.get('TROUBLE', '1') != '0'
-    return asyncio.run(_play(scenario, shape, trouble))
+    try:
+        return asyncio.run(_play(scenario, shape, trouble))
+    except (asyncio.CancelledError, Exception):
+        traceback.print_exc()
+        return NOT_RUN
