Count polled tables and their rows, and time stops

Now poll_tables and poll_rows (by kind) count what polls return, and the histogram stop has the time of a stop order.

--- a/src/lycheerelay/serving/_metrics_registry.py
+++ b/src/lycheerelay/serving/_metrics_registry.py
@@ -31,9 +31,9 @@
         self.sums: collections.Counter[Key] = collections.Counter()
         self.tenant_labels = TenantLabels()
 
-    def count(self, name: str, **labels: str) -> None:
-        """Increment a counter."""
-        self.counters[_key(name, labels)] += 1
+    def count(self, name: str, amount: int = 1, **labels: str) -> None:
+        """Increase a counter."""
+        self.counters[_key(name, labels)] += amount
 
     def gauge(self, name: str, value: float, **labels: str) -> None:
         """Set a gauge."""
--- a/src/lycheerelay/serving/_orders.py
+++ b/src/lycheerelay/serving/_orders.py
@@ -290,6 +290,7 @@
     poller = _find_poller(orders, command.worker)
     if poller is None:
         return
+    sent_ms = context.now_ms
     answer = await context.workers.stop(
         StopOrder(
             command.worker,
@@ -298,6 +299,7 @@
             command.run,
         ),
     )
+    context.metrics.observe('stop', context.now_ms - sent_ms)
     context.metrics.count('stops', answer=answer.value)
     handle_stop_answer(
         context.cell,
--- a/src/lycheerelay/serving/_worker_poller.py
+++ b/src/lycheerelay/serving/_worker_poller.py
@@ -213,6 +213,10 @@
 
     def _apply_table(self, table: RunTable) -> None:
         apply_run_table(self.context.cell, table, self.context.now_ms)
+        metrics = self.context.metrics
+        metrics.count('poll_tables')
+        metrics.count('poll_rows', len(table.rows), kind='running')
+        metrics.count('poll_rows', len(table.ends), kind='ended')
         if table.worker != self.key:
             self.on_other_instance()
         self.context.notify_changed()
