Space out polls whose replies list many runs

Cause: a poll returns with each end of a run and lists all other runs of the worker. While the tasks of a wide job end one after the other, the rows grow with the square of the tasks and take the owner's processor from the stops.

Why it works: rows beyond 64 in a reply share a budget of 10 in a ms over all workers, so that ends which come meanwhile share a reply and the cost of polls is bounded, however many runs end. A delay is at most 250 ms, since ends are acknowledged only within 400 ms of the last answer. Three stops are in flight at a worker as starts are.

--- a/src/lycheerelay/serving/_context.py
+++ b/src/lycheerelay/serving/_context.py
@@ -8,6 +8,7 @@
 from ..workflow import CellState
 from ._metrics_registry import MetricsRegistry
 from ._ownership_lease import OwnershipLease
+from ._poll_pace import PollPace
 from ._ports import KeyedLog, Workers
 from ._queues import TableSource, no_table
 
@@ -44,6 +45,7 @@
     cycle_needed: asyncio.Event = field(default_factory=asyncio.Event)
     recorded: asyncio.Event = field(default_factory=asyncio.Event)
     loaded: asyncio.Event = field(default_factory=asyncio.Event)
+    poll_pace: PollPace = field(default_factory=PollPace)
     tail_offset: int = 0
 
     def notify_changed(self) -> None:
--- a/src/lycheerelay/serving/_metrics_registry.py
+++ b/src/lycheerelay/serving/_metrics_registry.py
@@ -31,8 +31,12 @@
         self.sums: collections.Counter[Key] = collections.Counter()
         self.tenant_labels = TenantLabels()
 
-    def count(self, name: str, amount: int = 1, **labels: str) -> None:
-        """Increase a counter."""
+    def count(self, name: str, **labels: str) -> None:
+        """Increment a counter."""
+        self.increase(name, 1, labels)
+
+    def increase(self, name: str, amount: int, labels: dict[str, str]) -> None:
+        """Add an amount to a counter."""
         self.counters[_key(name, labels)] += amount
 
     def gauge(self, name: str, value: float, **labels: str) -> None:
--- a/src/lycheerelay/serving/_order_turns.py
+++ b/src/lycheerelay/serving/_order_turns.py
@@ -13,10 +13,9 @@
 from ..workflow import StartRun, StopRun, WorkerKey
 from ._channel_budget import MAX_CHANNELS
 
-# Starts in flight at one worker, which leaves a channel for its poll.
+# Orders of each kind in flight at one worker, which leaves a channel for its poll.
 STARTS_PER_WORKER: Final = MAX_CHANNELS - 1
-# Stops are few but for the end of wide jobs, and starts have to go on meanwhile.
-STOPS_PER_WORKER: Final = 2
+STOPS_PER_WORKER: Final = MAX_CHANNELS - 1
 # Orders that are sent before other work of the process has its turn.
 ORDERS_PER_TURN: Final = 32
 
--- a/src/lycheerelay/serving/_worker_poller.py
+++ b/src/lycheerelay/serving/_worker_poller.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Final, final
 
+from .._clock import MS_PER_SECOND
 from ..workflow import (
     Answer,
     RunTable,
@@ -79,6 +80,7 @@
                 continue
             reply = await self._poll()
             await self._handle_reply(reply)
+            await self._space_out(reply)
 
     async def poll_once(self) -> None:
         """Poll at once, in parallel to a poll that may be waiting."""
@@ -176,6 +178,16 @@
         else:
             await self._handle_no_answer(reply.answer)
 
+    async def _space_out(self, reply: PollReply) -> None:
+        """Wait after a reply that lists many runs."""
+        if reply.table is None:
+            return
+        pace = self.context.poll_pace
+        pace.charge(len(reply.table.rows), self.context.now_ms)
+        delay_ms = pace.delay_ms(self.context.now_ms)
+        if delay_ms:
+            await asyncio.sleep(delay_ms / MS_PER_SECOND)
+
     async def _are_jobs_known(self) -> bool:
         """Wait for the end of a takeover, but not past the next poll.
 
@@ -215,8 +227,8 @@
         apply_run_table(self.context.cell, table, self.context.now_ms)
         metrics = self.context.metrics
         metrics.count('poll_tables')
-        metrics.count('poll_rows', len(table.rows), kind='running')
-        metrics.count('poll_rows', len(table.ends), kind='ended')
+        metrics.increase('poll_rows', len(table.rows), {'kind': 'running'})
+        metrics.increase('poll_rows', len(table.ends), {'kind': 'ended'})
         if table.worker != self.key:
             self.on_other_instance()
         self.context.notify_changed()
