--- a/src/lycheerelay/workflow/_dispatch.py
+++ b/src/lycheerelay/workflow/_dispatch.py
@@ -9,6 +9,7 @@
     renew_expiring_tickets,
     renew_tickets,
 )
+from ._deferred_stops import begin_stop_cycle
 from ._fit import CandidateRanking, count_fitting, has_ticket
 from ._gangs import GANG_POLICIES
 from ._last_resort import note_progress
@@ -32,11 +33,13 @@
 def dispatch(cell: CellState, now_ms: int) -> int:
     """Start the tasks that fit and return the number of started runs.
 
-    `cell.dispatch_unfinished` tells whether another call may start more at once.
+    `cell.dispatch_unfinished` tells whether another call may start or stop more at
+    once.
     """
     cell.dispatch_unfinished = False
     if not cell.loaded or cell.deposed:
         return 0
+    has_more_stops = begin_stop_cycle(cell, now_ms)
     waiting = [step for step in cell.open_steps.values() if step.waiting]
     waiting = choose_order(cell)(cell, waiting, now_ms)
     cycles: dict[str, PoolCycle] = {}
@@ -63,6 +66,7 @@
             pool: frozenset(worker.key for worker in cycle.reserved)
             for pool, cycle in cycles.items()
         }
+    cell.dispatch_unfinished |= has_more_stops
     return started
 
 
--- a/src/lycheerelay/workflow/_intake.py
+++ b/src/lycheerelay/workflow/_intake.py
@@ -2,14 +2,15 @@
 
 from collections.abc import Iterator
 
+from ._deferred_stops import stop_runs
 from ._log_events import log_event
-from ._runs import stop_run
 from ._spec import RunKey, StepKey, WorkflowSpec, critical_path_ms, objective_ms
 from ._state import (
     NEVER,
     CellState,
     JobInfo,
     JobPhase,
+    Run,
     StepInfo,
     TaskInfo,
 )
@@ -60,9 +61,7 @@
     log_event(cell, 'job_settled', job=job.spec.job_id, phase=phase, why=reason)
     for step in steps_of(job):
         cell.open_steps.pop(step.key, None)
-        for task in step.tasks:
-            for run in list(task.runs.values()):
-                stop_run(cell, run, now_ms, phase)
+    stop_runs(cell, _runs_of(job), now_ms, phase)
 
 
 def fail_unrecordable_job(cell: CellState, job_id: str, now_ms: int) -> bool:
@@ -98,6 +97,12 @@
         yield from steps
 
 
+def _runs_of(job: JobInfo) -> Iterator[Run]:
+    for step in steps_of(job):
+        for task in step.tasks:
+            yield from list(task.runs.values())
+
+
 def open_occurrence(cell: CellState, job: JobInfo, number: int) -> None:
     """Create the steps of an occurrence and open those that are ready."""
     steps = [
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -1,5 +1,6 @@
 """Define the scheduling state of one cell."""
 
+from collections import deque
 from dataclasses import dataclass, field
 from enum import Enum, StrEnum, unique
 from typing import TYPE_CHECKING, Final
@@ -10,7 +11,7 @@
 from ._tenants import PresumedCounts, TenantAccount, TenantLedger
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from ._commands import Command
     from ._openings import Opening
@@ -366,8 +367,10 @@
     holds the workers of each pool with capacity reserved in the last scheduling
     cycle, `advice_counts` the replies of the advisor by queue. `find_past_job` adds a
     final job that is held elsewhere to the cell. `dispatch_unfinished` tells that the
-    last scheduling cycle has started as many tasks as one may, so that others may wait
-    beside free capacity.
+    last scheduling cycle has started or stopped as many tasks as one may, so that
+    others may wait beside free capacity. `deferred_stops` holds the runs of
+    final jobs that are still to be stopped, with the reason, and `stops_in_cycle` counts those
+    stopped since the last cycle began.
     """
 
     fence: int
@@ -388,6 +391,10 @@
     policies: Policies = Policies()
     tenants: TenantLedger = field(default_factory=TenantLedger)
     dispatch_unfinished: bool = False
+    deferred_stops: 'deque[tuple[Iterator[Run], str]]' = field(
+        default_factory=deque
+    )
+    stops_in_cycle: int = 0
     wanted_workers: dict[str, frozenset[WorkerKey]] = field(
         default_factory=dict
     )
