Keep the graph of a job's steps, so that its cost is linear

Cause: opening a job went over all steps for each step, finishing and restoring a step looked at all others, all in one turn of the event loop. Each owner lost the ownership meanwhile, and the next one began anew, as the job is stored.

Evidence: submit alone took 1.9 s for 1,000 steps and 9.3 s for 2,000.

Why it works: a job keeps dependents, numbers of dependencies and longest paths, made in one pass over its edges. A finished step is counted once and looks at its dependents only.

--- a/src/lycheerelay/workflow/_intake.py
+++ b/src/lycheerelay/workflow/_intake.py
@@ -4,7 +4,7 @@
 
 from ._deferred_stops import stop_runs
 from ._log_events import log_event
-from ._spec import RunKey, StepKey, WorkflowSpec, critical_path_ms, objective_ms
+from ._spec import RunKey, StepKey, WorkflowSpec, make_step_graph
 from ._state import (
     NEVER,
     CellState,
@@ -24,7 +24,7 @@
     known = cell.find_job(spec.job_id)
     if known is not None:
         return known
-    job = JobInfo(spec, offset)
+    job = JobInfo(spec, offset, make_step_graph(spec))
     if spec.tenant:
         job.account = cell.tenants.find(spec.tenant)
         job.is_over_rate = cell.tenants.is_over_rate(
@@ -109,19 +109,18 @@
         _make_step(job, number, index) for index in range(len(job.spec.steps))
     ]
     job.occurrences[number] = steps
+    job.unfinished[number] = len(steps)
     for step in steps:
         open_if_ready(cell, job, step)
 
 
 def open_if_ready(cell: CellState, job: JobInfo, step: StepInfo) -> None:
     """Open a step once all its dependencies are done."""
-    steps = job.occurrences[step.key.occurrence]
-    if step.ready or job.is_final:
+    if step.ready or step.awaited or job.is_final:
         return
-    if all(steps[number].is_done for number in step.spec.after):
-        step.ready = True
-        if step.waiting:
-            cell.open_steps[step.key] = step
+    step.ready = True
+    if step.waiting:
+        cell.open_steps[step.key] = step
 
 
 def reopen_task(cell: CellState, step: StepInfo, index: int) -> None:
@@ -137,13 +136,24 @@
 def finish_step(cell: CellState, step: StepInfo, now_ms: int) -> None:
     """Open the dependents of a finished step, or finish its occurrence."""
     job = step.job
+    occurrence = step.key.occurrence
+    open_dependents(cell, step)
+    if not job.unfinished[occurrence]:
+        finish_occurrence(cell, job, occurrence, now_ms)
+
+
+def open_dependents(cell: CellState, step: StepInfo) -> None:
+    """Open the steps that have waited for a finished step alone."""
+    job = step.job
     cell.open_steps.pop(step.key, None)
+    if step.finished:
+        return
+    step.finished = True
+    job.unfinished[step.key.occurrence] -= 1
     steps = job.occurrences[step.key.occurrence]
-    for other in steps:
-        if step.key.step in other.spec.after:
-            open_if_ready(cell, job, other)
-    if all(other.is_done for other in steps):
-        finish_occurrence(cell, job, step.key.occurrence, now_ms)
+    for number in job.graph.dependents[step.key.step]:
+        steps[number].awaited -= 1
+        open_if_ready(cell, job, steps[number])
 
 
 def finish_occurrence(
@@ -188,9 +198,11 @@
     begin_ms = spec.accepted_ms
     if spec.occurrences:
         begin_ms = spec.first_due_ms + occurrence * spec.every_ms
-    path_ms = critical_path_ms(spec)
-    remaining_ms = critical_path_ms(spec, index) if index else path_ms
-    limit_ms = objective_ms(spec)
+    graph = job.graph
+    step.awaited = graph.dependencies[index]
+    # The first step stands for the whole job, also if others have longer paths.
+    remaining_ms = graph.remaining_ms[index] if index else graph.path_ms
+    limit_ms = graph.objective_ms(spec)
     step.latest_start_ms = begin_ms + limit_ms - remaining_ms
     step.infeasible_from_ms = (
         begin_ms + VALUE_EXPIRY_FACTOR * limit_ms - remaining_ms
--- a/src/lycheerelay/workflow/_progress.py
+++ b/src/lycheerelay/workflow/_progress.py
@@ -29,7 +29,7 @@
     from_ranges,
     to_ranges,
 )
-from ._intake import open_if_ready, open_occurrence, steps_of
+from ._intake import open_dependents, open_occurrence, steps_of
 from ._log_events import log_event
 from ._state import (
     FINAL_PHASES,
@@ -207,12 +207,12 @@
         raise ValueError('a step row must begin with two integers')
     if occurrence not in job.occurrences:
         open_occurrence(cell, job, occurrence)
-    steps = job.occurrences[occurrence]
-    step = steps[index]
+    step = job.occurrences[occurrence][index]
     job.started = True
-    mask = int(str(mask_text), HEX_BASE)
-    for task in step.tasks:
-        if mask >> task.index & 1:
+    # Linear in the number of tasks; shifting the mask for each of them is not.
+    digits = f'{int(str(mask_text), HEX_BASE):b}'
+    for task, digit in zip(step.tasks, reversed(digits), strict=False):
+        if digit == '1':
             mark_done(step, task)
     for number, *rest in tasks:  # type: ignore[attr-defined]
         task = step.tasks[number]
@@ -221,9 +221,7 @@
             key = PresumedKey(index, task.assigned_worker, is_other=False)
             _presume_runs(cell, job, key, 1)
     if step.is_done:
-        cell.open_steps.pop(step.key, None)
-    for other in steps:
-        open_if_ready(cell, job, other)
+        open_dependents(cell, step)
 
 
 def _presume_runs(
--- a/src/lycheerelay/workflow/_spec.py
+++ b/src/lycheerelay/workflow/_spec.py
@@ -148,24 +148,57 @@
     return None
 
 
+class StepGraph(NamedTuple):
+    """Dependencies of the steps of a job, by step, and its longest paths.
+
+    `dependents` holds the steps after each step, `dependencies` how many steps each
+    one comes after. `remaining_ms` is the duration in ms of the longest path that
+    begins at a step, `path_ms` that of the critical path of the job.
+    """
+
+    dependents: tuple[tuple[int, ...], ...]
+    dependencies: tuple[int, ...]
+    remaining_ms: tuple[int, ...]
+    path_ms: int
+
+    def objective_ms(self, spec: WorkflowSpec) -> int:
+        """Return the allowed duration of the job in ms, from its start time."""
+        return int(spec.stretch * self.path_ms) + spec.objective_ms
+
+
+def make_step_graph(spec: WorkflowSpec) -> StepGraph:
+    """Return the graph of a job, in time linear in its steps and edges."""
+    dependents: list[list[int]] = [[] for _ in spec.steps]
+    dependencies = []
+    for index, step in enumerate(spec.steps):
+        numbers = dict.fromkeys(step.after)
+        dependencies.append(len(numbers))
+        for number in numbers:
+            dependents[number].append(index)
+    remaining_ms = [0 for _ in spec.steps]
+    for index in reversed(range(len(spec.steps))):
+        later_ms = [remaining_ms[number] for number in dependents[index]]
+        duration_ms = _step_duration_ms(spec, spec.steps[index])
+        remaining_ms[index] = duration_ms + max(later_ms, default=0)
+    return StepGraph(
+        tuple(map(tuple, dependents)),
+        tuple(dependencies),
+        tuple(remaining_ms),
+        max(remaining_ms, default=0),
+    )
+
+
 def objective_ms(spec: WorkflowSpec) -> int:
     """Return the allowed duration of a job in ms, from its start time."""
     return int(spec.stretch * critical_path_ms(spec)) + spec.objective_ms
 
 
-def critical_path_ms(spec: WorkflowSpec, first: int = 0) -> int:
-    """Return the duration in ms of the critical path through the steps.
-
-    If `first` is not 0, only paths that begin at that step count.
-    """
-    longest = [0 for _ in spec.steps]
-    reachable = [False for _ in spec.steps]
-    for index, step in enumerate(spec.steps):
-        dependencies = [number for number in step.after if reachable[number]]
-        reachable[index] = index == first or bool(dependencies) or first == 0
-        if reachable[index]:
-            start = max((longest[number] for number in dependencies), default=0)
-            longest[index] = start + _step_duration_ms(spec, step)
+def critical_path_ms(spec: WorkflowSpec) -> int:
+    """Return the duration in ms of the critical path through the steps."""
+    longest: list[int] = []
+    for step in spec.steps:
+        start = max((longest[number] for number in step.after), default=0)
+        longest.append(start + _step_duration_ms(spec, step))
     return max(longest, default=0)
 
 
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -7,7 +7,14 @@
 
 from .._resources import Resources
 from ._policies import Policies
-from ._spec import RunKey, StepKey, StepSpec, WorkerKey, WorkflowSpec
+from ._spec import (
+    RunKey,
+    StepGraph,
+    StepKey,
+    StepSpec,
+    WorkerKey,
+    WorkflowSpec,
+)
 from ._tenants import PresumedCounts, TenantAccount, TenantLedger
 
 if TYPE_CHECKING:
@@ -158,7 +165,9 @@
 class StepInfo:
     """Track one step of one occurrence.
 
-    `waiting` holds the indexes of the tasks without a run, `eligible_workers`
+    `awaited` counts the dependencies that are not finished, and `finished` says that
+    the dependents of this step no longer count it. `waiting` holds the indexes of the
+    tasks without a run, `eligible_workers`
     the workers that the advisor has ever allowed, and `asked_workers` every
     worker that it has answered about. `pending_calls` holds the workers that
     each call in progress names. `duration_by_worker_ms` holds the last
@@ -181,7 +190,9 @@
     tasks: list[TaskInfo]
     waiting: dict[int, None] = field(default_factory=dict)
     done_count: int = 0
+    awaited: int = 0
     ready: bool = False
+    finished: bool = False
     tickets: dict[WorkerKey, Ticket] = field(default_factory=dict)
     eligible_workers: dict[WorkerKey, None] = field(default_factory=dict)
     asked_workers: dict[WorkerKey, None] = field(default_factory=dict)
@@ -220,6 +231,7 @@
 class JobInfo:
     """Track one accepted job.
 
+    `unfinished` counts the steps of each open occurrence that are not done.
     `durable_phase` is the phase in the last durable progress record, `account` that
     of its tenant, if it has one. `is_over_rate` says that its tenant had sent more
     jobs than its rate allows. `presumed` counts its
@@ -229,7 +241,9 @@
 
     spec: WorkflowSpec
     offset: int
+    graph: StepGraph
     occurrences: dict[int, list[StepInfo]] = field(default_factory=dict)
+    unfinished: dict[int, int] = field(default_factory=dict)
     finished: dict[int, None] = field(default_factory=dict)
     phase: JobPhase = JobPhase.QUEUED
     durable_phase: JobPhase = JobPhase.QUEUED
--- a/src/lycheerelay/workflow/_tenant_backlog.py
+++ b/src/lycheerelay/workflow/_tenant_backlog.py
@@ -11,7 +11,6 @@
 
 from .._resources import Resources
 from ._fit import is_in_service, meets_requirements
-from ._spec import critical_path_ms, objective_ms
 from ._state import (
     INACTIVE_TENANT,
     WAITING_GANG,
@@ -121,9 +120,10 @@
         ]
         if able:
             spec = step.job.spec
+            graph = step.job.graph
             return backlog._replace(
                 waited_ms=waited_ms(step, now_ms),
-                slack_ms=objective_ms(spec) - critical_path_ms(spec),
+                slack_ms=graph.objective_ms(spec) - graph.path_ms,
                 lacks_room=not _has_room(step, able),
                 drain_ms=_drain_ms(cell, pool, workers, now_ms),
             )
