Apply pages of the job stream in slices

A takeover had slices between jobs, but not within one.

Steps are made one after the other with turns of other work between them, and a job is added with all of its steps at once. A lock keeps two readers of the stream, the follower and a query that catches up, in order.

One test of test_large_takeovers.py awaits apply_page now, nothing else in it has changed.

--- a/src/lycheerelay/serving/_cell_restore.py
+++ b/src/lycheerelay/serving/_cell_restore.py
@@ -52,7 +52,7 @@
             if self.context.cell.deposed:
                 return False
             self._report(number, len(records))
-            self._restore_job(job_id, record, cancels.get(job_id))
+            await self._restore_job(job_id, record, cancels.get(job_id))
         self.expiry.report_leftovers()
         for job_id in cancels.keys() - records.keys():
             self.expiry.note_stray(job_id)
@@ -67,7 +67,7 @@
                 orphans.append(job_id)
         self.expiry.drop_orphans(orphans)
 
-    def _restore_job(
+    async def _restore_job(
         self, job_id: str, record: KeyedRecord, cancel: KeyedRecord | None
     ) -> None:
         payload = self.progress.get(job_id)
@@ -77,7 +77,7 @@
         spec = self.stream.decode(record)
         if spec is None or (payload is None and self.expiry.is_leftover(spec)):
             return
-        job = self.stream.submit(spec, record.offset)
+        job = await self.stream.submit(spec, record.offset)
         if payload is not None:
             restore_progress(self.context.cell, job, payload)
         if job.is_final:
--- a/src/lycheerelay/serving/_job_stream.py
+++ b/src/lycheerelay/serving/_job_stream.py
@@ -1,21 +1,19 @@
 """Apply submissions and cancellations from the job stream."""
 
+import asyncio
 import logging
 from typing import final
 
 import orjson
 from result import Err
 
-from ..workflow import (
-    JobInfo,
-    WorkflowSpec,
-    cancel,
-    submit,
-)
+from ..workflow import JobInfo, WorkflowSpec, cancel
+from ..workflow.opening import add_job, make_first_steps, make_job
 from ._context import OwnerContext
 from ._credentials import Identity
 from ._job_expiry import CANCEL_PREFIX, JOB_PREFIX, JobExpiry
 from ._ports import KeyedRecord, RecordPage
+from ._slices import Slices
 from ._spec_codec import decode_spec
 
 logger = logging.getLogger('lycheerelay.jobs')
@@ -52,22 +50,29 @@
         """Apply records to the context's cell."""
         self.context = context
         self.expiry = expiry
+        self.slices = Slices(context.clock)
+        self.applying = asyncio.Lock()
 
-    def apply_page(self, page: RecordPage) -> None:
-        """Apply the records that were not applied before."""
+    async def apply_page(self, page: RecordPage) -> None:
+        """Apply the records that were not applied before, in slices."""
         context = self.context
-        for record in page.records:
-            if record.offset < context.tail_offset:
-                continue
-            if record.key.startswith(JOB_PREFIX):
-                self._apply_job(record)
-            elif record.key.startswith(CANCEL_PREFIX):
-                self.apply_cancel(record)
-        context.tail_offset = max(context.tail_offset, page.next_offset)
+        async with self.applying:
+            for record in page.records:
+                if record.offset >= context.tail_offset:
+                    await self._apply_record(record)
+                    context.tail_offset = record.offset + 1
+            context.tail_offset = max(context.tail_offset, page.next_offset)
         if page.records:
             context.notify_changed()
 
-    def _apply_job(self, record: KeyedRecord) -> None:
+    async def _apply_record(self, record: KeyedRecord) -> None:
+        await self.slices.next_item()
+        if record.key.startswith(JOB_PREFIX):
+            await self._apply_job(record)
+        elif record.key.startswith(CANCEL_PREFIX):
+            self.apply_cancel(record)
+
+    async def _apply_job(self, record: KeyedRecord) -> None:
         if record.payload is None:
             self.expiry.forget(record.key.removeprefix(JOB_PREFIX))
             return
@@ -75,7 +80,7 @@
         if spec is None:
             return
         self.expiry.leftovers.pop(spec.job_id, None)
-        job = self.submit(spec, record.offset)
+        job = await self.submit(spec, record.offset)
         if job.is_final:
             # Its caller may ask for the state of a job that was just accepted.
             job.finalized_ms = self.context.now_ms
@@ -91,29 +96,43 @@
             return None
         return decoded.ok_value
 
-    def submit(self, spec: WorkflowSpec, offset: int) -> JobInfo:
-        """Add a job, or return the one that is known."""
+    async def submit(self, spec: WorkflowSpec, offset: int) -> JobInfo:
+        """Add a job, or return the one that is known.
+
+        Its steps are made in slices, and it is added with all of them at once.
+        """
         cell = self.context.cell
-        is_new = cell.find_job(spec.job_id) is None
-        if is_new:
-            logger.info(
-                'job_opened',
-                extra={
-                    'job': spec.job_id,
-                    'queue': spec.queue,
-                    'pool': spec.pool,
-                    'offset': offset,
-                    'widths': [step.width for step in spec.steps],
-                    **({'tenant': spec.tenant} if spec.tenant else {}),
-                    'age_ms': self.context.now_ms - spec.accepted_ms,
-                },
-            )
-        job = submit(cell, spec, offset)
-        if is_new and cell.loaded and job.is_over_rate:
-            context = self.context
-            context.metrics.count_job('tenant_over_rate_jobs', spec.tenant)
+        known = cell.find_job(spec.job_id)
+        if known is not None:
+            return known
+        made = make_job(spec, offset)
+        steps = []
+        for step in make_first_steps(made):
+            steps.append(step)
+            await self.slices.next_item()
+        job = add_job(cell, made, steps)
+        if job is made:
+            self._report_opened(job)
         return job
 
+    def _report_opened(self, job: JobInfo) -> None:
+        spec = job.spec
+        logger.info(
+            'job_opened',
+            extra={
+                'job': spec.job_id,
+                'queue': spec.queue,
+                'pool': spec.pool,
+                'offset': job.offset,
+                'widths': [step.width for step in spec.steps],
+                **({'tenant': spec.tenant} if spec.tenant else {}),
+                'age_ms': self.context.now_ms - spec.accepted_ms,
+            },
+        )
+        if self.context.cell.loaded and job.is_over_rate:
+            metrics = self.context.metrics
+            metrics.count_job('tenant_over_rate_jobs', spec.tenant)
+
     def apply_cancel(self, record: KeyedRecord) -> None:
         """Cancel a job if its caller may, or note a cancellation without one."""
         job_id = record.key.removeprefix(CANCEL_PREFIX)
--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -151,7 +151,7 @@
             )
             if isinstance(outcome, Err):
                 return False
-            self._apply_page(outcome.ok_value)
+            await self._apply_page(outcome.ok_value)
             reaches_end = outcome.ok_value.reaches_end
         return True
 
@@ -207,8 +207,8 @@
             if self.context.tail_offset == begun_at:
                 return
 
-    def _apply_page(self, page: RecordPage) -> None:
-        self.stream.apply_page(page)
+    async def _apply_page(self, page: RecordPage) -> None:
+        await self.stream.apply_page(page)
         if page.records and self.cell.loaded:
             self.run_cycle()
 
@@ -258,7 +258,7 @@
                 JOB_READ_WAIT_MS,
             )
             if isinstance(outcome, Ok):
-                self._apply_page(outcome.ok_value)
+                await self._apply_page(outcome.ok_value)
                 continue
             if outcome.err_value is LogFault.GONE:
                 await self._reload_jobs()
@@ -272,7 +272,7 @@
                 extra={'from': self.context.tail_offset},
             )
             ordered = sorted(newest.records, key=lambda record: record.offset)
-            self._apply_page(newest._replace(records=tuple(ordered)))
+            await self._apply_page(newest._replace(records=tuple(ordered)))
 
     async def _follow_workers(self) -> None:
         while not self.cell.deposed:
--- a/src/lycheerelay/workflow/_intake.py
+++ b/src/lycheerelay/workflow/_intake.py
@@ -24,15 +24,38 @@
     known = cell.find_job(spec.job_id)
     if known is not None:
         return known
-    job = JobInfo(spec, offset, make_step_graph(spec))
+    job = make_job(spec, offset)
+    return add_job(cell, job, list(make_first_steps(job)))
+
+
+def make_job(spec: WorkflowSpec, offset: int) -> JobInfo:
+    """Return a job that no cell knows yet."""
+    return JobInfo(spec, offset, make_step_graph(spec))
+
+
+def make_first_steps(job: JobInfo) -> Iterator[StepInfo]:
+    """Yield the steps that a new job opens with, each made when asked for.
+
+    A caller may do other work in between, before it calls `add_job`.
+    """
+    if not job.spec.occurrences:
+        yield from _make_steps(job, 0)
+
+
+def add_job(cell: CellState, job: JobInfo, steps: list[StepInfo]) -> JobInfo:
+    """Add a job with its first steps; a repeated id returns the known job."""
+    spec = job.spec
+    known = cell.find_job(spec.job_id)
+    if known is not None:
+        return known
     if spec.tenant:
         job.account = cell.tenants.find(spec.tenant)
         job.is_over_rate = cell.tenants.is_over_rate(
             job.account, spec.accepted_ms
         )
     cell.jobs[spec.job_id] = job
-    if not spec.occurrences:
-        open_occurrence(cell, job, 0)
+    if steps:
+        _add_occurrence(cell, job, 0, steps)
     return job
 
 
@@ -105,9 +128,17 @@
 
 def open_occurrence(cell: CellState, job: JobInfo, number: int) -> None:
     """Create the steps of an occurrence and open those that are ready."""
-    steps = [
-        _make_step(job, number, index) for index in range(len(job.spec.steps))
-    ]
+    _add_occurrence(cell, job, number, list(_make_steps(job, number)))
+
+
+def _make_steps(job: JobInfo, number: int) -> Iterator[StepInfo]:
+    for index, _ in enumerate(job.spec.steps):
+        yield _make_step(job, number, index)
+
+
+def _add_occurrence(
+    cell: CellState, job: JobInfo, number: int, steps: list[StepInfo]
+) -> None:
     job.occurrences[number] = steps
     job.unfinished[number] = len(steps)
     for step in steps:
--- a/tests/test_large_takeovers.py
+++ b/tests/test_large_takeovers.py
@@ -130,7 +130,7 @@
         names = [f'{number:016x}' for number in range(5000)]
         recorder.write(KeyedRecord(name, None) for name in names)
         raw = json.dumps({**SPEC, 'job_id': names[-1]}).encode()
-        stream.apply_page(
+        await stream.apply_page(
             RecordPage((KeyedRecord(f'job/{names[-1]}', raw, 0),), 1)
         )
         context.cell.unrecorded_jobs[names[-1]] = None
