Wait for the run table of a worker whose leases a new owner extends

Cause: 7.7 s after its claim, an owner takes workers that it has not heard of for free of earlier runs. During a long takeover it extends their leases, and so keeps these runs alive, but does not apply their run tables before it knows the jobs. A worker whose poll was waiting when the takeover ended was taken for empty.

Why it works: a worker is waited for until its run table is applied or the last lease that this owner has granted there is over. Before that no task assigned there starts elsewhere. Polls return at once during a takeover, so that tables are at hand.

--- a/src/lycheerelay/serving/_worker_poller.py
+++ b/src/lycheerelay/serving/_worker_poller.py
@@ -117,7 +117,9 @@
     async def _poll(self) -> PollReply:
         worker = self.context.cell.workers.get(self.key)
         is_known = worker is not None and self.clock.is_known
-        wait_ms = POLL_WAIT_MS if is_known else 0
+        # Until the jobs are known, the answer waits for them here instead.
+        is_waiting = is_known and self.context.loaded.is_set()
+        wait_ms = POLL_WAIT_MS if is_waiting else 0
         if worker is None or worker.missed_calls:
             wait_ms = 0
         elif worker.held_until_ms > self.context.now_ms:
--- a/src/lycheerelay/workflow/_periodic_checks.py
+++ b/src/lycheerelay/workflow/_periodic_checks.py
@@ -25,7 +25,8 @@
     StepInfo,
     WorkerInfo,
 )
-from ._unlisted_ends import end_takeover, may_have_ended
+from ._unknown_runs import end_takeover
+from ._unlisted_ends import may_have_ended
 
 # A run is hung if its progress has not changed for this time and for this share
 # of its expected time. Polls report progress every second.
--- a/src/lycheerelay/workflow/_pool_cycle.py
+++ b/src/lycheerelay/workflow/_pool_cycle.py
@@ -17,7 +17,7 @@
 from ._quota import QuotaCycle
 from ._spec import StepKey, WorkerKey
 from ._state import CellState, StepInfo, TaskInfo, WorkerInfo
-from ._unlisted_ends import may_list_end
+from ._unknown_runs import may_hold_unknown_runs
 
 # Part of a pool that is held at the same time, and for steps that last, as callers
 # of their services are waiting.
@@ -189,5 +189,6 @@
     """Return whether an unsynced worker may still run the task."""
     worker_id = task.assigned_worker
     return worker_id in cell.unsynced_workers and (
-        now_ms < cell.previous_orders_expire_ms or may_list_end(cell, worker_id)
+        now_ms < cell.previous_orders_expire_ms
+        or may_hold_unknown_runs(cell, worker_id)
     )
--- a/src/lycheerelay/workflow/_unlisted_ends.py
+++ b/src/lycheerelay/workflow/_unlisted_ends.py
@@ -31,27 +31,3 @@
     A worker that is out of contact is judged by its silence instead.
     """
     return worker.has_more_ends and not worker.unresponsive
-
-
-def may_list_end(cell: CellState, worker_id: str) -> bool:
-    """Return whether a worker has more ends to list than it has listed."""
-    return any(
-        worker.has_more_ends for worker in cell.find_instances(worker_id)
-    )
-
-
-def end_takeover(cell: CellState) -> None:
-    """Wait no longer for the answers of workers to a new owner.
-
-    Called once no order of an earlier owner is in effect any more. A worker with
-    more ends is waited for, since the leases that this owner grants keep them valid.
-    """
-    missing = [
-        worker_id
-        for worker_id in cell.unsynced_workers
-        if not may_list_end(cell, worker_id)
-    ]
-    for worker_id in missing:
-        cell.mark_synced(worker_id)
-    if missing:
-        log_event(cell, 'takeover_clear', missing=len(missing))
