Keep the progress of a job apart from the records of the owner

Cause: the stream of progress has the records of jobs under their bare ids, beside seven records of the owner. The progress of the job was read as a list of workers, and a row that cannot be read ended the term of each owner that followed.

Why it works: a job whose id is one of these keys has its progress under job/ID, which no id can be, also for parts, deletions and refused records. Other keys stay. Rows that cannot be read are logged and left out.

--- a/src/lycheerelay/serving/_cell_restore.py
+++ b/src/lycheerelay/serving/_cell_restore.py
@@ -8,6 +8,7 @@
 from ._job_expiry import CANCEL_PREFIX, JOB_PREFIX
 from ._job_stream import JobStream
 from ._ports import KeyedRecord, RecordPage
+from ._progress_keys import OWNER_KEYS, job_id_of, progress_key
 from ._slices import Slices
 
 logger = logging.getLogger('lycheerelay.owner')
@@ -61,16 +62,18 @@
 
     async def _drop_orphans(self, records: dict[str, KeyedRecord]) -> None:
         orphans = []
-        for job_id, payload in self.progress.items():
+        for key, payload in self.progress.items():
             await self.slices.next_item()
-            if job_id not in records and is_final_record(payload):
+            job_id = job_id_of(key)
+            is_orphan = key not in OWNER_KEYS and job_id not in records
+            if is_orphan and is_final_record(payload):
                 orphans.append(job_id)
         self.expiry.drop_orphans(orphans)
 
     async def _restore_job(
         self, job_id: str, record: KeyedRecord, cancel: KeyedRecord | None
     ) -> None:
-        payload = self.progress.get(job_id)
+        payload = self.progress.get(progress_key(job_id))
         past = self.expiry.past
         if past.add(job_id, record, payload, self.context.now_ms):
             return
--- a/src/lycheerelay/serving/_job_expiry.py
+++ b/src/lycheerelay/serving/_job_expiry.py
@@ -24,7 +24,8 @@
 from ._context import OwnerContext
 from ._past_jobs import PastJobs
 from ._ports import KeyedRecord, RecordPage, Stream
-from ._recorder import JUDGED_KEY, LEGACY_FENCE_KEY, Recorder
+from ._progress_keys import JUDGED_KEY, LEGACY_FENCE_KEY, progress_key
+from ._recorder import Recorder
 from ._slices import Slices
 
 logger = logging.getLogger('lycheerelay.expiry')
@@ -128,11 +129,13 @@
             return
         self.past.jobs.pop(job_id, None)
         self.context.cell.jobs.pop(job_id, None)
-        self.recorder.write([KeyedRecord(job_id, None)])
+        self.recorder.write([KeyedRecord(progress_key(job_id), None)])
 
     def drop_orphans(self, orphans: list[str]) -> None:
         """Delete the progress of final jobs whose record is gone."""
-        self.recorder.write([KeyedRecord(job_id, None) for job_id in orphans])
+        self.recorder.write(
+            KeyedRecord(progress_key(job_id), None) for job_id in orphans
+        )
 
     async def _shelve(self) -> None:
         context = self.context
--- a/src/lycheerelay/serving/_known_workers.py
+++ b/src/lycheerelay/serving/_known_workers.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+from collections.abc import Iterator
 from typing import Any, Final, NamedTuple
 
 import orjson
@@ -14,14 +15,12 @@
 from .._resources import Resources
 from ..workflow import CellState, WorkerKey, WorkerListing
 from ._ports import RecordPage
+from ._progress_keys import INSTANCES_KEY, KNOWN_WORKERS_KEY, SILENT_KEY
 
 logger = logging.getLogger('lycheerelay.owner')
 
-KNOWN_WORKERS_KEY: Final = 'workers'
-INSTANCES_KEY: Final = 'instances'
 # Further rows of either list are in records with this and a number after the key.
 PART_SEPARATOR: Final = '/'
-SILENT_KEY: Final = 'silent_workers'
 
 
 class KnownWorker(NamedTuple):
@@ -47,8 +46,12 @@
 
 def decode_addresses(progress: RecordPage) -> dict[str, str]:
     """Return the address of each recorded worker."""
-    addresses: dict[str, str] = _decode(progress, KNOWN_WORKERS_KEY)
-    return addresses
+    rows = _decode(progress, KNOWN_WORKERS_KEY)
+    return {
+        worker_id: address
+        for worker_id, address in rows.items()
+        if isinstance(address, str)
+    }
 
 
 def decode_instances(progress: RecordPage) -> dict[str, KnownWorker]:
@@ -59,12 +62,35 @@
         worker_id: KnownWorker(
             WorkerKey(worker_id, started_ms),
             draining,
-            int(silent.get(worker_id, 0)),
+            _int_of(silent.get(worker_id)),
         )
-        for worker_id, (started_ms, draining) in rows.items()
+        for worker_id, (started_ms, draining) in _instance_rows(rows)
     }
 
 
+def _instance_rows(
+    rows: dict[str, Any],
+) -> Iterator[tuple[str, tuple[int, bool]]]:
+    """Yield the rows that can be read; a faulty one must not end each term."""
+    for worker_id, row in rows.items():
+        try:
+            started_ms, draining = row
+            yield worker_id, (int(started_ms), bool(draining))
+        except (ValueError, TypeError) as error:
+            logger.warning(
+                'roster_unreadable',
+                extra={
+                    'key': INSTANCES_KEY,
+                    'worker': worker_id,
+                    'error': str(error),
+                },
+            )
+
+
+def _int_of(content: object) -> int:
+    return content if isinstance(content, int) else 0
+
+
 def _decode(progress: RecordPage, list_key: str) -> dict[str, Any]:
     """Return the rows of a list.
 
@@ -85,13 +111,13 @@
 
 def _decode_rows(key: str, payload: bytes) -> dict[str, Any]:
     try:
-        rows: dict[str, Any] = orjson.loads(payload)
+        rows = orjson.loads(payload)
     except ValueError as error:
         logger.warning(
             'roster_unreadable', extra={'key': key, 'error': str(error)}
         )
         return {}
-    return rows
+    return rows if isinstance(rows, dict) else {}
 
 
 def placeholder_listing(known: KnownWorker, address: str) -> WorkerListing:
--- a/src/lycheerelay/serving/_progress_appends.py
+++ b/src/lycheerelay/serving/_progress_appends.py
@@ -16,15 +16,12 @@
 from .._clock import MS_PER_SECOND
 from ._context import OwnerContext
 from ._ports import KEY_BYTES, KeyedRecord, LogFault, Stream, Writer
+from ._progress_keys import PROBE_KEY, TERM_KEY
 from ._repeat_pace import RepeatPace
 
 logger = logging.getLogger('lycheerelay.recorder')
 
-TERM_KEY: Final = 'term'
 WRITER: Final = 'owner'
-# The deletion of this key, which no record has, tells whether the store takes any
-# record.
-PROBE_KEY: Final = 'probe'
 # Faults that end the term. Only a new term, whose epoch restarts the sequence
 # numbers, can append again.
 TERM_ENDING_FAULTS: Final = frozenset((LogFault.FENCED, LogFault.OUT_OF_ORDER))
--- a/src/lycheerelay/serving/_progress_records.py
+++ b/src/lycheerelay/serving/_progress_records.py
@@ -1,6 +1,6 @@
 """Know the records in which the progress of each job is kept.
 
-The progress of a job is the record under its id, the base, and the parts that it
+The progress of a job is the record under its key, the base, and the parts that it
 names, under keys of their own. New parts get numbers that the store may not have,
 and are appended before the base that names them, so that the base replaces all of
 them at once. Parts that it no longer names are deleted after it.
@@ -14,6 +14,7 @@
 
 from ..workflow.records import merge_progress, part_numbers, split_progress
 from ._ports import KeyedRecord, RecordPage, StoreLimits
+from ._progress_keys import OWNER_KEYS, job_id_of, progress_key
 
 logger = logging.getLogger('lycheerelay.recorder')
 
@@ -40,7 +41,10 @@
     def keys_of(self, job_id: str) -> tuple[str, ...]:
         """Return every key under which the store may have a job's progress."""
         numbers = sorted(self.numbers.get(job_id, ()))
-        return (job_id, *(part_key(job_id, number) for number in numbers))
+        return (
+            progress_key(job_id),
+            *(part_key(job_id, number) for number in numbers),
+        )
 
     def deletions(self, job_id: str) -> list[KeyedRecord]:
         """Return the records that delete a job's progress, the parts last."""
@@ -57,7 +61,7 @@
             KeyedRecord(part_key(job_id, number), payload)
             for number, payload in split.parts.items()
         ]
-        records.append(KeyedRecord(job_id, split.base))
+        records.append(KeyedRecord(progress_key(job_id), split.base))
         records.extend(
             KeyedRecord(part_key(job_id, number), None)
             for number in sorted(known)
@@ -95,8 +99,9 @@
                 continue
             numbers = _numbers_of(record)
             if numbers:
-                self.numbers[record.key] = frozenset(numbers)
-                used.update(part_key(record.key, each) for each in numbers)
+                job_id = job_id_of(record.key)
+                self.numbers[job_id] = frozenset(numbers)
+                used.update(part_key(job_id, each) for each in numbers)
                 record = _join(record, payloads)
             joined.append(record)
         self.stale_keys = _unused_parts(payloads, used)
@@ -116,6 +121,8 @@
 
 
 def _numbers_of(record: KeyedRecord) -> tuple[int, ...]:
+    if record.key in OWNER_KEYS:
+        return ()
     try:
         return part_numbers(record.payload or b'')
     except (ValueError, TypeError, AttributeError):
@@ -124,7 +131,7 @@
 
 
 def _join(record: KeyedRecord, payloads: dict[str, bytes]) -> KeyedRecord:
-    find = partial(_find_part, payloads, record.key)
+    find = partial(_find_part, payloads, job_id_of(record.key))
     try:
         return record._replace(
             payload=merge_progress(record.payload or b'', find)
--- a/src/lycheerelay/serving/_recorder.py
+++ b/src/lycheerelay/serving/_recorder.py
@@ -8,16 +8,18 @@
 from ..workflow import JobPhase, WorkerKey, encode_progress
 from ..workflow.records import fail_unrecordable_job
 from ._context import OwnerContext
-from ._known_workers import KNOWN_WORKERS_KEY, KnownWorker, known_workers
+from ._known_workers import KnownWorker, known_workers
 from ._ports import KeyedRecord, RecordPage
 from ._progress_appends import OwnedRecord, ProgressAppends
+from ._progress_keys import (
+    KNOWN_WORKERS_KEY,
+    OWNER_KEYS,
+    job_id_of,
+    progress_key,
+)
 from ._progress_records import ProgressRecords
 from ._worker_records import WorkerRecords
 
-# Earlier versions write this key at the start of each term.
-LEGACY_FENCE_KEY: Final = 'fence'
-# The last term of an earlier version whose records have been examined.
-JUDGED_KEY: Final = 'judged'
 # Changes that arrive within this time share one append.
 BATCH_DELAY_S: Final = 0.002
 # Size of the progress in one append, exceeded by at most one record. The store
@@ -110,12 +112,13 @@
             if job is None:
                 continue
             # A late deletion would leave a job that runs without progress.
-            self.other_records.pop(job_id, None)
+            key = progress_key(job_id)
+            self.other_records.pop(key, None)
             payload = encode_progress(job)
             size += len(payload)
             phases[job_id] = job.phase
             records.extend(
-                OwnedRecord(job_id, record)
+                OwnedRecord(key, record)
                 for record in self.records.encode(job_id, payload)
             )
         self.on_encoded(phases)
@@ -126,7 +129,7 @@
             # Their ends are acknowledged once their failure is recorded.
             handled_ends = {}
         for name in refused:
-            phases.pop(name, None)
+            phases.pop(job_id_of(name), None)
         # A list that is refused is repeated once the workers change.
         self.recorded_workers = workers
         if KNOWN_WORKERS_KEY in refused:
@@ -149,7 +152,7 @@
             payload = self.other_records.pop(key)
             others = [KeyedRecord(key, payload)]
             if payload is None:
-                others = self.records.deletions(key)
+                others = self.records.deletions(job_id_of(key))
             records.extend(OwnedRecord(key, record) for record in others)
         records.extend(
             OwnedRecord(key, KeyedRecord(key, None))
@@ -160,8 +163,11 @@
     def _fail_jobs(self, refused: Collection[str]) -> bool:
         """Fail the jobs whose record is refused; return whether any has."""
         failed = [
-            fail_unrecordable_job(self.context.cell, name, self.context.now_ms)
+            fail_unrecordable_job(
+                self.context.cell, job_id_of(name), self.context.now_ms
+            )
             for name in refused
+            if name not in OWNER_KEYS
         ]
         return any(failed)
 
--- a/src/lycheerelay/serving/_worker_records.py
+++ b/src/lycheerelay/serving/_worker_records.py
@@ -6,21 +6,19 @@
 """
 
 from collections.abc import Iterator
-from typing import Any, Final, final
+from typing import Any, final
 
 import orjson
 
 from ..workflow import CellState
-from ._known_workers import (
+from ._known_workers import PART_SEPARATOR, is_part_of
+from ._ports import KeyedRecord, RecordPage, StoreLimits
+from ._progress_keys import (
     INSTANCES_KEY,
     KNOWN_WORKERS_KEY,
-    PART_SEPARATOR,
+    LIST_KEYS,
     SILENT_KEY,
-    is_part_of,
 )
-from ._ports import KeyedRecord, RecordPage, StoreLimits
-
-LIST_KEYS: Final = (KNOWN_WORKERS_KEY, INSTANCES_KEY, SILENT_KEY)
 
 Rows = dict[str, Any]
 
