Open the due occurrences of a schedule over several turns

Cause: all due occurrences, 104,000 of four tasks, were opened in one turn of the event loop. Each owner lost the ownership meanwhile and the next one began anew. Each tick also went over all numbers from 0, and each record sorted all finished ones.

Why it works: a tick opens a bounded number of tasks, and no more of a job while 4,096 of its tasks are open. Finished numbers below the first open one are one number, so that records and look-ups do not grow with the repetitions; the record stays as it was.

--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -22,6 +22,7 @@
     stop_orphaned_runs,
     unlist_worker,
 )
+from ..workflow.opening import forget_finished_occurrences
 from ..workflow.stalls import count_waiting_suspects, report_stalled_steps
 from ..workflow.workers import forget_gone_workers
 from ._advice_dispatcher import AdviceDispatcher
@@ -345,6 +346,7 @@
         if ticks % FORECAST_TICKS == 0:
             self.waits = predict_waits(self.cell, now_ms)
         if ticks % STALL_CHECK_TICKS == 0:
+            forget_finished_occurrences(self.cell)
             stalled = report_stalled_steps(self.cell, now_ms)
             self.context.metrics.gauge('stalled_steps', stalled)
             suspects = count_waiting_suspects(self.cell)
--- a/src/lycheerelay/workflow/__init__.py
+++ b/src/lycheerelay/workflow/__init__.py
@@ -27,12 +27,12 @@
 )
 from ._intake import VALUE_EXPIRY_FACTOR, cancel, submit
 from ._periodic_checks import (
-    open_occurrences,
     run_periodic_checks,
 )
 from ._policies import Policies
 from ._progress import encode_progress, is_final_record, restore_progress
 from ._run_table import RunTable, RunTableRow, apply_run_table
+from ._schedules import open_occurrences
 from ._spec import (
     MAX_TASKS_PER_JOB,
     MAX_TASKS_PER_STEP,
--- a/src/lycheerelay/workflow/_intake.py
+++ b/src/lycheerelay/workflow/_intake.py
@@ -6,7 +6,6 @@
 from ._log_events import log_event
 from ._spec import RunKey, StepKey, WorkflowSpec, make_step_graph
 from ._state import (
-    NEVER,
     CellState,
     JobInfo,
     JobPhase,
@@ -141,6 +140,7 @@
 ) -> None:
     job.occurrences[number] = steps
     job.unfinished[number] = len(steps)
+    job.open_tasks += count_ending_tasks(job.spec)
     for step in steps:
         open_if_ready(cell, job, step)
 
@@ -194,24 +194,18 @@
     now_ms: int,
 ) -> None:
     """Mark an occurrence as finished; the last one completes the job."""
-    job.finished[number] = None
+    if number not in job.finished:
+        job.open_tasks -= count_ending_tasks(job.spec)
+    job.finished.add(number)
     if len(job.finished) >= max(job.spec.occurrences, 1):
         finalize_job(
             cell, job, JobPhase.COMPLETED, 'every task is done', now_ms
         )
 
 
-def open_due_occurrences(cell: CellState, job: JobInfo, wall_ms: int) -> int:
-    """Open due occurrences and return the next due time, or NEVER."""
-    spec = job.spec
-    for number in range(spec.occurrences):
-        due_ms = spec.first_due_ms + number * spec.every_ms
-        if number in job.occurrences or number in job.finished:
-            continue
-        if due_ms > wall_ms:
-            return due_ms
-        open_occurrence(cell, job, number)
-    return NEVER
+def count_ending_tasks(spec: WorkflowSpec) -> int:
+    """Return how many tasks of an occurrence do not last."""
+    return sum(step.width for step in spec.steps if not step.lasts)
 
 
 def _make_step(job: JobInfo, occurrence: int, index: int) -> StepInfo:
--- a/src/lycheerelay/workflow/_periodic_checks.py
+++ b/src/lycheerelay/workflow/_periodic_checks.py
@@ -10,7 +10,6 @@
     score_worker,
     usable_workers,
 )
-from ._intake import open_due_occurrences
 from ._log_events import log_event
 from ._probation import is_on_probation
 from ._quota import may_copy
@@ -18,7 +17,6 @@
 from ._runs import start_run, stop_run
 from ._starting import next_run_number
 from ._state import (
-    NEVER,
     CellState,
     Run,
     RunState,
@@ -177,15 +175,3 @@
         taken_ms=elapsed_ms,
     )
     start_run(cell, step, task, best, number, now_ms)
-
-
-def open_occurrences(cell: CellState, wall_ms: int) -> int:
-    """Open all due occurrences and return the next due time, or NEVER."""
-    due_times_ms = [
-        open_due_occurrences(cell, job, wall_ms)
-        for job in cell.jobs.values()
-        if job.spec.occurrences and not job.is_final
-    ]
-    return min(
-        (due_ms for due_ms in due_times_ms if due_ms != NEVER), default=NEVER
-    )
--- a/src/lycheerelay/workflow/_progress.py
+++ b/src/lycheerelay/workflow/_progress.py
@@ -14,7 +14,6 @@
 worker, number of runs. Earlier versions ignore all three.
 """
 
-import itertools
 from collections import Counter
 from collections.abc import Iterator
 from typing import Final, TypedDict
@@ -23,12 +22,7 @@
 
 from ._crashes import mark_suspect
 from ._ends import mark_done
-from ._finished_numbers import (
-    MAX_LISTED,
-    NumberRange,
-    from_ranges,
-    to_ranges,
-)
+from ._finished_numbers import MAX_LISTED, NumberRange
 from ._intake import open_dependents, open_occurrence, steps_of
 from ._log_events import log_event
 from ._state import (
@@ -81,7 +75,7 @@
         record['why'] = job.reason
         return orjson.dumps(record)
     if len(job.finished) > MAX_LISTED:
-        record['finished_ranges'] = to_ranges(job.finished)
+        record['finished_ranges'] = job.finished.ranges()
     elif job.finished:
         record['finished'] = list(job.finished)
     rows = [
@@ -188,10 +182,10 @@
             for step in steps:
                 cell.open_steps.pop(step.key, None)
         return
-    ranges = from_ranges(record.get('finished_ranges', ()))
-    for number in itertools.chain(record.get('finished', ()), ranges):
-        job.finished[number] = None
-        job.started = True
+    job.finished.update(record.get('finished', ()))
+    for first, last in record.get('finished_ranges', ()):
+        job.finished.add_range(first, last)
+    job.started |= bool(job.finished)
     for row in record.get('steps', ()):
         _restore_step(cell, job, row)
     for crash_row in record.get('crashes', ()):
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 from .._resources import Resources
+from ._finished_numbers import FinishedNumbers
 from ._policies import Policies
 from ._spec import (
     RunKey,
@@ -231,7 +232,9 @@
 class JobInfo:
     """Track one accepted job.
 
-    `unfinished` counts the steps of each open occurrence that are not done.
+    `unfinished` counts the steps of each open occurrence that are not done, and
+    `open_tasks` the tasks of all of them that do not last. Occurrences before
+    `next_occurrence` have been opened or are finished.
     `durable_phase` is the phase in the last durable progress record, `account` that
     of its tenant, if it has one. `is_over_rate` says that its tenant had sent more
     jobs than its rate allows. `presumed` counts its
@@ -244,7 +247,9 @@
     graph: StepGraph
     occurrences: dict[int, list[StepInfo]] = field(default_factory=dict)
     unfinished: dict[int, int] = field(default_factory=dict)
-    finished: dict[int, None] = field(default_factory=dict)
+    finished: FinishedNumbers = field(default_factory=FinishedNumbers)
+    open_tasks: int = 0
+    next_occurrence: int = 0
     phase: JobPhase = JobPhase.QUEUED
     durable_phase: JobPhase = JobPhase.QUEUED
     started: bool = False
