--- a/src/lycheerelay/serving/_poll_pace.py
+++ b/src/lycheerelay/serving/_poll_pace.py
@@ -11,7 +11,7 @@
 FREE_ROWS: Final = 64
 # Rows beyond these that all workers together may list in a ms. Decoding and applying
 # one takes 7 us of a processor.
-ROWS_PER_MS: Final = 10
+ROWS_PER_MS: Final = 4
 # A poll is not delayed for longer, since ends are acknowledged only shortly after
 # the last answer of their worker.
 MAX_DELAY_MS: Final = 250
