Stop the runs of a job that is put aside without an error

Found by reading the change: the runs of a wide final job are listed as they are stopped, and a job that is put aside meanwhile clears its occurrences. The cycle then raised RuntimeError (dictionary changed size during iteration), which ends a term. It needs an owner that may not send orders for 15 s, so no caller has seen it.

The steps are listed before the first run is stopped. The new test of tests/test_deferred_stops.py failed before with that error.

As a precaution, without a fault shown: a start that waits for its turn is not sent any more once its job is final, also while the stop of its run is deferred.

--- a/src/lycheerelay/serving/_orders.py
+++ b/src/lycheerelay/serving/_orders.py
@@ -239,7 +239,9 @@
 
 def _is_start_pending(context: OwnerContext, command: StartRun) -> bool:
     run = context.cell.find_run(command.worker.worker_id, command.run)
-    return run is not None and run.state is RunState.SENT
+    if run is None or run.step.job.is_final:
+        return False
+    return run.state is RunState.SENT
 
 
 def _is_start_allowed(context: OwnerContext, command: StartRun) -> bool:
--- a/src/lycheerelay/workflow/_intake.py
+++ b/src/lycheerelay/workflow/_intake.py
@@ -120,7 +120,8 @@
 
 
 def _runs_of(job: JobInfo) -> Iterator[Run]:
-    for step in steps_of(job):
+    # The job may be put aside before the last of its runs is asked for.
+    for step in list(steps_of(job)):
         for task in step.tasks:
             yield from list(task.runs.values())
 
--- a/tests/test_deferred_stops.py
+++ b/tests/test_deferred_stops.py
@@ -95,3 +95,14 @@
     cell = _running_cell({'narrow': 40})
     cancel(cell, 'narrow', 0)
     assert _stop_all(cell) == [40, 0]
+
+
+def test_a_job_that_is_put_aside_meanwhile_ends_no_cycle() -> None:
+    cell = _running_cell({'wide': 600, 'other': 600})
+    for name in ('wide', 'other'):
+        cancel(cell, name, 0)
+    for name in ('wide', 'other'):
+        cell.jobs[name].occurrences.clear()
+    counts = _stop_all(cell)
+    assert max(counts) <= MAX_STOPS_PER_CYCLE
+    assert sum(counts) == 600
