Poll workers less often while most of their runs are stopped

Change: the delay of a poll may be 1 s while most runs of the worker are being stopped, as their capacity is not wanted at once. After a delay of 400 ms the ends that are listed cannot be acknowledged, so another poll follows at once. Two tests: the delay, and that all ends are acknowledged in the end.

--- a/src/lycheerelay/platform/_workers.py
+++ b/src/lycheerelay/platform/_workers.py
@@ -1,5 +1,6 @@
 """Client of the workers: polls, starts, stops and paces."""
 
+import functools
 import logging
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any, Final, final
@@ -42,6 +43,8 @@
 OK: Final = 200
 CONFLICT: Final = 409
 CORES_MILLI: Final = 1000
+# Names of tasks that are kept with what they stand for, about 300 bytes each.
+MAX_CACHED_NAMES: Final = 16_384
 # A worker lists at most this many ends in one answer.
 MAX_LISTED_ENDS: Final = 500
 
@@ -147,6 +150,10 @@
     return TaskKey(job_id, int(occurrence), int(step), int(member))
 
 
+# Polls list the same tasks again and again.
+_find_task = functools.lru_cache(MAX_CACHED_NAMES)(parse_task_name)
+
+
 def _run_fields(order: StopOrder | PaceOrder) -> dict[str, object]:
     return {
         'task': format_task_name(order.run.task),
@@ -191,7 +198,7 @@
 def _decode_rows(rows: list[list[Any]]) -> Iterator[RunTableRow]:
     for name, number, checkpoint, percent, *rest in rows:
         yield RunTableRow(
-            RunKey(parse_task_name(name), int(number)),
+            RunKey(_find_task(name), int(number)),
             str(checkpoint or ''),
             int(percent),
             int(rest[0]) if rest else 0,
--- a/src/lycheerelay/serving/_poll_pace.py
+++ b/src/lycheerelay/serving/_poll_pace.py
@@ -12,9 +12,11 @@
 # Rows beyond these that all workers together may list in a ms. Decoding and applying
 # one takes 7 us of a processor.
 ROWS_PER_MS: Final = 4
-# A poll is not delayed for longer, since ends are acknowledged only shortly after
-# the last answer of their worker.
+# Longest delay of a poll. Until it, the capacity of runs that have ended is idle.
 MAX_DELAY_MS: Final = 250
+# The same while most runs of the worker are being stopped; each poll that found no
+# end would wait there for as long.
+MAX_STOPPING_DELAY_MS: Final = 1000
 
 
 @final
@@ -31,6 +33,10 @@
         begun_ms = max(self.used_until_ms, now_ms)
         self.used_until_ms = begun_ms + charged / ROWS_PER_MS
 
-    def delay_ms(self, now_ms: int) -> float:
-        """Return how long to wait before the next poll of the worker, in ms."""
-        return min(max(self.used_until_ms - now_ms, 0), MAX_DELAY_MS)
+    def delay_ms(self, now_ms: int, *, is_stopping: bool = False) -> float:
+        """Return how long to wait before the next poll of the worker, in ms.
+
+        `is_stopping` says that most runs of the worker are being stopped.
+        """
+        longest_ms = MAX_STOPPING_DELAY_MS if is_stopping else MAX_DELAY_MS
+        return min(max(self.used_until_ms - now_ms, 0), longest_ms)
--- a/src/lycheerelay/serving/_worker_poller.py
+++ b/src/lycheerelay/serving/_worker_poller.py
@@ -66,6 +66,8 @@
         self.address = address
         self.on_other_instance = on_other_instance
         self.clock = WorkerClock()
+        # How long the last poll was delayed.
+        self.delayed_ms: float = 0
         # Set when a registration of the worker has been read.
         self.registered = asyncio.Event()
 
@@ -186,10 +188,25 @@
             return
         pace = self.context.poll_pace
         pace.charge(len(reply.table.rows), self.context.now_ms)
-        delay_ms = pace.delay_ms(self.context.now_ms)
+        worker = self.context.cell.workers.get(self.key)
+        if worker is None or self._must_acknowledge():
+            return
+        delay_ms = pace.delay_ms(
+            self.context.now_ms, is_stopping=worker.is_mostly_stopping
+        )
         if delay_ms:
+            self.delayed_ms = delay_ms
             await asyncio.sleep(delay_ms / MS_PER_SECOND)
 
+    def _must_acknowledge(self) -> bool:
+        """Return whether the poll before came too late to acknowledge ends.
+
+        The ends that it has listed are acknowledged by another one at once.
+        """
+        delayed_ms = self.delayed_ms
+        self.delayed_ms = 0
+        return delayed_ms >= MAX_SILENCE_MS
+
     async def _are_jobs_known(self) -> bool:
         """Wait for the end of a takeover, but not past the next poll.
 
--- a/src/lycheerelay/workflow/_answers.py
+++ b/src/lycheerelay/workflow/_answers.py
@@ -156,7 +156,8 @@
     """Resend unanswered stops and stop runs whose start is uncertain."""
     for worker in cell.workers.values():
         for run in list(worker.runs.values()):
-            _repeat_stop(cell, run, now_ms)
+            if run.state is not RunState.RUNNING:
+                _repeat_stop(cell, run, now_ms)
 
 
 # A start without an answer is voided after this time unless a poll shows its
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -342,6 +342,14 @@
         """Return whether the runs need more than the worker has now."""
         return min(self.free) < 0
 
+    @property
+    def is_mostly_stopping(self) -> bool:
+        """Return whether most of the runs are being stopped."""
+        stopping = sum(
+            run.state is RunState.STOPPING for run in self.runs.values()
+        )
+        return 2 * stopping > len(self.runs)
+
     def allocate(self, run: Run) -> None:
         """Allocate the demand of a run."""
         self.runs[run.key] = run
--- a/tests/test_poll_pace.py
+++ b/tests/test_poll_pace.py
@@ -12,7 +12,12 @@
 import pytest
 
 from lycheerelay.serving import _worker_poller
-from lycheerelay.serving._poll_pace import FREE_ROWS, MAX_DELAY_MS, PollPace
+from lycheerelay.serving._poll_pace import (
+    FREE_ROWS,
+    MAX_DELAY_MS,
+    MAX_STOPPING_DELAY_MS,
+    PollPace,
+)
 from lycheerelay.workflow import CellState, RunTable, apply_run_table
 from lycheerelay_standins.platform import (
     CellShape,
@@ -83,7 +88,34 @@
 
 
 def test_the_delay_of_a_poll_is_bounded() -> None:
-    """Ends of a worker that was silent for longer are not acknowledged."""
+    """The capacity of runs that have ended is idle until it."""
     pace = PollPace()
     pace.charge(100_000, 0)
     assert pace.delay_ms(0) == MAX_DELAY_MS
+
+
+def test_polls_of_a_stopping_worker_may_wait_longer() -> None:
+    """The capacity of its runs is not wanted as soon as they end."""
+    pace = PollPace()
+    pace.charge(100_000, 0)
+    assert pace.delay_ms(0, is_stopping=True) == MAX_STOPPING_DELAY_MS
+
+
+def test_ends_are_acknowledged_after_long_delays_of_polls() -> None:
+    """An answer that is older says nothing of the instance that is polled."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        body = job(step(TASKS, cpu=100, memMb=1, estimatedMs=WORK_MS))
+        name, _ = await cell.submit('vm-0', body, work_ms=WORK_MS)
+        await asyncio.sleep(8)
+        owner = cell.entries[cell.owner()].handler.owner
+        assert owner is not None
+        owner.context.poll_pace.used_until_ms = cell.clock.now_ms() + 60_000
+        await cell.cancel('vm-0', name)
+        await asyncio.sleep(BOUND_S)
+        assert _running(cell) == 0
+        await asyncio.sleep(3)
+        assert not any(worker.ended for worker in cell.workers.values())
+
+    shape = CellShape(vms=2, workers=(Shape('cpu', 128_000),) * WORKERS)
+    play(scenario, shape)
