--- a/src/lycheerelay/serving/_channel_budget.py
+++ b/src/lycheerelay/serving/_channel_budget.py
@@ -75,8 +75,6 @@
 
 
 async def _take_channel(turns: _Turns, timeout_ms: int) -> bool:
-    if not turns.channels.locked():
-        return await turns.channels.acquire()
     try:
         async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
             return await turns.channels.acquire()
