Show that clients which do not behave end a process

Nothing in the product bounds what connections hold.

These tests start deploy/serve.py and the stand-ins on the loopback network, on a machine of 96 MB and 400 descriptors by the test's own settings, let a crowd come and stay, and check that the process lives, that its memory with what the kernel holds unread and its sockets stay within the machine, and that an ordinary job is accepted afterwards. The kinds of clients are in _crowd.py of the stand-ins.

Crowd and bounds stay as they are.

--- a/src/lycheerelay_standins/platform/__init__.py
+++ b/src/lycheerelay_standins/platform/__init__.py
@@ -4,7 +4,8 @@
 from ._audit_tenants import ObservedCall, TenantAudit
 from ._callers import KeyedCaller
 from ._cell import PlatformCell
-from ._environment import CellShape, QueueShape
+from ._crowd import CROWDS, Crowd, chunked, job_of_size, request_head
+from ._environment import CellShape, MachineShape, QueueShape
 from ._freezing import FreezableLoop
 from ._fuzz import FuzzResult, fuzz
 from ._fuzz_faults import FAULTS
@@ -17,16 +18,19 @@
 from ._worker import Shape, WorkerStandIn
 
 __all__ = (
+    'CROWDS',
     'FAULTS',
     'TENANT_FAULTS',
     'Audit',
     'CellShape',
     'Credential',
+    'Crowd',
     'EmulatedNetwork',
     'FreezableLoop',
     'FuzzResult',
     'KeyedCaller',
     'LoopClock',
+    'MachineShape',
     'NetCaller',
     'ObservedCall',
     'ObservedRun',
@@ -40,7 +44,10 @@
     'TenantBounds',
     'TenantShape',
     'WorkerStandIn',
+    'chunked',
     'fuzz',
+    'job_of_size',
+    'request_head',
     'run_virtual',
     'soak',
 )
--- a/src/lycheerelay_standins/platform/_environment.py
+++ b/src/lycheerelay_standins/platform/_environment.py
@@ -46,6 +46,13 @@
     is_public: bool = False
 
 
+class MachineShape(NamedTuple):
+    """Memory and file descriptors of a machine that runs an entry VM."""
+
+    memory_mb: int
+    file_descriptors: int
+
+
 class CellShape(NamedTuple):
     """Size and settings of a cell.
 
@@ -55,6 +62,8 @@
     A worker accepts `worker_channels` channels, any number with 0. With
     `allowed_share`, the advisor allows that share of the workers for each step, and
     serves one call of a VM at a time, which takes the times of its queue.
+    Without `machine` the settings of a VM name no limits of memory and descriptors.
+    `caller_limits` are the fields of the configuration's limits for callers.
     """
 
     vms: int = 3
@@ -70,6 +79,8 @@
     worker_channels: int = 0
     record_bytes: int = RECORD_BYTES
     allowed_share: float = 0
+    machine: MachineShape | None = None
+    caller_limits: tuple[tuple[str, int], ...] = ()
 
 
 class Environment(ABC):
@@ -136,7 +147,10 @@
             'version': self.version,
             'routes': routes,
             'services': [{'name': pool} for pool in pools],
-            'limits': {'maxBodyBytes': 262144},
+            'limits': {
+                'maxBodyBytes': 262144,
+                **dict(self.shape.caller_limits),
+            },
         }
         if self.shape.tenants:
             for route, queue in zip(routes, self.shape.queues, strict=True):
--- a/src/lycheerelay_standins/platform/_soak_cell.py
+++ b/src/lycheerelay_standins/platform/_soak_cell.py
@@ -45,6 +45,12 @@
 [platform]
 address = "{store}"
 minTtlMs = 1000
+{machine_limits}
+"""
+MACHINE_LIMITS: Final = """
+[limits]
+memoryMb = {machine.memory_mb}
+fileDescriptors = {machine.file_descriptors}
 """
 TENANT_BOUNDS: Final = """
 strictRevocation = true
@@ -220,6 +226,7 @@
             'store': proxy.address,
             'lease_ms': self.shape.lease_ms,
             'tenant_bounds': self._tenant_bounds(),
+            'machine_limits': self._machine_limits(),
         }
         (self.folder / f'{name}.toml').write_text(SETTINGS.format(**fields))
         self.hosts[name] = host
@@ -233,6 +240,11 @@
             return ''
         return TENANT_BOUNDS.format(bounds=self.shape.bounds)
 
+    def _machine_limits(self) -> str:
+        if self.shape.machine is None:
+            return ''
+        return MACHINE_LIMITS.format(machine=self.shape.machine)
+
     async def _handle_store_call(self, request: Request) -> Reply:
         status = self.net.failing_status('', request)
         if status is not None:
