Do not refuse a job while nobody knows whether it was accepted

A repeat of an accepted job that is predicted to be too late could get 429, which promises that it was not accepted and never runs, while the job runs.

Cause: before such a refusal the VM asks the owner for the job. No answer within OWNER_QUERY_TIMEOUT_MS was taken for "not known".

Evidence: the new test cuts a VM from the owner and submits an accepted job again; before the change it got 429.

The fix: without an answer the outcome is unknown (504), so the caller asks again. It works as a refusal is now returned only after an answer that does not know the job.

--- a/src/lycheerelay/serving/_request_handler.py
+++ b/src/lycheerelay/serving/_request_handler.py
@@ -298,13 +298,18 @@
     async def _accept_known_or(
         self, refusal: RequestResult, job_id: str, identity: Identity
     ) -> RequestResult:
-        """Return success for an already accepted job, else the refusal."""
+        """Return success for an already accepted job, else the refusal.
+
+        The outcome is unknown if the owner cannot tell.
+        """
         known = await self._query_owner(
             '/state',
             {'job': job_id, **encode_identity(identity)},
             OWNER_QUERY_TIMEOUT_MS,
         )
-        if known is not None and known.get('phase') is not None:
+        if known is None:
+            return RequestResult(RequestStatus.UNKNOWN_OUTCOME)
+        if known.get('phase') is not None:
             return RequestResult(RequestStatus.OK)
         return refusal
 
--- /dev/null
+++ b/tests/test_true_refusals.py
@@ -0,0 +1,41 @@
+"""Refuse only jobs that were not accepted before.
+
+Guards against a 429 or 503 for a job that runs: callers take it for a promise.
+"""
+
+import asyncio
+
+from lycheerelay.platform._ingress import HTTP_STATUSES
+from lycheerelay.serving import RequestResult, RequestStatus
+from lycheerelay_standins.platform import CellShape, PlatformCell, Shape
+from platform_days import job, play, step
+
+ONE_WORKER = CellShape(workers=(Shape('cpu'),))
+NEVER_RUNS = (429, 503)
+
+
+def cut_from_owner(cell: PlatformCell) -> str:
+    """Let a VM reach the store but not the owner; return its name."""
+    owner = cell.owner()
+    vm = next(name for name in sorted(cell.entries) if name != owner)
+
+    async def find_no_owner(*_args: object) -> None:
+        await asyncio.sleep(0.5)
+
+    cell.entries[vm].handler._query_owner = find_no_owner
+    return vm
+
+
+def test_an_accepted_job_is_refused_as_too_late_while_nobody_knows() -> None:
+    """While the owner does not answer, the caller is told to ask again."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        name, _ = await cell.submit('vm-0', job(step(1)))
+        vm = cut_from_owner(cell)
+        handler = cell.entries[vm].handler
+        refusal = RequestResult(RequestStatus.TOO_LATE, retry_after_s=2)
+        handler._find_refusal = lambda _spec: refusal
+        _, again = await cell.submit(vm, job(step(1)), job_id=name)
+        assert HTTP_STATUSES[again.status] not in NEVER_RUNS
+
+    play(scenario, ONE_WORKER)
