Bound the connections of callers by the descriptors of the machine

Callers saw: a process that could open no more connections, neither to the store nor for callers.

Cause: nothing bounded the connections; limits.fileDescriptors and memoryMb of the settings were read nowhere, and one turn of asyncio accepts 512 connections.

Evidence: 300 silent connections left 314 sockets on a machine with 200 for them.

The fix: connections report what they hold to a table. Over the budget of the listener some give way, by a pure decision in serving/_connection_limits.py: stalled requests first, whole ones never. It works as the number is checked with each accepted connection, of which there are 16 in a turn at most.

Measured, each test alone, once: test_silent_connections_use_up_the_descriptors failed before and passes.

--- /dev/null
+++ b/src/lycheerelay/platform/_connections.py
@@ -0,0 +1,140 @@
+"""Serve HTTP on connections that report what they hold.
+
+`serving.connections` decides which of them give way; the table of connections carries
+its decisions out.
+"""
+
+import asyncio
+from typing import Any, Final
+
+from aiohttp import web
+
+from ..serving.connections import ConnectionLoad, Stage
+from ._connection_account import ConnectionAccount
+from ._connection_table import ConnectionTable
+
+# Bytes that one connection delivers at a time.
+READ_BYTES: Final = 16_384
+# Idle connections stay open for longer than callers pause, so that no request
+# arrives while its connection is being closed.
+IDLE_TIMEOUT_S: Final = 75
+
+JOB_METHODS: Final = frozenset(('POST', 'GET', 'DELETE'))
+
+
+class GuardedConnection(web.RequestHandler):
+    """One connection, which reports what it holds."""
+
+    def __init__(self, table: ConnectionTable, **options: Any) -> None:
+        """Belong to a table, which cuts connections."""
+        super().__init__(
+            **options,
+            keepalive_timeout=IDLE_TIMEOUT_S,
+            access_log=None,  # type: ignore[arg-type]
+        )
+        self.table = table
+        now_ms = table.now_ms()
+        self.account = ConnectionAccount(now_ms, now_ms)
+        # Body of the newest request.
+        self.payload: Any = None
+
+    @property
+    def stage(self) -> Stage:
+        """Return what the connection waits for."""
+        if self.is_in_body and self.account.unanswered <= 1:
+            return Stage.BODY
+        if self.account.unanswered:
+            return Stage.HANDLING
+        if self.account.head_bytes:
+            return Stage.HEAD
+        return Stage.IDLE if self._request_count else Stage.UNUSED
+
+    @property
+    def is_in_body(self) -> bool:
+        """Return whether the newest request lacks a part of its body."""
+        return self.payload is not None and not self.payload.is_eof()
+
+    @property
+    def job_id(self) -> str:
+        """Return the job of the current request, or an empty string."""
+        request = self._current_request
+        if request is None or request.method not in JOB_METHODS:
+            return ''
+        return request.path.rpartition('/')[2]
+
+    def load(self) -> ConnectionLoad:
+        """Return what the connection waits for and holds."""
+        return ConnectionLoad(
+            id(self),
+            self.stage,
+            self.account.held_bytes,
+            self.account.received_bytes,
+            self.account.begun_ms,
+            self.account.progressed_ms,
+        )
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Bound the buffers of a new connection."""
+        # asyncio reads at most this many bytes at a time.
+        transport.max_size = READ_BYTES  # type: ignore[attr-defined]
+        super().connection_made(transport)
+        self.table.add(self)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Forget the connection, and what would keep it in a cycle."""
+        self.table.remove(self, self.account.counted_bytes)
+        super().connection_lost(exc)
+        self.payload = None
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; none if the parser goes on after a pause."""
+        count = self._request_count
+        is_body = self.is_in_body
+        now_ms = self.table.now_ms()
+        if not is_body and not self.account.head_bytes:
+            self.account.begin_request(now_ms)
+        super().data_received(data)
+        self.account.receive(data, now_ms)
+        heads = self._request_count - count
+        if heads or not is_body:
+            self._take_head(data, heads)
+        self.count()
+
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Count an answer until the peer has taken it."""
+        raw = getattr(resp, 'body', None)
+        self.account.answer(len(raw) if isinstance(raw, bytes) else 0)
+        self.count()
+        try:
+            return await super().finish_response(request, resp, start_time)
+        finally:
+            self.account.finish_answer(self.table.now_ms())
+            self.count()
+
+    def cut(self, cause: str) -> None:
+        """Close the connection at once, without an answer."""
+        self.table.report(self, cause)
+        self.table.remove(self, self.account.counted_bytes)
+        self._abort()
+
+    def count(self) -> None:
+        """Tell the table what the connection holds now."""
+        account = self.account
+        change = account.held_bytes - account.counted_bytes
+        if change and id(self) in self.table.open:
+            account.counted_bytes += change
+            self.table.change_held(change)
+
+    def _take_head(self, piece: bytes, heads: int) -> None:
+        self.account.receive_head(piece, heads)
+        if heads and self._messages:
+            self.payload = self._messages[-1][1]
+
+    def _abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
--- a/src/lycheerelay/platform/_serve.py
+++ b/src/lycheerelay/platform/_serve.py
@@ -13,7 +13,11 @@
 
 from .._clock import MS_PER_SECOND, SystemClock
 from ..serving import HttpCalls, is_workflow_path, set_up_event_log
+from ..serving.connections import Listener, make_budget
+from ._connection_table import ListenerParts
 from ._entry import Entry
+from ._listening import accept_connections, bind_socket
+from ._server import GuardedServer
 from ._settings import PlatformSettings, read_settings
 
 logger = logging.getLogger('lycheerelay.serve')
@@ -50,7 +54,7 @@
     def __init__(self, entry: Entry) -> None:
         """Limit the times of a stop to shares of the grace period."""
         self.entry = entry
-        self.caller_sites: list[web.TCPSite] = []
+        self.caller_sites: list[web.SockSite] = []
         self.runners: list[web.ServerRunner] = []
         grace_ms = entry.settings.stop_grace_ms
         self.drain_ms = min(MAX_DRAIN_MS, grace_ms * MAX_DRAIN_SHARE)
@@ -93,10 +97,22 @@
         )
         await self._start_site(internal, self._internal_api)
         await self._start_site(metrics, self._metrics)
-        site = await self._start_site(
-            settings.callers_address,
-            self.entry.ingress.handle,
+        await self._accept_callers(settings.callers_address)
+
+    async def _accept_callers(self, address: str) -> None:
+        entry = self.entry
+        listener = Listener.CALLERS
+        parts = ListenerParts(
+            listener,
+            make_budget(entry.settings.machine, listener),
+            entry.clock,
+            entry.metrics,
         )
+        server = GuardedServer(entry.ingress.handle, parts)
+        runner = web.ServerRunner(server, shutdown_timeout=CLOSE_TIMEOUT_S)
+        await runner.setup()
+        self.runners.append(runner)
+        site = await accept_connections(runner, bind_socket(address))
         self.caller_sites.append(site)
 
     async def _start_site(self, address: str, handler: object) -> web.TCPSite:
--- a/src/lycheerelay/serving/connections.py
+++ b/src/lycheerelay/serving/connections.py
@@ -1,9 +1,23 @@
-"""Bounds of what callers hold in a process."""
+"""Bounds of what callers hold in a process, and the order in which they give way."""
 
 from ._body_turns import BodyTurns
-from ._connection_limits import MachineLimits
+from ._connection_limits import (
+    ConnectionBudget,
+    ConnectionLoad,
+    Listener,
+    MachineLimits,
+    Stage,
+    make_budget,
+    select_for_sockets,
+)
 
 __all__ = (
     'BodyTurns',
+    'ConnectionBudget',
+    'ConnectionLoad',
+    'Listener',
     'MachineLimits',
+    'Stage',
+    'make_budget',
+    'select_for_sockets',
 )
