Bound what the connections of callers hold in memory

Callers saw: a process that ran out of memory under bodies of legal size, whole, in pieces or in chunks, that stop short of their end and stay open.

Cause: nothing bounded the bodies that are held at once or the time of one body; compressed ones were not counted as what they are decoded to, and bodies of requests that need none were read whole.

The fix: each connection counts what it holds; over the budget of the listener the unfinished requests give way by a pure decision, the longest stalled first, whole requests never. It works as each received piece is counted before the next one is read. Cut connections get no answer: a 503 would promise too much for a job that may have been accepted before. The limits of requests come from the configuration.

--- a/src/lycheerelay/platform/_connection_account.py
+++ b/src/lycheerelay/platform/_connection_account.py
@@ -19,6 +19,7 @@
     head_bytes: int = 0
     # Parsed bytes that nobody has read yet, with the cost of fields.
     unread_bytes: int = 0
+    body_bytes: int = 0
     answer_bytes: int = 0
     received_bytes: int = 0
     # Requests whose head is complete and that have no answer yet.
@@ -29,7 +30,7 @@
     @property
     def held_bytes(self) -> int:
         """Return the bytes that the connection holds."""
-        return self.unread_bytes + self.answer_bytes
+        return self.unread_bytes + self.body_bytes + self.answer_bytes
 
     def begin_request(self, now_ms: int) -> None:
         """Notice that the next byte is the first one of a request."""
@@ -53,6 +54,12 @@
         else:
             self.head_bytes += len(piece)
 
+    def read_body(self, size: int, *, is_parser_empty: bool) -> None:
+        """Count a body of which a handler has read so many bytes."""
+        self.body_bytes = size
+        if is_parser_empty:
+            self.unread_bytes = 0
+
     def answer(self, size: int) -> None:
         """Count an answer that is sent."""
         self.answer_bytes = size
@@ -62,5 +69,6 @@
         self.progressed_ms = now_ms
         self.unanswered -= 1
         self.answer_bytes = 0
+        self.body_bytes = 0
         if not self.unanswered:
             self.unread_bytes = self.head_bytes
--- a/src/lycheerelay/platform/_connection_table.py
+++ b/src/lycheerelay/platform/_connection_table.py
@@ -1,7 +1,9 @@
 """Hold the connections of one listener within its budget."""
 
+import asyncio
 import logging
-from typing import NamedTuple, Protocol, final
+from collections.abc import Callable
+from typing import Final, NamedTuple, Protocol, final
 
 from .._clock import Clock
 from ..serving import MetricsRegistry
@@ -9,17 +11,28 @@
     ConnectionBudget,
     ConnectionLoad,
     Listener,
+    RequestLimits,
+    Stage,
+    select_for_memory,
     select_for_sockets,
+    select_overdue,
 )
 
 logger = logging.getLogger('lycheerelay.connections')
 
+# Interval at which the time limits of unfinished requests are checked.
+SWEEP_INTERVAL_S: Final = 0.5
+
+LimitsSource = Callable[[], RequestLimits]
+Selection = Callable[[list[ConnectionLoad], ConnectionBudget, int], list[int]]
+
 
 class ListenerParts(NamedTuple):
     """What the connections of a listener share."""
 
     listener: Listener
     budget: ConnectionBudget
+    find_limits: LimitsSource
     clock: Clock
     metrics: MetricsRegistry
 
@@ -31,12 +44,19 @@
     def job_id(self) -> str:
         """Return the job of the current request, or an empty string."""
 
+    @property
+    def is_unfinished(self) -> bool:
+        """Return whether a time limit applies to the connection."""
+
     def load(self) -> ConnectionLoad:
         """Return what the connection waits for and holds."""
 
     def cut(self, cause: str) -> None:
         """Close the connection at once, without an answer."""
 
+    def end_overdue(self, stage: Stage) -> None:
+        """End a connection that has reached a time limit."""
+
 
 @final
 class ConnectionTable:
@@ -47,6 +67,7 @@
         self.parts = parts
         self.open: dict[int, HeldConnection] = {}
         self.held_bytes = 0
+        self.sweep: asyncio.TimerHandle | None = None
 
     def now_ms(self) -> int:
         """Return the time of the clock of the process."""
@@ -56,7 +77,7 @@
         """Add a connection; others or itself may have to give way."""
         self.open[id(connection)] = connection
         if len(self.open) > self.parts.budget.connections:
-            self._cut()
+            self._cut(select_for_sockets, 'sockets')
 
     def remove(self, connection: HeldConnection, held_bytes: int) -> None:
         """Forget a connection and what is counted for it."""
@@ -64,8 +85,16 @@
             self.held_bytes -= held_bytes
 
     def change_held(self, change_bytes: int) -> None:
-        """Add to what the connections hold."""
+        """Add to what the connections hold; some may have to give way."""
         self.held_bytes += change_bytes
+        if change_bytes > 0 and self.held_bytes > self.parts.budget.held_bytes:
+            self._cut(select_for_memory, 'memory')
+
+    def watch(self) -> None:
+        """Check the time limits of requests until none is unfinished."""
+        if self.sweep is None:
+            loop = asyncio.get_running_loop()
+            self.sweep = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
     def report(
         self, connection: HeldConnection, cause: str, status: int = 0
@@ -96,8 +125,16 @@
     def _loads(self) -> list[ConnectionLoad]:
         return [connection.load() for connection in self.open.values()]
 
-    def _cut(self) -> None:
+    def _cut(self, select: Selection, cause: str) -> None:
         loads = self._loads()
-        budget = self.parts.budget
-        for key in select_for_sockets(loads, budget, self.now_ms()):
-            self.open[key].cut('sockets')
+        for key in select(loads, self.parts.budget, self.now_ms()):
+            self.open[key].cut(cause)
+
+    def _sweep(self) -> None:
+        self.sweep = None
+        limits = self.parts.find_limits()
+        overdue = select_overdue(self._loads(), limits, self.now_ms())
+        for load in tuple(overdue):
+            self.open[load.key].end_overdue(load.stage)
+        if any(connection.is_unfinished for connection in self.open.values()):
+            self.watch()
--- a/src/lycheerelay/platform/_connections.py
+++ b/src/lycheerelay/platform/_connections.py
@@ -15,10 +15,17 @@
 
 # Bytes that one connection delivers at a time.
 READ_BYTES: Final = 16_384
+# Parsed bytes of one connection, beyond which reading pauses.
+PARSED_BYTES: Final = 16_384
+# After an answer to an unfinished request, what still comes is dropped for this
+# long, so that a reset does not overtake the answer.
+LINGER_S: Final = 2
 # Idle connections stay open for longer than callers pause, so that no request
 # arrives while its connection is being closed.
 IDLE_TIMEOUT_S: Final = 75
 
+# Errors of a request, not of the code that handles it.
+PEER_ERRORS: Final = (web.RequestPayloadError, ConnectionError)
 JOB_METHODS: Final = frozenset(('POST', 'GET', 'DELETE'))
 
 
@@ -29,6 +36,8 @@
         """Belong to a table, which cuts connections."""
         super().__init__(
             **options,
+            read_bufsize=PARSED_BYTES,
+            lingering_time=LINGER_S,
             keepalive_timeout=IDLE_TIMEOUT_S,
             access_log=None,  # type: ignore[arg-type]
         )
@@ -54,6 +63,11 @@
         """Return whether the newest request lacks a part of its body."""
         return self.payload is not None and not self.payload.is_eof()
 
+    @property
+    def is_unfinished(self) -> bool:
+        """Return whether a time limit applies to the connection."""
+        return self.is_in_body
+
     @property
     def job_id(self) -> str:
         """Return the job of the current request, or an empty string."""
@@ -98,6 +112,11 @@
         heads = self._request_count - count
         if heads or not is_body:
             self._take_head(data, heads)
+        self._check()
+
+    def hold_body(self, size: int) -> None:
+        """Count the bytes of a body that a handler has read so far."""
+        self.account.read_body(size, is_parser_empty=not self._messages)
         self.count()
 
     async def finish_response(
@@ -122,6 +141,10 @@
         self.table.remove(self, self.account.counted_bytes)
         self._abort()
 
+    def end_overdue(self, stage: Stage) -> None:
+        """End a connection that has reached a time limit."""
+        self.cut(f'{stage.value}_timeout')
+
     def count(self) -> None:
         """Tell the table what the connection holds now."""
         account = self.account
@@ -135,6 +158,11 @@
         if heads and self._messages:
             self.payload = self._messages[-1][1]
 
+    def _check(self) -> None:
+        self.count()
+        if self.is_unfinished:
+            self.table.watch()
+
     def _abort(self) -> None:
         if self.transport is not None:
             self.transport.abort()
--- a/src/lycheerelay/platform/_decode.py
+++ b/src/lycheerelay/platform/_decode.py
@@ -9,6 +9,7 @@
 
 from .._resources import Resources
 from ..serving import CONFIG_KEY, KeyedRecord, Queue, QueueTable, digest_of
+from ..serving.connections import RequestLimits
 from ..workflow import (
     MAX_TASKS_PER_JOB,
     MAX_TASKS_PER_STEP,
@@ -60,12 +61,23 @@
             _decode_queue(route, requires_keys) for route in fields['routes']
         ),
         pools=frozenset(pool['name'] for pool in fields['services']),
-        max_body_bytes=int(fields['limits']['maxBodyBytes']),
+        request_limits=_decode_request_limits(fields.get('limits') or {}),
         tenants=tuple(map(_decode_tenant, fields.get('tenants') or ())),
         requires_keys=requires_keys,
     )
 
 
+def _decode_request_limits(fields: Mapping[str, Any]) -> RequestLimits:
+    # A field that is missing, empty or 0 has its default.
+    defaults = RequestLimits()
+    return RequestLimits(
+        int(fields.get('maxHeaderBytes') or defaults.header_bytes),
+        int(fields.get('maxBodyBytes') or defaults.body_bytes),
+        int(fields.get('headerTimeoutMs') or defaults.header_ms),
+        int(fields.get('idleTimeoutMs') or defaults.idle_ms),
+    )
+
+
 def _decode_tenant(fields: Mapping[str, Any]) -> TenantPolicy:
     weight = float(fields.get('weight') or 0)
     if not 0 <= weight <= MAX_NUMBER:
--- a/src/lycheerelay/platform/_entry.py
+++ b/src/lycheerelay/platform/_entry.py
@@ -28,7 +28,7 @@
     dump_process,
     previous_orders_expire_ms,
 )
-from ..serving.connections import BodyTurns
+from ..serving.connections import BodyTurns, RequestLimits
 from ..workflow import CellState
 from ..workflow.tenants import TenantLedger
 from ._advisor import AdvisorClient
@@ -147,6 +147,11 @@
         """Serve requests from the owner of a new term, or from none."""
         self.handler.owner = owner
 
+    def find_request_limits(self) -> RequestLimits:
+        """Return the limits of requests, defaults before a configuration."""
+        table = self.config.table
+        return RequestLimits() if table is None else table.request_limits
+
     def find_table(self) -> QueueTable | None:
         """Return the configuration in force, or None before the first one."""
         return self.config.table
--- a/src/lycheerelay/platform/_ingress.py
+++ b/src/lycheerelay/platform/_ingress.py
@@ -23,6 +23,7 @@
     RequestStatus,
 )
 from ..serving.connections import BodyTurns
+from ._bodies import BodyFault, read_body
 from ._decode import decode_job
 
 logger = logging.getLogger('lycheerelay.ingress')
@@ -69,21 +70,26 @@
 }
 NOT_FOUND: Final = 404
 BAD_REQUEST: Final = 400
-CONTENT_TOO_LARGE: Final = 413
 METHOD_NOT_ALLOWED: Final = 405
 SERVICE_UNAVAILABLE: Final = 503
+BODY_ERRORS: Final = {
+    BodyFault.TOO_LARGE: 'the request body is too large',
+    BodyFault.MALFORMED: 'the request body is malformed or incomplete',
+}
 
 
 class Target(NamedTuple):
     """Queue, job and caller of a request, by one version of the configuration.
 
-    `job_id` is the rest of the path and may be empty or malformed.
+    `job_id` is the rest of the path and may be empty or malformed. `raw` is the
+    body of a submission.
     """
 
     queue: Queue
     job_id: str
     table: QueueTable
     identity: Identity
+    raw: bytes = b''
 
 
 @final
@@ -150,14 +156,21 @@
 
     async def _route(self, request: web.BaseRequest) -> web.Response:
         admitted = self.admit(request)
-        if isinstance(admitted, Ok) and request.can_read_body:
+        raw = b''
+        if isinstance(admitted, Ok) and request.method == 'POST':
+            limits = admitted.ok_value.table.request_limits
+            body = await read_body(request, limits.body_bytes)
+            if isinstance(body, Err):
+                return _unread_body_response(body.err_value)
+            raw = body.ok_value
             # The body may arrive much later than the header, and the key may be
             # revoked in between.
-            await request.read()
             admitted = self.admit(request)
         if isinstance(admitted, Err):
             return admitted.err_value
-        return await self._dispatch(request, admitted.ok_value)
+        return await self._dispatch(
+            request, admitted.ok_value._replace(raw=raw)
+        )
 
     async def _dispatch(
         self, request: web.BaseRequest, target: Target
@@ -196,30 +209,23 @@
     target: Target,
 ) -> web.Response:
     """Submit a job."""
-    raw = await request.read()
-    if len(raw) > target.table.max_body_bytes:
-        return _error_response(
-            CONTENT_TOO_LARGE, 'the request body is too large'
-        )
     timeout_ms = _timeout_ms(request)
     begun_ms = ingress.clock.now_ms()
-    if ingress.turns.expect_wait_ms(len(raw)) > timeout_ms:
+    if ingress.turns.expect_wait_ms(len(target.raw)) > timeout_ms:
         outcome = await ingress.handler.refuse_busy(
             target.job_id, target.queue.policy.name, target.identity
         )
         return _outcome_response(outcome, '')
     try:
-        async with ingress.turns.turn(len(raw), timeout_ms):
+        async with ingress.turns.turn(len(target.raw), timeout_ms):
             waited_ms = ingress.clock.now_ms() - begun_ms
-            return await _submit_body(
-                ingress, target, raw, timeout_ms - waited_ms
-            )
+            return await _submit_body(ingress, target, timeout_ms - waited_ms)
     except TimeoutError:
         logger.info(
             'submission_not_begun',
             extra={
                 'job': target.job_id,
-                'size': len(raw),
+                'size': len(target.raw),
                 'waited_ms': timeout_ms,
             },
         )
@@ -228,17 +234,17 @@
 
 
 async def _submit_body(
-    ingress: Ingress, target: Target, raw: bytes, timeout_ms: int
+    ingress: Ingress, target: Target, timeout_ms: int
 ) -> web.Response:
     begun_ms = ingress.clock.now_ms()
     decoded = decode_job(
-        raw,
+        target.raw,
         target.job_id,
         target.queue.policy,
         begun_ms,
         target.identity.tenant or '',
     )
-    ingress.turns.report_work(len(raw), begun_ms)
+    ingress.turns.report_work(len(target.raw), begun_ms)
     if isinstance(decoded, Err):
         logger.info(
             'submission_malformed',
@@ -307,6 +313,12 @@
     return _json_response(status, body)
 
 
+def _unread_body_response(fault: BodyFault) -> web.Response:
+    response = _error_response(fault.value, BODY_ERRORS[fault])
+    response.force_close()
+    return response
+
+
 def _error_response(
     status: int, error: str, retry_after_s: int = 0
 ) -> web.Response:
--- a/src/lycheerelay/platform/_serve.py
+++ b/src/lycheerelay/platform/_serve.py
@@ -105,6 +105,7 @@
         parts = ListenerParts(
             listener,
             make_budget(entry.settings.machine, listener),
+            entry.find_request_limits,
             entry.clock,
             entry.metrics,
         )
--- a/src/lycheerelay/serving/_connection_limits.py
+++ b/src/lycheerelay/serving/_connection_limits.py
@@ -6,7 +6,7 @@
 """
 
 import enum
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Iterator
 from typing import Final, NamedTuple
 
 BYTES_PER_MB: Final = 1024 * 1024
@@ -19,10 +19,24 @@
 KERNEL_BYTES: Final = 65_536
 # An unfinished request without a byte for this long has stalled.
 STALL_MS: Final = 1000
+# A body that arrives in time takes at most this many idle timeouts in all.
+MAX_BODY_IDLE_TIMES: Final = 4
 # Part of a budget that is freed beyond the excess, so that each selection lasts.
 FREED_PARTS: Final = 8
 
 
+class RequestLimits(NamedTuple):
+    """Limits of one request: sizes in bytes, times in ms.
+
+    The defaults apply to fields that the configuration leaves out.
+    """
+
+    header_bytes: int = 65_536
+    body_bytes: int = BYTES_PER_MB
+    header_ms: int = 10_000
+    idle_ms: int = 60_000
+
+
 class MachineLimits(NamedTuple):
     """Memory in MB and file descriptors of a process; 0 stands for the default."""
 
@@ -110,6 +124,28 @@
     )
 
 
+def select_for_memory(
+    loads: Iterable[ConnectionLoad], budget: ConnectionBudget, now_ms: int
+) -> list[int]:
+    """Return the connections that give way to what the others hold.
+
+    Requests that arrived whole are never among them.
+    """
+    loads = list(loads)
+    excess = sum(load.held_bytes for load in loads) - budget.held_bytes
+    if excess <= 0:
+        return []
+    excess += budget.held_bytes // FREED_PARTS
+    unfinished = [load for load in loads if load.stage in UNFINISHED]
+    selected = []
+    for load in _in_order(unfinished, now_ms):
+        if excess <= 0:
+            break
+        selected.append(load.key)
+        excess -= load.held_bytes
+    return selected
+
+
 def select_for_sockets(
     loads: Iterable[ConnectionLoad], budget: ConnectionBudget, now_ms: int
 ) -> list[int]:
@@ -127,6 +163,33 @@
     return [load.key for load in ordered[:excess]]
 
 
+def select_overdue(
+    loads: Iterable[ConnectionLoad], limits: RequestLimits, now_ms: int
+) -> Iterator[ConnectionLoad]:
+    """Yield the connections that a time limit ends, budget or not."""
+    for load in loads:
+        is_overdue = TIME_LIMITS.get(load.stage)
+        if is_overdue is not None and is_overdue(load, limits, now_ms):
+            yield load
+
+
+def _is_body_overdue(
+    load: ConnectionLoad, limits: RequestLimits, now_ms: int
+) -> bool:
+    total_ms = limits.idle_ms * MAX_BODY_IDLE_TIMES
+    return (
+        now_ms - load.progressed_ms >= limits.idle_ms
+        or now_ms - load.begun_ms >= total_ms
+    )
+
+
+TIME_LIMITS: Final[
+    dict[Stage, Callable[[ConnectionLoad, RequestLimits, int], bool]]
+] = {
+    Stage.BODY: _is_body_overdue,
+}
+
+
 def _in_order(
     loads: Iterable[ConnectionLoad], now_ms: int
 ) -> list[ConnectionLoad]:
--- a/src/lycheerelay/serving/_queues.py
+++ b/src/lycheerelay/serving/_queues.py
@@ -11,6 +11,7 @@
 
 from ..workflow import QueuePolicy
 from ..workflow.tenants import TenantPolicy
+from ._connection_limits import RequestLimits
 
 # Key of the configuration in the operators' stream.
 CONFIG_KEY: Final = 'config'
@@ -63,7 +64,7 @@
     version: int
     queues: tuple[Queue, ...]
     pools: frozenset[str]
-    max_body_bytes: int
+    request_limits: RequestLimits = RequestLimits()
     tenants: tuple[TenantPolicy, ...] = ()
     requires_keys: bool = False
     queues_by_host: dict[str, PrefixIndex] = field(init=False, repr=False)
--- a/src/lycheerelay/serving/connections.py
+++ b/src/lycheerelay/serving/connections.py
@@ -6,9 +6,12 @@
     ConnectionLoad,
     Listener,
     MachineLimits,
+    RequestLimits,
     Stage,
     make_budget,
+    select_for_memory,
     select_for_sockets,
+    select_overdue,
 )
 
 __all__ = (
@@ -17,7 +20,10 @@
     'ConnectionLoad',
     'Listener',
     'MachineLimits',
+    'RequestLimits',
     'Stage',
     'make_budget',
+    'select_for_memory',
     'select_for_sockets',
+    'select_overdue',
 )
--- a/src/lycheerelay_standins/platform/_callers.py
+++ b/src/lycheerelay_standins/platform/_callers.py
@@ -53,13 +53,17 @@
         self.query = dict(parse_qsl(parts.query))
         self.headers = headers
         self.raw = raw
-        self.can_read_body = bool(raw)
+        self.content_length = len(raw)
+        self.content = self
+        self.protocol = None
         self.body_delay_s = body_delay_s
 
-    async def read(self) -> bytes:
-        """Return the body."""
+    async def readany(self) -> bytes:
+        """Return the body, and nothing once it was read."""
         await asyncio.sleep(self.body_delay_s)
-        return self.raw
+        piece = self.raw
+        self.raw = b''
+        return piece
 
 
 @final
--- a/src/lycheerelay_standins/platform/_crowd.py
+++ b/src/lycheerelay_standins/platform/_crowd.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import functools
 import itertools
 import socket
 import zlib
@@ -45,6 +46,7 @@
     return body.ljust(size)
 
 
+@functools.lru_cache
 def job_of_many_steps(size: int) -> bytes:
     """Return the body of a job with as many steps as its size allows."""
     step = b'{"count":1,"cpu":9}'
@@ -53,6 +55,7 @@
     return b'{"spec":"x","steps":[%b]}' % steps
 
 
+@functools.lru_cache
 def chunked(body: bytes, size: int) -> bytes:
     """Return a body in chunks, without the last one that is empty."""
     begins = range(0, len(body), size)
--- a/tests/tenant_calls.py
+++ b/tests/tenant_calls.py
@@ -23,15 +23,19 @@
         self.method = method
         self.path = path
         self.headers = {'Host': HOST, **({'X-Api-Key': key} if key else {})}
-        self.can_read_body = bool(body)
+        self.content_length = len(body)
+        self.content = self
+        self.protocol = None
         self.body = body
         self.sent = asyncio.Event()
         self.sent.set()
 
-    async def read(self) -> bytes:
-        """Return the body."""
+    async def readany(self) -> bytes:
+        """Return the body, and nothing once it was read."""
         await self.sent.wait()
-        return self.body
+        piece = self.body
+        self.body = b''
+        return piece
 
 
 def publish(
--- a/tests/test_clients_that_misbehave.py
+++ b/tests/test_clients_that_misbehave.py
@@ -30,7 +30,9 @@
 # The smallest machines have 160 MB and 3,075 descriptors; less shows the same with
 # a small crowd. Of the descriptors, 200 are kept for files.
 MACHINE: Final = MachineShape(memory_mb=96, file_descriptors=400)
-MAX_SOCKETS: Final = MACHINE.file_descriptors - 200
+FILE_DESCRIPTORS: Final = 200
+# The same memory with as many descriptors as the smallest machines have.
+MANY_DESCRIPTORS: Final = MachineShape(memory_mb=96, file_descriptors=3075)
 BYTES_PER_MB: Final = 1024 * 1024
 LIMITS: Final = (
     ('maxHeaderBytes', 16384),
@@ -118,13 +120,13 @@
 class OneMachine:
     """A cell with one VM on a small machine, and an ordinary caller."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, limits: MachineShape = MACHINE) -> None:
         """Start nothing yet; the process logs to the folder."""
         shape = CellShape(
             vms=1,
             workers=(Shape('cpu'),) * 2,
             keeps_ids=True,
-            machine=MACHINE,
+            machine=limits,
             caller_limits=LIMITS,
         )
         self.cell = SoakCell(shape, folder, EmulatedNetwork(random.Random(1)))
@@ -186,14 +188,20 @@
 
 
 def run_scenario(
-    folder: Path, scenario: Callable[[OneMachine], Awaitable[None]]
+    folder: Path,
+    scenario: Callable[[OneMachine], Awaitable[None]],
+    limits: MachineShape = MACHINE,
 ) -> None:
     """Run a scenario on one machine."""
-    asyncio.run(OneMachine(folder).run(scenario))
+    asyncio.run(OneMachine(folder, limits).run(scenario))
 
 
 def hold_crowd(
-    folder: Path, kind: str, size: int = CROWD_SIZE, port: int = 8149
+    folder: Path,
+    kind: str,
+    size: int = CROWD_SIZE,
+    port: int = 8149,
+    limits: MachineShape = MACHINE,
 ) -> Crowd:
     """Let a crowd come and stay; check the process and an ordinary call.
 
@@ -215,11 +223,11 @@
         await crowd.close()
         crowd.closed = crowd_closed
         assert machine.process.returncode is None
-        assert peak.memory_bytes <= MACHINE.memory_mb * BYTES_PER_MB
-        assert peak.sockets <= MAX_SOCKETS
+        assert peak.memory_bytes <= limits.memory_mb * BYTES_PER_MB
+        assert peak.sockets <= limits.file_descriptors - FILE_DESCRIPTORS
         assert status == OK
 
-    run_scenario(folder, scenario)
+    run_scenario(folder, scenario, limits)
     return crowds[0]
 
 
@@ -263,6 +271,17 @@
     hold_crowd(tmp_path, 'large_chunks', MANY_CONNECTIONS)
 
 
+@pytest.mark.parametrize(
+    'kind',
+    ['whole_bodies', 'bodies_in_pieces', 'large_chunks', 'bodies_of_queries'],
+)
+def test_bodies_use_up_the_memory_before_the_descriptors(
+    kind: str, tmp_path: Path
+) -> None:
+    """Bodies give way for their bytes, also while there are descriptors."""
+    hold_crowd(tmp_path, kind, MANY_CONNECTIONS, limits=MANY_DESCRIPTORS)
+
+
 def test_small_chunks_use_up_the_memory(tmp_path: Path) -> None:
     """Chunks of one byte cost more than their bytes."""
     hold_crowd(tmp_path, 'small_chunks', MANY_CONNECTIONS)
