Refuse heads over the limit, and empty lines without end

Callers saw: a process out of memory under heads that never end, and one that read empty lines before a request for as long as they came.

Cause: maxHeaderBytes and headerTimeoutMs were read nowhere. The limits of the HTTP server allow 1 MB for a head, and none applies to empty lines.

The fix: bytes before a complete head count as its head. Over the limit the client gets 431, after headerTimeoutMs 408, and the connection is closed. It works as the count is taken from received bytes, whatever the parser makes of them.

--- a/src/lycheerelay/platform/_connection_account.py
+++ b/src/lycheerelay/platform/_connection_account.py
@@ -72,3 +72,8 @@
         self.body_bytes = 0
         if not self.unanswered:
             self.unread_bytes = self.head_bytes
+
+    def drop_all(self) -> None:
+        """Notice that what was received is dropped."""
+        self.head_bytes = 0
+        self.unread_bytes = 0
--- a/src/lycheerelay/platform/_connections.py
+++ b/src/lycheerelay/platform/_connections.py
@@ -17,13 +17,20 @@
 READ_BYTES: Final = 16_384
 # Parsed bytes of one connection, beyond which reading pauses.
 PARSED_BYTES: Final = 16_384
-# After an answer to an unfinished request, what still comes is dropped for this
-# long, so that a reset does not overtake the answer.
+# After an answer to an unfinished request, what still comes is dropped within
+# these bounds, so that a reset does not overtake the answer.
+LINGER_BYTES: Final = 262_144
 LINGER_S: Final = 2
 # Idle connections stay open for longer than callers pause, so that no request
 # arrives while its connection is being closed.
 IDLE_TIMEOUT_S: Final = 75
 
+REQUEST_TIMEOUT: Final = 408
+HEAD_TOO_LARGE: Final = 431
+REASONS: Final = {
+    REQUEST_TIMEOUT: 'Request Timeout',
+    HEAD_TOO_LARGE: 'Request Header Fields Too Large',
+}
 # Errors of a request, not of the code that handles it.
 PEER_ERRORS: Final = (web.RequestPayloadError, ConnectionError)
 JOB_METHODS: Final = frozenset(('POST', 'GET', 'DELETE'))
@@ -33,7 +40,7 @@
     """One connection, which reports what it holds."""
 
     def __init__(self, table: ConnectionTable, **options: Any) -> None:
-        """Belong to a table, which cuts connections."""
+        """Belong to a table, which cuts connections and has the limits."""
         super().__init__(
             **options,
             read_bufsize=PARSED_BYTES,
@@ -46,6 +53,11 @@
         self.account = ConnectionAccount(now_ms, now_ms)
         # Body of the newest request.
         self.payload: Any = None
+        # Whether a head that is complete may be over the limit.
+        self.has_long_head = False
+        # Bytes dropped since the connection was refused.
+        self.dropped_bytes = 0
+        self.is_refused = False
 
     @property
     def stage(self) -> Stage:
@@ -66,7 +78,7 @@
     @property
     def is_unfinished(self) -> bool:
         """Return whether a time limit applies to the connection."""
-        return self.is_in_body
+        return self.is_in_body or bool(self.account.head_bytes)
 
     @property
     def job_id(self) -> str:
@@ -102,6 +114,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; none if the parser goes on after a pause."""
+        if self.is_refused:
+            self._drop(data)
+            return
         count = self._request_count
         is_body = self.is_in_body
         now_ms = self.table.now_ms()
@@ -135,6 +150,13 @@
             self.account.finish_answer(self.table.now_ms())
             self.count()
 
+    def refuse_request(self, status: int, cause: str) -> web.Response:
+        """Return the last answer of the connection."""
+        self.table.report(self, cause, status)
+        response = web.Response(status=status, text=cause)
+        response.force_close()
+        return response
+
     def cut(self, cause: str) -> None:
         """Close the connection at once, without an answer."""
         self.table.report(self, cause)
@@ -143,7 +165,10 @@
 
     def end_overdue(self, stage: Stage) -> None:
         """End a connection that has reached a time limit."""
-        self.cut(f'{stage.value}_timeout')
+        if stage is Stage.HEAD:
+            self._refuse_head(REQUEST_TIMEOUT, 'head_timeout')
+        else:
+            self.cut(f'{stage.value}_timeout')
 
     def count(self) -> None:
         """Tell the table what the connection holds now."""
@@ -154,15 +179,44 @@
             self.table.change_held(change)
 
     def _take_head(self, piece: bytes, heads: int) -> None:
+        if heads:
+            limit = self.table.parts.find_limits().header_bytes
+            size = self.account.head_bytes + len(piece)
+            self.has_long_head = self.has_long_head or size > limit
         self.account.receive_head(piece, heads)
         if heads and self._messages:
             self.payload = self._messages[-1][1]
 
     def _check(self) -> None:
+        limits = self.table.parts.find_limits()
+        if self.account.head_bytes > limits.header_bytes:
+            self._refuse_head(HEAD_TOO_LARGE, 'head_size')
+            return
         self.count()
         if self.is_unfinished:
             self.table.watch()
 
+    def _refuse_head(self, status: int, cause: str) -> None:
+        if self.account.unanswered or self.transport is None:
+            # This answer would come before those that are still expected.
+            self.cut(cause)
+            return
+        self.table.report(self, cause, status)
+        line = f'HTTP/1.1 {status} {REASONS[status]}\r\n'
+        fields = 'Content-Length: 0\r\nConnection: close\r\n\r\n'
+        self.transport.write(f'{line}{fields}'.encode())
+        self.transport.write_eof()
+        self.is_refused = True
+        self.account.drop_all()
+        self.count()
+        loop = asyncio.get_running_loop()
+        loop.call_later(LINGER_S, self._abort)
+
+    def _drop(self, piece: bytes) -> None:
+        self.dropped_bytes += len(piece)
+        if self.dropped_bytes > LINGER_BYTES:
+            self._abort()
+
     def _abort(self) -> None:
         if self.transport is not None:
             self.transport.abort()
--- a/src/lycheerelay/serving/_connection_limits.py
+++ b/src/lycheerelay/serving/_connection_limits.py
@@ -173,6 +173,12 @@
             yield load
 
 
+def _is_head_overdue(
+    load: ConnectionLoad, limits: RequestLimits, now_ms: int
+) -> bool:
+    return now_ms - load.begun_ms >= limits.header_ms
+
+
 def _is_body_overdue(
     load: ConnectionLoad, limits: RequestLimits, now_ms: int
 ) -> bool:
@@ -186,6 +192,7 @@
 TIME_LIMITS: Final[
     dict[Stage, Callable[[ConnectionLoad, RequestLimits, int], bool]]
 ] = {
+    Stage.HEAD: _is_head_overdue,
     Stage.BODY: _is_body_overdue,
 }
 
