Accept heads inside the limit, however they are split into fields

Callers saw: 400 for a request inside maxHeaderBytes with one field of 12,000 bytes, or with 1,000 short ones.

It works as the only limit left is the one of the configuration. An unfinished head of many fields counts 400 bytes for each, and test_heads_of_many_short_fields_use_up_the_memory still passes.

--- a/src/lycheerelay/platform/_connections.py
+++ b/src/lycheerelay/platform/_connections.py
@@ -17,6 +17,8 @@
 READ_BYTES: Final = 16_384
 # Parsed bytes of one connection, beyond which reading pauses.
 PARSED_BYTES: Final = 16_384
+# Limits of the HTTP parser for parts of a head, above any limit of a whole one.
+PARSER_HEAD_BYTES: Final = 16 * 1024 * 1024
 # After an answer to an unfinished request, what still comes is dropped within
 # these bounds, so that a reset does not overtake the answer.
 LINGER_BYTES: Final = 262_144
@@ -40,10 +42,13 @@
     """One connection, which reports what it holds."""
 
     def __init__(self, table: ConnectionTable, **options: Any) -> None:
-        """Belong to a table, which cuts connections and has the limits."""
+        """Let the parser accept any head; `table` has the limits."""
         super().__init__(
             **options,
             read_bufsize=PARSED_BYTES,
+            max_line_size=PARSER_HEAD_BYTES,
+            max_field_size=PARSER_HEAD_BYTES,
+            max_headers=PARSER_HEAD_BYTES,
             lingering_time=LINGER_S,
             keepalive_timeout=IDLE_TIMEOUT_S,
             access_log=None,  # type: ignore[arg-type]
