Log a malformed request in one bounded line

Callers saw: nothing. An operator saw a traceback for each malformed request, at a level that the limit of log lines does not apply to, so that clients decide how much a process writes.

Cause: the HTTP server logs parse errors with logger.exception.

Evidence: test_refused_clients_fill_the_log[malformed] found tracebacks before this change; the cases of bodies and heads did not.

The fix: a malformed request is refused like a head over the limit, with the line connection_closed, and errors that the peer caused are not logged as errors of a handler. It works as both go through the two methods that are overridden.

Measured: the three cases pass, each once.

--- a/src/lycheerelay/platform/_connections.py
+++ b/src/lycheerelay/platform/_connections.py
@@ -27,6 +27,7 @@
 # arrives while its connection is being closed.
 IDLE_TIMEOUT_S: Final = 75
 
+BAD_REQUEST: Final = 400
 REQUEST_TIMEOUT: Final = 408
 HEAD_TOO_LARGE: Final = 431
 REASONS: Final = {
@@ -155,6 +156,23 @@
             self.account.finish_answer(self.table.now_ms())
             self.count()
 
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer a malformed request without a traceback in the log."""
+        if status != BAD_REQUEST:
+            return super().handle_error(request, status, exc, message)
+        return self.refuse_request(status, 'malformed')
+
+    def log_exception(self, *args: Any, **options: Any) -> None:
+        """Log an error of a handler, but not one that the peer has caused."""
+        if not isinstance(options.get('exc_info'), PEER_ERRORS):
+            super().log_exception(*args, **options)
+
     def refuse_request(self, status: int, cause: str) -> web.Response:
         """Return the last answer of the connection."""
         self.table.report(self, cause, status)
--- a/src/lycheerelay_standins/platform/_crowd.py
+++ b/src/lycheerelay_standins/platform/_crowd.py
@@ -164,6 +164,16 @@
     yield request_head('GET', number) * UNREAD_REQUESTS
 
 
+@CROWDS.register('malformed')
+def malformed(number: int) -> Iterator[bytes]:
+    """Send something else than HTTP, or a body in chunks of no size."""
+    if number % 2:
+        yield b'no request at all\r\n\r\n'
+    else:
+        yield request_head('POST', number, 'Transfer-Encoding: chunked\r\n')
+        yield b'not a size\r\n'
+
+
 @CROWDS.register('silent')
 def silent(_number: int) -> Iterator[bytes]:
     """Send nothing."""
--- a/tests/test_clients_that_misbehave.py
+++ b/tests/test_clients_that_misbehave.py
@@ -46,6 +46,8 @@
 SAMPLE_INTERVAL_S: Final = 0.02
 SETTLE_S: Final = 1
 ANSWER_TIMEOUT_S: Final = 120
+# Length of a log line.
+MAX_LINE_BYTES: Final = 1024
 OK: Final = 200
 # Statuses that promise that a job was not accepted and never runs.
 NEVER_RUNS: Final = frozenset((429, 503))
@@ -317,6 +319,17 @@
     hold_crowd(tmp_path, 'silent', MANY_CONNECTIONS)
 
 
+@pytest.mark.parametrize('kind', ['malformed', 'whole_bodies', 'long_heads'])
+def test_refused_clients_fill_the_log(kind: str, tmp_path: Path) -> None:
+    """Each client leaves a short line, which the limit of the log applies to."""
+    hold_crowd(tmp_path, kind)
+    log = (tmp_path / 'vm-0.log').read_text()
+    assert 'Traceback' not in log
+    assert '"connection_closed"' in log
+    longest = max(map(len, log.splitlines()))
+    assert longest < MAX_LINE_BYTES
+
+
 @pytest.mark.parametrize('port', [8141, 7380, 9464])
 def test_bodies_at_the_other_listeners_use_up_the_memory(
     port: int, tmp_path: Path
