Do not begin a request of a connection that was lost meanwhile

Callers saw: nothing. An operator saw a traceback, TypeError: 'NoneType' object is not callable, for a request whose connection was cut in the turn of the event loop in which its head arrived.

Cause: the server's task is woken for the request, and the loss of the connection, which clears what the task needs, is handled before it runs.

The fix: the task is cancelled with the connection, unless it handles a request. It works as a request that has not begun has no effect, and its answer would reach nobody.

--- a/src/lycheerelay/platform/_connections.py
+++ b/src/lycheerelay/platform/_connections.py
@@ -115,8 +115,12 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Forget the connection, and what would keep it in a cycle."""
         self.table.remove(self, self.account.counted_bytes)
+        serving_task = self._task_handler
         super().connection_lost(exc)
         self.payload = None
+        if serving_task is not None and not self._request_in_progress:
+            # It may have been woken for a request that nobody waits for now.
+            serving_task.cancel()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; none if the parser goes on after a pause."""
