Parse what connections receive over several turns of the event loop

Callers saw: with many bodies in chunks of one byte, a process that did not answer for a second, lost the store and refused ordinary jobs with 503.

Cause: every socket that is ready is parsed in the same turn, and a chunk of one byte costs about a microsecond and a hundred bytes.

Evidence: 300 clients with 20,000 chunks each made timers 0.8 to 1.3 s late, 1.0 to 1.4 s of processor time each; the new case test_bodies_use_up_the_memory_before_the_descriptors[small_chunks] failed in one of two runs (503 for the ordinary job).

The fix: 64 KB are parsed in a turn for all connections of a listener; the others wait with reading paused, and what has sent least goes first. It works as the length of a turn no longer depends on how many clients send.

--- a/src/lycheerelay/platform/_connection_account.py
+++ b/src/lycheerelay/platform/_connection_account.py
@@ -17,6 +17,8 @@
     progressed_ms: int
     # Received bytes of a head that is not complete.
     head_bytes: int = 0
+    # Received bytes that have not been parsed.
+    waiting_bytes: int = 0
     # Parsed bytes that nobody has read yet, with the cost of fields.
     unread_bytes: int = 0
     body_bytes: int = 0
@@ -30,7 +32,8 @@
     @property
     def held_bytes(self) -> int:
         """Return the bytes that the connection holds."""
-        return self.unread_bytes + self.body_bytes + self.answer_bytes
+        received_bytes = self.waiting_bytes + self.unread_bytes
+        return received_bytes + self.body_bytes + self.answer_bytes
 
     def begin_request(self, now_ms: int) -> None:
         """Notice that the next byte is the first one of a request."""
--- a/src/lycheerelay/platform/_server.py
+++ b/src/lycheerelay/platform/_server.py
@@ -8,6 +8,7 @@
 
 from ._connection_table import ConnectionTable, ListenerParts
 from ._connections import HEAD_TOO_LARGE, GuardedConnection
+from ._read_turns import PacedConnection, ReadTurns
 
 HttpHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -21,11 +22,12 @@
         super().__init__(self.handle)
         self.serve_request = handler
         self.table = ConnectionTable(parts)
+        self.turns = ReadTurns()
 
-    def __call__(self) -> GuardedConnection:
+    def __call__(self) -> PacedConnection:
         """Create the protocol of a new connection."""
         loop = asyncio.get_running_loop()
-        return GuardedConnection(self.table, manager=self, loop=loop)
+        return PacedConnection(self.turns, self.table, manager=self, loop=loop)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve a request, or refuse it if its head is over the limit."""
--- a/tests/test_clients_that_misbehave.py
+++ b/tests/test_clients_that_misbehave.py
@@ -275,7 +275,13 @@
 
 @pytest.mark.parametrize(
     'kind',
-    ['whole_bodies', 'bodies_in_pieces', 'large_chunks', 'bodies_of_queries'],
+    [
+        'whole_bodies',
+        'bodies_in_pieces',
+        'large_chunks',
+        'small_chunks',
+        'bodies_of_queries',
+    ],
 )
 def test_bodies_use_up_the_memory_before_the_descriptors(
     kind: str, tmp_path: Path
