Close connections whose answers nobody reads

Callers saw: nothing alone; many such connections keep memory and descriptors from others.

Cause: an answer had no time limit, and the kernel's buffer for it no bound.

The fix: a connection whose answers wait has a stage of its own, with the time limit idleTimeoutMs, and the buffers for answers are bounded, which makes it show. It works as writing pauses once both buffers are full.

--- a/src/lycheerelay/platform/_connections.py
+++ b/src/lycheerelay/platform/_connections.py
@@ -15,8 +15,9 @@
 
 # Bytes that one connection delivers at a time.
 READ_BYTES: Final = 16_384
-# Parsed bytes of one connection, beyond which reading pauses.
+# Buffers of one connection, beyond which reading or writing pauses.
 PARSED_BYTES: Final = 16_384
+WRITE_BYTES: Final = 16_384
 # Limits of the HTTP parser for parts of a head, above any limit of a whole one.
 PARSER_HEAD_BYTES: Final = 16 * 1024 * 1024
 # After an answer to an unfinished request, what still comes is dropped within
@@ -68,6 +69,8 @@
     @property
     def stage(self) -> Stage:
         """Return what the connection waits for."""
+        if self.writing_paused:
+            return Stage.ANSWER
         if self.is_in_body and self.account.unanswered <= 1:
             return Stage.BODY
         if self.account.unanswered:
@@ -84,7 +87,8 @@
     @property
     def is_unfinished(self) -> bool:
         """Return whether a time limit applies to the connection."""
-        return self.is_in_body or bool(self.account.head_bytes)
+        has_part = self.is_in_body or bool(self.account.head_bytes)
+        return has_part or self.writing_paused
 
     @property
     def job_id(self) -> str:
@@ -109,6 +113,8 @@
         """Bound the buffers of a new connection."""
         # asyncio reads at most this many bytes at a time.
         transport.max_size = READ_BYTES  # type: ignore[attr-defined]
+        if isinstance(transport, asyncio.Transport):
+            transport.set_write_buffer_limits(WRITE_BYTES)
         super().connection_made(transport)
         self.table.add(self)
 
@@ -139,6 +145,17 @@
             self._take_head(data, heads)
         self._check()
 
+    def pause_writing(self) -> None:
+        """Notice that the peer does not read its answers."""
+        super().pause_writing()
+        self.account.progressed_ms = self.table.now_ms()
+        self.table.watch()
+
+    def resume_writing(self) -> None:
+        """Notice that the peer reads again."""
+        super().resume_writing()
+        self.account.progressed_ms = self.table.now_ms()
+
     def hold_body(self, size: int) -> None:
         """Count the bytes of a body that a handler has read so far."""
         self.account.read_body(size, is_parser_empty=not self._messages)
--- a/src/lycheerelay/platform/_listening.py
+++ b/src/lycheerelay/platform/_listening.py
@@ -5,8 +5,10 @@
 
 from aiohttp import web
 
-# The kernel doubles this size for its own overhead.
+# Sizes of the kernel's buffers for each connection, which it doubles for its own
+# overhead.
 RECEIVE_BUFFER_BYTES: Final = 32_768
+SEND_BUFFER_BYTES: Final = 65_536
 # Connections that wait to be accepted, and that are accepted in one turn of the
 # event loop, before the process can count them.
 WAITING_CONNECTIONS: Final = 512
@@ -18,10 +20,11 @@
     host, port = address.rsplit(':', 1)
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    # Accepted connections inherit the size.
+    # Accepted connections inherit the sizes.
     listener.setsockopt(
         socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
     )
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
     listener.bind((host, int(port)))
     return listener
 
--- a/src/lycheerelay/serving/_connection_limits.py
+++ b/src/lycheerelay/serving/_connection_limits.py
@@ -189,11 +189,18 @@
     )
 
 
+def _is_answer_overdue(
+    load: ConnectionLoad, limits: RequestLimits, now_ms: int
+) -> bool:
+    return now_ms - load.progressed_ms >= limits.idle_ms
+
+
 TIME_LIMITS: Final[
     dict[Stage, Callable[[ConnectionLoad, RequestLimits, int], bool]]
 ] = {
     Stage.HEAD: _is_head_overdue,
     Stage.BODY: _is_body_overdue,
+    Stage.ANSWER: _is_answer_overdue,
 }
 
 
--- a/tests/test_clients_that_misbehave.py
+++ b/tests/test_clients_that_misbehave.py
@@ -43,6 +43,7 @@
 CROWD_SIZE: Final = 150
 # More connections than the machine has sockets.
 MANY_CONNECTIONS: Final = 300
+FEW_CONNECTIONS: Final = 20
 SAMPLE_INTERVAL_S: Final = 0.02
 SETTLE_S: Final = 1
 ANSWER_TIMEOUT_S: Final = 120
@@ -90,7 +91,7 @@
         memory_bytes = self._resident('VmRSS') + self._unread_bytes()
         self.peak = Usage(
             max(self.peak.memory_bytes, memory_bytes),
-            max(self.peak.sockets, self._count_sockets()),
+            max(self.peak.sockets, self.count_sockets()),
         )
 
     def _resident(self, name: str) -> int:
@@ -99,7 +100,8 @@
                 return int(line.split()[1]) * 1024
         raise AssertionError('the process has ended')
 
-    def _count_sockets(self) -> int:
+    def count_sockets(self) -> int:
+        """Return the number of open sockets of the process."""
         sockets = 0
         for path in (self.folder / 'fd').iterdir():
             try:
@@ -122,14 +124,19 @@
 class OneMachine:
     """A cell with one VM on a small machine, and an ordinary caller."""
 
-    def __init__(self, folder: Path, limits: MachineShape = MACHINE) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        limits: MachineShape = MACHINE,
+        caller_limits: tuple[tuple[str, int], ...] = LIMITS,
+    ) -> None:
         """Start nothing yet; the process logs to the folder."""
         shape = CellShape(
             vms=1,
             workers=(Shape('cpu'),) * 2,
             keeps_ids=True,
             machine=limits,
-            caller_limits=LIMITS,
+            caller_limits=caller_limits,
         )
         self.cell = SoakCell(shape, folder, EmulatedNetwork(random.Random(1)))
 
@@ -325,6 +332,30 @@
     hold_crowd(tmp_path, 'silent', MANY_CONNECTIONS)
 
 
+@pytest.mark.parametrize(
+    'kind', ['whole_bodies', 'heads_of_many_fields', 'unread_answers']
+)
+def test_stalled_clients_stay_connected(kind: str, tmp_path: Path) -> None:
+    """A time limit ends what stalls, also while there is room for it."""
+
+    async def scenario(machine: OneMachine) -> None:
+        watch = UsageWatch(machine.process.pid, machine.host)
+        before = watch.count_sockets()
+        crowd = Crowd(kind, f'{machine.host}:8149', FEW_CONNECTIONS)
+        await crowd.send()
+        await asyncio.sleep(SETTLE_S)
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            while watch.count_sockets() > before + FEW_CONNECTIONS // 2:
+                await asyncio.sleep(SAMPLE_INTERVAL_S)
+        status, _ = await machine.submit()
+        await watch.stop()
+        await crowd.close()
+        assert status == OK
+
+    times = (('headerTimeoutMs', 500), ('idleTimeoutMs', 500))
+    asyncio.run(OneMachine(tmp_path, MACHINE, LIMITS[:2] + times).run(scenario))
+
+
 @pytest.mark.parametrize('kind', ['malformed', 'whole_bodies', 'long_heads'])
 def test_refused_clients_fill_the_log(kind: str, tmp_path: Path) -> None:
     """Each client leaves a short line, which the limit of the log applies to."""
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -88,18 +88,19 @@
 
 
 def test_time_limits_end_requests_that_arrive_in_time() -> None:
-    """Heads, stalled bodies and endless bodies end."""
+    """Heads, stalled bodies, endless bodies and unread answers end."""
     loads = [
         load(1, Stage.HEAD, begun=NOW_MS - 3000),
         load(2, Stage.HEAD, begun=NOW_MS - 2999),
         load(3, Stage.BODY, progressed=NOW_MS - 15_000),
         load(4, Stage.BODY, begun=NOW_MS - 60_000),
         load(5, Stage.BODY, begun=NOW_MS - 59_999),
+        load(6, Stage.ANSWER, progressed=NOW_MS - 15_000),
         load(7, Stage.HANDLING, begun=0, progressed=0),
         load(8, Stage.IDLE, begun=0, progressed=0),
     ]
     overdue = [one.key for one in select_overdue(loads, LIMITS, NOW_MS)]
-    assert overdue == [1, 3, 4]
+    assert overdue == [1, 3, 4, 6]
 
 
 @pytest.mark.parametrize('machine', MACHINES)
