Bound the connections of readiness, internal calls and metrics

Callers saw: the same as with a crowd at the callers' listener, a process out of memory or descriptors.

Cause: each listener is a server of its own, and these had no bounds.

The fix: they serve guarded connections too, each listener with a budget of its own. It works as the decision is the same, and as a crowd at one listener cannot cut the connections of another.

--- a/src/lycheerelay/platform/_serve.py
+++ b/src/lycheerelay/platform/_serve.py
@@ -14,10 +14,11 @@
 from .._clock import MS_PER_SECOND, SystemClock
 from ..serving import HttpCalls, is_workflow_path, set_up_event_log
 from ..serving.connections import Listener, make_budget
+from ._bodies import read_body
 from ._connection_table import ListenerParts
 from ._entry import Entry
 from ._listening import accept_connections, bind_socket
-from ._server import GuardedServer
+from ._server import GuardedServer, HttpHandler
 from ._settings import PlatformSettings, read_settings
 
 logger = logging.getLogger('lycheerelay.serve')
@@ -25,9 +26,6 @@
 # Must match deploy/system.toml.
 METRICS_PORT: Final = 9464
 METRICS_PATH: Final = '/metrics'
-# Idle connections stay open for longer than callers pause, so that no request
-# arrives while its connection is being closed.
-KEEPALIVE_TIMEOUT_S: Final = 75
 # The platform stops opening connections about two readiness checks after the
 # first negative one. The wait for this is limited to this time and to this share
 # of the grace period, at whose end the process gets a SIGKILL.
@@ -41,6 +39,8 @@
 IN_FLIGHT_CHECK_INTERVAL_S: Final = 0.05
 # Time for closing the connections that are still open then.
 CLOSE_TIMEOUT_S: Final = 0.2
+# Bodies of calls between VMs and of workflows.
+MAX_INTERNAL_BODY_BYTES: Final = 1024 * 1024
 EXIT_INVALID_SETTINGS: Final = 2
 # The garbage collector runs less often than by default, since most objects live
 # as long as their job.
@@ -93,15 +93,23 @@
         internal = f'{settings.host}:{settings.internal_port}'
         metrics = f'{settings.host}:{METRICS_PORT}'
         await self._start_site(
-            settings.ready_address, self.entry.ingress.handle_readiness
+            Listener.READINESS,
+            settings.ready_address,
+            self.entry.ingress.handle_readiness,
         )
-        await self._start_site(internal, self._internal_api)
-        await self._start_site(metrics, self._metrics)
-        await self._accept_callers(settings.callers_address)
+        await self._start_site(Listener.INTERNAL, internal, self._internal_api)
+        await self._start_site(Listener.METRICS, metrics, self._metrics)
+        site = await self._start_site(
+            Listener.CALLERS,
+            settings.callers_address,
+            self.entry.ingress.handle,
+        )
+        self.caller_sites.append(site)
 
-    async def _accept_callers(self, address: str) -> None:
+    async def _start_site(
+        self, listener: Listener, address: str, handler: HttpHandler
+    ) -> web.SockSite:
         entry = self.entry
-        listener = Listener.CALLERS
         parts = ListenerParts(
             listener,
             make_budget(entry.settings.machine, listener),
@@ -109,31 +117,21 @@
             entry.clock,
             entry.metrics,
         )
-        server = GuardedServer(entry.ingress.handle, parts)
-        runner = web.ServerRunner(server, shutdown_timeout=CLOSE_TIMEOUT_S)
-        await runner.setup()
-        self.runners.append(runner)
-        site = await accept_connections(runner, bind_socket(address))
-        self.caller_sites.append(site)
-
-    async def _start_site(self, address: str, handler: object) -> web.TCPSite:
-        server = web.Server(
-            handler,  # type: ignore[arg-type]
-            keepalive_timeout=KEEPALIVE_TIMEOUT_S,
-            access_log=None,
-        )
+        server = GuardedServer(handler, parts)
         runner = web.ServerRunner(server, shutdown_timeout=CLOSE_TIMEOUT_S)
         await runner.setup()
-        host, port = address.rsplit(':', 1)
-        site = web.TCPSite(runner, host, int(port), backlog=512)
-        await site.start()
         self.runners.append(runner)
-        return site
+        return await accept_connections(runner, bind_socket(address))
 
     async def _internal_api(
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
-        raw = await request.read()
+        body = await read_body(request, MAX_INTERNAL_BODY_BYTES)
+        if isinstance(body, Err):
+            response = web.Response(status=body.err_value.value)
+            response.force_close()
+            return response
+        raw = body.ok_value
         if is_workflow_path(request.path):
             answer = await self.entry.workflows.answer(
                 request.method,
