Let crowds come to the processes of a soak

A soak can draw the fault "crowd": 40 clients each of three kinds come to a VM, stay beside kills, stops, suspensions and a slow store, and leave. Kinds that hand in whole jobs are left out, as the auditor knows of all accepted ones.

--- a/src/lycheerelay_standins/platform/_soak_faults.py
+++ b/src/lycheerelay_standins/platform/_soak_faults.py
@@ -7,6 +7,7 @@
 
 from lycheerelay._registry import Registry
 
+from ._crowd import CROWDS, Crowd
 from ._environment import RESTART_CLOCKS_MS
 from ._soak_cell import STORE_NAME
 
@@ -15,10 +16,19 @@
 
 # Faults that are drawn only if they are asked for, so that the faults of earlier
 # seeds stay as they were.
-OPTIONAL_SOAK_FAULTS: Final = frozenset(('unlisted',))
+OPTIONAL_SOAK_FAULTS: Final = frozenset(('unlisted', 'crowd'))
+# Clients of each kind in a crowd.
+CROWD_SIZE: Final = 40
+# Jobs of the crowd have ids that no other caller draws.
+CROWD_IDS: Final = 1 << 40
 # The registration of a silent worker has expired after this time.
 REGISTRATION_EXPIRY_S: Final = 6
 
+# Kinds whose clients hand in no job: the auditor knows of all that are accepted.
+UNACCEPTED_CROWDS: Final = sorted(
+    set(CROWDS) - {'large_jobs', 'finished_bodies'}
+)
+
 Inject = Callable[['Soak'], Coroutine[Any, Any, None]]
 SOAK_FAULTS: Final[Registry[str, Inject]] = Registry('soak fault')
 
@@ -114,6 +124,20 @@
     await vm.start()
 
 
+@SOAK_FAULTS.register('crowd')
+async def crowd(soak: 'Soak') -> None:
+    """Let crowds of several kinds come to a VM, stay, and leave in turn."""
+    vm = soak.pick_vm()
+    address = f'{soak.cell.hosts[vm.name]}:8149'
+    crowds = []
+    for kind in soak.rng.sample(UNACCEPTED_CROWDS, 3):
+        crowds.append(Crowd(kind, address, CROWD_SIZE, CROWD_IDS))
+        await crowds[-1].send()
+        await asyncio.sleep(soak.rng.uniform(0, 1))
+    for one in crowds:
+        await one.close()
+
+
 @SOAK_FAULTS.register('store_slow')
 async def store_slow(soak: 'Soak') -> None:
     """Delay the responses of the store."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -52,6 +52,18 @@
     assert 'caller_refused' in logs
 
 
+def test_a_soak_with_crowds_keeps_every_promise(tmp_path: Path) -> None:
+    """Crowds come to processes that are killed, stopped and suspended."""
+    only = ('crowd', 'kill', 'leave', 'freeze', 'store_slow')
+    result = soak(3, LENGTH_S, tmp_path, only=only)
+    assert 'crowd' in result.faults
+    assert result.accepted > 5
+    assert result.broken == ()
+    assert result.unfinished == ()
+    logs = ''.join(path.read_text() for path in tmp_path.glob('*.log'))
+    assert 'connection_closed' in logs
+
+
 def test_concurrent_soaks_use_separate_networks(tmp_path: Path) -> None:
     """Concurrent soaks claim separate parts of the loopback network."""
     shape = CellShape(vms=0)
