Lead from a refused request to the crowd that refused it

Clients whose connection is closed see no reason. The line connection_closed has the job where its path is known, bounded to 32 characters, and lycheerelay trace counts the time as connection, that of large jobs without a turn as busy. The gauges connections and connections_held tell how full a listener is.

--- a/src/lycheerelay/platform/_connection_table.py
+++ b/src/lycheerelay/platform/_connection_table.py
@@ -96,6 +96,13 @@
             loop = asyncio.get_running_loop()
             self.sweep = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
+    def show_gauges(self) -> None:
+        """Update the gauges of this listener."""
+        name = self.parts.listener.value
+        metrics = self.parts.metrics
+        metrics.gauge('connections', len(self.open), listener=name)
+        metrics.gauge('connections_held', self.held_bytes, listener=name)
+
     def report(
         self, connection: HeldConnection, cause: str, status: int = 0
     ) -> None:
--- a/src/lycheerelay/platform/_connections.py
+++ b/src/lycheerelay/platform/_connections.py
@@ -37,6 +37,8 @@
 }
 # Errors of a request, not of the code that handles it.
 PEER_ERRORS: Final = (web.RequestPayloadError, ConnectionError)
+# Characters of a path that a log line may have.
+MAX_LOGGED_ID: Final = 32
 JOB_METHODS: Final = frozenset(('POST', 'GET', 'DELETE'))
 
 
@@ -96,7 +98,7 @@
         request = self._current_request
         if request is None or request.method not in JOB_METHODS:
             return ''
-        return request.path.rpartition('/')[2]
+        return request.path.rpartition('/')[2][:MAX_LOGGED_ID]
 
     def load(self) -> ConnectionLoad:
         """Return what the connection waits for and holds."""
--- a/src/lycheerelay/platform/_serve.py
+++ b/src/lycheerelay/platform/_serve.py
@@ -15,7 +15,7 @@
 from ..serving import HttpCalls, is_workflow_path, set_up_event_log
 from ..serving.connections import Listener, make_budget
 from ._bodies import read_body
-from ._connection_table import ListenerParts
+from ._connection_table import ConnectionTable, ListenerParts
 from ._entry import Entry
 from ._listening import accept_connections, bind_socket
 from ._server import GuardedServer, HttpHandler
@@ -56,6 +56,7 @@
         self.entry = entry
         self.caller_sites: list[web.SockSite] = []
         self.runners: list[web.ServerRunner] = []
+        self.tables: list[ConnectionTable] = []
         grace_ms = entry.settings.stop_grace_ms
         self.drain_ms = min(MAX_DRAIN_MS, grace_ms * MAX_DRAIN_SHARE)
         self.finish_ms = min(MAX_FINISH_MS, grace_ms * MAX_FINISH_SHARE)
@@ -118,6 +119,7 @@
             entry.metrics,
         )
         server = GuardedServer(handler, parts)
+        self.tables.append(server.table)
         runner = web.ServerRunner(server, shutdown_timeout=CLOSE_TIMEOUT_S)
         await runner.setup()
         self.runners.append(runner)
@@ -146,6 +148,8 @@
     async def _metrics(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path != METRICS_PATH:
             return web.Response(status=404)
+        for table in self.tables:
+            table.show_gauges()
         return web.Response(text=self.entry.render_metrics())
 
     async def _stop(self) -> None:
--- a/src/lycheerelay/traces/_causes.py
+++ b/src/lycheerelay/traces/_causes.py
@@ -11,6 +11,8 @@
     """Reason for which a job is not done at a moment."""
 
     KEY = 'key'
+    CONNECTION = 'connection'
+    BUSY = 'busy'
     STORE = 'store'
     OWNER = 'owner'
     ADVICE = 'advice'
@@ -80,6 +82,8 @@
 # Causes in the order in which they are tested; the first that holds counts.
 RULES: Final[tuple[tuple[Cause, Rule], ...]] = (
     (Cause.KEY, lambda job: job.refused_by is Cause.KEY),
+    (Cause.CONNECTION, lambda job: job.refused_by is Cause.CONNECTION),
+    (Cause.BUSY, lambda job: job.refused_by is Cause.BUSY),
     (Cause.SHARE, lambda job: job.refused_by is Cause.SHARE),
     (Cause.STORE, lambda job: not job.accepted),
     (Cause.END_RECORD, lambda job: job.settled),
--- a/src/lycheerelay/traces/_timeline.py
+++ b/src/lycheerelay/traces/_timeline.py
@@ -10,8 +10,8 @@
 from ._lines import LogLine
 
 COMPLETED: Final = 'completed'
-# Verdict of a submission over the rate of its tenant.
-OVER_RATE: Final = 'over_rate'
+# Verdicts of submissions that were refused for what others use.
+CAUSE_OF_VERDICT: Final = {'over_rate': Cause.SHARE, 'busy': Cause.BUSY}
 # Ends that a later run of the task has to make up for.
 FAILED_ENDS: Final = frozenset(('failed', 'stopped', 'lapsed', 'broken'))
 
@@ -220,8 +220,9 @@
     progress.accepted |= timeline.verdict == 'ok'
     if progress.accepted:
         progress.refused_by = None
-    elif timeline.verdict == OVER_RATE:
-        progress.refused_by = Cause.SHARE
+    else:
+        cause = CAUSE_OF_VERDICT.get(timeline.verdict)
+        progress.refused_by = cause or progress.refused_by
 
 
 @HANDLERS.register('caller_refused')
@@ -231,6 +232,20 @@
         timeline.progress.refused_by = Cause.KEY
 
 
+@HANDLERS.register('connection_closed')
+def apply_closed(timeline: JobTimeline, line: LogLine) -> None:
+    """Apply that the connection of a call was closed for room or a limit."""
+    if not timeline.progress.accepted:
+        timeline.progress.refused_by = Cause.CONNECTION
+
+
+@HANDLERS.register('submission_not_begun')
+def apply_not_begun(timeline: JobTimeline, line: LogLine) -> None:
+    """Apply that a job waited for its turn until its caller's timeout."""
+    if not timeline.progress.accepted:
+        timeline.progress.refused_by = Cause.BUSY
+
+
 @HANDLERS.register('job_opened')
 def apply_opened(timeline: JobTimeline, line: LogLine) -> None:
     """Apply that an owner knows the job; after a takeover, its runs too."""
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -66,6 +66,32 @@
     assert timeline.phase == 'completed'
 
 
+@pytest.mark.parametrize(
+    ('message', 'fields', 'cause'),
+    [
+        ('connection_closed', {'cause': 'memory'}, Cause.CONNECTION),
+        ('submission_not_begun', {'waited_ms': 3000}, Cause.BUSY),
+        (
+            'request',
+            {'what': 'submit', 'queue': 'q', 'verdict': 'busy', 'took_ms': 0},
+            Cause.BUSY,
+        ),
+    ],
+)
+def test_time_after_a_crowd_is_taken_for_the_store(
+    message: str, fields: dict[str, object], cause: Cause
+) -> None:
+    """A closed connection or a wait for a turn is told apart until acceptance."""
+    closed = (
+        _line(0, message, job=ID, **fields),
+        _line(500, 'request', what='submit', job=ID, verdict='ok', took_ms=0),
+        _line(520, 'job_opened', job=ID, queue='q', widths=[1]),
+    )
+    lines = [each.unwrap() for each in read_lines(closed, LineCounts())]
+    timeline = build_timelines(lines)[ID]
+    assert timeline.spent_ms() == {cause: 500, Cause.OWNER: 20}
+
+
 def test_time_until_a_trial_is_told_apart() -> None:
     lost = (
         _line(
