Do not count bytes that are dropped as held

Callers saw: nothing yet; found by reading the change. Clients that send bodies without end with requests that need none were counted with what they had sent, so that others gave way for bytes that nobody keeps.

Cause: after an answer the rest of a body is read and dropped, but the connection counted it as unread.

The fix: bytes of a body whose request has an answer are not counted. It works as the state is known when they arrive.

--- a/src/lycheerelay/platform/_connection_account.py
+++ b/src/lycheerelay/platform/_connection_account.py
@@ -40,11 +40,12 @@
         self.begun_ms = now_ms
         self.received_bytes = 0
 
-    def receive(self, piece: bytes, now_ms: int) -> None:
-        """Count received bytes."""
+    def receive(self, piece: bytes, now_ms: int, *, is_kept: bool) -> None:
+        """Count received bytes, as held unless they are dropped."""
         self.progressed_ms = now_ms
         self.received_bytes += len(piece)
-        self.unread_bytes += len(piece)
+        if is_kept:
+            self.unread_bytes += len(piece)
 
     def receive_head(self, piece: bytes, heads: int) -> None:
         """Count bytes of heads, of which so many are complete now."""
--- a/src/lycheerelay/platform/_connections.py
+++ b/src/lycheerelay/platform/_connections.py
@@ -140,8 +140,10 @@
         now_ms = self.table.now_ms()
         if not is_body and not self.account.head_bytes:
             self.account.begin_request(now_ms)
+        # The rest of a body is dropped once its request has an answer.
+        is_kept = not is_body or self.account.unanswered > 0
         super().data_received(data)
-        self.account.receive(data, now_ms)
+        self.account.receive(data, now_ms, is_kept=is_kept)
         heads = self._request_count - count
         if heads or not is_body:
             self._take_head(data, heads)
--- a/src/lycheerelay_standins/platform/_crowd.py
+++ b/src/lycheerelay_standins/platform/_crowd.py
@@ -158,6 +158,14 @@
     yield request_head('GET', number, length) + b' ' * (MAX_BODY_BYTES - 1)
 
 
+@CROWDS.register('endless_bodies_of_queries')
+def endless_bodies_of_queries(number: int) -> Iterator[bytes]:
+    """Send chunks without end with requests that need no body."""
+    yield request_head('GET', number, 'Transfer-Encoding: chunked\r\n')
+    for _ in range(64):
+        yield chunked(job_of_size(LARGE_CHUNK_BYTES), LARGE_CHUNK_BYTES)
+
+
 @CROWDS.register('unread_answers')
 def unread_answers(number: int) -> Iterator[bytes]:
     """Send many requests on one connection without reading the answers."""
--- a/tests/test_clients_that_misbehave.py
+++ b/tests/test_clients_that_misbehave.py
@@ -322,6 +322,13 @@
     hold_crowd(tmp_path, 'bodies_of_queries', MANY_CONNECTIONS)
 
 
+def test_bodies_that_are_dropped_push_out_others(tmp_path: Path) -> None:
+    """Bytes that nobody keeps are not counted as held."""
+    hold_crowd(tmp_path, 'endless_bodies_of_queries', FEW_CONNECTIONS)
+    log = (tmp_path / 'vm-0.log').read_text()
+    assert '"cause":"memory"' not in log
+
+
 def test_answers_that_nobody_reads_use_up_the_memory(tmp_path: Path) -> None:
     """Requests behind answers that nobody reads are not read either."""
     hold_crowd(tmp_path, 'unread_answers')
