Bound the deadline that a request names

Callers saw: 500 for a request whose X-Deadline-Milliseconds has thousands of digits, with a traceback in the log.

Cause: any decimal text was converted and used as it is.

Evidence: test_a_deadline_that_is_no_time_is_an_error got 500 for 5,000 digits; the other cases passed.

It works as long texts are not converted.

Measured: the five cases pass, once.

--- a/src/lycheerelay/platform/_ingress.py
+++ b/src/lycheerelay/platform/_ingress.py
@@ -32,6 +32,9 @@
 TIMEOUT_HEADER: Final = 'X-Deadline-Milliseconds'
 # Assumed timeout of callers that do not send one.
 DEFAULT_TIMEOUT_MS: Final = 3000
+# Longest time that a request is worked on, and the digits of a plausible one.
+MAX_TIMEOUT_MS: Final = 60_000
+MAX_TIMEOUT_DIGITS: Final = 9
 JOB_ID_DIGITS: Final = 16
 HEX_DIGITS: Final = frozenset(string.hexdigits)
 
@@ -295,7 +298,10 @@
 
 def _timeout_ms(request: web.BaseRequest) -> int:
     text = request.headers.get(TIMEOUT_HEADER, '')
-    return int(text) if text.isdecimal() else DEFAULT_TIMEOUT_MS
+    if not text.isdecimal():
+        return DEFAULT_TIMEOUT_MS
+    is_long = len(text) > MAX_TIMEOUT_DIGITS
+    return MAX_TIMEOUT_MS if is_long else min(int(text), MAX_TIMEOUT_MS)
 
 
 def _outcome_response(outcome: RequestResult, field: str) -> web.Response:
--- a/tests/test_clients_that_misbehave.py
+++ b/tests/test_clients_that_misbehave.py
@@ -464,6 +464,20 @@
     run_scenario(tmp_path, scenario)
 
 
+@pytest.mark.parametrize('deadline', ['9' * 5000, '9' * 20, '-1', 'soon', ''])
+def test_a_deadline_that_is_no_time_is_an_error(
+    deadline: str, tmp_path: Path
+) -> None:
+    """It counts as the longest or as the default one."""
+
+    async def scenario(machine: OneMachine) -> None:
+        fields = {'X-Deadline-Milliseconds': deadline}
+        status, _ = await machine.submit(headers=fields)
+        assert status == OK
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_a_request_of_the_largest_size_is_refused(tmp_path: Path) -> None:
     """A single request inside the limits is served in calm."""
 
