Ask the owner before a job is refused because the store is away

A repeat of an accepted job got 503, which promises that it was not accepted, while the store refused appends.

Cause: the refusal of an append was passed on as it is; only jobs that are too late or over a quota were looked up.

Evidence: test_an_accepted_job_is_refused_while_the_store_is_away failed at each of three VMs.

The fix: the owner is asked once, for 100 ms at most, whether it holds the job. It works without the store, as the owner does not read on for this question. New jobs get 503 as before.

Measured: the test passes at each VM.

--- a/src/lycheerelay/serving/_internal_api.py
+++ b/src/lycheerelay/serving/_internal_api.py
@@ -69,6 +69,7 @@
         body['job'],
         decode_identity(body),
         waits=bool(body.get('waits')),
+        held_only=bool(body.get('held_only')),
         applicant=decode_applicant(body),
     )
 
--- a/src/lycheerelay/serving/_request_handler.py
+++ b/src/lycheerelay/serving/_request_handler.py
@@ -44,6 +44,8 @@
 OWNER_QUERY_RETRY_S: Final = 0.1
 # After this time without an answer the owner is looked up again.
 OWNER_QUERY_TIMEOUT_MS: Final = 500
+# Time for the owner to tell whether it holds a job.
+HELD_QUERY_TIMEOUT_MS: Final = 100
 # Callers are answered this long before their own timeout.
 TIMEOUT_MARGIN_MS: Final = 150
 # Upper bound of a query, including the wait for a takeover.
@@ -106,6 +108,8 @@
             return self._report_submission(spec, identity, over_rate, begun_ms)
         remaining_ms = timeout_ms - (self.clock.now_ms() - begun_ms)
         outcome = await self._append(record, identity, remaining_ms, 'submit')
+        if outcome.status is RequestStatus.REFUSED:
+            outcome = await self._accept_held_or(outcome, spec.job_id, identity)
         return self._report_submission(spec, identity, outcome, begun_ms)
 
     async def refuse_busy(
@@ -188,13 +192,15 @@
         identity: Identity = EVERYONE,
         *,
         waits: bool = False,
+        held_only: bool = False,
         applicant: Applicant | None = None,
     ) -> dict[str, Any] | None:
         """Return a job's phase; None if this VM is not serving.
 
         The phase in the result is None if the job is not known, or not visible
         to the caller. With `waits`, the answer waits shortly for the end of a
-        job that is about to end. `applicant` is the job if it is about to
+        job that is about to end. With `held_only`, the store is not asked for jobs
+        that the owner has not read yet. `applicant` is the job if it is about to
         be submitted.
         """
         owner = self.owner
@@ -203,8 +209,8 @@
         if self.checks.is_revoked(identity, job_id):
             return {'phase': None, REVOKED_FIELD: True, **_published(owner)}
         job = owner.cell.find_job(job_id)
-        if job is None:
-            if not await owner.catch_up() or not owner.is_serving:
+        if job is None and not held_only:
+            if not await _catch_up(owner):
                 return None
             job = owner.cell.find_job(job_id)
         if job is not None and not identity.may_access(job.spec):
@@ -292,6 +298,7 @@
                     body['job'],
                     decode_identity(body),
                     waits=body.get('waits', False),
+                    held_only=body.get('held_only', False),
                     applicant=decode_applicant(body),
                 )
             return self.answer_waiting(body['queue'], decode_identity(body))
@@ -327,6 +334,22 @@
             return RequestResult(RequestStatus.OK)
         return refusal
 
+    async def _accept_held_or(
+        self, refusal: RequestResult, job_id: str, identity: Identity
+    ) -> RequestResult:
+        """Return success for a job that the owner holds, else the refusal.
+
+        The store is away, so that the owner cannot tell more.
+        """
+        held = await self._query_owner_once(
+            '/state',
+            {'job': job_id, 'held_only': True, **encode_identity(identity)},
+            self.clock.now_ms() + HELD_QUERY_TIMEOUT_MS,
+        )
+        if held is not None and held.get('phase') is not None:
+            return RequestResult(RequestStatus.OK)
+        return refusal
+
     def _find_refusal(self, spec: WorkflowSpec) -> RequestResult | None:
         table = self.checks.config.table if spec.tenant else None
         tenant = table.tenant_named(spec.tenant) if table else None
@@ -412,6 +435,11 @@
         return outcome
 
 
+async def _catch_up(owner: Owner) -> bool:
+    """Return whether an owner has read all jobs and is still serving."""
+    return await owner.catch_up() and owner.is_serving
+
+
 def _published(
     owner: Owner, applicant: Applicant | None = None
 ) -> dict[str, Any]:
--- a/tests/test_true_refusals.py
+++ b/tests/test_true_refusals.py
@@ -43,6 +43,27 @@
     play(scenario, ONE_WORKER)
 
 
+@pytest.mark.parametrize('vm', ['vm-0', 'vm-1', 'vm-2'])
+def test_an_accepted_job_is_refused_while_the_store_is_away(vm: str) -> None:
+    """The owner knows it; a job that it does not know is refused at once."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        name, _ = await cell.submit('vm-0', job(step(1)))
+        assert await cell.state('vm-0', name) in {'queued', 'running'}
+        handler = cell.entries[vm].handler
+
+        async def refuse(*_args: object, **_options: object) -> RequestResult:
+            return RequestResult(RequestStatus.REFUSED)
+
+        handler.appends.append = refuse
+        _, again = await cell.submit(vm, job(step(1)), job_id=name)
+        assert again.status is RequestStatus.OK
+        _, fresh = await cell.submit(vm, job(step(1)))
+        assert fresh.status is RequestStatus.REFUSED
+
+    play(scenario)
+
+
 @pytest.mark.parametrize(
     ('is_known', 'is_cut', 'expected'),
     [
