Admit large jobs only while the owner has memory for them

One client that hands in jobs of thousands of steps one after the other ends the owner's process.

Cause: the owner holds about 1,400 bytes for each step of an open job, without a bound.

The fix: before a job of 500 steps and more is stored, the owner is asked whether it knows the job and has room for it, by a pure decision. It works as the owner decides for all VMs, and keeps room for what it admitted and has not read yet. A refusal (503) follows only on an answer of the owner that does not know the job.

--- a/src/lycheerelay/platform/_entry.py
+++ b/src/lycheerelay/platform/_entry.py
@@ -28,7 +28,7 @@
     dump_process,
     previous_orders_expire_ms,
 )
-from ..serving.connections import BodyTurns, RequestLimits
+from ..serving.connections import BodyTurns, CellRoom, RequestLimits
 from ..workflow import CellState
 from ..workflow.tenants import TenantLedger
 from ._advisor import AdvisorClient
@@ -112,6 +112,7 @@
             CallerChecks(self.config, self.metrics),
             self.elector.store_health,
         )
+        self.handler.cell_room = CellRoom(settings.machine.memory_mb)
         self.body_turns = BodyTurns(settings.machine.memory_mb, clock)
         self.ingress = Ingress(
             self.handler, self.config, clock, self.is_ready, self.body_turns
--- a/src/lycheerelay/serving/_internal_api.py
+++ b/src/lycheerelay/serving/_internal_api.py
@@ -70,6 +70,7 @@
         decode_identity(body),
         waits=bool(body.get('waits')),
         held_only=bool(body.get('held_only')),
+        steps=int(body.get('steps') or 0),
         applicant=decode_applicant(body),
     )
 
--- a/src/lycheerelay/serving/_request_handler.py
+++ b/src/lycheerelay/serving/_request_handler.py
@@ -7,9 +7,10 @@
 from result import Err
 
 from .._clock import Clock
-from ..workflow import JobPhase, WorkflowSpec
+from ..workflow import JobInfo, JobPhase, WorkflowSpec
 from ..workflow.tenants import find_quota_excess
 from ._caller_checks import CallerChecks
+from ._cell_room import LARGE_JOB_STEPS, CellRoom
 from ._credentials import (
     EVERYONE,
     Identity,
@@ -52,6 +53,8 @@
 MAX_OWNER_QUERY_MS: Final = 1500
 # Field of an answer of the owner whose newer configuration lacks the key.
 REVOKED_FIELD: Final = 'key_revoked'
+# Field of an answer of the owner about room for a large job.
+ROOM_FIELD: Final = 'has_room'
 
 
 @final
@@ -73,6 +76,7 @@
         self.checks = checks
         self.metrics = checks.metrics
         self.owner: Owner | None = None
+        self.cell_room = CellRoom(0)
         self.wait_forecast = WaitForecast({}, 0)
         self.tenant_gate = TenantGate(clock)
         peers.on_owner_answer = self.tenant_gate.receive
@@ -103,6 +107,12 @@
                 refusal, spec.job_id, identity
             )
             return self._report_submission(spec, identity, outcome, begun_ms)
+        if len(spec.steps) >= LARGE_JOB_STEPS:
+            decided = await self._ask_for_room(spec, identity)
+            if decided is not None:
+                return self._report_submission(
+                    spec, identity, decided, begun_ms
+                )
         over_rate = await self._refuse_over_rate(spec, identity)
         if over_rate is not None:
             return self._report_submission(spec, identity, over_rate, begun_ms)
@@ -193,6 +203,7 @@
         *,
         waits: bool = False,
         held_only: bool = False,
+        steps: int = 0,
         applicant: Applicant | None = None,
     ) -> dict[str, Any] | None:
         """Return a job's phase; None if this VM is not serving.
@@ -200,7 +211,8 @@
         The phase in the result is None if the job is not known, or not visible
         to the caller. With `waits`, the answer waits shortly for the end of a
         job that is about to end. With `held_only`, the store is not asked for jobs
-        that the owner has not read yet. `applicant` is the job if it is about to
+        that the owner has not read yet. With `steps`, the answer tells whether there
+        is room for a job of so many steps, and keeps it. `applicant` is the job if it is about to
         be submitted.
         """
         owner = self.owner
@@ -213,12 +225,17 @@
             if not await _catch_up(owner):
                 return None
             job = owner.cell.find_job(job_id)
-        if job is not None and not identity.may_access(job.spec):
-            job = None
+        job = _hide_job(job, identity)
         if waits and job is not None:
             await owner.results.wait(job)
         phase: JobPhase | None = None if job is None else job.visible_phase
-        return {'phase': phase, **_published(owner, None if job else applicant)}
+        answer = {
+            'phase': phase,
+            **_published(owner, None if job else applicant),
+        }
+        if steps and job is None:
+            answer[ROOM_FIELD] = self._admit(owner, job_id, steps)
+        return answer
 
     def answer_waiting(
         self, queue: str, identity: Identity = EVERYONE
@@ -299,6 +316,7 @@
                     decode_identity(body),
                     waits=body.get('waits', False),
                     held_only=body.get('held_only', False),
+                    steps=body.get('steps', 0),
                     applicant=decode_applicant(body),
                 )
             return self.answer_waiting(body['queue'], decode_identity(body))
@@ -350,6 +368,31 @@
             return RequestResult(RequestStatus.OK)
         return refusal
 
+    async def _ask_for_room(
+        self, spec: WorkflowSpec, identity: Identity
+    ) -> RequestResult | None:
+        """Return the answer to a large job that is known or has no room."""
+        body = {'job': spec.job_id, 'steps': len(spec.steps)}
+        known = await self._query_owner(
+            '/state',
+            {**body, **encode_identity(identity)},
+            OWNER_QUERY_TIMEOUT_MS,
+        )
+        if known is None:
+            return RequestResult(RequestStatus.UNKNOWN_OUTCOME)
+        if known.get('phase') is not None:
+            return RequestResult(RequestStatus.OK)
+        # An owner of an earlier version does not tell.
+        if known.get(ROOM_FIELD, True):
+            return None
+        return RequestResult(RequestStatus.BUSY)
+
+    def _admit(self, owner: Owner, job_id: str, steps: int) -> bool:
+        held = {
+            name: len(job.spec.steps) for name, job in owner.cell.jobs.items()
+        }
+        return self.cell_room.admit(job_id, steps, held, self.clock.now_ms())
+
     def _find_refusal(self, spec: WorkflowSpec) -> RequestResult | None:
         table = self.checks.config.table if spec.tenant else None
         tenant = table.tenant_named(spec.tenant) if table else None
@@ -435,6 +478,12 @@
         return outcome
 
 
+def _hide_job(job: JobInfo | None, identity: Identity) -> JobInfo | None:
+    """Return a job only if the caller may access it."""
+    is_hidden = job is not None and not identity.may_access(job.spec)
+    return None if is_hidden else job
+
+
 async def _catch_up(owner: Owner) -> bool:
     """Return whether an owner has read all jobs and is still serving."""
     return await owner.catch_up() and owner.is_serving
--- a/src/lycheerelay/serving/connections.py
+++ b/src/lycheerelay/serving/connections.py
@@ -1,6 +1,7 @@
 """Bounds of what callers hold in a process, and the order in which they give way."""
 
 from ._body_turns import BodyTurns
+from ._cell_room import CellRoom
 from ._connection_limits import (
     ConnectionBudget,
     ConnectionLoad,
@@ -16,6 +17,7 @@
 
 __all__ = (
     'BodyTurns',
+    'CellRoom',
     'ConnectionBudget',
     'ConnectionLoad',
     'Listener',
--- a/src/lycheerelay_standins/platform/__init__.py
+++ b/src/lycheerelay_standins/platform/__init__.py
@@ -4,7 +4,14 @@
 from ._audit_tenants import ObservedCall, TenantAudit
 from ._callers import KeyedCaller
 from ._cell import PlatformCell
-from ._crowd import CROWDS, Crowd, chunked, job_of_size, request_head
+from ._crowd import (
+    CROWDS,
+    Crowd,
+    chunked,
+    job_of_many_steps,
+    job_of_size,
+    request_head,
+)
 from ._environment import CellShape, MachineShape, QueueShape
 from ._freezing import FreezableLoop
 from ._fuzz import FuzzResult, fuzz
@@ -46,6 +53,7 @@
     'WorkerStandIn',
     'chunked',
     'fuzz',
+    'job_of_many_steps',
     'job_of_size',
     'request_head',
     'run_virtual',
--- a/tests/test_clients_that_misbehave.py
+++ b/tests/test_clients_that_misbehave.py
@@ -19,6 +19,7 @@
     MachineShape,
     Shape,
     chunked,
+    job_of_many_steps,
     job_of_size,
 )
 from lycheerelay_standins.platform._environment import ROUTE_HOST
@@ -44,6 +45,8 @@
 # More connections than the machine has sockets.
 MANY_CONNECTIONS: Final = 300
 FEW_CONNECTIONS: Final = 20
+# Body of a job that one record of the store can hold.
+MAX_LARGE_JOB_BYTES: Final = 126_976
 SAMPLE_INTERVAL_S: Final = 0.02
 SETTLE_S: Final = 1
 ANSWER_TIMEOUT_S: Final = 120
@@ -312,6 +315,22 @@
     hold_crowd(tmp_path, 'large_jobs', 40)
 
 
+def test_accepted_large_jobs_use_up_the_memory(tmp_path: Path) -> None:
+    """Large jobs of one client, one after the other, are refused in time."""
+
+    async def scenario(machine: OneMachine) -> None:
+        watch = UsageWatch(machine.process.pid, machine.host)
+        body = job_of_many_steps(MAX_LARGE_JOB_BYTES)
+        for number in range(15):
+            await machine.submit(f'{number:016x}', data=body)
+        status, _ = await machine.submit()
+        peak = await watch.stop()
+        assert peak.memory_bytes <= MACHINE.memory_mb * BYTES_PER_MB
+        assert status == OK
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_compressed_bodies_use_up_the_memory(tmp_path: Path) -> None:
     """A few compressed bytes count as what they are decoded to."""
     hold_crowd(tmp_path, 'compressed_bodies')
