Count only the newest requests of a connection that never pauses

Callers saw: nothing yet; found by the last reading of the change. A client that always has a request in progress counted for all that it ever sent, so that others gave way for memory that nobody uses.

Cause: the count of received bytes was taken back only when no request of the connection was unanswered.

Evidence: after 10,000 requests of 27 bytes with two unanswered, the connection counted for 4.3 MB; test_a_pipelining_connection_counts_for_all_it_ever_sent failed.

The fix: each answer takes back its share of what its connection counts for. It works as the count then stays in proportion to the requests that wait.

--- a/src/lycheerelay/platform/_connection_account.py
+++ b/src/lycheerelay/platform/_connection_account.py
@@ -71,11 +71,12 @@
     def finish_answer(self, now_ms: int) -> None:
         """Notice that the peer has taken an answer."""
         self.progressed_ms = now_ms
+        # Requests that wait behind this one hold their share.
+        requests_bytes = self.unread_bytes - self.head_bytes
+        self.unread_bytes -= requests_bytes // max(self.unanswered, 1)
         self.unanswered -= 1
         self.answer_bytes = 0
         self.body_bytes = 0
-        if not self.unanswered:
-            self.unread_bytes = self.head_bytes
 
     def drop_all(self) -> None:
         """Notice that what was received is dropped."""
