--- a/src/lycheerelay/serving/_request_handler.py
+++ b/src/lycheerelay/serving/_request_handler.py
@@ -211,9 +211,9 @@
         The phase in the result is None if the job is not known, or not visible
         to the caller. With `waits`, the answer waits shortly for the end of a
         job that is about to end. With `held_only`, the store is not asked for jobs
-        that the owner has not read yet. With `steps`, the answer tells whether there
-        is room for a job of so many steps, and keeps it. `applicant` is the job if it is about to
-        be submitted.
+        that the owner has not read yet. With `steps`, the answer tells whether
+        there is room for a job of so many steps, and keeps it. `applicant` is the
+        job if it is about to be submitted.
         """
         owner = self.owner
         if owner is None or not owner.can_answer(job_id):
