--- a/review/cell_3.py
+++ b/review/cell_3.py
@@ -141,13 +141,18 @@
     """
 
     def __init__(
-        self, cell: 'Cell', number: int, service: str, kind: str, cpu: int
+        self,
+        cell: 'Cell',
+        number: int,
+        service: str,
+        kind: str,
+        capacity: dict[str, int],
     ) -> None:
         """Create a machine whose worker has not started."""
         self.cell = cell
         self.service = service
         self.labels = [kind, f'r1-{number // 5}']
-        self.capacity = {'cpu': cpu, 'memMb': 65536, 'gpus': 0}
+        self.capacity = capacity
         self.address = f'{cell.network}.2.{number + 1}:8080'
         self.number = number
         self.boots = 0
@@ -355,6 +360,7 @@
         """Create a cell that writes to `record.txt` in a folder."""
         self.record = Record(folder / 'record.txt')
         self.store = StoreStandIn(now_ms)
+        self.session: aiohttp.ClientSession | None = None
         self.claim = _claim_network()
         self.network = self.claim.getsockname()[0].removesuffix('.0.1')
         self.hosts = [f'{self.network}.1.{n + 1}' for n in range(fronts)]
@@ -375,10 +381,11 @@
         task.add_done_callback(self.tasks.discard)
 
     def add_worker(
-        self, service: str, kind: str = 'a', cpu: int = 16000
+        self, service: str, kind: str = 'a', **capacity: int
     ) -> Worker:
         """Add a machine whose worker is still to be started."""
-        worker = Worker(self, len(self.workers), service, kind, cpu)
+        room = {'cpu': 16000, 'memMb': 65536, 'gpus': 0, **capacity}
+        worker = Worker(self, len(self.workers), service, kind, room)
         self.workers.append(worker)
         return worker
 
@@ -430,6 +437,14 @@
 
     async def __aenter__(self) -> 'Cell':
         """Serve the stand-ins, start the workers and the entry VMs."""
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _start(self) -> None:
         store = f'{self.network}.0.1:9000'
         self.runners.append(await serve(self.store.handle, store))
         for worker in self.workers:
@@ -440,7 +455,6 @@
         for number, _ in enumerate(self.hosts):
             await self.start_front(number)
         await self._wait_until_ready()
-        return self
 
     async def start_front(self, number: int) -> None:
         """Start an entry VM with the command of the deploy file."""
@@ -490,7 +504,8 @@
             await process.wait()
         for task in list(self.tasks):
             task.cancel()
-        await self.session.close()
+        if self.session is not None:
+            await self.session.close()
         for runner in self.runners:
             await runner.cleanup()
         self.claim.close()
@@ -555,11 +570,19 @@
     raise OSError('every part of the loopback network is in use')
 
 
+async def _run(case: Any) -> bool:
+    """Run a case; a signal to end it closes the cell first."""
+    task = asyncio.get_running_loop().create_task(case())
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    return bool(await task)
+
+
 def run_case(case: Any) -> int:
     """Run a case; return 1 if the rule was broken, 0 if not, else 2."""
     try:
-        broken = asyncio.run(case())
-    except Exception as error:  # The script must say that it could not run.
+        broken = asyncio.run(_run(case))
+    except (Exception, asyncio.CancelledError) as error:
         print(f'the case could not run: {error!r}')
         return 2
     print('broken' if broken else 'held')
