Cancel a job whose hand-in is stored after its cancelling

Seen: callers whose hand-in had no answer cancelled the job and got 410.

Cause: (1) RequestHandler.cancel answered 410 by what the owner had read and stored nothing, though an append without an answer may still be executed. (2) The owner applied cancellations only to jobs that it knew when it read them; a takeover applied them in either order. A repeated hand-in, whose record is newer, ran after a cancelling with 200 when the owner had to read the newest records again. (3) All callers' cancellations of a job had one key, so that a foreign tenant's replaced that of the job's tenant.

Evidence: the logs of the case have request cancel no_such_job, no cancel_read, then job_opened with age_ms 6001.

Change: a cancellation of an unknown job is stored before the 410. The owner holds it and cancels the job when its hand-in is read in whichever way, if the caller may access it. Keys of callers with a tenant name their scope. They are deleted status_s + 60 s after they were read, counted (early_cancels, early_cancels_applied) and logged (cancel_read, early_cancel_applied). The question to the owner about a job is a type of its own, since it has one option more.

Why it holds: the record of the cancellation is in the same stream as that of the hand-in, so that each reader sees both, whatever the order.

--- a/src/lycheerelay/platform/_ingress.py
+++ b/src/lycheerelay/platform/_ingress.py
@@ -51,6 +51,7 @@
     RequestStatus.BUSY: 503,
     RequestStatus.OVER_QUOTA: 429,
     RequestStatus.NEVER_STORED: 413,
+    RequestStatus.TOO_MANY_CANCELS: 503,
 }
 # Responses with these statuses carry a Retry-After header.
 RETRYABLE_ERRORS: Final = {
@@ -64,6 +65,10 @@
     RequestStatus.BUSY: (
         'too many large jobs wait; the job was not stored and has not run'
     ),
+    RequestStatus.TOO_MANY_CANCELS: (
+        'too many jobs that are not known were cancelled; '
+        'this cancellation was not stored'
+    ),
     RequestStatus.CONFIG_TOO_OLD: (
         'the configuration is too old to check the key; the request has not run'
     ),
--- a/src/lycheerelay/serving/_cell_restore.py
+++ b/src/lycheerelay/serving/_cell_restore.py
@@ -1,11 +1,13 @@
 """Restore an empty cell from the newest record of each key, in slices."""
 
+import itertools
 import logging
 from typing import Final, final
 
 from ..workflow import is_final_record, restore_progress
+from ._cancellations import is_unscoped, job_of_cancellation
 from ._context import OwnerContext
-from ._job_expiry import CANCEL_PREFIX, JOB_PREFIX
+from ._job_expiry import JOB_PREFIX
 from ._job_stream import JobStream
 from ._ports import KeyedRecord, RecordPage
 from ._progress_keys import OWNER_KEYS, job_id_of, progress_key
@@ -41,22 +43,25 @@
     async def run(self, jobs: RecordPage) -> bool:
         """Restore the jobs; return False if the term ends meanwhile."""
         records: dict[str, KeyedRecord] = {}
-        cancels: dict[str, KeyedRecord] = {}
+        cancels: dict[str, list[KeyedRecord]] = {}
         for record in sorted(jobs.records, key=lambda record: record.offset):
             await self.slices.next_item()
             if record.key.startswith(JOB_PREFIX):
                 records[record.key.removeprefix(JOB_PREFIX)] = record
-            elif record.key.startswith(CANCEL_PREFIX):
-                cancels[record.key.removeprefix(CANCEL_PREFIX)] = record
+            elif job_of_cancellation(record.key):
+                job_id = job_of_cancellation(record.key)
+                cancels.setdefault(job_id, []).append(record)
         for number, (job_id, record) in enumerate(records.items()):
             await self.slices.next_item()
             if self.context.cell.deposed:
                 return False
             self._report(number, len(records))
-            await self._restore_job(job_id, record, cancels.get(job_id))
+            await self._restore_job(job_id, record)
+            self._restore_cancels(job_id, cancels.pop(job_id, []))
         self.expiry.report_leftovers()
-        for job_id in cancels.keys() - records.keys():
-            self.expiry.note_stray(job_id)
+        for cancel in itertools.chain.from_iterable(cancels.values()):
+            await self.slices.next_item()
+            self.stream.hold_cancel(cancel)
         await self._drop_orphans(records)
         return not self.context.cell.deposed
 
@@ -70,9 +75,7 @@
                 orphans.append(job_id)
         self.expiry.drop_orphans(orphans)
 
-    async def _restore_job(
-        self, job_id: str, record: KeyedRecord, cancel: KeyedRecord | None
-    ) -> None:
+    async def _restore_job(self, job_id: str, record: KeyedRecord) -> None:
         payload = self.progress.get(progress_key(job_id))
         past = self.expiry.past
         if past.add(job_id, record, payload, self.context.now_ms):
@@ -85,8 +88,13 @@
             restore_progress(self.context.cell, job, payload)
         if job.is_final:
             job.finalized_ms = self.context.now_ms
-        if cancel is not None:
-            self.stream.apply_cancel(cancel)
+
+    def _restore_cancels(self, job_id: str, cancels: list[KeyedRecord]) -> None:
+        for cancel in cancels:
+            if job_id in self.context.cell.jobs:
+                self.stream.apply_cancel(cancel)
+            elif not is_unscoped(cancel.key):
+                self.stream.hold_cancel(cancel)
 
     def _report(self, restored: int, total: int) -> None:
         now_ms = self.context.now_ms
--- a/src/lycheerelay/serving/_internal_api.py
+++ b/src/lycheerelay/serving/_internal_api.py
@@ -14,7 +14,7 @@
 from ._http_calls import Reply
 from ._ports import Advisor, KeyedRecord
 from ._request_handler import RequestHandler
-from ._tenant_admission import decode_applicant
+from ._state_query import decode_query
 
 logger = logging.getLogger('lycheerelay.internal')
 
@@ -65,14 +65,7 @@
 @ROUTES.register('/state')
 async def state(internal: InternalApi, body: Body) -> Body | None:
     """Return the phase of a job."""
-    return await internal.handler.answer_state(
-        body['job'],
-        decode_identity(body),
-        waits=bool(body.get('waits')),
-        held_only=bool(body.get('held_only')),
-        steps=int(body.get('steps') or 0),
-        applicant=decode_applicant(body),
-    )
+    return await internal.handler.answer_state(decode_query(body))
 
 
 @ROUTES.register('/waiting')
--- a/src/lycheerelay/serving/_job_expiry.py
+++ b/src/lycheerelay/serving/_job_expiry.py
@@ -21,7 +21,9 @@
 from result import Ok
 
 from ..workflow import WorkflowSpec, retention
+from ._cancellations import cancel_key, is_unscoped
 from ._context import OwnerContext
+from ._early_cancels import EarlyCancels
 from ._past_jobs import PastJobs
 from ._ports import KeyedRecord, RecordPage, Stream
 from ._progress_keys import JUDGED_KEY, LEGACY_FENCE_KEY, progress_key
@@ -31,7 +33,6 @@
 logger = logging.getLogger('lycheerelay.expiry')
 
 JOB_PREFIX: Final = 'job/'
-CANCEL_PREFIX: Final = 'cancel/'
 CHECK_INTERVAL_S: Final = 10
 # Records in one deletion, two for each job.
 MAX_RECORDS: Final = 2000
@@ -55,10 +56,9 @@
     ) -> None:
         """Start without anything to delete.
 
-        `leftovers` are the jobs whose record an earlier version has left,
-        `strays` the cancellations without a job, with the time when they were
-        read. `unsettled` are jobs that need a progress record before the
-        examination of an earlier version's records is over.
+        `leftovers` are the jobs whose record an earlier version has left, `early`
+        the cancellations without a job. `unsettled` are jobs that need a progress
+        record before the examination of an earlier version's records is over.
         """
         self.context = context
         self.recorder = recorder
@@ -66,7 +66,7 @@
         self.catch_up = catch_up
         self.retain_ms = retention.retention_ms(context.limits.status_ms)
         self.leftovers: dict[str, None] = {}
-        self.strays: dict[str, int] = {}
+        self.early = EarlyCancels()
         self.unsettled: dict[str, None] = {}
         self.judged: bytes | None = None
         self.recorded_waiting: frozenset[str] = frozenset()
@@ -77,6 +77,7 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             if self.context.may_send_orders:
                 self._record_waiting()
+                self.context.metrics.gauge('early_cancels', self.early.count)
                 await self._shelve()
                 await self._delete_due()
                 self._finish_examination()
@@ -114,10 +115,6 @@
                 },
             )
 
-    def note_stray(self, job_id: str) -> None:
-        """Schedule the deletion of a cancellation without a job."""
-        self.strays.setdefault(job_id, self.context.now_ms)
-
     def forget(self, job_id: str) -> None:
         """Forget a job whose record is deleted, and delete its progress."""
         self.leftovers.pop(job_id, None)
@@ -171,13 +168,22 @@
         expired = retention.find_expired(cell, self.retain_ms, now_ms)
         past = self.past.expired(now_ms - self.retain_ms)
         for job_id in (*expired, *past, *self.leftovers):
-            yield KeyedRecord(f'{CANCEL_PREFIX}{job_id}', None)
+            keys = (cancel_key(job_id), *self.early.keys_of(job_id))
+            for key in dict.fromkeys(keys):
+                yield KeyedRecord(key, None)
             yield KeyedRecord(f'{JOB_PREFIX}{job_id}', None)
-        for job_id, read_ms in list(self.strays.items()):
-            if job_id in cell.jobs or job_id in self.past.jobs:
-                self.strays.pop(job_id)
-            elif read_ms < now_ms - self.retain_ms:
-                yield KeyedRecord(f'{CANCEL_PREFIX}{job_id}', None)
+        for job_id, key in self.early.read_before(now_ms - self.retain_ms):
+            if not self._is_kept_with_job(job_id, key):
+                yield KeyedRecord(key, None)
+
+    def _is_kept_with_job(self, job_id: str, key: str) -> bool:
+        """Return whether a cancellation is deleted when its job is."""
+        if job_id in self.past.jobs:
+            return True
+        job = self.context.cell.jobs.get(job_id)
+        if job is None:
+            return False
+        return is_unscoped(key) or self.early.covers(job.spec)
 
     def _record_waiting(self) -> None:
         """Record progress of jobs that wait for long.
--- a/src/lycheerelay/serving/_job_stream.py
+++ b/src/lycheerelay/serving/_job_stream.py
@@ -4,14 +4,17 @@
 import logging
 from typing import final
 
-import orjson
 from result import Err
 
 from ..workflow import JobInfo, WorkflowSpec, cancel
 from ..workflow.opening import add_job, make_first_steps, make_job
+from ._cancellations import (
+    decode_cancellation,
+    is_unscoped,
+    job_of_cancellation,
+)
 from ._context import OwnerContext
-from ._credentials import Identity
-from ._job_expiry import CANCEL_PREFIX, JOB_PREFIX, JobExpiry
+from ._job_expiry import JOB_PREFIX, JobExpiry
 from ._ports import KeyedRecord, RecordPage
 from ._slices import Slices
 from ._spec_codec import decode_spec
@@ -19,29 +22,6 @@
 logger = logging.getLogger('lycheerelay.jobs')
 
 
-def encode_cancellation(identity: Identity) -> bytes:
-    """Return the payload of a cancellation.
-
-    The owner checks the tenant again when it reads the record, since the caller
-    may be answered while no owner serves.
-    """
-    if identity.tenant is None:
-        return b'{}'
-    return orjson.dumps({'tenant': identity.tenant, 'queue': identity.queue})
-
-
-def decode_cancellation(payload: bytes | None) -> Identity:
-    """Return who cancels; a payload without a tenant may cancel any job."""
-    try:
-        fields = orjson.loads(payload or b'{}')
-    except ValueError:
-        return Identity('')
-    if not isinstance(fields, dict):
-        return Identity('')
-    queue = str(fields.get('queue', ''))
-    return Identity(fields.get('tenant'), queue=queue)
-
-
 @final
 class JobStream:
     """Apply the records of the job stream to one owner's cell."""
@@ -50,6 +30,7 @@
         """Apply records to the context's cell."""
         self.context = context
         self.expiry = expiry
+        self.early = expiry.early
         self.slices = Slices(context.clock)
         self.applying = asyncio.Lock()
 
@@ -69,7 +50,7 @@
         await self.slices.next_item()
         if record.key.startswith(JOB_PREFIX):
             await self._apply_job(record)
-        elif record.key.startswith(CANCEL_PREFIX):
+        elif job_of_cancellation(record.key):
             self.apply_cancel(record)
 
     async def _apply_job(self, record: KeyedRecord) -> None:
@@ -81,6 +62,8 @@
             return
         self.expiry.leftovers.pop(spec.job_id, None)
         job = await self.submit(spec, record.offset)
+        if self.early.covers(spec):
+            self._cancel_early(job)
         if job.is_final:
             # Its caller may ask for the state of a job that was just accepted.
             job.finalized_ms = self.context.now_ms
@@ -133,21 +116,48 @@
             metrics = self.context.metrics
             metrics.count_job('tenant_over_rate_jobs', spec.tenant)
 
+    def _cancel_early(self, job: JobInfo) -> None:
+        """Cancel a job whose cancellation was read before its hand-in."""
+        job_id = job.spec.job_id
+        if cancel(self.context.cell, job_id, self.context.now_ms):
+            self.context.metrics.count('early_cancels_applied')
+            logger.info(
+                'early_cancel_applied',
+                extra={'job': job_id, 'offset': job.offset},
+            )
+
     def apply_cancel(self, record: KeyedRecord) -> None:
-        """Cancel a job if its caller may, or note a cancellation without one."""
-        job_id = record.key.removeprefix(CANCEL_PREFIX)
+        """Cancel a job if its caller may, or hold a cancellation without one.
+
+        A record with a scope is held until it is deleted, also if the job is known.
+        """
+        job_id = job_of_cancellation(record.key)
         if record.payload is None:
-            self.expiry.strays.pop(job_id, None)
+            self.early.forget(job_id, record.key)
             return
         cell = self.context.cell
         job = cell.find_job(job_id)
-        if job is None:
-            self.expiry.note_stray(job_id)
-        is_allowed = job is None or decode_cancellation(
+        if job is None or not is_unscoped(record.key):
+            self.hold_cancel(record)
+        is_allowed = job is not None and decode_cancellation(
             record.payload
         ).may_access(job.spec)
         effect = is_allowed and cancel(cell, job_id, self.context.now_ms)
         logger.info(
             'cancel_read',
-            extra={'job': job_id, 'offset': record.offset, 'effect': effect},
+            extra={
+                'job': job_id,
+                'offset': record.offset,
+                'effect': effect,
+                'early': job is None,
+            },
+        )
+
+    def hold_cancel(self, record: KeyedRecord) -> None:
+        """Hold a cancellation until its job is handed in, or it expires."""
+        self.early.note(
+            job_of_cancellation(record.key),
+            record.key,
+            decode_cancellation(record.payload),
+            self.context.now_ms,
         )
--- a/src/lycheerelay/serving/_request_handler.py
+++ b/src/lycheerelay/serving/_request_handler.py
@@ -10,6 +10,7 @@
 from ..workflow import JobInfo, JobPhase, WorkflowSpec
 from ..workflow.tenants import find_quota_excess
 from ._caller_checks import CallerChecks
+from ._cancellations import cancel_key, encode_cancellation
 from ._cell_room import LARGE_JOB_STEPS, CellRoom
 from ._credentials import (
     EVERYONE,
@@ -17,20 +18,16 @@
     decode_identity,
     encode_identity,
 )
-from ._job_expiry import CANCEL_PREFIX, JOB_PREFIX
-from ._job_stream import encode_cancellation
+from ._job_expiry import JOB_PREFIX
 from ._owner import Owner
 from ._peers import OWNER_SEARCH_INTERVAL_MS, REJECTED_FIELD, Peers
 from ._ports import KeyedLog, KeyedRecord, LogFault
 from ._record_appends import PendingRecord, RecordAppends, find_size_excess
 from ._request_result import RequestResult, RequestStatus
 from ._spec_codec import encode_spec
+from ._state_query import StateQuery, decode_query
 from ._store_health import StoreHealth
-from ._tenant_admission import (
-    Applicant,
-    decode_applicant,
-    encode_applicant,
-)
+from ._tenant_admission import Applicant, encode_applicant
 from ._tenant_gate import TenantGate
 from ._wait_forecast import (
     WaitForecast,
@@ -53,8 +50,10 @@
 MAX_OWNER_QUERY_MS: Final = 1500
 # Field of an answer of the owner whose newer configuration lacks the key.
 REVOKED_FIELD: Final = 'key_revoked'
-# Field of an answer of the owner about room for a large job.
+# Fields of an answer of the owner about room for a large job, and for the
+# cancellation of a job that is not known.
 ROOM_FIELD: Final = 'has_room'
+CANCEL_ROOM_FIELD: Final = 'has_cancel_room'
 
 
 @final
@@ -143,20 +142,29 @@
         timeout_ms: int,
         identity: Identity = EVERYONE,
     ) -> RequestResult:
-        """Append the cancellation of a job."""
+        """Append the cancellation of a job, whether the job is known or not.
+
+        A job that is not known may still be stored by an append without an answer,
+        so its callers are told that there is none only once its cancellation is
+        stored.
+        """
         begun_ms = self.clock.now_ms()
         known = await self._query_owner(
             '/state',
-            {'job': job_id, **encode_identity(identity)},
+            {'job': job_id, 'cancels': True, **encode_identity(identity)},
             timeout_ms // 2,
         )
-        if known is not None and known.get('phase') is None:
-            outcome = _missing_job_result(known)
-            return self._report('cancel', job_id, queue, outcome, begun_ms)
-        record = KeyedRecord(
-            f'{CANCEL_PREFIX}{job_id}', encode_cancellation(identity)
-        )
-        outcome = await self._append(record, identity, timeout_ms, 'cancel')
+        refusal = _find_cancel_refusal(known)
+        if refusal is not None:
+            return self._report('cancel', job_id, queue, refusal, begun_ms)
+        is_known = known is not None and known['phase'] is not None
+        key = cancel_key(job_id, EVERYONE if is_known else identity)
+        record = KeyedRecord(key, encode_cancellation(identity))
+        remaining_ms = timeout_ms - (self.clock.now_ms() - begun_ms)
+        outcome = await self._append(record, identity, remaining_ms, 'cancel')
+        is_missing = known is not None and not is_known
+        if is_missing and outcome.status is RequestStatus.OK:
+            outcome = RequestResult(RequestStatus.NO_SUCH_JOB)
         return self._report('cancel', job_id, queue, outcome, begun_ms)
 
     async def state(
@@ -196,46 +204,32 @@
             return RequestResult(RequestStatus.KEY_REFUSED)
         return RequestResult(RequestStatus.OK, answer['waiting'])
 
-    async def answer_state(
-        self,
-        job_id: str,
-        identity: Identity = EVERYONE,
-        *,
-        waits: bool = False,
-        held_only: bool = False,
-        steps: int = 0,
-        applicant: Applicant | None = None,
-    ) -> dict[str, Any] | None:
+    async def answer_state(self, query: StateQuery) -> dict[str, Any] | None:
         """Return a job's phase; None if this VM is not serving.
 
         The phase in the result is None if the job is not known, or not visible
-        to the caller. With `waits`, the answer waits shortly for the end of a
-        job that is about to end. With `held_only`, the store is not asked for jobs
-        that the owner has not read yet. With `steps`, the answer tells whether
-        there is room for a job of so many steps, and keeps it. `applicant` is the
-        job if it is about to be submitted.
+        to the caller.
         """
+        job_id, identity = query.job_id, query.identity
         owner = self.owner
         if owner is None or not owner.can_answer(job_id):
             return None
         if self.checks.is_revoked(identity, job_id):
             return {'phase': None, REVOKED_FIELD: True, **_published(owner)}
         job = owner.cell.find_job(job_id)
-        if job is None and not held_only:
+        if job is None and not query.held_only:
             if not await _catch_up(owner):
                 return None
             job = owner.cell.find_job(job_id)
         job = _hide_job(job, identity)
-        if waits and job is not None:
+        if query.waits and job is not None:
             await owner.results.wait(job)
         phase: JobPhase | None = None if job is None else job.visible_phase
         answer = {
             'phase': phase,
-            **_published(owner, None if job else applicant),
+            **_published(owner, None if job else query.applicant),
         }
-        if steps and job is None:
-            answer[ROOM_FIELD] = self._admit(owner, job_id, steps)
-        return answer
+        return answer if job else {**answer, **self._keep_room(owner, query)}
 
     def answer_waiting(
         self, queue: str, identity: Identity = EVERYONE
@@ -311,14 +305,7 @@
     ) -> dict[str, Any] | None:
         if self.owner is not None:
             if path == '/state':
-                return await self.answer_state(
-                    body['job'],
-                    decode_identity(body),
-                    waits=body.get('waits', False),
-                    held_only=body.get('held_only', False),
-                    steps=body.get('steps', 0),
-                    applicant=decode_applicant(body),
-                )
+                return await self.answer_state(decode_query(body))
             return self.answer_waiting(body['queue'], decode_identity(body))
         remaining_ms = max(deadline_ms - self.clock.now_ms(), 1)
         outcome = await self.peers.call_owner(
@@ -387,6 +374,20 @@
             return None
         return RequestResult(RequestStatus.BUSY)
 
+    def _keep_room(self, owner: Owner, query: StateQuery) -> dict[str, bool]:
+        """Tell whether there is room for what a caller asks of an unknown job."""
+        room = {}
+        if query.steps:
+            room[ROOM_FIELD] = self._admit(owner, query.job_id, query.steps)
+        if query.cancels:
+            room[CANCEL_ROOM_FIELD] = owner.expiry.early.admit(
+                query.job_id,
+                cancel_key(query.job_id, query.identity),
+                query.identity,
+                self.clock.now_ms(),
+            )
+        return room
+
     def _admit(self, owner: Owner, job_id: str, steps: int) -> bool:
         held = {
             name: len(job.spec.steps) for name, job in owner.cell.jobs.items()
@@ -500,6 +501,20 @@
     return {'waits': encode_waits(owner.waits), **rows}
 
 
+def _find_cancel_refusal(
+    known: dict[str, Any] | None,
+) -> RequestResult | None:
+    """Return the refusal to store a cancellation by the answer of the owner."""
+    if known is None:
+        return None
+    if known.get(REVOKED_FIELD):
+        return RequestResult(RequestStatus.KEY_REFUSED)
+    # An owner of an earlier version does not tell.
+    if known['phase'] is None and not known.get(CANCEL_ROOM_FIELD, True):
+        return RequestResult(RequestStatus.TOO_MANY_CANCELS)
+    return None
+
+
 def _missing_job_result(answer: dict[str, Any]) -> RequestResult:
     is_revoked = bool(answer.get(REVOKED_FIELD))
     return RequestResult(
--- a/src/lycheerelay/serving/_request_result.py
+++ b/src/lycheerelay/serving/_request_result.py
@@ -22,6 +22,7 @@
     KEY_REFUSED = 'key_refused'
     CONFIG_TOO_OLD = 'config_too_old'
     NEVER_STORED = 'never_stored'
+    TOO_MANY_CANCELS = 'too_many_cancels'
 
 
 class RequestResult(NamedTuple):
--- a/src/lycheerelay/serving/_workflow_api.py
+++ b/src/lycheerelay/serving/_workflow_api.py
@@ -46,6 +46,7 @@
     RequestStatus.TOO_LATE: Code.OVERLOADED,
     RequestStatus.OVER_RATE: Code.OVERLOADED,
     RequestStatus.BUSY: Code.OVERLOADED,
+    RequestStatus.TOO_MANY_CANCELS: Code.OVERLOADED,
     RequestStatus.KEY_REFUSED: Code.KEY_REFUSED,
     RequestStatus.CONFIG_TOO_OLD: Code.CONFIG_TOO_OLD,
     RequestStatus.OVER_QUOTA: Code.NEVER_IN_QUOTA,
