Share the reads of the job stream among questions about unknown jobs

Cause: the owner reads the stream to its end before it says that there is no such job, once for each question.

Change: those who ask at the same time share the next read (SharedCall). A read that began before a question does not count for it.

--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -35,6 +35,7 @@
 from ._ports import LogFault, RecordPage, Stream
 from ._recorder import Recorder
 from ._result_watch import ResultWatch
+from ._shared_call import SharedCall
 from ._takeover import Takeover
 from ._tenant_monitor import TenantMonitor
 from ._worker_poller import WorkerPoller
@@ -93,6 +94,7 @@
             context, self.recorder, self.past, self.catch_up
         )
         self.stream = JobStream(context, self.expiry)
+        self.catching_up = SharedCall(self.catch_up)
         self.takeover = Takeover(context, listings, self.stream, self.recorder)
         self.started_ms = context.now_ms
         self.tasks: list[asyncio.Task[None]] = []
@@ -240,6 +242,7 @@
         self.depose()
         for task in self.tasks:
             task.cancel()
+        self.catching_up.cancel()
         self.orders.cancel()
         logger.info(
             'term_over',
--- a/src/lycheerelay/serving/_request_handler.py
+++ b/src/lycheerelay/serving/_request_handler.py
@@ -487,7 +487,7 @@
 
 async def _catch_up(owner: Owner) -> bool:
     """Return whether an owner has read all jobs and is still serving."""
-    return await owner.catch_up() and owner.is_serving
+    return await owner.catching_up.run() and owner.is_serving
 
 
 def _published(
