Refuse no job for good whose hand-in the store may still execute

A hand-in without an answer from the store got 504; the repeat at another VM got 429 (too late, over a quota or rate) or 503 (busy, store away), which promise that the job never runs, and a query of its state 410. The store executed the hand-in seconds later, and the job ran.

Cause: only the VM of the hand-in knows that its append had no answer, and it forgot that with its own answer. The owner, which is asked before a refusal, reads the stream to its end, where the job is not yet.

Change: a VM remembers such jobs for 30 s and reports them to the owner at once and to each next owner (internal call /doubts). The owner's answer about an unknown job has the time that is left; a refusal that promises that the job never runs becomes 504 then, and so does 410 for its state.

Why it holds: each of these refusals asks the owner or is made at a VM that has the doubt itself.

--- a/src/lycheerelay/platform/_entry.py
+++ b/src/lycheerelay/platform/_entry.py
@@ -191,6 +191,7 @@
             self.elector.run(),
             self.config.run(),
             self._refresh_peers(),
+            self.handler.appends.doubt_reports.run(),
         ):
             self.background_tasks.append(loop.create_task(work))
         logger.info(
--- a/src/lycheerelay/serving/_internal_api.py
+++ b/src/lycheerelay/serving/_internal_api.py
@@ -11,6 +11,7 @@
 from .._registry import Registry
 from ..workflow import StepKey
 from ._credentials import decode_identity
+from ._doubtful_jobs import decode_doubts
 from ._http_calls import Reply
 from ._ports import Advisor, KeyedRecord
 from ._request_handler import RequestHandler
@@ -114,6 +115,13 @@
     return answer
 
 
+@ROUTES.register('/doubts')
+async def doubts(internal: InternalApi, body: Body) -> Body | None:
+    """Remember jobs whose hand-in another entry VM has no answer to."""
+    internal.handler.doubts.receive(decode_doubts(body))
+    return {}
+
+
 @ROUTES.register('/vacant')
 async def vacant(internal: InternalApi, body: Body) -> Body | None:
     """Check for a vacancy after another member has announced one."""
--- a/src/lycheerelay/serving/_peers.py
+++ b/src/lycheerelay/serving/_peers.py
@@ -2,7 +2,8 @@
 
 A member of the group is named `HOST:PORT#INCARNATION`; the first part is the
 address of its internal interface. Calls are JSON over HTTP: `POST /state`,
-`/append`, `/waiting`, `/advice`, `/config`, `/hello`, `/vacant` and `/dump`.
+`/append`, `/waiting`, `/advice`, `/config`, `/hello`, `/doubts`, `/vacant` and
+`/dump`.
 """
 
 import asyncio
--- a/src/lycheerelay/serving/_record_appends.py
+++ b/src/lycheerelay/serving/_record_appends.py
@@ -12,7 +12,10 @@
 from ._append_route import AppendRoute, AppendRouter
 from ._caller_checks import CallerChecks
 from ._credentials import Identity
+from ._doubt_reports import DoubtReports
+from ._doubtful_jobs import DoubtfulJobs
 from ._job_appends import AppendOutcome, JobAppends
+from ._job_expiry import JOB_PREFIX
 from ._peers import Peers
 from ._ports import KeyedLog, KeyedRecord, LogFault, StoreLimits
 from ._request_result import RequestResult, RequestStatus
@@ -58,6 +61,8 @@
         self.gate = AppendGate(clock, store_health)
         self.router = AppendRouter(clock, store_health)
         self.job_appends = JobAppends(clock, log, self.gate, self.metrics)
+        self.doubts = DoubtfulJobs(clock)
+        self.doubt_reports = DoubtReports(self.doubts, peers)
 
     async def append(
         self, pending: PendingRecord, operation: str, *, is_owner: bool
@@ -113,9 +118,10 @@
         if refusal is not None:
             return Err(FAULT_OF_STATUS[refusal])
         deadline_ms = self.clock.now_ms() + RELAY_TIMEOUT_MS
-        return await append_directly(
-            self, PendingRecord(record, identity, deadline_ms)
-        )
+        pending = PendingRecord(record, identity, deadline_ms)
+        outcome = await append_directly(self, pending)
+        self._note_doubt(pending, outcome)
+        return outcome
 
     def _routes(self, is_owner: bool) -> tuple[AppendRoute, ...]:
         routes = self.router.routes(is_owner)
@@ -129,6 +135,7 @@
         # The first record of a key counts, so that a second append of it
         # changes nothing.
         outcome = await APPENDERS[route](self, pending)
+        self._note_doubt(pending, outcome)
         is_answered = outcome.is_ok() or outcome.err() in FINAL_FAULTS
         took_ms = self.clock.now_ms() - begun_ms
         self.router.observe(route, took_ms, not is_answered)
@@ -136,6 +143,15 @@
         self.metrics.count('appends', route=route.value, verdict=verdict)
         return outcome
 
+    def _note_doubt(
+        self, pending: PendingRecord, outcome: AppendOutcome
+    ) -> None:
+        key = pending.record.key
+        if outcome == Err(LogFault.UNKNOWN) and key.startswith(JOB_PREFIX):
+            job_id = key.removeprefix(JOB_PREFIX)
+            self.doubts.note(job_id, pending.identity)
+            self.doubt_reports.wanted.set()
+
 
 STATUS_OF_FAULT: Final = {
     LogFault.UNKNOWN: RequestStatus.UNKNOWN_OUTCOME,
--- a/src/lycheerelay/serving/_request_handler.py
+++ b/src/lycheerelay/serving/_request_handler.py
@@ -54,6 +54,20 @@
 # cancellation of a job that is not known.
 ROOM_FIELD: Final = 'has_room'
 CANCEL_ROOM_FIELD: Final = 'has_cancel_room'
+# Field of an answer of the owner with the time for which the store may still execute
+# the hand-in of a job that is not known.
+DOUBT_FIELD: Final = 'doubtful_ms'
+# Answers that promise that a job was not accepted and never runs.
+NOT_ACCEPTED: Final = frozenset(
+    (
+        RequestStatus.REFUSED,
+        RequestStatus.TOO_LATE,
+        RequestStatus.OVER_QUOTA,
+        RequestStatus.OVER_RATE,
+        RequestStatus.BUSY,
+        RequestStatus.CONFIG_TOO_OLD,
+    )
+)
 
 
 @final
@@ -81,6 +95,7 @@
         peers.on_owner_answer = self.tenant_gate.receive
         self.appends = RecordAppends(clock, log, peers, checks, store_health)
         self.append_gate = self.appends.gate
+        self.doubts = self.appends.doubts
 
     async def submit(
         self,
@@ -133,6 +148,7 @@
         outcome = await self._accept_known_or(
             RequestResult(RequestStatus.BUSY), job_id, identity
         )
+        outcome = self._doubt_refusal(outcome, job_id, identity)
         return self._report('submit', job_id, queue, outcome, begun_ms)
 
     async def cancel(
@@ -184,7 +200,7 @@
         if answer is None:
             outcome = RequestResult(RequestStatus.UNAVAILABLE)
         elif answer['phase'] is None:
-            outcome = _missing_job_result(answer)
+            outcome = self._missing_job_result(answer, job_id, identity)
         else:
             outcome = RequestResult(RequestStatus.OK, answer['phase'])
         return self._report('state', job_id, queue, outcome, begun_ms)
@@ -229,7 +245,12 @@
             'phase': phase,
             **_published(owner, None if job else query.applicant),
         }
-        return answer if job else {**answer, **self._keep_room(owner, query)}
+        if job is not None:
+            return answer
+        doubtful_ms = self.doubts.remaining_ms(job_id, identity)
+        if doubtful_ms:
+            answer[DOUBT_FIELD] = doubtful_ms
+        return {**answer, **self._keep_room(owner, query)}
 
     def answer_waiting(
         self, queue: str, identity: Identity = EVERYONE
@@ -319,6 +340,10 @@
         self.wait_forecast = WaitForecast(
             decode_waits(answer['waits']), self.clock.now_ms()
         )
+        if answer.get(DOUBT_FIELD):
+            tenant = decode_identity(body).tenant or ''
+            row = (str(body['job']), tenant, int(answer[DOUBT_FIELD]))
+            self.doubts.receive((row,))
         return answer
 
     async def _accept_known_or(
@@ -445,6 +470,7 @@
         outcome: RequestResult,
         begun_ms: int,
     ) -> RequestResult:
+        outcome = self._doubt_refusal(outcome, spec.job_id, identity)
         verdict = outcome.status.value
         self.metrics.count_job('tenant_jobs', spec.tenant, verdict=verdict)
         is_accepted = outcome.status is RequestStatus.OK
@@ -453,6 +479,26 @@
             'submit', spec.job_id, spec.queue, outcome, begun_ms, **caller
         )
 
+    def _doubt_refusal(
+        self, outcome: RequestResult, job_id: str, identity: Identity
+    ) -> RequestResult:
+        """Return an unknown outcome for a refusal that may turn out to be untrue."""
+        if outcome.status not in NOT_ACCEPTED:
+            return outcome
+        if not self.doubts.remaining_ms(job_id, identity):
+            return outcome
+        self.metrics.count('doubtful_refusals', verdict=outcome.status.value)
+        return RequestResult(RequestStatus.UNKNOWN_OUTCOME)
+
+    def _missing_job_result(
+        self, answer: dict[str, Any], job_id: str, identity: Identity
+    ) -> RequestResult:
+        if answer.get(REVOKED_FIELD):
+            return RequestResult(RequestStatus.KEY_REFUSED)
+        if self.doubts.remaining_ms(job_id, identity):
+            return RequestResult(RequestStatus.UNKNOWN_OUTCOME)
+        return RequestResult(RequestStatus.NO_SUCH_JOB)
+
     def _report(
         self,
         operation: str,
@@ -513,10 +559,3 @@
     if known['phase'] is None and not known.get(CANCEL_ROOM_FIELD, True):
         return RequestResult(RequestStatus.TOO_MANY_CANCELS)
     return None
-
-
-def _missing_job_result(answer: dict[str, Any]) -> RequestResult:
-    is_revoked = bool(answer.get(REVOKED_FIELD))
-    return RequestResult(
-        RequestStatus.KEY_REFUSED if is_revoked else RequestStatus.NO_SUCH_JOB
-    )
