Let fuzzer and soak cancel jobs whose hand-in is executed late

Both cancelled only jobs whose hand-in was confirmed, and the auditors took only 200 for an acknowledgement of a cancelling.

Change: the optional fault `abandoned` executes appends late while callers cancel the jobs at other VMs until that is acknowledged, with 200 or 410; in runs with tenants another tenant cancels them as well.

--- a/src/lycheerelay_standins/platform/_callers.py
+++ b/src/lycheerelay_standins/platform/_callers.py
@@ -132,7 +132,7 @@
         credential = self._owner_of(job_id, key)
         reply = await self.call(vm, 'DELETE', url, credential)
         submitted.cancel_asked = True
-        if reply.status == OK and submitted.cancelled_ms < 0:
+        if reply.status in {OK, GONE} and submitted.cancelled_ms < 0:
             submitted.cancelled_ms = self.cell.now_ms()
         return reply
 
--- a/src/lycheerelay_standins/platform/_fuzz.py
+++ b/src/lycheerelay_standins/platform/_fuzz.py
@@ -21,6 +21,8 @@
 # Jobs wait for the quotas of their tenants.
 TENANTS_FINAL_TIMEOUT_S: Final = 240
 CANCEL_SHARE: Final = 0.2
+# Cancellations of a job whose caller has no acknowledgement.
+MAX_CANCELS: Final = 10
 # Jobs are asked for after a long cut.
 LONG_STATUS_MS: Final = 600_000
 STEP_VARIANTS: Final[tuple[dict[str, Any], ...]] = (
@@ -34,6 +36,7 @@
 # Faults that are drawn only if they are asked for, so that the days of earlier
 # seeds stay as they were.
 OPTIONAL_FAULTS: Final = (
+    'abandoned',
     'answers_broken',
     'config_storm',
     'deadly',
@@ -215,6 +218,28 @@
         else:
             await self.tenant_load.cancel(name)
 
+    async def abandon_job(self) -> None:
+        """Submit a job once and cancel it until that is acknowledged.
+
+        In a run with tenants, a job of theirs.
+        """
+        await asyncio.sleep(self.rng.uniform(0, 2))
+        body = {'spec': 'x', 'steps': self._steps()}
+        if self.tenant_load is not None:
+            await self.tenant_load.abandon(body)
+            return
+        vm = self.rng.choice(sorted(self.cell.entries))
+        if self.cell.entries[vm].config.table is None:
+            # A VM that has just started refuses each call.
+            return
+        name, _ = await self.cell.submit(vm, body)
+        for _ in range(MAX_CANCELS):
+            await asyncio.sleep(self.rng.uniform(0, 0.5))
+            other = self.rng.choice(sorted(self.cell.entries))
+            await self.cell.cancel(other, name)
+            if self.cell.audit.jobs[name].cancelled_ms >= 0:
+                break
+
     def _steps(self) -> list[dict[str, Any]]:
         steps = []
         for number in range(self.rng.randint(1, 3)):
--- a/src/lycheerelay_standins/platform/_fuzz_faults.py
+++ b/src/lycheerelay_standins/platform/_fuzz_faults.py
@@ -22,6 +22,8 @@
 PILED_JOBS: Final = 35
 PILED_WORK_MS: Final = 4000
 LONG_CUT_S: Final = 330
+# Jobs that are cancelled although nothing says that they were accepted.
+ABANDONED_JOBS: Final = 8
 
 
 @FAULTS.register('kill')
@@ -106,6 +108,14 @@
     await asyncio.wait({handing_in})
 
 
+@FAULTS.register('abandoned')
+async def abandon(run: 'FuzzRun') -> None:
+    """Execute hand-ins late while their callers cancel the jobs elsewhere."""
+    run.cell.net.late[STORE_ADDRESS] = (0.5, 1, 6)
+    await asyncio.gather(*(run.abandon_job() for _ in range(ABANDONED_JOBS)))
+    run.cell.net.late.pop(STORE_ADDRESS, None)
+
+
 @FAULTS.register('store_slow')
 async def store_slow(run: 'FuzzRun') -> None:
     """Delay the responses of the store."""
--- a/src/lycheerelay_standins/platform/_fuzz_tenants.py
+++ b/src/lycheerelay_standins/platform/_fuzz_tenants.py
@@ -23,6 +23,7 @@
 TENANT_FAULTS: Final[Registry[str, Inject]] = Registry('tenant fault')
 TOO_MANY_REQUESTS: Final = 429
 PUBLIC_SHARE: Final = 0.1
+HALF: Final = 0.5
 # Share of probes at the VM in question, and of those that ask for a state.
 PROBE_SHARE: Final = 0.7
 # Probes go on until revocation is certain, including that behind a hindrance.
@@ -64,6 +65,26 @@
             )
         return name
 
+    async def abandon(self, body: dict[str, Any]) -> None:
+        """Submit a job of a tenant once, and cancel it.
+
+        Another tenant cancels it as well, before or after that.
+        """
+        tenant = self.draw_tenant()
+        credential = self.draw_credential(tenant)
+        vm = self.pick_vm()
+        name, _ = await self.caller.submit(vm, body, credential)
+        foreign = self.caller.call(
+            self.pick_vm(),
+            'DELETE',
+            f'/batch/{name}',
+            self.draw_credential(self.draw_tenant()),
+        )
+        own = self.cancel(name)
+        calls = [own, foreign] if self.rng.random() < HALF else [foreign, own]
+        for call in calls:
+            await call
+
     async def cancel(self, name: str) -> None:
         """Cancel a job with a key that its tenant holds."""
         await self.caller.cancel(
--- a/src/lycheerelay_standins/platform/_soak.py
+++ b/src/lycheerelay_standins/platform/_soak.py
@@ -25,6 +25,8 @@
 
 READY_TIMEOUT_S: Final = 30
 FINAL_TIMEOUT_S: Final = 90
+# Cancellations of a job whose caller has no acknowledgement.
+MAX_CANCELS: Final = 10
 CALL_TIMEOUT_S: Final = 5
 KEYED_CALL_TIMEOUT_S: Final = 20
 FAULT_DURATION_S: Final = (0.3, 4)
@@ -142,6 +144,27 @@
                 callers.create_task(self._submit_job())
 
     async def _submit_job(self) -> None:
+        name, submitted, credential = self._draw_job()
+        vm = self.load_rng.choice(sorted(self.cell.vms))
+        await self.submit(vm, name, submitted, credential)
+
+    async def abandon_job(self) -> None:
+        """Submit a job once and cancel it until that is acknowledged."""
+        await asyncio.sleep(self.load_rng.uniform(0, 2))
+        name, submitted, credential = self._draw_job()
+        self.cell.audit.jobs[name] = submitted
+        vm = self.load_rng.choice(sorted(self.cell.vms))
+        await self._call(vm, 'POST', name, credential, submitted.body)
+        submitted.cancel_asked = True
+        for _ in range(MAX_CANCELS):
+            vm = self.load_rng.choice(sorted(self.cell.vms))
+            status, _ = await self._call(vm, 'DELETE', name, credential)
+            if status in {OK, GONE}:
+                submitted.cancelled_ms = self.cell.now_ms()
+                break
+            await asyncio.sleep(self.load_rng.uniform(0, 0.5))
+
+    def _draw_job(self) -> tuple[str, SubmittedJob, Credential]:
         steps = [
             {
                 'count': self.load_rng.randint(1, 4),
@@ -164,8 +187,7 @@
             deadly=frozenset(('0.0',) if is_deadly else ()),
             tenant=credential.tenant,
         )
-        vm = self.load_rng.choice(sorted(self.cell.vms))
-        await self.submit(vm, name, submitted, credential)
+        return name, submitted, credential
 
     async def submit(
         self,
--- a/src/lycheerelay_standins/platform/_soak_faults.py
+++ b/src/lycheerelay_standins/platform/_soak_faults.py
@@ -16,7 +16,9 @@
 
 # Faults that are drawn only if they are asked for, so that the faults of earlier
 # seeds stay as they were.
-OPTIONAL_SOAK_FAULTS: Final = frozenset(('unlisted', 'crowd'))
+OPTIONAL_SOAK_FAULTS: Final = frozenset(('unlisted', 'crowd', 'abandoned'))
+# Jobs that are cancelled although nothing says that they were accepted.
+ABANDONED_JOBS: Final = 10
 # Clients of each kind in a crowd.
 CROWD_SIZE: Final = 40
 # Jobs of the crowd have ids that no other caller draws.
@@ -156,6 +158,14 @@
     soak.net.late.pop(STORE_NAME, None)
 
 
+@SOAK_FAULTS.register('abandoned')
+async def abandon(soak: 'Soak') -> None:
+    """Execute hand-ins late while their callers cancel the jobs elsewhere."""
+    soak.net.late[STORE_NAME] = (0.5, 1, 5)
+    await asyncio.gather(*(soak.abandon_job() for _ in range(ABANDONED_JOBS)))
+    soak.net.late.pop(STORE_NAME, None)
+
+
 @SOAK_FAULTS.register('deal_anew')
 async def reassign_partitions(soak: 'Soak') -> None:
     """Reassign the partitions of every group."""
--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -125,3 +125,18 @@
     assert result.jobs > 20
     assert result.broken == ()
     assert result.unfinished == ()
+
+
+ABANDONED = ('abandoned', 'abandoned', 'kill', 'kill_all', 'revoke')
+
+
+@pytest.mark.parametrize('with_tenants', [False, True])
+@pytest.mark.parametrize('seed', range(1, 5))
+def test_a_day_with_abandoned_jobs_keeps_every_promise(
+    seed: int, with_tenants: bool
+) -> None:
+    """Jobs are cancelled whose hand-in the store executes late."""
+    result = fuzz(seed, ABANDONED, with_tenants)
+    assert 'abandoned' in result.faults
+    assert result.broken == ()
+    assert result.unfinished == ()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -74,3 +74,12 @@
     assert cells[0].network != cells[1].network
     for cell in cells:
         cell.claim.close()
+
+
+def test_a_soak_with_abandoned_jobs_keeps_every_promise(tmp_path: Path) -> None:
+    """Callers cancel jobs whose hand-in the store executes late."""
+    only = ('abandoned', 'kill', 'leave', 'freeze')
+    result = soak(1, LENGTH_S, tmp_path, only=only)
+    assert 'abandoned' in result.faults
+    assert result.broken == ()
+    assert result.unfinished == ()
