Leave steps that no set of workers can hold out of the scheduling cycle

Cause: such gangs were planned each 100 ms, before all others, and used up the three plans of a cycle. A gang behind them was not planned again and kept the capacity of its last plan without a limit. The ten steps that are looked at for free capacity were the same gangs, so that the small jobs never got past the reservation.

A plan keeps capacity for 1 s at most without being made again.

Why it holds: what can never run takes part in nothing, and a plan that nobody looks at gives the capacity back.

--- a/src/lycheerelay/serving/_dump.py
+++ b/src/lycheerelay/serving/_dump.py
@@ -60,6 +60,7 @@
                 'latest_start_ms': step.latest_start_ms,
                 'asking': sum(map(len, step.pending_calls)),
                 'tickets': len(step.tickets),
+                'hopeless': step.is_hopeless,
             }
             for step in cell.open_steps.values()
         ],
--- a/src/lycheerelay/serving/_owner.py
+++ b/src/lycheerelay/serving/_owner.py
@@ -23,7 +23,11 @@
     unlist_worker,
 )
 from ..workflow.opening import forget_finished_occurrences
-from ..workflow.stalls import count_waiting_suspects, report_stalled_steps
+from ..workflow.stalls import (
+    count_hopeless_steps,
+    count_waiting_suspects,
+    report_stalled_steps,
+)
 from ..workflow.workers import forget_gone_workers
 from ._advice_dispatcher import AdviceDispatcher
 from ._context import CYCLE_DELAY_S, Limits, OwnerContext
@@ -352,6 +356,8 @@
             forget_finished_occurrences(self.cell)
             stalled = report_stalled_steps(self.cell, now_ms)
             self.context.metrics.gauge('stalled_steps', stalled)
+            hopeless = count_hopeless_steps(self.cell)
+            self.context.metrics.gauge('hopeless_steps', hopeless)
             suspects = count_waiting_suspects(self.cell)
             self.context.metrics.gauge('waiting_suspects', suspects)
 
--- a/src/lycheerelay/workflow/_dispatch.py
+++ b/src/lycheerelay/workflow/_dispatch.py
@@ -12,6 +12,7 @@
 from ._deferred_stops import begin_stop_cycle
 from ._fit import CandidateRanking, count_fitting, has_ticket
 from ._gangs import GANG_POLICIES
+from ._hopeless import HopelessFilter
 from ._last_resort import note_progress
 from ._log_events import log_event
 from ._openings import earliest_openings
@@ -44,13 +45,14 @@
     waiting = choose_order(cell)(cell, waiting, now_ms)
     cycles: dict[str, PoolCycle] = {}
     quotas = QuotaCycle(cell, now_ms)
+    hopeless = HopelessFilter(cell, now_ms)
     started = 0
     for step in waiting:
         # The steps that follow wait for the next cycle, so that none of them
         # takes the capacity of this one.
         if started >= MAX_STARTS_PER_CYCLE:
             break
-        if _is_still_held(step, quotas):
+        if _is_left_out(step, quotas, hopeless):
             continue
         pool = step.job.spec.pool
         cycle = cycles.get(pool)
@@ -70,6 +72,12 @@
     return started
 
 
+def _is_left_out(
+    step: StepInfo, quotas: QuotaCycle, hopeless: HopelessFilter
+) -> bool:
+    return _is_still_held(step, quotas) or hopeless.contains(step)
+
+
 def _is_still_held(step: StepInfo, quotas: QuotaCycle) -> bool:
     """Return whether the quota holds a step back as in the last cycle."""
     account = step.job.account
--- a/src/lycheerelay/workflow/_gangs.py
+++ b/src/lycheerelay/workflow/_gangs.py
@@ -29,6 +29,13 @@
 # since a backlog of them would use up the processor.
 REPLAN_INTERVAL_MS: Final = 100
 UNRESERVED_REPLAN_INTERVAL_MS: Final = 300
+# A gang that does not fit, even once all runs that end are over, is planned less and
+# less often after some plans, down to once in the first interval doubled this many
+# times. A reservation of others mostly keeps it from fitting for some plans only.
+STEADY_PLANS: Final = 5
+MAX_REPLAN_DOUBLINGS: Final = 4
+# Time for which a plan keeps its capacity if there is no turn to make it again.
+MAX_PLAN_AGE_MS: Final = 1000
 
 # Validity that the tickets of a planned gang need beyond its expected start.
 TICKET_RESERVE_MS: Final = 300
@@ -53,8 +60,8 @@
     may_reserve = _may_reserve(cell, step, cycle)
     if now_ms < step.replan_ms or not cycle.plans_left:
         # A plan that waits for tickets is kept, or others take its capacity.
-        if step.openings and (may_reserve or step.pending_calls):
-            _reserve(step, cycle, step.openings)
+        if may_reserve or step.pending_calls:
+            _keep_plan(step, cycle, now_ms)
         return 0
     if len(startable_tasks(cell, step, now_ms)) < len(step.tasks):
         return 0
@@ -64,16 +71,30 @@
     interval_ms = REPLAN_INTERVAL_MS
     if not may_reserve:
         interval_ms = UNRESERVED_REPLAN_INTERVAL_MS
+    step.planned_ms = now_ms
     step.replan_ms = now_ms + interval_ms
     openings = _plan(step, cycle, may_reserve, now_ms)
     if len(openings) == len(step.tasks):
+        step.failed_plans = 0
         return _follow_plan(cell, step, cycle, openings, now_ms)
     step.openings = ()
     if may_reserve:
+        _back_off(step, now_ms)
         _ask_about_more(cell, step, cycle, now_ms)
     return 0
 
 
+def _back_off(step: StepInfo, now_ms: int) -> None:
+    if step.job.spec.advice is not None:
+        # Each answer of the advisor may let the gang fit.
+        return
+    step.failed_plans += 1
+    doublings = max(step.failed_plans - STEADY_PLANS, 0)
+    step.replan_ms = now_ms + (
+        REPLAN_INTERVAL_MS << min(doublings, MAX_REPLAN_DOUBLINGS)
+    )
+
+
 def _may_reserve(cell: CellState, step: StepInfo, cycle: PoolCycle) -> bool:
     has_reservations = cycle.reserving_steps < cell.policies.reserving_steps
     return has_reservations and cycle.quotas.may_reserve(step)
@@ -98,6 +119,12 @@
     return 0
 
 
+def _keep_plan(step: StepInfo, cycle: PoolCycle, now_ms: int) -> None:
+    """Reserve the openings of the last plan, unless it is long out of date."""
+    if step.openings and now_ms - step.planned_ms <= MAX_PLAN_AGE_MS:
+        _reserve(step, cycle, step.openings)
+
+
 def _reserve(
     step: StepInfo, cycle: PoolCycle, openings: tuple[Opening, ...]
 ) -> None:
--- a/src/lycheerelay/workflow/_stalls.py
+++ b/src/lycheerelay/workflow/_stalls.py
@@ -2,7 +2,7 @@
 
 Such a step waits for something else than capacity: advice, tickets, a worker
 that has not answered since a takeover, or a retry delay. Steps that the quota
-of their tenant holds back are left out.
+of their tenant holds back are left out, and those that no set of workers can hold.
 """
 
 from typing import Final
@@ -53,13 +53,18 @@
     )
 
 
+def count_hopeless_steps(cell: CellState) -> int:
+    """Return how many steps no set of workers can hold."""
+    return sum(step.is_hopeless for step in cell.open_steps.values())
+
+
 def _waiting_steps(cell: CellState) -> list[StepInfo]:
     waiting = []
     for step in cell.open_steps.values():
         if is_held_by_quota(step):
             step.free_since_ms = NEVER
             step.stall_reported = False
-        elif step.waiting:
+        elif step.waiting and not step.is_hopeless:
             waiting.append(step)
     return waiting
 
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -183,6 +183,10 @@
     held back since `held_by_quota_ms` by `held_by_quota`: a resource of the quota, INACTIVE_TENANT
     or WAITING_GANG. They need not be looked at before the epoch of the account
     changes from `held_epoch`. `quota_needed` is what the next start needs.
+    `is_hopeless` says that no set of workers could hold the step when it was last
+    checked, with the state `checked_with`. The last plan of a gang was
+    made at `planned_ms`; `failed_plans` counts those without enough openings since
+    the last one that had them.
     """
 
     key: StepKey
@@ -216,6 +220,10 @@
     held_by_quota: str = ''
     held_epoch: int = NEVER
     quota_needed: Resources = Resources()
+    is_hopeless: bool = False
+    checked_with: tuple[int, ...] = ()
+    planned_ms: int = NEVER
+    failed_plans: int = 0
 
     @property
     def is_done(self) -> bool:
@@ -397,7 +405,8 @@
     last scheduling cycle has started or stopped as many tasks as one may, so that
     others may wait beside free capacity. `deferred_stops` holds the runs of
     final jobs that are still to be stopped, with the reason, and `stops_in_cycle` counts those
-    stopped since the last cycle began.
+    stopped since the last cycle began. `workers_hash` changes with what the workers can hold,
+    and is renewed from time to time.
     """
 
     fence: int
@@ -422,6 +431,8 @@
         default_factory=deque
     )
     stops_in_cycle: int = 0
+    workers_hash: int = 0
+    workers_hashed_ms: int = NEVER
     wanted_workers: dict[str, frozenset[WorkerKey]] = field(
         default_factory=dict
     )
