Try a cancelling again while its caller waits and the store answers

The front of the cancelling was the owner, which had just tried the hand-in for another front.

Cause: a VM has one append in flight. The answer to the one with the hand-in was lost; records that wait behind it are refused once it times out, and the gate then lets one append through in 250 ms. So a caller who cancels a job right after a lost hand-in is told to come back, and the job may run meanwhile.

Two tests, at the VM of the hand-in and at the owner, failed on the code before with `refused`.

Change: a refused cancellation is tried again each 100 ms until the deadline of its caller, as long as the regular calls to the store are answered. While they fail it is refused as before, which a third test holds. Hand-ins are refused as before.

--- a/src/lycheerelay/serving/_record_appends.py
+++ b/src/lycheerelay/serving/_record_appends.py
@@ -1,12 +1,13 @@
 """Append the records of callers over the available routes."""
 
+import asyncio
 import logging
 from collections.abc import Awaitable, Callable
 from typing import Final, NamedTuple, final
 
 from result import Err, Ok
 
-from .._clock import Clock
+from .._clock import MS_PER_SECOND, Clock
 from .._registry import Registry
 from ._append_gate import AppendGate
 from ._append_route import AppendRoute, AppendRouter
@@ -25,6 +26,9 @@
 
 # Attempts per append while the caller waits, without another route.
 MAX_APPEND_ATTEMPTS: Final = 2
+# Delay before a cancellation is tried again, which costs nothing while no append may
+# be sent.
+RETRY_DELAY_MS: Final = 100
 # Upper bound of an append on behalf of another VM.
 RELAY_TIMEOUT_MS: Final = 1000
 FAULT_OF_STATUS: Final = {
@@ -34,11 +38,23 @@
 
 
 class PendingRecord(NamedTuple):
-    """Record of a caller, the caller, and the deadline of the append in ms."""
+    """Record of a caller, the caller, and the deadline of the append in ms.
+
+    One that `waits` is tried again until its deadline while the store answers.
+    """
 
     record: KeyedRecord
     identity: Identity
     deadline_ms: int
+    waits: bool = False
+
+
+class AppendAttempt(NamedTuple):
+    """Status after the routes that were tried, and the last fault."""
+
+    status: RequestStatus
+    fault: LogFault = LogFault.REFUSED
+    offset: int = -1
 
 
 @final
@@ -67,7 +83,29 @@
     async def append(
         self, pending: PendingRecord, operation: str, *, is_owner: bool
     ) -> RequestResult:
-        """Append a record, trying one route after the other.
+        """Append a record, trying one route after the other."""
+        attempt = await self._try_routes(pending, is_owner)
+        while attempt.status is RequestStatus.REFUSED and self._waits(pending):
+            await asyncio.sleep(RETRY_DELAY_MS / MS_PER_SECOND)
+            attempt = await self._try_routes(pending, is_owner)
+        if attempt.status is RequestStatus.OK:
+            return RequestResult(RequestStatus.OK, attempt.offset)
+        logger.info(
+            'append_failed',
+            extra={
+                'what': operation,
+                'key': pending.record.key,
+                'fault': attempt.fault.value,
+                'unsure': attempt.status is RequestStatus.UNKNOWN_OUTCOME,
+                'store_failing_since_ms': self.gate.failing_since_ms,
+            },
+        )
+        return self._refusal(attempt.status)
+
+    async def _try_routes(
+        self, pending: PendingRecord, is_owner: bool
+    ) -> AppendAttempt:
+        """Append a record over one route after the other until one takes it.
 
         The caller is checked before each attempt, since a version that revokes
         its key may have arrived during the last one.
@@ -77,11 +115,10 @@
         for route in self._routes(is_owner):
             refusal = self.checks.recheck(pending.identity, pending.record.key)
             if refusal is not None:
-                status = worse_status(status, refusal)
-                break
+                return AppendAttempt(worse_status(status, refusal), fault)
             outcome = await self._try_route(route, pending)
             if isinstance(outcome, Ok):
-                return RequestResult(RequestStatus.OK, outcome.ok_value)
+                return AppendAttempt(RequestStatus.OK, offset=outcome.ok_value)
             fault = outcome.err_value
             status = worse_status(status, STATUS_OF_FAULT.get(fault, status))
             if (
@@ -89,17 +126,14 @@
                 or self.clock.now_ms() >= pending.deadline_ms
             ):
                 break
-        logger.info(
-            'append_failed',
-            extra={
-                'what': operation,
-                'key': pending.record.key,
-                'fault': fault.value,
-                'unsure': status is RequestStatus.UNKNOWN_OUTCOME,
-                'store_failing_since_ms': self.gate.failing_since_ms,
-            },
-        )
-        return self._refusal(status)
+        return AppendAttempt(status, fault)
+
+    def _waits(self, pending: PendingRecord) -> bool:
+        """Return whether a refused record may still be taken in time."""
+        if not pending.waits or self.gate.store_health.is_lost:
+            return False
+        next_ms = self.clock.now_ms() + RETRY_DELAY_MS
+        return next_ms < pending.deadline_ms
 
     def _refusal(self, status: RequestStatus) -> RequestResult:
         if status is RequestStatus.NEVER_STORED:
--- a/src/lycheerelay/serving/_request_handler.py
+++ b/src/lycheerelay/serving/_request_handler.py
@@ -179,7 +179,10 @@
         key = cancel_key(job_id, EVERYONE if is_known else identity)
         record = KeyedRecord(key, encode_cancellation(identity))
         remaining_ms = timeout_ms - (self.clock.now_ms() - begun_ms)
-        outcome = await self._append(record, identity, remaining_ms, 'cancel')
+        # An append of others that failed is no reason to leave a job running.
+        outcome = await self._append(
+            record, identity, remaining_ms, 'cancel', waits=True
+        )
         is_missing = known is not None and not is_known
         if is_missing and outcome.status is RequestStatus.OK:
             outcome = RequestResult(RequestStatus.NO_SUCH_JOB)
@@ -240,10 +243,12 @@
         identity: Identity,
         timeout_ms: int,
         operation: str,
+        *,
+        waits: bool = False,
     ) -> RequestResult:
         deadline_ms = self.clock.now_ms() + timeout_ms - TIMEOUT_MARGIN_MS
         return await self.appends.append(
-            PendingRecord(record, identity, deadline_ms),
+            PendingRecord(record, identity, deadline_ms, waits),
             operation,
             is_owner=self.owner is not None,
         )
--- a/tests/test_early_cancels.py
+++ b/tests/test_early_cancels.py
@@ -418,3 +418,38 @@
     early.forget('a', 'cancel/a')
     early.forget('a', 'cancel/a')
     assert (early.count, early.by_job, early.admissions) == (0, {}, {})
+
+
+@pytest.mark.parametrize('is_owner', [False, True])
+def test_a_cancelling_behind_a_lost_append_is_refused(is_owner: bool) -> None:
+    """It is stored once the VM may append again, while its caller waits."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        first, second = other_vms(cell)
+        await hand_in_late(cell, first)
+        # The owner has tried the append as well, and waits for its answer.
+        vm = cell.owner() if is_owner else first
+        assert await cell.cancel(vm, JOB) == 'no_such_job'
+        await asyncio.sleep(2 * LATE_S)
+        assert await cell.state(second, JOB) == 'cancelled'
+        assert starts(cell) == 0
+
+    play(scenario, SHAPE)
+
+
+def test_a_cancelling_is_held_while_the_store_is_away() -> None:
+    """It is refused once the owner was asked, not at its deadline of 3 s."""
+
+    async def scenario(cell: PlatformCell) -> None:
+        first, _ = other_vms(cell)
+        name, _ = await cell.submit(first, job(step(1)), work_ms=60_000)
+        cell.net.refusing.add(('*', STORE))
+        await asyncio.sleep(2)
+        begun_ms = cell.now_ms()
+        assert await cell.cancel(first, name) == 'refused'
+        assert cell.now_ms() - begun_ms < 1600
+        cell.net.refusing.clear()
+        await asyncio.sleep(3)
+        assert await cell.cancel(first, name) == 'ok'
+
+    play(scenario, SHAPE)
