Hand over only for workers that have answered an owner, and ever less often

Cause: an owner hands over when half of the listed workers leave its polls unanswered though they have registered since. That they are up was concluded from the registrations alone, which anyone may write.

Change: only workers that have returned a run table to an owner count. Each handover for this reason after the first doubles the limit, 1.5 to 24 s, until there was none for 60 s; the announcement of a vacancy carries the count.

Why it holds: no entry makes an address answer with a run table.

--- a/src/lycheerelay/serving/_internal_api.py
+++ b/src/lycheerelay/serving/_internal_api.py
@@ -37,7 +37,7 @@
         self,
         handler: RequestHandler,
         advisor: Advisor,
-        check_vacancy_now: Callable[[], None],
+        check_vacancy_now: Callable[[int], None],
         dump: Callable[[], Body],
     ) -> None:
         """Answer through the request handler."""
@@ -127,7 +127,7 @@
 @ROUTES.register('/vacant')
 async def vacant(internal: InternalApi, body: Body) -> Body | None:
     """Check for a vacancy after another member has announced one."""
-    internal.check_vacancy_now()
+    internal.check_vacancy_now(int(body.get('handovers') or 0))
     return {}
 
 
--- a/src/lycheerelay/serving/_known_workers.py
+++ b/src/lycheerelay/serving/_known_workers.py
@@ -1,9 +1,10 @@
 """Keep the workers that may hold runs in the record, for the next owner.
 
 The record `workers` maps ids to addresses. The record `instances` maps them to
-the time of their start and to whether they are draining, and the record
-`silent_workers` those that are gone to the time since when; earlier versions write
-and read the first one only, or the first two.
+the time of their start and to whether they are draining, the record
+`silent_workers` those that are gone to the time since when, and the record
+`answered_workers` has those that have answered an owner; earlier versions write
+and read the first one only, or some of them.
 """
 
 import logging
@@ -15,7 +16,12 @@
 from .._resources import Resources
 from ..workflow import CellState, WorkerKey, WorkerListing
 from ._ports import RecordPage
-from ._progress_keys import INSTANCES_KEY, KNOWN_WORKERS_KEY, SILENT_KEY
+from ._progress_keys import (
+    ANSWERED_KEY,
+    INSTANCES_KEY,
+    KNOWN_WORKERS_KEY,
+    SILENT_KEY,
+)
 
 logger = logging.getLogger('lycheerelay.owner')
 
@@ -29,12 +35,18 @@
     key: WorkerKey
     draining: bool
     silent_since_ms: int = 0
+    has_answered: bool = False
 
 
 def known_workers(cell: CellState) -> frozenset[KnownWorker]:
     """Return the workers that the next owner has to know."""
     return frozenset(
-        KnownWorker(worker.key, worker.draining, worker.silent_since_ms)
+        KnownWorker(
+            worker.key,
+            worker.draining,
+            worker.silent_since_ms,
+            worker.has_answered,
+        )
         for worker in cell.workers.values()
     )
 
@@ -58,11 +70,13 @@
     """Return the recorded worker instances by worker id."""
     rows = _decode(progress, INSTANCES_KEY)
     silent = _decode(progress, SILENT_KEY)
+    answered = _decode(progress, ANSWERED_KEY)
     return {
         worker_id: KnownWorker(
             WorkerKey(worker_id, started_ms),
             draining,
             _int_of(silent.get(worker_id)),
+            worker_id in answered,
         )
         for worker_id, (started_ms, draining) in _instance_rows(rows)
     }
--- a/src/lycheerelay/serving/_owner_elector.py
+++ b/src/lycheerelay/serving/_owner_elector.py
@@ -38,6 +38,10 @@
 # up to 1 s at the worker and may take 0.7 s on top.
 UNRESPONSIVE_LIMIT_MS: Final = 1500
 CLAIM_BACKOFF_MS: Final = 6000
+# The limit is doubled with each handover for this reason after the first, which is
+# forgotten after some time: if no member reaches the workers, each would hand over.
+MAX_LIMIT_DOUBLINGS: Final = 4
+HANDOVERS_EXPIRE_MS: Final = 60_000
 
 # A new member is listed only after other members have handed partitions to it.
 # The owner therefore reads the members at the short interval for a while after
@@ -83,6 +87,8 @@
         self.check_vacancy_until_ms = 0
         self.vacancy_checked_ms = 0
         self.no_claim_until_ms = 0
+        self.handovers = 0
+        self.handed_over_ms = 0
         self.lease_expired_ms = 0
         self.members_read_ms = 0
         self.group_change_until_ms = 0
@@ -112,8 +118,14 @@
             await self.peers.announce_vacancy()
         await self.group.leave()
 
-    def check_vacancy_now(self) -> None:
-        """Check for a vacancy without waiting for the next round."""
+    def check_vacancy_now(self, handovers: int = 0) -> None:
+        """Check for a vacancy without waiting for the next round.
+
+        `handovers` counts those in a row for workers that could not be reached.
+        """
+        if handovers:
+            self.handovers = handovers
+            self.handed_over_ms = self.clock.now_ms()
         self.vacancy_checked_ms = 0
         self.check_vacancy_until_ms = (
             self.clock.now_ms() + VACANCY_CHECK_WINDOW_MS
@@ -213,8 +225,12 @@
         unresponsive_ms = min(
             median_unresponsive_ms(owner.cell, sent_ms), polling_ms
         )
-        if unresponsive_ms > UNRESPONSIVE_LIMIT_MS:
-            await self._hand_over(sent_ms, 'most workers are unreachable')
+        if unresponsive_ms > self._unresponsive_limit_ms(sent_ms):
+            self.handovers += 1
+            self.handed_over_ms = sent_ms
+            await self._hand_over(
+                sent_ms, 'most workers are unreachable', self.handovers
+            )
             return
         if not owner.cell.loaded and owner.takeover.is_overdue(sent_ms):
             await self._hand_over(sent_ms, 'the takeover timed out')
@@ -230,10 +246,18 @@
             return
         ownership_lease.confirm(sent_ms)
 
-    async def _hand_over(self, now_ms: int, reason: str) -> None:
+    def _unresponsive_limit_ms(self, now_ms: int) -> int:
+        if now_ms - self.handed_over_ms > HANDOVERS_EXPIRE_MS:
+            self.handovers = 0
+        doublings = max(self.handovers - 1, 0)
+        return UNRESPONSIVE_LIMIT_MS << min(doublings, MAX_LIMIT_DOUBLINGS)
+
+    async def _hand_over(
+        self, now_ms: int, reason: str, handovers: int = 0
+    ) -> None:
         self.no_claim_until_ms = now_ms + CLAIM_BACKOFF_MS
         await self._step_down(reason)
-        await self.peers.announce_vacancy()
+        await self.peers.announce_vacancy(handovers)
 
     async def _step_down(self, reason: str) -> None:
         self.end_term(reason)
--- a/src/lycheerelay/serving/_peers.py
+++ b/src/lycheerelay/serving/_peers.py
@@ -176,11 +176,15 @@
             self.owner = owner
             self.hello_due_ms = 0
 
-    async def announce_vacancy(self) -> None:
-        """Notify every live peer that there is no owner."""
+    async def announce_vacancy(self, handovers: int = 0) -> None:
+        """Notify every live peer that there is no owner.
+
+        `handovers` counts those in a row for workers that could not be reached.
+        """
+        body = {'handovers': handovers} if handovers else {}
         await asyncio.gather(
             *(
-                self.call(address, '/vacant', {}, VACANT_TIMEOUT_MS)
+                self.call(address, '/vacant', body, VACANT_TIMEOUT_MS)
                 for address in self.live_peers()
             ),
         )
--- a/src/lycheerelay/serving/_progress_keys.py
+++ b/src/lycheerelay/serving/_progress_keys.py
@@ -18,7 +18,13 @@
 KNOWN_WORKERS_KEY: Final = 'workers'
 INSTANCES_KEY: Final = 'instances'
 SILENT_KEY: Final = 'silent_workers'
-LIST_KEYS: Final = (KNOWN_WORKERS_KEY, INSTANCES_KEY, SILENT_KEY)
+ANSWERED_KEY: Final = 'answered_workers'
+LIST_KEYS: Final = (
+    KNOWN_WORKERS_KEY,
+    INSTANCES_KEY,
+    SILENT_KEY,
+    ANSWERED_KEY,
+)
 
 OWNER_KEYS: Final = frozenset(
     (LEGACY_FENCE_KEY, JUDGED_KEY, TERM_KEY, PROBE_KEY, *LIST_KEYS)
--- a/src/lycheerelay/serving/_takeover.py
+++ b/src/lycheerelay/serving/_takeover.py
@@ -128,6 +128,9 @@
                 cell.workers[listing.worker].silent_since_ms = min(
                     known.silent_since_ms, now_ms
                 )
+        for worker_id, known in earlier.items():
+            for worker in cell.find_instances(worker_id):
+                worker.has_answered = known.has_answered
         for worker_id in earlier.keys() - leaving:
             cell.earlier_instances[worker_id] = earlier[worker_id].key
         cell.unsynced_workers.update(dict.fromkeys(cell.instances))
--- a/src/lycheerelay/serving/_worker_records.py
+++ b/src/lycheerelay/serving/_worker_records.py
@@ -14,6 +14,7 @@
 from ._known_workers import PART_SEPARATOR, is_part_of
 from ._ports import KeyedRecord, RecordPage, StoreLimits
 from ._progress_keys import (
+    ANSWERED_KEY,
     INSTANCES_KEY,
     KNOWN_WORKERS_KEY,
     LIST_KEYS,
@@ -55,11 +56,15 @@
             for worker in workers
             if worker.silent_since_ms
         }
+        answered = {
+            worker.worker_id: True for worker in workers if worker.has_answered
+        }
         limit = self.limits.payload_bytes
         records = [
             *_encode_rows(KNOWN_WORKERS_KEY, addresses, limit),
             *_encode_rows(INSTANCES_KEY, instances, limit),
             *_encode_rows(SILENT_KEY, silent, limit),
+            *_encode_rows(ANSWERED_KEY, answered, limit),
         ]
         keys = frozenset(record.key for record in records)
         left_over = sorted(self.stored_keys - keys)
--- a/src/lycheerelay/workflow/_contact.py
+++ b/src/lycheerelay/workflow/_contact.py
@@ -50,6 +50,7 @@
     worker.missed_calls = 0
     worker.unresponsive = False
     worker.silent_since_ms = 0
+    worker.has_answered = True
 
 
 def may_copy_runs(worker: WorkerInfo, now_ms: int) -> bool:
--- a/src/lycheerelay/workflow/_periodic_checks.py
+++ b/src/lycheerelay/workflow/_periodic_checks.py
@@ -63,14 +63,15 @@
 def median_unresponsive_ms(cell: CellState, now_ms: int) -> int:
     """Return the median time for which listed workers cannot be reached.
 
-    A worker that leaves polls or orders unanswered, but has registered well after
+    Only those that have answered an owner count: anyone may register an address that
+    answers nobody, and another owner would not reach it either. A worker that leaves polls or orders unanswered, but has registered well after
     its last answer, is up and cannot be reached from here; the others count as 0 ms.
     The upper median is used.
     """
     unresponsive = sorted(
         now_ms - worker.last_contact_ms if _is_up_but_unreachable(worker) else 0
         for worker in cell.workers.values()
-        if worker.listed
+        if worker.listed and worker.has_answered
     )
     return unresponsive[len(unresponsive) // 2] if unresponsive else 0
 
--- a/src/lycheerelay/workflow/_state.py
+++ b/src/lycheerelay/workflow/_state.py
@@ -301,7 +301,8 @@
     may be the cause if the instance proves to have crashed before its leases expired.
     `has_more_ends` says that there are run ends that it has not listed yet.
     `silent_since_ms` is set if the worker is gone: without a registration, and silent
-    for long.
+    for long. `has_answered` says that it has returned a run table to this owner or, by
+    the record, to an earlier one.
     """
 
     key: WorkerKey
@@ -339,6 +340,7 @@
     lapsed_suspects: 'tuple[Suspect, ...]' = ()
     has_more_ends: bool = False
     silent_since_ms: int = 0
+    has_answered: bool = False
 
     @property
     def worker_id(self) -> str:
--- a/tests/test_job_expiry.py
+++ b/tests/test_job_expiry.py
@@ -23,7 +23,7 @@
 
 def records(cell: PlatformCell) -> list[str]:
     """Return the keys of all records of jobs in the store."""
-    of_lists = {'workers', 'instances', 'silent_workers'}
+    of_lists = {'workers', 'instances', 'silent_workers', 'answered_workers'}
     of_cell = of_lists | {'fence', 'term', 'judged'}
     return [
         key
