Record first answers of workers with the list, and read any vacancy call

Cause: each first answer of a worker changed the list that is recorded, so that it was appended once more; the count of handovers was read from any JSON as if from an object.

Change: the list is recorded anew when most workers have answered, or have not any more, beside the changes of before; each row then has what is known. The count is read only from bodies that have it, and others get 400 or count as none.

--- a/src/lycheerelay/serving/_internal_api.py
+++ b/src/lycheerelay/serving/_internal_api.py
@@ -127,7 +127,9 @@
 @ROUTES.register('/vacant')
 async def vacant(internal: InternalApi, body: Body) -> Body | None:
     """Check for a vacancy after another member has announced one."""
-    internal.check_vacancy_now(int(body.get('handovers') or 0))
+    # Earlier versions send no count.
+    handovers = int(body['handovers']) if 'handovers' in body else 0
+    internal.check_vacancy_now(handovers)
     return {}
 
 
--- a/src/lycheerelay/serving/_known_workers.py
+++ b/src/lycheerelay/serving/_known_workers.py
@@ -39,13 +39,19 @@
 
 
 def known_workers(cell: CellState) -> frozenset[KnownWorker]:
-    """Return the workers that the next owner has to know."""
+    """Return the workers that the next owner has to know.
+
+    They change with the answers of most of them only, as the whole list is recorded
+    for each change.
+    """
+    answered = sum(worker.has_answered for worker in cell.workers.values())
+    have_most_answered = 2 * answered > len(cell.workers)
     return frozenset(
         KnownWorker(
             worker.key,
             worker.draining,
             worker.silent_since_ms,
-            worker.has_answered,
+            have_most_answered,
         )
         for worker in cell.workers.values()
     )
